--- /dev/null
+++ b/src/build/generate-messages.sh
@@ -0,0 +1,11 @@
+#!/bin/sh
+# Regenerates the message classes from src/main/proto. Needed only after a change of the .proto file; the build itself
+# runs no generator. Maven brings the compiler.
+set -eu
+cd "$(dirname "$0")/../.."
+version=4.34.1
+mvn -q -B org.apache.maven.plugins:maven-dependency-plugin:3.8.1:copy \
+    -Dartifact=com.google.protobuf:protoc:$version:exe:linux-x86_64 -DoutputDirectory=target/protoc
+chmod +x target/protoc/protoc-$version-linux-x86_64.exe
+rm -rf src/main/java/org/cuminshelf/message
+target/protoc/protoc-$version-linux-x86_64.exe --java_out=lite:src/main/java -Isrc/main/proto src/main/proto/messages.proto
--- /dev/null
+++ b/src/main/java/org/cuminshelf/config/ConfigMapper.java
@@ -0,0 +1,112 @@
+package org.cuminshelf.config;
+
+import com.fasterxml.jackson.core.JsonParser;
+import com.fasterxml.jackson.databind.DeserializationContext;
+import com.fasterxml.jackson.databind.DeserializationFeature;
+import com.fasterxml.jackson.databind.JsonSerializer;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.SerializationFeature;
+import com.fasterxml.jackson.databind.SerializerProvider;
+import com.fasterxml.jackson.databind.deser.std.StdDeserializer;
+import com.fasterxml.jackson.databind.module.SimpleModule;
+import com.fasterxml.jackson.dataformat.yaml.YAMLFactory;
+import com.fasterxml.jackson.dataformat.yaml.YAMLParser;
+import com.fasterxml.jackson.datatype.jdk8.Jdk8Module;
+import java.io.IOException;
+import java.time.Duration;
+import java.time.OffsetDateTime;
+import java.time.format.DateTimeParseException;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+
+/** The readers and writers of configuration text. */
+final class ConfigMapper {
+
+    private static final Pattern DURATION = Pattern.compile("(\\d{1,12})(ms|s|m|h|d)");
+    private static final ObjectMapper JSON = configure(new ObjectMapper());
+    private static final ObjectMapper YAML = configure(new ObjectMapper(YAMLFactory.builder()
+            .enable(YAMLParser.Feature.EMPTY_STRING_AS_NULL)
+            .build()));
+
+    private ConfigMapper() {}
+
+    /** The canonical form: JSON with keys in order. */
+    static ObjectMapper json() {
+        return JSON;
+    }
+
+    /** The form operators write. */
+    static ObjectMapper yaml() {
+        return YAML;
+    }
+
+    private static ObjectMapper configure(ObjectMapper mapper) {
+        SimpleModule module = new SimpleModule();
+        module.addDeserializer(Duration.class, new DurationReader());
+        module.addDeserializer(OffsetDateTime.class, new StartReader());
+        module.addSerializer(Duration.class, new DurationWriter());
+        return mapper.registerModule(new Jdk8Module())
+                .registerModule(module)
+                .enable(DeserializationFeature.FAIL_ON_READING_DUP_TREE_KEY)
+                .disable(DeserializationFeature.FAIL_ON_NULL_CREATOR_PROPERTIES)
+                .enable(JsonParser.Feature.STRICT_DUPLICATE_DETECTION)
+                .enable(SerializationFeature.ORDER_MAP_ENTRIES_BY_KEYS);
+    }
+
+    private static final class DurationReader extends StdDeserializer<Duration> {
+
+        private static final long serialVersionUID = 1L;
+
+        private DurationReader() {
+            super(Duration.class);
+        }
+
+        @Override
+        public Duration deserialize(JsonParser parser, DeserializationContext context) throws IOException {
+            String text = parser.getValueAsString("");
+            Matcher matcher = DURATION.matcher(text);
+            if (!matcher.matches()) {
+                throw context.weirdStringException(
+                        text, Duration.class, "write a whole number with ms, s, m, h or d, such as 780ms");
+            }
+            long number = Long.parseLong(matcher.group(1));
+            return switch (matcher.group(2)) {
+                case "ms" -> Duration.ofMillis(number);
+                case "s" -> Duration.ofSeconds(number);
+                case "m" -> Duration.ofMinutes(number);
+                case "h" -> Duration.ofHours(number);
+                default -> Duration.ofDays(number);
+            };
+        }
+    }
+
+    private static final class DurationWriter extends JsonSerializer<Duration> {
+        @Override
+        public void serialize(Duration value, com.fasterxml.jackson.core.JsonGenerator out, SerializerProvider provider)
+                throws IOException {
+            out.writeString(value.toMillis() + "ms");
+        }
+    }
+
+    private static final class StartReader extends StdDeserializer<OffsetDateTime> {
+
+        private static final long serialVersionUID = 1L;
+
+        private StartReader() {
+            super(OffsetDateTime.class);
+        }
+
+        @Override
+        public OffsetDateTime deserialize(JsonParser parser, DeserializationContext context) throws IOException {
+            String text = parser.getValueAsString("");
+            try {
+                return OffsetDateTime.parse(text);
+            } catch (DateTimeParseException e) {
+                throw context.weirdStringException(
+                        text,
+                        OffsetDateTime.class,
+                        "write a date and time with its offset, such as 2027-03-01T09:00:00+01:00");
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/cuminshelf/control/ConfigMachine.java
@@ -0,0 +1,128 @@
+package org.cuminshelf.control;
+
+import com.google.protobuf.ByteString;
+import com.google.protobuf.InvalidProtocolBufferException;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import org.cuminshelf.message.AcceptedConfig;
+import org.cuminshelf.message.AdminAnswer;
+import org.cuminshelf.message.AdminResult;
+import org.cuminshelf.message.ConfigApply;
+import org.cuminshelf.message.ConfigMachineState;
+import org.cuminshelf.message.LogEntry;
+import org.cuminshelf.replica.GroupMachine;
+
+/**
+ * The accepted configuration, by compare-and-set.
+ *
+ * <p>Failure it guards against: two operators apply different configurations on the same version, or one resends after
+ * losing the answer. The first on a version wins; a resend of the same content on the same version is given the first
+ * answer; any other gets a conflict with the version that stands.
+ */
+final class ConfigMachine implements GroupMachine {
+
+    private static final int ANSWERS_REMEMBERED = 1_000;
+
+    private record Key(long baseVersion, String hash) {}
+
+    private final Map<Long, AdminAnswer> answers = new HashMap<>();
+    private final Map<Key, Long> accepted = new HashMap<>();
+    private final Deque<AcceptedConfig> acceptedInOrder = new ArrayDeque<>();
+    private volatile long version;
+    private volatile ByteString config = ByteString.EMPTY;
+    private String hash = "";
+
+    long version() {
+        return version;
+    }
+
+    ByteString config() {
+        return config;
+    }
+
+    String hash() {
+        return hash;
+    }
+
+    /** The outcome of the entry at an index, once, on the replica that applied it. */
+    Optional<AdminAnswer> takeAnswer(long index) {
+        return Optional.ofNullable(answers.remove(index));
+    }
+
+    @Override
+    public void apply(LogEntry entry) {
+        if (!entry.hasConfig()) {
+            return;
+        }
+        answers.put(entry.getIndex(), accept(entry.getConfig()));
+        answers.keySet().removeIf(index -> index < entry.getIndex() - ANSWERS_REMEMBERED);
+    }
+
+    private AdminAnswer accept(ConfigApply apply) {
+        Key key = new Key(apply.getBaseVersion(), apply.getHash());
+        Long before = accepted.get(key);
+        if (before != null) {
+            return answer(AdminResult.ADMIN_DONE, before);
+        }
+        if (apply.getBaseVersion() != version) {
+            return answer(AdminResult.ADMIN_CONFLICT, version).toBuilder()
+                    .setConfig(config)
+                    .build();
+        }
+        version++;
+        config = apply.getConfig();
+        hash = apply.getHash();
+        remember(AcceptedConfig.newBuilder()
+                .setBaseVersion(apply.getBaseVersion())
+                .setHash(apply.getHash())
+                .setVersion(version)
+                .build());
+        return answer(AdminResult.ADMIN_DONE, version);
+    }
+
+    private void remember(AcceptedConfig row) {
+        accepted.put(new Key(row.getBaseVersion(), row.getHash()), row.getVersion());
+        acceptedInOrder.add(row);
+        if (acceptedInOrder.size() > ANSWERS_REMEMBERED) {
+            AcceptedConfig oldest = acceptedInOrder.poll();
+            accepted.remove(new Key(oldest.getBaseVersion(), oldest.getHash()));
+        }
+    }
+
+    private static AdminAnswer answer(AdminResult result, long answerVersion) {
+        return AdminAnswer.newBuilder()
+                .setResult(result)
+                .setVersion(answerVersion)
+                .build();
+    }
+
+    @Override
+    public ByteString save() {
+        return ConfigMachineState.newBuilder()
+                .setVersion(version)
+                .setConfig(config)
+                .setHash(hash)
+                .addAllAccepted(acceptedInOrder)
+                .build()
+                .toByteString();
+    }
+
+    @Override
+    public void load(ByteString saved) {
+        try {
+            ConfigMachineState state = ConfigMachineState.parseFrom(saved);
+            version = state.getVersion();
+            config = state.getConfig();
+            hash = state.getHash();
+            accepted.clear();
+            acceptedInOrder.clear();
+            answers.clear();
+            state.getAcceptedList().forEach(this::remember);
+        } catch (InvalidProtocolBufferException e) {
+            throw new IllegalStateException("A snapshot of the global group can't be read", e);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/cuminshelf/control/ControlCore.java
@@ -0,0 +1,542 @@
+package org.cuminshelf.control;
+
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.apache.commons.rng.UniformRandomProvider;
+import org.cuminshelf.config.FleetConfig;
+import org.cuminshelf.core.Address;
+import org.cuminshelf.core.Core;
+import org.cuminshelf.core.Durations;
+import org.cuminshelf.core.Invariants;
+import org.cuminshelf.core.Outbox;
+import org.cuminshelf.message.AdminAnswer;
+import org.cuminshelf.message.AdminRequest;
+import org.cuminshelf.message.AdminResult;
+import org.cuminshelf.message.Announce;
+import org.cuminshelf.message.ClaimAnswer;
+import org.cuminshelf.message.ClaimRequest;
+import org.cuminshelf.message.ClaimResult;
+import org.cuminshelf.message.ConfigApply;
+import org.cuminshelf.message.Envelope;
+import org.cuminshelf.message.FleetStatus;
+import org.cuminshelf.message.GroupLeader;
+import org.cuminshelf.message.LogEntry;
+import org.cuminshelf.message.OrderPlace;
+import org.cuminshelf.message.OrderPlaced;
+import org.cuminshelf.message.Stopped;
+import org.cuminshelf.message.Subscribe;
+import org.cuminshelf.message.Update;
+import org.cuminshelf.replica.DurableState;
+import org.cuminshelf.replica.Replica;
+import org.cuminshelf.replica.ReplicaSettings;
+
+/** The decisions of a control process: a replica of each of its groups, the directory and the subscribers. */
+public final class ControlCore implements Core {
+
+    private static final long HOUSEKEEPING_EVERY = Durations.nanos(500);
+    private static final long SPREAD_EVERY = Durations.nanos(20);
+    private static final long ADMIN_PATIENCE = Durations.nanos(5_000);
+
+    /** Who waits for the outcome of an entry. */
+    private record Waiter(Address asker, long question, long term, long since) {}
+
+    private record RegionGroup(Replica replica, RegionMachine machine, OrderSystem orders) {}
+
+    private final ControlSettings settings;
+    private final Address self;
+    private final Invariants invariants;
+    private final Map<String, Replica> replicas = new LinkedHashMap<>();
+    private final Map<String, RegionGroup> regions = new LinkedHashMap<>();
+    private final ConfigMachine config = new ConfigMachine();
+    private final Directory directory;
+    private final Subscribers subscribers = new Subscribers();
+    private final Map<Long, Waiter> configWaiters = new HashMap<>();
+    private final Map<String, Map<Long, Waiter>> claimWaiters = new HashMap<>();
+    private final Map<String, Map<Long, Waiter>> orderWaiters = new HashMap<>();
+    private final Map<Long, Address> readWaiters = new HashMap<>();
+    private final Map<Long, Waiter> forwarded = new HashMap<>();
+    private long nextToken = 1;
+    private long nextHousekeeping;
+    private long nextSpread;
+    private long spreadConfigVersion;
+    private long spreadDirectoryVersion;
+    private boolean stopping;
+
+    private ControlCore(ControlSettings settings, Address self, long incarnation, long now, Invariants invariants) {
+        this.settings = settings;
+        this.self = self;
+        this.invariants = invariants;
+        this.directory = new Directory(incarnation);
+        this.nextHousekeeping = now;
+        this.nextSpread = now;
+    }
+
+    /**
+     * Makes the core of a starting control process.
+     *
+     * @param settings    its groups
+     * @param self        its own address
+     * @param incarnation the incarnation of this process
+     * @param durable     what its disk holds of each group, by name
+     * @param now         the time in nanoseconds
+     * @param random      the seeded source of election timeouts
+     * @param invariants  receives the outcome of assertions
+     * @return the core
+     */
+    public static ControlCore start(
+            ControlSettings settings,
+            Address self,
+            long incarnation,
+            Map<String, DurableState> durable,
+            long now,
+            UniformRandomProvider random,
+            Invariants invariants) {
+        ControlCore core = new ControlCore(settings, self, incarnation, now, invariants);
+        for (ReplicaSettings group : settings.groups()) {
+            core.addGroup(group, durable.get(group.group()), now, random);
+        }
+        return core;
+    }
+
+    private void addGroup(ReplicaSettings group, DurableState state, long now, UniformRandomProvider random) {
+        if (group.group().equals(ControlSettings.GLOBAL)) {
+            replicas.put(group.group(), Replica.start(group, state, config, now, random, invariants));
+            return;
+        }
+        RegionMachine machine = new RegionMachine(invariants);
+        Replica replica = Replica.start(group, state, machine, now, random, invariants);
+        replicas.put(group.group(), replica);
+        regions.put(group.group(), new RegionGroup(replica, machine, new OrderSystem(group.group(), replica, machine)));
+        claimWaiters.put(group.group(), new HashMap<>());
+        orderWaiters.put(group.group(), new HashMap<>());
+    }
+
+    @Override
+    public void accept(long now, Envelope input, Outbox out) {
+        Address from = Address.of(input.getFrom());
+        switch (input.getBodyCase()) {
+            case ANNOUNCE -> onAnnounce(now, from, input.getIncarnation(), input.getAnnounce());
+            case SUBSCRIBE -> onSubscribe(now, from, input.getIncarnation(), input.getSubscribe(), out);
+            case CLAIM_REQUEST -> onClaim(now, from, input.getClaimRequest(), out);
+            case ORDER_REPORT ->
+                regions.values().forEach(region -> region.orders().onReport(now, from, input.getOrderReport()));
+            case ADMIN_REQUEST -> onAdmin(now, from, input.getAdminRequest(), out);
+            case ADMIN_ANSWER -> onForwardedAnswer(input.getAdminAnswer(), out);
+            case STOP -> stop(out);
+            default ->
+                Optional.ofNullable(replicas.get(groupOf(input)))
+                        .ifPresent(replica -> replica.accept(now, from, input, out));
+        }
+    }
+
+    private static String groupOf(Envelope input) {
+        return switch (input.getBodyCase()) {
+            case FORMATION_QUERY -> input.getFormationQuery().getGroup();
+            case FORMATION_ANSWER -> input.getFormationAnswer().getGroup();
+            case JOIN_REQUEST -> input.getJoinRequest().getHeader().getGroup();
+            case VOTE_REQUEST -> input.getVoteRequest().getHeader().getGroup();
+            case VOTE_ANSWER -> input.getVoteAnswer().getHeader().getGroup();
+            case APPEND_REQUEST -> input.getAppendRequest().getHeader().getGroup();
+            case APPEND_ANSWER -> input.getAppendAnswer().getHeader().getGroup();
+            case SNAPSHOT_PART -> input.getSnapshotPart().getHeader().getGroup();
+            case SNAPSHOT_ANSWER -> input.getSnapshotAnswer().getHeader().getGroup();
+            case PERSISTED -> input.getPersisted().getGroup();
+            default -> "";
+        };
+    }
+
+    @Override
+    public void tick(long now, Outbox out) {
+        replicas.values().forEach(replica -> replica.tick(now, out));
+        answerConfigWaiters(out);
+        regions.forEach((name, region) -> {
+            answerClaimWaiters(name, region, out);
+            answerOrderWaiters(name, region, out);
+            region.orders().tick(now, out);
+        });
+        answerReads(out);
+        spread(now, out);
+        if (now >= nextHousekeeping) {
+            nextHousekeeping = now + HOUSEKEEPING_EVERY;
+            directory.tick(now);
+            subscribers.tick(now);
+            expireWaiters(now, out);
+        }
+    }
+
+    @Override
+    public long nextDue() {
+        long due = nextHousekeeping;
+        for (Replica replica : replicas.values()) {
+            due = Math.min(due, replica.nextDue());
+        }
+        return isSpreadDue() ? Math.min(due, nextSpread) : due;
+    }
+
+    /**
+     * The version of the configuration accepted as far as this process knows.
+     *
+     * @return the version, 0 before the first
+     */
+    public long configVersion() {
+        return config.version();
+    }
+
+    /**
+     * The configuration accepted as far as this process knows.
+     *
+     * @return its canonical form
+     */
+    public byte[] config() {
+        return config.config().toByteArray();
+    }
+
+    /**
+     * The replica of a group.
+     *
+     * @param group the name of the group
+     * @return the replica, if this process has one
+     */
+    public Optional<Replica> replica(String group) {
+        return Optional.ofNullable(replicas.get(group));
+    }
+
+    // ---- membership and configuration
+    // ----------------------------------------------------------------------------
+
+    private void onAnnounce(long now, Address from, long incarnation, Announce announce) {
+        directory.onAnnounce(now, from, incarnation, announce);
+        if (announce.getRegion().equals(settings.region())) {
+            regions.values().forEach(region -> region.orders().onAnnounce(now, from, incarnation, announce));
+        }
+    }
+
+    private void onSubscribe(long now, Address from, long incarnation, Subscribe subscribe, Outbox out) {
+        Subscribers.Row row = subscribers.onSubscribe(now, from, incarnation, subscribe);
+        if (subscribe.getConfirm()) {
+            long token = nextToken++;
+            if (replicas.get(ControlSettings.GLOBAL).confirmRead(token)) {
+                readWaiters.put(token, from);
+                return;
+            }
+        }
+        sendUpdate(row, false, out);
+    }
+
+    private void answerReads(Outbox out) {
+        for (long token : replicas.get(ControlSettings.GLOBAL).takeConfirmedReads()) {
+            Address asker = readWaiters.remove(token);
+            subscribers.rows().stream()
+                    .filter(row -> row.address.equals(asker))
+                    .forEach(row -> sendUpdate(row, true, out));
+        }
+    }
+
+    private void sendUpdate(Subscribers.Row row, boolean confirmed, Outbox out) {
+        Update.Builder update = Update.newBuilder()
+                .setConfigVersion(config.version())
+                .setConfirmed(confirmed)
+                .setRegion(settings.region())
+                .setEntries(subscribers.entries());
+        if (row.configVersion < config.version()) {
+            update.setConfig(config.config());
+        }
+        if (row.wantsDirectory) {
+            directory.describe(row.directoryIncarnation, row.directoryVersion, update);
+        }
+        replicas.forEach((group, replica) -> replica.leader()
+                .ifPresent(leader -> update.addLeaders(
+                        GroupLeader.newBuilder().setGroup(group).setAddress(leader.value()))));
+        out.send(row.address, Envelope.newBuilder().setUpdate(update));
+    }
+
+    private boolean isSpreadDue() {
+        return spreadConfigVersion != config.version() || spreadDirectoryVersion != directory.version();
+    }
+
+    /** Tells subscribers of changes at once; those lost on the way are made up for at the next heartbeat. */
+    private void spread(long now, Outbox out) {
+        if (!isSpreadDue() || now < nextSpread) {
+            return;
+        }
+        nextSpread = now + SPREAD_EVERY;
+        boolean configChanged = spreadConfigVersion != config.version();
+        spreadConfigVersion = config.version();
+        spreadDirectoryVersion = directory.version();
+        for (Subscribers.Row row : subscribers.rows()) {
+            if (configChanged || row.wantsDirectory) {
+                sendUpdate(row, false, out);
+            }
+        }
+    }
+
+    // ---- claims
+    // --------------------------------------------------------------------------------------------------
+
+    private void onClaim(long now, Address from, ClaimRequest request, Outbox out) {
+        RegionGroup region = regions.get(request.getGroup());
+        if (region == null) {
+            answerClaim(from, request.getQuestion(), ClaimResult.CLAIM_UNAVAILABLE, "", out);
+            return;
+        }
+        LogEntry.Builder entry = LogEntry.newBuilder().setClaim(request);
+        Optional<Long> index = region.replica().propose(now, entry);
+        if (index.isEmpty()) {
+            String leader = region.replica().leader().map(Address::value).orElse("");
+            answerClaim(from, request.getQuestion(), ClaimResult.CLAIM_NOT_LEADER, leader, out);
+            return;
+        }
+        Waiter waiter = new Waiter(from, request.getQuestion(), region.replica().term(), now);
+        claimWaiters.get(request.getGroup()).put(index.get(), waiter);
+    }
+
+    private static void answerClaim(Address to, long question, ClaimResult result, String leader, Outbox out) {
+        ClaimAnswer answer = ClaimAnswer.newBuilder()
+                .setQuestion(question)
+                .setResult(result)
+                .setLeader(leader)
+                .build();
+        out.send(to, Envelope.newBuilder().setClaimAnswer(answer));
+    }
+
+    private void answerClaimWaiters(String group, RegionGroup region, Outbox out) {
+        long applied = region.replica().applied();
+        claimWaiters.get(group).entrySet().removeIf(entry -> {
+            if (entry.getKey() > applied) {
+                return false;
+            }
+            Waiter waiter = entry.getValue();
+            // An entry of another term may have taken the place of the one proposed: its outcome is not
+            // the asker's.
+            Optional<ClaimAnswer> outcome = region.replica().term() == waiter.term()
+                    ? region.machine().takeClaimAnswer(entry.getKey())
+                    : Optional.empty();
+            outcome.ifPresent(answer -> out.send(
+                    waiter.asker(),
+                    Envelope.newBuilder().setClaimAnswer(answer.toBuilder().setQuestion(waiter.question()))));
+            return true;
+        });
+    }
+
+    // ---- administration
+    // ------------------------------------------------------------------------------------------
+
+    private void onAdmin(long now, Address from, AdminRequest request, Outbox out) {
+        switch (request.getActionCase()) {
+            case CONFIG_APPLY -> onConfigApply(now, from, request, out);
+            case ORDER_PLACE -> onOrderPlace(now, from, request, out);
+            case STATUS ->
+                answerAdmin(
+                        from, request.getQuestion(), AdminAnswer.newBuilder().setStatus(status()), out);
+            case CONFIG_READ ->
+                answerAdmin(
+                        from,
+                        request.getQuestion(),
+                        AdminAnswer.newBuilder().setVersion(config.version()).setConfig(config.config()),
+                        out);
+            case VOTER_CHANGE, ACTION_NOT_SET ->
+                refuseAdmin(from, request.getQuestion(), AdminResult.ADMIN_UNKNOWN, "no such action", out);
+        }
+    }
+
+    private void onConfigApply(long now, Address from, AdminRequest request, Outbox out) {
+        ConfigApply apply = request.getConfigApply();
+        Optional<String> wrong =
+                FleetConfig.parse(apply.getConfig().toByteArray()).fold(Optional::of, fine -> Optional.empty());
+        if (wrong.isPresent()) {
+            refuseAdmin(from, request.getQuestion(), AdminResult.ADMIN_BAD, wrong.get(), out);
+            return;
+        }
+        Replica replica = replicas.get(ControlSettings.GLOBAL);
+        Optional<Long> index = replica.propose(now, LogEntry.newBuilder().setConfig(apply));
+        if (index.isPresent()) {
+            configWaiters.put(index.get(), new Waiter(from, request.getQuestion(), replica.term(), now));
+        } else {
+            forward(now, from, request, replica, out);
+        }
+    }
+
+    private void onOrderPlace(long now, Address from, AdminRequest request, Outbox out) {
+        if (regions.isEmpty()) {
+            refuseAdmin(from, request.getQuestion(), AdminResult.ADMIN_UNKNOWN, "no region group here", out);
+            return;
+        }
+        Map.Entry<String, RegionGroup> region = regions.entrySet().iterator().next();
+        OrderPlace place = request.getOrderPlace();
+        Optional<Address> engine = engine(place.getEngine());
+        if (engine.isEmpty()) {
+            refuseAdmin(from, request.getQuestion(), AdminResult.ADMIN_UNKNOWN, "no such upstream", out);
+            return;
+        }
+        Replica replica = region.getValue().replica();
+        if (!replica.isLeader()) {
+            forward(now, from, request, replica, out);
+            return;
+        }
+        long incarnation =
+                region.getValue().machine().incarnation(engine.get().value()).orElse(0L);
+        OrderPlaced placed = OrderPlaced.newBuilder()
+                .setEngine(engine.get().value())
+                .setIncarnation(incarnation)
+                .setBody(place.getBody())
+                .setAuthor(place.getAuthor())
+                .build();
+        replica.propose(now, LogEntry.newBuilder().setOrder(placed))
+                .ifPresent(index -> orderWaiters
+                        .get(region.getKey())
+                        .put(index, new Waiter(from, request.getQuestion(), replica.term(), now)));
+    }
+
+    private Optional<Address> engine(String name) {
+        return directory.rows().stream()
+                .filter(row -> row.member.getVm().equals(name)
+                        || row.member.getAddress().equals(name))
+                .map(row -> Address.of(row.member.getAddress()))
+                .findFirst();
+    }
+
+    private void forward(long now, Address from, AdminRequest request, Replica replica, Outbox out) {
+        Optional<Address> leader = replica.leader().filter(address -> !address.equals(self));
+        if (leader.isEmpty() || !from.isLocal()) {
+            refuseAdmin(from, request.getQuestion(), AdminResult.ADMIN_NOT_LEADER, "no leader is known", out);
+            return;
+        }
+        long token = nextToken++;
+        forwarded.put(token, new Waiter(from, request.getQuestion(), 0, now));
+        out.send(
+                leader.get(),
+                Envelope.newBuilder().setAdminRequest(request.toBuilder().setQuestion(token)));
+    }
+
+    private void onForwardedAnswer(AdminAnswer answer, Outbox out) {
+        Waiter waiter = forwarded.remove(answer.getQuestion());
+        if (waiter != null) {
+            answerAdmin(waiter.asker(), waiter.question(), answer.toBuilder(), answer.getResult(), out);
+        }
+    }
+
+    private void answerConfigWaiters(Outbox out) {
+        Replica replica = replicas.get(ControlSettings.GLOBAL);
+        configWaiters.entrySet().removeIf(entry -> {
+            if (entry.getKey() > replica.applied()) {
+                return false;
+            }
+            Waiter waiter = entry.getValue();
+            if (replica.term() == waiter.term()) {
+                config.takeAnswer(entry.getKey())
+                        .ifPresent(answer -> answerAdmin(
+                                waiter.asker(), waiter.question(), answer.toBuilder(), answer.getResult(), out));
+            } else {
+                refuseAdmin(
+                        waiter.asker(),
+                        waiter.question(),
+                        AdminResult.ADMIN_UNAVAILABLE,
+                        "the leader changed; send the same again",
+                        out);
+            }
+            return true;
+        });
+    }
+
+    private void answerOrderWaiters(String group, RegionGroup region, Outbox out) {
+        orderWaiters.get(group).entrySet().removeIf(entry -> {
+            if (entry.getKey() > region.replica().applied()) {
+                return false;
+            }
+            Waiter waiter = entry.getValue();
+            region.machine().takePlaced(entry.getKey()).ifPresent(placed -> {
+                if (placed.isPresent()) {
+                    answerAdmin(
+                            waiter.asker(),
+                            waiter.question(),
+                            AdminAnswer.newBuilder().setVersion(placed.get().getNumber()),
+                            out);
+                } else {
+                    refuseAdmin(
+                            waiter.asker(),
+                            waiter.question(),
+                            AdminResult.ADMIN_CONFLICT,
+                            "another order is pending there, or its sidecar just restarted",
+                            out);
+                }
+            });
+            return true;
+        });
+    }
+
+    private void expireWaiters(long now, Outbox out) {
+        expire(now, configWaiters, out);
+        orderWaiters.values().forEach(waiters -> expire(now, waiters, out));
+        expire(now, forwarded, out);
+        claimWaiters.values().forEach(waiters -> waiters.values().removeIf(w -> now - w.since() > ADMIN_PATIENCE));
+        if (readWaiters.size() > 10_000) {
+            readWaiters.clear();
+        }
+    }
+
+    private void expire(long now, Map<Long, Waiter> waiters, Outbox out) {
+        waiters.values().removeIf(waiter -> {
+            boolean late = now - waiter.since() > ADMIN_PATIENCE;
+            if (late) {
+                refuseAdmin(
+                        waiter.asker(),
+                        waiter.question(),
+                        AdminResult.ADMIN_UNAVAILABLE,
+                        "no quorum answered; the outcome is unknown: send the same again",
+                        out);
+            }
+            return late;
+        });
+    }
+
+    private static void answerAdmin(Address to, long question, AdminAnswer.Builder answer, Outbox out) {
+        answerAdmin(to, question, answer, AdminResult.ADMIN_DONE, out);
+    }
+
+    private static void answerAdmin(
+            Address to, long question, AdminAnswer.Builder answer, AdminResult result, Outbox out) {
+        out.send(
+                to,
+                Envelope.newBuilder()
+                        .setAdminAnswer(answer.setQuestion(question).setResult(result)));
+    }
+
+    private static void refuseAdmin(Address to, long question, AdminResult result, String detail, Outbox out) {
+        answerAdmin(to, question, AdminAnswer.newBuilder().setDetail(detail), result, out);
+    }
+
+    private FleetStatus status() {
+        FleetStatus.Builder status = FleetStatus.newBuilder()
+                .setAddress(self.value())
+                .setConfigVersion(config.version())
+                .setLowestVersionInForce(subscribers.lowestVersion(config.version()))
+                .setSubscribers(subscribers.rows().size());
+        replicas.values().forEach(replica -> status.addGroups(replica.status()));
+        directory.rows().forEach(row -> status.addMembers(row.member));
+        regions.values().forEach(region -> {
+            status.addAllPendingOrders(region.machine().pendingOrders());
+            status.setClaims(status.getClaims() + region.machine().claimCount());
+            status.setRoleChanges(status.getRoleChanges() + region.machine().roleChanges());
+        });
+        return status.build();
+    }
+
+    private void stop(Outbox out) {
+        if (!stopping) {
+            stopping = true;
+            out.send(Address.PROCESS, Envelope.newBuilder().setStopped(Stopped.getDefaultInstance()));
+        }
+    }
+
+    /**
+     * Lists the groups of this process.
+     *
+     * @return their names
+     */
+    public List<String> groups() {
+        return List.copyOf(replicas.keySet());
+    }
+}
--- /dev/null
+++ b/src/main/java/org/cuminshelf/core/InvariantBreach.java
@@ -0,0 +1,29 @@
+package org.cuminshelf.core;
+
+/** Thrown in randomised runs when a promise does not hold. */
+public final class InvariantBreach extends RuntimeException {
+
+    private static final long serialVersionUID = 1L;
+
+    private final String invariant;
+
+    /**
+     * Makes a breach.
+     *
+     * @param invariant the name of the invariant
+     * @param detail    what was seen
+     */
+    public InvariantBreach(String invariant, String detail) {
+        super(invariant + ": " + detail);
+        this.invariant = invariant;
+    }
+
+    /**
+     * Names the invariant that does not hold.
+     *
+     * @return its name
+     */
+    public String invariant() {
+        return invariant;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/cuminshelf/entry/AttemptRow.java
@@ -0,0 +1,44 @@
+package org.cuminshelf.entry;
+
+import org.cuminshelf.core.Address;
+import org.cuminshelf.message.AttemptRef;
+
+/** One try of a call on one upstream. */
+final class AttemptRow {
+
+    /**
+     * Names an attempt.
+     *
+     * @param upstream the sidecar
+     * @param session  the session with this incarnation of the sidecar
+     * @param number   the number within the session
+     */
+    record Key(Address upstream, long session, long number) {
+
+        AttemptRef reference() {
+            return AttemptRef.newBuilder()
+                    .setSidecar(upstream.value())
+                    .setSession(session)
+                    .setNumber(number)
+                    .build();
+        }
+    }
+
+    final Key key;
+    final CallRow call;
+    /** Prompt tokens expected not to be cached there, and output tokens expected. */
+    final long promptCost;
+
+    long sentAt;
+    long lastHeard;
+    long lastProgress;
+    boolean dispatched;
+    /** Whether the prompt no longer counts as waiting there. */
+    boolean promptTaken;
+
+    AttemptRow(Key key, CallRow call, long promptCost) {
+        this.key = key;
+        this.call = call;
+        this.promptCost = promptCost;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/cuminshelf/entry/ConfigHolder.java
@@ -0,0 +1,150 @@
+package org.cuminshelf.entry;
+
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeSet;
+import org.cuminshelf.config.FleetConfig;
+import org.cuminshelf.core.Address;
+import org.cuminshelf.core.Durations;
+import org.cuminshelf.core.Invariants;
+import org.cuminshelf.core.Outbox;
+import org.cuminshelf.message.Envelope;
+import org.cuminshelf.message.Subscribe;
+import org.cuminshelf.message.Update;
+
+/**
+ * The configuration in force in this process and the subscription that keeps it new.
+ *
+ * <p>Failure it guards against: a process without a disk restarts and is taught an older configuration by a stale
+ * peer, so that a limit or an event that was in force here is undone. A fresh process is ready only after a quorum
+ * confirmed a version to it, or, when no quorum can be reached, after every control process of its own region
+ * answered: its earlier incarnation learnt from those alone, so none of them all can have known less than it did.
+ */
+final class ConfigHolder {
+
+    /** The group that accepts configurations. */
+    private static final String GLOBAL_GROUP = "global";
+
+    private static final long ASK_EVERY = Durations.nanos(1_000);
+    private static final long ASK_EVERY_UNREADY = Durations.nanos(200);
+    /** Answers older than this do not count towards "every control process answered". */
+    private static final long ANSWER_FRESH = Durations.nanos(2_000);
+
+    private final EntrySettings settings;
+    private final Invariants invariants;
+    private final Upstreams upstreams;
+    private final Map<Address, Long> answeredAt = new HashMap<>();
+    private final Map<String, Address> leaders = new HashMap<>();
+    private volatile FleetConfig config = FleetConfig.empty();
+    private volatile long version;
+    private volatile boolean ready;
+    private long nextAsk;
+    private int entries = 1;
+
+    ConfigHolder(EntrySettings settings, Upstreams upstreams, long now, Invariants invariants) {
+        this.settings = settings;
+        this.upstreams = upstreams;
+        this.invariants = invariants;
+        this.nextAsk = now;
+    }
+
+    FleetConfig config() {
+        return config;
+    }
+
+    long version() {
+        return version;
+    }
+
+    /** Whether this process may serve. */
+    boolean isReady() {
+        return ready;
+    }
+
+    /** Entries among which the limits are shared. */
+    int entries() {
+        return entries;
+    }
+
+    Address leaderOf(String group) {
+        Address known = leaders.get(group);
+        return known != null ? known : settings.control().getFirst();
+    }
+
+    void suspectLeader(String group, Address suspect) {
+        int index = settings.control().indexOf(suspect);
+        leaders.put(
+                group, settings.control().get((index + 1) % settings.control().size()));
+    }
+
+    void learnLeader(String group, String address) {
+        if (!address.isEmpty()) {
+            leaders.put(group, Address.of(address));
+        }
+    }
+
+    void onUpdate(long now, Address control, Update update) {
+        answeredAt.put(control, now);
+        entries = Math.max(1, update.getEntries());
+        update.getLeadersList().forEach(leader -> learnLeader(leader.getGroup(), leader.getAddress()));
+        long before = version;
+        if (update.getConfigVersion() > version && !update.getConfig().isEmpty()) {
+            FleetConfig.parse(update.getConfig().toByteArray()).peek(parsed -> {
+                config = parsed;
+                version = update.getConfigVersion();
+            });
+        }
+        invariants.check(
+                version >= before,
+                "configuration-never-goes-back",
+                () -> "version " + before + " was followed by " + version);
+        if (update.getConfirmed() && update.getConfigVersion() <= version) {
+            ready = true;
+        }
+        ready = ready || allAnswered(now);
+    }
+
+    void tick(long now, Outbox out) {
+        if (now < nextAsk) {
+            return;
+        }
+        nextAsk = now + (ready ? ASK_EVERY : ASK_EVERY_UNREADY);
+        for (Address control : settings.control()) {
+            Subscribe subscribe = Subscribe.newBuilder()
+                    .setConfigVersion(version)
+                    .setDirectoryVersion(upstreams.directoryVersion(control))
+                    .setDirectoryIncarnation(upstreams.directoryIncarnation(control))
+                    .setConfirm(!ready)
+                    .setRegion(settings.region())
+                    .setVm(settings.vm())
+                    .setWantsDirectory(true)
+                    .build();
+            out.send(control, Envelope.newBuilder().setSubscribe(subscribe));
+        }
+        Address leader = leaders.get(GLOBAL_GROUP);
+        if (!ready && leader != null && !settings.control().contains(leader)) {
+            Subscribe subscribe = Subscribe.newBuilder()
+                    .setConfigVersion(version)
+                    .setConfirm(true)
+                    .setRegion(settings.region())
+                    .setVm(settings.vm())
+                    .build();
+            out.send(leader, Envelope.newBuilder().setSubscribe(subscribe));
+        }
+    }
+
+    long nextDue() {
+        return nextAsk;
+    }
+
+    private boolean allAnswered(long now) {
+        Set<Address> fresh = new TreeSet<>();
+        answeredAt.forEach((control, at) -> {
+            if (now - at <= ANSWER_FRESH) {
+                fresh.add(control);
+            }
+        });
+        return fresh.containsAll(settings.control());
+    }
+}
--- /dev/null
+++ b/src/main/java/org/cuminshelf/entry/UpstreamRow.java
@@ -0,0 +1,126 @@
+package org.cuminshelf.entry;
+
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.Set;
+import org.cuminshelf.core.Address;
+import org.cuminshelf.message.LoadReport;
+import org.cuminshelf.message.Member;
+
+/** One upstream as this entry sees it. */
+final class UpstreamRow {
+
+    /** Prefix blocks remembered for each engine. */
+    private static final int REMEMBERED_BLOCKS = 4096;
+
+    final Address address;
+    Member member;
+    /** What control says of another incarnation than the one of the session. */
+    private Member nextMember;
+    /** Control processes that list it; gone only when none does. */
+    final Set<Address> listedBy = new HashSet<>();
+
+    long incarnation;
+    long session;
+    long nextNumber = 1;
+    long openSentAt;
+    long lastHeard;
+    long lastUsed;
+    boolean leaving;
+    LoadReport load = LoadReport.getDefaultInstance();
+    /** Attempts sent that the last report does not count, by number. */
+    final Map<Long, AttemptRow> uncounted = new HashMap<>();
+
+    int running;
+    long pendingPrompt;
+    int failures;
+    long avoidUntil;
+    private final LinkedHashMap<Long, Boolean> cachedBlocks = new LinkedHashMap<>(16, 0.75f, true) {
+        private static final long serialVersionUID = 1L;
+
+        @Override
+        protected boolean removeEldestEntry(Map.Entry<Long, Boolean> eldest) {
+            return size() > REMEMBERED_BLOCKS;
+        }
+    };
+
+    UpstreamRow(Member member) {
+        this.address = Address.of(member.getAddress());
+        this.member = member;
+        this.incarnation = member.getIncarnation();
+    }
+
+    /** Takes what control says; words about another incarnation than that of the session wait until it is met. */
+    void onMember(Member said) {
+        if (session == 0 || said.getIncarnation() == incarnation) {
+            incarnation = said.getIncarnation();
+            member = said;
+        } else {
+            nextMember = said;
+            openSentAt = 0;
+        }
+    }
+
+    /** Starts over with a new incarnation: nothing known of the old one holds. */
+    void restart(long newIncarnation) {
+        incarnation = newIncarnation;
+        boolean foretold = nextMember != null && nextMember.getIncarnation() == newIncarnation;
+        member = foretold
+                ? nextMember
+                : member.toBuilder()
+                        .setIncarnation(newIncarnation)
+                        .setLeaving(false)
+                        .build();
+        nextMember = null;
+        session = 0;
+        nextNumber = 1;
+        openSentAt = 0;
+        leaving = false;
+        load = LoadReport.getDefaultInstance();
+        uncounted.clear();
+        running = 0;
+        pendingPrompt = 0;
+        cachedBlocks.clear();
+    }
+
+    void onLoad(LoadReport report) {
+        load = report;
+        leaving = report.getLeaving();
+        long counted = report.getCounted();
+        uncounted.keySet().removeIf(number -> number <= counted);
+        for (long block : report.getCachedList()) {
+            cachedBlocks.put(block, Boolean.TRUE);
+        }
+    }
+
+    void remember(Iterable<Long> blocks) {
+        for (Long block : blocks) {
+            cachedBlocks.put(block, Boolean.TRUE);
+        }
+    }
+
+    boolean holds(long block) {
+        return cachedBlocks.containsKey(block);
+    }
+
+    boolean isListed() {
+        return !listedBy.isEmpty();
+    }
+
+    /** Whether new work may be sent there. */
+    boolean isOpen(long now) {
+        return session != 0
+                && isListed()
+                && !leaving
+                && !member.getLeaving()
+                && !load.getChanging()
+                && now >= avoidUntil;
+    }
+
+    /** Attempts there now: the last report, and what this entry sent since. */
+    int occupancy() {
+        return Math.max(load.getRunning() + uncounted.size(), running);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/cuminshelf/http/AdminHandler.java
@@ -0,0 +1,254 @@
+package org.cuminshelf.http;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import com.google.protobuf.ByteString;
+import io.vavr.control.Either;
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.Consumer;
+import java.util.function.Supplier;
+import org.cuminshelf.config.FleetConfig;
+import org.cuminshelf.config.MergedConfig;
+import org.cuminshelf.config.TeamConfig;
+import org.cuminshelf.message.AdminAnswer;
+import org.cuminshelf.message.AdminRequest;
+import org.cuminshelf.message.ConfigApply;
+import org.cuminshelf.message.ConfigRead;
+import org.cuminshelf.message.Envelope;
+import org.cuminshelf.message.OrderBody;
+import org.cuminshelf.message.OrderPlace;
+import org.cuminshelf.message.StatusQuery;
+import org.cuminshelf.upstream.EngineUpstream;
+import org.eclipse.jetty.http.HttpHeader;
+import org.eclipse.jetty.server.Handler;
+import org.eclipse.jetty.server.Request;
+import org.eclipse.jetty.server.Response;
+import org.eclipse.jetty.util.Callback;
+
+/**
+ * The administration interface under {@code /admin/}: status, configuration and orders. A key in the
+ * {@code Authorization} header names the team; docs/OPERATIONS.md lists the calls.
+ */
+public final class AdminHandler extends Handler.Abstract.NonBlocking {
+
+    private static final ObjectMapper JSON = new ObjectMapper();
+    private static final String PREFIX = "/admin/";
+    private static final String BEARER = "Bearer ";
+    private static final int LARGEST_BODY = 8 << 20;
+
+    /** A caller of the interface that was let in. */
+    private record Operator(String team, TeamConfig.Role role) {}
+
+    private record Waiting(Response response, Callback callback) {}
+
+    private final Consumer<Envelope.Builder> core;
+    private final Supplier<byte[]> config;
+    private final Set<String> adminKeys;
+    private final boolean open;
+    private final Map<Long, Waiting> waiting = new ConcurrentHashMap<>();
+    private final AtomicLong nextQuestion = new AtomicLong(1);
+
+    /**
+     * Makes the interface.
+     *
+     * @param core      takes requests
+     * @param config    the accepted configuration in canonical form
+     * @param adminKeys SHA-256 of keys that may operate besides those of the teams
+     * @param open      whether requests without a key may operate
+     */
+    public AdminHandler(Consumer<Envelope.Builder> core, Supplier<byte[]> config, Set<String> adminKeys, boolean open) {
+        this.core = core;
+        this.config = config;
+        this.adminKeys = adminKeys;
+        this.open = open;
+    }
+
+    @Override
+    public boolean handle(Request request, Response response, Callback callback) {
+        String path = Request.getPathInContext(request);
+        if (!path.startsWith(PREFIX)) {
+            return false;
+        }
+        Optional<Operator> operator = operator(request);
+        if (operator.isEmpty()) {
+            Problem.badRequest(401, "Send a team's key as 'Authorization: Bearer KEY'.")
+                    .write(response, callback);
+            return true;
+        }
+        boolean reads = request.getMethod().equals("GET");
+        if (!reads && operator.get().role() != TeamConfig.Role.OPERATE) {
+            Problem.badRequest(403, "The team " + operator.get().team() + " may read only.")
+                    .write(response, callback);
+            return true;
+        }
+        route(request, response, callback, path.substring(PREFIX.length()), operator.get());
+        return true;
+    }
+
+    /**
+     * Takes the core's answers; called on the core's thread.
+     *
+     * @param message an answer
+     */
+    public void deliver(Envelope message) {
+        AdminAnswer answer = message.getAdminAnswer();
+        Waiting asker = waiting.remove(answer.getQuestion());
+        if (asker != null) {
+            write(asker.response(), asker.callback(), status(answer), json(answer));
+        }
+    }
+
+    private void route(Request request, Response response, Callback callback, String action, Operator operator) {
+        String call = request.getMethod() + " " + action;
+        switch (call) {
+            case "GET status" ->
+                ask(response, callback, AdminRequest.newBuilder().setStatus(StatusQuery.getDefaultInstance()));
+            case "GET config" ->
+                ask(response, callback, AdminRequest.newBuilder().setConfigRead(ConfigRead.getDefaultInstance()));
+            case "POST config" -> withBody(request, response, callback, body -> apply(request, body, operator));
+            case "POST orders" -> withBody(request, response, callback, body -> order(body, operator));
+            default ->
+                Problem.badRequest(404, "No such call; there are GET status, GET config, POST config and POST orders.")
+                        .write(response, callback);
+        }
+    }
+
+    private void withBody(
+            Request request,
+            Response response,
+            Callback callback,
+            java.util.function.Function<byte[], Either<String, AdminRequest.Builder>> parse) {
+        Bodies.read(
+                request,
+                LARGEST_BODY,
+                body -> parse.apply(body)
+                        .peek(wanted -> ask(response, callback, wanted))
+                        .peekLeft(wrong -> Problem.badRequest(400, wrong).write(response, callback)),
+                () -> Problem.badRequest(413, "The body is larger than 8 MiB.").write(response, callback),
+                failure -> Problem.badRequest(408, "The body did not come whole and in time.")
+                        .write(response, callback));
+    }
+
+    private Either<String, AdminRequest.Builder> apply(Request request, byte[] body, Operator operator) {
+        String base = Request.extractQueryParameters(request).getValue("base");
+        if (base == null || !base.matches("\\d{1,18}")) {
+            return Either.left("Name the version this change is made on, as in POST /admin/config?base=4.");
+        }
+        return Either.right(AdminRequest.newBuilder()
+                .setConfigApply(ConfigApply.newBuilder()
+                        .setBaseVersion(Long.parseLong(base))
+                        .setConfig(ByteString.copyFrom(body))
+                        .setHash(MergedConfig.hash(body))
+                        .setAuthor(operator.team())));
+    }
+
+    private Either<String, AdminRequest.Builder> order(byte[] body, Operator operator) {
+        JsonNode node;
+        try {
+            node = JSON.readTree(body);
+        } catch (IOException e) {
+            return Either.left("The body is not JSON: " + e.getMessage());
+        }
+        if (node == null || !node.path("engine").isTextual()) {
+            return Either.left("'engine' must name a VM or the address of its sidecar.");
+        }
+        return orderBody(node)
+                .map(wanted -> AdminRequest.newBuilder()
+                        .setOrderPlace(OrderPlace.newBuilder()
+                                .setEngine(node.get("engine").textValue())
+                                .setAuthor(operator.team())
+                                .setBody(wanted)));
+    }
+
+    private static Either<String, OrderBody.Builder> orderBody(JsonNode node) {
+        OrderBody.Builder body = OrderBody.newBuilder();
+        if (node.path("change_role").isTextual()) {
+            String role = node.get("change_role").textValue();
+            if (!Set.of("mixed", "prefill", "decode").contains(role)) {
+                return Either.left("'change_role' must be mixed, prefill or decode.");
+            }
+            return Either.right(body.setChangeRole(EngineUpstream.role(role)));
+        }
+        if (node.path("load_model").isTextual()) {
+            return Either.right(body.setLoadModel(node.get("load_model").textValue()));
+        }
+        if (node.path("load_adapter").isTextual()) {
+            return Either.right(body.setLoadAdapter(node.get("load_adapter").textValue()));
+        }
+        if (node.path("unload_adapter").isTextual()) {
+            return Either.right(body.setUnloadAdapter(node.get("unload_adapter").textValue()));
+        }
+        if (node.path("drain").isBoolean()) {
+            return Either.right(body.setDrain(node.get("drain").booleanValue()));
+        }
+        return Either.left("Give one of change_role, load_model, load_adapter, unload_adapter, drain.");
+    }
+
+    private void ask(Response response, Callback callback, AdminRequest.Builder wanted) {
+        long question = nextQuestion.getAndIncrement();
+        waiting.put(question, new Waiting(response, callback));
+        core.accept(Envelope.newBuilder().setAdminRequest(wanted.setQuestion(question)));
+    }
+
+    private Optional<Operator> operator(Request request) {
+        String header = Optional.ofNullable(request.getHeaders().get(HttpHeader.AUTHORIZATION))
+                .orElse("");
+        if (!header.startsWith(BEARER)) {
+            return open ? Optional.of(new Operator("open", TeamConfig.Role.OPERATE)) : Optional.empty();
+        }
+        String hash = MergedConfig.hash(header.substring(BEARER.length()).trim().getBytes(StandardCharsets.UTF_8));
+        if (adminKeys.contains(hash)) {
+            return Optional.of(new Operator("administrator", TeamConfig.Role.OPERATE));
+        }
+        return FleetConfig.parse(config.get())
+                .map(FleetConfig::teams)
+                .getOrElse(java.util.Collections.emptySortedMap())
+                .entrySet()
+                .stream()
+                .filter(team -> team.getValue().keySha256().equals(hash))
+                .map(team -> new Operator(team.getKey(), team.getValue().role()))
+                .findFirst();
+    }
+
+    private static int status(AdminAnswer answer) {
+        return switch (answer.getResult()) {
+            case ADMIN_DONE -> 200;
+            case ADMIN_CONFLICT -> 409;
+            case ADMIN_BAD -> 400;
+            case ADMIN_UNKNOWN -> 404;
+            case ADMIN_NOT_LEADER, ADMIN_UNAVAILABLE, UNRECOGNIZED -> 503;
+        };
+    }
+
+    private static ObjectNode json(AdminAnswer answer) {
+        if (answer.hasStatus()) {
+            return StatusJson.of(answer.getStatus());
+        }
+        ObjectNode node = JSON.createObjectNode().put("version", answer.getVersion());
+        if (!answer.getDetail().isEmpty()) {
+            node.put("detail", answer.getDetail());
+        }
+        if (!answer.getConfig().isEmpty()) {
+            try {
+                node.set("config", JSON.readTree(answer.getConfig().toByteArray()));
+            } catch (IOException e) {
+                node.put("detail", "the accepted configuration can't be read: " + e.getMessage());
+            }
+        }
+        return node;
+    }
+
+    private static void write(Response response, Callback callback, int status, ObjectNode node) {
+        response.setStatus(status);
+        response.getHeaders().put(HttpHeader.CONTENT_TYPE, "application/json");
+        response.write(true, ByteBuffer.wrap(node.toString().getBytes(StandardCharsets.UTF_8)), callback);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/cuminshelf/http/Bodies.java
@@ -0,0 +1,78 @@
+package org.cuminshelf.http;
+
+import java.io.ByteArrayOutputStream;
+import java.nio.ByteBuffer;
+import java.util.function.Consumer;
+import org.eclipse.jetty.io.Content;
+import org.eclipse.jetty.server.Request;
+
+/** Reads request bodies without blocking and with a bound. */
+final class Bodies {
+
+    private Bodies() {}
+
+    /**
+     * Reads a whole body.
+     *
+     * @param request  the request
+     * @param largest  most bytes to take
+     * @param onBody   takes the body
+     * @param tooLarge called instead where there is more
+     * @param onError  called instead where the body ends early or comes too slowly
+     */
+    static void read(
+            Request request, int largest, Consumer<byte[]> onBody, Runnable tooLarge, Consumer<Throwable> onError) {
+        new Reader(request, largest, onBody, tooLarge, onError).run();
+    }
+
+    private static final class Reader implements Runnable {
+
+        private final Request request;
+        private final int largest;
+        private final Consumer<byte[]> onBody;
+        private final Runnable tooLarge;
+        private final Consumer<Throwable> onError;
+        private final ByteArrayOutputStream bytes = new ByteArrayOutputStream();
+
+        private Reader(
+                Request request, int largest, Consumer<byte[]> onBody, Runnable tooLarge, Consumer<Throwable> onError) {
+            this.request = request;
+            this.largest = largest;
+            this.onBody = onBody;
+            this.tooLarge = tooLarge;
+            this.onError = onError;
+        }
+
+        @Override
+        public void run() {
+            while (true) {
+                Content.Chunk chunk = request.read();
+                if (chunk == null) {
+                    request.demand(this);
+                    return;
+                }
+                if (Content.Chunk.isFailure(chunk)) {
+                    onError.accept(chunk.getFailure());
+                    return;
+                }
+                take(chunk);
+                if (bytes.size() > largest) {
+                    tooLarge.run();
+                    return;
+                }
+                if (chunk.isLast()) {
+                    onBody.accept(bytes.toByteArray());
+                    return;
+                }
+            }
+        }
+
+        private void take(Content.Chunk chunk) {
+            ByteBuffer buffer = chunk.getByteBuffer();
+            byte[] part = new byte[buffer.remaining()];
+            buffer.get(part);
+            chunk.release();
+            bytes.writeBytes(part);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/cuminshelf/http/Problem.java
@@ -0,0 +1,125 @@
+package org.cuminshelf.http;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.nio.ByteBuffer;
+import java.util.Locale;
+import org.cuminshelf.message.Cause;
+import org.cuminshelf.verdict.Verdict;
+import org.eclipse.jetty.http.HttpHeader;
+import org.eclipse.jetty.server.Response;
+import org.eclipse.jetty.util.Callback;
+
+/**
+ * An error as callers see it: problem JSON (RFC 9457) with the verdict and, where the request did not run, the time
+ * after which to try again.
+ *
+ * @param status  the HTTP status
+ * @param verdict whether the request may have run
+ * @param detail  a sentence for people
+ */
+public record Problem(int status, Verdict verdict, String detail) {
+
+    /** Header that carries the word of the verdict. */
+    public static final String VERDICT_HEADER = "Cuminshelf-Verdict";
+
+    private static final ObjectMapper JSON = new ObjectMapper();
+    private static final long MILLIS_PER_SECOND = 1_000;
+
+    /**
+     * Makes the problem for a verdict.
+     *
+     * @param verdict whether the request may have run, and why it was not answered
+     * @param detail  a sentence, or empty for the usual one
+     * @return the problem
+     */
+    public static Problem of(Verdict verdict, String detail) {
+        return new Problem(status(verdict), verdict, detail.isEmpty() ? sentence(verdict.cause()) : detail);
+    }
+
+    /**
+     * Makes the problem for a request that can't be understood.
+     *
+     * @param status the HTTP status
+     * @param detail what is wrong and how to mend it
+     * @return the problem
+     */
+    public static Problem badRequest(int status, String detail) {
+        return new Problem(status, new Verdict.NotRun(Cause.BAD_REQUEST, 0), detail);
+    }
+
+    /**
+     * Writes the problem as the whole response.
+     *
+     * @param response the response, not committed
+     * @param callback completed when it is written
+     */
+    public void write(Response response, Callback callback) {
+        response.setStatus(status);
+        response.getHeaders().put(HttpHeader.CONTENT_TYPE, "application/problem+json");
+        response.getHeaders().put(VERDICT_HEADER, verdict.word());
+        if (verdict instanceof Verdict.NotRun notRun && notRun.retryAfterMillis() > 0) {
+            long seconds = (notRun.retryAfterMillis() + MILLIS_PER_SECOND - 1) / MILLIS_PER_SECOND;
+            response.getHeaders().put(HttpHeader.RETRY_AFTER, seconds);
+        }
+        response.write(true, ByteBuffer.wrap(json()), callback);
+    }
+
+    /**
+     * The problem as JSON.
+     *
+     * @return UTF-8 bytes
+     */
+    public byte[] json() {
+        ObjectNode body = JSON.createObjectNode()
+                .put("type", "about:blank")
+                .put("title", verdict.cause().name().toLowerCase(Locale.ROOT).replace('_', ' '))
+                .put("status", status)
+                .put("detail", detail)
+                .put("verdict", verdict.word());
+        if (verdict instanceof Verdict.NotRun notRun && notRun.retryAfterMillis() > 0) {
+            body.put("retry_after_ms", notRun.retryAfterMillis());
+        }
+        try {
+            return JSON.writeValueAsBytes(body);
+        } catch (JsonProcessingException e) {
+            throw new IllegalStateException("A plain object can be written", e);
+        }
+    }
+
+    private static int status(Verdict verdict) {
+        return switch (verdict.cause()) {
+            case UNKNOWN_SERVICE, UNKNOWN_MODEL -> 404;
+            case BAD_REQUEST -> 400;
+            case KEY_CONFLICT -> 422;
+            case KEY_IN_PROGRESS, KEY_UNRESOLVED -> 409;
+            case LIMIT_REACHED -> 429;
+            case DEADLINE_PASSED -> 504;
+            case NO_UPSTREAM, OVERLOADED, LEAVING, NOT_READY, CLAIMS_FULL, CLAIMS_UNAVAILABLE, ROLE_CHANGING, REVOKED ->
+                503;
+            default -> 502;
+        };
+    }
+
+    private static String sentence(Cause cause) {
+        return switch (cause) {
+            case UNKNOWN_SERVICE -> "No such service is configured.";
+            case UNKNOWN_MODEL -> "No such model is configured.";
+            case NO_UPSTREAM -> "No upstream for this is there now.";
+            case OVERLOADED -> "It can't be answered in time now.";
+            case DEADLINE_PASSED -> "The deadline passed.";
+            case LEAVING -> "This entry is leaving; try another.";
+            case NOT_READY -> "This entry does not know the configuration yet.";
+            case KEY_IN_PROGRESS -> "A request with this idempotency key is in progress.";
+            case KEY_CONFLICT -> "This idempotency key was used with another request.";
+            case KEY_UNRESOLVED ->
+                "A request with this idempotency key may have run; its answer is lost. Check before a new"
+                        + " key is used.";
+            case LIMIT_REACHED -> "The organisation's limit is reached.";
+            case CLAIMS_FULL, CLAIMS_UNAVAILABLE -> "Idempotency keys can't be claimed now.";
+            case ANSWER_TOO_LARGE -> "It ran, but its answer is too large to keep.";
+            default -> "The upstream did not answer in full.";
+        };
+    }
+}
--- /dev/null
+++ b/src/main/java/org/cuminshelf/network/EnvelopeDecoder.java
@@ -0,0 +1,18 @@
+package org.cuminshelf.network;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufInputStream;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.handler.codec.MessageToMessageDecoder;
+import java.io.IOException;
+import java.util.List;
+import org.cuminshelf.message.Envelope;
+
+/** Turns the content of frames into messages; an empty frame is a heartbeat. */
+final class EnvelopeDecoder extends MessageToMessageDecoder<ByteBuf> {
+
+    @Override
+    protected void decode(ChannelHandlerContext context, ByteBuf frame, List<Object> messages) throws IOException {
+        messages.add(Envelope.parseFrom(new ByteBufInputStream(frame, frame.readableBytes())));
+    }
+}
--- /dev/null
+++ b/src/main/java/org/cuminshelf/replica/DurableState.java
@@ -0,0 +1,27 @@
+package org.cuminshelf.replica;
+
+import java.util.List;
+import java.util.Optional;
+import org.cuminshelf.message.HardState;
+import org.cuminshelf.message.LogEntry;
+import org.cuminshelf.message.Snapshot;
+
+/**
+ * What a replica finds on its disk at the start.
+ *
+ * @param hardState cluster, identity, term and vote
+ * @param snapshot  the newest snapshot
+ * @param entries   the entries after it
+ */
+public record DurableState(HardState hardState, Optional<Snapshot> snapshot, List<LogEntry> entries) {
+
+    /**
+     * The state of a replica with a new, empty disk.
+     *
+     * @param identity the identity made for this disk, never used before
+     * @return the state
+     */
+    public static DurableState fresh(long identity) {
+        return new DurableState(HardState.newBuilder().setIdentity(identity).build(), Optional.empty(), List.of());
+    }
+}
--- /dev/null
+++ b/src/main/java/org/cuminshelf/sidecar/AttemptRow.java
@@ -0,0 +1,59 @@
+package org.cuminshelf.sidecar;
+
+import com.google.protobuf.ByteString;
+import java.util.ArrayList;
+import java.util.List;
+import org.cuminshelf.message.Dispatch;
+import org.cuminshelf.message.Ended;
+import org.cuminshelf.message.ExchangeHead;
+
+/** One attempt in the journal of a sidecar. */
+final class AttemptRow {
+
+    /** What the journal can swear of an attempt. */
+    enum State {
+        /** Never started and never will: a late dispatch is refused. */
+        FORBIDDEN,
+        RUNNING,
+        ENDED
+    }
+
+    final long id;
+    final SessionRow session;
+    final long number;
+    State state;
+    /** Tokens the caller held before this attempt. */
+    long firstOffset;
+
+    long promptTokens;
+    final List<String> tokens = new ArrayList<>();
+    ExchangeHead head;
+    ByteString body = ByteString.EMPTY;
+    Ended ended;
+    boolean moved;
+
+    private AttemptRow(long id, SessionRow session, long number, State state) {
+        this.id = id;
+        this.session = session;
+        this.number = number;
+        this.state = state;
+    }
+
+    /** An attempt handed to the upstream. */
+    static AttemptRow running(long id, SessionRow session, Dispatch dispatch) {
+        AttemptRow row = new AttemptRow(id, session, dispatch.getNumber(), State.RUNNING);
+        row.firstOffset = dispatch.getGeneration().getHeldCount();
+        row.promptTokens = dispatch.getGeneration().getPromptTokens();
+        return row;
+    }
+
+    /** An attempt that must not start any more. */
+    static AttemptRow forbidden(SessionRow session, long number) {
+        return new AttemptRow(0, session, number, State.FORBIDDEN);
+    }
+
+    /** Length of the answer so far, counted from the start of the call. */
+    long length() {
+        return firstOffset + tokens.size() + body.size();
+    }
+}
--- /dev/null
+++ b/src/main/java/org/cuminshelf/sidecar/Journal.java
@@ -0,0 +1,96 @@
+package org.cuminshelf.sidecar;
+
+import java.util.HashMap;
+import java.util.Iterator;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+import org.apache.commons.rng.UniformRandomProvider;
+import org.cuminshelf.core.Address;
+import org.cuminshelf.core.Durations;
+
+/**
+ * The table of sessions and attempts. It lives in memory only: after a restart no session of the earlier incarnation
+ * is known, and nothing is sworn about its attempts.
+ */
+final class Journal {
+
+    private static final long SESSION_IDLE = Durations.nanos(600_000);
+
+    private record EntryKey(Address entry, long incarnation) {}
+
+    private final UniformRandomProvider random;
+    private final Map<Long, SessionRow> sessions = new TreeMap<>();
+    private final Map<EntryKey, SessionRow> byEntry = new HashMap<>();
+    private final Map<Long, AttemptRow> running = new TreeMap<>();
+    private long nextAttempt = 1;
+
+    Journal(UniformRandomProvider random) {
+        this.random = random;
+    }
+
+    /** Finds or opens the session of an entry's incarnation. */
+    SessionRow open(long now, Address entry, long incarnation) {
+        SessionRow row = byEntry.computeIfAbsent(new EntryKey(entry, incarnation), key -> {
+            SessionRow made = new SessionRow(newSessionId(), entry, incarnation);
+            sessions.put(made.id, made);
+            return made;
+        });
+        row.lastHeard = now;
+        return row;
+    }
+
+    Optional<SessionRow> session(long id) {
+        return Optional.ofNullable(sessions.get(id));
+    }
+
+    Iterable<SessionRow> sessions() {
+        return sessions.values();
+    }
+
+    Optional<AttemptRow> attempt(long session, long number) {
+        return session(session).map(row -> row.attempts.get(number));
+    }
+
+    Optional<AttemptRow> runningAttempt(long id) {
+        return Optional.ofNullable(running.get(id));
+    }
+
+    Iterable<AttemptRow> running() {
+        return running.values();
+    }
+
+    int runningCount() {
+        return running.size();
+    }
+
+    long newAttemptId() {
+        return nextAttempt++;
+    }
+
+    void started(AttemptRow row) {
+        row.session.remember(row);
+        running.put(row.id, row);
+    }
+
+    void ended(AttemptRow row) {
+        running.remove(row.id);
+    }
+
+    /** Drops sessions that were silent for long and run nothing; their dispatches are refused from then on. */
+    void dropIdle(long now) {
+        Iterator<SessionRow> rows = sessions.values().iterator();
+        while (rows.hasNext()) {
+            SessionRow row = rows.next();
+            if (now - row.lastHeard > SESSION_IDLE && !row.hasRunning()) {
+                rows.remove();
+                byEntry.remove(new EntryKey(row.entry, row.entryIncarnation));
+            }
+        }
+    }
+
+    private long newSessionId() {
+        long id = random.nextLong() & Long.MAX_VALUE;
+        return id == 0 ? 1 : id;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/cuminshelf/sidecar/SidecarCore.java
@@ -0,0 +1,493 @@
+package org.cuminshelf.sidecar;
+
+import java.util.Optional;
+import org.apache.commons.rng.UniformRandomProvider;
+import org.cuminshelf.core.Address;
+import org.cuminshelf.core.Core;
+import org.cuminshelf.core.Durations;
+import org.cuminshelf.core.Invariants;
+import org.cuminshelf.core.Outbox;
+import org.cuminshelf.message.Announce;
+import org.cuminshelf.message.AttemptState;
+import org.cuminshelf.message.Cancel;
+import org.cuminshelf.message.CancelUpstream;
+import org.cuminshelf.message.Cause;
+import org.cuminshelf.message.Chunk;
+import org.cuminshelf.message.Dispatch;
+import org.cuminshelf.message.Ended;
+import org.cuminshelf.message.Envelope;
+import org.cuminshelf.message.LoadReport;
+import org.cuminshelf.message.Ran;
+import org.cuminshelf.message.Received;
+import org.cuminshelf.message.Refused;
+import org.cuminshelf.message.Revoke;
+import org.cuminshelf.message.RevokeAnswer;
+import org.cuminshelf.message.SessionOpened;
+import org.cuminshelf.message.StartUpstream;
+import org.cuminshelf.message.Stopped;
+import org.cuminshelf.message.Subscribe;
+import org.cuminshelf.message.UpstreamEnd;
+import org.cuminshelf.message.UpstreamKind;
+import org.cuminshelf.message.UpstreamPart;
+import org.cuminshelf.message.UpstreamState;
+
+/** The decisions of a sidecar. */
+public final class SidecarCore implements Core {
+
+    private static final long ANNOUNCE_EVERY = Durations.nanos(1_000);
+    private static final long IDLE_CHECK_EVERY = Durations.nanos(60_000);
+    private static final long ENTRY_SILENCE = Durations.nanos(30_000);
+    private static final long LARGEST_ANSWER_BYTES = 1L << 20;
+    private static final int RETRY_AFTER_BUSY_MILLIS = 250;
+
+    private final SidecarSettings settings;
+    private final Invariants invariants;
+    private final Journal journal;
+    private final OrderGuard orders;
+    private LoadReport upstreamLoad = LoadReport.getDefaultInstance();
+    private boolean upstreamReachable;
+    private boolean leaving;
+    private boolean stopReported;
+    private long nextAnnounce;
+    private long nextIdleCheck;
+    private long promptTokensDone;
+    private long outputTokensDone;
+    private long configVersion;
+
+    private SidecarCore(
+            SidecarSettings settings, long incarnation, long now, UniformRandomProvider random, Invariants invariants) {
+        this.settings = settings;
+        this.invariants = invariants;
+        this.journal = new Journal(random);
+        this.orders = new OrderGuard(settings, incarnation, now, invariants);
+        this.nextAnnounce = now;
+        this.nextIdleCheck = now + IDLE_CHECK_EVERY;
+    }
+
+    /**
+     * Makes the core of a starting sidecar.
+     *
+     * @param settings    its place and upstream
+     * @param incarnation the incarnation of this process, never used before at this address
+     * @param now         the time in nanoseconds
+     * @param random      the seeded source of session ids
+     * @param invariants  receives the outcome of assertions
+     * @return the core
+     */
+    public static SidecarCore start(
+            SidecarSettings settings, long incarnation, long now, UniformRandomProvider random, Invariants invariants) {
+        return new SidecarCore(settings, incarnation, now, random, invariants);
+    }
+
+    @Override
+    public void accept(long now, Envelope input, Outbox out) {
+        Address from = Address.of(input.getFrom());
+        switch (input.getBodyCase()) {
+            case OPEN_SESSION -> onOpenSession(now, from, input.getIncarnation(), out);
+            case DISPATCH -> onDispatch(now, from, input.getDispatch(), out);
+            case CANCEL -> onCancel(input.getCancel(), out);
+            case REVOKE -> onRevoke(now, from, input.getRevoke(), out);
+            case RECEIVED -> onReceived(input.getReceived());
+            case UPSTREAM_HEAD -> onHead(input.getUpstreamHead(), out);
+            case UPSTREAM_PART -> onPart(input.getUpstreamPart(), out);
+            case UPSTREAM_END -> onEnd(input.getUpstreamEnd(), out);
+            case UPSTREAM_STATE -> onState(input.getUpstreamState(), out);
+            case ORDER_SENT -> orders.onOrder(now, from, input.getOrderSent(), out);
+            case ORDER_APPLIED -> orders.onApplied(input.getOrderApplied(), out);
+            case UPDATE -> onUpdate(input.getUpdate());
+            case STOP -> leave(now);
+            default -> {
+                // Not a message for a sidecar.
+            }
+        }
+    }
+
+    @Override
+    public void tick(long now, Outbox out) {
+        boolean moveAll = orders.tick(now, journal.runningCount(), out);
+        if (moveAll) {
+            moveGenerations(out);
+        }
+        announce(now, out);
+        if (now >= nextIdleCheck) {
+            journal.dropIdle(now);
+            cancelForSilentEntries(now, out);
+            nextIdleCheck = now + IDLE_CHECK_EVERY;
+        }
+        if (leaving && journal.runningCount() == 0 && !stopReported) {
+            stopReported = true;
+            out.send(Address.PROCESS, Envelope.newBuilder().setStopped(Stopped.getDefaultInstance()));
+        }
+    }
+
+    @Override
+    public long nextDue() {
+        return Math.min(Math.min(nextAnnounce, nextIdleCheck), orders.nextDue());
+    }
+
+    /**
+     * Tells how many attempts run on the upstream.
+     *
+     * @return their number
+     */
+    public int runningAttempts() {
+        return journal.runningCount();
+    }
+
+    private void onOpenSession(long now, Address entry, long entryIncarnation, Outbox out) {
+        SessionRow row = journal.open(now, entry, entryIncarnation);
+        out.send(
+                entry,
+                Envelope.newBuilder()
+                        .setSessionOpened(
+                                SessionOpened.newBuilder().setSession(row.id).setLoad(load(row))));
+    }
+
+    private void onDispatch(long now, Address entry, Dispatch dispatch, Outbox out) {
+        Optional<SessionRow> known = journal.session(dispatch.getSession());
+        if (known.isEmpty()) {
+            refuse(entry, dispatch, Cause.UNKNOWN_SESSION, 0, null, out);
+            return;
+        }
+        SessionRow session = known.get();
+        session.lastHeard = now;
+        AttemptRow earlier = session.attempts.get(dispatch.getNumber());
+        if (earlier != null && earlier.state != AttemptRow.State.FORBIDDEN) {
+            return;
+        }
+        if (earlier != null || dispatch.getNumber() <= session.floor) {
+            refuse(entry, dispatch, Cause.REVOKED, 0, session, out);
+            return;
+        }
+        Optional<Cause> refusal = refusal(dispatch);
+        if (refusal.isPresent()) {
+            session.remember(AttemptRow.forbidden(session, dispatch.getNumber()));
+            refuse(entry, dispatch, refusal.get(), RETRY_AFTER_BUSY_MILLIS, session, out);
+            return;
+        }
+        start(session, dispatch, out);
+    }
+
+    private Optional<Cause> refusal(Dispatch dispatch) {
+        if (leaving || orders.isDraining()) {
+            return Optional.of(Cause.LEAVING);
+        }
+        if (orders.isChanging()) {
+            return Optional.of(Cause.ROLE_CHANGING);
+        }
+        if (journal.runningCount() >= settings.slots()) {
+            return Optional.of(Cause.OVERLOADED);
+        }
+        boolean isGeneration = dispatch.getWorkCase() == Dispatch.WorkCase.GENERATION;
+        if (isGeneration != (settings.kind() == UpstreamKind.UPSTREAM_ENGINE)) {
+            return Optional.of(Cause.UNKNOWN_SERVICE);
+        }
+        return Optional.empty();
+    }
+
+    private void start(SessionRow session, Dispatch dispatch, Outbox out) {
+        AttemptRow row = AttemptRow.running(journal.newAttemptId(), session, dispatch);
+        journal.started(row);
+        StartUpstream.Builder start = StartUpstream.newBuilder()
+                .setAttempt(row.id)
+                .setPriority(dispatch.getPriority())
+                .setTraceParent(dispatch.getTraceParent());
+        switch (dispatch.getWorkCase()) {
+            case GENERATION -> start.setGeneration(dispatch.getGeneration());
+            case EXCHANGE -> start.setExchange(dispatch.getExchange());
+            case WORK_NOT_SET -> {
+                // Refused before.
+            }
+        }
+        out.send(Address.UPSTREAM, Envelope.newBuilder().setStartUpstream(start));
+    }
+
+    private void refuse(
+            Address entry, Dispatch dispatch, Cause cause, int retryAfterMillis, SessionRow session, Outbox out) {
+        Refused.Builder refused = Refused.newBuilder()
+                .setSession(dispatch.getSession())
+                .setNumber(dispatch.getNumber())
+                .setCause(cause)
+                .setRetryAfterMs(retryAfterMillis);
+        if (session != null) {
+            refused.setLoad(load(session));
+        }
+        out.send(entry, Envelope.newBuilder().setRefused(refused));
+    }
+
+    private void onCancel(Cancel cancel, Outbox out) {
+        Optional<SessionRow> session = journal.session(cancel.getSession());
+        if (session.isEmpty()) {
+            return;
+        }
+        AttemptRow row = session.get().attempts.get(cancel.getNumber());
+        if (row == null) {
+            if (cancel.getNumber() > session.get().floor) {
+                session.get().remember(AttemptRow.forbidden(session.get(), cancel.getNumber()));
+            }
+            return;
+        }
+        boolean isGeneration = settings.kind() == UpstreamKind.UPSTREAM_ENGINE;
+        if (row.state == AttemptRow.State.RUNNING && isGeneration) {
+            cancelUpstream(row, out);
+            end(row, Ran.RAN, Cause.CANCELLED, "cancelled", out);
+        }
+    }
+
+    private void onRevoke(long now, Address entry, Revoke revoke, Outbox out) {
+        RevokeAnswer.Builder answer = RevokeAnswer.newBuilder()
+                .setSession(revoke.getSession())
+                .setNumber(revoke.getNumber())
+                .setQuestion(revoke.getQuestion());
+        Optional<SessionRow> known = journal.session(revoke.getSession());
+        if (known.isEmpty()) {
+            answer.setState(AttemptState.ATTEMPT_UNKNOWN);
+            out.sendFresh(entry, Envelope.newBuilder().setRevokeAnswer(answer));
+            return;
+        }
+        SessionRow session = known.get();
+        session.lastHeard = now;
+        AttemptRow row = session.attempts.get(revoke.getNumber());
+        if (row == null && revoke.getNumber() <= session.floor) {
+            answer.setState(AttemptState.ATTEMPT_UNKNOWN);
+        } else if (row == null) {
+            session.remember(AttemptRow.forbidden(session, revoke.getNumber()));
+            answer.setState(AttemptState.ATTEMPT_NOT_RUN);
+        } else {
+            answer.setState(stateOf(row));
+            if (row.state != AttemptRow.State.FORBIDDEN) {
+                describe(row, entry, revoke, answer, out);
+            }
+        }
+        out.sendFresh(entry, Envelope.newBuilder().setRevokeAnswer(answer));
+    }
+
+    private static AttemptState stateOf(AttemptRow row) {
+        return switch (row.state) {
+            case FORBIDDEN -> AttemptState.ATTEMPT_NOT_RUN;
+            case RUNNING -> AttemptState.ATTEMPT_RUNNING;
+            case ENDED -> row.ended.getRan() == Ran.NOT_RUN ? AttemptState.ATTEMPT_NOT_RUN : AttemptState.ATTEMPT_ENDED;
+        };
+    }
+
+    /** Tells the asker what it lacks: the owner gets the missing chunks again, another entry the whole answer. */
+    private void describe(AttemptRow row, Address asker, Revoke revoke, RevokeAnswer.Builder answer, Outbox out) {
+        if (asker.equals(row.session.entry)) {
+            resend(row, revoke.getHeld(), out);
+            return;
+        }
+        if (row.state == AttemptRow.State.ENDED) {
+            answer.setEnded(row.ended).setBody(row.body);
+            if (row.head != null) {
+                answer.setHead(row.head);
+            }
+        }
+    }
+
+    private void resend(AttemptRow row, long held, Outbox out) {
+        Chunk.Builder chunk = Chunk.newBuilder()
+                .setSession(row.session.id)
+                .setNumber(row.number)
+                .setOffset(held);
+        if (row.head != null) {
+            chunk.setHead(row.head);
+        }
+        int skip = (int) Math.max(0, held - row.firstOffset);
+        if (skip < row.tokens.size()) {
+            chunk.addAllTokens(row.tokens.subList(skip, row.tokens.size()));
+        }
+        if (skip < row.body.size()) {
+            chunk.setBody(row.body.substring(skip));
+        }
+        if (chunk.hasHead() || chunk.getTokensCount() > 0 || !chunk.getBody().isEmpty()) {
+            out.send(row.session.entry, Envelope.newBuilder().setChunk(chunk));
+        }
+        if (row.state == AttemptRow.State.ENDED) {
+            out.send(row.session.entry, Envelope.newBuilder().setEnded(row.ended));
+        }
+    }
+
+    private void onReceived(Received received) {
+        journal.attempt(received.getSession(), received.getNumber())
+                .filter(row -> row.state == AttemptRow.State.ENDED)
+                .ifPresent(row -> {
+                    row.tokens.clear();
+                    row.body = com.google.protobuf.ByteString.EMPTY;
+                });
+    }
+
+    private void onHead(org.cuminshelf.message.UpstreamHead head, Outbox out) {
+        journal.runningAttempt(head.getAttempt()).ifPresent(row -> {
+            row.head = head.getHead();
+            out.send(
+                    row.session.entry,
+                    Envelope.newBuilder()
+                            .setChunk(Chunk.newBuilder()
+                                    .setSession(row.session.id)
+                                    .setNumber(row.number)
+                                    .setOffset(row.length())
+                                    .setHead(row.head)));
+        });
+    }
+
+    private void onPart(UpstreamPart part, Outbox out) {
+        Optional<AttemptRow> found = journal.runningAttempt(part.getAttempt());
+        if (found.isEmpty()) {
+            return;
+        }
+        AttemptRow row = found.get();
+        if (row.tokens.isEmpty() && part.getTokensCount() > 0) {
+            promptTokensDone += row.promptTokens;
+        }
+        outputTokensDone += part.getTokensCount();
+        out.send(
+                row.session.entry,
+                Envelope.newBuilder()
+                        .setChunk(Chunk.newBuilder()
+                                .setSession(row.session.id)
+                                .setNumber(row.number)
+                                .setOffset(row.length())
+                                .addAllTokens(part.getTokensList())
+                                .setBody(part.getBody())));
+        row.tokens.addAll(part.getTokensList());
+        row.body = row.body.concat(part.getBody());
+        if (row.body.size() > LARGEST_ANSWER_BYTES) {
+            end(row, Ran.RAN, Cause.ANSWER_TOO_LARGE, "", out);
+        }
+    }
+
+    private void onEnd(UpstreamEnd end, Outbox out) {
+        journal.runningAttempt(end.getAttempt())
+                .ifPresent(row -> end(row, end.getRan(), end.getCause(), end.getFinishReason(), out));
+    }
+
+    private void end(AttemptRow row, Ran ran, Cause cause, String finishReason, Outbox out) {
+        invariants.check(
+                row.state == AttemptRow.State.RUNNING,
+                "an-attempt-ends-once",
+                () -> "attempt " + row.number + " of session " + row.session.id + " ended twice");
+        journal.ended(row);
+        row.state = AttemptRow.State.ENDED;
+        Ended.Builder ended = Ended.newBuilder()
+                .setSession(row.session.id)
+                .setNumber(row.number)
+                .setLength(row.length())
+                .setRan(ran)
+                .setCause(cause)
+                .setFinishReason(finishReason);
+        row.ended = ended.build();
+        ended.setLoad(load(row.session));
+        out.send(row.session.entry, Envelope.newBuilder().setEnded(ended));
+    }
+
+    private void onState(UpstreamState state, Outbox out) {
+        upstreamReachable = state.getReachable();
+        if (state.getReachable()) {
+            upstreamLoad = state.getLoad();
+        }
+        orders.onState(state, upstreamLoad, out);
+    }
+
+    /** A configuration is taken only where it is newer; whatever comes late or from a stale process changes nothing. */
+    private void onUpdate(org.cuminshelf.message.Update update) {
+        configVersion = Math.max(configVersion, update.getConfigVersion());
+    }
+
+    private void leave(long now) {
+        leaving = true;
+        nextAnnounce = now;
+    }
+
+    /** Ends the generations that outlast a change's patience; their entries go on with them on another engine. */
+    private void moveGenerations(Outbox out) {
+        for (AttemptRow row : java.util.List.copyOf(asCollection(journal.running()))) {
+            if (!row.moved) {
+                row.moved = true;
+                cancelUpstream(row, out);
+                end(row, Ran.RAN, Cause.MOVED, "", out);
+            }
+        }
+    }
+
+    private static java.util.Collection<AttemptRow> asCollection(Iterable<AttemptRow> rows) {
+        java.util.List<AttemptRow> copy = new java.util.ArrayList<>();
+        rows.forEach(copy::add);
+        return copy;
+    }
+
+    private void cancelForSilentEntries(long now, Outbox out) {
+        if (settings.kind() != UpstreamKind.UPSTREAM_ENGINE) {
+            return;
+        }
+        for (AttemptRow row : asCollection(journal.running())) {
+            if (now - row.session.lastHeard > ENTRY_SILENCE) {
+                cancelUpstream(row, out);
+                end(row, Ran.RAN, Cause.CANCELLED, "cancelled", out);
+            }
+        }
+    }
+
+    private static void cancelUpstream(AttemptRow row, Outbox out) {
+        out.send(
+                Address.UPSTREAM,
+                Envelope.newBuilder()
+                        .setCancelUpstream(CancelUpstream.newBuilder().setAttempt(row.id)));
+    }
+
+    private void announce(long now, Outbox out) {
+        if (now < nextAnnounce) {
+            return;
+        }
+        nextAnnounce = now + ANNOUNCE_EVERY;
+        if (!upstreamReachable && !leaving) {
+            out.send(
+                    Address.UPSTREAM,
+                    Envelope.newBuilder().setReadUpstream(org.cuminshelf.message.ReadUpstream.getDefaultInstance()));
+        }
+        Announce announce = announcement();
+        for (Address control : settings.control()) {
+            out.send(control, Envelope.newBuilder().setAnnounce(announce));
+            out.send(
+                    control,
+                    Envelope.newBuilder()
+                            .setSubscribe(Subscribe.newBuilder()
+                                    .setConfigVersion(configVersion)
+                                    .setRegion(settings.region())
+                                    .setVm(settings.vm())));
+        }
+        if (leaving) {
+            for (SessionRow session : journal.sessions()) {
+                out.send(session.entry, Envelope.newBuilder().setLoadReport(load(session)));
+            }
+        }
+    }
+
+    private Announce announcement() {
+        return Announce.newBuilder()
+                .setService(settings.service())
+                .setKind(settings.kind())
+                .setRegion(settings.region())
+                .setZone(settings.zone())
+                .setVm(settings.vm())
+                .setLoad(load(null))
+                .setLeaving(leaving || orders.isDraining() || !upstreamReachable)
+                .setChecksFence(settings.checksFence())
+                .setLastOrder(orders.lastOrder())
+                .setConfigVersion(configVersion)
+                .build();
+    }
+
+    private LoadReport load(SessionRow session) {
+        LoadReport.Builder load = upstreamLoad.toBuilder()
+                .setRunning(journal.runningCount())
+                .setSlots(settings.slots())
+                .setLeaving(leaving || orders.isDraining())
+                .setChanging(orders.isChanging() || !upstreamReachable)
+                .setPromptTokensDone(promptTokensDone)
+                .setOutputTokensDone(outputTokensDone);
+        if (session != null) {
+            load.setCounted(session.highestNumber);
+        }
+        return load.build();
+    }
+}
--- /dev/null
+++ b/src/main/java/org/cuminshelf/tools/Serving.java
@@ -0,0 +1,31 @@
+package org.cuminshelf.tools;
+
+import java.util.List;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.atomic.AtomicBoolean;
+import org.cuminshelf.process.ServingProcess;
+
+/** Keeps serving processes up until a signal, then stops them in order. */
+final class Serving {
+
+    private Serving() {}
+
+    /** Waits for a signal and stops gracefully. Returns the exit code. */
+    static int until(List<ServingProcess> processes) throws InterruptedException {
+        CountDownLatch stopped = new CountDownLatch(1);
+        AtomicBoolean allFinished = new AtomicBoolean(true);
+        Signals.onStop(() -> {
+            try {
+                for (ServingProcess process : processes) {
+                    allFinished.compareAndSet(true, process.stopGracefully());
+                }
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            } finally {
+                stopped.countDown();
+            }
+        });
+        stopped.await();
+        return allFinished.get() ? ExitCode.DONE : ExitCode.NO;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/cuminshelf/tools/StandInCommand.java
@@ -0,0 +1,57 @@
+package org.cuminshelf.tools;
+
+import java.util.concurrent.CountDownLatch;
+import net.sourceforge.argparse4j.inf.Namespace;
+import net.sourceforge.argparse4j.inf.Subparser;
+import org.cuminshelf.core.Address;
+import org.cuminshelf.standin.EngineSpeed;
+import org.cuminshelf.standin.StandInEngine;
+import org.cuminshelf.standin.StandInService;
+
+/** Runs a stand-in upstream. */
+final class StandInCommand implements Command {
+
+    @Override
+    public String name() {
+        return "stand-in";
+    }
+
+    @Override
+    public String summary() {
+        return "run a stand-in engine or plain service, to try the system without real ones";
+    }
+
+    @Override
+    public void describe(Subparser parser) {
+        Flags.addRequired(parser, "at", "IP number and port it listens on");
+        Flags.add(parser, "kind", "engine or service", "engine");
+        Flags.add(parser, "models", "models the engine has loaded, separated by commas", "cataloguer");
+        Flags.add(parser, "speed", "speed of the engine: usual or instant", "usual");
+        Flags.add(parser, "delay-ms", "milliseconds the service takes", "0");
+        Flags.addSwitch(parser, "checks-fence", "the engine refuses orders with an old fencing number");
+    }
+
+    @Override
+    public int run(Namespace flags) throws Exception {
+        Address at = Flags.address(flags, "at");
+        AutoCloseable standIn = switch (Flags.text(flags, "kind")) {
+            case "engine" ->
+                StandInEngine.start(at, speed(flags), Flags.isOn(flags, "checks-fence"), Flags.list(flags, "models"));
+            case "service" -> StandInService.start(at, Flags.number(flags, "delay-ms", 0, 60_000));
+            default -> throw new UsageException("--kind = " + Flags.text(flags, "kind") + ": give engine or service");
+        };
+        CountDownLatch stopped = new CountDownLatch(1);
+        Signals.onStop(stopped::countDown);
+        stopped.await();
+        standIn.close();
+        return ExitCode.DONE;
+    }
+
+    private static EngineSpeed speed(Namespace flags) throws UsageException {
+        return switch (Flags.text(flags, "speed")) {
+            case "usual" -> EngineSpeed.usual();
+            case "instant" -> EngineSpeed.instant();
+            default -> throw new UsageException("--speed = " + Flags.text(flags, "speed") + ": give usual or instant");
+        };
+    }
+}
--- /dev/null
+++ b/src/test/java/org/cuminshelf/tools/StandaloneTest.java
@@ -0,0 +1,117 @@
+package org.cuminshelf.tools;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.nio.file.Files;
+import java.util.Optional;
+import net.jqwik.api.Example;
+import net.jqwik.api.lifecycle.AfterContainer;
+import net.jqwik.api.lifecycle.BeforeContainer;
+import org.cuminshelf.http.CallersHandler;
+import org.cuminshelf.http.Problem;
+import org.cuminshelf.standin.EngineSpeed;
+import org.cuminshelf.standin.StandInText;
+
+/** The whole path in one process: caller, entry, sidecar, upstream and back, with a control process beside it. */
+class StandaloneTest {
+
+    private static final HttpClient CLIENT = HttpClient.newHttpClient();
+    private static Standalone system;
+
+    @BeforeContainer
+    static void start() throws Exception {
+        system = Standalone.start(new Standalone.Options(
+                Files.createTempDirectory("standalone"), 0, 0, 2, EngineSpeed.instant(), "key", Optional.empty()));
+        StandaloneCommand.configure(system, "key");
+    }
+
+    @AfterContainer
+    static void stop() throws Exception {
+        assertThat(system.entry().invariantBreaches()).isZero();
+        assertThat(system.stopGracefully()).isTrue();
+    }
+
+    @Example
+    void aStreamedCompletionGivesEachTokenOnceAndInOrder() throws Exception {
+        String body = post(
+                        "/v1/completions",
+                        "{\"model\":\"cataloguer\",\"prompt\":\"A title\",\"max_tokens\":40," + "\"stream\":true}")
+                .body();
+        StringBuilder text = new StringBuilder();
+        body.lines()
+                .filter(line -> line.contains("\"text\":\""))
+                .forEach(line -> text.append(line.replaceAll(".*\"text\":\"([^\"]*)\".*", "$1")));
+        assertThat(text).hasToString(String.join("", StandInText.answer("A title", 40)));
+        assertThat(body).endsWith("data: [DONE]\n\n");
+    }
+
+    @Example
+    void aWholeChatCompletionCountsItsTokens() throws Exception {
+        HttpResponse<String> answer = post(
+                "/v1/chat/completions",
+                "{\"model\":\"cataloguer\",\"max_tokens\":12,\"messages\":[{\"role\":\"user\",\"content\":\"hi\"}]}");
+        int tokens = StandInText.answer("user: hi\n", 12).size();
+        assertThat(answer.statusCode()).isEqualTo(200);
+        assertThat(answer.body()).contains("\"completion_tokens\":" + tokens);
+        assertThat(answer.headers().firstValue(Problem.VERDICT_HEADER)).contains("ran");
+    }
+
+    /*
+     * A caller loses its answer and sends its request again with the same key. It must get the number it was given
+     * the first time, and the registry must have given one number only.
+     */
+    @Example
+    void aResendWithTheSameKeyGetsTheSameAnswerAndRunsOnce() throws Exception {
+        String first = postWithKey("A book", "key-1").body();
+        String second = postWithKey("A book", "key-1").body();
+        assertThat(second).isEqualTo(first);
+        assertThat(system.service().runs()).containsEntry("A book", 1);
+    }
+
+    @Example
+    void aKeyUsedWithAnotherBodyIsAConflictThatDidNotRun() throws Exception {
+        postWithKey("One title", "key-2");
+        HttpResponse<String> answer = postWithKey("Another title", "key-2");
+        assertThat(answer.statusCode()).isEqualTo(422);
+        assertThat(answer.body()).contains("\"verdict\":\"not-run\"");
+        assertThat(system.service().runs()).doesNotContainKey("Another title");
+    }
+
+    @Example
+    void anUnknownModelIsToldApartFromAnUnknownService() throws Exception {
+        assertThat(post("/v1/completions", "{\"model\":\"nobody\",\"prompt\":\"x\"}")
+                        .body())
+                .contains("unknown model");
+        assertThat(post("/services/nobody/", "x").body()).contains("unknown service");
+    }
+
+    @Example
+    void aBodyThatIsNotJsonIsRefusedWithTheReason() throws Exception {
+        HttpResponse<String> answer = post("/v1/completions", "{\"model\":");
+        assertThat(answer.statusCode()).isEqualTo(400);
+        assertThat(answer.body()).contains("not JSON").contains("not-run");
+    }
+
+    private static HttpResponse<String> post(String path, String body) throws Exception {
+        HttpRequest request = HttpRequest.newBuilder(uri(path))
+                .POST(HttpRequest.BodyPublishers.ofString(body))
+                .build();
+        return CLIENT.send(request, HttpResponse.BodyHandlers.ofString());
+    }
+
+    private static HttpResponse<String> postWithKey(String title, String key) throws Exception {
+        HttpRequest request = HttpRequest.newBuilder(uri("/services/registry/numbers"))
+                .header(CallersHandler.KEY, key)
+                .POST(HttpRequest.BodyPublishers.ofString(title))
+                .build();
+        return CLIENT.send(request, HttpResponse.BodyHandlers.ofString());
+    }
+
+    private static URI uri(String path) {
+        return URI.create("http://127.0.0.1:" + system.callersPort() + path);
+    }
+}
