--- a/src/main/java/org/cuminshelf/process/StorageThread.java
+++ b/src/main/java/org/cuminshelf/process/StorageThread.java
@@ -9,6 +9,7 @@
 import java.util.function.Consumer;
 import org.cuminshelf.core.Address;
 import org.cuminshelf.message.Envelope;
+import org.cuminshelf.message.LogRecord;
 import org.cuminshelf.message.Persist;
 import org.cuminshelf.message.Persisted;
 import org.cuminshelf.storage.GroupLog;
@@ -97,10 +98,22 @@
         }
     }
 
+    private static void writeSingly(GroupLog log, Persist persist) throws IOException {
+        for (LogRecord record : persist.getRecordsList()) {
+            log.write(List.of(record));
+            log.sync();
+        }
+    }
+
     private void write(List<Persist> batch) throws IOException {
         Map<String, Long> last = new HashMap<>();
         for (Persist persist : batch) {
-            logs.get(persist.getGroup()).write(persist.getRecordsList());
+            GroupLog log = logs.get(persist.getGroup());
+            if (groupCommit) {
+                log.write(persist.getRecordsList());
+            } else {
+                writeSingly(log, persist);
+            }
             last.put(persist.getGroup(), persist.getSequence());
         }
         for (String group : last.keySet()) {
--- a/src/main/java/org/cuminshelf/tools/Main.java
+++ b/src/main/java/org/cuminshelf/tools/Main.java
@@ -24,6 +24,7 @@
             new ConfigCommand(),
             new StatusCommand(),
             new CheckCommand(),
+            new BenchCommand(),
             OrderCommand.order(),
             OrderCommand.drain());
 
