--- a/src/main/java/org/cuminshelf/bench/EntryLoad.java
+++ b/src/main/java/org/cuminshelf/bench/EntryLoad.java
@@ -36,7 +36,7 @@
     private long nextCall = 1;
 
     EntryLoad(int upstreamCount, int subset) {
-        EntrySettings settings = new EntrySettings("r", "zone-0", "e", List.of(CONTROL), 10_000, subset, "region");
+        EntrySettings settings = EntrySettings.of("r", "zone-0", "e", List.of(CONTROL), 10_000, subset, "region");
         core = EntryCore.start(settings, Address.of("10.0.1.1:7000"), 1, now, Invariants.throwing());
         Update.Builder update = Update.newBuilder()
                 .setConfigVersion(1)
--- a/src/main/java/org/cuminshelf/entry/AdmissionSystem.java
+++ b/src/main/java/org/cuminshelf/entry/AdmissionSystem.java
@@ -35,6 +35,11 @@
         long deadline = now + Durations.nanos(request.getDeadlineMs() > 0 ? request.getDeadlineMs() : limit);
         CallRow call = new CallRow(request, now, deadline, priority(config, request));
         tables.calls.put(call.id, call);
+        if (call.isGeneration()) {
+            tables.config.offered(
+                    call.generation().getPromptTokens(),
+                    tables.estimates.expected(request.getOrganisation(), call.generation()));
+        }
         if (leaving || !tables.config.isReady()) {
             refuse(call, leaving ? Cause.LEAVING : Cause.NOT_READY, RETRY_AFTER_NOT_READY_MILLIS, out);
             return;
--- a/src/main/java/org/cuminshelf/entry/AttemptRow.java
+++ b/src/main/java/org/cuminshelf/entry/AttemptRow.java
@@ -26,8 +26,10 @@
 
     final Key key;
     final CallRow call;
-    /** Prompt tokens expected not to be cached there, and output tokens expected. */
+    /** Prompt tokens expected not to be cached there. */
     final long promptCost;
+    /** Whether the engine hands the stream over after the first token. */
+    final boolean prefillOnly;
 
     long sentAt;
     long lastHeard;
@@ -36,9 +38,10 @@
     /** Whether the prompt no longer counts as waiting there. */
     boolean promptTaken;
 
-    AttemptRow(Key key, CallRow call, long promptCost) {
+    AttemptRow(Key key, CallRow call, long promptCost, boolean prefillOnly) {
         this.key = key;
         this.call = call;
         this.promptCost = promptCost;
+        this.prefillOnly = prefillOnly;
     }
 }
--- a/src/main/java/org/cuminshelf/entry/AttemptSystem.java
+++ b/src/main/java/org/cuminshelf/entry/AttemptSystem.java
@@ -66,13 +66,11 @@
     AttemptRow reserve(CallRow call, Router.Choice choice) {
         UpstreamRow upstream = choice.upstream();
         AttemptRow.Key key = new AttemptRow.Key(upstream.address, upstream.session, tables.nextAttempt++);
-        AttemptRow attempt = new AttemptRow(key, call, choice.uncachedTokens());
+        AttemptRow attempt = new AttemptRow(key, call, choice.uncachedTokens(), choice.prefillOnly());
         call.attempt = attempt;
         call.attempts++;
         tables.attempts.put(key, attempt);
-        upstream.running++;
-        upstream.pendingPrompt += attempt.promptCost;
-        upstream.uncounted.put(key.number(), attempt);
+        upstream.sent(attempt);
         return attempt;
     }
 
@@ -91,10 +89,13 @@
                 .setPriority(call.priority)
                 .setOrganisation(call.request.getOrganisation())
                 .setTraceParent(call.request.getTraceParent())
+                .setPromptCost((int) attempt.promptCost)
                 .setDeadlineMs(Durations.millisLeft(now, call.deadline));
         if (call.isGeneration()) {
             Generation.Builder generation = call.generation().toBuilder();
             generation.addAllHeld(call.delivered);
+            generation.setPrefillOnly(attempt.prefillOnly);
+            generation.setKvFrom(call.kvFrom);
             dispatch.setGeneration(generation);
         } else {
             dispatch.setExchange(call.exchange());
@@ -145,6 +146,9 @@
         }
         attempt.lastProgress = now;
         prefillDone(attempt);
+        if (chunk.hasLoad()) {
+            onLoad(attempt.key.upstream(), chunk.getLoad());
+        }
         List<String> fresh = chunk.getTokensList().subList((int) overlap, chunk.getTokensCount());
         answers.tokens(now, call, held, fresh, out);
     }
@@ -198,6 +202,8 @@
         if (ended.getCause() == Cause.CONNECT_FAILED || ended.getCause() == Cause.CONNECTION_BROKEN) {
             upstream.ifPresent(row -> tables.upstreams.failed(now, row));
         }
+        boolean handedOver = ended.getCause() == Cause.MOVED && attempt.prefillOnly;
+        call.kvFrom = handedOver ? from.value() : "";
         failed(now, call, ended.getRan(), ended.getCause(), 0, out);
     }
 
@@ -322,6 +328,7 @@
         cancel(attempt, out);
         release(attempt);
         attempt.call.excluded.add(attempt.key.upstream());
+        attempt.call.kvFrom = "";
         tables.upstreams.row(attempt.key.upstream()).ifPresent(row -> tables.upstreams.failed(now, row));
         failed(now, attempt.call, Ran.MAY_HAVE_RUN, cause, 0, out);
     }
@@ -398,7 +405,7 @@
         attempt.promptTaken = true;
         tables.upstreams.row(attempt.key.upstream()).ifPresent(row -> {
             if (row.session == attempt.key.session()) {
-                row.pendingPrompt = Math.max(0, row.pendingPrompt - attempt.promptCost);
+                row.promptTaken(attempt);
             }
         });
     }
--- a/src/main/java/org/cuminshelf/entry/CallRow.java
+++ b/src/main/java/org/cuminshelf/entry/CallRow.java
@@ -51,6 +51,9 @@
     /** Tokens handed to the caller, in order. */
     final List<String> delivered = new ArrayList<>();
 
+    /** Sidecar of the engine that holds the KV cache of this call, after a handover. */
+    String kvFrom = "";
+
     long firstTokenAt = Core.NEVER;
     /** Bytes of an exchange's answer handed on or gathered. */
     long receivedBytes;
--- a/src/main/java/org/cuminshelf/entry/ClaimSystem.java
+++ b/src/main/java/org/cuminshelf/entry/ClaimSystem.java
@@ -345,7 +345,13 @@
         }
     }
 
+    /** One question for each call: a new one takes the place of the one before, whose answer is then for nobody. */
     private void add(Pending asked) {
+        Long before = questionOfCall.get(asked.call.id);
+        if (before != null && before != asked.question()) {
+            pending.remove(before);
+            tables.claimRetries.clear(before);
+        }
         pending.put(asked.question(), asked);
         questionOfCall.put(asked.call.id, asked.question());
     }
--- a/src/main/java/org/cuminshelf/entry/ConfigHolder.java
+++ b/src/main/java/org/cuminshelf/entry/ConfigHolder.java
@@ -42,6 +42,8 @@
     private volatile boolean ready;
     private long nextAsk;
     private int entries = 1;
+    private long offeredPromptTokens;
+    private long offeredOutputTokens;
 
     ConfigHolder(EntrySettings settings, Upstreams upstreams, long now, Invariants invariants) {
         this.settings = settings;
@@ -68,6 +70,12 @@
         return entries;
     }
 
+    /** Counts a generation that was offered, whether or not it can be served: the planner must see what it refuses. */
+    void offered(long promptTokens, double outputTokens) {
+        offeredPromptTokens += promptTokens;
+        offeredOutputTokens += Math.round(outputTokens);
+    }
+
     Address leaderOf(String group) {
         Address known = leaders.get(group);
         return known != null ? known : settings.control().getFirst();
@@ -122,6 +130,8 @@
                     .setRegion(settings.region())
                     .setVm(settings.vm())
                     .setWantsDirectory(true)
+                    .setOfferedPromptTokens(offeredPromptTokens)
+                    .setOfferedOutputTokens(offeredOutputTokens)
                     .build();
             out.send(control, Envelope.newBuilder().setSubscribe(subscribe));
         }
--- a/src/main/java/org/cuminshelf/entry/Router.java
+++ b/src/main/java/org/cuminshelf/entry/Router.java
@@ -25,16 +25,23 @@
     private static final double SECONDS_PER_SERVICE_CALL = 0.01;
 
     private final EntryTables tables;
+    private long turn;
 
     /**
      * What was chosen.
      *
      * @param upstream          the upstream
-     * @param uncachedTokens    prompt tokens expected not to be cached there
-     * @param firstTokenSeconds time expected until the first token
+     * @param uncachedTokens    prompt tokens expected to be taken in there
+     * @param prefillOnly       whether the engine is to hand the stream over after the first token
+     * @param firstTokenSeconds time expected until the next token
      * @param totalSeconds      time expected until the end, with penalties
      */
-    record Choice(UpstreamRow upstream, long uncachedTokens, double firstTokenSeconds, double totalSeconds) {}
+    record Choice(
+            UpstreamRow upstream,
+            long uncachedTokens,
+            boolean prefillOnly,
+            double firstTokenSeconds,
+            double totalSeconds) {}
 
     Router(EntryTables tables) {
         this.tables = tables;
@@ -42,12 +49,22 @@
 
     /** The best upstream with a free slot for the call, if there is one. */
     Optional<Choice> choose(long now, CallRow call) {
+        List<UpstreamRow> subset = tables.upstreams.subset(call.target());
+        boolean handsOver = call.isGeneration() && hasRole(now, subset, Role.ROLE_DECODE);
+        return switch (tables.settings.routing()) {
+            case RoutingPolicy.EarliestAnswer earliest -> best(now, call, subset, handsOver);
+            case RoutingPolicy.LeastLoaded least -> leastLoaded(now, call, subset, handsOver);
+            case RoutingPolicy.RoundRobin turn -> inTurn(now, call, subset, handsOver);
+        };
+    }
+
+    private Optional<Choice> best(long now, CallRow call, List<UpstreamRow> subset, boolean handsOver) {
         Choice best = null;
-        for (UpstreamRow row : tables.upstreams.subset(call.target())) {
+        for (UpstreamRow row : subset) {
             if (!isCandidate(now, call, row)) {
                 continue;
             }
-            Choice choice = call.isGeneration() ? forEngine(call, row) : forService(row);
+            Choice choice = estimate(call, row, handsOver);
             if (best == null || choice.totalSeconds < best.totalSeconds) {
                 best = choice;
             }
@@ -55,6 +72,40 @@
         return Optional.ofNullable(best);
     }
 
+    private Optional<Choice> leastLoaded(long now, CallRow call, List<UpstreamRow> subset, boolean handsOver) {
+        return subset.stream()
+                .filter(row -> isCandidate(now, call, row) && fits(call, row))
+                .min(java.util.Comparator.comparingInt(row -> row.load.getRunning() + row.load.getQueued()))
+                .map(row -> estimate(call, row, handsOver));
+    }
+
+    private Optional<Choice> inTurn(long now, CallRow call, List<UpstreamRow> subset, boolean handsOver) {
+        for (int i = 0; i < subset.size(); i++) {
+            UpstreamRow row = subset.get((int) (turn++ % subset.size()));
+            if (isCandidate(now, call, row) && fits(call, row)) {
+                return Optional.of(estimate(call, row, handsOver));
+            }
+        }
+        return Optional.empty();
+    }
+
+    private Choice estimate(CallRow call, UpstreamRow row, boolean handsOver) {
+        return call.isGeneration() ? forEngine(call, row, handsOver) : forService(row);
+    }
+
+    private static boolean hasRole(long now, List<UpstreamRow> rows, Role role) {
+        return rows.stream().anyMatch(row -> row.load.getRole() == role && row.isOpen(now));
+    }
+
+    /** Whether the engine's role is meant for what the call needs next. */
+    private static boolean fits(CallRow call, UpstreamRow row) {
+        return switch (row.load.getRole()) {
+            case ROLE_PREFILL -> call.kvFrom.isEmpty();
+            case ROLE_DECODE -> !call.kvFrom.isEmpty();
+            case ROLE_MIXED, UNRECOGNIZED -> true;
+        };
+    }
+
     /** Whether there is an upstream that could take the call now or later. */
     boolean hasAny(CallRow call) {
         return !tables.upstreams.subset(call.target()).isEmpty();
@@ -87,33 +138,29 @@
 
     private Choice forService(UpstreamRow row) {
         double seconds = (row.occupancy() + 1) * SECONDS_PER_SERVICE_CALL + zonePenalty(row);
-        return new Choice(row, 0, 0, seconds);
+        return new Choice(row, 0, false, 0, seconds);
     }
 
-    private Choice forEngine(CallRow call, UpstreamRow row) {
+    private Choice forEngine(CallRow call, UpstreamRow row, boolean handsOver) {
         Generation generation = call.generation();
         ModelConfig model = tables.config.config().models().get(call.target());
-        long uncached = uncached(call, row);
-        double first =
-                (row.load.getQueuedPromptTokens() + row.pendingPrompt + uncached) / (double) model.prefillSpeed();
-        double output = tables.estimates.expected(call.request.getOrganisation(), generation)
-                - Math.min(generation.getMaxTokens(), call.delivered.size());
+        boolean prefillOnly = handsOver && row.load.getRole() == Role.ROLE_PREFILL;
+        long uncached = call.kvFrom.isEmpty() ? uncached(call, row) : 0;
+        double first = (row.promptWaiting() + uncached) / (double) model.prefillSpeed();
+        double output = prefillOnly
+                ? 1
+                : tables.estimates.expected(call.request.getOrganisation(), generation)
+                        - Math.min(generation.getMaxTokens(), call.delivered.size());
         double gap =
                 Math.max(model.tokenGapMillis() / 1000.0 / 4, (row.occupancy() + 1) / (double) model.decodeSpeed());
         double total = first + Math.max(1, output) * gap + zonePenalty(row);
         if (!generation.getAdapter().isEmpty() && !row.load.getAdaptersList().contains(generation.getAdapter())) {
             total += OTHER_ADAPTER_SECONDS;
         }
-        total += rolePenalty(row, uncached, output);
-        return new Choice(row, uncached, first, total);
-    }
-
-    /** A call goes to the engines whose role fits the heavier part of its work, unless those are far busier. */
-    private static double rolePenalty(UpstreamRow row, long uncached, double output) {
-        Role role = row.load.getRole();
-        boolean promptHeavy = uncached > output * 4;
-        boolean fits = role == Role.ROLE_MIXED || (role == Role.ROLE_PREFILL) == promptHeavy;
-        return fits ? 0 : OTHER_ROLE_SECONDS;
+        if (!fits(call, row)) {
+            total += OTHER_ROLE_SECONDS;
+        }
+        return new Choice(row, uncached, prefillOnly, first, total);
     }
 
     private long uncached(CallRow call, UpstreamRow row) {
--- a/src/main/java/org/cuminshelf/entry/UpstreamRow.java
+++ b/src/main/java/org/cuminshelf/entry/UpstreamRow.java
@@ -39,7 +39,10 @@
     final Map<Long, AttemptRow> uncounted = new HashMap<>();
 
     int running;
-    long pendingPrompt;
+    /** Prompt tokens sent that the last report does not count, and those it counts that were taken in since. */
+    private long promptUncounted;
+
+    private long promptTakenSince;
     int failures;
     long avoidUntil;
     private final LinkedHashMap<Long, Boolean> cachedBlocks = new LinkedHashMap<>(16, 0.75f, true) {
@@ -89,7 +92,8 @@
         load = LoadReport.getDefaultInstance();
         uncounted.clear();
         running = 0;
-        pendingPrompt = 0;
+        promptUncounted = 0;
+        promptTakenSince = 0;
         cachedBlocks.clear();
     }
 
@@ -102,6 +106,11 @@
         leaving = report.getLeaving();
         long counted = report.getCounted();
         uncounted.keySet().removeIf(number -> number <= counted);
+        promptTakenSince = 0;
+        promptUncounted = uncounted.values().stream()
+                .filter(attempt -> !attempt.promptTaken)
+                .mapToLong(attempt -> attempt.promptCost)
+                .sum();
         for (long block : report.getCachedList()) {
             cachedBlocks.put(block, Boolean.TRUE);
         }
@@ -131,6 +140,25 @@
                 && now >= avoidUntil;
     }
 
+    void sent(AttemptRow attempt) {
+        running++;
+        uncounted.put(attempt.key.number(), attempt);
+        promptUncounted += attempt.promptCost;
+    }
+
+    void promptTaken(AttemptRow attempt) {
+        if (uncounted.containsKey(attempt.key.number())) {
+            promptUncounted -= attempt.promptCost;
+        } else {
+            promptTakenSince += attempt.promptCost;
+        }
+    }
+
+    /** Prompt tokens that wait there now: the last report, what was sent since, less what was taken in since. */
+    long promptWaiting() {
+        return Math.max(0, load.getQueuedPromptTokens() + promptUncounted - promptTakenSince);
+    }
+
     /** Attempts there now: the last report, and what this entry sent since. */
     int occupancy() {
         return Math.max(load.getRunning() + uncounted.size(), running);
--- a/src/main/java/org/cuminshelf/message/Chunk.java
+++ b/src/main/java/org/cuminshelf/message/Chunk.java
@@ -299,6 +299,74 @@
     bitField0_ = (bitField0_ & ~0x00000001);
   }
 
+  public static final int LOAD_FIELD_NUMBER = 7;
+  private org.cuminshelf.message.LoadReport load_;
+  /**
+   * <pre>
+   * Present on the first chunk of a generation.
+   * </pre>
+   *
+   * <code>.cuminshelf.LoadReport load = 7;</code>
+   */
+  @java.lang.Override
+  public boolean hasLoad() {
+    return ((bitField0_ & 0x00000002) != 0);
+  }
+  /**
+   * <pre>
+   * Present on the first chunk of a generation.
+   * </pre>
+   *
+   * <code>.cuminshelf.LoadReport load = 7;</code>
+   */
+  @java.lang.Override
+  public org.cuminshelf.message.LoadReport getLoad() {
+    return load_ == null ? org.cuminshelf.message.LoadReport.getDefaultInstance() : load_;
+  }
+  /**
+   * <pre>
+   * Present on the first chunk of a generation.
+   * </pre>
+   *
+   * <code>.cuminshelf.LoadReport load = 7;</code>
+   */
+  @java.lang.SuppressWarnings("ReturnValueIgnored")
+  private void setLoad(org.cuminshelf.message.LoadReport value) {
+    value.getClass();  // minimal bytecode null check
+    load_ = value;
+    bitField0_ |= 0x00000002;
+  }
+  /**
+   * <pre>
+   * Present on the first chunk of a generation.
+   * </pre>
+   *
+   * <code>.cuminshelf.LoadReport load = 7;</code>
+   */
+  @java.lang.SuppressWarnings({"ReferenceEquality", "ReturnValueIgnored"})
+  private void mergeLoad(org.cuminshelf.message.LoadReport value) {
+    value.getClass();  // minimal bytecode null check
+    if (load_ != null &&
+        load_ != org.cuminshelf.message.LoadReport.getDefaultInstance()) {
+      load_ =
+        org.cuminshelf.message.LoadReport.newBuilder(load_).mergeFrom(value).buildPartial();
+    } else {
+      load_ = value;
+    }
+    bitField0_ |= 0x00000002;
+  }
+  /**
+   * <pre>
+   * Present on the first chunk of a generation.
+   * </pre>
+   *
+   * <code>.cuminshelf.LoadReport load = 7;</code>
+   */
+  private void clearLoad() {
+    load_ = null;
+    bitField0_ = (bitField0_ & ~0x00000002);
+  }
+
   public static org.cuminshelf.message.Chunk parseFrom(
       java.nio.ByteBuffer data)
       throws com.google.protobuf.InvalidProtocolBufferException {
@@ -683,6 +751,77 @@
       return this;
     }
 
+    /**
+     * <pre>
+     * Present on the first chunk of a generation.
+     * </pre>
+     *
+     * <code>.cuminshelf.LoadReport load = 7;</code>
+     */
+    @java.lang.Override
+    public boolean hasLoad() {
+      return instance.hasLoad();
+    }
+    /**
+     * <pre>
+     * Present on the first chunk of a generation.
+     * </pre>
+     *
+     * <code>.cuminshelf.LoadReport load = 7;</code>
+     */
+    @java.lang.Override
+    public org.cuminshelf.message.LoadReport getLoad() {
+      return instance.getLoad();
+    }
+    /**
+     * <pre>
+     * Present on the first chunk of a generation.
+     * </pre>
+     *
+     * <code>.cuminshelf.LoadReport load = 7;</code>
+     */
+    public Builder setLoad(org.cuminshelf.message.LoadReport value) {
+      copyOnWrite();
+      instance.setLoad(value);
+      return this;
+      }
+    /**
+     * <pre>
+     * Present on the first chunk of a generation.
+     * </pre>
+     *
+     * <code>.cuminshelf.LoadReport load = 7;</code>
+     */
+    public Builder setLoad(
+        org.cuminshelf.message.LoadReport.Builder builderForValue) {
+      copyOnWrite();
+      instance.setLoad(builderForValue.build());
+      return this;
+    }
+    /**
+     * <pre>
+     * Present on the first chunk of a generation.
+     * </pre>
+     *
+     * <code>.cuminshelf.LoadReport load = 7;</code>
+     */
+    public Builder mergeLoad(org.cuminshelf.message.LoadReport value) {
+      copyOnWrite();
+      instance.mergeLoad(value);
+      return this;
+    }
+    /**
+     * <pre>
+     * Present on the first chunk of a generation.
+     * </pre>
+     *
+     * <code>.cuminshelf.LoadReport load = 7;</code>
+     */
+    public Builder clearLoad() {  copyOnWrite();
+      instance.clearLoad();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:cuminshelf.Chunk)
   }
   @java.lang.Override
@@ -706,10 +845,11 @@
             "tokens_",
             "body_",
             "head_",
+            "load_",
           };
           java.lang.String info =
-              "\u0000\u0006\u0000\u0001\u0001\u0006\u0006\u0000\u0001\u0000\u0001\u0003\u0002\u0003" +
-              "\u0003\u0003\u0004\u021a\u0005\n\u0006\u1009\u0000";
+              "\u0000\u0007\u0000\u0001\u0001\u0007\u0007\u0000\u0001\u0000\u0001\u0003\u0002\u0003" +
+              "\u0003\u0003\u0004\u021a\u0005\n\u0006\u1009\u0000\u0007\u1009\u0001";
           return newMessageInfo(DEFAULT_INSTANCE, info, objects);
       }
       case GET_DEFAULT_INSTANCE: {
--- a/src/main/java/org/cuminshelf/message/ChunkOrBuilder.java
+++ b/src/main/java/org/cuminshelf/message/ChunkOrBuilder.java
@@ -81,4 +81,23 @@
    * @return The head.
    */
   org.cuminshelf.message.ExchangeHead getHead();
+
+  /**
+   * <pre>
+   * Present on the first chunk of a generation.
+   * </pre>
+   *
+   * <code>.cuminshelf.LoadReport load = 7;</code>
+   * @return Whether the load field is set.
+   */
+  boolean hasLoad();
+  /**
+   * <pre>
+   * Present on the first chunk of a generation.
+   * </pre>
+   *
+   * <code>.cuminshelf.LoadReport load = 7;</code>
+   * @return The load.
+   */
+  org.cuminshelf.message.LoadReport getLoad();
 }
--- a/src/main/java/org/cuminshelf/message/Dispatch.java
+++ b/src/main/java/org/cuminshelf/message/Dispatch.java
@@ -378,6 +378,44 @@
 
   }
 
+  public static final int PROMPT_COST_FIELD_NUMBER = 9;
+  private int promptCost_;
+  /**
+   * <pre>
+   * Prompt tokens that the entry expects not to be cached there.
+   * </pre>
+   *
+   * <code>uint32 prompt_cost = 9;</code>
+   * @return The promptCost.
+   */
+  @java.lang.Override
+  public int getPromptCost() {
+    return promptCost_;
+  }
+  /**
+   * <pre>
+   * Prompt tokens that the entry expects not to be cached there.
+   * </pre>
+   *
+   * <code>uint32 prompt_cost = 9;</code>
+   * @param value The promptCost to set.
+   */
+  private void setPromptCost(int value) {
+    
+    promptCost_ = value;
+  }
+  /**
+   * <pre>
+   * Prompt tokens that the entry expects not to be cached there.
+   * </pre>
+   *
+   * <code>uint32 prompt_cost = 9;</code>
+   */
+  private void clearPromptCost() {
+
+    promptCost_ = 0;
+  }
+
   public static org.cuminshelf.message.Dispatch parseFrom(
       java.nio.ByteBuffer data)
       throws com.google.protobuf.InvalidProtocolBufferException {
@@ -805,6 +843,46 @@
       return this;
     }
 
+    /**
+     * <pre>
+     * Prompt tokens that the entry expects not to be cached there.
+     * </pre>
+     *
+     * <code>uint32 prompt_cost = 9;</code>
+     * @return The promptCost.
+     */
+    @java.lang.Override
+    public int getPromptCost() {
+      return instance.getPromptCost();
+    }
+    /**
+     * <pre>
+     * Prompt tokens that the entry expects not to be cached there.
+     * </pre>
+     *
+     * <code>uint32 prompt_cost = 9;</code>
+     * @param value The promptCost to set.
+     * @return This builder for chaining.
+     */
+    public Builder setPromptCost(int value) {
+      copyOnWrite();
+      instance.setPromptCost(value);
+      return this;
+    }
+    /**
+     * <pre>
+     * Prompt tokens that the entry expects not to be cached there.
+     * </pre>
+     *
+     * <code>uint32 prompt_cost = 9;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearPromptCost() {
+      copyOnWrite();
+      instance.clearPromptCost();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:cuminshelf.Dispatch)
   }
   @java.lang.Override
@@ -831,10 +909,11 @@
             "deadlineMs_",
             "traceParent_",
             "organisation_",
+            "promptCost_",
           };
           java.lang.String info =
-              "\u0000\b\u0001\u0000\u0001\b\b\u0000\u0000\u0000\u0001\u0003\u0002\u0003\u0003<\u0000" +
-              "\u0004<\u0000\u0005\u000b\u0006\u000b\u0007\u0208\b\u0208";
+              "\u0000\t\u0001\u0000\u0001\t\t\u0000\u0000\u0000\u0001\u0003\u0002\u0003\u0003<\u0000" +
+              "\u0004<\u0000\u0005\u000b\u0006\u000b\u0007\u0208\b\u0208\t\u000b";
           return newMessageInfo(DEFAULT_INSTANCE, info, objects);
       }
       case GET_DEFAULT_INSTANCE: {
--- a/src/main/java/org/cuminshelf/message/DispatchOrBuilder.java
+++ b/src/main/java/org/cuminshelf/message/DispatchOrBuilder.java
@@ -84,5 +84,15 @@
   com.google.protobuf.ByteString
       getOrganisationBytes();
 
+  /**
+   * <pre>
+   * Prompt tokens that the entry expects not to be cached there.
+   * </pre>
+   *
+   * <code>uint32 prompt_cost = 9;</code>
+   * @return The promptCost.
+   */
+  int getPromptCost();
+
   public org.cuminshelf.message.Dispatch.WorkCase getWorkCase();
 }
--- a/src/main/java/org/cuminshelf/message/Generation.java
+++ b/src/main/java/org/cuminshelf/message/Generation.java
@@ -24,6 +24,7 @@
     prompt_ = "";
     held_ = com.google.protobuf.GeneratedMessageLite.emptyProtobufList();
     prefix_ = emptyLongList();
+    kvFrom_ = "";
   }
   public static final int MODEL_FIELD_NUMBER = 1;
   private java.lang.String model_;
@@ -451,6 +452,112 @@
     prefix_ = emptyLongList();
   }
 
+  public static final int PREFILL_ONLY_FIELD_NUMBER = 8;
+  private boolean prefillOnly_;
+  /**
+   * <pre>
+   * The engine is to take in the prompt, give the first token and hand the stream over with its KV cache.
+   * </pre>
+   *
+   * <code>bool prefill_only = 8;</code>
+   * @return The prefillOnly.
+   */
+  @java.lang.Override
+  public boolean getPrefillOnly() {
+    return prefillOnly_;
+  }
+  /**
+   * <pre>
+   * The engine is to take in the prompt, give the first token and hand the stream over with its KV cache.
+   * </pre>
+   *
+   * <code>bool prefill_only = 8;</code>
+   * @param value The prefillOnly to set.
+   */
+  private void setPrefillOnly(boolean value) {
+    
+    prefillOnly_ = value;
+  }
+  /**
+   * <pre>
+   * The engine is to take in the prompt, give the first token and hand the stream over with its KV cache.
+   * </pre>
+   *
+   * <code>bool prefill_only = 8;</code>
+   */
+  private void clearPrefillOnly() {
+
+    prefillOnly_ = false;
+  }
+
+  public static final int KV_FROM_FIELD_NUMBER = 9;
+  private java.lang.String kvFrom_;
+  /**
+   * <pre>
+   * Sidecar of the engine that holds the KV cache of the prompt and the tokens held; empty where none does.
+   * </pre>
+   *
+   * <code>string kv_from = 9;</code>
+   * @return The kvFrom.
+   */
+  @java.lang.Override
+  public java.lang.String getKvFrom() {
+    return kvFrom_;
+  }
+  /**
+   * <pre>
+   * Sidecar of the engine that holds the KV cache of the prompt and the tokens held; empty where none does.
+   * </pre>
+   *
+   * <code>string kv_from = 9;</code>
+   * @return The bytes for kvFrom.
+   */
+  @java.lang.Override
+  public com.google.protobuf.ByteString
+      getKvFromBytes() {
+    return com.google.protobuf.ByteString.copyFromUtf8(kvFrom_);
+  }
+  /**
+   * <pre>
+   * Sidecar of the engine that holds the KV cache of the prompt and the tokens held; empty where none does.
+   * </pre>
+   *
+   * <code>string kv_from = 9;</code>
+   * @param value The kvFrom to set.
+   */
+  @java.lang.SuppressWarnings("ReturnValueIgnored")
+  private void setKvFrom(
+      java.lang.String value) {
+    value.getClass();  // minimal bytecode null check
+
+    kvFrom_ = value;
+  }
+  /**
+   * <pre>
+   * Sidecar of the engine that holds the KV cache of the prompt and the tokens held; empty where none does.
+   * </pre>
+   *
+   * <code>string kv_from = 9;</code>
+   */
+  private void clearKvFrom() {
+
+    kvFrom_ = getDefaultInstance().getKvFrom();
+  }
+  /**
+   * <pre>
+   * Sidecar of the engine that holds the KV cache of the prompt and the tokens held; empty where none does.
+   * </pre>
+   *
+   * <code>string kv_from = 9;</code>
+   * @param value The bytes for kvFrom to set.
+   */
+  private void setKvFromBytes(
+      com.google.protobuf.ByteString value) {
+    checkByteStringIsUtf8(value);
+    kvFrom_ = value.toStringUtf8();
+
+  }
+
   public static org.cuminshelf.message.Generation parseFrom(
       java.nio.ByteBuffer data)
       throws com.google.protobuf.InvalidProtocolBufferException {
@@ -980,6 +1087,115 @@
       return this;
     }
 
+    /**
+     * <pre>
+     * The engine is to take in the prompt, give the first token and hand the stream over with its KV cache.
+     * </pre>
+     *
+     * <code>bool prefill_only = 8;</code>
+     * @return The prefillOnly.
+     */
+    @java.lang.Override
+    public boolean getPrefillOnly() {
+      return instance.getPrefillOnly();
+    }
+    /**
+     * <pre>
+     * The engine is to take in the prompt, give the first token and hand the stream over with its KV cache.
+     * </pre>
+     *
+     * <code>bool prefill_only = 8;</code>
+     * @param value The prefillOnly to set.
+     * @return This builder for chaining.
+     */
+    public Builder setPrefillOnly(boolean value) {
+      copyOnWrite();
+      instance.setPrefillOnly(value);
+      return this;
+    }
+    /**
+     * <pre>
+     * The engine is to take in the prompt, give the first token and hand the stream over with its KV cache.
+     * </pre>
+     *
+     * <code>bool prefill_only = 8;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearPrefillOnly() {
+      copyOnWrite();
+      instance.clearPrefillOnly();
+      return this;
+    }
+
+    /**
+     * <pre>
+     * Sidecar of the engine that holds the KV cache of the prompt and the tokens held; empty where none does.
+     * </pre>
+     *
+     * <code>string kv_from = 9;</code>
+     * @return The kvFrom.
+     */
+    @java.lang.Override
+    public java.lang.String getKvFrom() {
+      return instance.getKvFrom();
+    }
+    /**
+     * <pre>
+     * Sidecar of the engine that holds the KV cache of the prompt and the tokens held; empty where none does.
+     * </pre>
+     *
+     * <code>string kv_from = 9;</code>
+     * @return The bytes for kvFrom.
+     */
+    @java.lang.Override
+    public com.google.protobuf.ByteString
+        getKvFromBytes() {
+      return instance.getKvFromBytes();
+    }
+    /**
+     * <pre>
+     * Sidecar of the engine that holds the KV cache of the prompt and the tokens held; empty where none does.
+     * </pre>
+     *
+     * <code>string kv_from = 9;</code>
+     * @param value The kvFrom to set.
+     * @return This builder for chaining.
+     */
+    public Builder setKvFrom(
+        java.lang.String value) {
+      copyOnWrite();
+      instance.setKvFrom(value);
+      return this;
+    }
+    /**
+     * <pre>
+     * Sidecar of the engine that holds the KV cache of the prompt and the tokens held; empty where none does.
+     * </pre>
+     *
+     * <code>string kv_from = 9;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearKvFrom() {
+      copyOnWrite();
+      instance.clearKvFrom();
+      return this;
+    }
+    /**
+     * <pre>
+     * Sidecar of the engine that holds the KV cache of the prompt and the tokens held; empty where none does.
+     * </pre>
+     *
+     * <code>string kv_from = 9;</code>
+     * @param value The bytes for kvFrom to set.
+     * @return This builder for chaining.
+     */
+    public Builder setKvFromBytes(
+        com.google.protobuf.ByteString value) {
+      copyOnWrite();
+      instance.setKvFromBytes(value);
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:cuminshelf.Generation)
   }
   @java.lang.Override
@@ -1003,10 +1219,12 @@
             "maxTokens_",
             "held_",
             "prefix_",
+            "prefillOnly_",
+            "kvFrom_",
           };
           java.lang.String info =
-              "\u0000\u0007\u0000\u0000\u0001\u0007\u0007\u0000\u0002\u0000\u0001\u0208\u0002\u0208" +
-              "\u0003\u0208\u0004\u000b\u0005\u000b\u0006\u021a\u0007(";
+              "\u0000\t\u0000\u0000\u0001\t\t\u0000\u0002\u0000\u0001\u0208\u0002\u0208\u0003\u0208" +
+              "\u0004\u000b\u0005\u000b\u0006\u021a\u0007(\b\u0007\t\u0208";
           return newMessageInfo(DEFAULT_INSTANCE, info, objects);
       }
       case GET_DEFAULT_INSTANCE: {
--- a/src/main/java/org/cuminshelf/message/GenerationOrBuilder.java
+++ b/src/main/java/org/cuminshelf/message/GenerationOrBuilder.java
@@ -127,4 +127,34 @@
    * @return The prefix at the given index.
    */
   long getPrefix(int index);
+
+  /**
+   * <pre>
+   * The engine is to take in the prompt, give the first token and hand the stream over with its KV cache.
+   * </pre>
+   *
+   * <code>bool prefill_only = 8;</code>
+   * @return The prefillOnly.
+   */
+  boolean getPrefillOnly();
+
+  /**
+   * <pre>
+   * Sidecar of the engine that holds the KV cache of the prompt and the tokens held; empty where none does.
+   * </pre>
+   *
+   * <code>string kv_from = 9;</code>
+   * @return The kvFrom.
+   */
+  java.lang.String getKvFrom();
+  /**
+   * <pre>
+   * Sidecar of the engine that holds the KV cache of the prompt and the tokens held; empty where none does.
+   * </pre>
+   *
+   * <code>string kv_from = 9;</code>
+   * @return The bytes for kvFrom.
+   */
+  com.google.protobuf.ByteString
+      getKvFromBytes();
 }
--- a/src/main/java/org/cuminshelf/message/Subscribe.java
+++ b/src/main/java/org/cuminshelf/message/Subscribe.java
@@ -260,6 +260,70 @@
     wantsDirectory_ = false;
   }
 
+  public static final int OFFERED_PROMPT_TOKENS_FIELD_NUMBER = 8;
+  private long offeredPromptTokens_;
+  /**
+   * <pre>
+   * Prompt tokens not cached and output tokens expected of all calls offered to this entry since its start.
+   * </pre>
+   *
+   * <code>uint64 offered_prompt_tokens = 8;</code>
+   * @return The offeredPromptTokens.
+   */
+  @java.lang.Override
+  public long getOfferedPromptTokens() {
+    return offeredPromptTokens_;
+  }
+  /**
+   * <pre>
+   * Prompt tokens not cached and output tokens expected of all calls offered to this entry since its start.
+   * </pre>
+   *
+   * <code>uint64 offered_prompt_tokens = 8;</code>
+   * @param value The offeredPromptTokens to set.
+   */
+  private void setOfferedPromptTokens(long value) {
+    
+    offeredPromptTokens_ = value;
+  }
+  /**
+   * <pre>
+   * Prompt tokens not cached and output tokens expected of all calls offered to this entry since its start.
+   * </pre>
+   *
+   * <code>uint64 offered_prompt_tokens = 8;</code>
+   */
+  private void clearOfferedPromptTokens() {
+
+    offeredPromptTokens_ = 0L;
+  }
+
+  public static final int OFFERED_OUTPUT_TOKENS_FIELD_NUMBER = 9;
+  private long offeredOutputTokens_;
+  /**
+   * <code>uint64 offered_output_tokens = 9;</code>
+   * @return The offeredOutputTokens.
+   */
+  @java.lang.Override
+  public long getOfferedOutputTokens() {
+    return offeredOutputTokens_;
+  }
+  /**
+   * <code>uint64 offered_output_tokens = 9;</code>
+   * @param value The offeredOutputTokens to set.
+   */
+  private void setOfferedOutputTokens(long value) {
+    
+    offeredOutputTokens_ = value;
+  }
+  /**
+   * <code>uint64 offered_output_tokens = 9;</code>
+   */
+  private void clearOfferedOutputTokens() {
+
+    offeredOutputTokens_ = 0L;
+  }
+
   public static org.cuminshelf.message.Subscribe parseFrom(
       java.nio.ByteBuffer data)
       throws com.google.protobuf.InvalidProtocolBufferException {
@@ -611,6 +675,74 @@
       return this;
     }
 
+    /**
+     * <pre>
+     * Prompt tokens not cached and output tokens expected of all calls offered to this entry since its start.
+     * </pre>
+     *
+     * <code>uint64 offered_prompt_tokens = 8;</code>
+     * @return The offeredPromptTokens.
+     */
+    @java.lang.Override
+    public long getOfferedPromptTokens() {
+      return instance.getOfferedPromptTokens();
+    }
+    /**
+     * <pre>
+     * Prompt tokens not cached and output tokens expected of all calls offered to this entry since its start.
+     * </pre>
+     *
+     * <code>uint64 offered_prompt_tokens = 8;</code>
+     * @param value The offeredPromptTokens to set.
+     * @return This builder for chaining.
+     */
+    public Builder setOfferedPromptTokens(long value) {
+      copyOnWrite();
+      instance.setOfferedPromptTokens(value);
+      return this;
+    }
+    /**
+     * <pre>
+     * Prompt tokens not cached and output tokens expected of all calls offered to this entry since its start.
+     * </pre>
+     *
+     * <code>uint64 offered_prompt_tokens = 8;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearOfferedPromptTokens() {
+      copyOnWrite();
+      instance.clearOfferedPromptTokens();
+      return this;
+    }
+
+    /**
+     * <code>uint64 offered_output_tokens = 9;</code>
+     * @return The offeredOutputTokens.
+     */
+    @java.lang.Override
+    public long getOfferedOutputTokens() {
+      return instance.getOfferedOutputTokens();
+    }
+    /**
+     * <code>uint64 offered_output_tokens = 9;</code>
+     * @param value The offeredOutputTokens to set.
+     * @return This builder for chaining.
+     */
+    public Builder setOfferedOutputTokens(long value) {
+      copyOnWrite();
+      instance.setOfferedOutputTokens(value);
+      return this;
+    }
+    /**
+     * <code>uint64 offered_output_tokens = 9;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearOfferedOutputTokens() {
+      copyOnWrite();
+      instance.clearOfferedOutputTokens();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:cuminshelf.Subscribe)
   }
   @java.lang.Override
@@ -634,10 +766,12 @@
             "region_",
             "vm_",
             "wantsDirectory_",
+            "offeredPromptTokens_",
+            "offeredOutputTokens_",
           };
           java.lang.String info =
-              "\u0000\u0007\u0000\u0000\u0001\u0007\u0007\u0000\u0000\u0000\u0001\u0003\u0002\u0003" +
-              "\u0003\u0003\u0004\u0007\u0005\u0208\u0006\u0208\u0007\u0007";
+              "\u0000\t\u0000\u0000\u0001\t\t\u0000\u0000\u0000\u0001\u0003\u0002\u0003\u0003\u0003" +
+              "\u0004\u0007\u0005\u0208\u0006\u0208\u0007\u0007\b\u0003\t\u0003";
           return newMessageInfo(DEFAULT_INSTANCE, info, objects);
       }
       case GET_DEFAULT_INSTANCE: {
--- a/src/main/java/org/cuminshelf/message/SubscribeOrBuilder.java
+++ b/src/main/java/org/cuminshelf/message/SubscribeOrBuilder.java
@@ -67,4 +67,20 @@
    * @return The wantsDirectory.
    */
   boolean getWantsDirectory();
+
+  /**
+   * <pre>
+   * Prompt tokens not cached and output tokens expected of all calls offered to this entry since its start.
+   * </pre>
+   *
+   * <code>uint64 offered_prompt_tokens = 8;</code>
+   * @return The offeredPromptTokens.
+   */
+  long getOfferedPromptTokens();
+
+  /**
+   * <code>uint64 offered_output_tokens = 9;</code>
+   * @return The offeredOutputTokens.
+   */
+  long getOfferedOutputTokens();
 }
--- a/src/main/java/org/cuminshelf/sidecar/AttemptRow.java
+++ b/src/main/java/org/cuminshelf/sidecar/AttemptRow.java
@@ -26,6 +26,9 @@
     long firstOffset;
 
     long promptTokens;
+    /** Prompt tokens still to be taken in, as the entry expected; 0 from the first token on. */
+    long promptWaiting;
+
     final List<String> tokens = new ArrayList<>();
     ExchangeHead head;
     ByteString body = ByteString.EMPTY;
@@ -44,6 +47,7 @@
         AttemptRow row = new AttemptRow(id, session, dispatch.getNumber(), State.RUNNING);
         row.firstOffset = dispatch.getGeneration().getHeldCount();
         row.promptTokens = dispatch.getGeneration().getPromptTokens();
+        row.promptWaiting = dispatch.getPromptCost();
         return row;
     }
 
--- a/src/main/java/org/cuminshelf/sidecar/Journal.java
+++ b/src/main/java/org/cuminshelf/sidecar/Journal.java
@@ -24,6 +24,7 @@
     private final Map<EntryKey, SessionRow> byEntry = new HashMap<>();
     private final Map<Long, AttemptRow> running = new TreeMap<>();
     private long nextAttempt = 1;
+    private long promptWaiting;
 
     Journal(UniformRandomProvider random) {
         this.random = random;
@@ -71,12 +72,28 @@
     void started(AttemptRow row) {
         row.session.remember(row);
         running.put(row.id, row);
+        promptWaiting += row.promptWaiting;
+    }
+
+    /** The upstream has taken the prompt in. */
+    void promptTaken(AttemptRow row) {
+        promptWaiting -= row.promptWaiting;
+        row.promptWaiting = 0;
     }
 
     void ended(AttemptRow row) {
+        promptTaken(row);
         running.remove(row.id);
     }
 
+    /**
+     * Prompt tokens that wait at the upstream now. The upstream's own report comes with a lag, in which several entries
+     * would send their prompts to the same engine; this count has none.
+     */
+    long promptWaiting() {
+        return promptWaiting;
+    }
+
     /** Drops sessions that were silent for long and run nothing; their dispatches are refused from then on. */
     void dropIdle(long now) {
         Iterator<SessionRow> rows = sessions.values().iterator();
--- a/src/main/java/org/cuminshelf/sidecar/SidecarCore.java
+++ b/src/main/java/org/cuminshelf/sidecar/SidecarCore.java
@@ -134,6 +134,15 @@
         return journal.runningCount();
     }
 
+    /**
+     * Tells whether an order keeps new work from the upstream now.
+     *
+     * @return true while a role change is on its way
+     */
+    public boolean isChanging() {
+        return orders.isChanging();
+    }
+
     private void onOpenSession(long now, Address entry, long entryIncarnation, Outbox out) {
         SessionRow row = journal.open(now, entry, entryIncarnation);
         out.send(
@@ -336,19 +345,19 @@
             return;
         }
         AttemptRow row = found.get();
+        Chunk.Builder chunk = Chunk.newBuilder()
+                .setSession(row.session.id)
+                .setNumber(row.number)
+                .setOffset(row.length())
+                .addAllTokens(part.getTokensList())
+                .setBody(part.getBody());
         if (row.tokens.isEmpty() && part.getTokensCount() > 0) {
             promptTokensDone += row.promptTokens;
+            journal.promptTaken(row);
+            chunk.setLoad(load(row.session));
         }
         outputTokensDone += part.getTokensCount();
-        out.send(
-                row.session.entry,
-                Envelope.newBuilder()
-                        .setChunk(Chunk.newBuilder()
-                                .setSession(row.session.id)
-                                .setNumber(row.number)
-                                .setOffset(row.length())
-                                .addAllTokens(part.getTokensList())
-                                .setBody(part.getBody())));
+        out.send(row.session.entry, Envelope.newBuilder().setChunk(chunk));
         row.tokens.addAll(part.getTokensList());
         row.body = row.body.concat(part.getBody());
         if (row.body.size() > LARGEST_ANSWER_BYTES) {
@@ -480,6 +489,7 @@
     private LoadReport load(SessionRow session) {
         LoadReport.Builder load = upstreamLoad.toBuilder()
                 .setRunning(journal.runningCount())
+                .setQueuedPromptTokens(journal.promptWaiting())
                 .setSlots(settings.slots())
                 .setLeaving(leaving || orders.isDraining())
                 .setChanging(orders.isChanging() || !upstreamReachable)
--- a/src/main/java/org/cuminshelf/standin/EngineModel.java
+++ b/src/main/java/org/cuminshelf/standin/EngineModel.java
@@ -23,14 +23,18 @@
  * streams that resume and cancel, load reports with a lag, and orders that take seconds.
  *
  * <p>It works in iterations. Each takes one chunk of waiting prompt and one step of every running stream, so prefill
- * slows the streams beside it; an engine of role prefill takes large chunks, one of role decode none while it decodes,
- * a mixed one small ones.
+ * slows the streams beside it; an engine of role prefill takes large chunks, one of role decode tiny ones while it
+ * decodes, a mixed one small ones. A stream that is to be prefilled only ends after its first token as {@code moved};
+ * one that brings its KV cache from another engine needs only the time to import it.
  */
 public final class EngineModel {
 
     /** Prompt tokens in one block of the prefix cache. */
     public static final int BLOCK_TOKENS = 64;
 
+    /** Reason of the end of a stream that was prefilled only. */
+    public static final String MOVED = "moved";
+
     private static final double NANOS_PER_SECOND = 1e9;
     private static final int CHUNK_PREFILL = 2_048;
     private static final int CHUNK_MIXED = 192;
@@ -43,6 +47,7 @@
         private final long textHash;
         private final int length;
         private final List<Long> prefix;
+        private final boolean prefillOnly;
         private long promptLeft;
         private int position;
 
@@ -53,6 +58,7 @@
             this.textHash = StandInText.hash(generation.getPrompt());
             this.length = StandInText.length(textHash, generation.getMaxTokens());
             this.prefix = generation.getPrefixList();
+            this.prefillOnly = generation.getPrefillOnly();
             this.promptLeft = promptLeft;
             this.position = generation.getHeldCount();
         }
@@ -113,6 +119,21 @@
         return new EngineModel(speed, checksFence, models);
     }
 
+    /**
+     * Makes an idle engine in a role.
+     *
+     * @param speed       how fast it is
+     * @param checksFence whether it refuses an order with a fencing number at or below the last one
+     * @param models      the models it has loaded
+     * @param role        the role it starts in
+     * @return the engine
+     */
+    public static EngineModel idle(EngineSpeed speed, boolean checksFence, List<String> models, Role role) {
+        EngineModel engine = new EngineModel(speed, checksFence, models);
+        engine.role = role;
+        return engine;
+    }
+
     /**
      * Starts a stream.
      *
@@ -130,13 +151,19 @@
             cachedBlocks++;
         }
         long prompt = generation.getPromptTokens() + generation.getHeldCount();
-        long left = Math.max(1, prompt - cachedBlocks * BLOCK_TOKENS);
+        long uncached = Math.max(1, prompt - cachedBlocks * BLOCK_TOKENS);
+        long left = generation.getKvFrom().isEmpty() ? uncached : importCost(uncached);
         Stream stream = new Stream(id, priority, nextOrder++, generation, left);
         streams.put(id, stream);
         waiting.add(stream);
         beginIteration(now);
     }
 
+    /** Importing a KV cache takes as long as taking in so many prompt tokens. */
+    private long importCost(long tokens) {
+        return Math.max(1, tokens * speed.prefillPerSecond() / speed.kvPerSecond());
+    }
+
     /**
      * Ends a stream without another event.
      *
@@ -343,10 +370,11 @@
             stream.position++;
             outputDone++;
         }
-        if (stream.position >= stream.length) {
+        boolean whole = stream.position >= stream.length;
+        if (whole || stream.prefillOnly) {
             streams.remove(stream.id);
             decoding.remove(stream.id);
-            events.finished(stream.id, "stop");
+            events.finished(stream.id, whole ? "stop" : MOVED);
         }
     }
 
--- a/src/main/java/org/cuminshelf/standin/EngineSpeed.java
+++ b/src/main/java/org/cuminshelf/standin/EngineSpeed.java
@@ -13,6 +13,7 @@
  * @param changeNanos      time of a role change, in nanoseconds
  * @param loadNanos        time to load a model or adapter, in nanoseconds
  * @param reportLagNanos   age of the load it reports, in nanoseconds
+ * @param kvPerSecond      tokens of KV cache imported in a second
  */
 public record EngineSpeed(
         int prefillPerSecond,
@@ -22,7 +23,8 @@
         int cacheBlocks,
         long changeNanos,
         long loadNanos,
-        long reportLagNanos) {
+        long reportLagNanos,
+        int kvPerSecond) {
 
     /**
      * An engine of usual speed.
@@ -38,7 +40,8 @@
                 2_048,
                 Durations.nanos(5_000),
                 Durations.nanos(3_000),
-                Durations.nanos(500));
+                Durations.nanos(500),
+                100_000);
     }
 
     /**
@@ -55,6 +58,7 @@
                 2_048,
                 Durations.nanos(300),
                 Durations.nanos(200),
-                Durations.nanos(50));
+                Durations.nanos(50),
+                100_000_000);
     }
 }
--- a/src/main/java/org/cuminshelf/standin/StandInEngine.java
+++ b/src/main/java/org/cuminshelf/standin/StandInEngine.java
@@ -127,6 +127,8 @@
                 .setMaxTokens(node.path("max_tokens").asInt(16));
         generation.setPromptTokens(node.path("prompt_tokens")
                 .asInt(Math.max(1, generation.getPrompt().length() / 4)));
+        generation.setPrefillOnly(node.path("prefill_only").asBoolean());
+        generation.setKvFrom(node.path("kv_from").asText(""));
         node.path("held_tokens").forEach(token -> generation.addHeld(token.asText()));
         node.path("prefix_blocks").forEach(block -> generation.addPrefix(block.asLong()));
         response.setStatus(200);
--- a/src/main/java/org/cuminshelf/tools/CheckCommand.java
+++ b/src/main/java/org/cuminshelf/tools/CheckCommand.java
@@ -3,9 +3,10 @@
 import java.util.Optional;
 import net.sourceforge.argparse4j.inf.Namespace;
 import net.sourceforge.argparse4j.inf.Subparser;
-import org.cuminshelf.check.CheckReport;
-import org.cuminshelf.check.CheckRun;
 import org.cuminshelf.core.InvariantBreach;
+import org.cuminshelf.trial.CheckReport;
+import org.cuminshelf.trial.CheckRun;
+import org.tinylog.Logger;
 
 /** Runs the randomised check. */
 final class CheckCommand implements Command {
@@ -41,8 +42,9 @@
             try {
                 CheckReport report = CheckRun.run(seed, seconds);
                 sum = Optional.of(sum.map(before -> before.plus(report)).orElse(report));
-            } catch (InvariantBreach breach) {
-                System.err.println("Seed " + seed + " breaks " + breach.getMessage());
+            } catch (RuntimeException failure) {
+                // A breach of an invariant, or a core that failed outright; either way the seed is what matters.
+                System.err.println("Seed " + seed + " breaks " + describe(failure));
                 System.err.println(
                         "Replay it with: cuminshelf check --seeds 1 --first-seed " + seed + " --seconds " + seconds);
                 return ExitCode.NO;
@@ -51,4 +53,12 @@
         sum.ifPresent(report -> System.out.println("Seeds " + first + " to " + report.seed() + ": " + report));
         return ExitCode.DONE;
     }
+
+    private static String describe(RuntimeException failure) {
+        if (failure instanceof InvariantBreach breach) {
+            return breach.getMessage();
+        }
+        Logger.error(failure, "check: A core failed.");
+        return "no-core-fails: " + failure;
+    }
 }
--- a/src/main/java/org/cuminshelf/tools/EntryCommand.java
+++ b/src/main/java/org/cuminshelf/tools/EntryCommand.java
@@ -35,7 +35,7 @@
     @Override
     public int run(Namespace flags) throws Exception {
         CommonSettings common = CommonFlags.read(flags);
-        EntrySettings settings = new EntrySettings(
+        EntrySettings settings = EntrySettings.of(
                 common.region(),
                 common.zone(),
                 common.vm(),
--- a/src/main/java/org/cuminshelf/tools/Main.java
+++ b/src/main/java/org/cuminshelf/tools/Main.java
@@ -25,6 +25,7 @@
             new StatusCommand(),
             new CheckCommand(),
             new BenchCommand(),
+            new ExperimentCommand(),
             OrderCommand.order(),
             OrderCommand.drain());
 
--- a/src/main/java/org/cuminshelf/tools/Standalone.java
+++ b/src/main/java/org/cuminshelf/tools/Standalone.java
@@ -100,7 +100,7 @@
         StandInService service = StandInService.start(Address.of(HOST + ":0"), 0);
         standIns.add(service);
         sidecars.add(startSidecar(options, "registry-1", SERVICE, service.port(), controlAddress));
-        EntrySettings settings = new EntrySettings(REGION, ZONE, "entry-1", List.of(controlAddress), 10_000, 32, GROUP);
+        EntrySettings settings = EntrySettings.of(REGION, ZONE, "entry-1", List.of(controlAddress), 10_000, 32, GROUP);
         EntryProcess entry = EntryProcess.start(
                 common(options, "entry-1", freeAddress()),
                 settings,
--- a/src/main/java/org/cuminshelf/check/CheckReport.java
+++ b/src/main/java/org/cuminshelf/trial/CheckReport.java
@@ -1,4 +1,4 @@
-package org.cuminshelf.check;
+package org.cuminshelf.trial;
 
 import java.util.Map;
 import java.util.TreeMap;
--- a/src/main/java/org/cuminshelf/check/CheckRun.java
+++ b/src/main/java/org/cuminshelf/trial/CheckRun.java
@@ -1,4 +1,4 @@
-package org.cuminshelf.check;
+package org.cuminshelf.trial;
 
 import java.util.HashMap;
 import java.util.Map;
--- a/src/main/java/org/cuminshelf/check/Fault.java
+++ b/src/main/java/org/cuminshelf/trial/Fault.java
@@ -1,4 +1,4 @@
-package org.cuminshelf.check;
+package org.cuminshelf.trial;
 
 /** The kinds of faults that a randomised run injects. */
 public enum Fault {
--- a/src/main/java/org/cuminshelf/check/FaultPlan.java
+++ b/src/main/java/org/cuminshelf/trial/FaultPlan.java
@@ -1,4 +1,4 @@
-package org.cuminshelf.check;
+package org.cuminshelf.trial;
 
 import java.util.EnumMap;
 import java.util.List;
--- a/src/main/java/org/cuminshelf/check/VirtualDisk.java
+++ b/src/main/java/org/cuminshelf/trial/VirtualDisk.java
@@ -1,4 +1,4 @@
-package org.cuminshelf.check;
+package org.cuminshelf.trial;
 
 import java.io.IOException;
 import java.util.Arrays;
--- a/src/main/java/org/cuminshelf/check/VirtualEngine.java
+++ b/src/main/java/org/cuminshelf/trial/VirtualEngine.java
@@ -1,4 +1,4 @@
-package org.cuminshelf.check;
+package org.cuminshelf.trial;
 
 import java.util.HashSet;
 import java.util.List;
@@ -74,7 +74,8 @@
                 512,
                 Durations.nanos(2_000),
                 Durations.nanos(1_000),
-                Durations.nanos(300));
+                Durations.nanos(300),
+                100_000);
         return EngineModel.idle(speed, checksFence, List.of(MODEL));
     }
 
@@ -240,7 +241,8 @@
     public void finished(long stream, String finishReason) {
         Connection connection = connections.remove(stream);
         if (connection != null) {
-            end(connection, Ran.RAN, Cause.CAUSE_NONE, finishReason);
+            Cause cause = finishReason.equals(EngineModel.MOVED) ? Cause.MOVED : Cause.CAUSE_NONE;
+            end(connection, Ran.RAN, cause, finishReason);
         }
     }
 
--- a/src/main/java/org/cuminshelf/check/VirtualFleet.java
+++ b/src/main/java/org/cuminshelf/trial/VirtualFleet.java
@@ -1,4 +1,4 @@
-package org.cuminshelf.check;
+package org.cuminshelf.trial;
 
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -104,7 +104,7 @@
 
     private void addEntry(Address address, int number) {
         EntrySettings settings =
-                new EntrySettings(REGION, "zone-" + number, "entry-" + number, controlAddresses, 200, 32, GROUP);
+                EntrySettings.of(REGION, "zone-" + number, "entry-" + number, controlAddresses, 200, 32, GROUP);
         VirtualNode node = node(
                 address, (booted, now) -> EntryCore.start(settings, address, booted.incarnation(), now, invariants));
         entries.add(node);
--- a/src/main/java/org/cuminshelf/check/VirtualOperators.java
+++ b/src/main/java/org/cuminshelf/trial/VirtualOperators.java
@@ -1,4 +1,4 @@
-package org.cuminshelf.check;
+package org.cuminshelf.trial;
 
 import com.google.protobuf.ByteString;
 import java.util.HashMap;
--- a/src/main/java/org/cuminshelf/upstream/EngineUpstream.java
+++ b/src/main/java/org/cuminshelf/upstream/EngineUpstream.java
@@ -124,6 +124,9 @@
         }
         int status = result.getResponse().getStatus();
         UpstreamEnd.Builder end = UpstreamEnd.newBuilder().setAttempt(attempt);
+        if (status == 200 && lines.finishReason.equals("moved")) {
+            return end.setRan(Ran.RAN).setCause(Cause.MOVED).build();
+        }
         if (status == 200 && !lines.finishReason.isEmpty()) {
             return end.setRan(Ran.RAN).setFinishReason(lines.finishReason).build();
         }
@@ -145,6 +148,12 @@
         if (!generation.getAdapter().isEmpty()) {
             node.put("adapter", generation.getAdapter());
         }
+        if (generation.getPrefillOnly()) {
+            node.put("prefill_only", true);
+        }
+        if (!generation.getKvFrom().isEmpty()) {
+            node.put("kv_from", generation.getKvFrom());
+        }
         ArrayNode held = node.putArray("held_tokens");
         generation.getHeldList().forEach(held::add);
         ArrayNode prefix = node.putArray("prefix_blocks");
--- a/src/test/java/org/cuminshelf/entry/ConfigHolderTest.java
+++ b/src/test/java/org/cuminshelf/entry/ConfigHolderTest.java
@@ -18,7 +18,7 @@
     private static final Address B = Address.of("10.0.0.2:7000");
     private final RecordingOutbox out = new RecordingOutbox();
     private final EntryCore core = EntryCore.start(
-            new EntrySettings("r", "z", "e", List.of(A, B), 10, 8, "region"),
+            EntrySettings.of("r", "z", "e", List.of(A, B), 10, 8, "region"),
             Address.of("10.0.1.1:7000"),
             1,
             0,
--- a/src/test/java/org/cuminshelf/entry/EntryFixture.java
+++ b/src/test/java/org/cuminshelf/entry/EntryFixture.java
@@ -34,7 +34,7 @@
     private long nextCall = 1;
 
     EntryFixture() {
-        EntrySettings settings = new EntrySettings("r", "z", "e", List.of(CONTROL), 100, 32, "region");
+        EntrySettings settings = EntrySettings.of("r", "z", "e", List.of(CONTROL), 100, 32, "region");
         core = EntryCore.start(settings, Address.of("10.0.1.1:7000"), 1, now, Invariants.throwing());
         Update update = Update.newBuilder()
                 .setConfigVersion(1)
--- a/src/test/java/org/cuminshelf/check/CheckRunTest.java
+++ b/src/test/java/org/cuminshelf/trial/CheckRunTest.java
@@ -1,4 +1,4 @@
-package org.cuminshelf.check;
+package org.cuminshelf.trial;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
