--- a/src/main/java/org/cuminshelf/control/ControlCore.java
+++ b/src/main/java/org/cuminshelf/control/ControlCore.java
@@ -44,7 +44,7 @@
     /** Who waits for the outcome of an entry. */
     private record Waiter(Address asker, long question, long term, long since) {}
 
-    private record RegionGroup(Replica replica, RegionMachine machine, OrderSystem orders) {}
+    private record RegionGroup(Replica replica, RegionMachine machine, OrderSystem orders, PlanningSystem planning) {}
 
     private final ControlSettings settings;
     private final Address self;
@@ -67,6 +67,8 @@
     private long spreadConfigVersion;
     private long spreadDirectoryVersion;
     private boolean stopping;
+    private FleetConfig typedConfig = FleetConfig.empty();
+    private long typedVersion;
 
     private ControlCore(ControlSettings settings, Address self, long incarnation, long now, Invariants invariants) {
         this.settings = settings;
@@ -113,7 +115,13 @@
         RegionMachine machine = new RegionMachine(invariants);
         Replica replica = Replica.start(group, state, machine, now, random, invariants);
         replicas.put(group.group(), replica);
-        regions.put(group.group(), new RegionGroup(replica, machine, new OrderSystem(group.group(), replica, machine)));
+        regions.put(
+                group.group(),
+                new RegionGroup(
+                        replica,
+                        machine,
+                        new OrderSystem(group.group(), replica, machine),
+                        new PlanningSystem(replica, machine, directory, subscribers)));
         claimWaiters.put(group.group(), new HashMap<>());
         orderWaiters.put(group.group(), new HashMap<>());
     }
@@ -159,6 +167,7 @@
         regions.forEach((name, region) -> {
             answerClaimWaiters(name, region, out);
             answerOrderWaiters(name, region, out);
+            region.planning().tick(now, acceptedConfig(), config.version());
             region.orders().tick(now, out);
         });
         answerReads(out);
@@ -230,6 +239,15 @@
         sendUpdate(row, false, out);
     }
 
+    /** The accepted configuration, typed; parsed once for each version. */
+    private FleetConfig acceptedConfig() {
+        if (typedVersion != config.version()) {
+            typedVersion = config.version();
+            typedConfig = FleetConfig.parse(config.config().toByteArray()).getOrElse(typedConfig);
+        }
+        return typedConfig;
+    }
+
     private void answerReads(Outbox out) {
         for (long token : replicas.get(ControlSettings.GLOBAL).takeConfirmedReads()) {
             Address asker = readWaiters.remove(token);
--- a/src/main/java/org/cuminshelf/control/Subscribers.java
+++ b/src/main/java/org/cuminshelf/control/Subscribers.java
@@ -1,11 +1,14 @@
 package org.cuminshelf.control;
 
 import java.util.Collection;
+import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
 import org.cuminshelf.core.Address;
 import org.cuminshelf.core.Durations;
+import org.cuminshelf.message.OfferedWork;
 import org.cuminshelf.message.Subscribe;
+import org.cuminshelf.planning.Demand;
 
 /** The processes that hear of changes from this control process. */
 final class Subscribers {
@@ -21,7 +24,7 @@
         long directoryVersion;
         long directoryIncarnation;
         boolean wantsDirectory;
-        boolean confirm;
+        List<OfferedWork> offered = List.of();
 
         private Row(Address address) {
             this.address = address;
@@ -29,6 +32,7 @@
     }
 
     private final Map<Address, Row> rows = new TreeMap<>();
+    private final Map<String, Demand> demands = new TreeMap<>();
 
     Row onSubscribe(long now, Address from, long incarnation, Subscribe subscribe) {
         Row row = rows.computeIfAbsent(from, Row::new);
@@ -38,9 +42,35 @@
         row.directoryVersion = subscribe.getDirectoryVersion();
         row.directoryIncarnation = subscribe.getDirectoryIncarnation();
         row.wantsDirectory = subscribe.getWantsDirectory();
+        note(row, subscribe.getOfferedList());
         return row;
     }
 
+    /**
+     * Adds what an entry was offered since it last told. A restarted entry counts anew; the sum goes on rising.
+     */
+    private void note(Row row, List<OfferedWork> told) {
+        for (OfferedWork work : told) {
+            OfferedWork before = row.offered.stream()
+                    .filter(known -> known.getModel().equals(work.getModel()))
+                    .filter(known -> known.getPromptTokens() <= work.getPromptTokens())
+                    .findFirst()
+                    .orElse(OfferedWork.getDefaultInstance());
+            Demand sum = demands.getOrDefault(work.getModel(), new Demand(0, 0));
+            demands.put(
+                    work.getModel(),
+                    new Demand(
+                            sum.promptTokens() + work.getPromptTokens() - before.getPromptTokens(),
+                            sum.outputTokens() + Math.max(0, work.getOutputTokens() - before.getOutputTokens())));
+        }
+        row.offered = told;
+    }
+
+    /** Work that all entries were offered for a model, as far as this process was told. */
+    Demand demand(String model) {
+        return demands.getOrDefault(model, new Demand(0, 0));
+    }
+
     Collection<Row> rows() {
         return rows.values();
     }
--- a/src/main/java/org/cuminshelf/entry/AdmissionSystem.java
+++ b/src/main/java/org/cuminshelf/entry/AdmissionSystem.java
@@ -37,8 +37,7 @@
         tables.calls.put(call.id, call);
         if (call.isGeneration()) {
             tables.config.offered(
-                    call.generation().getPromptTokens(),
-                    tables.estimates.expected(request.getOrganisation(), call.generation()));
+                    call.generation(), tables.estimates.expected(request.getOrganisation(), call.generation()));
         }
         if (leaving || !tables.config.isReady()) {
             refuse(call, leaving ? Cause.LEAVING : Cause.NOT_READY, RETRY_AFTER_NOT_READY_MILLIS, out);
--- a/src/main/java/org/cuminshelf/entry/AttemptSystem.java
+++ b/src/main/java/org/cuminshelf/entry/AttemptSystem.java
@@ -71,6 +71,7 @@
         call.attempts++;
         tables.attempts.put(key, attempt);
         upstream.sent(attempt);
+        tables.prefilling += attempt.prefillOnly ? 1 : 0;
         return attempt;
     }
 
@@ -202,8 +203,8 @@
         if (ended.getCause() == Cause.CONNECT_FAILED || ended.getCause() == Cause.CONNECTION_BROKEN) {
             upstream.ifPresent(row -> tables.upstreams.failed(now, row));
         }
-        boolean handedOver = ended.getCause() == Cause.MOVED && attempt.prefillOnly;
-        call.kvFrom = handedOver ? from.value() : "";
+        boolean moved = ended.getCause() == Cause.MOVED && !call.delivered.isEmpty();
+        call.kvFrom = moved ? from.value() : "";
         failed(now, call, ended.getRan(), ended.getCause(), 0, out);
     }
 
@@ -375,7 +376,11 @@
         if (!safe || !restartable || hopeless || call.callerGone || now >= call.deadline) {
             return false;
         }
-        boolean free = cause == Cause.MOVED || cause == Cause.ROLE_CHANGING || cause == Cause.LEAVING;
+        // These say that the upstream wants no more work now, not that a try went wrong.
+        boolean free = cause == Cause.MOVED
+                || cause == Cause.ROLE_CHANGING
+                || cause == Cause.LEAVING
+                || cause == Cause.OVERLOADED;
         return free || call.attempts < MOST_ATTEMPTS && tables.retryBudget.take(call.target());
     }
 
@@ -384,6 +389,7 @@
         if (tables.attempts.remove(attempt.key) == null) {
             return;
         }
+        tables.prefilling -= attempt.prefillOnly ? 1 : 0;
         prefillDone(attempt);
         tables.probes.clear(attempt.key);
         tables.upstreams.row(attempt.key.upstream()).ifPresent(row -> {
--- a/src/main/java/org/cuminshelf/entry/ConfigHolder.java
+++ b/src/main/java/org/cuminshelf/entry/ConfigHolder.java
@@ -3,6 +3,7 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Set;
+import java.util.TreeMap;
 import java.util.TreeSet;
 import org.cuminshelf.config.FleetConfig;
 import org.cuminshelf.core.Address;
@@ -10,6 +11,8 @@
 import org.cuminshelf.core.Invariants;
 import org.cuminshelf.core.Outbox;
 import org.cuminshelf.message.Envelope;
+import org.cuminshelf.message.Generation;
+import org.cuminshelf.message.OfferedWork;
 import org.cuminshelf.message.Subscribe;
 import org.cuminshelf.message.Update;
 
@@ -42,8 +45,7 @@
     private volatile boolean ready;
     private long nextAsk;
     private int entries = 1;
-    private long offeredPromptTokens;
-    private long offeredOutputTokens;
+    private final Map<String, OfferedWork> offered = new TreeMap<>();
 
     ConfigHolder(EntrySettings settings, Upstreams upstreams, long now, Invariants invariants) {
         this.settings = settings;
@@ -70,10 +72,18 @@
         return entries;
     }
 
-    /** Counts a generation that was offered, whether or not it can be served: the planner must see what it refuses. */
-    void offered(long promptTokens, double outputTokens) {
-        offeredPromptTokens += promptTokens;
-        offeredOutputTokens += Math.round(outputTokens);
+    /** Counts a generation that was offered, whether or not it can be served: the planner must see what is refused. */
+    void offered(Generation generation, double outputTokens) {
+        if (!config.models().containsKey(generation.getModel())) {
+            return;
+        }
+        OfferedWork before = offered.getOrDefault(generation.getModel(), OfferedWork.getDefaultInstance());
+        OfferedWork after = OfferedWork.newBuilder()
+                .setModel(generation.getModel())
+                .setPromptTokens(before.getPromptTokens() + generation.getPromptTokens())
+                .setOutputTokens(before.getOutputTokens() + Math.round(outputTokens))
+                .build();
+        offered.put(generation.getModel(), after);
     }
 
     Address leaderOf(String group) {
@@ -130,8 +140,7 @@
                     .setRegion(settings.region())
                     .setVm(settings.vm())
                     .setWantsDirectory(true)
-                    .setOfferedPromptTokens(offeredPromptTokens)
-                    .setOfferedOutputTokens(offeredOutputTokens)
+                    .addAllOffered(offered.values())
                     .build();
             out.send(control, Envelope.newBuilder().setSubscribe(subscribe));
         }
--- a/src/main/java/org/cuminshelf/entry/EntryCore.java
+++ b/src/main/java/org/cuminshelf/entry/EntryCore.java
@@ -35,7 +35,7 @@
         this.claims = new ClaimSystem(tables, answers, attempts, incarnation);
         this.attempts.claims(claims);
         this.admission = new AdmissionSystem(tables, answers, router);
-        this.routing = new RoutingSystem(tables, router, attempts, claims);
+        this.routing = new RoutingSystem(tables, router, attempts, claims, answers);
     }
 
     /**
--- a/src/main/java/org/cuminshelf/entry/EntryTables.java
+++ b/src/main/java/org/cuminshelf/entry/EntryTables.java
@@ -25,6 +25,8 @@
     final OutputEstimates estimates = new OutputEstimates();
     /** Number of the next attempt, over all upstreams and sessions. */
     long nextAttempt = 1;
+    /** Attempts on engines that will hand their stream over after the first token. */
+    int prefilling;
     /** Whether something happened that may let a waiting call go on. */
     boolean routingDue;
 
--- a/src/main/java/org/cuminshelf/entry/Router.java
+++ b/src/main/java/org/cuminshelf/entry/Router.java
@@ -17,6 +17,10 @@
 final class Router {
 
     private static final double NANOS_PER_SECOND = 1e9;
+    private static final double MILLIS_PER_SECOND = 1e3;
+    /** Share of the model's gap up to which new streams are taken in; the measured mean hides slower ones. */
+    private static final double GAP_MARGIN = 0.9;
+
     private static final double OTHER_ZONE_SECONDS = 0.001;
     private static final double OTHER_ADAPTER_SECONDS = 0.5;
     private static final double OTHER_ROLE_SECONDS = 2;
@@ -50,6 +54,9 @@
     /** The best upstream with a free slot for the call, if there is one. */
     Optional<Choice> choose(long now, CallRow call) {
         List<UpstreamRow> subset = tables.upstreams.subset(call.target());
+        if (call.isGeneration() && call.delivered.isEmpty() && !hasRoomForStream(now, call, subset)) {
+            return Optional.empty();
+        }
         boolean handsOver = call.isGeneration() && hasRole(now, subset, Role.ROLE_DECODE);
         return switch (tables.settings.routing()) {
             case RoutingPolicy.EarliestAnswer earliest -> best(now, call, subset, handsOver);
@@ -89,6 +96,31 @@
         return Optional.empty();
     }
 
+    /**
+     * Whether one stream more can run somewhere at the model's gap between tokens. Failure this guards against: under
+     * overload every engine's batch fills up to its slots, every stream there slows below the gap, and all answers come
+     * late where some could have come in time.
+     */
+    private boolean hasRoomForStream(long now, CallRow call, List<UpstreamRow> subset) {
+        double limit = gapLimit(call);
+        boolean anyOpen = false;
+        double room = 0;
+        for (UpstreamRow row : subset) {
+            if (row.isOpen(now) && row.load.getRole() != Role.ROLE_PREFILL) {
+                anyOpen = true;
+                room += row.streamsAt(limit) - row.occupancy();
+            }
+        }
+        // Streams that are being prefilled now, here and at the other entries, will want that room too.
+        double onTheirWay = tables.prefilling * tables.upstreams.entriesSharing(call.target(), tables.config.entries());
+        return !anyOpen || room > onTheirWay;
+    }
+
+    private double gapLimit(CallRow call) {
+        ModelConfig model = tables.config.config().models().get(call.target());
+        return model.tokenGapMillis() / MILLIS_PER_SECOND * GAP_MARGIN;
+    }
+
     private Choice estimate(CallRow call, UpstreamRow row, boolean handsOver) {
         return call.isGeneration() ? forEngine(call, row, handsOver) : forService(row);
     }
@@ -132,10 +164,15 @@
     }
 
     private boolean isCandidate(long now, CallRow call, UpstreamRow row) {
-        boolean full = row.load.getSlots() > 0 && row.occupancy() >= row.load.getSlots();
+        boolean full = row.load.getSlots() > 0 && row.occupancy() >= row.load.getSlots()
+                || call.isGeneration() && call.delivered.isEmpty() && isSlow(call, row);
         return row.isOpen(now) && !full && !call.excluded.contains(row.address) && !tables.upstreams.isSilent(now, row);
     }
 
+    private boolean isSlow(CallRow call, UpstreamRow row) {
+        return row.load.getRole() != Role.ROLE_PREFILL && row.tokenGapSeconds() > gapLimit(call);
+    }
+
     private Choice forService(UpstreamRow row) {
         double seconds = (row.occupancy() + 1) * SECONDS_PER_SERVICE_CALL + zonePenalty(row);
         return new Choice(row, 0, false, 0, seconds);
@@ -146,7 +183,7 @@
         ModelConfig model = tables.config.config().models().get(call.target());
         boolean prefillOnly = handsOver && row.load.getRole() == Role.ROLE_PREFILL;
         long uncached = call.kvFrom.isEmpty() ? uncached(call, row) : 0;
-        double first = (row.promptWaiting() + uncached) / (double) model.prefillSpeed();
+        double first = (row.promptWaiting() + uncached) / row.prefillPerSecond(model.prefillSpeed());
         double output = prefillOnly
                 ? 1
                 : tables.estimates.expected(call.request.getOrganisation(), generation)
--- a/src/main/java/org/cuminshelf/entry/UpstreamRow.java
+++ b/src/main/java/org/cuminshelf/entry/UpstreamRow.java
@@ -159,6 +159,25 @@
         return Math.max(0, load.getQueuedPromptTokens() + promptUncounted - promptTakenSince);
     }
 
+    /** Prompt tokens it takes in a second: measured there, or a first guess. */
+    double prefillPerSecond(double firstGuess) {
+        return load.getPrefillPerS() > 0 ? Math.min(load.getPrefillPerS(), firstGuess) : firstGuess;
+    }
+
+    /** Streams it can run at a gap between tokens, by the gap measured with those it runs. */
+    double streamsAt(double gapSeconds) {
+        int slots = Math.max(1, load.getSlots());
+        double measured = load.getTokenGapUs() / 1e6;
+        return measured == 0 ? slots : Math.min(slots, Math.max(1, load.getRunning()) * gapSeconds / measured);
+    }
+
+    /** Seconds between tokens to expect with one stream more: measured there, and longer by what was sent since. */
+    double tokenGapSeconds() {
+        double measured = load.getTokenGapUs() / 1e6;
+        int reported = Math.max(1, load.getRunning());
+        return measured * (occupancy() + 1) / reported;
+    }
+
     /** Attempts there now: the last report, and what this entry sent since. */
     int occupancy() {
         return Math.max(load.getRunning() + uncounted.size(), running);
--- a/src/main/java/org/cuminshelf/entry/Upstreams.java
+++ b/src/main/java/org/cuminshelf/entry/Upstreams.java
@@ -45,6 +45,9 @@
     private final Address self;
     private final Map<Address, UpstreamRow> rows = new TreeMap<>();
     private final Map<String, List<UpstreamRow>> subsets = new HashMap<>();
+    /** Upstreams of each target in the whole directory. */
+    private final Map<String, Integer> totals = new HashMap<>();
+
     private final Map<Address, Long> directoryVersions = new HashMap<>();
     private final Map<Address, Long> directoryIncarnations = new HashMap<>();
     private boolean changed;
@@ -78,9 +81,15 @@
         return subsets.getOrDefault(target, List.of());
     }
 
-    boolean knows(String target) {
+    /**
+     * How many entries send to each upstream of a subset, by the size of the fleet and the number of entries.
+     *
+     * @return at least 1
+     */
+    double entriesSharing(String target, int entries) {
         rebuildIfChanged();
-        return subsets.containsKey(target);
+        int all = totals.getOrDefault(target, 1);
+        return Math.max(1, (double) entries * subset(target).size() / all);
     }
 
     void onUpdate(Address control, Update update) {
@@ -194,6 +203,8 @@
                 }
             }
         }
+        totals.clear();
+        subsets.forEach((target, all) -> totals.put(target, all.size()));
         subsets.replaceAll((target, all) -> choose(all));
     }
 
--- a/src/main/java/org/cuminshelf/message/LoadReport.java
+++ b/src/main/java/org/cuminshelf/message/LoadReport.java
@@ -623,6 +623,82 @@
     outputTokensDone_ = 0L;
   }
 
+  public static final int TOKEN_GAP_US_FIELD_NUMBER = 15;
+  private int tokenGapUs_;
+  /**
+   * <pre>
+   * Mean time between two tokens of a stream there, in microseconds; 0 where none ran lately.
+   * </pre>
+   *
+   * <code>uint32 token_gap_us = 15;</code>
+   * @return The tokenGapUs.
+   */
+  @java.lang.Override
+  public int getTokenGapUs() {
+    return tokenGapUs_;
+  }
+  /**
+   * <pre>
+   * Mean time between two tokens of a stream there, in microseconds; 0 where none ran lately.
+   * </pre>
+   *
+   * <code>uint32 token_gap_us = 15;</code>
+   * @param value The tokenGapUs to set.
+   */
+  private void setTokenGapUs(int value) {
+    
+    tokenGapUs_ = value;
+  }
+  /**
+   * <pre>
+   * Mean time between two tokens of a stream there, in microseconds; 0 where none ran lately.
+   * </pre>
+   *
+   * <code>uint32 token_gap_us = 15;</code>
+   */
+  private void clearTokenGapUs() {
+
+    tokenGapUs_ = 0;
+  }
+
+  public static final int PREFILL_PER_S_FIELD_NUMBER = 16;
+  private int prefillPerS_;
+  /**
+   * <pre>
+   * Prompt tokens taken in a second while any wait; 0 before any were.
+   * </pre>
+   *
+   * <code>uint32 prefill_per_s = 16;</code>
+   * @return The prefillPerS.
+   */
+  @java.lang.Override
+  public int getPrefillPerS() {
+    return prefillPerS_;
+  }
+  /**
+   * <pre>
+   * Prompt tokens taken in a second while any wait; 0 before any were.
+   * </pre>
+   *
+   * <code>uint32 prefill_per_s = 16;</code>
+   * @param value The prefillPerS to set.
+   */
+  private void setPrefillPerS(int value) {
+    
+    prefillPerS_ = value;
+  }
+  /**
+   * <pre>
+   * Prompt tokens taken in a second while any wait; 0 before any were.
+   * </pre>
+   *
+   * <code>uint32 prefill_per_s = 16;</code>
+   */
+  private void clearPrefillPerS() {
+
+    prefillPerS_ = 0;
+  }
+
   public static org.cuminshelf.message.LoadReport parseFrom(
       java.nio.ByteBuffer data)
       throws com.google.protobuf.InvalidProtocolBufferException {
@@ -1340,6 +1416,86 @@
       return this;
     }
 
+    /**
+     * <pre>
+     * Mean time between two tokens of a stream there, in microseconds; 0 where none ran lately.
+     * </pre>
+     *
+     * <code>uint32 token_gap_us = 15;</code>
+     * @return The tokenGapUs.
+     */
+    @java.lang.Override
+    public int getTokenGapUs() {
+      return instance.getTokenGapUs();
+    }
+    /**
+     * <pre>
+     * Mean time between two tokens of a stream there, in microseconds; 0 where none ran lately.
+     * </pre>
+     *
+     * <code>uint32 token_gap_us = 15;</code>
+     * @param value The tokenGapUs to set.
+     * @return This builder for chaining.
+     */
+    public Builder setTokenGapUs(int value) {
+      copyOnWrite();
+      instance.setTokenGapUs(value);
+      return this;
+    }
+    /**
+     * <pre>
+     * Mean time between two tokens of a stream there, in microseconds; 0 where none ran lately.
+     * </pre>
+     *
+     * <code>uint32 token_gap_us = 15;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearTokenGapUs() {
+      copyOnWrite();
+      instance.clearTokenGapUs();
+      return this;
+    }
+
+    /**
+     * <pre>
+     * Prompt tokens taken in a second while any wait; 0 before any were.
+     * </pre>
+     *
+     * <code>uint32 prefill_per_s = 16;</code>
+     * @return The prefillPerS.
+     */
+    @java.lang.Override
+    public int getPrefillPerS() {
+      return instance.getPrefillPerS();
+    }
+    /**
+     * <pre>
+     * Prompt tokens taken in a second while any wait; 0 before any were.
+     * </pre>
+     *
+     * <code>uint32 prefill_per_s = 16;</code>
+     * @param value The prefillPerS to set.
+     * @return This builder for chaining.
+     */
+    public Builder setPrefillPerS(int value) {
+      copyOnWrite();
+      instance.setPrefillPerS(value);
+      return this;
+    }
+    /**
+     * <pre>
+     * Prompt tokens taken in a second while any wait; 0 before any were.
+     * </pre>
+     *
+     * <code>uint32 prefill_per_s = 16;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearPrefillPerS() {
+      copyOnWrite();
+      instance.clearPrefillPerS();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:cuminshelf.LoadReport)
   }
   @java.lang.Override
@@ -1370,11 +1526,13 @@
             "counted_",
             "promptTokensDone_",
             "outputTokensDone_",
+            "tokenGapUs_",
+            "prefillPerS_",
           };
           java.lang.String info =
-              "\u0000\u000e\u0000\u0000\u0001\u000e\u000e\u0000\u0003\u0000\u0001\u000b\u0002\u000b" +
+              "\u0000\u0010\u0000\u0000\u0001\u0010\u0010\u0000\u0003\u0000\u0001\u000b\u0002\u000b" +
               "\u0003\u0003\u0004\u0003\u0005\f\u0006\u021a\u0007\u021a\b\u0007\t\u0007\n\u000b" +
-              "\u000b(\f\u0003\r\u0003\u000e\u0003";
+              "\u000b(\f\u0003\r\u0003\u000e\u0003\u000f\u000b\u0010\u000b";
           return newMessageInfo(DEFAULT_INSTANCE, info, objects);
       }
       case GET_DEFAULT_INSTANCE: {
--- a/src/main/java/org/cuminshelf/message/LoadReportOrBuilder.java
+++ b/src/main/java/org/cuminshelf/message/LoadReportOrBuilder.java
@@ -163,4 +163,24 @@
    * @return The outputTokensDone.
    */
   long getOutputTokensDone();
+
+  /**
+   * <pre>
+   * Mean time between two tokens of a stream there, in microseconds; 0 where none ran lately.
+   * </pre>
+   *
+   * <code>uint32 token_gap_us = 15;</code>
+   * @return The tokenGapUs.
+   */
+  int getTokenGapUs();
+
+  /**
+   * <pre>
+   * Prompt tokens taken in a second while any wait; 0 before any were.
+   * </pre>
+   *
+   * <code>uint32 prefill_per_s = 16;</code>
+   * @return The prefillPerS.
+   */
+  int getPrefillPerS();
 }
--- a/src/main/java/org/cuminshelf/message/Subscribe.java
+++ b/src/main/java/org/cuminshelf/message/Subscribe.java
@@ -21,6 +21,7 @@
   private Subscribe() {
     region_ = "";
     vm_ = "";
+    offered_ = emptyProtobufList();
   }
   public static final int CONFIG_VERSION_FIELD_NUMBER = 1;
   private long configVersion_;
@@ -260,68 +261,145 @@
     wantsDirectory_ = false;
   }
 
-  public static final int OFFERED_PROMPT_TOKENS_FIELD_NUMBER = 8;
-  private long offeredPromptTokens_;
+  public static final int OFFERED_FIELD_NUMBER = 8;
+  private com.google.protobuf.Internal.ProtobufList<org.cuminshelf.message.OfferedWork> offered_;
   /**
    * <pre>
-   * Prompt tokens not cached and output tokens expected of all calls offered to this entry since its start.
+   * Work offered to this entry since its start, by model.
    * </pre>
    *
-   * <code>uint64 offered_prompt_tokens = 8;</code>
-   * @return The offeredPromptTokens.
+   * <code>repeated .cuminshelf.OfferedWork offered = 8;</code>
    */
   @java.lang.Override
-  public long getOfferedPromptTokens() {
-    return offeredPromptTokens_;
+  public java.util.List<org.cuminshelf.message.OfferedWork> getOfferedList() {
+    return offered_;
   }
   /**
    * <pre>
-   * Prompt tokens not cached and output tokens expected of all calls offered to this entry since its start.
+   * Work offered to this entry since its start, by model.
    * </pre>
    *
-   * <code>uint64 offered_prompt_tokens = 8;</code>
-   * @param value The offeredPromptTokens to set.
+   * <code>repeated .cuminshelf.OfferedWork offered = 8;</code>
    */
-  private void setOfferedPromptTokens(long value) {
-    
-    offeredPromptTokens_ = value;
+  public java.util.List<? extends org.cuminshelf.message.OfferedWorkOrBuilder> 
+      getOfferedOrBuilderList() {
+    return offered_;
   }
   /**
    * <pre>
-   * Prompt tokens not cached and output tokens expected of all calls offered to this entry since its start.
+   * Work offered to this entry since its start, by model.
    * </pre>
    *
-   * <code>uint64 offered_prompt_tokens = 8;</code>
+   * <code>repeated .cuminshelf.OfferedWork offered = 8;</code>
    */
-  private void clearOfferedPromptTokens() {
-
-    offeredPromptTokens_ = 0L;
+  @java.lang.Override
+  public int getOfferedCount() {
+    return offered_.size();
   }
-
-  public static final int OFFERED_OUTPUT_TOKENS_FIELD_NUMBER = 9;
-  private long offeredOutputTokens_;
   /**
-   * <code>uint64 offered_output_tokens = 9;</code>
-   * @return The offeredOutputTokens.
+   * <pre>
+   * Work offered to this entry since its start, by model.
+   * </pre>
+   *
+   * <code>repeated .cuminshelf.OfferedWork offered = 8;</code>
    */
   @java.lang.Override
-  public long getOfferedOutputTokens() {
-    return offeredOutputTokens_;
+  public org.cuminshelf.message.OfferedWork getOffered(int index) {
+    return offered_.get(index);
   }
   /**
-   * <code>uint64 offered_output_tokens = 9;</code>
-   * @param value The offeredOutputTokens to set.
+   * <pre>
+   * Work offered to this entry since its start, by model.
+   * </pre>
+   *
+   * <code>repeated .cuminshelf.OfferedWork offered = 8;</code>
    */
-  private void setOfferedOutputTokens(long value) {
-    
-    offeredOutputTokens_ = value;
+  public org.cuminshelf.message.OfferedWorkOrBuilder getOfferedOrBuilder(
+      int index) {
+    return offered_.get(index);
+  }
+  private void ensureOfferedIsMutable() {
+    com.google.protobuf.Internal.ProtobufList<org.cuminshelf.message.OfferedWork> tmp = offered_;
+    if (!tmp.isModifiable()) {
+      offered_ =
+          com.google.protobuf.GeneratedMessageLite.mutableCopy(tmp);
+     }
   }
+
   /**
-   * <code>uint64 offered_output_tokens = 9;</code>
+   * <pre>
+   * Work offered to this entry since its start, by model.
+   * </pre>
+   *
+   * <code>repeated .cuminshelf.OfferedWork offered = 8;</code>
    */
-  private void clearOfferedOutputTokens() {
-
-    offeredOutputTokens_ = 0L;
+  @java.lang.SuppressWarnings("ReturnValueIgnored")
+  private void setOffered(
+      int index, org.cuminshelf.message.OfferedWork value) {
+    value.getClass();  // minimal bytecode null check
+    ensureOfferedIsMutable();
+    offered_.set(index, value);
+  }
+  /**
+   * <pre>
+   * Work offered to this entry since its start, by model.
+   * </pre>
+   *
+   * <code>repeated .cuminshelf.OfferedWork offered = 8;</code>
+   */
+  @java.lang.SuppressWarnings("ReturnValueIgnored")
+  private void addOffered(org.cuminshelf.message.OfferedWork value) {
+    value.getClass();  // minimal bytecode null check
+    ensureOfferedIsMutable();
+    offered_.add(value);
+  }
+  /**
+   * <pre>
+   * Work offered to this entry since its start, by model.
+   * </pre>
+   *
+   * <code>repeated .cuminshelf.OfferedWork offered = 8;</code>
+   */
+  @java.lang.SuppressWarnings("ReturnValueIgnored")
+  private void addOffered(
+      int index, org.cuminshelf.message.OfferedWork value) {
+    value.getClass();  // minimal bytecode null check
+    ensureOfferedIsMutable();
+    offered_.add(index, value);
+  }
+  /**
+   * <pre>
+   * Work offered to this entry since its start, by model.
+   * </pre>
+   *
+   * <code>repeated .cuminshelf.OfferedWork offered = 8;</code>
+   */
+  private void addAllOffered(
+      java.lang.Iterable<? extends org.cuminshelf.message.OfferedWork> values) {
+    ensureOfferedIsMutable();
+    com.google.protobuf.AbstractMessageLite.addAll(
+        values, offered_);
+  }
+  /**
+   * <pre>
+   * Work offered to this entry since its start, by model.
+   * </pre>
+   *
+   * <code>repeated .cuminshelf.OfferedWork offered = 8;</code>
+   */
+  private void clearOffered() {
+    offered_ = emptyProtobufList();
+  }
+  /**
+   * <pre>
+   * Work offered to this entry since its start, by model.
+   * </pre>
+   *
+   * <code>repeated .cuminshelf.OfferedWork offered = 8;</code>
+   */
+  private void removeOffered(int index) {
+    ensureOfferedIsMutable();
+    offered_.remove(index);
   }
 
   public static org.cuminshelf.message.Subscribe parseFrom(
@@ -677,69 +755,151 @@
 
     /**
      * <pre>
-     * Prompt tokens not cached and output tokens expected of all calls offered to this entry since its start.
+     * Work offered to this entry since its start, by model.
      * </pre>
      *
-     * <code>uint64 offered_prompt_tokens = 8;</code>
-     * @return The offeredPromptTokens.
+     * <code>repeated .cuminshelf.OfferedWork offered = 8;</code>
      */
     @java.lang.Override
-    public long getOfferedPromptTokens() {
-      return instance.getOfferedPromptTokens();
+    public java.util.List<org.cuminshelf.message.OfferedWork> getOfferedList() {
+      return java.util.Collections.unmodifiableList(
+          instance.getOfferedList());
     }
     /**
      * <pre>
-     * Prompt tokens not cached and output tokens expected of all calls offered to this entry since its start.
+     * Work offered to this entry since its start, by model.
      * </pre>
      *
-     * <code>uint64 offered_prompt_tokens = 8;</code>
-     * @param value The offeredPromptTokens to set.
-     * @return This builder for chaining.
+     * <code>repeated .cuminshelf.OfferedWork offered = 8;</code>
+     */
+    @java.lang.Override
+    public int getOfferedCount() {
+      return instance.getOfferedCount();
+    }/**
+     * <pre>
+     * Work offered to this entry since its start, by model.
+     * </pre>
+     *
+     * <code>repeated .cuminshelf.OfferedWork offered = 8;</code>
      */
-    public Builder setOfferedPromptTokens(long value) {
+    @java.lang.Override
+    public org.cuminshelf.message.OfferedWork getOffered(int index) {
+      return instance.getOffered(index);
+    }
+    /**
+     * <pre>
+     * Work offered to this entry since its start, by model.
+     * </pre>
+     *
+     * <code>repeated .cuminshelf.OfferedWork offered = 8;</code>
+     */
+    public Builder setOffered(
+        int index, org.cuminshelf.message.OfferedWork value) {
       copyOnWrite();
-      instance.setOfferedPromptTokens(value);
+      instance.setOffered(index, value);
       return this;
     }
     /**
      * <pre>
-     * Prompt tokens not cached and output tokens expected of all calls offered to this entry since its start.
+     * Work offered to this entry since its start, by model.
      * </pre>
      *
-     * <code>uint64 offered_prompt_tokens = 8;</code>
-     * @return This builder for chaining.
+     * <code>repeated .cuminshelf.OfferedWork offered = 8;</code>
      */
-    public Builder clearOfferedPromptTokens() {
+    public Builder setOffered(
+        int index, org.cuminshelf.message.OfferedWork.Builder builderForValue) {
       copyOnWrite();
-      instance.clearOfferedPromptTokens();
+      instance.setOffered(index,
+          builderForValue.build());
       return this;
     }
-
     /**
-     * <code>uint64 offered_output_tokens = 9;</code>
-     * @return The offeredOutputTokens.
+     * <pre>
+     * Work offered to this entry since its start, by model.
+     * </pre>
+     *
+     * <code>repeated .cuminshelf.OfferedWork offered = 8;</code>
      */
-    @java.lang.Override
-    public long getOfferedOutputTokens() {
-      return instance.getOfferedOutputTokens();
+    public Builder addOffered(org.cuminshelf.message.OfferedWork value) {
+      copyOnWrite();
+      instance.addOffered(value);
+      return this;
     }
     /**
-     * <code>uint64 offered_output_tokens = 9;</code>
-     * @param value The offeredOutputTokens to set.
-     * @return This builder for chaining.
+     * <pre>
+     * Work offered to this entry since its start, by model.
+     * </pre>
+     *
+     * <code>repeated .cuminshelf.OfferedWork offered = 8;</code>
      */
-    public Builder setOfferedOutputTokens(long value) {
+    public Builder addOffered(
+        int index, org.cuminshelf.message.OfferedWork value) {
       copyOnWrite();
-      instance.setOfferedOutputTokens(value);
+      instance.addOffered(index, value);
       return this;
     }
     /**
-     * <code>uint64 offered_output_tokens = 9;</code>
-     * @return This builder for chaining.
+     * <pre>
+     * Work offered to this entry since its start, by model.
+     * </pre>
+     *
+     * <code>repeated .cuminshelf.OfferedWork offered = 8;</code>
+     */
+    public Builder addOffered(
+        org.cuminshelf.message.OfferedWork.Builder builderForValue) {
+      copyOnWrite();
+      instance.addOffered(builderForValue.build());
+      return this;
+    }
+    /**
+     * <pre>
+     * Work offered to this entry since its start, by model.
+     * </pre>
+     *
+     * <code>repeated .cuminshelf.OfferedWork offered = 8;</code>
+     */
+    public Builder addOffered(
+        int index, org.cuminshelf.message.OfferedWork.Builder builderForValue) {
+      copyOnWrite();
+      instance.addOffered(index,
+          builderForValue.build());
+      return this;
+    }
+    /**
+     * <pre>
+     * Work offered to this entry since its start, by model.
+     * </pre>
+     *
+     * <code>repeated .cuminshelf.OfferedWork offered = 8;</code>
+     */
+    public Builder addAllOffered(
+        java.lang.Iterable<? extends org.cuminshelf.message.OfferedWork> values) {
+      copyOnWrite();
+      instance.addAllOffered(values);
+      return this;
+    }
+    /**
+     * <pre>
+     * Work offered to this entry since its start, by model.
+     * </pre>
+     *
+     * <code>repeated .cuminshelf.OfferedWork offered = 8;</code>
+     */
+    public Builder clearOffered() {
+      copyOnWrite();
+      instance.clearOffered();
+      return this;
+    }
+    /**
+     * <pre>
+     * Work offered to this entry since its start, by model.
+     * </pre>
+     *
+     * <code>repeated .cuminshelf.OfferedWork offered = 8;</code>
      */
-    public Builder clearOfferedOutputTokens() {
+    public Builder removeOffered(int index) {
       copyOnWrite();
-      instance.clearOfferedOutputTokens();
+      instance.removeOffered(index);
       return this;
     }
 
@@ -766,12 +926,12 @@
             "region_",
             "vm_",
             "wantsDirectory_",
-            "offeredPromptTokens_",
-            "offeredOutputTokens_",
+            "offered_",
+            org.cuminshelf.message.OfferedWork.class,
           };
           java.lang.String info =
-              "\u0000\t\u0000\u0000\u0001\t\t\u0000\u0000\u0000\u0001\u0003\u0002\u0003\u0003\u0003" +
-              "\u0004\u0007\u0005\u0208\u0006\u0208\u0007\u0007\b\u0003\t\u0003";
+              "\u0000\b\u0000\u0000\u0001\b\b\u0000\u0001\u0000\u0001\u0003\u0002\u0003\u0003\u0003" +
+              "\u0004\u0007\u0005\u0208\u0006\u0208\u0007\u0007\b\u001b";
           return newMessageInfo(DEFAULT_INSTANCE, info, objects);
       }
       case GET_DEFAULT_INSTANCE: {
--- a/src/main/java/org/cuminshelf/message/SubscribeOrBuilder.java
+++ b/src/main/java/org/cuminshelf/message/SubscribeOrBuilder.java
@@ -70,17 +70,27 @@
 
   /**
    * <pre>
-   * Prompt tokens not cached and output tokens expected of all calls offered to this entry since its start.
+   * Work offered to this entry since its start, by model.
    * </pre>
    *
-   * <code>uint64 offered_prompt_tokens = 8;</code>
-   * @return The offeredPromptTokens.
+   * <code>repeated .cuminshelf.OfferedWork offered = 8;</code>
    */
-  long getOfferedPromptTokens();
-
+  java.util.List<org.cuminshelf.message.OfferedWork> 
+      getOfferedList();
   /**
-   * <code>uint64 offered_output_tokens = 9;</code>
-   * @return The offeredOutputTokens.
+   * <pre>
+   * Work offered to this entry since its start, by model.
+   * </pre>
+   *
+   * <code>repeated .cuminshelf.OfferedWork offered = 8;</code>
+   */
+  org.cuminshelf.message.OfferedWork getOffered(int index);
+  /**
+   * <pre>
+   * Work offered to this entry since its start, by model.
+   * </pre>
+   *
+   * <code>repeated .cuminshelf.OfferedWork offered = 8;</code>
    */
-  long getOfferedOutputTokens();
+  int getOfferedCount();
 }
--- a/src/main/java/org/cuminshelf/planning/PayingPlanner.java
+++ b/src/main/java/org/cuminshelf/planning/PayingPlanner.java
@@ -19,7 +19,7 @@
     /** Share of an engine's speed that can be used before answers come late. */
     private static final double USABLE = 0.85;
 
-    private static final double DRAIN_SECONDS = 6;
+    private static final double DRAIN_SECONDS = 2;
     /** Seconds of the whole fleet's goodput that a change must win at least. */
     private static final double LEAST_GAIN = 0.3;
 
--- a/src/main/java/org/cuminshelf/sidecar/AttemptRow.java
+++ b/src/main/java/org/cuminshelf/sidecar/AttemptRow.java
@@ -34,6 +34,8 @@
     ByteString body = ByteString.EMPTY;
     Ended ended;
     boolean moved;
+    /** When the last tokens came. */
+    long lastTokensAt;
 
     private AttemptRow(long id, SessionRow session, long number, State state) {
         this.id = id;
--- a/src/main/java/org/cuminshelf/sidecar/OrderGuard.java
+++ b/src/main/java/org/cuminshelf/sidecar/OrderGuard.java
@@ -42,7 +42,7 @@
     static final long WAIT_OUT = Durations.nanos(2_500);
 
     private static final long READ_AGAIN = Durations.nanos(200);
-    private static final long DRAIN_PATIENCE = Durations.nanos(30_000);
+    private static final long DRAIN_PATIENCE = Durations.nanos(1_500);
 
     private final SidecarSettings settings;
     private final long incarnation;
--- a/src/main/java/org/cuminshelf/sidecar/SidecarCore.java
+++ b/src/main/java/org/cuminshelf/sidecar/SidecarCore.java
@@ -44,6 +44,8 @@
     private final Invariants invariants;
     private final Journal journal;
     private final OrderGuard orders;
+    private final GapMeter gaps = new GapMeter();
+    private final PrefillMeter prefill = new PrefillMeter();
     private LoadReport upstreamLoad = LoadReport.getDefaultInstance();
     private boolean upstreamReachable;
     private boolean leaving;
@@ -89,7 +91,7 @@
             case REVOKE -> onRevoke(now, from, input.getRevoke(), out);
             case RECEIVED -> onReceived(input.getReceived());
             case UPSTREAM_HEAD -> onHead(input.getUpstreamHead(), out);
-            case UPSTREAM_PART -> onPart(input.getUpstreamPart(), out);
+            case UPSTREAM_PART -> onPart(now, input.getUpstreamPart(), out);
             case UPSTREAM_END -> onEnd(input.getUpstreamEnd(), out);
             case UPSTREAM_STATE -> onState(input.getUpstreamState(), out);
             case ORDER_SENT -> orders.onOrder(now, from, input.getOrderSent(), out);
@@ -174,7 +176,7 @@
             refuse(entry, dispatch, refusal.get(), RETRY_AFTER_BUSY_MILLIS, session, out);
             return;
         }
-        start(session, dispatch, out);
+        start(now, session, dispatch, out);
     }
 
     private Optional<Cause> refusal(Dispatch dispatch) {
@@ -194,8 +196,9 @@
         return Optional.empty();
     }
 
-    private void start(SessionRow session, Dispatch dispatch, Outbox out) {
+    private void start(long now, SessionRow session, Dispatch dispatch, Outbox out) {
         AttemptRow row = AttemptRow.running(journal.newAttemptId(), session, dispatch);
+        prefill.waiting(now, journal.promptWaiting());
         journal.started(row);
         StartUpstream.Builder start = StartUpstream.newBuilder()
                 .setAttempt(row.id)
@@ -339,7 +342,7 @@
         });
     }
 
-    private void onPart(UpstreamPart part, Outbox out) {
+    private void onPart(long now, UpstreamPart part, Outbox out) {
         Optional<AttemptRow> found = journal.runningAttempt(part.getAttempt());
         if (found.isEmpty()) {
             return;
@@ -353,9 +356,14 @@
                 .setBody(part.getBody());
         if (row.tokens.isEmpty() && part.getTokensCount() > 0) {
             promptTokensDone += row.promptTokens;
+            prefill.taken(now, row.promptWaiting);
             journal.promptTaken(row);
             chunk.setLoad(load(row.session));
         }
+        if (!row.tokens.isEmpty() && part.getTokensCount() > 0) {
+            gaps.add(now - row.lastTokensAt, part.getTokensCount());
+        }
+        row.lastTokensAt = now;
         outputTokensDone += part.getTokensCount();
         out.send(row.session.entry, Envelope.newBuilder().setChunk(chunk));
         row.tokens.addAll(part.getTokensList());
@@ -490,6 +498,8 @@
         LoadReport.Builder load = upstreamLoad.toBuilder()
                 .setRunning(journal.runningCount())
                 .setQueuedPromptTokens(journal.promptWaiting())
+                .setPrefillPerS(prefill.perSecond())
+                .setTokenGapUs(gaps.micros(journal.runningCount()))
                 .setSlots(settings.slots())
                 .setLeaving(leaving || orders.isDraining())
                 .setChanging(orders.isChanging() || !upstreamReachable)
--- a/src/main/java/org/cuminshelf/trial/Experiment.java
+++ b/src/main/java/org/cuminshelf/trial/Experiment.java
@@ -49,6 +49,7 @@
     /** Stand-in answers have between half and all of the tokens asked for. */
     private static final double OUTPUT_SHARE = 0.75;
 
+    private static final int BOUND_STEPS = 40;
     private static final double STATIC_PREFILL_SHARE = 0.45;
     private static final double NANOS_PER_SECOND = 1e9;
     private static final long PLAN_EVERY = Durations.nanos(1_000);
@@ -229,12 +230,15 @@
             }
             Subscribe subscribe = input.getSubscribe();
             Address entry = Address.of(input.getFrom());
-            offeredByEntry.put(
-                    entry, new Demand(subscribe.getOfferedPromptTokens(), subscribe.getOfferedOutputTokens()));
+            subscribe
+                    .getOfferedList()
+                    .forEach(work ->
+                            offeredByEntry.put(entry, new Demand(work.getPromptTokens(), work.getOutputTokens())));
             Update.Builder update = Update.newBuilder()
                     .setConfigVersion(1)
                     .setConfirmed(true)
                     .setVoter(true)
+                    .setEntries(entries.size())
                     .setDirectoryVersion(1)
                     .setDirectoryIncarnation(1);
             if (subscribe.getDirectoryVersion() == 0) {
@@ -283,17 +287,9 @@
         if (at >= seconds) {
             return;
         }
-        double work = mix.load(at) * engineCount;
-        double wantedPrefill = work * mix.prefillShare(at);
-        double wantedDecode = work - wantedPrefill;
-        double determinant = prefillWork(SHEET_PROMPT) * decodeWork(DRAFT_OUTPUT)
-                - prefillWork(DRAFT_PROMPT) * decodeWork(SHEET_OUTPUT);
-        double sheets = Math.max(
-                0, (wantedPrefill * decodeWork(DRAFT_OUTPUT) - prefillWork(DRAFT_PROMPT) * wantedDecode) / determinant);
-        double drafts = Math.max(
-                0, (prefillWork(SHEET_PROMPT) * wantedDecode - wantedPrefill * decodeWork(SHEET_OUTPUT)) / determinant);
-        double rate = sheets + drafts;
-        boolean sheet = random.nextDouble() * rate < sheets;
+        Rates rates = rates(at);
+        double rate = rates.sheets + rates.drafts;
+        boolean sheet = random.nextDouble() * rate < rates.sheets;
         send(sheet ? SHEET_PROMPT : DRAFT_PROMPT, sheet ? SHEET_OUTPUT : DRAFT_OUTPUT, sheet);
         long gap = (long) (-Math.log(1 - random.nextDouble()) / rate * NANOS_PER_SECOND);
         time.after(Math.max(1, gap), () -> arrive(start, seconds));
@@ -399,20 +395,49 @@
                 .build());
     }
 
-    /** A clairvoyant changes roles for nothing and serves, each second, what the engines could do at their best. */
+    /**
+     * A clairvoyant changes roles for nothing and serves, each second, the most calls that the engines could at their
+     * best: over every split of the engines and every share of the sheets, as many drafts as still fit.
+     */
     private void reckonBound(long start, double seconds) {
         double at = (time.now() - start) / NANOS_PER_SECOND;
         if (at >= seconds) {
             return;
         }
-        double work = mix.load(at) * engineCount;
-        double prefill = work * mix.prefillShare(at);
-        double share = 0;
+        Rates rates = rates(at);
+        double most = 0;
         for (int p = 1; p < engineCount; p++) {
-            share = Math.max(share, Math.min(1, Math.min(p / prefill, (engineCount - p) / (work - prefill))));
+            for (int step = 0; step <= BOUND_STEPS; step++) {
+                most = Math.max(most, served(p, rates, rates.sheets * step / BOUND_STEPS));
+            }
         }
-        boundOffered += work;
-        boundServed += work * share;
+        boundOffered += rates.sheets + rates.drafts;
+        boundServed += most;
         time.after(Durations.nanos(1_000), () -> reckonBound(start, seconds));
     }
+
+    /** Calls a second served with so many prefill engines and so many sheets. */
+    private double served(int p, Rates rates, double sheets) {
+        double prefillLeft = p - sheets * prefillWork(SHEET_PROMPT);
+        double decodeLeft = engineCount - p - sheets * decodeWork(SHEET_OUTPUT);
+        if (prefillLeft < 0 || decodeLeft < 0) {
+            return 0;
+        }
+        double drafts = Math.min(prefillLeft / prefillWork(DRAFT_PROMPT), decodeLeft / decodeWork(DRAFT_OUTPUT));
+        return sheets + Math.min(rates.drafts, drafts);
+    }
+
+    /** Calls of both kinds offered in a second. */
+    private record Rates(double sheets, double drafts) {}
+
+    private Rates rates(double at) {
+        double work = mix.load(at) * engineCount;
+        double prefill = work * mix.prefillShare(at);
+        double decode = work - prefill;
+        double determinant = prefillWork(SHEET_PROMPT) * decodeWork(DRAFT_OUTPUT)
+                - prefillWork(DRAFT_PROMPT) * decodeWork(SHEET_OUTPUT);
+        double sheets = (prefill * decodeWork(DRAFT_OUTPUT) - prefillWork(DRAFT_PROMPT) * decode) / determinant;
+        double drafts = (prefillWork(SHEET_PROMPT) * decode - prefill * decodeWork(SHEET_OUTPUT)) / determinant;
+        return new Rates(Math.max(0, sheets), Math.max(0, drafts));
+    }
 }
--- a/src/main/java/org/cuminshelf/trial/Mix.java
+++ b/src/main/java/org/cuminshelf/trial/Mix.java
@@ -46,6 +46,18 @@
             return seconds % 180 < 120 ? 0.7 : 0.5;
         }
     },
+    /** Twice the usual load. */
+    OVERLOAD("twice the load", 600) {
+        @Override
+        double prefillShare(double seconds) {
+            return 0.45;
+        }
+
+        @Override
+        double load(double seconds) {
+            return seconds >= 120 && seconds < 420 ? 1.3 : 0.65;
+        }
+    },
     /** The mix flaps faster than a change pays. */
     FLAPPING("adversarial flapping", 900) {
         @Override
