--- a/src/main/java/org/cuminshelf/bench/EntryLoad.java
+++ b/src/main/java/org/cuminshelf/bench/EntryLoad.java
@@ -86,6 +86,7 @@
                 .build();
         SessionOpened opened = SessionOpened.newBuilder()
                 .setSession(upstream + 1)
+                .setEntryIncarnation(1)
                 .setLoad(load)
                 .build();
         give(upstreams.get(upstream), Envelope.newBuilder().setSessionOpened(opened));
--- a/src/main/java/org/cuminshelf/bench/SlopeBench.java
+++ b/src/main/java/org/cuminshelf/bench/SlopeBench.java
@@ -32,6 +32,9 @@
     private static final int TOKENS = 50;
     private static final int WARM_UP = 3_000;
     private static final int COUNTED = 10_000;
+    /** Nanoseconds after the start at which a sidecar takes work. */
+    private static final long SETTLED = 10_000_000_000L;
+
     private static final int[] FLEETS = {17, 300, 900};
 
     private SlopeBench() {}
@@ -118,40 +121,42 @@
                 .getSession();
         give(
                 core,
-                1,
+                SETTLED,
                 Address.UPSTREAM,
                 Envelope.newBuilder()
-                        .setUpstreamState(UpstreamState.newBuilder().setReachable(true)),
+                        .setUpstreamState(
+                                UpstreamState.newBuilder().setReachable(true).setToken(Long.MAX_VALUE - 1)),
                 out);
+        core.tick(SETTLED, out);
         long start = 0;
         for (int i = 1; i <= WARM_UP + COUNTED; i++) {
             if (i == WARM_UP) {
                 start = System.nanoTime();
             }
-            attempt(core, entry, session, i, out);
+            attempt(core, entry, session, SETTLED + i, i, out);
         }
         lines.add(String.format(
                 "sidecar core: whole attempt of %d tokens = %.1f us",
                 TOKENS, (System.nanoTime() - start) / 1e3 / COUNTED));
     }
 
-    private static void attempt(SidecarCore core, Address entry, long session, long number, NullOutbox out) {
+    private static void attempt(SidecarCore core, Address entry, long session, long now, long number, NullOutbox out) {
         Dispatch dispatch = Dispatch.newBuilder()
                 .setSession(session)
                 .setNumber(number)
                 .setGeneration(Generation.newBuilder().setModel("m").setPrompt("a prompt of usual length"))
                 .build();
-        give(core, number, entry, Envelope.newBuilder().setDispatch(dispatch), out);
+        give(core, now, entry, Envelope.newBuilder().setDispatch(dispatch), out);
         for (int token = 0; token < TOKENS; token++) {
             UpstreamPart part = UpstreamPart.newBuilder()
                     .setAttempt(number)
                     .addTokens(" token")
                     .build();
-            give(core, number, Address.UPSTREAM, Envelope.newBuilder().setUpstreamPart(part), out);
+            give(core, now, Address.UPSTREAM, Envelope.newBuilder().setUpstreamPart(part), out);
         }
         UpstreamEnd end =
                 UpstreamEnd.newBuilder().setAttempt(number).setRan(Ran.RAN).build();
-        give(core, number, Address.UPSTREAM, Envelope.newBuilder().setUpstreamEnd(end), out);
+        give(core, now, Address.UPSTREAM, Envelope.newBuilder().setUpstreamEnd(end), out);
         out.take();
     }
 
--- a/src/main/java/org/cuminshelf/control/ControlCore.java
+++ b/src/main/java/org/cuminshelf/control/ControlCore.java
@@ -44,7 +44,8 @@
     /** Who waits for the outcome of an entry. */
     private record Waiter(Address asker, long question, long term, long since) {}
 
-    private record RegionGroup(Replica replica, RegionMachine machine, OrderSystem orders, PlanningSystem planning) {}
+    private record RegionGroup(
+            Replica replica, RegionMachine machine, OrderSystem orders, PlanningSystem planning, EventSystem events) {}
 
     private final ControlSettings settings;
     private final Address self;
@@ -69,6 +70,7 @@
     private boolean stopping;
     private FleetConfig typedConfig = FleetConfig.empty();
     private long typedVersion;
+    private long wallMillis;
 
     private ControlCore(ControlSettings settings, Address self, long incarnation, long now, Invariants invariants) {
         this.settings = settings;
@@ -121,7 +123,8 @@
                         replica,
                         machine,
                         new OrderSystem(group.group(), replica, machine),
-                        new PlanningSystem(replica, machine, directory, subscribers)));
+                        new PlanningSystem(replica, machine, directory, subscribers),
+                        new EventSystem(replica, machine, directory)));
         claimWaiters.put(group.group(), new HashMap<>());
         orderWaiters.put(group.group(), new HashMap<>());
     }
@@ -137,6 +140,7 @@
                 regions.values().forEach(region -> region.orders().onReport(now, from, input.getOrderReport()));
             case ADMIN_REQUEST -> onAdmin(now, from, input.getAdminRequest(), out);
             case ADMIN_ANSWER -> onForwardedAnswer(input.getAdminAnswer(), out);
+            case WALL_CLOCK -> wallMillis = input.getWallClock().getEpochMs();
             case STOP -> stop(out);
             default ->
                 Optional.ofNullable(replicas.get(groupOf(input)))
@@ -167,6 +171,7 @@
         regions.forEach((name, region) -> {
             answerClaimWaiters(name, region, out);
             answerOrderWaiters(name, region, out);
+            region.events().tick(now, wallMillis, acceptedConfig());
             region.planning().tick(now, acceptedConfig(), config.version());
             region.orders().tick(now, out);
         });
--- a/src/main/java/org/cuminshelf/entry/AttemptSystem.java
+++ b/src/main/java/org/cuminshelf/entry/AttemptSystem.java
@@ -84,6 +84,8 @@
         attempt.lastHeard = now;
         attempt.lastProgress = now;
         call.receivedBytes = 0;
+        call.gathered = ByteString.EMPTY;
+        call.head = call.headDelivered ? call.head : null;
         Dispatch.Builder dispatch = Dispatch.newBuilder()
                 .setSession(attempt.key.session())
                 .setNumber(attempt.key.number())
--- a/src/main/java/org/cuminshelf/entry/EntryCore.java
+++ b/src/main/java/org/cuminshelf/entry/EntryCore.java
@@ -19,6 +19,7 @@
     private static final int RETRY_AFTER_DEADLINE_MILLIS = 500;
 
     private final EntryTables tables;
+    private final long ownIncarnation;
     private final AnswerSystem answers;
     private final AttemptSystem attempts;
     private final ClaimSystem claims;
@@ -29,6 +30,7 @@
 
     private EntryCore(EntryTables tables, long incarnation) {
         this.tables = tables;
+        this.ownIncarnation = incarnation;
         Router router = new Router(tables);
         this.answers = new AnswerSystem(tables);
         this.attempts = new AttemptSystem(tables, answers);
@@ -139,7 +141,9 @@
 
     private void onSession(long now, Address from, long incarnation, SessionOpened opened, Outbox out) {
         Optional<UpstreamRow> row = tables.upstreams.row(from);
-        if (row.isEmpty() || row.get().isSuperseded(incarnation)) {
+        // A session that the sidecar opened for a dead incarnation of this entry holds attempts of that one.
+        boolean own = opened.getEntryIncarnation() == ownIncarnation;
+        if (!own || row.isEmpty() || row.get().isSuperseded(incarnation)) {
             return;
         }
         boolean restarted =
--- a/src/main/java/org/cuminshelf/message/Envelope.java
+++ b/src/main/java/org/cuminshelf/message/Envelope.java
@@ -72,6 +72,7 @@
     PERSISTED(91),
     STOP(95),
     STOPPED(96),
+    WALL_CLOCK(97),
     BODY_NOT_SET(0);
     private final int value;
     private BodyCase(int value) {
@@ -134,6 +135,7 @@
         case 91: return PERSISTED;
         case 95: return STOP;
         case 96: return STOPPED;
+        case 97: return WALL_CLOCK;
         case 0: return BODY_NOT_SET;
         default: return null;
       }
@@ -2845,6 +2847,58 @@
     }
   }
 
+  public static final int WALL_CLOCK_FIELD_NUMBER = 97;
+  /**
+   * <code>.cuminshelf.WallClock wall_clock = 97;</code>
+   */
+  @java.lang.Override
+  public boolean hasWallClock() {
+    return bodyCase_ == 97;
+  }
+  /**
+   * <code>.cuminshelf.WallClock wall_clock = 97;</code>
+   */
+  @java.lang.Override
+  public org.cuminshelf.message.WallClock getWallClock() {
+    if (bodyCase_ == 97) {
+       return (org.cuminshelf.message.WallClock) body_;
+    }
+    return org.cuminshelf.message.WallClock.getDefaultInstance();
+  }
+  /**
+   * <code>.cuminshelf.WallClock wall_clock = 97;</code>
+   */
+  @java.lang.SuppressWarnings("ReturnValueIgnored")
+  private void setWallClock(org.cuminshelf.message.WallClock value) {
+    value.getClass();  // minimal bytecode null check
+    body_ = value;
+    bodyCase_ = 97;
+  }
+  /**
+   * <code>.cuminshelf.WallClock wall_clock = 97;</code>
+   */
+  @java.lang.SuppressWarnings("ReturnValueIgnored")
+  private void mergeWallClock(org.cuminshelf.message.WallClock value) {
+    value.getClass();  // minimal bytecode null check
+    if (bodyCase_ == 97 &&
+        body_ != org.cuminshelf.message.WallClock.getDefaultInstance()) {
+      body_ = org.cuminshelf.message.WallClock.newBuilder((org.cuminshelf.message.WallClock) body_)
+          .mergeFrom(value).buildPartial();
+    } else {
+      body_ = value;
+    }
+    bodyCase_ = 97;
+  }
+  /**
+   * <code>.cuminshelf.WallClock wall_clock = 97;</code>
+   */
+  private void clearWallClock() {
+    if (bodyCase_ == 97) {
+      bodyCase_ = 0;
+      body_ = null;
+    }
+  }
+
   public static org.cuminshelf.message.Envelope parseFrom(
       java.nio.ByteBuffer data)
       throws com.google.protobuf.InvalidProtocolBufferException {
@@ -5491,6 +5545,54 @@
       return this;
     }
 
+    /**
+     * <code>.cuminshelf.WallClock wall_clock = 97;</code>
+     */
+    @java.lang.Override
+    public boolean hasWallClock() {
+      return instance.hasWallClock();
+    }
+    /**
+     * <code>.cuminshelf.WallClock wall_clock = 97;</code>
+     */
+    @java.lang.Override
+    public org.cuminshelf.message.WallClock getWallClock() {
+      return instance.getWallClock();
+    }
+    /**
+     * <code>.cuminshelf.WallClock wall_clock = 97;</code>
+     */
+    public Builder setWallClock(org.cuminshelf.message.WallClock value) {
+      copyOnWrite();
+      instance.setWallClock(value);
+      return this;
+    }
+    /**
+     * <code>.cuminshelf.WallClock wall_clock = 97;</code>
+     */
+    public Builder setWallClock(
+        org.cuminshelf.message.WallClock.Builder builderForValue) {
+      copyOnWrite();
+      instance.setWallClock(builderForValue.build());
+      return this;
+    }
+    /**
+     * <code>.cuminshelf.WallClock wall_clock = 97;</code>
+     */
+    public Builder mergeWallClock(org.cuminshelf.message.WallClock value) {
+      copyOnWrite();
+      instance.mergeWallClock(value);
+      return this;
+    }
+    /**
+     * <code>.cuminshelf.WallClock wall_clock = 97;</code>
+     */
+    public Builder clearWallClock() {
+      copyOnWrite();
+      instance.clearWallClock();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:cuminshelf.Envelope)
   }
   @java.lang.Override
@@ -5558,15 +5660,16 @@
             org.cuminshelf.message.Persisted.class,
             org.cuminshelf.message.Stop.class,
             org.cuminshelf.message.Stopped.class,
+            org.cuminshelf.message.WallClock.class,
           };
           java.lang.String info =
-              "\u00001\u0001\u0000\u0001`1\u0000\u0000\u0000\u0001\u0208\u0002\u0003\n<\u0000\u000b" +
+              "\u00002\u0001\u0000\u0001a2\u0000\u0000\u0000\u0001\u0208\u0002\u0003\n<\u0000\u000b" +
               "<\u0000\f<\u0000\r<\u0000\u000e<\u0000\u000f<\u0000\u0010<\u0000\u0011<\u0000\u0012" +
               "<\u0000\u0013<\u0000\u0014<\u0000\u001e<\u0000\u001f<\u0000 <\u0000!<\u0000\"<\u0000" +
               "#<\u0000$<\u0000%<\u0000&<\u00002<\u00003<\u00004<\u00005<\u00006<\u00007<\u0000" +
               "8<\u00009<\u0000:<\u0000F<\u0000G<\u0000H<\u0000I<\u0000J<\u0000P<\u0000Q<\u0000" +
               "R<\u0000S<\u0000T<\u0000U<\u0000V<\u0000W<\u0000X<\u0000Z<\u0000[<\u0000_<\u0000" +
-              "`<\u0000";
+              "`<\u0000a<\u0000";
           return newMessageInfo(DEFAULT_INSTANCE, info, objects);
       }
       case GET_DEFAULT_INSTANCE: {
--- a/src/main/java/org/cuminshelf/message/EnvelopeOrBuilder.java
+++ b/src/main/java/org/cuminshelf/message/EnvelopeOrBuilder.java
@@ -613,5 +613,16 @@
    */
   org.cuminshelf.message.Stopped getStopped();
 
+  /**
+   * <code>.cuminshelf.WallClock wall_clock = 97;</code>
+   * @return Whether the wallClock field is set.
+   */
+  boolean hasWallClock();
+  /**
+   * <code>.cuminshelf.WallClock wall_clock = 97;</code>
+   * @return The wallClock.
+   */
+  org.cuminshelf.message.WallClock getWallClock();
+
   public org.cuminshelf.message.Envelope.BodyCase getBodyCase();
 }
--- a/src/main/java/org/cuminshelf/message/ReadUpstream.java
+++ b/src/main/java/org/cuminshelf/message/ReadUpstream.java
@@ -16,6 +16,44 @@
     ReadUpstreamOrBuilder {
   private ReadUpstream() {
   }
+  public static final int TOKEN_FIELD_NUMBER = 1;
+  private long token_;
+  /**
+   * <pre>
+   * Echoed in the state, so that an old reading is told from a new one.
+   * </pre>
+   *
+   * <code>uint64 token = 1;</code>
+   * @return The token.
+   */
+  @java.lang.Override
+  public long getToken() {
+    return token_;
+  }
+  /**
+   * <pre>
+   * Echoed in the state, so that an old reading is told from a new one.
+   * </pre>
+   *
+   * <code>uint64 token = 1;</code>
+   * @param value The token to set.
+   */
+  private void setToken(long value) {
+    
+    token_ = value;
+  }
+  /**
+   * <pre>
+   * Echoed in the state, so that an old reading is told from a new one.
+   * </pre>
+   *
+   * <code>uint64 token = 1;</code>
+   */
+  private void clearToken() {
+
+    token_ = 0L;
+  }
+
   public static org.cuminshelf.message.ReadUpstream parseFrom(
       java.nio.ByteBuffer data)
       throws com.google.protobuf.InvalidProtocolBufferException {
@@ -113,6 +151,46 @@
     }
 
 
+    /**
+     * <pre>
+     * Echoed in the state, so that an old reading is told from a new one.
+     * </pre>
+     *
+     * <code>uint64 token = 1;</code>
+     * @return The token.
+     */
+    @java.lang.Override
+    public long getToken() {
+      return instance.getToken();
+    }
+    /**
+     * <pre>
+     * Echoed in the state, so that an old reading is told from a new one.
+     * </pre>
+     *
+     * <code>uint64 token = 1;</code>
+     * @param value The token to set.
+     * @return This builder for chaining.
+     */
+    public Builder setToken(long value) {
+      copyOnWrite();
+      instance.setToken(value);
+      return this;
+    }
+    /**
+     * <pre>
+     * Echoed in the state, so that an old reading is told from a new one.
+     * </pre>
+     *
+     * <code>uint64 token = 1;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearToken() {
+      copyOnWrite();
+      instance.clearToken();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:cuminshelf.ReadUpstream)
   }
   @java.lang.Override
@@ -128,9 +206,11 @@
         return new Builder();
       }
       case BUILD_MESSAGE_INFO: {
-          java.lang.Object[] objects = null;
+          java.lang.Object[] objects = new java.lang.Object[] {
+            "token_",
+          };
           java.lang.String info =
-              "\u0000\u0000";
+              "\u0000\u0001\u0000\u0000\u0001\u0001\u0001\u0000\u0000\u0000\u0001\u0003";
           return newMessageInfo(DEFAULT_INSTANCE, info, objects);
       }
       case GET_DEFAULT_INSTANCE: {
--- a/src/main/java/org/cuminshelf/message/ReadUpstreamOrBuilder.java
+++ b/src/main/java/org/cuminshelf/message/ReadUpstreamOrBuilder.java
@@ -9,4 +9,14 @@
 public interface ReadUpstreamOrBuilder extends
     // @@protoc_insertion_point(interface_extends:cuminshelf.ReadUpstream)
     com.google.protobuf.MessageLiteOrBuilder {
+
+  /**
+   * <pre>
+   * Echoed in the state, so that an old reading is told from a new one.
+   * </pre>
+   *
+   * <code>uint64 token = 1;</code>
+   * @return The token.
+   */
+  long getToken();
 }
--- a/src/main/java/org/cuminshelf/message/SessionOpened.java
+++ b/src/main/java/org/cuminshelf/message/SessionOpened.java
@@ -95,6 +95,44 @@
     bitField0_ = (bitField0_ & ~0x00000001);
   }
 
+  public static final int ENTRY_INCARNATION_FIELD_NUMBER = 3;
+  private long entryIncarnation_;
+  /**
+   * <pre>
+   * Incarnation of the entry that the session is for.
+   * </pre>
+   *
+   * <code>uint64 entry_incarnation = 3;</code>
+   * @return The entryIncarnation.
+   */
+  @java.lang.Override
+  public long getEntryIncarnation() {
+    return entryIncarnation_;
+  }
+  /**
+   * <pre>
+   * Incarnation of the entry that the session is for.
+   * </pre>
+   *
+   * <code>uint64 entry_incarnation = 3;</code>
+   * @param value The entryIncarnation to set.
+   */
+  private void setEntryIncarnation(long value) {
+    
+    entryIncarnation_ = value;
+  }
+  /**
+   * <pre>
+   * Incarnation of the entry that the session is for.
+   * </pre>
+   *
+   * <code>uint64 entry_incarnation = 3;</code>
+   */
+  private void clearEntryIncarnation() {
+
+    entryIncarnation_ = 0L;
+  }
+
   public static org.cuminshelf.message.SessionOpened parseFrom(
       java.nio.ByteBuffer data)
       throws com.google.protobuf.InvalidProtocolBufferException {
@@ -271,6 +309,46 @@
       return this;
     }
 
+    /**
+     * <pre>
+     * Incarnation of the entry that the session is for.
+     * </pre>
+     *
+     * <code>uint64 entry_incarnation = 3;</code>
+     * @return The entryIncarnation.
+     */
+    @java.lang.Override
+    public long getEntryIncarnation() {
+      return instance.getEntryIncarnation();
+    }
+    /**
+     * <pre>
+     * Incarnation of the entry that the session is for.
+     * </pre>
+     *
+     * <code>uint64 entry_incarnation = 3;</code>
+     * @param value The entryIncarnation to set.
+     * @return This builder for chaining.
+     */
+    public Builder setEntryIncarnation(long value) {
+      copyOnWrite();
+      instance.setEntryIncarnation(value);
+      return this;
+    }
+    /**
+     * <pre>
+     * Incarnation of the entry that the session is for.
+     * </pre>
+     *
+     * <code>uint64 entry_incarnation = 3;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearEntryIncarnation() {
+      copyOnWrite();
+      instance.clearEntryIncarnation();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:cuminshelf.SessionOpened)
   }
   @java.lang.Override
@@ -290,10 +368,11 @@
             "bitField0_",
             "session_",
             "load_",
+            "entryIncarnation_",
           };
           java.lang.String info =
-              "\u0000\u0002\u0000\u0001\u0001\u0002\u0002\u0000\u0000\u0000\u0001\u0003\u0002\u1009" +
-              "\u0000";
+              "\u0000\u0003\u0000\u0001\u0001\u0003\u0003\u0000\u0000\u0000\u0001\u0003\u0002\u1009" +
+              "\u0000\u0003\u0003";
           return newMessageInfo(DEFAULT_INSTANCE, info, objects);
       }
       case GET_DEFAULT_INSTANCE: {
--- a/src/main/java/org/cuminshelf/message/SessionOpenedOrBuilder.java
+++ b/src/main/java/org/cuminshelf/message/SessionOpenedOrBuilder.java
@@ -26,4 +26,14 @@
    * @return The load.
    */
   org.cuminshelf.message.LoadReport getLoad();
+
+  /**
+   * <pre>
+   * Incarnation of the entry that the session is for.
+   * </pre>
+   *
+   * <code>uint64 entry_incarnation = 3;</code>
+   * @return The entryIncarnation.
+   */
+  long getEntryIncarnation();
 }
--- a/src/main/java/org/cuminshelf/message/UpstreamState.java
+++ b/src/main/java/org/cuminshelf/message/UpstreamState.java
@@ -155,6 +155,44 @@
     changing_ = false;
   }
 
+  public static final int TOKEN_FIELD_NUMBER = 5;
+  private long token_;
+  /**
+   * <pre>
+   * Token of the question that this answers; 0 where nobody asked.
+   * </pre>
+   *
+   * <code>uint64 token = 5;</code>
+   * @return The token.
+   */
+  @java.lang.Override
+  public long getToken() {
+    return token_;
+  }
+  /**
+   * <pre>
+   * Token of the question that this answers; 0 where nobody asked.
+   * </pre>
+   *
+   * <code>uint64 token = 5;</code>
+   * @param value The token to set.
+   */
+  private void setToken(long value) {
+    
+    token_ = value;
+  }
+  /**
+   * <pre>
+   * Token of the question that this answers; 0 where nobody asked.
+   * </pre>
+   *
+   * <code>uint64 token = 5;</code>
+   */
+  private void clearToken() {
+
+    token_ = 0L;
+  }
+
   public static org.cuminshelf.message.UpstreamState parseFrom(
       java.nio.ByteBuffer data)
       throws com.google.protobuf.InvalidProtocolBufferException {
@@ -395,6 +433,46 @@
       return this;
     }
 
+    /**
+     * <pre>
+     * Token of the question that this answers; 0 where nobody asked.
+     * </pre>
+     *
+     * <code>uint64 token = 5;</code>
+     * @return The token.
+     */
+    @java.lang.Override
+    public long getToken() {
+      return instance.getToken();
+    }
+    /**
+     * <pre>
+     * Token of the question that this answers; 0 where nobody asked.
+     * </pre>
+     *
+     * <code>uint64 token = 5;</code>
+     * @param value The token to set.
+     * @return This builder for chaining.
+     */
+    public Builder setToken(long value) {
+      copyOnWrite();
+      instance.setToken(value);
+      return this;
+    }
+    /**
+     * <pre>
+     * Token of the question that this answers; 0 where nobody asked.
+     * </pre>
+     *
+     * <code>uint64 token = 5;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearToken() {
+      copyOnWrite();
+      instance.clearToken();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:cuminshelf.UpstreamState)
   }
   @java.lang.Override
@@ -416,10 +494,11 @@
             "load_",
             "fence_",
             "changing_",
+            "token_",
           };
           java.lang.String info =
-              "\u0000\u0004\u0000\u0001\u0001\u0004\u0004\u0000\u0000\u0000\u0001\u0007\u0002\u1009" +
-              "\u0000\u0003\u0003\u0004\u0007";
+              "\u0000\u0005\u0000\u0001\u0001\u0005\u0005\u0000\u0000\u0000\u0001\u0007\u0002\u1009" +
+              "\u0000\u0003\u0003\u0004\u0007\u0005\u0003";
           return newMessageInfo(DEFAULT_INSTANCE, info, objects);
       }
       case GET_DEFAULT_INSTANCE: {
--- a/src/main/java/org/cuminshelf/message/UpstreamStateOrBuilder.java
+++ b/src/main/java/org/cuminshelf/message/UpstreamStateOrBuilder.java
@@ -42,4 +42,14 @@
    * @return The changing.
    */
   boolean getChanging();
+
+  /**
+   * <pre>
+   * Token of the question that this answers; 0 where nobody asked.
+   * </pre>
+   *
+   * <code>uint64 token = 5;</code>
+   * @return The token.
+   */
+  long getToken();
 }
--- a/src/main/java/org/cuminshelf/process/ControlProcess.java
+++ b/src/main/java/org/cuminshelf/process/ControlProcess.java
@@ -14,6 +14,8 @@
 import org.cuminshelf.http.HttpListener;
 import org.cuminshelf.http.PemFiles;
 import org.cuminshelf.http.PlatformHandler;
+import org.cuminshelf.message.Envelope;
+import org.cuminshelf.message.WallClock;
 import org.cuminshelf.replica.DurableState;
 import org.cuminshelf.replica.Replica;
 import org.cuminshelf.replica.ReplicaSettings;
@@ -109,6 +111,9 @@
         runner.port(Address.ADMINISTRATORS, admin::deliver);
         PrometheusRegistry registry = new PrometheusRegistry();
         describe(registry, core, frame);
+        runner.everySecond(() -> runner.offer(
+                Address.PROCESS,
+                Envelope.newBuilder().setWallClock(WallClock.newBuilder().setEpochMs(System.currentTimeMillis()))));
         storage.start();
         frame.listen();
         Handler handlers = new Handler.Sequence(new PlatformHandler(() -> isReady(core), registry), admin);
--- a/src/main/java/org/cuminshelf/process/CoreRunner.java
+++ b/src/main/java/org/cuminshelf/process/CoreRunner.java
@@ -25,6 +25,7 @@
 
     private static final String LOG = "process: ";
     private static final int MOST_INPUTS_BEFORE_TICK = 256;
+    private static final long NANOS_PER_SECOND = TimeUnit.SECONDS.toNanos(1);
     private static final long LONGEST_WAIT = TimeUnit.MILLISECONDS.toNanos(200);
 
     private final String name;
@@ -38,6 +39,8 @@
     private final Optional<TraceFile> trace;
     private final Thread thread;
     private volatile boolean running = true;
+    private Runnable secondly = () -> {};
+    private long secondlyAt = System.nanoTime() - NANOS_PER_SECOND;
 
     private final Outbox outbox = new Outbox() {
         @Override
@@ -83,6 +86,15 @@
         ports.put(port, handler);
     }
 
+    /**
+     * Runs an action about once a second on the core's thread. Only before the start.
+     *
+     * @param action the action; it must not block
+     */
+    public void everySecond(Runnable action) {
+        this.secondly = action;
+    }
+
     /** Starts the thread. */
     public void start() {
         thread.start();
@@ -142,6 +154,7 @@
             while (running) {
                 batch.clear();
                 await(batch);
+                runSecondly();
                 step(batch);
             }
         } catch (InterruptedException end) {
@@ -160,6 +173,14 @@
         }
     }
 
+    private void runSecondly() {
+        long now = System.nanoTime();
+        if (now - secondlyAt >= NANOS_PER_SECOND) {
+            secondlyAt = now;
+            secondly.run();
+        }
+    }
+
     private void step(List<Envelope> batch) throws IOException {
         long now = System.nanoTime();
         for (Envelope input : batch) {
--- a/src/main/java/org/cuminshelf/replica/Replica.java
+++ b/src/main/java/org/cuminshelf/replica/Replica.java
@@ -628,6 +628,10 @@
 
     private void onSnapshot(long now, Address from, SnapshotPart part) {
         if (!followsSender(now, from, part.getHeader())) {
+            // A leader of an older term must hear of the newer one: it would go on sending what is never followed.
+            if (cluster == part.getHeader().getCluster() && part.getHeader().getTerm() < term) {
+                answerSnapshot(from, 0, part.getRound());
+            }
             return;
         }
         Snapshot snapshot = part.getSnapshot();
@@ -641,12 +645,16 @@
                 durability.save(LogRecord.newBuilder().setEntry(log.get(index)));
             }
         }
+        answerSnapshot(from, snapshot.getIndex(), part.getRound());
+    }
+
+    private void answerSnapshot(Address to, long index, long answeredRound) {
         SnapshotAnswer answer = SnapshotAnswer.newBuilder()
                 .setHeader(header())
-                .setIndex(snapshot.getIndex())
-                .setRound(part.getRound())
+                .setIndex(index)
+                .setRound(answeredRound)
                 .build();
-        durability.sendWhenDurable(from, Envelope.newBuilder().setSnapshotAnswer(answer));
+        durability.sendWhenDurable(to, Envelope.newBuilder().setSnapshotAnswer(answer));
     }
 
     // ---- leading
--- a/src/main/java/org/cuminshelf/sidecar/OrderGuard.java
+++ b/src/main/java/org/cuminshelf/sidecar/OrderGuard.java
@@ -41,6 +41,7 @@
     /** Silence kept after a start: a write of a dead predecessor is at most a socket buffer away. */
     static final long WAIT_OUT = Durations.nanos(2_500);
 
+    private static final long NO_TOKEN = Long.MAX_VALUE;
     private static final long READ_AGAIN = Durations.nanos(200);
     private static final long DRAIN_PATIENCE = Durations.nanos(1_500);
 
@@ -51,7 +52,10 @@
     private OrderRow current;
     private OrderReport lastReport;
     private long fence;
+    private long nextToken = 1;
+    private long firstValidToken = NO_TOKEN;
     private boolean rested;
+    private boolean settled;
     private long nextRead;
     private boolean draining;
     private long lastTick;
@@ -73,6 +77,14 @@
         return current != null && current.order.getBody().getKindCase() == OrderBody.KindCase.CHANGE_ROLE;
     }
 
+    /**
+     * Whether no order of a predecessor can reach the upstream any more. Failure this guards against: a sidecar dies
+     * right after it wrote a role change; its successor starts streams, and the change lands and cuts them.
+     */
+    boolean isSettled() {
+        return settled;
+    }
+
     /** Whether operators withdrew the upstream. */
     boolean isDraining() {
         return draining;
@@ -97,47 +109,70 @@
         }
         fence = order.getNumber();
         long startBefore = now + Math.min(LONGEST_START, Durations.nanos(sent.getStartWithinMs()));
+        askAnew(now);
         long patience = Math.min(DRAIN_PATIENCE, (startBefore - now) / 2);
         current = new OrderRow(order, control, sent.getGroup(), startBefore, now + patience);
     }
 
+    /** From here on only answers to new questions count. */
+    private void askAnew(long now) {
+        rested = false;
+        nextRead = now;
+        if (firstValidToken != NO_TOKEN) {
+            firstValidToken = nextToken;
+        }
+    }
+
     private void repeatReport(Outbox out, Address control) {
         if (lastReport != null && lastReport.getNumber() == fence) {
             out.send(control, Envelope.newBuilder().setOrderReport(lastReport));
         }
     }
 
-    void onState(UpstreamState state, LoadReport load, Outbox out) {
+    /**
+     * Takes the upstream's own word. Only the answer to a question asked after the wait, or after the present step
+     * began, counts: a write of a predecessor may land after an earlier reading found the upstream at rest, and a
+     * reading may lie in a buffer while this process is paused.
+     */
+    void onState(long now, UpstreamState state, LoadReport load, Outbox out) {
         if (!state.getReachable() || state.getChanging()) {
+            rested = false;
+            return;
+        }
+        if (state.getToken() < firstValidToken) {
             return;
         }
         rested = true;
+        settled = true;
         if (current != null && current.phase == OrderRow.Phase.READING_BACK) {
             boolean applied = isInForce(current.order.getBody(), load);
             finish(out, applied, applied ? Cause.CAUSE_NONE : Cause.UPSTREAM_ERROR);
         }
     }
 
-    void onApplied(OrderApplied applied, Outbox out) {
+    void onApplied(long now, OrderApplied applied, Outbox out) {
         if (current == null || applied.getNumber() != current.order.getNumber()) {
             return;
         }
-        if (applied.getAccepted()) {
-            current.phase = OrderRow.Phase.READING_BACK;
-            return;
-        }
-        if (applied.getCause() == Cause.ORDER_EXPIRED || applied.getCause() == Cause.STALE_ORDER) {
+        boolean never = applied.getCause() == Cause.ORDER_EXPIRED || applied.getCause() == Cause.STALE_ORDER;
+        if (!applied.getAccepted() && never) {
             finish(out, false, applied.getCause());
             return;
         }
         current.phase = OrderRow.Phase.READING_BACK;
+        askAnew(now);
     }
 
     /** Advances the current order. Returns whether the attempts still running should be moved elsewhere. */
     boolean tick(long now, int running, Outbox out) {
         lastTick = now;
+        if (firstValidToken == NO_TOKEN && now - startedAt >= WAIT_OUT) {
+            firstValidToken = nextToken;
+            nextRead = now;
+        }
         if (needsRead() && now >= nextRead) {
-            out.send(Address.UPSTREAM, Envelope.newBuilder().setReadUpstream(ReadUpstream.getDefaultInstance()));
+            ReadUpstream read = ReadUpstream.newBuilder().setToken(nextToken++).build();
+            out.send(Address.UPSTREAM, Envelope.newBuilder().setReadUpstream(read));
             nextRead = now + READ_AGAIN;
         }
         if (current == null || current.phase != OrderRow.Phase.DRAINING) {
@@ -152,7 +187,7 @@
             finish(out, true, Cause.CAUSE_NONE);
             return false;
         }
-        if (!rested || now - startedAt < WAIT_OUT) {
+        if (!rested) {
             return false;
         }
         boolean waitsForWork = isChanging() && running > 0;
--- a/src/main/java/org/cuminshelf/sidecar/SidecarCore.java
+++ b/src/main/java/org/cuminshelf/sidecar/SidecarCore.java
@@ -50,6 +50,7 @@
     private boolean upstreamReachable;
     private boolean leaving;
     private boolean stopReported;
+    private boolean wasOpen;
     private long nextAnnounce;
     private long nextIdleCheck;
     private long promptTokensDone;
@@ -93,9 +94,9 @@
             case UPSTREAM_HEAD -> onHead(input.getUpstreamHead(), out);
             case UPSTREAM_PART -> onPart(now, input.getUpstreamPart(), out);
             case UPSTREAM_END -> onEnd(input.getUpstreamEnd(), out);
-            case UPSTREAM_STATE -> onState(input.getUpstreamState(), out);
+            case UPSTREAM_STATE -> onState(now, input.getUpstreamState(), out);
             case ORDER_SENT -> orders.onOrder(now, from, input.getOrderSent(), out);
-            case ORDER_APPLIED -> orders.onApplied(input.getOrderApplied(), out);
+            case ORDER_APPLIED -> orders.onApplied(now, input.getOrderApplied(), out);
             case UPDATE -> onUpdate(input.getUpdate());
             case STOP -> leave(now);
             default -> {
@@ -110,6 +111,7 @@
         if (moveAll) {
             moveGenerations(out);
         }
+        tellIfOpenChanged(now, out);
         announce(now, out);
         if (now >= nextIdleCheck) {
             journal.dropIdle(now);
@@ -150,8 +152,10 @@
         out.send(
                 entry,
                 Envelope.newBuilder()
-                        .setSessionOpened(
-                                SessionOpened.newBuilder().setSession(row.id).setLoad(load(row))));
+                        .setSessionOpened(SessionOpened.newBuilder()
+                                .setSession(row.id)
+                                .setEntryIncarnation(entryIncarnation)
+                                .setLoad(load(row))));
     }
 
     private void onDispatch(long now, Address entry, Dispatch dispatch, Outbox out) {
@@ -183,7 +187,7 @@
         if (leaving || orders.isDraining()) {
             return Optional.of(Cause.LEAVING);
         }
-        if (orders.isChanging()) {
+        if (orders.isChanging() || isUnsettled()) {
             return Optional.of(Cause.ROLE_CHANGING);
         }
         if (journal.runningCount() >= settings.slots()) {
@@ -196,6 +200,11 @@
         return Optional.empty();
     }
 
+    /** An engine takes no work before every order of an earlier sidecar must have landed; services take no orders. */
+    private boolean isUnsettled() {
+        return settings.kind() == UpstreamKind.UPSTREAM_ENGINE && !orders.isSettled();
+    }
+
     private void start(long now, SessionRow session, Dispatch dispatch, Outbox out) {
         AttemptRow row = AttemptRow.running(journal.newAttemptId(), session, dispatch);
         prefill.waiting(now, journal.promptWaiting());
@@ -397,12 +406,12 @@
         out.send(row.session.entry, Envelope.newBuilder().setEnded(ended));
     }
 
-    private void onState(UpstreamState state, Outbox out) {
+    private void onState(long now, UpstreamState state, Outbox out) {
         upstreamReachable = state.getReachable();
         if (state.getReachable()) {
             upstreamLoad = state.getLoad();
         }
-        orders.onState(state, upstreamLoad, out);
+        orders.onState(now, state, upstreamLoad, out);
     }
 
     /** A configuration is taken only where it is newer; whatever comes late or from a stale process changes nothing. */
@@ -451,6 +460,20 @@
                         .setCancelUpstream(CancelUpstream.newBuilder().setAttempt(row.id)));
     }
 
+    /** Tells entries and control at once when the upstream begins or ceases to take work. */
+    private void tellIfOpenChanged(long now, Outbox out) {
+        boolean isOpen =
+                upstreamReachable && !leaving && !orders.isDraining() && !orders.isChanging() && !isUnsettled();
+        if (isOpen == wasOpen) {
+            return;
+        }
+        wasOpen = isOpen;
+        nextAnnounce = now;
+        for (SessionRow session : journal.sessions()) {
+            out.send(session.entry, Envelope.newBuilder().setLoadReport(load(session)));
+        }
+    }
+
     private void announce(long now, Outbox out) {
         if (now < nextAnnounce) {
             return;
@@ -472,11 +495,6 @@
                                     .setRegion(settings.region())
                                     .setVm(settings.vm())));
         }
-        if (leaving) {
-            for (SessionRow session : journal.sessions()) {
-                out.send(session.entry, Envelope.newBuilder().setLoadReport(load(session)));
-            }
-        }
     }
 
     private Announce announcement() {
@@ -487,7 +505,7 @@
                 .setZone(settings.zone())
                 .setVm(settings.vm())
                 .setLoad(load(null))
-                .setLeaving(leaving || orders.isDraining() || !upstreamReachable)
+                .setLeaving(leaving || orders.isDraining() || !upstreamReachable || isUnsettled())
                 .setChecksFence(settings.checksFence())
                 .setLastOrder(orders.lastOrder())
                 .setConfigVersion(configVersion)
@@ -502,7 +520,7 @@
                 .setTokenGapUs(gaps.micros(journal.runningCount()))
                 .setSlots(settings.slots())
                 .setLeaving(leaving || orders.isDraining())
-                .setChanging(orders.isChanging() || !upstreamReachable)
+                .setChanging(orders.isChanging() || !upstreamReachable || isUnsettled())
                 .setPromptTokensDone(promptTokensDone)
                 .setOutputTokensDone(outputTokensDone);
         if (session != null) {
--- a/src/main/java/org/cuminshelf/tools/Main.java
+++ b/src/main/java/org/cuminshelf/tools/Main.java
@@ -23,6 +23,7 @@
             new StandInCommand(),
             new ConfigCommand(),
             new StatusCommand(),
+            new EventCommand(),
             new CheckCommand(),
             new BenchCommand(),
             new ExperimentCommand(),
--- a/src/main/java/org/cuminshelf/trial/ExperimentEngine.java
+++ b/src/main/java/org/cuminshelf/trial/ExperimentEngine.java
@@ -66,7 +66,7 @@
                 streams.remove(attempt);
                 model.cancel(attempt);
             }
-            case READ_UPSTREAM -> sendState();
+            case READ_UPSTREAM -> sendState(message.getReadUpstream().getToken());
             case APPLY_ORDER -> apply(message);
             default -> {
                 // Not for an engine.
@@ -96,12 +96,13 @@
     }
 
     private void publishState() {
-        sendState();
+        sendState(0);
         time.after(STATE_EVERY, this::publishState);
     }
 
-    private void sendState() {
-        toSidecar(Envelope.newBuilder().setUpstreamState(model.state(time.now())));
+    private void sendState(long token) {
+        toSidecar(Envelope.newBuilder()
+                .setUpstreamState(model.state(time.now()).toBuilder().setToken(token)));
     }
 
     private void scheduleWake() {
--- a/src/main/java/org/cuminshelf/trial/VirtualEngine.java
+++ b/src/main/java/org/cuminshelf/trial/VirtualEngine.java
@@ -109,7 +109,9 @@
                 cancelled.add(new Connection(incarnation, attempt));
                 time.after(writeDelay(), () -> cancel(incarnation, attempt));
             }
-            case READ_UPSTREAM -> time.after(writeDelay(), this::sendState);
+            case READ_UPSTREAM ->
+                time.after(
+                        writeDelay(), () -> sendState(message.getReadUpstream().getToken()));
             case APPLY_ORDER -> apply(incarnation, message.getApplyOrder());
             default -> {
                 // Not for an engine.
@@ -201,13 +203,15 @@
     }
 
     private void publishState() {
-        sendState();
+        sendState(0);
         time.after(STATE_EVERY, this::publishState);
     }
 
-    private void sendState() {
+    private void sendState(long token) {
         UpstreamState state = crashed ? UpstreamState.getDefaultInstance() : model.state(time.now());
-        toSidecar(sidecar.incarnation(), Envelope.newBuilder().setUpstreamState(state));
+        toSidecar(
+                sidecar.incarnation(),
+                Envelope.newBuilder().setUpstreamState(state.toBuilder().setToken(token)));
     }
 
     private void scheduleWake() {
--- a/src/main/java/org/cuminshelf/upstream/EngineUpstream.java
+++ b/src/main/java/org/cuminshelf/upstream/EngineUpstream.java
@@ -81,7 +81,7 @@
         switch (message.getBodyCase()) {
             case START_UPSTREAM -> start(message.getStartUpstream());
             case CANCEL_UPSTREAM -> cancel(message.getCancelUpstream().getAttempt());
-            case READ_UPSTREAM -> readState(() -> {});
+            case READ_UPSTREAM -> readState(message.getReadUpstream().getToken(), () -> {});
             case APPLY_ORDER -> apply(message.getApplyOrder());
             default -> {
                 // Not for an engine.
@@ -222,14 +222,14 @@
     }
 
     private void pollState() {
-        readState(() -> {
+        readState(0, () -> {
             if (client.isRunning()) {
                 client.getScheduler().schedule(this::pollState, STATE_EVERY_MILLIS, TimeUnit.MILLISECONDS);
             }
         });
     }
 
-    private void readState(Runnable then) {
+    private void readState(long token, Runnable then) {
         org.eclipse.jetty.client.CompletableResponseListener listener =
                 new org.eclipse.jetty.client.CompletableResponseListener(
                         LocalClient.withTimeout(client.newRequest(base.resolve("/state")), STATE_PATIENCE_MILLIS));
@@ -237,7 +237,7 @@
             UpstreamState state = failure != null || response.getStatus() != 200
                     ? UpstreamState.getDefaultInstance()
                     : state(response);
-            core.accept(Envelope.newBuilder().setUpstreamState(state));
+            core.accept(Envelope.newBuilder().setUpstreamState(state.toBuilder().setToken(token)));
             then.run();
         });
     }
--- /dev/null
+++ b/src/test/java/org/cuminshelf/control/ControlCoreTest.java
@@ -0,0 +1,262 @@
+package org.cuminshelf.control;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import com.google.protobuf.ByteString;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import net.jqwik.api.Example;
+import org.apache.commons.rng.simple.RandomSource;
+import org.cuminshelf.config.MergedConfig;
+import org.cuminshelf.core.Address;
+import org.cuminshelf.core.Durations;
+import org.cuminshelf.core.Invariants;
+import org.cuminshelf.core.RecordingOutbox;
+import org.cuminshelf.message.AdminAnswer;
+import org.cuminshelf.message.AdminRequest;
+import org.cuminshelf.message.AdminResult;
+import org.cuminshelf.message.Announce;
+import org.cuminshelf.message.AttemptRef;
+import org.cuminshelf.message.ClaimAnswer;
+import org.cuminshelf.message.ClaimEnd;
+import org.cuminshelf.message.ClaimMove;
+import org.cuminshelf.message.ClaimRequest;
+import org.cuminshelf.message.ClaimResult;
+import org.cuminshelf.message.ClaimTake;
+import org.cuminshelf.message.ConfigApply;
+import org.cuminshelf.message.Envelope;
+import org.cuminshelf.message.ExchangeHead;
+import org.cuminshelf.message.LoadReport;
+import org.cuminshelf.message.OrderReport;
+import org.cuminshelf.message.OrderSent;
+import org.cuminshelf.message.Persisted;
+import org.cuminshelf.message.WallClock;
+import org.cuminshelf.replica.DurableState;
+import org.cuminshelf.replica.ReplicaSettings;
+
+/** A control process that is its own quorum, driven by hand. */
+class ControlCoreTest {
+
+    private static final Address SELF = Address.of("10.0.0.1:7000");
+    private static final Address ENTRY = Address.of("10.0.1.1:7000");
+    private static final long START = 1_800_000_000_000L;
+    private final RecordingOutbox out = new RecordingOutbox();
+    private final ControlCore core;
+    private long now = Durations.nanos(10_000);
+    private long nextQuestion = 1;
+    private final Set<String> loaded = new HashSet<>();
+
+    ControlCoreTest() {
+        List<Address> alone = List.of(SELF);
+        ControlSettings settings = new ControlSettings(
+                "r",
+                List.of(
+                        new ReplicaSettings(ControlSettings.GLOBAL, SELF, alone, true),
+                        new ReplicaSettings("region", SELF, alone, false)));
+        Map<String, DurableState> durable =
+                Map.of(ControlSettings.GLOBAL, DurableState.fresh(1), "region", DurableState.fresh(2));
+        core = ControlCore.start(
+                settings, SELF, 1, durable, now, RandomSource.XO_RO_SHI_RO_128_PP.create(1), Invariants.throwing());
+        for (int i = 0; i < 30; i++) {
+            pass(200);
+        }
+    }
+
+    /*
+     * Two operators change the configuration at once, and one resends because its answer was lost. The second change is
+     * refused with what stands now; the resend is given the version it was given before. Cause: equal base versions.
+     */
+    @Example
+    void operatorsOnEqualNumbersAreToldApartAndAResendGetsItsFirstAnswer() {
+        AdminAnswer first = apply(0, 1);
+        AdminAnswer other = apply(0, 2);
+        AdminAnswer again = apply(0, 1);
+        assertThat(first.getResult()).isEqualTo(AdminResult.ADMIN_DONE);
+        assertThat(other.getResult()).isEqualTo(AdminResult.ADMIN_CONFLICT);
+        assertThat(other.getVersion()).isEqualTo(1);
+        assertThat(again.getResult()).isEqualTo(AdminResult.ADMIN_DONE);
+        assertThat(again.getVersion()).isEqualTo(first.getVersion());
+    }
+
+    @Example
+    void aConfigurationThatCanNotBeReadIsRefusedBeforeItIsAccepted() {
+        AdminAnswer answer = apply(0, "{\"modles\":{}}");
+        assertThat(answer.getResult()).isEqualTo(AdminResult.ADMIN_BAD);
+        assertThat(core.configVersion()).isZero();
+    }
+
+    @Example
+    void aKeyIsHeldByOneAttemptAndItsAnswerStays() {
+        assertThat(take("k", 5, attempt(1)).getResult()).isEqualTo(ClaimResult.CLAIM_GRANTED);
+        assertThat(take("k", 5, attempt(1)).getResult()).isEqualTo(ClaimResult.CLAIM_GRANTED);
+        assertThat(take("k", 5, attempt(2)).getResult()).isEqualTo(ClaimResult.CLAIM_HELD);
+        assertThat(take("k", 6, attempt(2)).getResult()).isEqualTo(ClaimResult.CLAIM_CONFLICT);
+        ClaimRequest end = request("k")
+                .setEnd(ClaimEnd.newBuilder()
+                        .setAttempt(attempt(1))
+                        .setHead(ExchangeHead.newBuilder().setStatus(200))
+                        .setBody(ByteString.copyFromUtf8("42")))
+                .build();
+        assertThat(claim(end).getResult()).isEqualTo(ClaimResult.CLAIM_DONE);
+        ClaimAnswer resend = take("k", 5, attempt(3));
+        assertThat(resend.getResult()).isEqualTo(ClaimResult.CLAIM_ANSWERED);
+        assertThat(resend.getBody().toStringUtf8()).isEqualTo("42");
+    }
+
+    /*
+     * One book gets two numbers. Two entries learn that the first attempt did not run and both want to run the next.
+     * Only one of the moves may be granted. Cause: two resends at once.
+     */
+    @Example
+    void aClaimMovesOnce() {
+        take("k", 5, attempt(1));
+        assertThat(move("k", attempt(1), attempt(2)).getResult()).isEqualTo(ClaimResult.CLAIM_GRANTED);
+        assertThat(move("k", attempt(1), attempt(3)).getResult()).isEqualTo(ClaimResult.CLAIM_HELD);
+    }
+
+    /*
+     * The book fair opens and no engine has its adapter. Loads are ordered before the start, few at a time, because the
+     * weight store gives only so much at once. Cause: loads asked for when the first caller comes.
+     */
+    @Example
+    void anEventsAdaptersAreLoadedBeforeItsStartAndFewAtATime() {
+        apply(
+                0,
+                "{\"models\":{\"m\":{}},\"events\":{\"fair\":{\"start\":\"2027-01-15T08:00:00Z\","
+                        + "\"adapters\":[\"a\"],\"engines\":3}}}");
+        announceAll();
+        give(
+                Address.PROCESS,
+                Envelope.newBuilder().setWallClock(WallClock.newBuilder().setEpochMs(START - 3_600_000)));
+        assertThat(ordersOver(3)).isEmpty();
+        give(
+                Address.PROCESS,
+                Envelope.newBuilder().setWallClock(WallClock.newBuilder().setEpochMs(START - 60_000)));
+        List<OrderSent> first = ordersOver(5);
+        assertThat(first.stream().map(sent -> sent.getOrder().getEngine()).distinct())
+                .hasSize(2);
+        assertThat(first)
+                .allMatch(sent -> sent.getOrder().getBody().getLoadAdapter().equals("a"));
+        long number = first.getFirst().getOrder().getNumber();
+        OrderReport done = OrderReport.newBuilder()
+                .setNumber(number)
+                .setApplied(true)
+                .setGroup("region")
+                .build();
+        give(
+                Address.of(first.getFirst().getOrder().getEngine()),
+                Envelope.newBuilder().setOrderReport(done));
+        loaded.add(first.getFirst().getOrder().getEngine());
+        assertThat(ordersOver(5).stream()
+                        .map(sent -> sent.getOrder().getEngine())
+                        .distinct())
+                .hasSize(2);
+    }
+
+    private List<OrderSent> ordersOver(int seconds) {
+        out.take(message -> true);
+        for (int i = 0; i < seconds; i++) {
+            pass(1_000);
+            announceAll();
+        }
+        return out.take(Envelope::hasOrderSent).stream()
+                .map(Envelope::getOrderSent)
+                .toList();
+    }
+
+    private void announceAll() {
+        for (int engine = 1; engine <= 4; engine++) {
+            Address address = Address.of("10.0.2." + engine + ":7000");
+            LoadReport.Builder load = LoadReport.newBuilder().addModels("m");
+            if (loaded.contains(address.value())) {
+                load.addAdapters("a");
+            }
+            Announce announce = Announce.newBuilder()
+                    .setRegion("r")
+                    .setVm("engine-" + engine)
+                    .setLoad(load)
+                    .build();
+            give(address, Envelope.newBuilder().setAnnounce(announce));
+        }
+    }
+
+    private AdminAnswer apply(long base, int weight) {
+        return apply(base, "{\"organisations\":{\"o\":{\"weight\":" + weight + "}}}");
+    }
+
+    private AdminAnswer apply(long base, String text) {
+        ByteString config = ByteString.copyFromUtf8(text);
+        ConfigApply apply = ConfigApply.newBuilder()
+                .setBaseVersion(base)
+                .setConfig(config)
+                .setHash(MergedConfig.hash(config.toByteArray()))
+                .build();
+        give(
+                Address.ADMINISTRATORS,
+                Envelope.newBuilder()
+                        .setAdminRequest(AdminRequest.newBuilder()
+                                .setQuestion(nextQuestion++)
+                                .setConfigApply(apply)));
+        return out.take(Envelope::hasAdminAnswer).getFirst().getAdminAnswer();
+    }
+
+    private static AttemptRef attempt(long number) {
+        return AttemptRef.newBuilder().setSession(1).setNumber(number).build();
+    }
+
+    private ClaimRequest.Builder request(String key) {
+        return ClaimRequest.newBuilder()
+                .setQuestion(nextQuestion++)
+                .setGroup("region")
+                .setKey(key);
+    }
+
+    private ClaimAnswer take(String key, long hash, AttemptRef attempt) {
+        return claim(request(key)
+                .setTake(ClaimTake.newBuilder().setBodyHash(hash).setAttempt(attempt))
+                .build());
+    }
+
+    private ClaimAnswer move(String key, AttemptRef from, AttemptRef to) {
+        return claim(request(key)
+                .setMove(ClaimMove.newBuilder().setFrom(from).setTo(to))
+                .build());
+    }
+
+    private ClaimAnswer claim(ClaimRequest request) {
+        give(ENTRY, Envelope.newBuilder().setClaimRequest(request));
+        return out.take(Envelope::hasClaimAnswer).getFirst().getClaimAnswer();
+    }
+
+    private void give(Address from, Envelope.Builder message) {
+        core.accept(now, message.setFrom(from.value()).setIncarnation(9).build(), out);
+        settle();
+    }
+
+    private void pass(long millis) {
+        now += Durations.nanos(millis);
+        settle();
+    }
+
+    /** Ticks and syncs until nothing more is to be synced. */
+    private void settle() {
+        for (int i = 0; i < 4; i++) {
+            core.tick(now, out);
+            for (String group : core.groups()) {
+                Persisted all = Persisted.newBuilder()
+                        .setGroup(group)
+                        .setSequence(Long.MAX_VALUE)
+                        .build();
+                core.accept(
+                        now,
+                        Envelope.newBuilder()
+                                .setFrom(Address.STORAGE.value())
+                                .setPersisted(all)
+                                .build(),
+                        out);
+            }
+        }
+    }
+}
--- a/src/test/java/org/cuminshelf/entry/AttemptSystemTest.java
+++ b/src/test/java/org/cuminshelf/entry/AttemptSystemTest.java
@@ -40,6 +40,20 @@
         assertThat(later).noneMatch(dispatch -> dispatch.getNumber() == first.getNumber());
     }
 
+    /*
+     * A caller is given tokens of another caller's answer. An entry restarts; a request of the dead one for a session
+     * reaches a sidecar late, and the answer goes to the new process at the same address. Cause: sessions did not say
+     * for which incarnation of the entry they are, and the new one numbered its attempts among those of the dead one.
+     */
+    @Example
+    void aSessionOpenedForADeadIncarnationOfThisEntryIsNotUsed() {
+        entry.openFor(99, EntryFixture.ENGINE, EntryFixture.FIRST, 100);
+        entry.generate(4);
+        assertThat(entry.dispatches()).isEmpty();
+        entry.open(EntryFixture.ENGINE, EntryFixture.FIRST, 200);
+        assertThat(entry.dispatches()).hasSize(1).allMatch(dispatch -> dispatch.getSession() == 200);
+    }
+
     /*
      * A board is reserved twice. A reservation is sent and nothing comes back; the entry must not send it anywhere else
      * before the sidecar swore that it did not run. Cause: silence taken for "not run".
--- a/src/test/java/org/cuminshelf/entry/EntryFixture.java
+++ b/src/test/java/org/cuminshelf/entry/EntryFixture.java
@@ -73,7 +73,12 @@
     }
 
     void open(Address sidecar, long incarnation, long session) {
+        openFor(1, sidecar, incarnation, session);
+    }
+
+    void openFor(long entryIncarnation, Address sidecar, long incarnation, long session) {
         SessionOpened opened = SessionOpened.newBuilder()
+                .setEntryIncarnation(entryIncarnation)
                 .setSession(session)
                 .setLoad(LoadReport.newBuilder().setSlots(8))
                 .build();
--- a/src/test/java/org/cuminshelf/replica/ReplicaTest.java
+++ b/src/test/java/org/cuminshelf/replica/ReplicaTest.java
@@ -19,6 +19,7 @@
 import org.cuminshelf.message.Persisted;
 import org.cuminshelf.message.ReplicaHeader;
 import org.cuminshelf.message.Snapshot;
+import org.cuminshelf.message.SnapshotPart;
 import org.cuminshelf.message.VoteRequest;
 import org.cuminshelf.message.Voter;
 
@@ -79,6 +80,33 @@
                 .allMatch(Envelope::hasFormationQuery);
     }
 
+    /*
+     * A repaired replica never catches up and the group runs on two disks. It stood for election and has a newer term
+     * than the leader, which sends it a snapshot again and again. Cause: a snapshot of an older term was dropped in
+     * silence, so the leader never heard of the term and never stepped down for a new election.
+     */
+    @Example
+    void aLeaderThatSendsASnapshotInAnOlderTermIsToldOfTheNewerOne() {
+        Replica replica = member(OWN);
+        now += Durations.nanos(2_000);
+        replica.accept(now, OTHER, vote(5), out);
+        replica.tick(now, out);
+        replica.accept(now, Address.STORAGE, persisted(1), out);
+        out.take(message -> true);
+        SnapshotPart old = SnapshotPart.newBuilder()
+                .setHeader(header(3, OWN))
+                .setSnapshot(snapshot())
+                .build();
+        replica.accept(now, OTHER, Envelope.newBuilder().setSnapshotPart(old).build(), out);
+        replica.tick(now, out);
+        assertThat(out.take(Envelope::hasSnapshotAnswer)
+                        .getFirst()
+                        .getSnapshotAnswer()
+                        .getHeader()
+                        .getTerm())
+                .isEqualTo(5);
+    }
+
     @Example
     void anIdentityThatIsNoMemberDoesNotStandForElection() {
         Replica stranger = member(99);
--- a/src/test/java/org/cuminshelf/sidecar/SidecarCoreTest.java
+++ b/src/test/java/org/cuminshelf/sidecar/SidecarCoreTest.java
@@ -34,6 +34,9 @@
     private static final Address ENTRY = Address.of("10.0.1.1:7000");
     private static final Address CONTROL = Address.of("10.0.0.1:7000");
     private static final long INCARNATION = 5;
+    /** A reading that answers the newest question. */
+    private static final long NEWEST = Long.MAX_VALUE - 1;
+
     private final RecordingOutbox out = new RecordingOutbox();
     private final SidecarCore core = sidecar(UpstreamKind.UPSTREAM_ENGINE);
     private long now;
@@ -128,6 +131,7 @@
     void aSecondOrderIsNotTakenWhileTheFirstIsOnItsWayToTheEngine() {
         rest();
         give(CONTROL, order(20, INCARNATION));
+        state(false, Role.ROLE_MIXED);
         assertThat(out.take(Envelope::hasApplyOrder)).hasSize(1);
         give(CONTROL, order(21, INCARNATION));
         assertThat(out.take(Envelope::hasApplyOrder)).isEmpty();
@@ -151,9 +155,58 @@
         pass(1_000);
         assertThat(out.take(Envelope::hasApplyOrder)).isEmpty();
         pass(2_000);
+        state(false, Role.ROLE_MIXED);
+        assertThat(out.take(Envelope::hasApplyOrder)).hasSize(1);
+    }
+
+    /*
+     * Two orders meet on one engine. A sidecar restarts and finds the engine at rest; then the write of its predecessor
+     * lands, and the next order is carried out beside it. Cause: a reading from before the end of the wait.
+     */
+    @Example
+    void aReadingFromWithinTheWaitDoesNotCount() {
+        state(false, Role.ROLE_MIXED);
+        give(CONTROL, order(20, INCARNATION));
+        pass(2_600);
+        assertThat(out.take(Envelope::hasApplyOrder)).isEmpty();
+        state(true, Role.ROLE_MIXED);
+        assertThat(out.take(Envelope::hasApplyOrder)).isEmpty();
+        state(false, Role.ROLE_MIXED);
+        assertThat(out.take(Envelope::hasApplyOrder)).hasSize(1);
+    }
+
+    /*
+     * The same, after the sidecar stood still: a reading of long ago lies in its buffer and is taken when the wait is
+     * over. Cause: readings that did not say which question they answer.
+     */
+    @Example
+    void aReadingThatAnswersAQuestionFromWithinTheWaitDoesNotCountLater() {
+        give(CONTROL, order(20, INCARNATION));
+        pass(5_000);
+        state(false, Role.ROLE_MIXED, 1);
+        assertThat(out.take(Envelope::hasApplyOrder)).isEmpty();
+        state(false, Role.ROLE_MIXED);
         assertThat(out.take(Envelope::hasApplyOrder)).hasSize(1);
     }
 
+    /*
+     * A draft is cut by a planned change. A sidecar dies right after it wrote a role change; its successor starts a
+     * stream on the engine, and then the change lands. Cause: a write that outlives its process.
+     */
+    @Example
+    void noStreamStartsBeforeAnOrderOfAPredecessorMustHaveLanded() {
+        give(ENTRY, Envelope.newBuilder().setOpenSession(OpenSession.getDefaultInstance()));
+        session = out.take(Envelope::hasSessionOpened)
+                .getFirst()
+                .getSessionOpened()
+                .getSession();
+        state(false, Role.ROLE_MIXED);
+        give(ENTRY, dispatch(1));
+        List<Envelope> sent = out.take(message -> message.hasStartUpstream() || message.hasRefused());
+        assertThat(sent).hasSize(1);
+        assertThat(sent.getFirst().getRefused().getCause()).isEqualTo(Cause.ROLE_CHANGING);
+    }
+
     @Example
     void anOrderWaitsUntilTheEngineIsAtRest() {
         state(true, Role.ROLE_MIXED);
@@ -178,6 +231,7 @@
                 Address.UPSTREAM,
                 Envelope.newBuilder()
                         .setUpstreamEnd(UpstreamEnd.newBuilder().setAttempt(1).setRan(Ran.RAN)));
+        state(false, Role.ROLE_MIXED);
         assertThat(out.take(Envelope::hasApplyOrder)).hasSize(1);
     }
 
@@ -229,6 +283,9 @@
     }
 
     private void open() {
+        if (now == 0) {
+            rest();
+        }
         give(ENTRY, Envelope.newBuilder().setOpenSession(OpenSession.getDefaultInstance()));
         session = out.take(Envelope::hasSessionOpened)
                 .getFirst()
@@ -237,14 +294,19 @@
     }
 
     private void rest() {
-        state(false, Role.ROLE_MIXED);
         pass(5_000);
+        state(false, Role.ROLE_MIXED);
         out.take(message -> true);
     }
 
     private void state(boolean changing, Role role) {
+        state(changing, role, NEWEST);
+    }
+
+    private void state(boolean changing, Role role, long token) {
         UpstreamState state = UpstreamState.newBuilder()
                 .setReachable(true)
+                .setToken(token)
                 .setChanging(changing)
                 .setLoad(LoadReport.newBuilder().setRole(role))
                 .build();
