Do not take an idle upstream for a silent one

Cause: in a fresh clone the first calls after a quiet time were refused as if the fleet were overloaded. An idle upstream is asked for its state every five seconds, and one not heard for two and a half counted as silent; before early refusal such a call merely waited for the next heartbeat, unseen. Ruled out: the room for streams and the engine's wait after a start.

Change: an upstream is silent when a question has stayed unanswered for 2.5 s, and is asked again every half second while one is open.

--- a/src/main/java/org/cuminshelf/entry/UpstreamRow.java
+++ b/src/main/java/org/cuminshelf/entry/UpstreamRow.java
@@ -32,6 +32,9 @@
     long session;
     long openSentAt;
     long lastHeard;
+    /** When the first question was asked that is not answered yet; 0 where none is open. */
+    long unansweredSince;
+
     long lastUsed;
     boolean leaving;
     LoadReport load = LoadReport.getDefaultInstance();
--- a/src/main/java/org/cuminshelf/entry/Upstreams.java
+++ b/src/main/java/org/cuminshelf/entry/Upstreams.java
@@ -136,6 +136,7 @@
 
     void heard(long now, UpstreamRow row) {
         row.lastHeard = now;
+        row.unansweredSince = 0;
     }
 
     void succeeded(UpstreamRow row) {
@@ -149,8 +150,12 @@
         row.avoidUntil = Math.max(row.avoidUntil, now + (FIRST_AVOID << shift));
     }
 
+    /**
+     * Whether questions to the sidecar stay without an answer. An upstream that was asked nothing is not silent:
+     * between two heartbeats of an idle one more time passes than silence would take.
+     */
     boolean isSilent(long now, UpstreamRow row) {
-        return now - row.lastHeard > SILENT;
+        return row.unansweredSince != 0 && now - row.unansweredSince > SILENT;
     }
 
     void tick(long now, Outbox out) {
@@ -160,8 +165,7 @@
         }
         nextHeartbeat = now + OPEN_AGAIN;
         for (UpstreamRow row : openRows()) {
-            long every =
-                    row.session == 0 ? OPEN_AGAIN : now - row.lastUsed < IN_USE ? HEARTBEAT_IN_USE : HEARTBEAT_IDLE;
+            long every = heartbeatEvery(now, row);
             if (row.openSentAt == 0 || now - row.openSentAt >= every) {
                 open(now, row, out);
             }
@@ -169,12 +173,20 @@
         rows.values().removeIf(row -> !row.isListed() && row.running == 0 && isSilent(now, row));
     }
 
+    private static long heartbeatEvery(long now, UpstreamRow row) {
+        if (row.session == 0 || row.unansweredSince != 0) {
+            return OPEN_AGAIN;
+        }
+        return now - row.lastUsed < IN_USE ? HEARTBEAT_IN_USE : HEARTBEAT_IDLE;
+    }
+
     long nextDue() {
         return rows.isEmpty() ? Core.NEVER : nextHeartbeat;
     }
 
     private void open(long now, UpstreamRow row, Outbox out) {
         row.openSentAt = now;
+        row.unansweredSince = row.unansweredSince == 0 ? now : row.unansweredSince;
         Envelope.Builder message = Envelope.newBuilder().setOpenSession(OpenSession.getDefaultInstance());
         if (row.session != 0 && isSilent(now, row)) {
             out.sendFresh(row.address, message);
--- a/src/test/java/org/cuminshelf/entry/AttemptSystemTest.java
+++ b/src/test/java/org/cuminshelf/entry/AttemptSystemTest.java
@@ -54,6 +54,18 @@
         assertThat(entry.dispatches()).hasSize(1).allMatch(dispatch -> dispatch.getSession() == 200);
     }
 
+    /*
+     * The first caller after a quiet minute is refused as if the fleet were overloaded. Cause: an idle upstream is
+     * asked for its state every five seconds, and one not heard for two and a half counted as silent.
+     */
+    @Example
+    void anUpstreamThatWasAskedNothingIsNotSilent() {
+        entry.open(EntryFixture.ENGINE, EntryFixture.FIRST, 100);
+        entry.pass(4_000);
+        entry.generate(4);
+        assertThat(entry.dispatches()).hasSize(1);
+    }
+
     /*
      * A board is reserved twice. A reservation is sent and nothing comes back; the entry must not send it anywhere else
      * before the sidecar swore that it did not run. Cause: silence taken for "not run".
