--- a/src/main/java/org/cuminshelf/control/ConfigMachine.java
+++ b/src/main/java/org/cuminshelf/control/ConfigMachine.java
@@ -16,11 +16,12 @@
 import org.cuminshelf.replica.GroupMachine;
 
 /**
- * The accepted configuration, by compare-and-set.
+ * The accepted configuration: by compare-and-set, or, where authors give versions themselves, the highest given.
  *
  * <p>Failure it guards against: two operators apply different configurations on the same version, or one resends after
  * losing the answer. The first on a version wins; a resend of the same content on the same version is given the first
- * answer; any other gets a conflict with the version that stands.
+ * answer; any other gets a conflict with the version that stands. Where authors give versions, an older change that
+ * arrives late or again is acknowledged and changes nothing, so that what was accepted never goes back.
  */
 final class ConfigMachine implements GroupMachine {
 
@@ -62,6 +63,19 @@
     }
 
     private AdminAnswer accept(ConfigApply apply) {
+        return apply.getDeclaredVersion() > 0 ? acceptHighest(apply) : acceptNext(apply);
+    }
+
+    private AdminAnswer acceptHighest(ConfigApply apply) {
+        if (apply.getDeclaredVersion() > version) {
+            version = apply.getDeclaredVersion();
+            config = apply.getConfig();
+            hash = apply.getHash();
+        }
+        return answer(AdminResult.ADMIN_DONE, version);
+    }
+
+    private AdminAnswer acceptNext(ConfigApply apply) {
         Key key = new Key(apply.getBaseVersion(), apply.getHash());
         Long before = accepted.get(key);
         if (before != null) {
--- a/src/main/java/org/cuminshelf/control/ControlCore.java
+++ b/src/main/java/org/cuminshelf/control/ControlCore.java
@@ -54,11 +54,13 @@
     private final Map<String, RegionGroup> regions = new LinkedHashMap<>();
     private final ConfigMachine config = new ConfigMachine();
     private final Directory directory;
+    private final Registry registry;
     private final Subscribers subscribers = new Subscribers();
     private final Map<Long, Waiter> configWaiters = new HashMap<>();
     private final Map<String, Map<Long, Waiter>> claimWaiters = new HashMap<>();
     private final Map<String, Map<Long, Waiter>> orderWaiters = new HashMap<>();
     private final Map<Long, Address> readWaiters = new HashMap<>();
+    private final Map<Long, Waiter> configReads = new HashMap<>();
     private final Map<Long, Waiter> forwarded = new HashMap<>();
     /** Numbers of questions; they start at a place of this incarnation, so that a late answer finds no asker. */
     private long nextToken;
@@ -77,6 +79,7 @@
         this.self = self;
         this.invariants = invariants;
         this.directory = new Directory(incarnation);
+        this.registry = new Registry(directory);
         this.nextToken = LongHashFunction.xx3().hashLong(incarnation) & Long.MAX_VALUE >> 1;
         this.nextHousekeeping = now;
         this.nextSpread = now;
@@ -135,6 +138,7 @@
         switch (input.getBodyCase()) {
             case ANNOUNCE -> onAnnounce(now, from, input.getIncarnation(), input.getAnnounce());
             case SUBSCRIBE -> onSubscribe(now, from, input.getIncarnation(), input.getSubscribe(), out);
+            case UPSTREAM_BEAT -> registry.onBeat(now, input.getUpstreamBeat(), otherControl(), out);
             case CLAIM_REQUEST -> onClaim(now, from, input.getClaimRequest(), out);
             case ORDER_REPORT ->
                 regions.values().forEach(region -> region.orders().onReport(now, from, input.getOrderReport()));
@@ -180,6 +184,7 @@
         if (now >= nextHousekeeping) {
             nextHousekeeping = now + HOUSEKEEPING_EVERY;
             directory.tick(now);
+            registry.tick(now);
             subscribers.tick(now);
             expireWaiters(now, out);
         }
@@ -244,6 +249,13 @@
         sendUpdate(row, false, out);
     }
 
+    /** The other control processes, by the log of the global group. */
+    private List<Address> otherControl() {
+        return replicas.get(ControlSettings.GLOBAL).members().stream()
+                .filter(member -> !member.equals(self))
+                .toList();
+    }
+
     /** The accepted configuration, typed; parsed once for each version. */
     private FleetConfig acceptedConfig() {
         if (typedVersion != config.version()) {
@@ -255,6 +267,11 @@
 
     private void answerReads(Outbox out) {
         for (long token : replicas.get(ControlSettings.GLOBAL).takeConfirmedReads()) {
+            Waiter reader = configReads.remove(token);
+            if (reader != null) {
+                answerConfigRead(reader.asker(), reader.question(), out);
+                continue;
+            }
             Address asker = readWaiters.remove(token);
             subscribers.rows().stream()
                     .filter(row -> row.address.equals(asker))
@@ -274,7 +291,14 @@
             update.setConfig(config.config());
         }
         if (row.wantsDirectory) {
-            directory.describe(row.directoryIncarnation, row.directoryVersion, update);
+            boolean whole = directory.describe(row.directoryIncarnation, row.directoryVersion, update);
+            registry.describe(whole, row.directoryVersion, update);
+            subscribers.rows().stream()
+                    .filter(other -> other.wantsDirectory)
+                    .forEach(other -> update.addEntryAddresses(other.address.value()));
+        }
+        if (voter) {
+            replicas.get(ControlSettings.GLOBAL).members().forEach(member -> update.addControl(member.value()));
         }
         replicas.forEach((group, replica) -> replica.leader()
                 .ifPresent(leader -> update.addLeaders(
@@ -360,21 +384,37 @@
             case STATUS ->
                 answerAdmin(
                         from, request.getQuestion(), AdminAnswer.newBuilder().setStatus(status()), out);
-            case CONFIG_READ ->
-                answerAdmin(
-                        from,
-                        request.getQuestion(),
-                        AdminAnswer.newBuilder().setVersion(config.version()).setConfig(config.config()),
-                        out);
+            case CONFIG_READ -> onConfigRead(now, from, request, out);
             case VOTER_CHANGE, ACTION_NOT_SET ->
                 refuseAdmin(from, request.getQuestion(), AdminResult.ADMIN_UNKNOWN, "no such action", out);
         }
     }
 
+    private void onConfigRead(long now, Address from, AdminRequest request, Outbox out) {
+        if (!request.getConfigRead().getConfirmed()) {
+            answerConfigRead(from, request.getQuestion(), out);
+            return;
+        }
+        Replica replica = replicas.get(ControlSettings.GLOBAL);
+        long token = nextToken++;
+        if (replica.confirmRead(token)) {
+            configReads.put(token, new Waiter(from, request.getQuestion(), replica.term(), now));
+        } else {
+            forward(now, from, request, replica, out);
+        }
+    }
+
+    private void answerConfigRead(Address to, long question, Outbox out) {
+        answerAdmin(
+                to,
+                question,
+                AdminAnswer.newBuilder().setVersion(config.version()).setConfig(config.config()),
+                out);
+    }
+
     private void onConfigApply(long now, Address from, AdminRequest request, Outbox out) {
         ConfigApply apply = request.getConfigApply();
-        Optional<String> wrong =
-                FleetConfig.parse(apply.getConfig().toByteArray()).fold(Optional::of, fine -> Optional.empty());
+        Optional<String> wrong = settings.check().apply(apply.getConfig().toByteArray());
         if (wrong.isPresent()) {
             refuseAdmin(from, request.getQuestion(), AdminResult.ADMIN_BAD, wrong.get(), out);
             return;
@@ -500,6 +540,7 @@
         expire(now, configWaiters, out);
         orderWaiters.values().forEach(waiters -> expire(now, waiters, out));
         expire(now, forwarded, out);
+        expire(now, configReads, out);
         claimWaiters.values().forEach(waiters -> waiters.values().removeIf(w -> now - w.since() > ADMIN_PATIENCE));
         if (readWaiters.size() > 10_000) {
             readWaiters.clear();
--- a/src/main/java/org/cuminshelf/control/ControlSettings.java
+++ b/src/main/java/org/cuminshelf/control/ControlSettings.java
@@ -1,6 +1,9 @@
 package org.cuminshelf.control;
 
 import java.util.List;
+import java.util.Optional;
+import java.util.function.Function;
+import org.cuminshelf.config.FleetConfig;
 import org.cuminshelf.replica.ReplicaSettings;
 
 /**
@@ -8,8 +11,19 @@
  *
  * @param region the region of the VM
  * @param groups the groups of which it is a replica: the global one and that of its region
+ * @param check  finds what makes a configuration unfit to be accepted
  */
-public record ControlSettings(String region, List<ReplicaSettings> groups) {
+public record ControlSettings(String region, List<ReplicaSettings> groups, Function<byte[], Optional<String>> check) {
+
+    /**
+     * A place whose configuration is that of a {@link FleetConfig}.
+     *
+     * @param region the region of the VM
+     * @param groups the groups of which it is a replica
+     */
+    public ControlSettings(String region, List<ReplicaSettings> groups) {
+        this(region, groups, bytes -> FleetConfig.parse(bytes).fold(Optional::of, fine -> Optional.empty()));
+    }
 
     /** Name of the group that accepts configurations. */
     public static final String GLOBAL = "global";
--- a/src/main/java/org/cuminshelf/control/Directory.java
+++ b/src/main/java/org/cuminshelf/control/Directory.java
@@ -45,6 +45,11 @@
         return version;
     }
 
+    /** The version of a change of another list that is told together with this one. */
+    long nextVersion() {
+        return ++version;
+    }
+
     Collection<Row> rows() {
         return rows.values();
     }
@@ -102,8 +107,8 @@
         return rows.isEmpty() ? Core.NEVER : now + LEASE / 4;
     }
 
-    /** Adds what a subscriber lacks to an update. */
-    void describe(long heldIncarnation, long heldVersion, Update.Builder update) {
+    /** Adds what a subscriber lacks to an update. Returns whether that is the whole list. */
+    boolean describe(long heldIncarnation, long heldVersion, Update.Builder update) {
         boolean whole = heldIncarnation != incarnation || heldVersion < oldestComplete;
         update.setDirectoryIncarnation(incarnation).setDirectoryVersion(version).setWholeDirectory(whole);
         for (Row row : rows.values()) {
@@ -112,5 +117,6 @@
                 update.addMembers(row.member);
             }
         }
+        return whole;
     }
 }
--- /dev/null
+++ b/src/main/java/org/cuminshelf/direct/AttemptPlan.java
@@ -0,0 +1,22 @@
+package org.cuminshelf.direct;
+
+import java.util.Optional;
+import java.util.OptionalLong;
+
+/**
+ * What one attempt asks of its upstream.
+ *
+ * @param upstream        identity of the upstream's start; another one at its address must refuse
+ * @param remainingMillis time left for the answer
+ * @param priority        place in the upstream's queue, 0 first, 9 last
+ * @param prefillOnly     whether only the prompt is to be taken in, for another engine to go on from
+ * @param cache           where the KV cache of the prompt can be fetched
+ * @param resumeAfter     the last event that the caller holds
+ */
+public record AttemptPlan(
+        String upstream,
+        long remainingMillis,
+        int priority,
+        boolean prefillOnly,
+        Optional<CacheHandle> cache,
+        OptionalLong resumeAfter) {}
--- /dev/null
+++ b/src/main/java/org/cuminshelf/direct/AttemptRow.java
@@ -0,0 +1,51 @@
+package org.cuminshelf.direct;
+
+import java.io.ByteArrayOutputStream;
+import org.cuminshelf.exchange.UpstreamExchange;
+import org.eclipse.jetty.http.HttpFields;
+
+/** One request sent to one upstream. */
+final class AttemptRow {
+
+    final long number;
+    final CallRow call;
+    final UpstreamRow upstream;
+    /** Whether only the prompt is to be taken in. */
+    final boolean prefillOnly;
+    /** Prompt tokens that are probably not in the engine's cache. */
+    final int uncachedTokens;
+
+    final long sentAt;
+    final EventSplitter events = new EventSplitter();
+    final ByteArrayOutputStream body = new ByteArrayOutputStream();
+
+    UpstreamExchange exchange;
+    int status;
+    HttpFields headers = HttpFields.EMPTY;
+    AnswerFacts facts;
+    boolean ended;
+    /** Whether the prompt still counts as waiting at the upstream. */
+    boolean promptCounted;
+
+    long lastProgressAt;
+
+    AttemptRow(long number, CallRow call, UpstreamRow upstream, boolean prefillOnly, int uncachedTokens, long now) {
+        this.number = number;
+        this.call = call;
+        this.upstream = upstream;
+        this.prefillOnly = prefillOnly;
+        this.uncachedTokens = uncachedTokens;
+        this.sentAt = now;
+        this.lastProgressAt = now;
+    }
+
+    boolean hasHead() {
+        return facts != null;
+    }
+
+    /** Whether the answer so far is that of a run that succeeded. */
+    boolean isSuccess() {
+        int firstFailure = 300;
+        return hasHead() && status < firstFailure && facts.authentic();
+    }
+}
--- /dev/null
+++ b/src/main/java/org/cuminshelf/direct/CacheHandle.java
@@ -0,0 +1,11 @@
+package org.cuminshelf.direct;
+
+import org.cuminshelf.core.Address;
+
+/**
+ * KV cache that an engine holds for another one to take, once.
+ *
+ * @param engine the engine that holds it
+ * @param handle its name there
+ */
+public record CacheHandle(Address engine, String handle) {}
--- /dev/null
+++ b/src/main/java/org/cuminshelf/direct/CallRow.java
@@ -0,0 +1,77 @@
+package org.cuminshelf.direct;
+
+import java.util.HashSet;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.Set;
+import org.cuminshelf.exchange.CallerExchange;
+import org.cuminshelf.exchange.ReceivedRequest;
+import org.cuminshelf.routes.RequestKind;
+import org.cuminshelf.routes.Route;
+import org.cuminshelf.verdict.Verdict;
+
+/** One request of a caller, from its arrival to its one answer. */
+final class CallRow {
+
+    final long number;
+    final ReceivedRequest request;
+    final CallerExchange exchange;
+    final CallIntent intent;
+    final Route route;
+    final String service;
+    final long arrivedAt;
+    /** When the caller stops waiting or the route's timeout is reached, whichever is first. */
+    final long deadline;
+
+    /** Upstreams that this request is not sent to again. */
+    final Set<String> excluded = new HashSet<>();
+    /** Upstreams to which it was sent, as the route limits them. */
+    int attempts;
+
+    AttemptRow attempt;
+    /** KV cache taken in for it by another engine, until an engine took it. */
+    Optional<CacheHandle> cache = Optional.empty();
+
+    /** Whether an earlier attempt may have run. */
+    boolean mayHaveRun;
+
+    /** Whether a part of the answer was given to the caller. */
+    boolean begun;
+
+    /** The last event given to the caller, or that it said it holds. */
+    OptionalLong lastEvent;
+
+    int eventsGiven;
+    long firstAnswerAt;
+    Optional<Verdict> lastFailure = Optional.empty();
+    boolean done;
+
+    CallRow(
+            long number,
+            ReceivedRequest request,
+            CallerExchange exchange,
+            CallIntent intent,
+            Route route,
+            String service,
+            long now,
+            long deadline) {
+        this.number = number;
+        this.request = request;
+        this.exchange = exchange;
+        this.intent = intent;
+        this.route = route;
+        this.service = service;
+        this.arrivedAt = now;
+        this.deadline = deadline;
+        this.lastEvent = intent.resumeAfter();
+    }
+
+    boolean isStream() {
+        return route.kind() == RequestKind.STREAM;
+    }
+
+    /** Whether work on it may be stopped, or started anew, without harm. */
+    boolean isRepeatable() {
+        return route.isRepeatable();
+    }
+}
--- /dev/null
+++ b/src/main/java/org/cuminshelf/direct/ControlFeed.java
@@ -0,0 +1,143 @@
+package org.cuminshelf.direct;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeSet;
+import java.util.function.Function;
+import org.cuminshelf.core.Address;
+import org.cuminshelf.core.Durations;
+import org.cuminshelf.core.Invariants;
+import org.cuminshelf.core.Outbox;
+import org.cuminshelf.message.Envelope;
+import org.cuminshelf.message.Subscribe;
+import org.cuminshelf.message.Update;
+import org.cuminshelf.routes.RouteTable;
+
+/**
+ * What this entry hears from control: the routes in force, the upstreams, the control processes and the other entries.
+ *
+ * <p>Failure it guards against: an entry without a disk restarts and is taught older routes by a control process that
+ * was cut off. It is ready only once a quorum confirmed a version to it, and from then on takes only higher ones.
+ */
+final class ControlFeed {
+
+    private static final long ASK_EVERY = Durations.nanos(500);
+    private static final long ASK_EVERY_UNREADY = Durations.nanos(100);
+
+    private final DirectSettings settings;
+    private final Function<byte[], Optional<RouteTable>> format;
+    private final UpstreamTable upstreams;
+    private final Invariants invariants;
+    private final DecisionLog log;
+    private final Set<Address> control = new TreeSet<>();
+    private List<Address> entries = List.of();
+    private volatile RouteTable routes = RouteTable.empty();
+    private volatile long version;
+    private volatile boolean ready;
+    private long nextAsk;
+
+    ControlFeed(
+            DirectSettings settings,
+            Function<byte[], Optional<RouteTable>> format,
+            UpstreamTable upstreams,
+            long now,
+            Invariants invariants,
+            DecisionLog log) {
+        this.settings = settings;
+        this.format = format;
+        this.upstreams = upstreams;
+        this.invariants = invariants;
+        this.log = log;
+        this.nextAsk = now;
+        control.addAll(settings.seeds());
+    }
+
+    RouteTable routes() {
+        return routes;
+    }
+
+    long version() {
+        return version;
+    }
+
+    /** Whether a quorum confirmed the routes in force, and there are any. */
+    boolean isReady() {
+        return ready && version > 0;
+    }
+
+    /** The entries that control hears from, this one among them. */
+    List<Address> entries() {
+        return entries;
+    }
+
+    void onUpdate(long now, Address from, Update update) {
+        if (!update.getControlList().isEmpty()) {
+            control.clear();
+            update.getControlList().forEach(address -> control.add(Address.of(address)));
+        }
+        if (!update.getEntryAddressesList().isEmpty()) {
+            entries = update.getEntryAddressesList().stream().map(Address::of).toList();
+        }
+        long before = version;
+        if (update.getConfigVersion() > version && !update.getConfig().isEmpty()) {
+            take(from, update);
+        }
+        invariants.check(
+                version >= before,
+                "configuration-never-goes-back",
+                () -> "version " + before + " was followed by " + version);
+        if (!ready && update.getConfirmed() && update.getConfigVersion() <= version) {
+            ready = true;
+            log.note("control", from.value(), "state", "confirmed", "version", version);
+        }
+        upstreams.onUpdate(now, from, update);
+    }
+
+    private void take(Address from, Update update) {
+        Optional<RouteTable> read = format.apply(update.getConfig().toByteArray());
+        if (read.isEmpty()) {
+            log.note("config", String.valueOf(update.getConfigVersion()), "state", "unreadable", "told-by", from);
+            return;
+        }
+        log.note(
+                "config",
+                String.valueOf(update.getConfigVersion()),
+                "state",
+                "in-force",
+                "before",
+                version,
+                "routes",
+                read.get().routes().size(),
+                "told-by",
+                from);
+        routes = read.get();
+        version = update.getConfigVersion();
+    }
+
+    void tick(long now, Outbox out) {
+        if (now < nextAsk) {
+            return;
+        }
+        nextAsk = now + (isReady() ? ASK_EVERY : ASK_EVERY_UNREADY);
+        List<Address> asked = new ArrayList<>(control);
+        settings.seeds().stream().filter(seed -> !control.contains(seed)).forEach(asked::add);
+        for (Address address : asked) {
+            Subscribe subscribe = Subscribe.newBuilder()
+                    .setConfigVersion(version)
+                    .setDirectoryVersion(upstreams.directoryVersion(address))
+                    .setDirectoryIncarnation(upstreams.directoryIncarnation(address))
+                    .setConfirm(!ready)
+                    .setRegion(settings.region())
+                    .setVm(settings.vm())
+                    .setWantsDirectory(true)
+                    .build();
+            out.send(address, Envelope.newBuilder().setSubscribe(subscribe));
+        }
+    }
+
+    long nextDue() {
+        return nextAsk;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/cuminshelf/direct/DirectCore.java
@@ -0,0 +1,242 @@
+package org.cuminshelf.direct;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.Function;
+import java.util.function.LongSupplier;
+import net.openhft.hashing.LongHashFunction;
+import org.cuminshelf.core.Address;
+import org.cuminshelf.core.Core;
+import org.cuminshelf.core.Durations;
+import org.cuminshelf.core.Invariants;
+import org.cuminshelf.core.Outbox;
+import org.cuminshelf.exchange.CallerExchange;
+import org.cuminshelf.exchange.CallerHandler;
+import org.cuminshelf.exchange.CallerLimits;
+import org.cuminshelf.exchange.ReceivedRequest;
+import org.cuminshelf.message.EntryLoad;
+import org.cuminshelf.message.Envelope;
+import org.cuminshelf.message.Stopped;
+import org.cuminshelf.message.UpstreamLoad;
+import org.cuminshelf.routes.Route;
+import org.cuminshelf.routes.RouteTable;
+
+/** The decisions of an entry that reaches upstreams straight. */
+public final class DirectCore implements Core, CallerHandler {
+
+    private static final long HOUSEKEEPING_EVERY = Durations.nanos(250);
+    /** How often other entries are told what is under way; a tenth of what a long prompt takes to be read. */
+    private static final long TELL_EVERY = Durations.nanos(50);
+    /** Time a caller is given where it names none; callers of today wait 8 s at most. */
+    private static final long DEFAULT_DEADLINE_MILLIS = 8_000;
+
+    private static final int NOT_FOUND = 404;
+
+    private final LongSupplier clock;
+    private final Address self;
+    private final UpstreamProtocol protocol;
+    private final DecisionLog log;
+    private final UpstreamTable upstreams;
+    private final ControlFeed control;
+    private final CallSystem calls;
+    private final Map<CallerExchange, CallRow> byExchange = new HashMap<>();
+    private long nextCall = 1;
+    private long nextHousekeeping;
+    private long nextTell;
+    private boolean toldSomething;
+    private volatile boolean leaving;
+    private boolean stopReported;
+
+    private DirectCore(
+            DirectSettings settings,
+            Address self,
+            UpstreamProtocol protocol,
+            Function<byte[], Optional<RouteTable>> format,
+            UpstreamPort port,
+            LongSupplier clock,
+            Invariants invariants,
+            DecisionLog log) {
+        this.clock = clock;
+        this.self = self;
+        this.protocol = protocol;
+        this.log = log;
+        long now = clock.getAsLong();
+        this.upstreams = new UpstreamTable(log);
+        this.control = new ControlFeed(settings, format, upstreams, now, invariants, log);
+        Placement placement = new Placement(upstreams, settings.zone());
+        this.calls = new CallSystem(
+                protocol,
+                port,
+                upstreams,
+                placement,
+                control,
+                new RepeatBudget(settings.repeats()),
+                clock,
+                invariants,
+                log);
+        this.nextHousekeeping = now;
+        this.nextTell = now;
+    }
+
+    /**
+     * Makes the core of a starting entry.
+     *
+     * @param settings   its place
+     * @param self       its own address for messages
+     * @param protocol   how the deployment's callers and upstreams write
+     * @param format     reads the accepted configuration
+     * @param port       where requests to upstreams leave
+     * @param clock      monotonic nanoseconds
+     * @param invariants receives the outcome of assertions
+     * @param log        takes decisions
+     * @return the core
+     */
+    public static DirectCore start(
+            DirectSettings settings,
+            Address self,
+            UpstreamProtocol protocol,
+            Function<byte[], Optional<RouteTable>> format,
+            UpstreamPort port,
+            LongSupplier clock,
+            Invariants invariants,
+            DecisionLog log) {
+        return new DirectCore(settings, self, protocol, format, port, clock, invariants, log);
+    }
+
+    // ---- callers
+
+    @Override
+    public void onRequest(ReceivedRequest request, CallerExchange exchange) {
+        long now = clock.getAsLong();
+        CallIntent intent = protocol.intent(request);
+        if (!control.isReady()) {
+            calls.refuseUnready(exchange, intent);
+            return;
+        }
+        String host = Optional.ofNullable(request.headers().get("Host")).orElse("");
+        Optional<Route> route = control.routes().route(host, request.path());
+        if (route.isEmpty()) {
+            log.note("request", intent.id(), "outcome", "no-route", "config", control.version());
+            calls.answerPlainly(exchange, NOT_FOUND, "No route stands for this host and path.");
+            return;
+        }
+        String service = route.get().service(LongHashFunction.xx3().hashChars(intent.id()));
+        long patience = Math.min(
+                intent.deadlineMillis().orElse(DEFAULT_DEADLINE_MILLIS),
+                route.get().timeoutMillis());
+        CallRow call = new CallRow(
+                nextCall++, request, exchange, intent, route.get(), service, now, now + Durations.nanos(patience));
+        byExchange.put(exchange, call);
+        calls.start(now, call);
+    }
+
+    @Override
+    public void onGone(CallerExchange exchange) {
+        CallRow call = byExchange.remove(exchange);
+        if (call != null) {
+            calls.callerGone(clock.getAsLong(), call);
+        }
+    }
+
+    // ---- messages and time
+
+    @Override
+    public void accept(long now, Envelope input, Outbox out) {
+        Address from = Address.of(input.getFrom());
+        switch (input.getBodyCase()) {
+            case UPDATE -> control.onUpdate(now, from, input.getUpdate());
+            case ENTRY_LOAD -> upstreams.onLoad(now, from, input.getEntryLoad());
+            case STOP -> leaving = true;
+            default -> {
+                // Not a message for such an entry.
+            }
+        }
+    }
+
+    @Override
+    public void tick(long now, Outbox out) {
+        control.tick(now, out);
+        calls.tick(now);
+        if (now >= nextHousekeeping) {
+            nextHousekeeping = now + HOUSEKEEPING_EVERY;
+            upstreams.tick(now);
+            byExchange.values().removeIf(call -> call.done);
+        }
+        if (now >= nextTell) {
+            nextTell = now + TELL_EVERY;
+            tellEntries(out);
+        }
+        if (leaving && calls.open() == 0 && !stopReported) {
+            stopReported = true;
+            out.send(Address.PROCESS, Envelope.newBuilder().setStopped(Stopped.getDefaultInstance()));
+        }
+    }
+
+    @Override
+    public long nextDue() {
+        long due = Math.min(Math.min(control.nextDue(), calls.nextDue()), nextHousekeeping);
+        return calls.open() > 0 || toldSomething ? Math.min(due, nextTell) : due;
+    }
+
+    /** Tells the other entries what is under way, so that their choices count it before the upstreams report it. */
+    private void tellEntries(Outbox out) {
+        EntryLoad.Builder load = EntryLoad.newBuilder();
+        for (UpstreamRow row : upstreams.rows()) {
+            if (row.running > 0) {
+                load.addUpstreams(UpstreamLoad.newBuilder()
+                        .setId(row.id)
+                        .setRunning(row.running)
+                        .setPromptTokens((int) row.promptWaiting));
+            }
+        }
+        boolean something = load.getUpstreamsCount() > 0;
+        if (!something && !toldSomething) {
+            return;
+        }
+        toldSomething = something;
+        List<Address> others = new ArrayList<>(control.entries());
+        others.remove(self);
+        others.forEach(entry -> out.send(entry, Envelope.newBuilder().setEntryLoad(load)));
+    }
+
+    // ---- what the process asks
+
+    /**
+     * Tells whether this entry may be given new callers.
+     *
+     * @return true once a quorum confirmed the routes, until it leaves
+     */
+    public boolean isReady() {
+        return control.isReady() && !leaving;
+    }
+
+    /**
+     * What callers may send.
+     *
+     * @return the limits in force
+     */
+    public CallerLimits limits() {
+        return control.routes().limits();
+    }
+
+    /**
+     * The version of the routes in force here.
+     *
+     * @return the version, 0 before the first
+     */
+    public long configVersion() {
+        return control.version();
+    }
+
+    /**
+     * Counts the calls not answered yet.
+     *
+     * @return their number
+     */
+    public int openCalls() {
+        return calls.open();
+    }
+}
--- /dev/null
+++ b/src/main/java/org/cuminshelf/direct/DirectSettings.java
@@ -0,0 +1,15 @@
+package org.cuminshelf.direct;
+
+import java.util.List;
+import org.cuminshelf.core.Address;
+
+/**
+ * What an entry that reaches upstreams straight is told about its place.
+ *
+ * @param region  the region of the VM
+ * @param zone    the availability zone of the VM
+ * @param vm      the name of the VM
+ * @param seeds   control processes known at the start; the others are learnt from them
+ * @param repeats how often all entries together may send requests once more
+ */
+public record DirectSettings(String region, String zone, String vm, List<Address> seeds, RepeatLimits repeats) {}
--- /dev/null
+++ b/src/main/java/org/cuminshelf/direct/UpstreamPort.java
@@ -0,0 +1,29 @@
+package org.cuminshelf.direct;
+
+import org.cuminshelf.core.Address;
+import org.cuminshelf.exchange.UpstreamExchange;
+import org.cuminshelf.exchange.UpstreamHandler;
+import org.cuminshelf.exchange.UpstreamRequest;
+
+/** Where requests to upstreams leave. A handler may be called before the sending returns. */
+public interface UpstreamPort {
+
+    /**
+     * Sends a request.
+     *
+     * @param address  where
+     * @param upstream identity of the upstream's start
+     * @param request  the request
+     * @param handler  takes the answer
+     * @return the exchange, to cancel it
+     */
+    UpstreamExchange send(Address address, String upstream, UpstreamRequest request, UpstreamHandler handler);
+
+    /**
+     * Forgets kept connections to an upstream, which may have gone silent.
+     *
+     * @param address  where
+     * @param upstream identity of the upstream's start
+     */
+    void forgetIdle(Address address, String upstream);
+}
--- /dev/null
+++ b/src/main/java/org/cuminshelf/direct/UpstreamTable.java
@@ -0,0 +1,187 @@
+package org.cuminshelf.direct;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.Iterator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+import org.cuminshelf.core.Address;
+import org.cuminshelf.core.Core;
+import org.cuminshelf.core.Durations;
+import org.cuminshelf.message.EntryLoad;
+import org.cuminshelf.message.Update;
+import org.cuminshelf.message.UpstreamBeat;
+import org.cuminshelf.message.UpstreamLoad;
+
+/**
+ * The upstreams that this entry knows.
+ *
+ * <p>Failures it guards against:
+ * <ul>
+ *   <li>All control processes were just killed and know nobody yet. An upstream that none lists any more is kept for
+ *       {@link #UNLISTED_KEPT}, in which a living one has announced itself several times.</li>
+ *   <li>A delayed announcement of an upstream that is gone arrives late and brings it back. Identities that ended are
+ *       remembered for {@link #ENDED_KEPT} and never taken in again.</li>
+ *   <li>Another upstream has the address. It refuses, its identity being another, and the old one ends here.</li>
+ * </ul>
+ */
+final class UpstreamTable {
+
+    private static final long UNLISTED_KEPT = Durations.nanos(6_000);
+    private static final long ENDED_KEPT = Durations.nanos(60_000);
+    /** What another entry told counts for as long; it tells ten times a second. */
+    private static final long LOAD_KEPT = Durations.nanos(1_000);
+
+    private record Directory(long incarnation, long version) {}
+
+    private final Map<String, UpstreamRow> rows = new TreeMap<>();
+    private final Map<String, List<UpstreamRow>> byService = new HashMap<>();
+    private final LinkedHashMap<String, Long> ended = new LinkedHashMap<>();
+    private final Map<Address, Directory> directories = new HashMap<>();
+    private final Map<Address, Long> loadsHeardAt = new HashMap<>();
+    private final DecisionLog log;
+
+    UpstreamTable(DecisionLog log) {
+        this.log = log;
+    }
+
+    Collection<UpstreamRow> rows() {
+        return rows.values();
+    }
+
+    List<UpstreamRow> ofService(String service) {
+        return byService.getOrDefault(service, List.of());
+    }
+
+    Optional<UpstreamRow> row(String id) {
+        return Optional.ofNullable(rows.get(id));
+    }
+
+    long directoryIncarnation(Address control) {
+        return directories.getOrDefault(control, new Directory(0, 0)).incarnation;
+    }
+
+    long directoryVersion(Address control) {
+        return directories.getOrDefault(control, new Directory(0, 0)).version;
+    }
+
+    void onUpdate(long now, Address control, Update update) {
+        Directory held = directories.getOrDefault(control, new Directory(0, 0));
+        boolean sameList = held.incarnation == update.getDirectoryIncarnation();
+        if (sameList && update.getDirectoryVersion() < held.version) {
+            return;
+        }
+        directories.put(control, new Directory(update.getDirectoryIncarnation(), update.getDirectoryVersion()));
+        if (update.getWholeDirectory()) {
+            rows.values().forEach(row -> unlist(now, row, control));
+        }
+        update.getUpstreamsList().forEach(beat -> onBeat(now, control, beat));
+    }
+
+    private void onBeat(long now, Address control, UpstreamBeat beat) {
+        if (ended.containsKey(beat.getId())) {
+            return;
+        }
+        if (beat.getDeleted()) {
+            end(now, beat.getId(), "deleted");
+            return;
+        }
+        UpstreamRow row = rows.get(beat.getId());
+        if (beat.getLapsed()) {
+            if (row != null) {
+                unlist(now, row, control);
+            }
+            return;
+        }
+        boolean known = row != null;
+        if (!known) {
+            row = new UpstreamRow(beat);
+            rows.put(row.id, row);
+            byService.computeIfAbsent(row.service, key -> new ArrayList<>()).add(row);
+        }
+        boolean changed = row.onBeat(beat);
+        row.listedBy.add(control);
+        row.unlistedSince = Core.NEVER;
+        if (changed || !known) {
+            log.note(
+                    "upstream",
+                    row.id,
+                    "state",
+                    row.leaving ? "leaving" : "serving",
+                    "service",
+                    row.service,
+                    "role",
+                    row.role,
+                    "address",
+                    row.address,
+                    "sequence",
+                    row.sequence,
+                    "told-by",
+                    control);
+        }
+    }
+
+    private static void unlist(long now, UpstreamRow row, Address control) {
+        row.listedBy.remove(control);
+        if (row.listedBy.isEmpty() && row.unlistedSince == Core.NEVER) {
+            row.unlistedSince = now;
+        }
+    }
+
+    /** An identity ended; it is never taken in again. */
+    void end(long now, String id, String reason) {
+        ended.put(id, now);
+        UpstreamRow row = rows.remove(id);
+        if (row != null) {
+            row.leaving = true;
+            byService.get(row.service).remove(row);
+            log.note("upstream", id, "state", "ended", "reason", reason);
+        }
+    }
+
+    /** Takes what another entry has under way. */
+    void onLoad(long now, Address entry, EntryLoad load) {
+        loadsHeardAt.put(entry, now);
+        Map<String, UpstreamLoad> told = new HashMap<>();
+        load.getUpstreamsList().forEach(one -> told.put(one.getId(), one));
+        for (UpstreamRow row : rows.values()) {
+            UpstreamLoad one = told.get(row.id);
+            if (one == null) {
+                row.forgetLoad(entry);
+            } else {
+                row.onLoad(entry, one);
+            }
+        }
+    }
+
+    /** Forgets what is too old. */
+    void tick(long now) {
+        List<String> silent = rows.values().stream()
+                .filter(row -> row.unlistedSince != Core.NEVER && now - row.unlistedSince > UNLISTED_KEPT)
+                .map(row -> row.id)
+                .toList();
+        silent.forEach(id -> forget(id));
+        Iterator<Long> oldest = ended.values().iterator();
+        while (oldest.hasNext() && now - oldest.next() > ENDED_KEPT) {
+            oldest.remove();
+        }
+        loadsHeardAt.entrySet().removeIf(entry -> {
+            boolean old = now - entry.getValue() > LOAD_KEPT;
+            if (old) {
+                rows.values().forEach(row -> row.forgetLoad(entry.getKey()));
+            }
+            return old;
+        });
+    }
+
+    /** It fell silent; unlike an identity that ended it may announce itself again. */
+    private void forget(String id) {
+        UpstreamRow row = rows.remove(id);
+        byService.get(row.service).remove(row);
+        log.note("upstream", id, "state", "silent", "service", row.service);
+    }
+}
--- a/src/main/java/org/cuminshelf/message/ConfigApply.java
+++ b/src/main/java/org/cuminshelf/message/ConfigApply.java
@@ -168,6 +168,44 @@
 
   }
 
+  public static final int DECLARED_VERSION_FIELD_NUMBER = 5;
+  private long declaredVersion_;
+  /**
+   * <pre>
+   * Version that the author gave; 0 where versions are counted here. The highest one given stands.
+   * </pre>
+   *
+   * <code>uint64 declared_version = 5;</code>
+   * @return The declaredVersion.
+   */
+  @java.lang.Override
+  public long getDeclaredVersion() {
+    return declaredVersion_;
+  }
+  /**
+   * <pre>
+   * Version that the author gave; 0 where versions are counted here. The highest one given stands.
+   * </pre>
+   *
+   * <code>uint64 declared_version = 5;</code>
+   * @param value The declaredVersion to set.
+   */
+  private void setDeclaredVersion(long value) {
+    
+    declaredVersion_ = value;
+  }
+  /**
+   * <pre>
+   * Version that the author gave; 0 where versions are counted here. The highest one given stands.
+   * </pre>
+   *
+   * <code>uint64 declared_version = 5;</code>
+   */
+  private void clearDeclaredVersion() {
+
+    declaredVersion_ = 0L;
+  }
+
   public static org.cuminshelf.message.ConfigApply parseFrom(
       java.nio.ByteBuffer data)
       throws com.google.protobuf.InvalidProtocolBufferException {
@@ -419,6 +457,46 @@
       return this;
     }
 
+    /**
+     * <pre>
+     * Version that the author gave; 0 where versions are counted here. The highest one given stands.
+     * </pre>
+     *
+     * <code>uint64 declared_version = 5;</code>
+     * @return The declaredVersion.
+     */
+    @java.lang.Override
+    public long getDeclaredVersion() {
+      return instance.getDeclaredVersion();
+    }
+    /**
+     * <pre>
+     * Version that the author gave; 0 where versions are counted here. The highest one given stands.
+     * </pre>
+     *
+     * <code>uint64 declared_version = 5;</code>
+     * @param value The declaredVersion to set.
+     * @return This builder for chaining.
+     */
+    public Builder setDeclaredVersion(long value) {
+      copyOnWrite();
+      instance.setDeclaredVersion(value);
+      return this;
+    }
+    /**
+     * <pre>
+     * Version that the author gave; 0 where versions are counted here. The highest one given stands.
+     * </pre>
+     *
+     * <code>uint64 declared_version = 5;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearDeclaredVersion() {
+      copyOnWrite();
+      instance.clearDeclaredVersion();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:cuminshelf.ConfigApply)
   }
   @java.lang.Override
@@ -439,10 +517,11 @@
             "config_",
             "hash_",
             "author_",
+            "declaredVersion_",
           };
           java.lang.String info =
-              "\u0000\u0004\u0000\u0000\u0001\u0004\u0004\u0000\u0000\u0000\u0001\u0003\u0002\n" +
-              "\u0003\u0208\u0004\u0208";
+              "\u0000\u0005\u0000\u0000\u0001\u0005\u0005\u0000\u0000\u0000\u0001\u0003\u0002\n" +
+              "\u0003\u0208\u0004\u0208\u0005\u0003";
           return newMessageInfo(DEFAULT_INSTANCE, info, objects);
       }
       case GET_DEFAULT_INSTANCE: {
--- a/src/main/java/org/cuminshelf/message/ConfigApplyOrBuilder.java
+++ b/src/main/java/org/cuminshelf/message/ConfigApplyOrBuilder.java
@@ -45,4 +45,14 @@
    */
   com.google.protobuf.ByteString
       getAuthorBytes();
+
+  /**
+   * <pre>
+   * Version that the author gave; 0 where versions are counted here. The highest one given stands.
+   * </pre>
+   *
+   * <code>uint64 declared_version = 5;</code>
+   * @return The declaredVersion.
+   */
+  long getDeclaredVersion();
 }
--- a/src/main/java/org/cuminshelf/message/ConfigRead.java
+++ b/src/main/java/org/cuminshelf/message/ConfigRead.java
@@ -16,6 +16,44 @@
     ConfigReadOrBuilder {
   private ConfigRead() {
   }
+  public static final int CONFIRMED_FIELD_NUMBER = 1;
+  private boolean confirmed_;
+  /**
+   * <pre>
+   * Answered only once a quorum confirmed that nothing newer was accepted before the question.
+   * </pre>
+   *
+   * <code>bool confirmed = 1;</code>
+   * @return The confirmed.
+   */
+  @java.lang.Override
+  public boolean getConfirmed() {
+    return confirmed_;
+  }
+  /**
+   * <pre>
+   * Answered only once a quorum confirmed that nothing newer was accepted before the question.
+   * </pre>
+   *
+   * <code>bool confirmed = 1;</code>
+   * @param value The confirmed to set.
+   */
+  private void setConfirmed(boolean value) {
+    
+    confirmed_ = value;
+  }
+  /**
+   * <pre>
+   * Answered only once a quorum confirmed that nothing newer was accepted before the question.
+   * </pre>
+   *
+   * <code>bool confirmed = 1;</code>
+   */
+  private void clearConfirmed() {
+
+    confirmed_ = false;
+  }
+
   public static org.cuminshelf.message.ConfigRead parseFrom(
       java.nio.ByteBuffer data)
       throws com.google.protobuf.InvalidProtocolBufferException {
@@ -113,6 +151,46 @@
     }
 
 
+    /**
+     * <pre>
+     * Answered only once a quorum confirmed that nothing newer was accepted before the question.
+     * </pre>
+     *
+     * <code>bool confirmed = 1;</code>
+     * @return The confirmed.
+     */
+    @java.lang.Override
+    public boolean getConfirmed() {
+      return instance.getConfirmed();
+    }
+    /**
+     * <pre>
+     * Answered only once a quorum confirmed that nothing newer was accepted before the question.
+     * </pre>
+     *
+     * <code>bool confirmed = 1;</code>
+     * @param value The confirmed to set.
+     * @return This builder for chaining.
+     */
+    public Builder setConfirmed(boolean value) {
+      copyOnWrite();
+      instance.setConfirmed(value);
+      return this;
+    }
+    /**
+     * <pre>
+     * Answered only once a quorum confirmed that nothing newer was accepted before the question.
+     * </pre>
+     *
+     * <code>bool confirmed = 1;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearConfirmed() {
+      copyOnWrite();
+      instance.clearConfirmed();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:cuminshelf.ConfigRead)
   }
   @java.lang.Override
@@ -128,9 +206,11 @@
         return new Builder();
       }
       case BUILD_MESSAGE_INFO: {
-          java.lang.Object[] objects = null;
+          java.lang.Object[] objects = new java.lang.Object[] {
+            "confirmed_",
+          };
           java.lang.String info =
-              "\u0000\u0000";
+              "\u0000\u0001\u0000\u0000\u0001\u0001\u0001\u0000\u0000\u0000\u0001\u0007";
           return newMessageInfo(DEFAULT_INSTANCE, info, objects);
       }
       case GET_DEFAULT_INSTANCE: {
--- a/src/main/java/org/cuminshelf/message/ConfigReadOrBuilder.java
+++ b/src/main/java/org/cuminshelf/message/ConfigReadOrBuilder.java
@@ -9,4 +9,14 @@
 public interface ConfigReadOrBuilder extends
     // @@protoc_insertion_point(interface_extends:cuminshelf.ConfigRead)
     com.google.protobuf.MessageLiteOrBuilder {
+
+  /**
+   * <pre>
+   * Answered only once a quorum confirmed that nothing newer was accepted before the question.
+   * </pre>
+   *
+   * <code>bool confirmed = 1;</code>
+   * @return The confirmed.
+   */
+  boolean getConfirmed();
 }
--- a/src/main/java/org/cuminshelf/message/Envelope.java
+++ b/src/main/java/org/cuminshelf/message/Envelope.java
@@ -54,6 +54,8 @@
     SNAPSHOT_PART(56),
     SNAPSHOT_ANSWER(57),
     JOIN_REQUEST(58),
+    UPSTREAM_BEAT(60),
+    ENTRY_LOAD(61),
     CALL_ARRIVED(70),
     CALL_GONE(71),
     ANSWER_HEAD(72),
@@ -117,6 +119,8 @@
         case 56: return SNAPSHOT_PART;
         case 57: return SNAPSHOT_ANSWER;
         case 58: return JOIN_REQUEST;
+        case 60: return UPSTREAM_BEAT;
+        case 61: return ENTRY_LOAD;
         case 70: return CALL_ARRIVED;
         case 71: return CALL_GONE;
         case 72: return ANSWER_HEAD;
@@ -1831,6 +1835,130 @@
     }
   }
 
+  public static final int UPSTREAM_BEAT_FIELD_NUMBER = 60;
+  /**
+   * <pre>
+   * upstreams that announce themselves straight to control
+   * </pre>
+   *
+   * <code>.cuminshelf.UpstreamBeat upstream_beat = 60;</code>
+   */
+  @java.lang.Override
+  public boolean hasUpstreamBeat() {
+    return bodyCase_ == 60;
+  }
+  /**
+   * <pre>
+   * upstreams that announce themselves straight to control
+   * </pre>
+   *
+   * <code>.cuminshelf.UpstreamBeat upstream_beat = 60;</code>
+   */
+  @java.lang.Override
+  public org.cuminshelf.message.UpstreamBeat getUpstreamBeat() {
+    if (bodyCase_ == 60) {
+       return (org.cuminshelf.message.UpstreamBeat) body_;
+    }
+    return org.cuminshelf.message.UpstreamBeat.getDefaultInstance();
+  }
+  /**
+   * <pre>
+   * upstreams that announce themselves straight to control
+   * </pre>
+   *
+   * <code>.cuminshelf.UpstreamBeat upstream_beat = 60;</code>
+   */
+  @java.lang.SuppressWarnings("ReturnValueIgnored")
+  private void setUpstreamBeat(org.cuminshelf.message.UpstreamBeat value) {
+    value.getClass();  // minimal bytecode null check
+    body_ = value;
+    bodyCase_ = 60;
+  }
+  /**
+   * <pre>
+   * upstreams that announce themselves straight to control
+   * </pre>
+   *
+   * <code>.cuminshelf.UpstreamBeat upstream_beat = 60;</code>
+   */
+  @java.lang.SuppressWarnings("ReturnValueIgnored")
+  private void mergeUpstreamBeat(org.cuminshelf.message.UpstreamBeat value) {
+    value.getClass();  // minimal bytecode null check
+    if (bodyCase_ == 60 &&
+        body_ != org.cuminshelf.message.UpstreamBeat.getDefaultInstance()) {
+      body_ = org.cuminshelf.message.UpstreamBeat.newBuilder((org.cuminshelf.message.UpstreamBeat) body_)
+          .mergeFrom(value).buildPartial();
+    } else {
+      body_ = value;
+    }
+    bodyCase_ = 60;
+  }
+  /**
+   * <pre>
+   * upstreams that announce themselves straight to control
+   * </pre>
+   *
+   * <code>.cuminshelf.UpstreamBeat upstream_beat = 60;</code>
+   */
+  private void clearUpstreamBeat() {
+    if (bodyCase_ == 60) {
+      bodyCase_ = 0;
+      body_ = null;
+    }
+  }
+
+  public static final int ENTRY_LOAD_FIELD_NUMBER = 61;
+  /**
+   * <code>.cuminshelf.EntryLoad entry_load = 61;</code>
+   */
+  @java.lang.Override
+  public boolean hasEntryLoad() {
+    return bodyCase_ == 61;
+  }
+  /**
+   * <code>.cuminshelf.EntryLoad entry_load = 61;</code>
+   */
+  @java.lang.Override
+  public org.cuminshelf.message.EntryLoad getEntryLoad() {
+    if (bodyCase_ == 61) {
+       return (org.cuminshelf.message.EntryLoad) body_;
+    }
+    return org.cuminshelf.message.EntryLoad.getDefaultInstance();
+  }
+  /**
+   * <code>.cuminshelf.EntryLoad entry_load = 61;</code>
+   */
+  @java.lang.SuppressWarnings("ReturnValueIgnored")
+  private void setEntryLoad(org.cuminshelf.message.EntryLoad value) {
+    value.getClass();  // minimal bytecode null check
+    body_ = value;
+    bodyCase_ = 61;
+  }
+  /**
+   * <code>.cuminshelf.EntryLoad entry_load = 61;</code>
+   */
+  @java.lang.SuppressWarnings("ReturnValueIgnored")
+  private void mergeEntryLoad(org.cuminshelf.message.EntryLoad value) {
+    value.getClass();  // minimal bytecode null check
+    if (bodyCase_ == 61 &&
+        body_ != org.cuminshelf.message.EntryLoad.getDefaultInstance()) {
+      body_ = org.cuminshelf.message.EntryLoad.newBuilder((org.cuminshelf.message.EntryLoad) body_)
+          .mergeFrom(value).buildPartial();
+    } else {
+      body_ = value;
+    }
+    bodyCase_ = 61;
+  }
+  /**
+   * <code>.cuminshelf.EntryLoad entry_load = 61;</code>
+   */
+  private void clearEntryLoad() {
+    if (bodyCase_ == 61) {
+      bodyCase_ = 0;
+      body_ = null;
+    }
+  }
+
   public static final int CALL_ARRIVED_FIELD_NUMBER = 70;
   /**
    * <pre>
@@ -4585,6 +4713,126 @@
       return this;
     }
 
+    /**
+     * <pre>
+     * upstreams that announce themselves straight to control
+     * </pre>
+     *
+     * <code>.cuminshelf.UpstreamBeat upstream_beat = 60;</code>
+     */
+    @java.lang.Override
+    public boolean hasUpstreamBeat() {
+      return instance.hasUpstreamBeat();
+    }
+    /**
+     * <pre>
+     * upstreams that announce themselves straight to control
+     * </pre>
+     *
+     * <code>.cuminshelf.UpstreamBeat upstream_beat = 60;</code>
+     */
+    @java.lang.Override
+    public org.cuminshelf.message.UpstreamBeat getUpstreamBeat() {
+      return instance.getUpstreamBeat();
+    }
+    /**
+     * <pre>
+     * upstreams that announce themselves straight to control
+     * </pre>
+     *
+     * <code>.cuminshelf.UpstreamBeat upstream_beat = 60;</code>
+     */
+    public Builder setUpstreamBeat(org.cuminshelf.message.UpstreamBeat value) {
+      copyOnWrite();
+      instance.setUpstreamBeat(value);
+      return this;
+    }
+    /**
+     * <pre>
+     * upstreams that announce themselves straight to control
+     * </pre>
+     *
+     * <code>.cuminshelf.UpstreamBeat upstream_beat = 60;</code>
+     */
+    public Builder setUpstreamBeat(
+        org.cuminshelf.message.UpstreamBeat.Builder builderForValue) {
+      copyOnWrite();
+      instance.setUpstreamBeat(builderForValue.build());
+      return this;
+    }
+    /**
+     * <pre>
+     * upstreams that announce themselves straight to control
+     * </pre>
+     *
+     * <code>.cuminshelf.UpstreamBeat upstream_beat = 60;</code>
+     */
+    public Builder mergeUpstreamBeat(org.cuminshelf.message.UpstreamBeat value) {
+      copyOnWrite();
+      instance.mergeUpstreamBeat(value);
+      return this;
+    }
+    /**
+     * <pre>
+     * upstreams that announce themselves straight to control
+     * </pre>
+     *
+     * <code>.cuminshelf.UpstreamBeat upstream_beat = 60;</code>
+     */
+    public Builder clearUpstreamBeat() {
+      copyOnWrite();
+      instance.clearUpstreamBeat();
+      return this;
+    }
+
+    /**
+     * <code>.cuminshelf.EntryLoad entry_load = 61;</code>
+     */
+    @java.lang.Override
+    public boolean hasEntryLoad() {
+      return instance.hasEntryLoad();
+    }
+    /**
+     * <code>.cuminshelf.EntryLoad entry_load = 61;</code>
+     */
+    @java.lang.Override
+    public org.cuminshelf.message.EntryLoad getEntryLoad() {
+      return instance.getEntryLoad();
+    }
+    /**
+     * <code>.cuminshelf.EntryLoad entry_load = 61;</code>
+     */
+    public Builder setEntryLoad(org.cuminshelf.message.EntryLoad value) {
+      copyOnWrite();
+      instance.setEntryLoad(value);
+      return this;
+    }
+    /**
+     * <code>.cuminshelf.EntryLoad entry_load = 61;</code>
+     */
+    public Builder setEntryLoad(
+        org.cuminshelf.message.EntryLoad.Builder builderForValue) {
+      copyOnWrite();
+      instance.setEntryLoad(builderForValue.build());
+      return this;
+    }
+    /**
+     * <code>.cuminshelf.EntryLoad entry_load = 61;</code>
+     */
+    public Builder mergeEntryLoad(org.cuminshelf.message.EntryLoad value) {
+      copyOnWrite();
+      instance.mergeEntryLoad(value);
+      return this;
+    }
+    /**
+     * <code>.cuminshelf.EntryLoad entry_load = 61;</code>
+     */
+    public Builder clearEntryLoad() {
+      copyOnWrite();
+      instance.clearEntryLoad();
+      return this;
+    }
+
     /**
      * <pre>
      * local: callers' port of an entry
@@ -5642,6 +5890,8 @@
             org.cuminshelf.message.SnapshotPart.class,
             org.cuminshelf.message.SnapshotAnswer.class,
             org.cuminshelf.message.JoinRequest.class,
+            org.cuminshelf.message.UpstreamBeat.class,
+            org.cuminshelf.message.EntryLoad.class,
             org.cuminshelf.message.CallArrived.class,
             org.cuminshelf.message.CallGone.class,
             org.cuminshelf.message.AnswerHead.class,
@@ -5663,13 +5913,13 @@
             org.cuminshelf.message.WallClock.class,
           };
           java.lang.String info =
-              "\u00002\u0001\u0000\u0001a2\u0000\u0000\u0000\u0001\u0208\u0002\u0003\n<\u0000\u000b" +
+              "\u00004\u0001\u0000\u0001a4\u0000\u0000\u0000\u0001\u0208\u0002\u0003\n<\u0000\u000b" +
               "<\u0000\f<\u0000\r<\u0000\u000e<\u0000\u000f<\u0000\u0010<\u0000\u0011<\u0000\u0012" +
               "<\u0000\u0013<\u0000\u0014<\u0000\u001e<\u0000\u001f<\u0000 <\u0000!<\u0000\"<\u0000" +
               "#<\u0000$<\u0000%<\u0000&<\u00002<\u00003<\u00004<\u00005<\u00006<\u00007<\u0000" +
-              "8<\u00009<\u0000:<\u0000F<\u0000G<\u0000H<\u0000I<\u0000J<\u0000P<\u0000Q<\u0000" +
-              "R<\u0000S<\u0000T<\u0000U<\u0000V<\u0000W<\u0000X<\u0000Z<\u0000[<\u0000_<\u0000" +
-              "`<\u0000a<\u0000";
+              "8<\u00009<\u0000:<\u0000<<\u0000=<\u0000F<\u0000G<\u0000H<\u0000I<\u0000J<\u0000" +
+              "P<\u0000Q<\u0000R<\u0000S<\u0000T<\u0000U<\u0000V<\u0000W<\u0000X<\u0000Z<\u0000" +
+              "[<\u0000_<\u0000`<\u0000a<\u0000";
           return newMessageInfo(DEFAULT_INSTANCE, info, objects);
       }
       case GET_DEFAULT_INSTANCE: {
--- a/src/main/java/org/cuminshelf/message/EnvelopeOrBuilder.java
+++ b/src/main/java/org/cuminshelf/message/EnvelopeOrBuilder.java
@@ -383,6 +383,36 @@
    */
   org.cuminshelf.message.JoinRequest getJoinRequest();
 
+  /**
+   * <pre>
+   * upstreams that announce themselves straight to control
+   * </pre>
+   *
+   * <code>.cuminshelf.UpstreamBeat upstream_beat = 60;</code>
+   * @return Whether the upstreamBeat field is set.
+   */
+  boolean hasUpstreamBeat();
+  /**
+   * <pre>
+   * upstreams that announce themselves straight to control
+   * </pre>
+   *
+   * <code>.cuminshelf.UpstreamBeat upstream_beat = 60;</code>
+   * @return The upstreamBeat.
+   */
+  org.cuminshelf.message.UpstreamBeat getUpstreamBeat();
+
+  /**
+   * <code>.cuminshelf.EntryLoad entry_load = 61;</code>
+   * @return Whether the entryLoad field is set.
+   */
+  boolean hasEntryLoad();
+  /**
+   * <code>.cuminshelf.EntryLoad entry_load = 61;</code>
+   * @return The entryLoad.
+   */
+  org.cuminshelf.message.EntryLoad getEntryLoad();
+
   /**
    * <pre>
    * local: callers' port of an entry
--- a/src/main/java/org/cuminshelf/message/JoinRequest.java
+++ b/src/main/java/org/cuminshelf/message/JoinRequest.java
@@ -19,6 +19,7 @@
     // @@protoc_insertion_point(message_implements:cuminshelf.JoinRequest)
     JoinRequestOrBuilder {
   private JoinRequest() {
+    address_ = "";
   }
   private int bitField0_;
   public static final int HEADER_FIELD_NUMBER = 1;
@@ -69,6 +70,74 @@
     bitField0_ = (bitField0_ & ~0x00000001);
   }
 
+  public static final int ADDRESS_FIELD_NUMBER = 2;
+  private java.lang.String address_;
+  /**
+   * <pre>
+   * Address of the replica that asks, where another passes its question on to the leader.
+   * </pre>
+   *
+   * <code>string address = 2;</code>
+   * @return The address.
+   */
+  @java.lang.Override
+  public java.lang.String getAddress() {
+    return address_;
+  }
+  /**
+   * <pre>
+   * Address of the replica that asks, where another passes its question on to the leader.
+   * </pre>
+   *
+   * <code>string address = 2;</code>
+   * @return The bytes for address.
+   */
+  @java.lang.Override
+  public com.google.protobuf.ByteString
+      getAddressBytes() {
+    return com.google.protobuf.ByteString.copyFromUtf8(address_);
+  }
+  /**
+   * <pre>
+   * Address of the replica that asks, where another passes its question on to the leader.
+   * </pre>
+   *
+   * <code>string address = 2;</code>
+   * @param value The address to set.
+   */
+  @java.lang.SuppressWarnings("ReturnValueIgnored")
+  private void setAddress(
+      java.lang.String value) {
+    value.getClass();  // minimal bytecode null check
+
+    address_ = value;
+  }
+  /**
+   * <pre>
+   * Address of the replica that asks, where another passes its question on to the leader.
+   * </pre>
+   *
+   * <code>string address = 2;</code>
+   */
+  private void clearAddress() {
+
+    address_ = getDefaultInstance().getAddress();
+  }
+  /**
+   * <pre>
+   * Address of the replica that asks, where another passes its question on to the leader.
+   * </pre>
+   *
+   * <code>string address = 2;</code>
+   * @param value The bytes for address to set.
+   */
+  private void setAddressBytes(
+      com.google.protobuf.ByteString value) {
+    checkByteStringIsUtf8(value);
+    address_ = value.toStringUtf8();
+
+  }
+
   public static org.cuminshelf.message.JoinRequest parseFrom(
       java.nio.ByteBuffer data)
       throws com.google.protobuf.InvalidProtocolBufferException {
@@ -217,6 +286,75 @@
       return this;
     }
 
+    /**
+     * <pre>
+     * Address of the replica that asks, where another passes its question on to the leader.
+     * </pre>
+     *
+     * <code>string address = 2;</code>
+     * @return The address.
+     */
+    @java.lang.Override
+    public java.lang.String getAddress() {
+      return instance.getAddress();
+    }
+    /**
+     * <pre>
+     * Address of the replica that asks, where another passes its question on to the leader.
+     * </pre>
+     *
+     * <code>string address = 2;</code>
+     * @return The bytes for address.
+     */
+    @java.lang.Override
+    public com.google.protobuf.ByteString
+        getAddressBytes() {
+      return instance.getAddressBytes();
+    }
+    /**
+     * <pre>
+     * Address of the replica that asks, where another passes its question on to the leader.
+     * </pre>
+     *
+     * <code>string address = 2;</code>
+     * @param value The address to set.
+     * @return This builder for chaining.
+     */
+    public Builder setAddress(
+        java.lang.String value) {
+      copyOnWrite();
+      instance.setAddress(value);
+      return this;
+    }
+    /**
+     * <pre>
+     * Address of the replica that asks, where another passes its question on to the leader.
+     * </pre>
+     *
+     * <code>string address = 2;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearAddress() {
+      copyOnWrite();
+      instance.clearAddress();
+      return this;
+    }
+    /**
+     * <pre>
+     * Address of the replica that asks, where another passes its question on to the leader.
+     * </pre>
+     *
+     * <code>string address = 2;</code>
+     * @param value The bytes for address to set.
+     * @return This builder for chaining.
+     */
+    public Builder setAddressBytes(
+        com.google.protobuf.ByteString value) {
+      copyOnWrite();
+      instance.setAddressBytes(value);
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:cuminshelf.JoinRequest)
   }
   @java.lang.Override
@@ -235,9 +373,11 @@
           java.lang.Object[] objects = new java.lang.Object[] {
             "bitField0_",
             "header_",
+            "address_",
           };
           java.lang.String info =
-              "\u0000\u0001\u0000\u0001\u0001\u0001\u0001\u0000\u0000\u0000\u0001\u1009\u0000";
+              "\u0000\u0002\u0000\u0001\u0001\u0002\u0002\u0000\u0000\u0000\u0001\u1009\u0000\u0002" +
+              "\u0208";
           return newMessageInfo(DEFAULT_INSTANCE, info, objects);
       }
       case GET_DEFAULT_INSTANCE: {
--- a/src/main/java/org/cuminshelf/message/JoinRequestOrBuilder.java
+++ b/src/main/java/org/cuminshelf/message/JoinRequestOrBuilder.java
@@ -20,4 +20,24 @@
    * @return The header.
    */
   org.cuminshelf.message.ReplicaHeader getHeader();
+
+  /**
+   * <pre>
+   * Address of the replica that asks, where another passes its question on to the leader.
+   * </pre>
+   *
+   * <code>string address = 2;</code>
+   * @return The address.
+   */
+  java.lang.String getAddress();
+  /**
+   * <pre>
+   * Address of the replica that asks, where another passes its question on to the leader.
+   * </pre>
+   *
+   * <code>string address = 2;</code>
+   * @return The bytes for address.
+   */
+  com.google.protobuf.ByteString
+      getAddressBytes();
 }
--- a/src/main/java/org/cuminshelf/message/Update.java
+++ b/src/main/java/org/cuminshelf/message/Update.java
@@ -19,6 +19,9 @@
     members_ = emptyProtobufList();
     region_ = "";
     leaders_ = emptyProtobufList();
+    control_ = com.google.protobuf.GeneratedMessageLite.emptyProtobufList();
+    entryAddresses_ = com.google.protobuf.GeneratedMessageLite.emptyProtobufList();
+    upstreams_ = emptyProtobufList();
   }
   public static final int CONFIG_VERSION_FIELD_NUMBER = 1;
   private long configVersion_;
@@ -563,6 +566,409 @@
     voter_ = false;
   }
 
+  public static final int CONTROL_FIELD_NUMBER = 12;
+  private com.google.protobuf.Internal.ProtobufList<java.lang.String> control_;
+  /**
+   * <pre>
+   * Addresses of the control processes, by the sender's log.
+   * </pre>
+   *
+   * <code>repeated string control = 12;</code>
+   * @return A list containing the control.
+   */
+  @java.lang.Override
+  public java.util.List<java.lang.String> getControlList() {
+    return control_;
+  }
+  /**
+   * <pre>
+   * Addresses of the control processes, by the sender's log.
+   * </pre>
+   *
+   * <code>repeated string control = 12;</code>
+   * @return The count of control.
+   */
+  @java.lang.Override
+  public int getControlCount() {
+    return control_.size();
+  }
+  /**
+   * <pre>
+   * Addresses of the control processes, by the sender's log.
+   * </pre>
+   *
+   * <code>repeated string control = 12;</code>
+   * @param index The index of the element to return.
+   * @return The control at the given index.
+   */
+  @java.lang.Override
+  public java.lang.String getControl(int index) {
+    return control_.get(index);
+  }
+  /**
+   * <pre>
+   * Addresses of the control processes, by the sender's log.
+   * </pre>
+   *
+   * <code>repeated string control = 12;</code>
+   * @param index The index of the value to return.
+   * @return The bytes of the control at the given index.
+   */
+  @java.lang.Override
+  public com.google.protobuf.ByteString
+      getControlBytes(int index) {
+    return com.google.protobuf.ByteString.copyFromUtf8(
+        control_.get(index));
+  }
+  private void ensureControlIsMutable() {
+    com.google.protobuf.Internal.ProtobufList<java.lang.String> tmp =
+        control_;  if (!tmp.isModifiable()) {
+      control_ =
+          com.google.protobuf.GeneratedMessageLite.mutableCopy(tmp);
+     }
+  }
+  /**
+   * <pre>
+   * Addresses of the control processes, by the sender's log.
+   * </pre>
+   *
+   * <code>repeated string control = 12;</code>
+   * @param index The index to set the value at.
+   * @param value The control to set.
+   */
+  @java.lang.SuppressWarnings("ReturnValueIgnored")
+  private void setControl(
+      int index, java.lang.String value) {
+    value.getClass();  // minimal bytecode null check
+    ensureControlIsMutable();
+    control_.set(index, value);
+  }
+  /**
+   * <pre>
+   * Addresses of the control processes, by the sender's log.
+   * </pre>
+   *
+   * <code>repeated string control = 12;</code>
+   * @param value The control to add.
+   */
+  @java.lang.SuppressWarnings("ReturnValueIgnored")
+  private void addControl(
+      java.lang.String value) {
+    value.getClass();  // minimal bytecode null check
+    ensureControlIsMutable();
+    control_.add(value);
+  }
+  /**
+   * <pre>
+   * Addresses of the control processes, by the sender's log.
+   * </pre>
+   *
+   * <code>repeated string control = 12;</code>
+   * @param values The control to add.
+   */
+  private void addAllControl(
+      java.lang.Iterable<java.lang.String> values) {
+    ensureControlIsMutable();
+    com.google.protobuf.AbstractMessageLite.addAll(
+        values, control_);
+  }
+  /**
+   * <pre>
+   * Addresses of the control processes, by the sender's log.
+   * </pre>
+   *
+   * <code>repeated string control = 12;</code>
+   */
+  private void clearControl() {
+    control_ = com.google.protobuf.GeneratedMessageLite.emptyProtobufList();
+  }
+  /**
+   * <pre>
+   * Addresses of the control processes, by the sender's log.
+   * </pre>
+   *
+   * <code>repeated string control = 12;</code>
+   * @param value The bytes of the control to add.
+   */
+  private void addControlBytes(
+      com.google.protobuf.ByteString value) {
+    checkByteStringIsUtf8(value);
+    ensureControlIsMutable();
+    control_.add(value.toStringUtf8());
+  }
+
+  public static final int ENTRY_ADDRESSES_FIELD_NUMBER = 13;
+  private com.google.protobuf.Internal.ProtobufList<java.lang.String> entryAddresses_;
+  /**
+   * <pre>
+   * Addresses of the entries that hear from this control process.
+   * </pre>
+   *
+   * <code>repeated string entry_addresses = 13;</code>
+   * @return A list containing the entryAddresses.
+   */
+  @java.lang.Override
+  public java.util.List<java.lang.String> getEntryAddressesList() {
+    return entryAddresses_;
+  }
+  /**
+   * <pre>
+   * Addresses of the entries that hear from this control process.
+   * </pre>
+   *
+   * <code>repeated string entry_addresses = 13;</code>
+   * @return The count of entryAddresses.
+   */
+  @java.lang.Override
+  public int getEntryAddressesCount() {
+    return entryAddresses_.size();
+  }
+  /**
+   * <pre>
+   * Addresses of the entries that hear from this control process.
+   * </pre>
+   *
+   * <code>repeated string entry_addresses = 13;</code>
+   * @param index The index of the element to return.
+   * @return The entryAddresses at the given index.
+   */
+  @java.lang.Override
+  public java.lang.String getEntryAddresses(int index) {
+    return entryAddresses_.get(index);
+  }
+  /**
+   * <pre>
+   * Addresses of the entries that hear from this control process.
+   * </pre>
+   *
+   * <code>repeated string entry_addresses = 13;</code>
+   * @param index The index of the value to return.
+   * @return The bytes of the entryAddresses at the given index.
+   */
+  @java.lang.Override
+  public com.google.protobuf.ByteString
+      getEntryAddressesBytes(int index) {
+    return com.google.protobuf.ByteString.copyFromUtf8(
+        entryAddresses_.get(index));
+  }
+  private void ensureEntryAddressesIsMutable() {
+    com.google.protobuf.Internal.ProtobufList<java.lang.String> tmp =
+        entryAddresses_;  if (!tmp.isModifiable()) {
+      entryAddresses_ =
+          com.google.protobuf.GeneratedMessageLite.mutableCopy(tmp);
+     }
+  }
+  /**
+   * <pre>
+   * Addresses of the entries that hear from this control process.
+   * </pre>
+   *
+   * <code>repeated string entry_addresses = 13;</code>
+   * @param index The index to set the value at.
+   * @param value The entryAddresses to set.
+   */
+  @java.lang.SuppressWarnings("ReturnValueIgnored")
+  private void setEntryAddresses(
+      int index, java.lang.String value) {
+    value.getClass();  // minimal bytecode null check
+    ensureEntryAddressesIsMutable();
+    entryAddresses_.set(index, value);
+  }
+  /**
+   * <pre>
+   * Addresses of the entries that hear from this control process.
+   * </pre>
+   *
+   * <code>repeated string entry_addresses = 13;</code>
+   * @param value The entryAddresses to add.
+   */
+  @java.lang.SuppressWarnings("ReturnValueIgnored")
+  private void addEntryAddresses(
+      java.lang.String value) {
+    value.getClass();  // minimal bytecode null check
+    ensureEntryAddressesIsMutable();
+    entryAddresses_.add(value);
+  }
+  /**
+   * <pre>
+   * Addresses of the entries that hear from this control process.
+   * </pre>
+   *
+   * <code>repeated string entry_addresses = 13;</code>
+   * @param values The entryAddresses to add.
+   */
+  private void addAllEntryAddresses(
+      java.lang.Iterable<java.lang.String> values) {
+    ensureEntryAddressesIsMutable();
+    com.google.protobuf.AbstractMessageLite.addAll(
+        values, entryAddresses_);
+  }
+  /**
+   * <pre>
+   * Addresses of the entries that hear from this control process.
+   * </pre>
+   *
+   * <code>repeated string entry_addresses = 13;</code>
+   */
+  private void clearEntryAddresses() {
+    entryAddresses_ = com.google.protobuf.GeneratedMessageLite.emptyProtobufList();
+  }
+  /**
+   * <pre>
+   * Addresses of the entries that hear from this control process.
+   * </pre>
+   *
+   * <code>repeated string entry_addresses = 13;</code>
+   * @param value The bytes of the entryAddresses to add.
+   */
+  private void addEntryAddressesBytes(
+      com.google.protobuf.ByteString value) {
+    checkByteStringIsUtf8(value);
+    ensureEntryAddressesIsMutable();
+    entryAddresses_.add(value.toStringUtf8());
+  }
+
+  public static final int UPSTREAMS_FIELD_NUMBER = 14;
+  private com.google.protobuf.Internal.ProtobufList<org.cuminshelf.message.UpstreamBeat> upstreams_;
+  /**
+   * <pre>
+   * Upstreams that announce themselves straight to control: all that changed since the version held.
+   * </pre>
+   *
+   * <code>repeated .cuminshelf.UpstreamBeat upstreams = 14;</code>
+   */
+  @java.lang.Override
+  public java.util.List<org.cuminshelf.message.UpstreamBeat> getUpstreamsList() {
+    return upstreams_;
+  }
+  /**
+   * <pre>
+   * Upstreams that announce themselves straight to control: all that changed since the version held.
+   * </pre>
+   *
+   * <code>repeated .cuminshelf.UpstreamBeat upstreams = 14;</code>
+   */
+  public java.util.List<? extends org.cuminshelf.message.UpstreamBeatOrBuilder> 
+      getUpstreamsOrBuilderList() {
+    return upstreams_;
+  }
+  /**
+   * <pre>
+   * Upstreams that announce themselves straight to control: all that changed since the version held.
+   * </pre>
+   *
+   * <code>repeated .cuminshelf.UpstreamBeat upstreams = 14;</code>
+   */
+  @java.lang.Override
+  public int getUpstreamsCount() {
+    return upstreams_.size();
+  }
+  /**
+   * <pre>
+   * Upstreams that announce themselves straight to control: all that changed since the version held.
+   * </pre>
+   *
+   * <code>repeated .cuminshelf.UpstreamBeat upstreams = 14;</code>
+   */
+  @java.lang.Override
+  public org.cuminshelf.message.UpstreamBeat getUpstreams(int index) {
+    return upstreams_.get(index);
+  }
+  /**
+   * <pre>
+   * Upstreams that announce themselves straight to control: all that changed since the version held.
+   * </pre>
+   *
+   * <code>repeated .cuminshelf.UpstreamBeat upstreams = 14;</code>
+   */
+  public org.cuminshelf.message.UpstreamBeatOrBuilder getUpstreamsOrBuilder(
+      int index) {
+    return upstreams_.get(index);
+  }
+  private void ensureUpstreamsIsMutable() {
+    com.google.protobuf.Internal.ProtobufList<org.cuminshelf.message.UpstreamBeat> tmp = upstreams_;
+    if (!tmp.isModifiable()) {
+      upstreams_ =
+          com.google.protobuf.GeneratedMessageLite.mutableCopy(tmp);
+     }
+  }
+
+  /**
+   * <pre>
+   * Upstreams that announce themselves straight to control: all that changed since the version held.
+   * </pre>
+   *
+   * <code>repeated .cuminshelf.UpstreamBeat upstreams = 14;</code>
+   */
+  @java.lang.SuppressWarnings("ReturnValueIgnored")
+  private void setUpstreams(
+      int index, org.cuminshelf.message.UpstreamBeat value) {
+    value.getClass();  // minimal bytecode null check
+    ensureUpstreamsIsMutable();
+    upstreams_.set(index, value);
+  }
+  /**
+   * <pre>
+   * Upstreams that announce themselves straight to control: all that changed since the version held.
+   * </pre>
+   *
+   * <code>repeated .cuminshelf.UpstreamBeat upstreams = 14;</code>
+   */
+  @java.lang.SuppressWarnings("ReturnValueIgnored")
+  private void addUpstreams(org.cuminshelf.message.UpstreamBeat value) {
+    value.getClass();  // minimal bytecode null check
+    ensureUpstreamsIsMutable();
+    upstreams_.add(value);
+  }
+  /**
+   * <pre>
+   * Upstreams that announce themselves straight to control: all that changed since the version held.
+   * </pre>
+   *
+   * <code>repeated .cuminshelf.UpstreamBeat upstreams = 14;</code>
+   */
+  @java.lang.SuppressWarnings("ReturnValueIgnored")
+  private void addUpstreams(
+      int index, org.cuminshelf.message.UpstreamBeat value) {
+    value.getClass();  // minimal bytecode null check
+    ensureUpstreamsIsMutable();
+    upstreams_.add(index, value);
+  }
+  /**
+   * <pre>
+   * Upstreams that announce themselves straight to control: all that changed since the version held.
+   * </pre>
+   *
+   * <code>repeated .cuminshelf.UpstreamBeat upstreams = 14;</code>
+   */
+  private void addAllUpstreams(
+      java.lang.Iterable<? extends org.cuminshelf.message.UpstreamBeat> values) {
+    ensureUpstreamsIsMutable();
+    com.google.protobuf.AbstractMessageLite.addAll(
+        values, upstreams_);
+  }
+  /**
+   * <pre>
+   * Upstreams that announce themselves straight to control: all that changed since the version held.
+   * </pre>
+   *
+   * <code>repeated .cuminshelf.UpstreamBeat upstreams = 14;</code>
+   */
+  private void clearUpstreams() {
+    upstreams_ = emptyProtobufList();
+  }
+  /**
+   * <pre>
+   * Upstreams that announce themselves straight to control: all that changed since the version held.
+   * </pre>
+   *
+   * <code>repeated .cuminshelf.UpstreamBeat upstreams = 14;</code>
+   */
+  private void removeUpstreams(int index) {
+    ensureUpstreamsIsMutable();
+    upstreams_.remove(index);
+  }
+
   public static org.cuminshelf.message.Update parseFrom(
       java.nio.ByteBuffer data)
       throws com.google.protobuf.InvalidProtocolBufferException {
@@ -1233,6 +1639,412 @@
       return this;
     }
 
+    /**
+     * <pre>
+     * Addresses of the control processes, by the sender's log.
+     * </pre>
+     *
+     * <code>repeated string control = 12;</code>
+     * @return A list containing the control.
+     */
+    @java.lang.Override
+    public java.util.List<java.lang.String>
+        getControlList() {
+      return java.util.Collections.unmodifiableList(
+          instance.getControlList());
+    }
+    /**
+     * <pre>
+     * Addresses of the control processes, by the sender's log.
+     * </pre>
+     *
+     * <code>repeated string control = 12;</code>
+     * @return The count of control.
+     */
+    @java.lang.Override
+    public int getControlCount() {
+      return instance.getControlCount();
+    }
+    /**
+     * <pre>
+     * Addresses of the control processes, by the sender's log.
+     * </pre>
+     *
+     * <code>repeated string control = 12;</code>
+     * @param index The index of the element to return.
+     * @return The control at the given index.
+     */
+    @java.lang.Override
+    public java.lang.String getControl(int index) {
+      return instance.getControl(index);
+    }
+    /**
+     * <pre>
+     * Addresses of the control processes, by the sender's log.
+     * </pre>
+     *
+     * <code>repeated string control = 12;</code>
+     * @param index The index of the value to return.
+     * @return The bytes of the control at the given index.
+     */
+    @java.lang.Override
+    public com.google.protobuf.ByteString
+        getControlBytes(int index) {
+      return instance.getControlBytes(index);
+    }
+    /**
+     * <pre>
+     * Addresses of the control processes, by the sender's log.
+     * </pre>
+     *
+     * <code>repeated string control = 12;</code>
+     * @param index The index to set the value at.
+     * @param value The control to set.
+     * @return This builder for chaining.
+     */
+    public Builder setControl(
+        int index, java.lang.String value) {
+      copyOnWrite();
+      instance.setControl(index, value);
+      return this;
+    }
+    /**
+     * <pre>
+     * Addresses of the control processes, by the sender's log.
+     * </pre>
+     *
+     * <code>repeated string control = 12;</code>
+     * @param value The control to add.
+     * @return This builder for chaining.
+     */
+    public Builder addControl(
+        java.lang.String value) {
+      copyOnWrite();
+      instance.addControl(value);
+      return this;
+    }
+    /**
+     * <pre>
+     * Addresses of the control processes, by the sender's log.
+     * </pre>
+     *
+     * <code>repeated string control = 12;</code>
+     * @param values The control to add.
+     * @return This builder for chaining.
+     */
+    public Builder addAllControl(
+        java.lang.Iterable<java.lang.String> values) {
+      copyOnWrite();
+      instance.addAllControl(values);
+      return this;
+    }
+    /**
+     * <pre>
+     * Addresses of the control processes, by the sender's log.
+     * </pre>
+     *
+     * <code>repeated string control = 12;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearControl() {
+      copyOnWrite();
+      instance.clearControl();
+      return this;
+    }
+    /**
+     * <pre>
+     * Addresses of the control processes, by the sender's log.
+     * </pre>
+     *
+     * <code>repeated string control = 12;</code>
+     * @param value The bytes of the control to add.
+     * @return This builder for chaining.
+     */
+    public Builder addControlBytes(
+        com.google.protobuf.ByteString value) {
+      copyOnWrite();
+      instance.addControlBytes(value);
+      return this;
+    }
+
+    /**
+     * <pre>
+     * Addresses of the entries that hear from this control process.
+     * </pre>
+     *
+     * <code>repeated string entry_addresses = 13;</code>
+     * @return A list containing the entryAddresses.
+     */
+    @java.lang.Override
+    public java.util.List<java.lang.String>
+        getEntryAddressesList() {
+      return java.util.Collections.unmodifiableList(
+          instance.getEntryAddressesList());
+    }
+    /**
+     * <pre>
+     * Addresses of the entries that hear from this control process.
+     * </pre>
+     *
+     * <code>repeated string entry_addresses = 13;</code>
+     * @return The count of entryAddresses.
+     */
+    @java.lang.Override
+    public int getEntryAddressesCount() {
+      return instance.getEntryAddressesCount();
+    }
+    /**
+     * <pre>
+     * Addresses of the entries that hear from this control process.
+     * </pre>
+     *
+     * <code>repeated string entry_addresses = 13;</code>
+     * @param index The index of the element to return.
+     * @return The entryAddresses at the given index.
+     */
+    @java.lang.Override
+    public java.lang.String getEntryAddresses(int index) {
+      return instance.getEntryAddresses(index);
+    }
+    /**
+     * <pre>
+     * Addresses of the entries that hear from this control process.
+     * </pre>
+     *
+     * <code>repeated string entry_addresses = 13;</code>
+     * @param index The index of the value to return.
+     * @return The bytes of the entryAddresses at the given index.
+     */
+    @java.lang.Override
+    public com.google.protobuf.ByteString
+        getEntryAddressesBytes(int index) {
+      return instance.getEntryAddressesBytes(index);
+    }
+    /**
+     * <pre>
+     * Addresses of the entries that hear from this control process.
+     * </pre>
+     *
+     * <code>repeated string entry_addresses = 13;</code>
+     * @param index The index to set the value at.
+     * @param value The entryAddresses to set.
+     * @return This builder for chaining.
+     */
+    public Builder setEntryAddresses(
+        int index, java.lang.String value) {
+      copyOnWrite();
+      instance.setEntryAddresses(index, value);
+      return this;
+    }
+    /**
+     * <pre>
+     * Addresses of the entries that hear from this control process.
+     * </pre>
+     *
+     * <code>repeated string entry_addresses = 13;</code>
+     * @param value The entryAddresses to add.
+     * @return This builder for chaining.
+     */
+    public Builder addEntryAddresses(
+        java.lang.String value) {
+      copyOnWrite();
+      instance.addEntryAddresses(value);
+      return this;
+    }
+    /**
+     * <pre>
+     * Addresses of the entries that hear from this control process.
+     * </pre>
+     *
+     * <code>repeated string entry_addresses = 13;</code>
+     * @param values The entryAddresses to add.
+     * @return This builder for chaining.
+     */
+    public Builder addAllEntryAddresses(
+        java.lang.Iterable<java.lang.String> values) {
+      copyOnWrite();
+      instance.addAllEntryAddresses(values);
+      return this;
+    }
+    /**
+     * <pre>
+     * Addresses of the entries that hear from this control process.
+     * </pre>
+     *
+     * <code>repeated string entry_addresses = 13;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearEntryAddresses() {
+      copyOnWrite();
+      instance.clearEntryAddresses();
+      return this;
+    }
+    /**
+     * <pre>
+     * Addresses of the entries that hear from this control process.
+     * </pre>
+     *
+     * <code>repeated string entry_addresses = 13;</code>
+     * @param value The bytes of the entryAddresses to add.
+     * @return This builder for chaining.
+     */
+    public Builder addEntryAddressesBytes(
+        com.google.protobuf.ByteString value) {
+      copyOnWrite();
+      instance.addEntryAddressesBytes(value);
+      return this;
+    }
+
+    /**
+     * <pre>
+     * Upstreams that announce themselves straight to control: all that changed since the version held.
+     * </pre>
+     *
+     * <code>repeated .cuminshelf.UpstreamBeat upstreams = 14;</code>
+     */
+    @java.lang.Override
+    public java.util.List<org.cuminshelf.message.UpstreamBeat> getUpstreamsList() {
+      return java.util.Collections.unmodifiableList(
+          instance.getUpstreamsList());
+    }
+    /**
+     * <pre>
+     * Upstreams that announce themselves straight to control: all that changed since the version held.
+     * </pre>
+     *
+     * <code>repeated .cuminshelf.UpstreamBeat upstreams = 14;</code>
+     */
+    @java.lang.Override
+    public int getUpstreamsCount() {
+      return instance.getUpstreamsCount();
+    }/**
+     * <pre>
+     * Upstreams that announce themselves straight to control: all that changed since the version held.
+     * </pre>
+     *
+     * <code>repeated .cuminshelf.UpstreamBeat upstreams = 14;</code>
+     */
+    @java.lang.Override
+    public org.cuminshelf.message.UpstreamBeat getUpstreams(int index) {
+      return instance.getUpstreams(index);
+    }
+    /**
+     * <pre>
+     * Upstreams that announce themselves straight to control: all that changed since the version held.
+     * </pre>
+     *
+     * <code>repeated .cuminshelf.UpstreamBeat upstreams = 14;</code>
+     */
+    public Builder setUpstreams(
+        int index, org.cuminshelf.message.UpstreamBeat value) {
+      copyOnWrite();
+      instance.setUpstreams(index, value);
+      return this;
+    }
+    /**
+     * <pre>
+     * Upstreams that announce themselves straight to control: all that changed since the version held.
+     * </pre>
+     *
+     * <code>repeated .cuminshelf.UpstreamBeat upstreams = 14;</code>
+     */
+    public Builder setUpstreams(
+        int index, org.cuminshelf.message.UpstreamBeat.Builder builderForValue) {
+      copyOnWrite();
+      instance.setUpstreams(index,
+          builderForValue.build());
+      return this;
+    }
+    /**
+     * <pre>
+     * Upstreams that announce themselves straight to control: all that changed since the version held.
+     * </pre>
+     *
+     * <code>repeated .cuminshelf.UpstreamBeat upstreams = 14;</code>
+     */
+    public Builder addUpstreams(org.cuminshelf.message.UpstreamBeat value) {
+      copyOnWrite();
+      instance.addUpstreams(value);
+      return this;
+    }
+    /**
+     * <pre>
+     * Upstreams that announce themselves straight to control: all that changed since the version held.
+     * </pre>
+     *
+     * <code>repeated .cuminshelf.UpstreamBeat upstreams = 14;</code>
+     */
+    public Builder addUpstreams(
+        int index, org.cuminshelf.message.UpstreamBeat value) {
+      copyOnWrite();
+      instance.addUpstreams(index, value);
+      return this;
+    }
+    /**
+     * <pre>
+     * Upstreams that announce themselves straight to control: all that changed since the version held.
+     * </pre>
+     *
+     * <code>repeated .cuminshelf.UpstreamBeat upstreams = 14;</code>
+     */
+    public Builder addUpstreams(
+        org.cuminshelf.message.UpstreamBeat.Builder builderForValue) {
+      copyOnWrite();
+      instance.addUpstreams(builderForValue.build());
+      return this;
+    }
+    /**
+     * <pre>
+     * Upstreams that announce themselves straight to control: all that changed since the version held.
+     * </pre>
+     *
+     * <code>repeated .cuminshelf.UpstreamBeat upstreams = 14;</code>
+     */
+    public Builder addUpstreams(
+        int index, org.cuminshelf.message.UpstreamBeat.Builder builderForValue) {
+      copyOnWrite();
+      instance.addUpstreams(index,
+          builderForValue.build());
+      return this;
+    }
+    /**
+     * <pre>
+     * Upstreams that announce themselves straight to control: all that changed since the version held.
+     * </pre>
+     *
+     * <code>repeated .cuminshelf.UpstreamBeat upstreams = 14;</code>
+     */
+    public Builder addAllUpstreams(
+        java.lang.Iterable<? extends org.cuminshelf.message.UpstreamBeat> values) {
+      copyOnWrite();
+      instance.addAllUpstreams(values);
+      return this;
+    }
+    /**
+     * <pre>
+     * Upstreams that announce themselves straight to control: all that changed since the version held.
+     * </pre>
+     *
+     * <code>repeated .cuminshelf.UpstreamBeat upstreams = 14;</code>
+     */
+    public Builder clearUpstreams() {
+      copyOnWrite();
+      instance.clearUpstreams();
+      return this;
+    }
+    /**
+     * <pre>
+     * Upstreams that announce themselves straight to control: all that changed since the version held.
+     * </pre>
+     *
+     * <code>repeated .cuminshelf.UpstreamBeat upstreams = 14;</code>
+     */
+    public Builder removeUpstreams(int index) {
+      copyOnWrite();
+      instance.removeUpstreams(index);
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:cuminshelf.Update)
   }
   @java.lang.Override
@@ -1262,11 +2074,15 @@
             org.cuminshelf.message.GroupLeader.class,
             "entries_",
             "voter_",
+            "control_",
+            "entryAddresses_",
+            "upstreams_",
+            org.cuminshelf.message.UpstreamBeat.class,
           };
           java.lang.String info =
-              "\u0000\u000b\u0000\u0000\u0001\u000b\u000b\u0000\u0002\u0000\u0001\u0003\u0002\n" +
+              "\u0000\u000e\u0000\u0000\u0001\u000e\u000e\u0000\u0005\u0000\u0001\u0003\u0002\n" +
               "\u0003\u0003\u0004\u0003\u0005\u001b\u0006\u0007\u0007\u0007\b\u0208\t\u001b\n\u000b" +
-              "\u000b\u0007";
+              "\u000b\u0007\f\u021a\r\u021a\u000e\u001b";
           return newMessageInfo(DEFAULT_INSTANCE, info, objects);
       }
       case GET_DEFAULT_INSTANCE: {
--- a/src/main/java/org/cuminshelf/message/UpdateOrBuilder.java
+++ b/src/main/java/org/cuminshelf/message/UpdateOrBuilder.java
@@ -125,4 +125,112 @@
    * @return The voter.
    */
   boolean getVoter();
+
+  /**
+   * <pre>
+   * Addresses of the control processes, by the sender's log.
+   * </pre>
+   *
+   * <code>repeated string control = 12;</code>
+   * @return A list containing the control.
+   */
+  java.util.List<java.lang.String>
+      getControlList();
+  /**
+   * <pre>
+   * Addresses of the control processes, by the sender's log.
+   * </pre>
+   *
+   * <code>repeated string control = 12;</code>
+   * @return The count of control.
+   */
+  int getControlCount();
+  /**
+   * <pre>
+   * Addresses of the control processes, by the sender's log.
+   * </pre>
+   *
+   * <code>repeated string control = 12;</code>
+   * @param index The index of the element to return.
+   * @return The control at the given index.
+   */
+  java.lang.String getControl(int index);
+  /**
+   * <pre>
+   * Addresses of the control processes, by the sender's log.
+   * </pre>
+   *
+   * <code>repeated string control = 12;</code>
+   * @param index The index of the element to return.
+   * @return The control at the given index.
+   */
+  com.google.protobuf.ByteString
+      getControlBytes(int index);
+
+  /**
+   * <pre>
+   * Addresses of the entries that hear from this control process.
+   * </pre>
+   *
+   * <code>repeated string entry_addresses = 13;</code>
+   * @return A list containing the entryAddresses.
+   */
+  java.util.List<java.lang.String>
+      getEntryAddressesList();
+  /**
+   * <pre>
+   * Addresses of the entries that hear from this control process.
+   * </pre>
+   *
+   * <code>repeated string entry_addresses = 13;</code>
+   * @return The count of entryAddresses.
+   */
+  int getEntryAddressesCount();
+  /**
+   * <pre>
+   * Addresses of the entries that hear from this control process.
+   * </pre>
+   *
+   * <code>repeated string entry_addresses = 13;</code>
+   * @param index The index of the element to return.
+   * @return The entryAddresses at the given index.
+   */
+  java.lang.String getEntryAddresses(int index);
+  /**
+   * <pre>
+   * Addresses of the entries that hear from this control process.
+   * </pre>
+   *
+   * <code>repeated string entry_addresses = 13;</code>
+   * @param index The index of the element to return.
+   * @return The entryAddresses at the given index.
+   */
+  com.google.protobuf.ByteString
+      getEntryAddressesBytes(int index);
+
+  /**
+   * <pre>
+   * Upstreams that announce themselves straight to control: all that changed since the version held.
+   * </pre>
+   *
+   * <code>repeated .cuminshelf.UpstreamBeat upstreams = 14;</code>
+   */
+  java.util.List<org.cuminshelf.message.UpstreamBeat> 
+      getUpstreamsList();
+  /**
+   * <pre>
+   * Upstreams that announce themselves straight to control: all that changed since the version held.
+   * </pre>
+   *
+   * <code>repeated .cuminshelf.UpstreamBeat upstreams = 14;</code>
+   */
+  org.cuminshelf.message.UpstreamBeat getUpstreams(int index);
+  /**
+   * <pre>
+   * Upstreams that announce themselves straight to control: all that changed since the version held.
+   * </pre>
+   *
+   * <code>repeated .cuminshelf.UpstreamBeat upstreams = 14;</code>
+   */
+  int getUpstreamsCount();
 }
--- /dev/null
+++ b/src/main/java/org/cuminshelf/platform/ConfigDocument.java
@@ -0,0 +1,141 @@
+package org.cuminshelf.platform;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.core.StreamReadFeature;
+import com.fasterxml.jackson.databind.DeserializationFeature;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.json.JsonMapper;
+import io.vavr.control.Either;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Optional;
+import org.cuminshelf.exchange.CallerLimits;
+import org.cuminshelf.routes.EngineLimits;
+import org.cuminshelf.routes.RequestKind;
+import org.cuminshelf.routes.Route;
+import org.cuminshelf.routes.RouteTable;
+import org.cuminshelf.routes.RoutedService;
+import org.cuminshelf.routes.WeightedService;
+
+/** The configuration as the platform's operators write it. */
+final class ConfigDocument {
+
+    private static final ObjectMapper JSON = JsonMapper.builder()
+            .enable(DeserializationFeature.FAIL_ON_TRAILING_TOKENS)
+            .enable(StreamReadFeature.STRICT_DUPLICATE_DETECTION)
+            .build();
+    /** Timeout of a route that states none. */
+    private static final long DEFAULT_TIMEOUT_MILLIS = 60_000;
+
+    private ConfigDocument() {}
+
+    /** Reads and checks a configuration; the text says what is wrong with it. */
+    static Either<String, RouteTable> read(byte[] document) {
+        try {
+            JsonNode root = JSON.readTree(document);
+            if (root == null || !root.isObject()) {
+                return Either.left("the configuration is no JSON object");
+            }
+            if (!root.path("version").canConvertToLong() || root.path("version").longValue() <= 0) {
+                return Either.left("'version' must be a whole number above 0");
+            }
+            RouteTable table = table(root);
+            Optional<String> problem = table.problem();
+            return problem.isPresent() ? Either.left(problem.get()) : Either.right(table);
+        } catch (JsonProcessingException e) {
+            return Either.left("the configuration can't be read: " + e.getOriginalMessage());
+        } catch (IOException e) {
+            return Either.left(e.getMessage());
+        }
+    }
+
+    private static RouteTable table(JsonNode root) throws IOException {
+        if (!root.path("routes").isArray() || !root.path("services").isArray()) {
+            throw new IOException("'routes' and 'services' must be lists");
+        }
+        Map<String, RoutedService> services = new HashMap<>();
+        for (JsonNode node : root.path("services")) {
+            RoutedService service = service(node);
+            services.put(service.name(), service);
+        }
+        List<Route> routes = new ArrayList<>();
+        for (JsonNode node : root.path("routes")) {
+            routes.add(route(node));
+        }
+        return RouteTable.of(root.path("version").longValue(), routes, services, limits(root.path("limits")));
+    }
+
+    private static RoutedService service(JsonNode node) throws IOException {
+        JsonNode engine = node.path("engine");
+        Optional<EngineLimits> limits = engine.isObject()
+                ? Optional.of(new EngineLimits(
+                        engine.path("slots").asInt(1),
+                        engine.path("kvCapacityTokens").asLong(0)))
+                : Optional.empty();
+        return new RoutedService(text(node, "name"), node.path("maxConns").asInt(Integer.MAX_VALUE), limits);
+    }
+
+    private static Route route(JsonNode node) throws IOException {
+        List<WeightedService> services = new ArrayList<>();
+        for (JsonNode share : node.path("trafficSplit")) {
+            services.add(new WeightedService(text(share, "service"), (int) number(share, "weight", 0)));
+        }
+        if (services.isEmpty()) {
+            services.add(new WeightedService(text(node, "service"), 1));
+        }
+        long timeout = number(node, "timeoutMs", DEFAULT_TIMEOUT_MILLIS);
+        return new Route(
+                node.path("name").asText(""),
+                text(node, "host").toLowerCase(Locale.ROOT),
+                text(node, "pathPrefix"),
+                kind(text(node, "routeKind")),
+                timeout,
+                number(node, "targetLatencyMs", timeout),
+                (int) number(node, "priority", 0),
+                services,
+                (int) Math.max(1, number(node, "maxAttempts", 1)),
+                node.path("resumable").asBoolean(false));
+    }
+
+    private static RequestKind kind(String word) throws IOException {
+        return switch (word) {
+            case "idempotent" -> RequestKind.IDEMPOTENT;
+            case "non_idempotent" -> RequestKind.NON_IDEMPOTENT;
+            case "stream" -> RequestKind.STREAM;
+            default -> throw new IOException("'routeKind' is " + word + ", which is no known kind");
+        };
+    }
+
+    private static CallerLimits limits(JsonNode node) throws IOException {
+        CallerLimits usual = CallerLimits.DEFAULT;
+        return new CallerLimits(
+                (int) number(node, "maxHeaderBytes", usual.headerBytes()),
+                (int) number(node, "maxBodyBytes", usual.bodyBytes()),
+                number(node, "headerTimeoutMs", usual.headerMillis()),
+                number(node, "idleTimeoutMs", usual.idleMillis()));
+    }
+
+    private static String text(JsonNode node, String name) throws IOException {
+        String value = node.path(name).textValue();
+        if (value == null) {
+            throw new IOException("'" + name + "' is missing or no text");
+        }
+        return value;
+    }
+
+    private static long number(JsonNode node, String name, long absent) throws IOException {
+        JsonNode value = node.path(name);
+        if (value.isMissingNode()) {
+            return absent;
+        }
+        if (!value.isNumber()) {
+            throw new IOException("'" + name + "' must be a number");
+        }
+        return value.longValue();
+    }
+}
--- /dev/null
+++ b/src/main/java/org/cuminshelf/platform/ControlCalls.java
@@ -0,0 +1,172 @@
+package org.cuminshelf.platform;
+
+import com.google.protobuf.ByteString;
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.concurrent.locks.ReentrantLock;
+import java.util.function.Consumer;
+import org.cuminshelf.config.MergedConfig;
+import org.cuminshelf.core.Address;
+import org.cuminshelf.exchange.CallerExchange;
+import org.cuminshelf.exchange.CallerHandler;
+import org.cuminshelf.exchange.CallerLimits;
+import org.cuminshelf.exchange.CallerListener;
+import org.cuminshelf.exchange.ReceivedRequest;
+import org.cuminshelf.message.AdminAnswer;
+import org.cuminshelf.message.AdminRequest;
+import org.cuminshelf.message.ConfigApply;
+import org.cuminshelf.message.ConfigRead;
+import org.cuminshelf.message.Envelope;
+import org.cuminshelf.message.UpstreamBeat;
+import org.cuminshelf.process.ControlInterface;
+import org.cuminshelf.routes.RouteTable;
+import org.eclipse.jetty.http.HttpFields;
+import org.eclipse.jetty.http.HttpHeader;
+import org.tinylog.Logger;
+
+/** The calls of upstreams and operators to a control process. */
+final class ControlCalls implements ControlInterface, CallerHandler {
+
+    private static final String CONFIG = "/cuminshelf/config";
+    private static final String INSTANCES = "/cuminshelf/instances/";
+    private static final String AUTHOR = "operator";
+
+    private final ReentrantLock lock = new ReentrantLock();
+    private final Consumer<Envelope.Builder> core;
+    private final Map<Long, CallerExchange> waiting = new HashMap<>();
+    private final CallerListener listener;
+    private long nextQuestion = 1;
+
+    private ControlCalls(Consumer<Envelope.Builder> core, Address address) throws IOException {
+        this.core = core;
+        this.listener = CallerListener.start(address, lock, this, () -> CallerLimits.DEFAULT);
+    }
+
+    /** Opens the interface at an address, as a control process asks for it. */
+    static ControlInterface.Opener at(Address address) {
+        return (core, config, ready, registry) -> new ControlCalls(core, address);
+    }
+
+    @Override
+    public void onRequest(ReceivedRequest request, CallerExchange exchange) {
+        String path = request.path();
+        String method = request.method();
+        if (path.equals(CONFIG) && method.equals("PUT")) {
+            onConfig(request, exchange);
+        } else if (path.equals(CONFIG) && method.equals("GET")) {
+            ask(
+                    exchange,
+                    AdminRequest.newBuilder()
+                            .setConfigRead(ConfigRead.newBuilder().setConfirmed(true)));
+        } else if (path.startsWith(INSTANCES) && method.equals("PUT")) {
+            onBeat(path.substring(INSTANCES.length()), request, exchange);
+        } else if (path.startsWith(INSTANCES) && method.equals("DELETE")) {
+            String id = path.substring(INSTANCES.length());
+            Logger.info("control: event=upstream-gone id={}", id);
+            tell(UpstreamBeat.newBuilder().setId(id).setDeleted(true).build());
+            answer(exchange, 200, "{}");
+        } else {
+            answer(exchange, 404, problem("there is no such call"));
+        }
+    }
+
+    private void onConfig(ReceivedRequest request, CallerExchange exchange) {
+        ConfigDocument.read(request.body())
+                .peek(table -> ask(exchange, apply(request, table)))
+                .peekLeft(wrong -> {
+                    Logger.info("control: event=config-refused bytes={} reason=\"{}\"", request.body().length, wrong);
+                    answer(exchange, 400, problem(wrong));
+                });
+    }
+
+    private static AdminRequest.Builder apply(ReceivedRequest request, RouteTable table) {
+        return AdminRequest.newBuilder()
+                .setConfigApply(ConfigApply.newBuilder()
+                        .setDeclaredVersion(table.version())
+                        .setConfig(ByteString.copyFrom(request.body()))
+                        .setHash(MergedConfig.hash(request.body()))
+                        .setAuthor(AUTHOR));
+    }
+
+    private void onBeat(String id, ReceivedRequest request, CallerExchange exchange) {
+        BeatDocument.read(id, request.body())
+                .peek(beat -> {
+                    tell(beat);
+                    answer(exchange, 200, "{}");
+                })
+                .peekLeft(wrong -> {
+                    Logger.info("control: event=heartbeat-refused id={} reason=\"{}\"", id, wrong);
+                    answer(exchange, 400, problem(wrong));
+                });
+    }
+
+    private void tell(UpstreamBeat beat) {
+        core.accept(Envelope.newBuilder().setUpstreamBeat(beat));
+    }
+
+    private void ask(CallerExchange exchange, AdminRequest.Builder request) {
+        long question = nextQuestion++;
+        waiting.put(question, exchange);
+        core.accept(Envelope.newBuilder().setAdminRequest(request.setQuestion(question)));
+    }
+
+    @Override
+    public void deliver(Envelope message) {
+        lock.lock();
+        try {
+            AdminAnswer answer = message.getAdminAnswer();
+            CallerExchange exchange = waiting.remove(answer.getQuestion());
+            if (exchange != null) {
+                answer(exchange, answer);
+            }
+        } finally {
+            lock.unlock();
+        }
+    }
+
+    private static void answer(CallerExchange exchange, AdminAnswer answer) {
+        switch (answer.getResult()) {
+            case ADMIN_DONE -> {
+                boolean read = !answer.getConfig().isEmpty();
+                boolean none = answer.getVersion() == 0;
+                if (read) {
+                    exchange.answer(200, json(), answer.getConfig().asReadOnlyByteBuffer());
+                } else {
+                    answer(exchange, none ? 503 : 200, none ? problem("no configuration was accepted yet") : "{}");
+                }
+            }
+            case ADMIN_BAD -> answer(exchange, 400, problem(answer.getDetail()));
+            default -> answer(exchange, 503, problem(answer.getDetail()));
+        }
+    }
+
+    private static void answer(CallerExchange exchange, int status, String body) {
+        exchange.answer(status, json(), ByteBuffer.wrap(body.getBytes(StandardCharsets.UTF_8)));
+    }
+
+    private static HttpFields json() {
+        return HttpFields.build().put(HttpHeader.CONTENT_TYPE, "application/json");
+    }
+
+    private static String problem(String text) {
+        return "{\"error\":\"" + text.replace('"', '\'').replace('\\', '/') + "\"}";
+    }
+
+    @Override
+    public void onGone(CallerExchange exchange) {
+        waiting.values().remove(exchange);
+    }
+
+    @Override
+    public int port() {
+        return listener.port();
+    }
+
+    @Override
+    public void close() {
+        listener.close();
+    }
+}
--- /dev/null
+++ b/src/main/java/org/cuminshelf/platform/Headers.java
@@ -0,0 +1,56 @@
+package org.cuminshelf.platform;
+
+import java.util.Set;
+
+/** The platform's headers. */
+final class Headers {
+
+    /** Names a request of a caller; each try of a caller has its own. Upstreams echo it. */
+    static final String REQUEST_ID = "X-Cuminshelf-Request-Id";
+    /** Milliseconds of patience left, a duration and not a time. */
+    static final String DEADLINE = "X-Cuminshelf-Deadline-Ms";
+    /** The parts of a prompt in order, as ID:TOKENS. */
+    static final String PROMPT_PARTS = "X-Cuminshelf-Prompt-Prefix";
+    /** Tokens of the prompt and most tokens of the output; no usage yet, in spite of the name. */
+    static final String TOKENS = "X-Cuminshelf-Token-Usage";
+
+    static final String MODEL = "X-Cuminshelf-Model";
+    /** What the caller expects of output tokens. */
+    static final String LENGTH_HINT = "X-Cuminshelf-Length-Hint";
+    /** The last event that the receiver of a stream holds. */
+    static final String LAST_EVENT = "Last-Event-Id";
+    /** Marks an answer as that of a run. */
+    static final String SEAL = "X-Cuminshelf-Response-Seal";
+    /** Identity of the start of an upstream that is to answer. */
+    static final String EXPECTED_START = "X-Cuminshelf-Expect-Instance";
+    /** Identity of the start of an upstream that answered. */
+    static final String ANSWERING_START = "X-Cuminshelf-Instance-Id";
+    /** Present where the upstream states that the request did not run. */
+    static final String NOT_EXECUTED = "X-Cuminshelf-Not-Executed";
+
+    /** Place in the engine's queue, 0 to 9. */
+    static final String PRIORITY = "X-Cuminshelf-Request-Priority";
+    /** With the value {@link #PREFILL}: take in the prompt only. */
+    static final String STAGE = "X-Cuminshelf-Stage";
+
+    static final String PREFILL = "prefill";
+    /** IP:PORT/HANDLE of the KV cache to fetch. */
+    static final String CACHE_SOURCE = "X-Cuminshelf-Kv-Source";
+
+    /** Headers that only the system sets; what a caller sends under these names is not passed on. */
+    static final Set<String> SET_BY_SYSTEM = Set.of(
+            "x-cuminshelf-deadline-ms",
+            "x-cuminshelf-expect-instance",
+            "x-cuminshelf-expect-version",
+            "x-cuminshelf-request-priority",
+            "x-cuminshelf-stage",
+            "x-cuminshelf-kv-source",
+            "x-cuminshelf-kv-backup",
+            "x-cuminshelf-kv-hold",
+            "x-cuminshelf-pin-ms",
+            "kv-fetch",
+            "x-cuminshelf-kv-fetch",
+            "last-event-id");
+
+    private Headers() {}
+}
--- /dev/null
+++ b/src/main/java/org/cuminshelf/platform/PlatformCommand.java
@@ -0,0 +1,111 @@
+package org.cuminshelf.platform;
+
+import java.io.IOException;
+import java.nio.file.Path;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import net.sourceforge.argparse4j.inf.Namespace;
+import net.sourceforge.argparse4j.inf.Subparser;
+import org.cuminshelf.control.ControlSettings;
+import org.cuminshelf.core.Address;
+import org.cuminshelf.direct.DirectSettings;
+import org.cuminshelf.process.CommonSettings;
+import org.cuminshelf.process.ControlProcess;
+import org.cuminshelf.process.DirectEntryProcess;
+import org.cuminshelf.process.ServingProcess;
+import org.cuminshelf.replica.MembershipPolicy;
+import org.cuminshelf.replica.ReplicaSettings;
+import org.cuminshelf.tools.Command;
+import org.cuminshelf.tools.Serving;
+import org.cuminshelf.tools.UsageException;
+
+/** Runs a process on the users' platform, by the settings file that it names. */
+public final class PlatformCommand implements Command {
+
+    private static final String ROLE = "role";
+    private static final String ENTRY = "entry";
+    private static final String CONTROL = "control";
+    private static final int DISK_FAILED = 74;
+
+    private PlatformCommand() {}
+
+    /**
+     * Makes the command.
+     *
+     * @return the command
+     */
+    public static PlatformCommand create() {
+        return new PlatformCommand();
+    }
+
+    @Override
+    public String name() {
+        return "platform";
+    }
+
+    @Override
+    public String summary() {
+        return "run a process on the users' platform, by the settings file named in " + BootSettings.VARIABLE;
+    }
+
+    @Override
+    public void describe(Subparser parser) {
+        parser.addArgument(ROLE).choices(ENTRY, CONTROL).help("what the process is");
+    }
+
+    @Override
+    public int run(Namespace flags) throws Exception {
+        BootSettings boot = BootSettings.read();
+        ServingProcess process = flags.getString(ROLE).equals(ENTRY) ? entry(boot) : control(boot);
+        return Serving.until(List.of(process));
+    }
+
+    private static CommonSettings common(BootSettings boot) {
+        return new CommonSettings(
+                boot.messages(),
+                boot.region(),
+                boot.zone(),
+                boot.vm(),
+                Optional.empty(),
+                Optional.empty(),
+                Optional.empty(),
+                Optional.empty(),
+                boot.graceMillis());
+    }
+
+    private static ServingProcess entry(BootSettings boot) throws IOException, UsageException {
+        Address callers =
+                boot.callers().orElseThrow(() -> new UsageException("the settings name no address for callers"));
+        DirectEntryProcess.Options options = new DirectEntryProcess.Options(
+                new DirectSettings(boot.region(), boot.zone(), boot.vm(), boot.seeds(), boot.repeats()),
+                callers,
+                boot.readiness(),
+                new PlatformProtocol(),
+                document -> ConfigDocument.read(document).toJavaOptional());
+        return DirectEntryProcess.start(common(boot), options);
+    }
+
+    private static ServingProcess control(BootSettings boot) throws IOException, UsageException {
+        Address address =
+                boot.control().orElseThrow(() -> new UsageException("the settings name no address for control"));
+        Path folder = boot.dataFolder().orElseThrow(() -> new UsageException("the settings name no data folder"));
+        ReplicaSettings group = new ReplicaSettings(
+                ControlSettings.GLOBAL,
+                boot.messages(),
+                boot.seeds(),
+                true,
+                boot.firstStart() ? MembershipPolicy.OPEN : MembershipPolicy.JOIN_ONLY);
+        ControlSettings settings = new ControlSettings(
+                boot.region(),
+                List.of(group),
+                document -> ConfigDocument.read(document).fold(Optional::of, fine -> Optional.empty()));
+        ControlProcess.Options options =
+                new ControlProcess.Options(settings, folder, address, Optional.empty(), new HashSet<>(), false, true);
+        return ControlProcess.start(
+                common(boot),
+                options,
+                ControlCalls.at(address),
+                () -> Runtime.getRuntime().halt(DISK_FAILED));
+    }
+}
--- /dev/null
+++ b/src/main/java/org/cuminshelf/platform/PlatformProtocol.java
@@ -0,0 +1,151 @@
+package org.cuminshelf.platform;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Locale;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.Set;
+import org.cuminshelf.direct.AnswerFacts;
+import org.cuminshelf.direct.AttemptPlan;
+import org.cuminshelf.direct.CacheHandle;
+import org.cuminshelf.direct.CallIntent;
+import org.cuminshelf.direct.GenerationShape;
+import org.cuminshelf.direct.HopHeaders;
+import org.cuminshelf.direct.PromptPart;
+import org.cuminshelf.direct.UpstreamProtocol;
+import org.cuminshelf.exchange.ReceivedRequest;
+import org.cuminshelf.exchange.UpstreamRequest;
+import org.eclipse.jetty.http.HttpField;
+import org.eclipse.jetty.http.HttpFields;
+import org.eclipse.jetty.http.HttpHeader;
+import org.tinylog.Logger;
+
+/** How the platform's callers and upstreams write requests and answers. */
+final class PlatformProtocol implements UpstreamProtocol {
+
+    private static final ObjectMapper JSON = new ObjectMapper();
+    /** An upstream's refusal of a request that expects another start, version or role. */
+    private static final int MISDIRECTED = 421;
+
+    private static final byte[] NOTHING = new byte[0];
+
+    @Override
+    public CallIntent intent(ReceivedRequest request) {
+        HttpFields headers = request.headers();
+        return new CallIntent(
+                Optional.ofNullable(headers.get(Headers.REQUEST_ID)).orElse(""),
+                number(headers, Headers.DEADLINE),
+                generation(headers),
+                number(headers, Headers.LAST_EVENT));
+    }
+
+    private static Optional<GenerationShape> generation(HttpFields headers) {
+        String tokens = headers.get(Headers.TOKENS);
+        if (tokens == null) {
+            return Optional.empty();
+        }
+        String[] counts = tokens.split(",");
+        try {
+            int prompt = Integer.parseInt(counts[0].trim());
+            int most = counts.length > 1 ? Integer.parseInt(counts[1].trim()) : 0;
+            int expected = (int) number(headers, Headers.LENGTH_HINT).orElse(most);
+            String model = Optional.ofNullable(headers.get(Headers.MODEL)).orElse("");
+            return Optional.of(new GenerationShape(model, prompt, expected, parts(headers.get(Headers.PROMPT_PARTS))));
+        } catch (NumberFormatException e) {
+            Logger.info("platform: event=unreadable-header header={} value=\"{}\"", Headers.TOKENS, tokens);
+            return Optional.empty();
+        }
+    }
+
+    private static List<PromptPart> parts(String header) {
+        List<PromptPart> parts = new ArrayList<>();
+        if (header == null) {
+            return parts;
+        }
+        for (String entry : header.split(",")) {
+            int colon = entry.indexOf(':');
+            if (colon > 0) {
+                parts.add(new PromptPart(
+                        entry.substring(0, colon).trim(),
+                        Integer.parseInt(entry.substring(colon + 1).trim())));
+            }
+        }
+        return parts;
+    }
+
+    private static OptionalLong number(HttpFields headers, String name) {
+        String value = headers.get(name);
+        if (value == null) {
+            return OptionalLong.empty();
+        }
+        try {
+            return OptionalLong.of(Long.parseLong(value.trim()));
+        } catch (NumberFormatException e) {
+            Logger.info("platform: event=unreadable-header header={} value=\"{}\"", name, value);
+            return OptionalLong.empty();
+        }
+    }
+
+    @Override
+    public UpstreamRequest attempt(ReceivedRequest request, AttemptPlan plan) {
+        Set<String> named = namedByConnection(request.headers());
+        HttpFields.Mutable headers = HttpFields.build();
+        for (HttpField field : request.headers()) {
+            String name = field.getName().toLowerCase(Locale.ROOT);
+            boolean kept = !HopHeaders.contains(field) && !Headers.SET_BY_SYSTEM.contains(name);
+            if (kept && !named.contains(name)) {
+                headers.add(field);
+            }
+        }
+        headers.put(Headers.DEADLINE, String.valueOf(plan.remainingMillis()));
+        headers.put(Headers.EXPECTED_START, plan.upstream());
+        if (request.headers().contains(Headers.TOKENS)) {
+            headers.put(Headers.PRIORITY, String.valueOf(plan.priority()));
+        }
+        if (plan.prefillOnly()) {
+            headers.put(Headers.STAGE, Headers.PREFILL);
+        }
+        plan.cache().ifPresent(cache -> headers.put(Headers.CACHE_SOURCE, cache.engine() + "/" + cache.handle()));
+        plan.resumeAfter().ifPresent(event -> headers.put(Headers.LAST_EVENT, String.valueOf(event)));
+        return new UpstreamRequest(request.method(), request.target(), headers, request.body());
+    }
+
+    /** Headers that the caller's Connection header names concern its own connection only. */
+    private static Set<String> namedByConnection(HttpFields headers) {
+        Set<String> named = new HashSet<>();
+        headers.getCSV(HttpHeader.CONNECTION, false).forEach(name -> named.add(name.toLowerCase(Locale.ROOT)));
+        return named;
+    }
+
+    @Override
+    public UpstreamRequest release(CacheHandle handle) {
+        HttpFields headers =
+                HttpFields.build().put(HttpHeader.HOST, handle.engine().value());
+        return new UpstreamRequest("DELETE", "/cuminshelf/kv-handle/" + handle.handle(), headers, NOTHING);
+    }
+
+    @Override
+    public AnswerFacts facts(int status, HttpFields headers) {
+        return new AnswerFacts(
+                Optional.ofNullable(headers.get(Headers.REQUEST_ID)),
+                status == MISDIRECTED || headers.contains(Headers.NOT_EXECUTED),
+                Optional.ofNullable(headers.get(Headers.ANSWERING_START)),
+                headers.contains(Headers.SEAL));
+    }
+
+    @Override
+    public Optional<String> cacheHandle(byte[] body) {
+        try {
+            JsonNode root = JSON.readTree(body);
+            return Optional.ofNullable(root).map(node -> node.path("kvHandle").textValue());
+        } catch (IOException e) {
+            Logger.info("platform: event=unreadable-answer what=\"prompt taken in\" reason=\"{}\"", e.getMessage());
+            return Optional.empty();
+        }
+    }
+}
--- a/src/main/java/org/cuminshelf/process/ControlProcess.java
+++ b/src/main/java/org/cuminshelf/process/ControlProcess.java
@@ -10,10 +10,7 @@
 import org.cuminshelf.control.ControlCore;
 import org.cuminshelf.control.ControlSettings;
 import org.cuminshelf.core.Address;
-import org.cuminshelf.http.AdminHandler;
-import org.cuminshelf.http.HttpListener;
 import org.cuminshelf.http.PemFiles;
-import org.cuminshelf.http.PlatformHandler;
 import org.cuminshelf.message.Envelope;
 import org.cuminshelf.message.WallClock;
 import org.cuminshelf.replica.DurableState;
@@ -21,22 +18,20 @@
 import org.cuminshelf.replica.ReplicaSettings;
 import org.cuminshelf.storage.FileLogDevice;
 import org.cuminshelf.storage.GroupLog;
-import org.eclipse.jetty.server.Handler;
 
 /** A control process as it runs: its core, its messages, its disk and the administration interface. */
 public final class ControlProcess implements ServingProcess {
 
     private static final int NETWORK_THREADS = 2;
-    private static final int HTTP_THREADS = 8;
 
     private final Frame frame;
     private final StorageThread storage;
-    private final HttpListener http;
+    private final ControlInterface outside;
 
-    private ControlProcess(Frame frame, StorageThread storage, HttpListener http) {
+    private ControlProcess(Frame frame, StorageThread storage, ControlInterface outside) {
         this.frame = frame;
         this.storage = storage;
-        this.http = http;
+        this.outside = outside;
     }
 
     /**
@@ -69,6 +64,24 @@
      * @throws IOException if an address, a file or the data folder can't be used
      */
     public static ControlProcess start(CommonSettings common, Options options, Runnable onFailure) throws IOException {
+        ControlInterface.Opener admin =
+                AdminInterface.at(options.admin(), options.adminTls(), options.adminKeys(), options.openAdmin());
+        return start(common, options, admin, onFailure);
+    }
+
+    /**
+     * Starts a control process with another interface than the product's own.
+     *
+     * @param common    what every process is told
+     * @param options   what a control process is told
+     * @param opener    opens its interface
+     * @param onFailure ends the process when its disk fails
+     * @return the running process
+     * @throws IOException if an address, a file or the data folder can't be used
+     */
+    public static ControlProcess start(
+            CommonSettings common, Options options, ControlInterface.Opener opener, Runnable onFailure)
+            throws IOException {
         Frame frame = Frame.open("control", common, NETWORK_THREADS);
         Map<String, GroupLog> logs = new HashMap<>();
         try {
@@ -77,7 +90,7 @@
                 long identity = Math.max(1, frame.random().nextLong() & Long.MAX_VALUE);
                 logs.put(group.group(), GroupLog.open(FileLogDevice.open(file), file.toString(), identity));
             }
-            return start(common, options, onFailure, frame, logs);
+            return start(common, options, opener, onFailure, frame, logs);
         } catch (IOException e) {
             frame.close();
             for (GroupLog log : logs.values()) {
@@ -88,7 +101,12 @@
     }
 
     private static ControlProcess start(
-            CommonSettings common, Options options, Runnable onFailure, Frame frame, Map<String, GroupLog> logs)
+            CommonSettings common,
+            Options options,
+            ControlInterface.Opener opener,
+            Runnable onFailure,
+            Frame frame,
+            Map<String, GroupLog> logs)
             throws IOException {
         Map<String, DurableState> durable = new HashMap<>();
         logs.forEach((group, log) -> durable.put(group, log.recovered()));
@@ -103,22 +121,17 @@
         CoreRunner runner = frame.run(opened -> core);
         StorageThread storage = new StorageThread(logs, runner::offer, onFailure, options.groupCommit());
         runner.port(Address.STORAGE, storage::offer);
-        AdminHandler admin = new AdminHandler(
-                message -> runner.offer(Address.ADMINISTRATORS, message),
-                core::config,
-                options.adminKeys(),
-                options.openAdmin());
-        runner.port(Address.ADMINISTRATORS, admin::deliver);
         PrometheusRegistry registry = new PrometheusRegistry();
         describe(registry, core, frame);
+        ControlInterface outside = opener.open(
+                message -> runner.offer(Address.ADMINISTRATORS, message), core::config, () -> isReady(core), registry);
+        runner.port(Address.ADMINISTRATORS, outside::deliver);
         runner.everySecond(() -> runner.offer(
                 Address.PROCESS,
                 Envelope.newBuilder().setWallClock(WallClock.newBuilder().setEpochMs(System.currentTimeMillis()))));
         storage.start();
         frame.listen();
-        Handler handlers = new Handler.Sequence(new PlatformHandler(() -> isReady(core), registry), admin);
-        return new ControlProcess(
-                frame, storage, HttpListener.start(options.admin(), HTTP_THREADS, handlers, options.adminTls()));
+        return new ControlProcess(frame, storage, outside);
     }
 
     private static boolean isReady(ControlCore core) {
@@ -145,7 +158,7 @@
      * @return the port
      */
     public int adminPort() {
-        return http.port();
+        return outside.port();
     }
 
     /**
@@ -166,7 +179,7 @@
 
     @Override
     public void close() {
-        http.close();
+        outside.close();
         frame.close();
         try {
             storage.close();
--- /dev/null
+++ b/src/main/java/org/cuminshelf/process/DirectEntryProcess.java
@@ -0,0 +1,290 @@
+package org.cuminshelf.process;
+
+import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.locks.Condition;
+import java.util.concurrent.locks.ReentrantLock;
+import java.util.function.Function;
+import org.cuminshelf.core.Address;
+import org.cuminshelf.core.Outbox;
+import org.cuminshelf.direct.DirectCore;
+import org.cuminshelf.direct.DirectSettings;
+import org.cuminshelf.direct.UpstreamPort;
+import org.cuminshelf.direct.UpstreamProtocol;
+import org.cuminshelf.exchange.CallerExchange;
+import org.cuminshelf.exchange.CallerHandler;
+import org.cuminshelf.exchange.CallerLimits;
+import org.cuminshelf.exchange.CallerListener;
+import org.cuminshelf.exchange.ReceivedRequest;
+import org.cuminshelf.exchange.UpstreamConnections;
+import org.cuminshelf.exchange.UpstreamExchange;
+import org.cuminshelf.exchange.UpstreamHandler;
+import org.cuminshelf.exchange.UpstreamRequest;
+import org.cuminshelf.message.Envelope;
+import org.cuminshelf.message.Stop;
+import org.cuminshelf.network.TcpNetwork;
+import org.cuminshelf.routes.RouteTable;
+import org.eclipse.jetty.http.HttpFields;
+import org.tinylog.Logger;
+
+/**
+ * An entry that reaches upstreams straight, as it runs. The core runs under one lock on whichever thread brings it
+ * something: bytes go from an upstream to its caller without a change of threads, which on a fraction of a core costs
+ * more than the work itself.
+ */
+public final class DirectEntryProcess implements ServingProcess {
+
+    private static final String LOG = "entry: ";
+    /** How long an entry that leaves goes on taking connections: the balancer needs two questions, a second apart. */
+    private static final long ROTATION_MILLIS = 2_600;
+    /** Part of the grace period that is left when the process ends in any case. */
+    private static final long RESERVE_MILLIS = 400;
+
+    private static final long LOOK_AGAIN_MILLIS = 20;
+    private static final long LAST_LOOK_MILLIS = 60;
+    private static final long LONGEST_WAIT = TimeUnit.SECONDS.toNanos(1);
+    private static final int OK = 200;
+    private static final int UNAVAILABLE = 503;
+
+    /**
+     * What such an entry is told besides what every process is.
+     *
+     * @param settings  its place
+     * @param callers   where callers connect
+     * @param readiness where the balancer asks whether it takes callers, if it does
+     * @param protocol  how callers and upstreams write
+     * @param format    reads the accepted configuration
+     */
+    public record Options(
+            DirectSettings settings,
+            Address callers,
+            Optional<Address> readiness,
+            UpstreamProtocol protocol,
+            Function<byte[], Optional<RouteTable>> format) {}
+
+    private final CommonSettings common;
+    private final ReentrantLock lock = new ReentrantLock();
+    private final Condition timer = lock.newCondition();
+    private final TcpNetwork network;
+    private final CountingInvariants invariants = CountingInvariants.create();
+    private final UpstreamConnections connections;
+    private final DirectCore core;
+    private final Thread ticker = new Thread(this::tickOn, "core");
+    private final long incarnation;
+    private CallerListener callers;
+    private Optional<CallerListener> readiness = Optional.empty();
+    private long wakeAt;
+    private long sweepAt;
+    private volatile boolean running = true;
+
+    private final Outbox outbox = new Outbox() {
+        @Override
+        public void send(Address to, Envelope.Builder message) {
+            deliver(to, message, false);
+        }
+
+        @Override
+        public void sendFresh(Address to, Envelope.Builder message) {
+            deliver(to, message, true);
+        }
+    };
+
+    private DirectEntryProcess(CommonSettings common, Options options) throws IOException {
+        this.common = common;
+        this.incarnation = System.currentTimeMillis() << 20 | System.nanoTime() & 0xFFFFF;
+        this.network = TcpNetwork.open(1, common.meshTls());
+        this.connections = UpstreamConnections.start(lock);
+        this.core = DirectCore.start(
+                options.settings(),
+                common.listen(),
+                options.protocol(),
+                options.format(),
+                new Port(),
+                System::nanoTime,
+                invariants,
+                StructuredLog.create(LOG));
+    }
+
+    /**
+     * Starts an entry.
+     *
+     * @param common  what every process is told
+     * @param options what such an entry is told
+     * @return the running process
+     * @throws IOException if an address can't be used
+     */
+    public static DirectEntryProcess start(CommonSettings common, Options options) throws IOException {
+        DirectEntryProcess process = new DirectEntryProcess(common, options);
+        try {
+            process.open(options);
+        } catch (IOException e) {
+            process.close();
+            throw e;
+        }
+        return process;
+    }
+
+    private void open(Options options) throws IOException {
+        network.listen(common.listen(), this::accept);
+        callers = CallerListener.start(options.callers(), lock, new Callers(), core::limits);
+        if (options.readiness().isPresent()) {
+            readiness = Optional.of(
+                    CallerListener.start(options.readiness().get(), lock, new Readiness(), () -> CallerLimits.DEFAULT));
+        }
+        ticker.start();
+        Logger.info(LOG + "event=start vm={} callers={} messages={}", common.vm(), options.callers(), common.listen());
+    }
+
+    /**
+     * Adds the metrics of this process.
+     *
+     * @param registry takes them
+     */
+    public void describe(PrometheusRegistry registry) {
+        EntryProcess.gauge(
+                registry, "cuminshelf_config_version", "Version of the configuration in force.", core::configVersion);
+        EntryProcess.gauge(registry, "cuminshelf_open_calls", "Calls not answered yet.", core::openCalls);
+        EntryProcess.gauge(
+                registry, "cuminshelf_upstream_connections_opened", "Connections opened.", connections::opened);
+        EntryProcess.gauge(registry, "cuminshelf_invariant_breach_count", "Promises found broken.", invariants::count);
+    }
+
+    private void accept(Envelope message) {
+        lock.lock();
+        try {
+            core.accept(System.nanoTime(), message, outbox);
+        } finally {
+            lock.unlock();
+        }
+    }
+
+    private void deliver(Address to, Envelope.Builder message, boolean fresh) {
+        if (!to.isLocal()) {
+            network.send(
+                    to,
+                    message.setFrom(common.listen().value())
+                            .setIncarnation(incarnation)
+                            .build(),
+                    fresh);
+        }
+    }
+
+    private void tickOn() {
+        lock.lock();
+        try {
+            while (running) {
+                long now = System.nanoTime();
+                if (now >= core.nextDue()) {
+                    core.tick(now, outbox);
+                }
+                if (now >= sweepAt) {
+                    sweepAt = now + LONGEST_WAIT;
+                    connections.sweep();
+                }
+                long wait = Math.min(LONGEST_WAIT, core.nextDue() - System.nanoTime());
+                wakeAt = System.nanoTime() + wait;
+                if (wait > 0) {
+                    timer.awaitNanos(wait);
+                }
+            }
+        } catch (InterruptedException end) {
+            Thread.currentThread().interrupt();
+        } finally {
+            lock.unlock();
+        }
+    }
+
+    /** Wakes the ticking thread if something fell due before it would wake by itself. */
+    private void wakeIfDue() {
+        if (core.nextDue() < wakeAt) {
+            timer.signal();
+        }
+    }
+
+    /** Callers' requests. */
+    private final class Callers implements CallerHandler {
+        @Override
+        public void onRequest(ReceivedRequest request, CallerExchange exchange) {
+            core.onRequest(request, exchange);
+            wakeIfDue();
+        }
+
+        @Override
+        public void onGone(CallerExchange exchange) {
+            core.onGone(exchange);
+        }
+    }
+
+    /** The balancer's question. */
+    private final class Readiness implements CallerHandler {
+        @Override
+        public void onRequest(ReceivedRequest request, CallerExchange exchange) {
+            exchange.answer(core.isReady() ? OK : UNAVAILABLE, HttpFields.EMPTY, ByteBuffer.allocate(0));
+        }
+
+        @Override
+        public void onGone(CallerExchange exchange) {
+            // The answer was given within the question's own call.
+        }
+    }
+
+    /** Requests to upstreams. */
+    private final class Port implements UpstreamPort {
+        @Override
+        public UpstreamExchange send(
+                Address address, String upstream, UpstreamRequest request, UpstreamHandler handler) {
+            return connections.send(address, upstream, request, handler);
+        }
+
+        @Override
+        public void forgetIdle(Address address, String upstream) {
+            connections.forgetIdle(address, upstream);
+        }
+    }
+
+    /**
+     * Leaves without cutting a request: says that it isn't ready, goes on taking connections until the balancer has
+     * noticed, asks callers to go elsewhere with each answer, and ends once nothing is open.
+     */
+    @Override
+    public boolean stopGracefully() throws InterruptedException {
+        long since = System.nanoTime();
+        Logger.info(LOG + "event=stop vm={} open={}", common.vm(), core.openCalls());
+        accept(Envelope.newBuilder()
+                .setFrom(Address.PROCESS.value())
+                .setStop(Stop.getDefaultInstance())
+                .build());
+        callers.leave();
+        while (millisSince(since) < ROTATION_MILLIS) {
+            Thread.sleep(LOOK_AGAIN_MILLIS);
+        }
+        boolean finished = false;
+        while (!finished && millisSince(since) < common.graceMillis() - RESERVE_MILLIS) {
+            callers.closeIdle();
+            Thread.sleep(core.openCalls() > 0 ? LOOK_AGAIN_MILLIS : LAST_LOOK_MILLIS);
+            finished = core.openCalls() == 0;
+        }
+        Logger.info(LOG + "event=stopped vm={} finished={} ms={}", common.vm(), finished, millisSince(since));
+        close();
+        return finished;
+    }
+
+    private static long millisSince(long nanos) {
+        return TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - nanos);
+    }
+
+    @Override
+    public void close() {
+        running = false;
+        ticker.interrupt();
+        if (callers != null) {
+            callers.close();
+        }
+        readiness.ifPresent(CallerListener::close);
+        connections.close();
+        network.close();
+    }
+}
--- a/src/main/java/org/cuminshelf/replica/Formation.java
+++ b/src/main/java/org/cuminshelf/replica/Formation.java
@@ -1,7 +1,11 @@
 package org.cuminshelf.replica;
 
+import java.util.Collection;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
+import java.util.Set;
+import java.util.TreeSet;
 import org.cuminshelf.core.Address;
 import org.cuminshelf.core.Outbox;
 import org.cuminshelf.message.Envelope;
@@ -38,35 +42,53 @@
 
     /** Notes a peer's answer. Returns whether this replica may now form the cluster. */
     boolean onAnswer(Address from, FormationAnswer answer) {
-        if (!settings.peers().contains(from)) {
+        boolean asked = settings.peers().contains(from);
+        if (!asked && !settings.membership().isOpen()) {
             return false;
         }
         answers.put(from, answer);
+        if (!asked || !settings.membership().mayForm()) {
+            return false;
+        }
         boolean first = settings.peers().stream()
                 .min(Address::compareTo)
                 .filter(settings.self()::equals)
                 .isPresent();
         return first
-                && answers.size() == settings.peers().size() - 1
+                && answers.keySet().containsAll(others())
                 && answers.values().stream().allMatch(peer -> peer.getCluster() == 0);
     }
 
     Membership firstMembership(long identity) {
         Membership.Builder membership = Membership.newBuilder().addVoters(Members.voter(settings.self(), identity));
-        answers.forEach((address, answer) -> membership.addVoters(Members.voter(address, answer.getIdentity())));
+        others().forEach(peer ->
+                membership.addVoters(Members.voter(peer, answers.get(peer).getIdentity())));
         return membership.build();
     }
 
-    /** Asks every peer for its cluster, and to be taken in where one is known to be there. */
-    void ask(ReplicaHeader header, boolean outsider, Outbox out) {
+    private List<Address> others() {
+        return settings.peers().stream()
+                .filter(peer -> !peer.equals(settings.self()))
+                .toList();
+    }
+
+    /**
+     * Asks every peer for its cluster, and to be taken in where one is known to be there.
+     *
+     * @param members addresses of members that this replica's own log names
+     */
+    void ask(ReplicaHeader header, boolean outsider, Collection<Address> members, Outbox out) {
         boolean known = answers.values().stream().anyMatch(answer -> answer.getCluster() != 0);
         answers.clear();
-        for (Address peer : settings.peers()) {
-            if (peer.equals(settings.self())) {
-                continue;
-            }
+        Set<Address> asked = new TreeSet<>(others());
+        asked.addAll(members);
+        asked.remove(settings.self());
+        for (Address peer : asked) {
             if (known || outsider) {
-                JoinRequest join = JoinRequest.newBuilder().setHeader(header).build();
+                JoinRequest join = JoinRequest.newBuilder()
+                        .setHeader(header)
+                        .setAddress(settings.self().value())
+                        .build();
                 out.send(peer, Envelope.newBuilder().setJoinRequest(join));
             }
             FormationQuery query =
--- a/src/main/java/org/cuminshelf/replica/Members.java
+++ b/src/main/java/org/cuminshelf/replica/Members.java
@@ -39,6 +39,14 @@
                 .build();
     }
 
+    static Membership without(Membership membership, long identity) {
+        Membership.Builder next = Membership.newBuilder();
+        membership.getVotersList().stream()
+                .filter(voter -> voter.getIdentity() != identity)
+                .forEach(next::addVoters);
+        return next.build();
+    }
+
     /**
      * The next step for a learner that caught up: first the identity whose disk was lost goes, so that no two
      * identities of one address count, then the learner votes.
--- a/src/main/java/org/cuminshelf/replica/Replica.java
+++ b/src/main/java/org/cuminshelf/replica/Replica.java
@@ -16,6 +16,7 @@
 import org.cuminshelf.message.Envelope;
 import org.cuminshelf.message.GroupStatus;
 import org.cuminshelf.message.HardState;
+import org.cuminshelf.message.JoinRequest;
 import org.cuminshelf.message.LogEntry;
 import org.cuminshelf.message.LogRecord;
 import org.cuminshelf.message.Membership;
@@ -62,6 +63,13 @@
     private static final long LEASE = Durations.nanos(450);
     private static final long RESEND_AFTER = Durations.nanos(300);
     private static final long FORMATION_AGAIN = Durations.nanos(300);
+    /** Silence after which a voter gives way to a learner that caught up; longer than an election takes. */
+    private static final long SILENT_REPLACED = Durations.nanos(1_300);
+    /** Silence after which a voter leaves a group of even size; longer than a process takes to restart. */
+    private static final long SILENT_REMOVED = Durations.nanos(3_000);
+    /** Silence after which a learner is forgotten; it asks again when it is back. */
+    private static final long SILENT_LEARNER = Durations.nanos(6_000);
+
     private static final int MOST_ENTRIES = 512;
     private static final long MOST_BYTES = 1L << 20;
     private static final int ENTRIES_BEFORE_SNAPSHOT = 2_000;
@@ -162,7 +170,7 @@
                     form(now);
                 }
             }
-            case JOIN_REQUEST -> onJoin(now, from, input.getJoinRequest().getHeader());
+            case JOIN_REQUEST -> onJoin(now, from, input.getJoinRequest(), out);
             case VOTE_REQUEST -> onVoteRequest(now, from, input.getVoteRequest());
             case VOTE_ANSWER -> onVoteAnswer(now, input.getVoteAnswer());
             case APPEND_REQUEST -> onAppend(now, from, input.getAppendRequest());
@@ -299,6 +307,15 @@
         return leader;
     }
 
+    /**
+     * The addresses of all members, learners among them, by this replica's log.
+     *
+     * @return the addresses
+     */
+    public List<Address> members() {
+        return memberAddresses();
+    }
+
     /**
      * The current term.
      *
@@ -356,24 +373,80 @@
     }
 
     /** Takes a replica in as a learner, or goes the next step with one whose disk was replaced. */
-    private void onJoin(long now, Address from, ReplicaHeader header) {
-        boolean settled = role == Role.LEADER && commit >= termStart && log.lastMembershipIndex() <= commit;
-        if (!settled || !settings.peers().contains(from) || Members.isMember(log.membership(), header.getIdentity())) {
+    private void onJoin(long now, Address from, JoinRequest request, Outbox out) {
+        ReplicaHeader header = request.getHeader();
+        boolean open = settings.membership().isOpen();
+        if (role != Role.LEADER && open) {
+            passOnJoin(from, request, out);
             return;
         }
-        changeMembership(now, Members.withLearner(log.membership(), from, header.getIdentity()));
+        Address joining = open && !request.getAddress().isEmpty() ? Address.of(request.getAddress()) : from;
+        boolean allowed = open || settings.peers().contains(joining);
+        if (!isSettledLeader() || !allowed || Members.isMember(log.membership(), header.getIdentity())) {
+            return;
+        }
+        changeMembership(now, Members.withLearner(log.membership(), joining, header.getIdentity()));
     }
 
-    /** One step at a time: a learner that caught up first takes the old identity's place away, then votes. */
-    private void promoteLearners(long now) {
-        boolean settled = commit >= termStart && log.lastMembershipIndex() <= commit;
-        if (!settled) {
+    /** A replica that joins may know only followers: its question goes on to the leader, once. */
+    private void passOnJoin(Address from, JoinRequest request, Outbox out) {
+        boolean firstHand = request.getAddress().equals(from.value());
+        if (firstHand) {
+            leader.filter(known -> !known.equals(settings.self()))
+                    .ifPresent(known -> out.send(known, Envelope.newBuilder().setJoinRequest(request)));
+        }
+    }
+
+    private boolean isSettledLeader() {
+        return role == Role.LEADER && commit >= termStart && log.lastMembershipIndex() <= commit;
+    }
+
+    /**
+     * Mends the membership, one step at a time: a learner that caught up first takes the old identity's place away,
+     * then votes.
+     *
+     * <p>Failure it guards against: a VM is gone for good, another takes its place, and then one more is lost. The
+     * group must by then count three living replicas and not four with a dead one, of which a single loss more leaves
+     * no quorum. So a voter that is silent leaves before a learner votes, and leaves a group of even size by itself:
+     * that costs no tolerance, as a group of four bears one loss like a group of three.
+     */
+    private void mendMembership(long now) {
+        if (!isSettledLeader()) {
             return;
         }
+        if (settings.membership().isOpen() && removeSilent(now)) {
+            return;
+        }
+        promoteLearners(now);
+    }
+
+    private boolean removeSilent(long now) {
+        boolean learnerReady = peers.all().stream().anyMatch(peer -> peer.learner && isCaughtUp(now, peer));
+        long voters = log.membership().getVotersList().stream()
+                .filter(voter -> !voter.getLearner())
+                .count();
+        boolean even = voters % 2 == 0;
+        for (Peer peer : peers.all()) {
+            long silent = now - peer.heardAt;
+            boolean replaceable = !peer.learner
+                    && voters > 1
+                    && (learnerReady && silent > SILENT_REPLACED || even && silent > SILENT_REMOVED);
+            boolean deadLearner = peer.learner && silent > SILENT_LEARNER;
+            if (replaceable || deadLearner) {
+                changeMembership(now, Members.without(log.membership(), peer.identity));
+                return true;
+            }
+        }
+        return false;
+    }
+
+    private boolean isCaughtUp(long now, Peer peer) {
+        return peer.match >= commit && peer.match > 0 && now - peer.heardAt < ELECTION_SHORTEST;
+    }
+
+    private void promoteLearners(long now) {
         for (Voter learner : log.membership().getVotersList()) {
-            Optional<Peer> peer = peers.peer(learner.getIdentity())
-                    .filter(known -> known.match >= commit && known.match > 0)
-                    .filter(known -> now - known.heardAt < ELECTION_SHORTEST);
+            Optional<Peer> peer = peers.peer(learner.getIdentity()).filter(known -> isCaughtUp(now, known));
             if (learner.getLearner() && peer.isPresent()) {
                 changeMembership(now, Members.promoted(log.membership(), learner));
                 return;
@@ -395,11 +468,11 @@
 
     private void onElectionDue(long now, Outbox out) {
         if (role == Role.UNFORMED) {
-            boolean alone = settings.peers().size() == 1;
-            if (alone) {
+            boolean alone = settings.peers().equals(List.of(settings.self()));
+            if (alone && settings.membership().mayForm()) {
                 form(now);
             } else {
-                formation.ask(header(), role != Role.UNFORMED, out);
+                formation.ask(header(), role != Role.UNFORMED, memberAddresses(), out);
                 electionDue = now + FORMATION_AGAIN;
             }
             return;
@@ -409,10 +482,16 @@
             stand(now, true);
         } else {
             leader = Optional.empty();
-            formation.ask(header(), role != Role.UNFORMED, out);
+            formation.ask(header(), role != Role.UNFORMED, memberAddresses(), out);
         }
     }
 
+    private List<Address> memberAddresses() {
+        return log.membership().getVotersList().stream()
+                .map(voter -> Address.of(voter.getAddress()))
+                .toList();
+    }
+
     private void stand(long now, boolean trial) {
         role = trial ? Role.TRIAL : Role.CANDIDATE;
         leader = Optional.empty();
@@ -670,7 +749,7 @@
         if (now >= nextHeartbeat || readDue) {
             nextHeartbeat = now + HEARTBEAT;
             peers.startRound(now);
-            promoteLearners(now);
+            mendMembership(now);
             peers.all().forEach(peer -> sendTo(now, peer, out));
         } else if (appendDue) {
             peers.all().forEach(peer -> sendNew(now, peer, out));
--- a/src/main/java/org/cuminshelf/tools/Main.java
+++ b/src/main/java/org/cuminshelf/tools/Main.java
@@ -11,6 +11,7 @@
 import net.sourceforge.argparse4j.inf.Namespace;
 import net.sourceforge.argparse4j.inf.Subparser;
 import net.sourceforge.argparse4j.inf.Subparsers;
+import org.cuminshelf.platform.PlatformCommand;
 
 /** The one program: its first argument names the role or the command. */
 public final class Main {
@@ -28,7 +29,8 @@
             new BenchCommand(),
             new ExperimentCommand(),
             OrderCommand.order(),
-            OrderCommand.drain());
+            OrderCommand.drain(),
+            PlatformCommand.create());
 
     private Main() {}
 
--- a/src/main/java/org/cuminshelf/tools/Serving.java
+++ b/src/main/java/org/cuminshelf/tools/Serving.java
@@ -6,12 +6,18 @@
 import org.cuminshelf.process.ServingProcess;
 
 /** Keeps serving processes up until a signal, then stops them in order. */
-final class Serving {
+public final class Serving {
 
     private Serving() {}
 
-    /** Waits for a signal and stops gracefully. Returns the exit code. */
-    static int until(List<ServingProcess> processes) throws InterruptedException {
+    /**
+     * Waits for a signal and stops gracefully.
+     *
+     * @param processes what to stop, in this order
+     * @return the exit code
+     * @throws InterruptedException if the wait is interrupted
+     */
+    public static int until(List<ServingProcess> processes) throws InterruptedException {
         CountDownLatch stopped = new CountDownLatch(1);
         AtomicBoolean allFinished = new AtomicBoolean(true);
         Signals.onStop(() -> {
--- a/src/main/java/org/cuminshelf/tools/UsageException.java
+++ b/src/main/java/org/cuminshelf/tools/UsageException.java
@@ -1,11 +1,16 @@
 package org.cuminshelf.tools;
 
 /** A flag or its environment variable has a value that can't be used. */
-final class UsageException extends Exception {
+public final class UsageException extends Exception {
 
     private static final long serialVersionUID = 1L;
 
-    UsageException(String message) {
+    /**
+     * Makes the exception.
+     *
+     * @param message which value, and what would be one that can be used
+     */
+    public UsageException(String message) {
         super(message);
     }
 }
