--- a/src/main/java/org/cuminshelf/direct/AttemptRow.java
+++ b/src/main/java/org/cuminshelf/direct/AttemptRow.java
@@ -12,8 +12,10 @@
     final UpstreamRow upstream;
     /** Whether only the prompt is to be taken in. */
     final boolean prefillOnly;
-    /** Prompt tokens that are probably not in the engine's cache. */
-    final int uncachedTokens;
+    /** Milliseconds that its prompt probably takes there. */
+    final double promptMillis;
+    /** Milliseconds after which its first event is expected. */
+    final double firstMillis;
 
     final long sentAt;
     final EventSplitter events = new EventSplitter();
@@ -29,12 +31,13 @@
 
     long lastProgressAt;
 
-    AttemptRow(long number, CallRow call, UpstreamRow upstream, boolean prefillOnly, int uncachedTokens, long now) {
+    AttemptRow(long number, CallRow call, Placement.Choice choice, long now) {
         this.number = number;
         this.call = call;
-        this.upstream = upstream;
-        this.prefillOnly = prefillOnly;
-        this.uncachedTokens = uncachedTokens;
+        this.upstream = choice.upstream();
+        this.prefillOnly = choice.prefillOnly();
+        this.promptMillis = choice.promptMillis();
+        this.firstMillis = choice.firstMillis();
         this.sentAt = now;
         this.lastProgressAt = now;
     }
--- a/src/main/java/org/cuminshelf/direct/CallRow.java
+++ b/src/main/java/org/cuminshelf/direct/CallRow.java
@@ -32,6 +32,12 @@
     /** KV cache taken in for it by another engine, until an engine took it. */
     Optional<CacheHandle> cache = Optional.empty();
 
+    /** Engines that would not go on from the KV cache. */
+    int handoversFailed;
+
+    /** Whether one engine is to do the whole of it, as taking the prompt in apart failed. */
+    boolean wholeOnly;
+
     /** Whether an earlier attempt may have run. */
     boolean mayHaveRun;
 
@@ -43,6 +49,10 @@
 
     int eventsGiven;
     long firstAnswerAt;
+    long lastEventAt;
+    /** Longest pause between two events so far, in nanoseconds. */
+    long longestPause;
+
     Optional<Verdict> lastFailure = Optional.empty();
     boolean done;
 
--- a/src/main/java/org/cuminshelf/direct/CallSystem.java
+++ b/src/main/java/org/cuminshelf/direct/CallSystem.java
@@ -39,6 +39,8 @@
     private static final int SILENT_FACTOR = 4;
     /** Silence before the first event after which a resumable stream is started elsewhere, beyond what is expected. */
     private static final long SILENT_STREAM = Durations.nanos(1_500);
+    /** Times the expected time to a first event that adds to it. */
+    private static final int SILENT_EXPECTED = 3;
     /** Least time left for which another attempt is worth sending. */
     private static final long LEAST_TIME_LEFT = Durations.nanos(60);
     /** When to come back after a refusal, in milliseconds: soon enough for an upstream's place to have come free. */
@@ -108,7 +110,7 @@
             giveUp(now, call, "no-upstream");
             return;
         }
-        if (now + choice.get().firstTokenNanos() > call.deadline) {
+        if (now + Durations.nanos((long) choice.get().firstMillis()) > call.deadline) {
             call.lastFailure = Optional.of(new Verdict.NotRun(Cause.OVERLOADED, RETRY_AFTER_MILLIS));
             giveUp(now, call, "too-late");
             return;
@@ -122,12 +124,11 @@
                 "at-most-once",
                 () -> "request " + call.intent.id() + " is sent again though it may have run");
         UpstreamRow upstream = choice.upstream();
-        AttemptRow attempt =
-                new AttemptRow(nextAttempt++, call, upstream, choice.prefillOnly(), choice.uncachedTokens(), now);
+        AttemptRow attempt = new AttemptRow(nextAttempt++, call, choice, now);
         call.attempt = attempt;
         attempts.put(attempt.number, attempt);
         upstream.running++;
-        upstream.promptWaiting += attempt.uncachedTokens;
+        upstream.promptWaiting[UpstreamRow.rankIndex(call.route.priority())] += attempt.promptMillis;
         attempt.promptCounted = true;
         call.intent.generation().ifPresent(shape -> upstream.cache.add(shape.parts()));
         if (!attempt.prefillOnly) {
@@ -154,7 +155,7 @@
         if (call.route.kind() == RequestKind.IDEMPOTENT) {
             return Math.max(SILENT_LEAST, SILENT_FACTOR * attempt.upstream.usualLatency());
         }
-        return SILENT_STREAM;
+        return SILENT_STREAM + SILENT_EXPECTED * Durations.nanos((long) attempt.firstMillis);
     }
 
     /** Takes the answer to one attempt. */
@@ -236,6 +237,10 @@
             if (!known) {
                 begin(now, call, attempt);
                 call.exchange.part(ByteBuffer.wrap(event.get().bytes()));
+                if (call.eventsGiven > 0) {
+                    call.longestPause = Math.max(call.longestPause, now - call.lastEventAt);
+                }
+                call.lastEventAt = now;
                 call.eventsGiven++;
                 call.lastEvent = event.get().id().isPresent() ? event.get().id() : call.lastEvent;
             }
@@ -292,8 +297,8 @@
                     "not-executed",
                     "status",
                     attempt.status,
-                    "uncached",
-                    attempt.uncachedTokens,
+                    "prompt-ms",
+                    Math.round(attempt.promptMillis),
                     "running",
                     attempt.upstream.running);
             attempt.upstream.avoid(now + Durations.nanos(RETRY_AFTER_MILLIS) / 2);
@@ -379,8 +384,14 @@
         if (!(verdict instanceof Verdict.NotRun)) {
             call.mayHaveRun = true;
         }
-        if (!attempt.prefillOnly) {
-            call.cache = Optional.empty();
+        if (attempt.prefillOnly) {
+            call.wholeOnly = true;
+        } else if (call.cache.isPresent()) {
+            // A refusal may leave the KV cache where it is: another engine may have room for it.
+            call.handoversFailed++;
+            if (!(verdict instanceof Verdict.NotRun) || call.handoversFailed > 1) {
+                releaseCache(call);
+            }
         }
         boolean safe = !call.mayHaveRun || call.isRepeatable();
         if (safe
@@ -569,7 +580,8 @@
     private static void uncountPrompt(AttemptRow attempt) {
         if (attempt.promptCounted) {
             attempt.promptCounted = false;
-            attempt.upstream.promptWaiting -= attempt.uncachedTokens;
+            attempt.upstream.promptWaiting[UpstreamRow.rankIndex(attempt.call.route.priority())] -=
+                    attempt.promptMillis;
         }
     }
 
@@ -586,6 +598,10 @@
                 call.attempts,
                 "events",
                 call.eventsGiven,
+                "expected-ms",
+                Math.round(attempt.firstMillis),
+                "pause-ms",
+                Durations.millis(call.longestPause),
                 "first-ms",
                 Durations.millis(call.firstAnswerAt - call.arrivedAt),
                 "ms",
--- a/src/main/java/org/cuminshelf/direct/ControlFeed.java
+++ b/src/main/java/org/cuminshelf/direct/ControlFeed.java
@@ -32,6 +32,7 @@
     private final Invariants invariants;
     private final DecisionLog log;
     private final Set<Address> control = new TreeSet<>();
+    private List<Address> seeds;
     private List<Address> entries = List.of();
     private volatile RouteTable routes = RouteTable.empty();
     private volatile long version;
@@ -51,7 +52,8 @@
         this.invariants = invariants;
         this.log = log;
         this.nextAsk = now;
-        control.addAll(settings.seeds());
+        this.seeds = settings.seeds();
+        control.addAll(seeds);
     }
 
     RouteTable routes() {
@@ -72,6 +74,11 @@
         return entries;
     }
 
+    /** Takes other control processes to begin with, for the time when none of those known is left. */
+    void seeds(List<Address> changed) {
+        seeds = changed;
+    }
+
     void onUpdate(long now, Address from, Update update) {
         if (!update.getControlList().isEmpty()) {
             control.clear();
@@ -122,7 +129,7 @@
         }
         nextAsk = now + (isReady() ? ASK_EVERY : ASK_EVERY_UNREADY);
         List<Address> asked = new ArrayList<>(control);
-        settings.seeds().stream().filter(seed -> !control.contains(seed)).forEach(asked::add);
+        seeds.stream().filter(seed -> !control.contains(seed)).forEach(asked::add);
         for (Address address : asked) {
             Subscribe subscribe = Subscribe.newBuilder()
                     .setConfigVersion(version)
--- a/src/main/java/org/cuminshelf/direct/DirectCore.java
+++ b/src/main/java/org/cuminshelf/direct/DirectCore.java
@@ -186,10 +186,12 @@
         EntryLoad.Builder load = EntryLoad.newBuilder();
         for (UpstreamRow row : upstreams.rows()) {
             if (row.running > 0) {
-                load.addUpstreams(UpstreamLoad.newBuilder()
-                        .setId(row.id)
-                        .setRunning(row.running)
-                        .setPromptTokens((int) row.promptWaiting));
+                UpstreamLoad.Builder one =
+                        UpstreamLoad.newBuilder().setId(row.id).setRunning(row.running);
+                for (double millis : row.promptWaiting) {
+                    one.addPromptMs((int) Math.round(Math.max(0, millis)));
+                }
+                load.addUpstreams(one);
             }
         }
         boolean something = load.getUpstreamsCount() > 0;
@@ -213,6 +215,15 @@
         return control.isReady() && !leaving;
     }
 
+    /**
+     * Takes other control processes to begin with.
+     *
+     * @param seeds their addresses
+     */
+    public void seeds(List<Address> seeds) {
+        control.seeds(seeds);
+    }
+
     /**
      * What callers may send.
      *
--- a/src/main/java/org/cuminshelf/direct/Placement.java
+++ b/src/main/java/org/cuminshelf/direct/Placement.java
@@ -8,9 +8,12 @@
 /**
  * Chooses the upstream of a request.
  *
- * <p>Plain services: the one with the fewest requests for each of its slots, as all entries report them. Generations:
- * the way that gives the first token soonest. Prompts are what takes time: an engine in the prefill role takes them in
- * at full speed and hands its KV cache on; one in another role takes them in itself, at half the speed.
+ * <p>Plain services: the one with the fewest requests for each of its slots, as all entries report them.
+ *
+ * <p>Generations: the way that costs least, where the costs are an answer that comes too late, shared parts of a prompt
+ * that are read once more, and KV cache that is moved. Prompts are what takes time: an engine in the prefill role takes
+ * them in at full speed and hands its KV cache on; one in another role takes them in at half the speed between the
+ * tokens of its streams, so there only a little may wait at once, or the streams' pauses grow too long.
  */
 final class Placement {
 
@@ -19,28 +22,41 @@
      *
      * @param upstream       where the request goes
      * @param prefillOnly    whether only its prompt is taken in there
-     * @param uncachedTokens prompt tokens that are probably not in the cache there
-     * @param firstTokenNanos expected time to the first token
+     * @param promptMillis   time its prompt takes there, in milliseconds
+     * @param firstMillis    expected time to the first token, in milliseconds
      */
-    record Choice(UpstreamRow upstream, boolean prefillOnly, int uncachedTokens, double firstTokenNanos) {}
+    record Choice(UpstreamRow upstream, boolean prefillOnly, double promptMillis, double firstMillis) {}
 
-    /** Prompt tokens that an engine in the prefill role takes in each millisecond, until measured. */
-    private static final double PREFILL_TOKENS_PER_MILLI = 80;
-    /** An engine in another role takes prompts in between tokens of streams, at about half of that. */
-    private static final double DECODE_TOKENS_PER_MILLI = 40;
+    /** Times as long that a prompt takes on an engine that also generates. */
+    private static final double MIXED_FACTOR = 2;
+    /**
+     * Milliseconds of prompts that may wait on an engine that also generates. One event of a stream takes 12 steps;
+     * with a chunk of prompt in each it takes 180 ms, and pauses of 200 ms count as late.
+     */
+    private static final double MIXED_BACKLOG = 110;
     /** One more hop and the move of the KV cache: some 10 ms for a long prompt over links of the day. */
-    private static final double HANDOVER_MILLIS = 18;
+    private static final double HANDOVER_MILLIS = 20;
     /** Milliseconds that each stream already running on an engine adds to the next one's first token. */
     private static final double MILLIS_PER_STREAM = 0.3;
-    /** Extra milliseconds for the way to another availability zone. */
+
     private static final double OTHER_ZONE_MILLIS = 1;
+    /** Part of the target up to which an expected time is as good as none: estimates are off by a third. */
+    private static final double SAFE_SHARE = 0.6;
+    /** What an answer that misses its target loses, against one request of middling worth. */
+    private static final double LATE_COST = 2.5;
+    /** What reading one token of a shared part once more costs, in the same unit. */
+    private static final double REREAD_COST = 0.32e-3;
+    /** What moving the KV cache of one token costs, in the same unit: 327 KB at 0.027 a GB. */
+    private static final double MOVE_COST = 9e-6;
+    /** What a millisecond of prompt costs the streams of an engine that also generates, for each of them. */
+    private static final double STREAM_DELAY_COST = 2e-5;
+    /** Decides between equals: the sooner. */
+    private static final double MILLI_COST = 1e-4;
     /**
-     * Part of a shared prompt that is taken for cached at the engine to which all entries turn first for it, though
-     * this entry did not send it there itself. Makes the entries agree on one engine for each subject.
+     * Part of a shared prompt that counts as held, for the time it takes, by the engine to which all entries turn first
+     * for it, though this entry did not send it there itself.
      */
-    private static final double HOME_CREDIT = 0.6;
-
-    private static final double NANOS_PER_MILLI = 1e6;
+    private static final double HOME_CREDIT = 0.8;
 
     private final UpstreamTable upstreams;
     private final String zone;
@@ -52,9 +68,11 @@
 
     /** Chooses for a request, or finds nothing that takes it. */
     Optional<Choice> choose(long now, CallRow call) {
-        return call.intent.generation().isPresent() && call.isStream()
-                ? forGeneration(now, call, call.intent.generation().get())
-                : forService(now, call);
+        Optional<GenerationShape> shape = call.intent.generation();
+        if (shape.isEmpty() || !call.isStream()) {
+            return forService(now, call);
+        }
+        return call.cache.isPresent() ? forHandover(now, call) : forPrompt(now, call, shape.get());
     }
 
     private Optional<Choice> forService(long now, CallRow call) {
@@ -79,35 +97,85 @@
         return (LongHashFunction.xx3(number).hashChars(row.id) >>> 40) / (double) (1 << 24);
     }
 
-    private Optional<Choice> forGeneration(long now, CallRow call, GenerationShape shape) {
-        Choice best = null;
-        String home = home(now, call, shape);
+    /** The engine that goes on after the prompt was taken in elsewhere: the one with the least to do. */
+    private Optional<Choice> forHandover(long now, CallRow call) {
+        UpstreamRow best = null;
+        double least = Double.MAX_VALUE;
         for (UpstreamRow row : upstreams.ofService(call.service)) {
-            boolean mayPrefill = call.cache.isEmpty() && call.lastEvent.isEmpty();
-            boolean prefill = row.role == Role.ROLE_PREFILL;
-            if (!isOpen(now, row, call) || prefill && !mayPrefill) {
+            if (row.role == Role.ROLE_PREFILL || !isOpen(now, row, call)) {
                 continue;
             }
-            Choice choice = estimate(row, call, shape, prefill, home);
-            if (best == null || choice.firstTokenNanos < best.firstTokenNanos) {
-                best = choice;
+            double load = row.occupancy()
+                    + row.backlogMillis(Integer.MAX_VALUE) / HANDOVER_MILLIS
+                    + (row.zone.equals(zone) ? 0 : OTHER_ZONE_MILLIS)
+                    + spread(row, call.number);
+            if (load < least) {
+                best = row;
+                least = load;
             }
         }
+        return Optional.ofNullable(best).map(row -> new Choice(row, false, 0, HANDOVER_MILLIS));
+    }
+
+    private Optional<Choice> forPrompt(long now, CallRow call, GenerationShape shape) {
+        Choice best = null;
+        double least = Double.MAX_VALUE;
+        String prefillHome = home(now, call, shape, true);
+        String mixedHome = home(now, call, shape, false);
+        boolean overloadedToo = false;
+        while (best == null) {
+            for (UpstreamRow row : upstreams.ofService(call.service)) {
+                boolean prefill = row.role == Role.ROLE_PREFILL;
+                if (!isOpen(now, row, call) || prefill && (call.lastEvent.isPresent() || call.wholeOnly)) {
+                    continue;
+                }
+                boolean home = row.id.equals(prefill ? prefillHome : mixedHome);
+                Choice choice = estimate(row, call, shape, home);
+                boolean full = !prefill
+                        && row.backlogMillis(Integer.MAX_VALUE) + choice.promptMillis > MIXED_BACKLOG
+                        && row.occupancy() > 0;
+                if (full && !overloadedToo) {
+                    continue;
+                }
+                double cost = cost(choice, call, shape, home);
+                if (cost < least) {
+                    best = choice;
+                    least = cost;
+                }
+            }
+            if (overloadedToo) {
+                break;
+            }
+            overloadedToo = true;
+        }
         return Optional.ofNullable(best);
     }
 
-    private Choice estimate(UpstreamRow row, CallRow call, GenerationShape shape, boolean prefill, String home) {
+    private Choice estimate(UpstreamRow row, CallRow call, GenerationShape shape, boolean home) {
         int held = row.cache.heldTokens(shape.parts());
-        if (row.id.equals(home)) {
+        if (home) {
             held = Math.max(held, (int) (HOME_CREDIT * sharedTokens(shape.parts())));
         }
-        int uncached = call.cache.isPresent() ? 0 : Math.max(0, shape.promptTokens() - held);
-        double speed = prefill ? PREFILL_TOKENS_PER_MILLI : DECODE_TOKENS_PER_MILLI;
-        double millis = (row.promptBacklog() + uncached) / speed
+        boolean prefill = row.role == Role.ROLE_PREFILL;
+        double factor = prefill ? 1 : MIXED_FACTOR;
+        double prompt = factor * PromptWork.millis(held, Math.max(0, shape.promptTokens() - held));
+        double first = row.backlogMillis(call.route.priority())
+                + prompt
                 + row.occupancy() * MILLIS_PER_STREAM
                 + (row.zone.equals(zone) ? 0 : OTHER_ZONE_MILLIS)
                 + (prefill ? HANDOVER_MILLIS : 0);
-        return new Choice(row, prefill, uncached, millis * NANOS_PER_MILLI);
+        return new Choice(row, prefill, prompt, first);
+    }
+
+    private static double cost(Choice choice, CallRow call, GenerationShape shape, boolean home) {
+        UpstreamRow row = choice.upstream;
+        double safe = SAFE_SHARE * call.route.targetMillis();
+        double late = Math.clamp((choice.firstMillis - safe) / call.route.targetMillis(), 0, 4) * LATE_COST;
+        int shared = sharedTokens(shape.parts());
+        int reread = home ? 0 : Math.max(0, shared - row.cache.heldTokens(shape.parts()));
+        double moved = choice.prefillOnly ? shape.promptTokens() * MOVE_COST : 0;
+        double delay = choice.prefillOnly ? 0 : choice.promptMillis * row.occupancy() * STREAM_DELAY_COST;
+        return late + reread * REREAD_COST + moved + delay + choice.firstMillis * MILLI_COST;
     }
 
     private static int sharedTokens(List<PromptPart> parts) {
@@ -122,7 +190,7 @@
      * The engine to which all entries turn first for a subject: the last shared part, by rendezvous hashing, so that a
      * change of the fleet moves few subjects.
      */
-    private String home(long now, CallRow call, GenerationShape shape) {
+    private String home(long now, CallRow call, GenerationShape shape, boolean prefill) {
         int parts = shape.parts().size();
         if (parts < 2) {
             return "";
@@ -131,7 +199,7 @@
         String best = "";
         long highest = Long.MIN_VALUE;
         for (UpstreamRow row : upstreams.ofService(call.service)) {
-            if (row.role != Role.ROLE_PREFILL || !isOpen(now, row, call)) {
+            if ((row.role == Role.ROLE_PREFILL) != prefill || !isOpen(now, row, call)) {
                 continue;
             }
             long hash = LongHashFunction.xx3().hashChars(subject + row.id);
--- a/src/main/java/org/cuminshelf/direct/UpstreamRow.java
+++ b/src/main/java/org/cuminshelf/direct/UpstreamRow.java
@@ -22,6 +22,8 @@
     private static final int FAILURES_BEFORE_PAUSE = 2;
 
     private static final double LATENCY_WEIGHT = 0.1;
+    /** Ranks told apart; an engine's queue knows ten places. */
+    static final int RANKS = 4;
 
     final String id;
     final Address address;
@@ -42,8 +44,8 @@
 
     /** Attempts of this entry under way there. */
     int running;
-    /** Prompt tokens of this entry's attempts there that gave no first event yet. */
-    long promptWaiting;
+    /** Milliseconds of prompts of this entry's attempts there that gave no first event yet, by rank. */
+    final double[] promptWaiting = new double[RANKS];
 
     private int failures;
     private long avoidUntil = Long.MIN_VALUE;
@@ -87,15 +89,28 @@
         return sum;
     }
 
-    /** Prompt tokens that wait there, of all entries, as far as this one knows. */
-    long promptBacklog() {
-        long sum = promptWaiting;
+    /**
+     * Milliseconds of prompts that go before one of a rank there, of all entries, as far as this one knows. An engine
+     * takes prompts of a higher rank first.
+     */
+    double backlogMillis(int rank) {
+        int last = Math.min(rank, RANKS - 1);
+        double sum = 0;
+        for (int index = 0; index <= last; index++) {
+            sum += promptWaiting[index];
+        }
         for (UpstreamLoad load : others.values()) {
-            sum += load.getPromptTokens();
+            for (int index = 0; index <= last && index < load.getPromptMsCount(); index++) {
+                sum += load.getPromptMs(index);
+            }
         }
         return sum;
     }
 
+    static int rankIndex(int rank) {
+        return Math.clamp(rank, 0, RANKS - 1);
+    }
+
     boolean isAvoided(long now) {
         return now < avoidUntil;
     }
--- a/src/main/java/org/cuminshelf/exchange/CallerConnection.java
+++ b/src/main/java/org/cuminshelf/exchange/CallerConnection.java
@@ -123,7 +123,7 @@
         try {
             while (phase != Phase.CLOSED && early == null) {
                 ByteBuffer buffer = ReadBuffers.take();
-                int count = getEndPoint().fill(buffer);
+                int count = ReadBuffers.read(getEndPoint(), buffer);
                 if (count < 0) {
                     onEnd();
                     return;
--- a/src/main/java/org/cuminshelf/exchange/UpstreamConnection.java
+++ b/src/main/java/org/cuminshelf/exchange/UpstreamConnection.java
@@ -147,7 +147,7 @@
     private void read() throws IOException {
         while (!closed) {
             ByteBuffer buffer = ReadBuffers.take();
-            int count = getEndPoint().fill(buffer);
+            int count = ReadBuffers.read(getEndPoint(), buffer);
             if (count == 0) {
                 fillInterested(readCallback);
                 return;
--- a/src/main/java/org/cuminshelf/message/UpstreamLoad.java
+++ b/src/main/java/org/cuminshelf/message/UpstreamLoad.java
@@ -16,6 +16,7 @@
     UpstreamLoadOrBuilder {
   private UpstreamLoad() {
     id_ = "";
+    promptMs_ = emptyIntList();
   }
   public static final int ID_FIELD_NUMBER = 1;
   private java.lang.String id_;
@@ -91,42 +92,103 @@
     running_ = 0;
   }
 
-  public static final int PROMPT_TOKENS_FIELD_NUMBER = 3;
-  private int promptTokens_;
+  public static final int PROMPT_MS_FIELD_NUMBER = 3;
+  private com.google.protobuf.Internal.IntList promptMs_;
   /**
    * <pre>
-   * Prompt tokens sent there that were not taken in yet, as far as the entry knows.
+   * Milliseconds of prompts sent there that were not taken in yet, by the rank of their routes, first rank first.
    * </pre>
    *
-   * <code>uint32 prompt_tokens = 3;</code>
-   * @return The promptTokens.
+   * <code>repeated uint32 prompt_ms = 3;</code>
+   * @return A list containing the promptMs.
    */
   @java.lang.Override
-  public int getPromptTokens() {
-    return promptTokens_;
+  public java.util.List<java.lang.Integer>
+      getPromptMsList() {
+    return promptMs_;
   }
   /**
    * <pre>
-   * Prompt tokens sent there that were not taken in yet, as far as the entry knows.
+   * Milliseconds of prompts sent there that were not taken in yet, by the rank of their routes, first rank first.
    * </pre>
    *
-   * <code>uint32 prompt_tokens = 3;</code>
-   * @param value The promptTokens to set.
+   * <code>repeated uint32 prompt_ms = 3;</code>
+   * @return The count of promptMs.
    */
-  private void setPromptTokens(int value) {
-    
-    promptTokens_ = value;
+  @java.lang.Override
+  public int getPromptMsCount() {
+    return promptMs_.size();
   }
   /**
    * <pre>
-   * Prompt tokens sent there that were not taken in yet, as far as the entry knows.
+   * Milliseconds of prompts sent there that were not taken in yet, by the rank of their routes, first rank first.
    * </pre>
    *
-   * <code>uint32 prompt_tokens = 3;</code>
+   * <code>repeated uint32 prompt_ms = 3;</code>
+   * @param index The index of the element to return.
+   * @return The promptMs at the given index.
    */
-  private void clearPromptTokens() {
-
-    promptTokens_ = 0;
+  @java.lang.Override
+  public int getPromptMs(int index) {
+    return promptMs_.getInt(index);
+  }
+  private int promptMsMemoizedSerializedSize = -1;
+  private void ensurePromptMsIsMutable() {
+    com.google.protobuf.Internal.IntList tmp = promptMs_;
+    if (!tmp.isModifiable()) {
+      promptMs_ =
+          com.google.protobuf.GeneratedMessageLite.mutableCopy(tmp);
+     }
+  }
+  /**
+   * <pre>
+   * Milliseconds of prompts sent there that were not taken in yet, by the rank of their routes, first rank first.
+   * </pre>
+   *
+   * <code>repeated uint32 prompt_ms = 3;</code>
+   * @param index The index to set the value at.
+   * @param value The promptMs to set.
+   */
+  private void setPromptMs(
+      int index, int value) {
+    ensurePromptMsIsMutable();
+    promptMs_.setInt(index, value);
+  }
+  /**
+   * <pre>
+   * Milliseconds of prompts sent there that were not taken in yet, by the rank of their routes, first rank first.
+   * </pre>
+   *
+   * <code>repeated uint32 prompt_ms = 3;</code>
+   * @param value The promptMs to add.
+   */
+  private void addPromptMs(int value) {
+    ensurePromptMsIsMutable();
+    promptMs_.addInt(value);
+  }
+  /**
+   * <pre>
+   * Milliseconds of prompts sent there that were not taken in yet, by the rank of their routes, first rank first.
+   * </pre>
+   *
+   * <code>repeated uint32 prompt_ms = 3;</code>
+   * @param values The promptMs to add.
+   */
+  private void addAllPromptMs(
+      java.lang.Iterable<? extends java.lang.Integer> values) {
+    ensurePromptMsIsMutable();
+    com.google.protobuf.AbstractMessageLite.addAll(
+        values, promptMs_);
+  }
+  /**
+   * <pre>
+   * Milliseconds of prompts sent there that were not taken in yet, by the rank of their routes, first rank first.
+   * </pre>
+   *
+   * <code>repeated uint32 prompt_ms = 3;</code>
+   */
+  private void clearPromptMs() {
+    promptMs_ = emptyIntList();
   }
 
   public static org.cuminshelf.message.UpstreamLoad parseFrom(
@@ -305,41 +367,98 @@
 
     /**
      * <pre>
-     * Prompt tokens sent there that were not taken in yet, as far as the entry knows.
+     * Milliseconds of prompts sent there that were not taken in yet, by the rank of their routes, first rank first.
      * </pre>
      *
-     * <code>uint32 prompt_tokens = 3;</code>
-     * @return The promptTokens.
+     * <code>repeated uint32 prompt_ms = 3;</code>
+     * @return A list containing the promptMs.
      */
     @java.lang.Override
-    public int getPromptTokens() {
-      return instance.getPromptTokens();
+    public java.util.List<java.lang.Integer>
+        getPromptMsList() {
+      return java.util.Collections.unmodifiableList(
+          instance.getPromptMsList());
+    }
+    /**
+     * <pre>
+     * Milliseconds of prompts sent there that were not taken in yet, by the rank of their routes, first rank first.
+     * </pre>
+     *
+     * <code>repeated uint32 prompt_ms = 3;</code>
+     * @return The count of promptMs.
+     */
+    @java.lang.Override
+    public int getPromptMsCount() {
+      return instance.getPromptMsCount();
+    }
+    /**
+     * <pre>
+     * Milliseconds of prompts sent there that were not taken in yet, by the rank of their routes, first rank first.
+     * </pre>
+     *
+     * <code>repeated uint32 prompt_ms = 3;</code>
+     * @param index The index of the element to return.
+     * @return The promptMs at the given index.
+     */
+    @java.lang.Override
+    public int getPromptMs(int index) {
+      return instance.getPromptMs(index);
+    }
+    /**
+     * <pre>
+     * Milliseconds of prompts sent there that were not taken in yet, by the rank of their routes, first rank first.
+     * </pre>
+     *
+     * <code>repeated uint32 prompt_ms = 3;</code>
+     * @param value The promptMs to set.
+     * @return This builder for chaining.
+     */
+    public Builder setPromptMs(
+        int index, int value) {
+      copyOnWrite();
+      instance.setPromptMs(index, value);
+      return this;
+    }
+    /**
+     * <pre>
+     * Milliseconds of prompts sent there that were not taken in yet, by the rank of their routes, first rank first.
+     * </pre>
+     *
+     * <code>repeated uint32 prompt_ms = 3;</code>
+     * @param value The promptMs to add.
+     * @return This builder for chaining.
+     */
+    public Builder addPromptMs(int value) {
+      copyOnWrite();
+      instance.addPromptMs(value);
+      return this;
     }
     /**
      * <pre>
-     * Prompt tokens sent there that were not taken in yet, as far as the entry knows.
+     * Milliseconds of prompts sent there that were not taken in yet, by the rank of their routes, first rank first.
      * </pre>
      *
-     * <code>uint32 prompt_tokens = 3;</code>
-     * @param value The promptTokens to set.
+     * <code>repeated uint32 prompt_ms = 3;</code>
+     * @param values The promptMs to add.
      * @return This builder for chaining.
      */
-    public Builder setPromptTokens(int value) {
+    public Builder addAllPromptMs(
+        java.lang.Iterable<? extends java.lang.Integer> values) {
       copyOnWrite();
-      instance.setPromptTokens(value);
+      instance.addAllPromptMs(values);
       return this;
     }
     /**
      * <pre>
-     * Prompt tokens sent there that were not taken in yet, as far as the entry knows.
+     * Milliseconds of prompts sent there that were not taken in yet, by the rank of their routes, first rank first.
      * </pre>
      *
-     * <code>uint32 prompt_tokens = 3;</code>
+     * <code>repeated uint32 prompt_ms = 3;</code>
      * @return This builder for chaining.
      */
-    public Builder clearPromptTokens() {
+    public Builder clearPromptMs() {
       copyOnWrite();
-      instance.clearPromptTokens();
+      instance.clearPromptMs();
       return this;
     }
 
@@ -361,11 +480,11 @@
           java.lang.Object[] objects = new java.lang.Object[] {
             "id_",
             "running_",
-            "promptTokens_",
+            "promptMs_",
           };
           java.lang.String info =
-              "\u0000\u0003\u0000\u0000\u0001\u0003\u0003\u0000\u0000\u0000\u0001\u0208\u0002\u000b" +
-              "\u0003\u000b";
+              "\u0000\u0003\u0000\u0000\u0001\u0003\u0003\u0000\u0001\u0000\u0001\u0208\u0002\u000b" +
+              "\u0003+";
           return newMessageInfo(DEFAULT_INSTANCE, info, objects);
       }
       case GET_DEFAULT_INSTANCE: {
--- a/src/main/java/org/cuminshelf/message/UpstreamLoadOrBuilder.java
+++ b/src/main/java/org/cuminshelf/message/UpstreamLoadOrBuilder.java
@@ -30,11 +30,30 @@
 
   /**
    * <pre>
-   * Prompt tokens sent there that were not taken in yet, as far as the entry knows.
+   * Milliseconds of prompts sent there that were not taken in yet, by the rank of their routes, first rank first.
    * </pre>
    *
-   * <code>uint32 prompt_tokens = 3;</code>
-   * @return The promptTokens.
+   * <code>repeated uint32 prompt_ms = 3;</code>
+   * @return A list containing the promptMs.
    */
-  int getPromptTokens();
+  java.util.List<java.lang.Integer> getPromptMsList();
+  /**
+   * <pre>
+   * Milliseconds of prompts sent there that were not taken in yet, by the rank of their routes, first rank first.
+   * </pre>
+   *
+   * <code>repeated uint32 prompt_ms = 3;</code>
+   * @return The count of promptMs.
+   */
+  int getPromptMsCount();
+  /**
+   * <pre>
+   * Milliseconds of prompts sent there that were not taken in yet, by the rank of their routes, first rank first.
+   * </pre>
+   *
+   * <code>repeated uint32 prompt_ms = 3;</code>
+   * @param index The index of the element to return.
+   * @return The promptMs at the given index.
+   */
+  int getPromptMs(int index);
 }
--- a/src/main/java/org/cuminshelf/platform/PlatformCommand.java
+++ b/src/main/java/org/cuminshelf/platform/PlatformCommand.java
@@ -19,6 +19,7 @@
 import org.cuminshelf.tools.Command;
 import org.cuminshelf.tools.Serving;
 import org.cuminshelf.tools.UsageException;
+import org.tinylog.Logger;
 
 /** Runs a process on the users' platform, by the settings file that it names. */
 public final class PlatformCommand implements Command {
@@ -57,8 +58,19 @@
     @Override
     public int run(Namespace flags) throws Exception {
         BootSettings boot = BootSettings.read();
-        ServingProcess process = flags.getString(ROLE).equals(ENTRY) ? entry(boot) : control(boot);
-        return Serving.until(List.of(process));
+        if (flags.getString(ROLE).equals(CONTROL)) {
+            return Serving.until(List.of(control(boot)));
+        }
+        DirectEntryProcess entry = entry(boot);
+        return Serving.until(List.of(entry), () -> reload(entry));
+    }
+
+    private static void reload(DirectEntryProcess entry) {
+        try {
+            entry.seeds(BootSettings.read().seeds());
+        } catch (IOException e) {
+            Logger.warn("platform: event=reload outcome=\"the earlier settings stay\" reason=\"{}\"", e.getMessage());
+        }
     }
 
     private static CommonSettings common(BootSettings boot) {
@@ -74,7 +86,7 @@
                 boot.graceMillis());
     }
 
-    private static ServingProcess entry(BootSettings boot) throws IOException, UsageException {
+    private static DirectEntryProcess entry(BootSettings boot) throws IOException, UsageException {
         Address callers =
                 boot.callers().orElseThrow(() -> new UsageException("the settings name no address for callers"));
         DirectEntryProcess.Options options = new DirectEntryProcess.Options(
--- a/src/main/java/org/cuminshelf/process/DirectEntryProcess.java
+++ b/src/main/java/org/cuminshelf/process/DirectEntryProcess.java
@@ -3,6 +3,7 @@
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
 import java.io.IOException;
 import java.nio.ByteBuffer;
+import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.locks.Condition;
@@ -152,6 +153,21 @@
         EntryProcess.gauge(registry, "cuminshelf_invariant_breach_count", "Promises found broken.", invariants::count);
     }
 
+    /**
+     * Takes other control processes to begin with, as changed settings name them.
+     *
+     * @param seeds their addresses for messages
+     */
+    public void seeds(List<Address> seeds) {
+        lock.lock();
+        try {
+            core.seeds(seeds);
+            Logger.info(LOG + "event=reload vm={} seeds={}", common.vm(), seeds);
+        } finally {
+            lock.unlock();
+        }
+    }
+
     private void accept(Envelope message) {
         lock.lock();
         try {
--- a/src/main/java/org/cuminshelf/tools/Serving.java
+++ b/src/main/java/org/cuminshelf/tools/Serving.java
@@ -4,6 +4,7 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.atomic.AtomicBoolean;
 import org.cuminshelf.process.ServingProcess;
+import org.tinylog.Logger;
 
 /** Keeps serving processes up until a signal, then stops them in order. */
 public final class Serving {
@@ -18,6 +19,19 @@
      * @throws InterruptedException if the wait is interrupted
      */
     public static int until(List<ServingProcess> processes) throws InterruptedException {
+        return until(processes, () -> Logger.info("process: event=reload outcome=\"nothing to read again\""));
+    }
+
+    /**
+     * Waits for a signal and stops gracefully.
+     *
+     * @param processes what to stop, in this order
+     * @param onReload  reads settings again, on SIGHUP
+     * @return the exit code
+     * @throws InterruptedException if the wait is interrupted
+     */
+    public static int until(List<ServingProcess> processes, Runnable onReload) throws InterruptedException {
+        Signals.onHangUp(onReload);
         CountDownLatch stopped = new CountDownLatch(1);
         AtomicBoolean allFinished = new AtomicBoolean(true);
         Signals.onStop(() -> {
--- a/src/main/java/org/cuminshelf/tools/Signals.java
+++ b/src/main/java/org/cuminshelf/tools/Signals.java
@@ -28,6 +28,11 @@
         handle("INT", onSignal);
     }
 
+    /** Handles SIGHUP, which without a handler would end the process. */
+    static void onHangUp(Runnable action) {
+        handle("HUP", () -> new Thread(action, "reload").start());
+    }
+
     private static void handle(String signal, Runnable action) {
         try {
             Class<?> signalClass = Class.forName("sun.misc.Signal");
