Count all prompts that wait, and keep engines that generate nearly free of them

Cause: an engine takes prompts in the order of arrival, whatever their rank, while there are free places; entries counted only those of the same or a higher rank and expected 38 ms where 94 ms passed. And with up to 110 ms of prompts waiting on an engine that generates, 203 of 2452 checks had a pause over 200 ms.

--- a/src/main/java/org/cuminshelf/direct/AttemptRow.java
+++ b/src/main/java/org/cuminshelf/direct/AttemptRow.java
@@ -26,6 +26,9 @@
     HttpFields headers = HttpFields.EMPTY;
     AnswerFacts facts;
     boolean ended;
+    /** Whether it went on from a KV cache that another engine made. */
+    final boolean hadCache;
+
     /** Whether the prompt still counts as waiting at the upstream. */
     boolean promptCounted;
 
@@ -38,6 +41,7 @@
         this.prefillOnly = choice.prefillOnly();
         this.promptMillis = choice.promptMillis();
         this.firstMillis = choice.firstMillis();
+        this.hadCache = !prefillOnly && call.cache.isPresent();
         this.sentAt = now;
         this.lastProgressAt = now;
     }
--- a/src/main/java/org/cuminshelf/direct/CallRow.java
+++ b/src/main/java/org/cuminshelf/direct/CallRow.java
@@ -48,6 +48,9 @@
     OptionalLong lastEvent;
 
     int eventsGiven;
+    /** Milliseconds to the first event that were expected when it was placed. */
+    double expectedMillis;
+
     long firstAnswerAt;
     long lastEventAt;
     /** Longest pause between two events so far, in nanoseconds. */
--- a/src/main/java/org/cuminshelf/direct/CallSystem.java
+++ b/src/main/java/org/cuminshelf/direct/CallSystem.java
@@ -119,6 +119,9 @@
             giveUp(now, call, "too-late");
             return;
         }
+        if (call.attempt == null) {
+            call.expectedMillis = choice.get().firstMillis();
+        }
         send(now, call, choice.get());
     }
 
@@ -603,7 +606,9 @@
                 "events",
                 call.eventsGiven,
                 "expected-ms",
-                Math.round(attempt.firstMillis),
+                Math.round(call.expectedMillis),
+                "way",
+                attempt.hadCache ? "split" : "whole",
                 "pause-ms",
                 Durations.millis(call.longestPause),
                 "first-ms",
--- a/src/main/java/org/cuminshelf/direct/Placement.java
+++ b/src/main/java/org/cuminshelf/direct/Placement.java
@@ -33,7 +33,7 @@
      * Milliseconds of prompts that may wait on an engine that also generates. One event of a stream takes 12 steps;
      * with a chunk of prompt in each it takes 180 ms, and pauses of 200 ms count as late.
      */
-    private static final double MIXED_BACKLOG = 110;
+    private static final double MIXED_BACKLOG = 60;
     /** One more hop and the move of the KV cache: some 10 ms for a long prompt over links of the day. */
     private static final double HANDOVER_MILLIS = 20;
     /** Milliseconds that each stream already running on an engine adds to the next one's first token. */
@@ -169,7 +169,7 @@
         boolean prefill = row.role == Role.ROLE_PREFILL;
         double factor = prefill ? 1 : MIXED_FACTOR;
         double prompt = factor * PromptWork.millis(held, Math.max(0, shape.promptTokens() - held));
-        double first = row.backlogMillis(call.route.priority())
+        double first = row.backlogMillis(Integer.MAX_VALUE)
                 + prompt
                 + row.occupancy() * MILLIS_PER_STREAM
                 + (row.zone.equals(zone) ? 0 : OTHER_ZONE_MILLIS)
