Test the entry without sidecars, open membership and the adapter; split the care of membership from the replica

Each guard of exchange, direct, platform, the open membership and the role orders has a test that needs no bench; a check in the build keeps the platform's names in its package. The care of the membership is a class of its own.

--- a/src/main/java/org/cuminshelf/exchange/CallerConnection.java
+++ b/src/main/java/org/cuminshelf/exchange/CallerConnection.java
@@ -17,6 +17,7 @@
 import org.eclipse.jetty.io.AbstractConnection;
 import org.eclipse.jetty.io.EndPoint;
 import org.eclipse.jetty.util.Callback;
+import org.eclipse.jetty.util.thread.Invocable;
 
 /**
  * A connection of a caller. It goes on reading while an answer is being made, which is how a caller that leaves is
@@ -64,27 +65,8 @@
     /** Bytes of a next request that came before the answer to this one was complete. */
     private ByteBuffer early;
 
-    private final Callback readCallback = new Callback() {
-        @Override
-        public void succeeded() {
-            onFillable();
-        }
-
-        @Override
-        public void failed(Throwable failure) {
-            lock.lock();
-            try {
-                onEnd();
-            } finally {
-                lock.unlock();
-            }
-        }
-
-        @Override
-        public InvocationType getInvocationType() {
-            return InvocationType.NON_BLOCKING;
-        }
-    };
+    private final Callback readCallback =
+            Callback.from(Invocable.InvocationType.NON_BLOCKING, this::onFillable, this::onReadFailed);
 
     CallerConnection(CallerListener listener, EndPoint endPoint, Executor executor) {
         super(endPoint, executor);
@@ -106,6 +88,15 @@
         fillInterested(readCallback);
     }
 
+    private void onReadFailed(Throwable failure) {
+        lock.lock();
+        try {
+            onEnd();
+        } finally {
+            lock.unlock();
+        }
+    }
+
     @Override
     public void onFillable() {
         lock.lock();
--- a/src/main/java/org/cuminshelf/exchange/UpstreamConnection.java
+++ b/src/main/java/org/cuminshelf/exchange/UpstreamConnection.java
@@ -15,6 +15,7 @@
 import org.eclipse.jetty.io.EndPoint;
 import org.eclipse.jetty.util.BufferUtil;
 import org.eclipse.jetty.util.Callback;
+import org.eclipse.jetty.util.thread.Invocable;
 
 /**
  * A connection to an upstream, with one request at a time.
@@ -45,27 +46,8 @@
 
     private long idleSince;
 
-    private final Callback readCallback = new Callback() {
-        @Override
-        public void succeeded() {
-            onFillable();
-        }
-
-        @Override
-        public void failed(Throwable failure) {
-            lock.lock();
-            try {
-                fail("the connection failed: " + failure.getMessage());
-            } finally {
-                lock.unlock();
-            }
-        }
-
-        @Override
-        public InvocationType getInvocationType() {
-            return InvocationType.NON_BLOCKING;
-        }
-    };
+    private final Callback readCallback =
+            Callback.from(Invocable.InvocationType.NON_BLOCKING, this::onFillable, this::onReadFailed);
 
     UpstreamConnection(UpstreamConnections pool, UpstreamConnections.Key key, EndPoint endPoint, Executor executor) {
         super(endPoint, executor);
@@ -132,6 +114,15 @@
         end();
     }
 
+    private void onReadFailed(Throwable failure) {
+        lock.lock();
+        try {
+            fail("the connection failed: " + failure.getMessage());
+        } finally {
+            lock.unlock();
+        }
+    }
+
     @Override
     public void onFillable() {
         lock.lock();
--- a/src/main/java/org/cuminshelf/exchange/WriteQueue.java
+++ b/src/main/java/org/cuminshelf/exchange/WriteQueue.java
@@ -7,12 +7,13 @@
 import java.util.function.Consumer;
 import org.eclipse.jetty.io.EndPoint;
 import org.eclipse.jetty.util.Callback;
+import org.eclipse.jetty.util.thread.Invocable;
 
 /**
  * What waits to be written on a connection, which takes one write at a time. Guards against a peer that doesn't read:
  * past {@link #MOST_WAITING} bytes the connection is given up, so that one slow caller can't fill the memory.
  */
-final class WriteQueue implements Callback {
+final class WriteQueue {
 
     /** Bytes that may wait for a slow peer; many times a stream's usual length of some KB. */
     private static final int MOST_WAITING = 8 << 20;
@@ -23,6 +24,7 @@
     private final ReentrantLock lock;
     private final Consumer<Throwable> onFailure;
     private final Deque<ByteBuffer> waiting = new ArrayDeque<>();
+    private final Callback done = Callback.from(Invocable.InvocationType.NON_BLOCKING, this::written, this::failed);
     private long waitingBytes;
     private boolean writing;
     private Runnable whenEmpty;
@@ -80,11 +82,10 @@
             next[index] = waiting.poll();
             waitingBytes -= next[index].remaining();
         }
-        endPoint.write(this, next);
+        endPoint.write(done, next);
     }
 
-    @Override
-    public void succeeded() {
+    private void written() {
         lock.lock();
         try {
             writing = false;
@@ -94,8 +95,7 @@
         }
     }
 
-    @Override
-    public void failed(Throwable failure) {
+    private void failed(Throwable failure) {
         lock.lock();
         try {
             onFailure.accept(failure);
@@ -103,9 +103,4 @@
             lock.unlock();
         }
     }
-
-    @Override
-    public InvocationType getInvocationType() {
-        return InvocationType.NON_BLOCKING;
-    }
 }
--- a/src/main/java/org/cuminshelf/replica/Replica.java
+++ b/src/main/java/org/cuminshelf/replica/Replica.java
@@ -63,13 +63,6 @@
     private static final long LEASE = Durations.nanos(450);
     private static final long RESEND_AFTER = Durations.nanos(300);
     private static final long FORMATION_AGAIN = Durations.nanos(300);
-    /** Silence after which a voter gives way to a learner that caught up; longer than an election takes. */
-    private static final long SILENT_REPLACED = Durations.nanos(1_300);
-    /** Silence after which a voter leaves a group of even size; longer than a process takes to restart. */
-    private static final long SILENT_REMOVED = Durations.nanos(3_000);
-    /** Silence after which a learner is forgotten; it asks again when it is back. */
-    private static final long SILENT_LEARNER = Durations.nanos(6_000);
-
     private static final int MOST_ENTRIES = 512;
     private static final long MOST_BYTES = 1L << 20;
     private static final int ENTRIES_BEFORE_SNAPSHOT = 2_000;
@@ -401,56 +394,10 @@
         return role == Role.LEADER && commit >= termStart && log.lastMembershipIndex() <= commit;
     }
 
-    /**
-     * Mends the membership, one step at a time: a learner that caught up first takes the old identity's place away,
-     * then votes.
-     *
-     * <p>Failure it guards against: a VM is gone for good, another takes its place, and then one more is lost. The
-     * group must by then count three living replicas and not four with a dead one, of which a single loss more leaves
-     * no quorum. So a voter that is silent leaves before a learner votes, and leaves a group of even size by itself:
-     * that costs no tolerance, as a group of four bears one loss like a group of three.
-     */
     private void mendMembership(long now) {
-        if (!isSettledLeader()) {
-            return;
-        }
-        if (settings.membership().isOpen() && removeSilent(now)) {
-            return;
-        }
-        promoteLearners(now);
-    }
-
-    private boolean removeSilent(long now) {
-        boolean learnerReady = peers.all().stream().anyMatch(peer -> peer.learner && isCaughtUp(now, peer));
-        long voters = log.membership().getVotersList().stream()
-                .filter(voter -> !voter.getLearner())
-                .count();
-        boolean even = voters % 2 == 0;
-        for (Peer peer : peers.all()) {
-            long silent = now - peer.heardAt;
-            boolean replaceable = !peer.learner
-                    && voters > 1
-                    && (learnerReady && silent > SILENT_REPLACED || even && silent > SILENT_REMOVED);
-            boolean deadLearner = peer.learner && silent > SILENT_LEARNER;
-            if (replaceable || deadLearner) {
-                changeMembership(now, Members.without(log.membership(), peer.identity));
-                return true;
-            }
-        }
-        return false;
-    }
-
-    private boolean isCaughtUp(long now, Peer peer) {
-        return peer.match >= commit && peer.match > 0 && now - peer.heardAt < ELECTION_SHORTEST;
-    }
-
-    private void promoteLearners(long now) {
-        for (Voter learner : log.membership().getVotersList()) {
-            Optional<Peer> peer = peers.peer(learner.getIdentity()).filter(known -> isCaughtUp(now, known));
-            if (learner.getLearner() && peer.isPresent()) {
-                changeMembership(now, Members.promoted(log.membership(), learner));
-                return;
-            }
+        if (isSettledLeader()) {
+            MembershipCare.next(now, log.membership(), peers, commit, settings.membership())
+                    .ifPresent(next -> changeMembership(now, next));
         }
     }
 
--- /dev/null
+++ b/src/test/java/org/cuminshelf/direct/DirectFixture.java
@@ -0,0 +1,266 @@
+package org.cuminshelf.direct;
+
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
+import org.cuminshelf.core.Address;
+import org.cuminshelf.core.Durations;
+import org.cuminshelf.core.Invariants;
+import org.cuminshelf.core.RecordingOutbox;
+import org.cuminshelf.exchange.CallerExchange;
+import org.cuminshelf.exchange.CallerLimits;
+import org.cuminshelf.exchange.ReceivedRequest;
+import org.cuminshelf.exchange.UpstreamExchange;
+import org.cuminshelf.exchange.UpstreamHandler;
+import org.cuminshelf.exchange.UpstreamRequest;
+import org.cuminshelf.message.Envelope;
+import org.cuminshelf.message.Role;
+import org.cuminshelf.message.Update;
+import org.cuminshelf.message.UpstreamBeat;
+import org.cuminshelf.routes.RequestKind;
+import org.cuminshelf.routes.Route;
+import org.cuminshelf.routes.RouteTable;
+import org.cuminshelf.routes.RoutedService;
+import org.cuminshelf.routes.WeightedService;
+import org.eclipse.jetty.http.HttpFields;
+
+/** An entry that reaches upstreams straight, with everything around it played by hand. */
+final class DirectFixture {
+
+    static final Address CONTROL = Address.of("10.0.0.1:7000");
+    static final Address SELF = Address.of("10.0.1.1:7000");
+    private static final HttpFields SEALED = HttpFields.build().put("Seal", "s");
+
+    long now = Durations.nanos(10_000);
+    final RecordingOutbox out = new RecordingOutbox();
+    final List<Sent> sent = new ArrayList<>();
+    final DirectCore core;
+    private final RouteTable table;
+    private int beats;
+
+    DirectFixture(Route... routes) {
+        this.table = RouteTable.of(
+                7, List.of(routes), Map.of("s", new RoutedService("s", 100, Optional.empty())), CallerLimits.DEFAULT);
+        this.core = DirectCore.start(
+                new DirectSettings("r", "z", "vm", List.of(CONTROL), new RepeatLimits(0.2, 100, 10_000)),
+                SELF,
+                new Protocol(),
+                document -> Optional.of(table),
+                new Port(),
+                () -> now,
+                Invariants.throwing(),
+                DecisionLog.none());
+    }
+
+    static Route route(RequestKind kind, int attempts, boolean resumable) {
+        return new Route(
+                "r", "h", "/a/", kind, 1_000, 200, 0, List.of(new WeightedService("s", 1)), attempts, resumable);
+    }
+
+    DirectFixture ready() {
+        update(Update.newBuilder()
+                .setConfigVersion(7)
+                .setConfig(com.google.protobuf.ByteString.copyFromUtf8("x"))
+                .setConfirmed(true));
+        return this;
+    }
+
+    DirectFixture upstream(String id, Role role) {
+        update(Update.newBuilder()
+                .setDirectoryIncarnation(1)
+                .setDirectoryVersion(++beats)
+                .addUpstreams(beat(id, role)));
+        return this;
+    }
+
+    static UpstreamBeat beat(String id, Role role) {
+        return UpstreamBeat.newBuilder()
+                .setId(id)
+                .setService("s")
+                .setAddress("10.9.0.1:80")
+                .setZone("z")
+                .setSequence(1)
+                .setSlots(6)
+                .setRole(role)
+                .build();
+    }
+
+    void update(Update.Builder update) {
+        core.accept(
+                now,
+                Envelope.newBuilder().setFrom(CONTROL.value()).setUpdate(update).build(),
+                out);
+    }
+
+    /** A caller's request; header Tokens makes it a generation of so many prompt tokens. */
+    Answer ask(String id, String... headers) {
+        HttpFields.Mutable fields = HttpFields.build().put("Host", "h").put("Id", id);
+        for (int index = 0; index < headers.length; index += 2) {
+            fields.put(headers[index], headers[index + 1]);
+        }
+        Answer answer = new Answer();
+        core.onRequest(new ReceivedRequest("POST", "/a/b", fields.asImmutable(), new byte[0]), answer);
+        return answer;
+    }
+
+    void pass(long millis) {
+        long end = now + Durations.nanos(millis);
+        while (core.nextDue() < end) {
+            now = Math.max(now, core.nextDue());
+            core.tick(now, out);
+        }
+        now = end;
+        core.tick(now, out);
+    }
+
+    Sent last() {
+        return sent.getLast();
+    }
+
+    /** What the caller got. */
+    static final class Answer implements CallerExchange {
+        int status;
+        HttpFields headers = HttpFields.EMPTY;
+        final StringBuilder body = new StringBuilder();
+        boolean complete;
+        boolean aborted;
+
+        @Override
+        public void answer(int answered, HttpFields fields, ByteBuffer bytes) {
+            status = answered;
+            headers = fields;
+            part(bytes);
+            complete = true;
+        }
+
+        @Override
+        public void begin(int answered, HttpFields fields) {
+            status = answered;
+            headers = fields;
+        }
+
+        @Override
+        public void part(ByteBuffer bytes) {
+            body.append(StandardCharsets.UTF_8.decode(bytes));
+        }
+
+        @Override
+        public void end() {
+            complete = true;
+        }
+
+        @Override
+        public void abort() {
+            aborted = true;
+        }
+    }
+
+    /** What an upstream got, and the means to answer it. */
+    static final class Sent implements UpstreamExchange {
+        final String upstream;
+        final UpstreamRequest request;
+        final UpstreamHandler handler;
+        boolean cancelled;
+
+        Sent(String upstream, UpstreamRequest request, UpstreamHandler handler) {
+            this.upstream = upstream;
+            this.request = request;
+            this.handler = handler;
+        }
+
+        void head(int status, String... headers) {
+            HttpFields.Mutable fields = HttpFields.build();
+            for (int index = 0; index < headers.length; index += 2) {
+                fields.put(headers[index], headers[index + 1]);
+            }
+            handler.onHead(status, fields);
+        }
+
+        void sealed(int status) {
+            handler.onHead(status, SEALED);
+        }
+
+        void body(String text) {
+            handler.onBody(ByteBuffer.wrap(text.getBytes(StandardCharsets.UTF_8)));
+        }
+
+        void whole(int status, String text) {
+            sealed(status);
+            body(text);
+            handler.onComplete();
+        }
+
+        @Override
+        public void cancel() {
+            cancelled = true;
+        }
+    }
+
+    private final class Port implements UpstreamPort {
+        @Override
+        public UpstreamExchange send(
+                Address address, String upstream, UpstreamRequest request, UpstreamHandler handler) {
+            Sent one = new Sent(upstream, request, handler);
+            sent.add(one);
+            return one;
+        }
+
+        @Override
+        public void forgetIdle(Address address, String upstream) {
+            // No connections here.
+        }
+    }
+
+    /** A protocol with the shortest names. */
+    private static final class Protocol implements UpstreamProtocol {
+        @Override
+        public CallIntent intent(ReceivedRequest request) {
+            HttpFields headers = request.headers();
+            Optional<GenerationShape> shape = Optional.ofNullable(headers.get("Tokens"))
+                    .map(tokens -> new GenerationShape(
+                            "m",
+                            Integer.parseInt(tokens),
+                            100,
+                            List.of(new PromptPart("shared", 100), new PromptPart(headers.get("Id"), 10))));
+            return new CallIntent(headers.get("Id"), OptionalLong.of(800), shape, number(headers.get("Last")));
+        }
+
+        private static OptionalLong number(String value) {
+            return value == null ? OptionalLong.empty() : OptionalLong.of(Long.parseLong(value));
+        }
+
+        @Override
+        public UpstreamRequest attempt(ReceivedRequest request, AttemptPlan plan) {
+            HttpFields.Mutable fields = HttpFields.build()
+                    .put("Expect", plan.upstream())
+                    .put("Left", String.valueOf(plan.remainingMillis()))
+                    .put("Prefill", String.valueOf(plan.prefillOnly()));
+            plan.cache().ifPresent(cache -> fields.put("Cache", cache.handle()));
+            plan.resumeAfter().ifPresent(event -> fields.put("Last", String.valueOf(event)));
+            return new UpstreamRequest("POST", request.target(), fields, request.body());
+        }
+
+        @Override
+        public UpstreamRequest release(CacheHandle handle) {
+            return new UpstreamRequest("DELETE", "/" + handle.handle(), HttpFields.EMPTY, new byte[0]);
+        }
+
+        @Override
+        public AnswerFacts facts(int status, HttpFields headers) {
+            return new AnswerFacts(
+                    Optional.ofNullable(headers.get("Id")),
+                    headers.contains("Not-Run"),
+                    Optional.ofNullable(headers.get("Start")),
+                    headers.contains("Seal"));
+        }
+
+        @Override
+        public Optional<String> cacheHandle(byte[] body) {
+            return Optional.of(new String(body, StandardCharsets.UTF_8)).filter(text -> !text.isEmpty());
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/org/cuminshelf/direct/EventSplitterTest.java
@@ -0,0 +1,35 @@
+package org.cuminshelf.direct;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+
+/** Cutting a stream of bytes into whole events. */
+class EventSplitterTest {
+
+    private static final String STREAM = "id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\nid: 3\ndata: c\n\nid: 4\nda";
+
+    @Property(seed = "41", tries = 100)
+    void whereverTheBytesAreCutTheEventsAreTheSame(@ForAll @IntRange(min = 1, max = 20) int size) {
+        EventSplitter splitter = new EventSplitter();
+        byte[] bytes = STREAM.getBytes(StandardCharsets.UTF_8);
+        StringBuilder events = new StringBuilder();
+        int count = 0;
+        for (int at = 0; at < bytes.length; at += size) {
+            splitter.add(ByteBuffer.wrap(bytes, at, Math.min(size, bytes.length - at)));
+            var event = splitter.next();
+            while (event.isPresent()) {
+                events.append(new String(event.get().bytes(), StandardCharsets.UTF_8));
+                assertThat(event.get().id()).hasValue(++count);
+                event = splitter.next();
+            }
+        }
+        assertThat(count).isEqualTo(3);
+        assertThat(events.toString() + new String(splitter.rest(), StandardCharsets.UTF_8))
+                .isEqualTo(STREAM);
+    }
+}
--- /dev/null
+++ b/src/test/java/org/cuminshelf/direct/PlacementTest.java
@@ -0,0 +1,65 @@
+package org.cuminshelf.direct;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.HashMap;
+import java.util.Map;
+import net.jqwik.api.Example;
+import org.cuminshelf.message.Role;
+import org.cuminshelf.routes.RequestKind;
+
+/** Where requests go under the load patterns of the first users. */
+class PlacementTest {
+
+    private static DirectFixture fleet(int prefill, int decode) {
+        DirectFixture entry = new DirectFixture(DirectFixture.route(RequestKind.STREAM, 1, false)).ready();
+        for (int index = 0; index < prefill; index++) {
+            entry.upstream("p" + index, Role.ROLE_PREFILL);
+        }
+        for (int index = 0; index < decode; index++) {
+            entry.upstream("d" + index, Role.ROLE_DECODE);
+        }
+        return entry;
+    }
+
+    /*
+     * Streams pause for longer than callers bear: a burst of prompts is taken in by the engines that generate, in
+     * between their tokens. Only a little may wait there; the rest goes to the engines kept for prompts.
+     */
+    @Example
+    void aBurstOfPromptsLeavesTheEnginesThatGenerateNearlyFree() {
+        DirectFixture entry = fleet(2, 2);
+        for (int index = 0; index < 60; index++) {
+            entry.ask("r" + index, "Tokens", "2000");
+        }
+        Map<String, Integer> counts = new HashMap<>();
+        entry.sent.forEach(sent -> counts.merge(sent.upstream, 1, Integer::sum));
+        assertThat(counts.getOrDefault("d0", 0)).isLessThanOrEqualTo(2);
+        assertThat(counts.getOrDefault("d1", 0)).isLessThanOrEqualTo(2);
+        assertThat(counts.get("p0")).isGreaterThan(15);
+        assertThat(counts.get("p1")).isGreaterThan(15);
+    }
+
+    /*
+     * The same 5,000 tokens of a subject are read again by every engine. Requests of one subject keep to one engine as
+     * long as it is not late there.
+     */
+    @Example
+    void requestsOfOneSubjectKeepToOneEngineWhileItIsNotLate() {
+        DirectFixture entry = fleet(4, 1);
+        entry.ask("warm", "Tokens", "100");
+        entry.ask("r0", "Tokens", "4000");
+        String home = entry.last().upstream;
+        entry.ask("r1", "Tokens", "3000");
+        assertThat(entry.last().upstream).isEqualTo(home);
+    }
+
+    @Example
+    void withoutEnginesForPromptsTheOthersTakeThemAll() {
+        DirectFixture entry = fleet(0, 2);
+        for (int index = 0; index < 6; index++) {
+            entry.ask("r" + index, "Tokens", "2000");
+        }
+        assertThat(entry.sent).hasSize(6);
+    }
+}
--- /dev/null
+++ b/src/test/java/org/cuminshelf/direct/RepeatBudgetTest.java
@@ -0,0 +1,40 @@
+package org.cuminshelf.direct;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import net.jqwik.api.Example;
+import org.cuminshelf.core.Durations;
+
+/** How often an entry may send requests once more. */
+class RepeatBudgetTest {
+
+    /*
+     * All upstreams of a zone fail at once, every request is sent once more by every entry, and what is left falls
+     * over. The entries together must stay within one sum over any window.
+     */
+    @Example
+    void entriesTogetherStayWithinTheSumInAnyWindow() {
+        int entries = 5;
+        int granted = 0;
+        for (int entry = 0; entry < entries; entry++) {
+            RepeatBudget budget = new RepeatBudget(new RepeatLimits(0.2, 58, 10_000));
+            for (int request = 0; request < 100; request++) {
+                long now = Durations.nanos(request * 100L);
+                budget.onRequest(now, "s");
+                granted += budget.take(now, "s", entries) ? 1 : 0;
+                granted += budget.take(now, "s", entries) ? 1 : 0;
+            }
+        }
+        assertThat(granted).isLessThanOrEqualTo((int) (0.2 * 500 + 58)).isGreaterThan(60);
+    }
+
+    @Example
+    void anOldWindowIsForgotten() {
+        RepeatBudget budget = new RepeatBudget(new RepeatLimits(0, 10, 10_000));
+        long now = 0;
+        while (budget.take(now, "s", 1)) {
+            now += 1;
+        }
+        assertThat(budget.take(Durations.nanos(11_000), "s", 1)).isTrue();
+    }
+}
--- /dev/null
+++ b/src/test/java/org/cuminshelf/direct/UpstreamTableTest.java
@@ -0,0 +1,78 @@
+package org.cuminshelf.direct;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import net.jqwik.api.Example;
+import org.cuminshelf.core.Address;
+import org.cuminshelf.core.Durations;
+import org.cuminshelf.message.Role;
+import org.cuminshelf.message.Update;
+import org.cuminshelf.message.UpstreamBeat;
+
+/** What an entry believes of upstreams. */
+class UpstreamTableTest {
+
+    private static final Address CONTROL = Address.of("10.0.0.1:7000");
+    private final UpstreamTable table = new UpstreamTable(DecisionLog.none());
+    private long now = Durations.nanos(1_000);
+
+    /*
+     * Every request is refused for seconds after all control processes were killed at once: they know nobody yet, and
+     * their empty list is taken for an empty fleet.
+     */
+    @Example
+    void anEmptyListOfAControlProcessThatJustStartedEmptiesNothing() {
+        tell(1, 1, false, beat());
+        tell(2, 1, true);
+        assertThat(table.ofService("s")).hasSize(1);
+        now += Durations.nanos(5_000);
+        table.tick(now);
+        assertThat(table.ofService("s")).hasSize(1);
+        now += Durations.nanos(2_000);
+        table.tick(now);
+        assertThat(table.ofService("s")).isEmpty();
+    }
+
+    @Example
+    void anUpstreamThatSaidItIsGoneIsNotBroughtBackByALateHeartbeat() {
+        tell(1, 1, false, beat());
+        tell(1, 2, false, beat().toBuilder().setDeleted(true).build());
+        tell(1, 3, false, beat().toBuilder().setSequence(9).build());
+        assertThat(table.ofService("s")).isEmpty();
+    }
+
+    @Example
+    void anUpstreamThatIsLeavingStaysSo() {
+        tell(1, 1, false, beat().toBuilder().setLeaving(true).setSequence(5).build());
+        tell(1, 2, false, beat().toBuilder().setSequence(4).build());
+        assertThat(table.row("u").orElseThrow().leaving).isTrue();
+    }
+
+    @Example
+    void failuresInARowMakeAnUpstreamAvoidedAndASuccessEndsThat() {
+        tell(1, 1, false, beat());
+        UpstreamRow row = table.row("u").orElseThrow();
+        row.failed(now);
+        assertThat(row.isAvoided(now)).isFalse();
+        row.failed(now);
+        assertThat(row.isAvoided(now)).isTrue();
+        assertThat(row.isAvoided(now + Durations.nanos(500))).isFalse();
+        row.succeeded(1);
+        assertThat(row.isAvoided(now)).isFalse();
+    }
+
+    private void tell(long incarnation, long version, boolean whole, UpstreamBeat... beats) {
+        Update.Builder update = Update.newBuilder()
+                .setDirectoryIncarnation(incarnation)
+                .setDirectoryVersion(version)
+                .setWholeDirectory(whole);
+        for (UpstreamBeat beat : beats) {
+            update.addUpstreams(beat);
+        }
+        table.onUpdate(now, CONTROL, update.build());
+    }
+
+    private static UpstreamBeat beat() {
+        return DirectFixture.beat("u", Role.ROLE_MIXED);
+    }
+}
--- /dev/null
+++ b/src/test/java/org/cuminshelf/platform/BootSettingsTest.java
@@ -0,0 +1,56 @@
+package org.cuminshelf.platform;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import net.jqwik.api.Example;
+import org.cuminshelf.core.Address;
+
+/** The platform's settings file. */
+class BootSettingsTest {
+
+    private static final String FILE = "{\"node\":\"n\",\"zone\":\"z\",\"region\":\"r\",\"ip\":\"10.0.0.1\","
+            + "\"listen\":{\"front\":\"10.0.0.1:80\",\"ready\":\"10.0.0.1:81\"},\"internalPorts\":[7000,7015],"
+            + "\"seeds\":[\"10.0.0.9:8144\"],\"bootstrap\":true,\"dataDir\":null,\"unknown\":{},"
+            + "\"bounds\":{\"graceS\":8,\"retryBudgetRatio\":0.2,\"retrySlack\":58,\"retryWindowS\":10}}";
+
+    private static BootSettings read(String text) throws IOException {
+        Path file = Files.createTempFile("boot", ".json");
+        try {
+            Files.writeString(file, text);
+            return BootSettings.read(file);
+        } finally {
+            Files.delete(file);
+        }
+    }
+
+    @Example
+    void seedsAreReachedAtTheFirstInternalPort() throws IOException {
+        BootSettings boot = read(FILE);
+        assertThat(boot.seeds()).containsExactly(Address.of("10.0.0.9:7000"));
+        assertThat(boot.messages()).isEqualTo(Address.of("10.0.0.1:7000"));
+        assertThat(boot.metrics()).isEqualTo(Address.of("10.0.0.1:7015"));
+        assertThat(boot.graceMillis()).isEqualTo(8_000);
+        assertThat(boot.repeats().allowance()).isEqualTo(58);
+        assertThat(boot.control()).isEmpty();
+    }
+
+    @Example
+    void aFileThatLacksWhatIsNeededIsRefusedByName() {
+        assertThatThrownBy(() -> read(FILE.replace("\"ip\"", "\"pi\"")))
+                .isInstanceOf(IOException.class)
+                .hasMessageContaining("'ip' is missing");
+        assertThatThrownBy(() -> read(FILE.replace("[7000,7015]", "7"))).hasMessageContaining("internalPorts");
+    }
+
+    @Example
+    void aFileThatIsNoObjectOrNotThereIsRefused() {
+        assertThatThrownBy(() -> read("[]")).hasMessageContaining("no JSON object");
+        assertThatThrownBy(() -> read("{\"node\":")).isInstanceOf(IOException.class);
+        assertThatThrownBy(() -> BootSettings.read(Path.of("/nowhere/boot.json")))
+                .hasMessageContaining("can't be read");
+    }
+}
--- /dev/null
+++ b/src/test/java/org/cuminshelf/platform/ConfigDocumentTest.java
@@ -0,0 +1,91 @@
+package org.cuminshelf.platform;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.vavr.control.Either;
+import java.nio.charset.StandardCharsets;
+import net.jqwik.api.Example;
+import org.cuminshelf.routes.RouteTable;
+
+/** The configurations of the platform's operators, good and bad. */
+class ConfigDocumentTest {
+
+    private static final String ROUTE = "{\"name\":\"r\",\"host\":\"H.example\",\"pathPrefix\":\"/a/\","
+            + "\"routeKind\":\"stream\",\"timeoutMs\":6000,\"targetLatencyMs\":200,\"priority\":1,"
+            + "\"service\":\"s\",\"maxAttempts\":2,\"resumable\":true}";
+    private static final String SERVICE = "{\"name\":\"s\",\"maxConns\":100}";
+
+    private static String document(String version, String routes, String services) {
+        return "{\"version\":" + version + ",\"routes\":[" + routes + "],\"services\":[" + services + "],"
+                + "\"limits\":{\"maxHeaderBytes\":100,\"idleTimeoutMs\":15000},\"later\":1}";
+    }
+
+    private static Either<String, RouteTable> read(String document) {
+        return ConfigDocument.read(document.getBytes(StandardCharsets.UTF_8));
+    }
+
+    private static String wrong(String document) {
+        return read(document).getLeft();
+    }
+
+    @Example
+    void aGoodOneIsReadAndItsLongestPrefixWins() {
+        String longer = ROUTE.replace("\"/a/\"", "\"/a/b/\"").replace("\"r\"", "\"r2\"");
+        RouteTable table = read(document("7", ROUTE + "," + longer, SERVICE)).get();
+        assertThat(table.version()).isEqualTo(7);
+        assertThat(table.route("h.example:80", "/a/b/c").orElseThrow().name()).isEqualTo("r2");
+        assertThat(table.route("h.example", "/a/c").orElseThrow().name()).isEqualTo("r");
+        assertThat(table.route("h.example", "/b")).isEmpty();
+        assertThat(table.limits().headerBytes()).isEqualTo(100);
+    }
+
+    @Example
+    void whatIsCutShortIsRefused() {
+        String whole = document("7", ROUTE, SERVICE);
+        assertThat(wrong(whole.substring(0, whole.length() - 9))).contains("can't be read");
+    }
+
+    @Example
+    void whatFollowsTheDocumentIsRefused() {
+        assertThat(wrong(document("7", ROUTE, SERVICE) + "{}")).contains("can't be read");
+    }
+
+    @Example
+    void aRouteToAnUnknownServiceIsRefused() {
+        assertThat(wrong(document("7", ROUTE, ""))).contains("unknown service s");
+    }
+
+    @Example
+    void twoRoutesAtOnePlaceAreRefused() {
+        assertThat(wrong(document("7", ROUTE + "," + ROUTE, SERVICE))).contains("same host and path prefix");
+    }
+
+    @Example
+    void weightsThatAddUpToNothingAreRefused() {
+        String split = ROUTE.replace("\"service\":\"s\"", "\"trafficSplit\":[{\"service\":\"s\",\"weight\":0}]");
+        assertThat(wrong(document("7", split, SERVICE))).contains("add up to 0");
+    }
+
+    @Example
+    void aTimeoutOfNothingIsRefused() {
+        assertThat(wrong(document("7", ROUTE.replace("6000", "0"), SERVICE))).contains("timeout");
+    }
+
+    @Example
+    void aVersionThatIsNoNumberIsRefused() {
+        assertThat(wrong(document("\"x\"", ROUTE, SERVICE))).contains("version");
+        assertThat(wrong(document("0", ROUTE, SERVICE))).contains("version");
+    }
+
+    @Example
+    void requestsAreSplitByWeightAndNoneGoesToAWeightOfNothing() {
+        String split = ROUTE.replace(
+                "\"service\":\"s\"",
+                "\"trafficSplit\":[{\"service\":\"s\",\"weight\":1},{\"service\":\"t\",\"weight\":0}]");
+        RouteTable table =
+                read(document("7", split, SERVICE + ",{\"name\":\"t\"}")).get();
+        for (long choice = -5; choice < 5; choice++) {
+            assertThat(table.routes().getFirst().service(choice)).isEqualTo("s");
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/org/cuminshelf/platform/PlatformProtocolTest.java
@@ -0,0 +1,125 @@
+package org.cuminshelf.platform;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.Optional;
+import java.util.OptionalLong;
+import net.jqwik.api.Example;
+import org.cuminshelf.core.Address;
+import org.cuminshelf.direct.AnswerFacts;
+import org.cuminshelf.direct.AttemptPlan;
+import org.cuminshelf.direct.CacheHandle;
+import org.cuminshelf.direct.CallIntent;
+import org.cuminshelf.exchange.ReceivedRequest;
+import org.cuminshelf.exchange.UpstreamRequest;
+import org.eclipse.jetty.http.HttpFields;
+
+/** The platform's headers on their way in and out. */
+class PlatformProtocolTest {
+
+    private final PlatformProtocol protocol = new PlatformProtocol();
+
+    private static ReceivedRequest request(String... headers) {
+        HttpFields.Mutable fields = HttpFields.build();
+        for (int index = 0; index < headers.length; index += 2) {
+            fields.add(headers[index], headers[index + 1]);
+        }
+        return new ReceivedRequest("POST", "/a/b?c=%20d", fields.asImmutable(), new byte[] {1});
+    }
+
+    private static AttemptPlan plan(boolean prefill, Optional<CacheHandle> cache) {
+        return new AttemptPlan("i-1", 750, 3, prefill, cache, OptionalLong.of(12));
+    }
+
+    @Example
+    void whatACallerAsksForIsRead() {
+        CallIntent intent = protocol.intent(request(
+                Headers.REQUEST_ID,
+                "x",
+                Headers.DEADLINE,
+                "8000",
+                Headers.TOKENS,
+                "1460,80",
+                Headers.PROMPT_PARTS,
+                "5c:800,91:410,e4:250"));
+        assertThat(intent.id()).isEqualTo("x");
+        assertThat(intent.deadlineMillis()).hasValue(8000);
+        assertThat(intent.generation().orElseThrow().promptTokens()).isEqualTo(1460);
+        assertThat(intent.generation().orElseThrow().parts()).hasSize(3);
+    }
+
+    @Example
+    void headersThatCanNotBeReadAreTakenForAbsent() {
+        CallIntent intent =
+                protocol.intent(request(Headers.DEADLINE, "soon", Headers.TOKENS, "many", Headers.LAST_EVENT, ""));
+        assertThat(intent.deadlineMillis()).isEmpty();
+        assertThat(intent.generation()).isEmpty();
+        assertThat(intent.resumeAfter()).isEmpty();
+    }
+
+    /*
+     * A caller goes on from the memory of someone else's request, or holds places for nobody: it sent the headers that
+     * are the system's to set. Cause: headers passed on unseen.
+     */
+    @Example
+    void whatOnlyTheSystemSetsIsNotTakenFromACaller() {
+        UpstreamRequest sent = protocol.attempt(
+                request(
+                        "x-cuminshelf-kv-source",
+                        "evil",
+                        "X-Cuminshelf-Pin-Ms",
+                        "9",
+                        "X-Cuminshelf-Kv-Hold",
+                        "h",
+                        "X-Cuminshelf-Kv-Backup",
+                        "b",
+                        "X-Cuminshelf-Stage",
+                        "prefill",
+                        "Connection",
+                        "X-Own, close",
+                        "X-Own",
+                        "1",
+                        "Transfer-Encoding",
+                        "chunked",
+                        "X-Kept",
+                        "2",
+                        Headers.DEADLINE,
+                        "9999"),
+                plan(false, Optional.empty()));
+        assertThat(sent.headers().asString())
+                .doesNotContain("evil")
+                .doesNotContain("X-Own")
+                .doesNotContain("chunked");
+        assertThat(sent.headers().get("X-Cuminshelf-Pin-Ms")).isNull();
+        assertThat(sent.headers().get("X-Cuminshelf-Kv-Hold")).isNull();
+        assertThat(sent.headers().get("X-Cuminshelf-Kv-Backup")).isNull();
+        assertThat(sent.headers().get(Headers.STAGE)).isNull();
+        assertThat(sent.headers().get("X-Kept")).isEqualTo("2");
+        assertThat(sent.headers().get(Headers.DEADLINE)).isEqualTo("750");
+        assertThat(sent.headers().get(Headers.EXPECTED_START)).isEqualTo("i-1");
+        assertThat(sent.headers().get(Headers.LAST_EVENT)).isEqualTo("12");
+        assertThat(sent.target()).isEqualTo("/a/b?c=%20d");
+    }
+
+    @Example
+    void aCacheIsNamedByItsEngineAndHandle() {
+        CacheHandle cache = new CacheHandle(Address.of("10.0.0.1:80"), "k");
+        assertThat(protocol.attempt(request(), plan(false, Optional.of(cache)))
+                        .headers()
+                        .get(Headers.CACHE_SOURCE))
+                .isEqualTo("10.0.0.1:80/k");
+        assertThat(protocol.release(cache).target()).isEqualTo("/cuminshelf/kv-handle/k");
+        assertThat(protocol.cacheHandle("{\"kvHandle\":\"k\"}".getBytes())).hasValue("k");
+        assertThat(protocol.cacheHandle("{".getBytes())).isEmpty();
+    }
+
+    @Example
+    void aRefusalThatStatesItDidNotRunIsToldFromOneThatDoesNot() {
+        AnswerFacts stated = protocol.facts(503, HttpFields.build().put(Headers.NOT_EXECUTED, "1"));
+        AnswerFacts silent = protocol.facts(503, HttpFields.EMPTY);
+        AnswerFacts other = protocol.facts(421, HttpFields.build().put(Headers.ANSWERING_START, "i-2"));
+        assertThat(stated.notExecuted()).isTrue();
+        assertThat(silent.notExecuted()).isFalse();
+        assertThat(other.start()).hasValue("i-2");
+    }
+}
