--- a/src/main/java/org/cuminshelf/control/StageSystem.java
+++ b/src/main/java/org/cuminshelf/control/StageSystem.java
@@ -49,8 +49,11 @@
     /** A new leader first hears all engines and entries again. */
     private static final long SETTLE = Durations.nanos(2_500);
 
-    /** Prompt tokens an engine takes in each second, and output tokens it gives at three quarters of its places. */
-    private static final PlannerSettings PLANNER = new PlannerSettings(85_000, 8_000, 3, 30, 1, 1, 1);
+    /**
+     * Prompt tokens an engine takes in each second, and output tokens it gives before the pauses of its streams grow:
+     * at 8,000 a quarter of the streams paused for over 200 ms, at 7,000 few do.
+     */
+    private static final PlannerSettings PLANNER = new PlannerSettings(85_000, 7_000, 3, 30, 1, 1, 1);
 
     private static final class Sent {
         private final DirectOrder order;
@@ -142,7 +145,7 @@
             if (beat.getRole() != Role.ROLE_MIXED) {
                 byService
                         .computeIfAbsent(beat.getService(), key -> new ArrayList<>())
-                        .add(new EngineView(beat.getId(), beat.getRole(), beat.getChanging(), 0));
+                        .add(view(now, beat));
             }
         }
         byService.forEach((service, engines) -> {
@@ -153,6 +156,17 @@
         });
     }
 
+    /**
+     * An engine as the planner is to see it: one that is changing has its new role already, or each change would wait
+     * for the last; one that had an order lately comes last, as it can't have another.
+     */
+    private EngineView view(long now, UpstreamBeat beat) {
+        Sent before = last.get(beat.getId());
+        boolean ordered = before != null && now - before.knownAt <= QUIET;
+        Role role = beat.getChanging() && before != null ? before.order.getRole() : beat.getRole();
+        return new EngineView(beat.getId(), role, false, ordered ? Integer.MAX_VALUE : 0);
+    }
+
     private void propose(long now, String service, RoleChange change) {
         Sent before = last.get(change.engine());
         boolean quiet = before == null || now - before.knownAt > QUIET;
--- a/src/main/java/org/cuminshelf/direct/AttemptRow.java
+++ b/src/main/java/org/cuminshelf/direct/AttemptRow.java
@@ -46,6 +46,14 @@
         this.lastProgressAt = now;
     }
 
+    /** Tokens that it takes in the engine's memory once it is done. */
+    int tokens() {
+        return call.intent
+                .generation()
+                .map(shape -> shape.promptTokens() + shape.outputTokens())
+                .orElse(0);
+    }
+
     boolean hasHead() {
         return facts != null;
     }
--- a/src/main/java/org/cuminshelf/direct/CallSystem.java
+++ b/src/main/java/org/cuminshelf/direct/CallSystem.java
@@ -31,8 +31,22 @@
     private static final int UNAVAILABLE = 503;
     private static final int GATEWAY_TIMEOUT = 504;
 
-    /** Silence of a stream that had begun after which a resumable one goes on elsewhere; callers leave after 2 s. */
-    private static final long STALLED = Durations.nanos(700);
+    /**
+     * Silence of a stream that had begun after which a resumable one goes on elsewhere, where its engine still answers
+     * others: it may only be busy, and starting anew costs it a whole prompt. Callers leave after 2 s.
+     */
+    private static final long STALLED = Durations.nanos(1_500);
+    /** The same where nothing at all comes from the engine. */
+    private static final long STALLED_WITH_ENGINE = Durations.nanos(600);
+    /** Time for which a caller waits for the first event at the most, and times the target, whichever is longer. */
+    private static final double LONGEST_FIRST_MILLIS = 1_900;
+
+    private static final double LONGEST_FIRST_FACTOR = 3.8;
+    /**
+     * Milliseconds that a prompt may wait for others before it, or the route's target if that is longer. Under more
+     * work than the engines can take, a longer queue serves no more requests but all of them late.
+     */
+    private static final double LONGEST_WAIT_MILLIS = 600;
     /** Silence before the first byte after which an idempotent request is sent elsewhere, at the least. */
     private static final long SILENT_LEAST = Durations.nanos(150);
     /** Times the usual answer time that an idempotent request may take before it is sent elsewhere. */
@@ -114,8 +128,9 @@
             giveUp(now, call, "no-upstream");
             return;
         }
-        if (now + Durations.nanos((long) choice.get().firstMillis()) > call.deadline) {
-            call.lastFailure = Optional.of(new Verdict.NotRun(Cause.OVERLOADED, RETRY_AFTER_MILLIS));
+        if (isHopeless(now, call, choice.get())) {
+            long wait = (long) Math.max(RETRY_AFTER_MILLIS, choice.get().waitMillis());
+            call.lastFailure = Optional.of(new Verdict.NotRun(Cause.OVERLOADED, wait));
             giveUp(now, call, "too-late");
             return;
         }
@@ -125,6 +140,21 @@
         send(now, call, choice.get());
     }
 
+    /**
+     * Whether a generation would be answered too late to be of use. Guards against a queue of which every answer is
+     * late, or made for callers that have left: what can't be served in time is refused at once, while the rest is.
+     */
+    private static boolean isHopeless(long now, CallRow call, Placement.Choice choice) {
+        if (call.begun || call.cache.isPresent() || choice.firstMillis() == 0) {
+            return false;
+        }
+        double target = call.route.targetMillis();
+        double first = Durations.millis(now - call.arrivedAt) + choice.firstMillis();
+        return choice.waitMillis() > Math.max(LONGEST_WAIT_MILLIS, target)
+                || first > Math.max(LONGEST_FIRST_MILLIS, LONGEST_FIRST_FACTOR * target)
+                || now + Durations.nanos((long) choice.firstMillis()) > call.deadline;
+    }
+
     private void send(long now, CallRow call, Placement.Choice choice) {
         invariants.check(
                 call.isRepeatable() || !call.mayHaveRun,
@@ -135,6 +165,7 @@
         call.attempt = attempt;
         attempts.put(attempt.number, attempt);
         upstream.running++;
+        upstream.tokens += attempt.tokens();
         upstream.promptWaiting[UpstreamRow.rankIndex(call.route.priority())] += attempt.promptMillis;
         attempt.promptCounted = true;
         call.intent.generation().ifPresent(shape -> upstream.cache.add(shape.parts()));
@@ -218,6 +249,7 @@
 
     private void onBody(long now, AttemptRow attempt, ByteBuffer bytes) {
         attempt.lastProgressAt = now;
+        attempt.upstream.heardAt = now;
         CallRow call = attempt.call;
         if (call.isStream() && !attempt.prefillOnly && attempt.isSuccess()) {
             attempt.events.add(bytes);
@@ -253,7 +285,7 @@
             }
             event = attempt.events.next();
         }
-        attemptChecks.set(attempt.number, now + STALLED);
+        attemptChecks.set(attempt.number, now + STALLED_WITH_ENGINE);
     }
 
     private static void begin(long now, CallRow call, AttemptRow attempt) {
@@ -511,9 +543,11 @@
             return;
         }
         long quiet = now - attempt.lastProgressAt;
-        long allowed = call.begun ? STALLED : silence(call, attempt);
+        boolean engineSilent = now - attempt.upstream.heardAt >= STALLED_WITH_ENGINE;
+        long begun = engineSilent ? STALLED_WITH_ENGINE : STALLED;
+        long allowed = call.begun ? begun : silence(call, attempt);
         if (quiet < allowed) {
-            attemptChecks.set(attempt.number, attempt.lastProgressAt + allowed);
+            attemptChecks.set(attempt.number, Math.min(attempt.lastProgressAt + allowed, now + STALLED_WITH_ENGINE));
             return;
         }
         boolean mayMove = attempt.prefillOnly || call.isRepeatable();
@@ -523,7 +557,10 @@
         }
         // Kept connections may have gone silent without a reset; none of them is used again.
         port.forgetIdle(attempt.upstream.address, attempt.upstream.id);
-        attempt.upstream.failed(now);
+        if (now - attempt.upstream.heardAt >= STALLED_WITH_ENGINE) {
+            // It may be busy as long as it answers others, and avoiding it would overload the rest.
+            attempt.upstream.failed(now);
+        }
         stop(attempt);
         log.note(
                 "attempt",
@@ -581,6 +618,7 @@
         attempts.remove(attempt.number);
         attemptChecks.clear(attempt.number);
         attempt.upstream.running--;
+        attempt.upstream.tokens -= attempt.tokens();
         uncountPrompt(attempt);
     }
 
--- a/src/main/java/org/cuminshelf/direct/DirectCore.java
+++ b/src/main/java/org/cuminshelf/direct/DirectCore.java
@@ -66,7 +66,7 @@
         long now = clock.getAsLong();
         this.upstreams = new UpstreamTable(log);
         this.control = new ControlFeed(settings, format, upstreams, now, invariants, log);
-        Placement placement = new Placement(upstreams, settings.zone());
+        Placement placement = new Placement(upstreams, control, settings.zone());
         this.calls = new CallSystem(
                 protocol,
                 port,
@@ -186,8 +186,10 @@
         EntryLoad.Builder load = EntryLoad.newBuilder();
         for (UpstreamRow row : upstreams.rows()) {
             if (row.running > 0) {
-                UpstreamLoad.Builder one =
-                        UpstreamLoad.newBuilder().setId(row.id).setRunning(row.running);
+                UpstreamLoad.Builder one = UpstreamLoad.newBuilder()
+                        .setId(row.id)
+                        .setRunning(row.running)
+                        .setTokens((int) row.tokens);
                 for (double millis : row.promptWaiting) {
                     one.addPromptMs((int) Math.round(Math.max(0, millis)));
                 }
--- a/src/main/java/org/cuminshelf/direct/Placement.java
+++ b/src/main/java/org/cuminshelf/direct/Placement.java
@@ -4,6 +4,8 @@
 import java.util.Optional;
 import net.openhft.hashing.LongHashFunction;
 import org.cuminshelf.message.Role;
+import org.cuminshelf.routes.EngineLimits;
+import org.cuminshelf.routes.RoutedService;
 
 /**
  * Chooses the upstream of a request.
@@ -24,8 +26,10 @@
      * @param prefillOnly    whether only its prompt is taken in there
      * @param promptMillis   time its prompt takes there, in milliseconds
      * @param firstMillis    expected time to the first token, in milliseconds
+     * @param waitMillis     how much of it is for the prompts before it
      */
-    record Choice(UpstreamRow upstream, boolean prefillOnly, double promptMillis, double firstMillis) {}
+    record Choice(
+            UpstreamRow upstream, boolean prefillOnly, double promptMillis, double firstMillis, double waitMillis) {}
 
     /** Times as long that a prompt takes on an engine that also generates. */
     private static final double MIXED_FACTOR = 2;
@@ -58,11 +62,21 @@
      */
     private static final double HOME_CREDIT = 0.8;
 
+    /**
+     * Part of an engine's memory that may be taken before others go first. Beyond it the engine puts running requests
+     * back and reads their prompts again, which lengthens the pauses of all its streams.
+     */
+    private static final double MEMORY_SHARE = 0.8;
+    /** What a full engine counts for against one with room, in requests. */
+    private static final double FULL_COST = 1_000;
+
     private final UpstreamTable upstreams;
+    private final ControlFeed control;
     private final String zone;
 
-    Placement(UpstreamTable upstreams, String zone) {
+    Placement(UpstreamTable upstreams, ControlFeed control, String zone) {
         this.upstreams = upstreams;
+        this.control = control;
         this.zone = zone;
     }
 
@@ -100,7 +114,7 @@
                 bestLoad = load;
             }
         }
-        return Optional.ofNullable(best).map(row -> new Choice(row, false, 0, 0));
+        return Optional.ofNullable(best).map(row -> new Choice(row, false, 0, 0, 0));
     }
 
     private static double spread(UpstreamRow row, long number) {
@@ -115,7 +129,8 @@
             if (row.role == Role.ROLE_PREFILL || !isOpen(now, row, call)) {
                 continue;
             }
-            double load = row.occupancy()
+            double load = memoryLoad(row, call)
+                    + row.occupancy()
                     + row.backlogMillis(Integer.MAX_VALUE) / HANDOVER_MILLIS
                     + (row.zone.equals(zone) ? 0 : OTHER_ZONE_MILLIS)
                     + spread(row, call.number);
@@ -124,7 +139,28 @@
                 least = load;
             }
         }
-        return Optional.ofNullable(best).map(row -> new Choice(row, false, 0, HANDOVER_MILLIS));
+        return Optional.ofNullable(best).map(row -> new Choice(row, false, 0, HANDOVER_MILLIS, 0));
+    }
+
+    /**
+     * The engine's memory taken with a call on it, as a number of requests: the places of the engine, scaled by the part
+     * of the memory, and much more where it would not fit.
+     */
+    private double memoryLoad(UpstreamRow row, CallRow call) {
+        long capacity = control.routes()
+                .service(call.service)
+                .flatMap(RoutedService::engine)
+                .map(EngineLimits::cacheTokens)
+                .orElse(0L);
+        if (capacity == 0) {
+            return 0;
+        }
+        int own = call.intent
+                .generation()
+                .map(shape -> shape.promptTokens() + shape.outputTokens())
+                .orElse(0);
+        double share = (double) (row.memoryTokens() + own) / capacity;
+        return share * row.slots + (share > MEMORY_SHARE ? FULL_COST * share : 0);
     }
 
     private Optional<Choice> forPrompt(long now, CallRow call, GenerationShape shape) {
@@ -141,9 +177,9 @@
                 }
                 boolean home = row.id.equals(prefill ? prefillHome : mixedHome);
                 Choice choice = estimate(row, call, shape, home);
-                boolean full = !prefill
-                        && row.backlogMillis(Integer.MAX_VALUE) + choice.promptMillis > MIXED_BACKLOG
-                        && row.occupancy() > 0;
+                boolean busy = row.backlogMillis(Integer.MAX_VALUE) + choice.promptMillis > MIXED_BACKLOG
+                        || memoryLoad(row, call) > FULL_COST * MEMORY_SHARE;
+                boolean full = !prefill && busy && row.occupancy() > 0;
                 if (full && !overloadedToo) {
                     continue;
                 }
@@ -169,12 +205,13 @@
         boolean prefill = row.role == Role.ROLE_PREFILL;
         double factor = prefill ? 1 : MIXED_FACTOR;
         double prompt = factor * PromptWork.millis(held, Math.max(0, shape.promptTokens() - held));
-        double first = row.backlogMillis(Integer.MAX_VALUE)
+        double wait = row.backlogMillis(Integer.MAX_VALUE);
+        double first = wait
                 + prompt
                 + row.occupancy() * MILLIS_PER_STREAM
                 + (row.zone.equals(zone) ? 0 : OTHER_ZONE_MILLIS)
                 + (prefill ? HANDOVER_MILLIS : 0);
-        return new Choice(row, prefill, prompt, first);
+        return new Choice(row, prefill, prompt, first, wait);
     }
 
     private static double cost(Choice choice, CallRow call, GenerationShape shape, boolean home) {
--- a/src/main/java/org/cuminshelf/direct/UpstreamRow.java
+++ b/src/main/java/org/cuminshelf/direct/UpstreamRow.java
@@ -46,9 +46,15 @@
 
     /** Attempts of this entry under way there. */
     int running;
+    /** Tokens that this entry's attempts there take in its memory. */
+    long tokens;
+
     /** Milliseconds of prompts of this entry's attempts there that gave no first event yet, by rank. */
     final double[] promptWaiting = new double[RANKS];
 
+    /** When anything last came from it on any request. */
+    long heardAt = Long.MIN_VALUE / 2;
+
     private int failures;
     private long avoidUntil = Long.MIN_VALUE;
     private double latencyNanos;
@@ -95,6 +101,15 @@
         return sum;
     }
 
+    /** Tokens that the attempts of all entries take in its memory, as far as this one knows. */
+    long memoryTokens() {
+        long sum = tokens;
+        for (UpstreamLoad load : others.values()) {
+            sum += load.getTokens();
+        }
+        return sum;
+    }
+
     /**
      * Milliseconds of prompts that go before one of a rank there, of all entries, as far as this one knows. An engine
      * takes prompts of a higher rank first.
--- a/src/main/java/org/cuminshelf/message/UpstreamLoad.java
+++ b/src/main/java/org/cuminshelf/message/UpstreamLoad.java
@@ -92,6 +92,44 @@
     running_ = 0;
   }
 
+  public static final int TOKENS_FIELD_NUMBER = 4;
+  private int tokens_;
+  /**
+   * <pre>
+   * Tokens in the memory of its engine that the entry's requests there take.
+   * </pre>
+   *
+   * <code>uint32 tokens = 4;</code>
+   * @return The tokens.
+   */
+  @java.lang.Override
+  public int getTokens() {
+    return tokens_;
+  }
+  /**
+   * <pre>
+   * Tokens in the memory of its engine that the entry's requests there take.
+   * </pre>
+   *
+   * <code>uint32 tokens = 4;</code>
+   * @param value The tokens to set.
+   */
+  private void setTokens(int value) {
+    
+    tokens_ = value;
+  }
+  /**
+   * <pre>
+   * Tokens in the memory of its engine that the entry's requests there take.
+   * </pre>
+   *
+   * <code>uint32 tokens = 4;</code>
+   */
+  private void clearTokens() {
+
+    tokens_ = 0;
+  }
+
   public static final int PROMPT_MS_FIELD_NUMBER = 3;
   private com.google.protobuf.Internal.IntList promptMs_;
   /**
@@ -365,6 +403,46 @@
       return this;
     }
 
+    /**
+     * <pre>
+     * Tokens in the memory of its engine that the entry's requests there take.
+     * </pre>
+     *
+     * <code>uint32 tokens = 4;</code>
+     * @return The tokens.
+     */
+    @java.lang.Override
+    public int getTokens() {
+      return instance.getTokens();
+    }
+    /**
+     * <pre>
+     * Tokens in the memory of its engine that the entry's requests there take.
+     * </pre>
+     *
+     * <code>uint32 tokens = 4;</code>
+     * @param value The tokens to set.
+     * @return This builder for chaining.
+     */
+    public Builder setTokens(int value) {
+      copyOnWrite();
+      instance.setTokens(value);
+      return this;
+    }
+    /**
+     * <pre>
+     * Tokens in the memory of its engine that the entry's requests there take.
+     * </pre>
+     *
+     * <code>uint32 tokens = 4;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearTokens() {
+      copyOnWrite();
+      instance.clearTokens();
+      return this;
+    }
+
     /**
      * <pre>
      * Milliseconds of prompts sent there that were not taken in yet, by the rank of their routes, first rank first.
@@ -481,10 +559,11 @@
             "id_",
             "running_",
             "promptMs_",
+            "tokens_",
           };
           java.lang.String info =
-              "\u0000\u0003\u0000\u0000\u0001\u0003\u0003\u0000\u0001\u0000\u0001\u0208\u0002\u000b" +
-              "\u0003+";
+              "\u0000\u0004\u0000\u0000\u0001\u0004\u0004\u0000\u0001\u0000\u0001\u0208\u0002\u000b" +
+              "\u0003+\u0004\u000b";
           return newMessageInfo(DEFAULT_INSTANCE, info, objects);
       }
       case GET_DEFAULT_INSTANCE: {
--- a/src/main/java/org/cuminshelf/message/UpstreamLoadOrBuilder.java
+++ b/src/main/java/org/cuminshelf/message/UpstreamLoadOrBuilder.java
@@ -28,6 +28,16 @@
    */
   int getRunning();
 
+  /**
+   * <pre>
+   * Tokens in the memory of its engine that the entry's requests there take.
+   * </pre>
+   *
+   * <code>uint32 tokens = 4;</code>
+   * @return The tokens.
+   */
+  int getTokens();
+
   /**
    * <pre>
    * Milliseconds of prompts sent there that were not taken in yet, by the rank of their routes, first rank first.
