Plan by prompts that are mostly cached, and with more engines that generate

Cause: each change of the fleet moved subjects to other engines, whose caches an entry knew nothing of, so the offered prompt work seemed to grow and the planner took engines from generation in the middle of an overload (10 of 14 in the prefill role).

--- a/src/main/java/org/cuminshelf/direct/Placement.java
+++ b/src/main/java/org/cuminshelf/direct/Placement.java
@@ -92,10 +92,12 @@
     /** The work that a generation asks for, in prompt tokens that are not in the cache of the engine it turns to. */
     long offeredTokens(long now, CallRow call, GenerationShape shape) {
         String home = home(now, call, shape, true);
-        int held = upstreams
+        int expected = (int) (HOME_CREDIT * sharedTokens(shape.parts()));
+        int known = upstreams
                 .row(home)
                 .map(row -> row.cache.heldTokens(shape.parts()))
                 .orElse(0);
+        int held = Math.max(expected, known);
         return PromptWork.tokens(PromptWork.millis(held, Math.max(0, shape.promptTokens() - held)));
     }
 
