--- a/src/main/java/org/cuminshelf/direct/Placement.java
+++ b/src/main/java/org/cuminshelf/direct/Placement.java
@@ -67,6 +67,8 @@
      * back and reads their prompts again, which lengthens the pauses of all its streams.
      */
     private static final double MEMORY_SHARE = 0.8;
+    /** Part of an engine's places that may be taken, by what entries know of each other some 50 ms late. */
+    private static final double PLACES_SHARE = 0.85;
     /** What a full engine counts for against one with room, in requests. */
     private static final double FULL_COST = 1_000;
 
@@ -91,7 +93,10 @@
 
     /** The work that a generation asks for, in prompt tokens that are not in the cache of the engine it turns to. */
     long offeredTokens(long now, CallRow call, GenerationShape shape) {
-        String home = home(now, call, shape, true);
+        List<UpstreamRow> open = upstreams.ofService(call.service).stream()
+                .filter(row -> isOpen(now, row, call))
+                .toList();
+        String home = home(open, shape, true);
         int expected = (int) (HOME_CREDIT * sharedTokens(shape.parts()));
         int known = upstreams
                 .row(home)
@@ -166,39 +171,47 @@
     }
 
     private Optional<Choice> forPrompt(long now, CallRow call, GenerationShape shape) {
+        List<UpstreamRow> open = upstreams.ofService(call.service).stream()
+                .filter(row -> isOpen(now, row, call))
+                .toList();
+        boolean splits = call.lastEvent.isEmpty() && !call.wholeOnly;
+        boolean prefillThere = splits && open.stream().anyMatch(row -> row.role == Role.ROLE_PREFILL);
+        boolean placeThere = open.stream().anyMatch(row -> row.role != Role.ROLE_PREFILL && hasPlace(row, call));
         Choice best = null;
         double least = Double.MAX_VALUE;
-        String prefillHome = home(now, call, shape, true);
-        String mixedHome = home(now, call, shape, false);
-        boolean overloadedToo = false;
-        while (best == null) {
-            for (UpstreamRow row : upstreams.ofService(call.service)) {
-                boolean prefill = row.role == Role.ROLE_PREFILL;
-                if (!isOpen(now, row, call) || prefill && (call.lastEvent.isPresent() || call.wholeOnly)) {
-                    continue;
-                }
-                boolean home = row.id.equals(prefill ? prefillHome : mixedHome);
-                Choice choice = estimate(row, call, shape, home);
-                boolean busy = row.backlogMillis(Integer.MAX_VALUE) + choice.promptMillis > MIXED_BACKLOG
-                        || memoryLoad(row, call) > FULL_COST * MEMORY_SHARE;
-                boolean full = !prefill && busy && row.occupancy() > 0;
-                if (full && !overloadedToo) {
-                    continue;
-                }
-                double cost = cost(choice, call, shape, home);
-                if (cost < least) {
-                    best = choice;
-                    least = cost;
-                }
+        String prefillHome = home(open, shape, true);
+        String mixedHome = home(open, shape, false);
+        for (UpstreamRow row : open) {
+            boolean prefill = row.role == Role.ROLE_PREFILL;
+            boolean home = row.id.equals(prefill ? prefillHome : mixedHome);
+            Choice choice = estimate(row, call, shape, home);
+            boolean fits = prefill ? splits && placeThere : fitsBesideStreams(choice, call, prefillThere);
+            double cost = fits ? cost(choice, call, shape, home) : Double.MAX_VALUE;
+            if (cost < least) {
+                best = choice;
+                least = cost;
             }
-            if (overloadedToo) {
-                break;
-            }
-            overloadedToo = true;
         }
         return Optional.ofNullable(best);
     }
 
+    /** Whether a prompt may be taken in by an engine that also generates; more may wait there if no other can do it. */
+    private boolean fitsBesideStreams(Choice choice, CallRow call, boolean prefillThere) {
+        UpstreamRow row = choice.upstream;
+        boolean idle = row.occupancy() == 0;
+        double backlog = row.backlogMillis(Integer.MAX_VALUE) + choice.promptMillis;
+        return idle || hasPlace(row, call) && (!prefillThere || backlog <= MIXED_BACKLOG);
+    }
+
+    /**
+     * Whether an engine has a place for one more stream, and memory. Failure this guards against: with all places taken
+     * an urgent request puts another back, whose prompt is read again beside the streams, which slows them all, so that
+     * places come free ever later; a fleet was seen to stay in that state for ten seconds after the burst that began it.
+     */
+    private boolean hasPlace(UpstreamRow row, CallRow call) {
+        return row.occupancy() < PLACES_SHARE * row.slots && memoryLoad(row, call) < FULL_COST * MEMORY_SHARE;
+    }
+
     private Choice estimate(UpstreamRow row, CallRow call, GenerationShape shape, boolean home) {
         int held = row.cache.heldTokens(shape.parts());
         if (home) {
@@ -239,7 +252,7 @@
      * The engine to which all entries turn first for a subject: the last shared part, by rendezvous hashing, so that a
      * change of the fleet moves few subjects.
      */
-    private String home(long now, CallRow call, GenerationShape shape, boolean prefill) {
+    private static String home(List<UpstreamRow> open, GenerationShape shape, boolean prefill) {
         int parts = shape.parts().size();
         if (parts < 2) {
             return "";
@@ -247,8 +260,8 @@
         String subject = shape.parts().get(parts - 2).id();
         String best = "";
         long highest = Long.MIN_VALUE;
-        for (UpstreamRow row : upstreams.ofService(call.service)) {
-            if ((row.role == Role.ROLE_PREFILL) != prefill || !isOpen(now, row, call)) {
+        for (UpstreamRow row : open) {
+            if ((row.role == Role.ROLE_PREFILL) != prefill) {
                 continue;
             }
             long hash = LongHashFunction.xx3().hashChars(subject + row.id);
