--- a/src/main/java/org/cuminshelf/control/StageSystem.java
+++ b/src/main/java/org/cuminshelf/control/StageSystem.java
@@ -51,10 +51,10 @@
 
     /**
      * Prompt tokens an engine takes in each second, and output tokens it gives before the pauses of its streams grow:
-     * at 8,000 a quarter of the streams paused for over 200 ms, at 6,000 few do. Too few engines for prompts make long
+     * between 7,000 and 8,000 the calm and the heavy days do best. Too few engines for prompts make long
      * prompts late, too few that generate make every stream late.
      */
-    private static final PlannerSettings PLANNER = new PlannerSettings(85_000, 6_000, 3, 30, 1, 1, 1);
+    private static final PlannerSettings PLANNER = new PlannerSettings(85_000, 7_500, 3, 30, 1, 1, 1);
 
     private static final class Sent {
         private final DirectOrder order;
