Say in a failure's line what decided it; pass an upstream's own failure when it can't be repeated

Cause: the line of a refused or timed-out request named neither the upstream nor the expected wait, so that its cause could not be found from its id. And where the budget for repeats was used up, a failure of the upstream's own was replaced by a 502 that says less.

--- a/src/main/java/org/cuminshelf/direct/CallRow.java
+++ b/src/main/java/org/cuminshelf/direct/CallRow.java
@@ -51,6 +51,9 @@
     /** Milliseconds to the first event that were expected when it was placed. */
     double expectedMillis;
 
+    /** Milliseconds of it that were for the prompts before its own. */
+    double waitMillis;
+
     long firstAnswerAt;
     long lastEventAt;
     /** Longest pause between two events so far, in nanoseconds. */
--- a/src/main/java/org/cuminshelf/direct/CallSystem.java
+++ b/src/main/java/org/cuminshelf/direct/CallSystem.java
@@ -128,15 +128,16 @@
             giveUp(now, call, "no-upstream");
             return;
         }
+        if (call.attempt == null) {
+            call.expectedMillis = choice.get().firstMillis();
+            call.waitMillis = choice.get().waitMillis();
+        }
         if (isHopeless(now, call, choice.get())) {
             long wait = (long) Math.max(RETRY_AFTER_MILLIS, choice.get().waitMillis());
             call.lastFailure = Optional.of(new Verdict.NotRun(Cause.OVERLOADED, wait));
             giveUp(now, call, "too-late");
             return;
         }
-        if (call.attempt == null) {
-            call.expectedMillis = choice.get().firstMillis();
-        }
         send(now, call, choice.get());
     }
 
@@ -344,14 +345,17 @@
             failed(now, attempt, new Verdict.NotRun(Cause.OVERLOADED, RETRY_AFTER_MILLIS));
             return;
         }
-        boolean repeat = call.isRepeatable() && isServerError(attempt.status) && mayRepeat(now, call);
+        boolean repeat = call.isRepeatable()
+                && isServerError(attempt.status)
+                && mayRepeat(now, call)
+                && budget.take(now, call.service, control.entries().size());
         if (!call.begun && attempt.facts.authentic() && !repeat) {
             call.exchange.answer(
                     attempt.status, passedHeaders(attempt.headers), ByteBuffer.wrap(attempt.body.toByteArray()));
             finish(now, call, attempt, String.valueOf(attempt.status));
             return;
         }
-        failed(now, attempt, new Verdict.HasRun(Cause.UPSTREAM_ERROR));
+        failed(now, attempt, new Verdict.HasRun(Cause.UPSTREAM_ERROR), !repeat);
     }
 
     private static boolean isServerError(int status) {
@@ -480,6 +484,14 @@
                 call.attempts,
                 "events",
                 call.eventsGiven,
+                "upstream",
+                call.attempt == null ? "none" : call.attempt.upstream.id,
+                "quiet-ms",
+                call.attempt == null ? 0 : Durations.millis(now - call.attempt.lastProgressAt),
+                "expected-ms",
+                Math.round(call.expectedMillis),
+                "wait-ms",
+                Math.round(call.waitMillis),
                 "ms",
                 Durations.millis(now - call.arrivedAt));
         close(call);
