--- a/src/main/java/org/cuminshelf/direct/CallSystem.java
+++ b/src/main/java/org/cuminshelf/direct/CallSystem.java
@@ -60,6 +60,9 @@
     /** When to come back after a refusal, in milliseconds: soon enough for an upstream's place to have come free. */
     private static final long RETRY_AFTER_MILLIS = 200;
 
+    /** The same where all places of all engines are taken: streams end after some 2 s, so half of them by then. */
+    private static final long FULL_RETRY_AFTER_MILLIS = 1_000;
+
     private static final long MOST_BODY = 16 << 20;
     private static final int MIDDLE_PRIORITY = 5;
     private static final int HIGHEST_PRIORITY_NUMBER = 9;
@@ -124,8 +127,12 @@
     private void place(long now, CallRow call) {
         Optional<Placement.Choice> choice = placement.choose(now, call);
         if (choice.isEmpty()) {
-            call.lastFailure = call.lastFailure.or(() -> Optional.of(new Verdict.NotRun(Cause.NO_UPSTREAM, 0)));
-            giveUp(now, call, "no-upstream");
+            boolean full = placement.hasOpen(now, call);
+            call.lastFailure = Optional.of(
+                    full
+                            ? new Verdict.NotRun(Cause.OVERLOADED, FULL_RETRY_AFTER_MILLIS)
+                            : new Verdict.NotRun(Cause.NO_UPSTREAM, RETRY_AFTER_MILLIS));
+            giveUp(now, call, full ? "all places are taken" : "no-upstream");
             return;
         }
         if (call.attempt == null) {
--- a/src/main/java/org/cuminshelf/direct/Placement.java
+++ b/src/main/java/org/cuminshelf/direct/Placement.java
@@ -91,6 +91,11 @@
         return call.cache.isPresent() ? forHandover(now, call) : forPrompt(now, call, shape.get());
     }
 
+    /** Whether any upstream is there for a call, with or without a place for it. */
+    boolean hasOpen(long now, CallRow call) {
+        return upstreams.ofService(call.service).stream().anyMatch(row -> isOpen(now, row, call));
+    }
+
     /** The work that a generation asks for, in prompt tokens that are not in the cache of the engine it turns to. */
     long offeredTokens(long now, CallRow call, GenerationShape shape) {
         List<UpstreamRow> open = upstreams.ofService(call.service).stream()
--- a/src/test/java/org/cuminshelf/direct/PlacementTest.java
+++ b/src/test/java/org/cuminshelf/direct/PlacementTest.java
@@ -54,6 +54,26 @@
         assertThat(entry.last().upstream).isEqualTo(home);
     }
 
+    /*
+     * Engines put running requests back and read their prompts again, and all streams slow down, long after a burst: more
+     * streams were sent to them than they have places. What has no place is refused at once, with a time to come back.
+     */
+    @Example
+    void moreStreamsThanThereArePlacesAreRefusedWithATimeToComeBack() {
+        DirectFixture entry = fleet(1, 1);
+        DirectFixture.Answer answer = entry.ask("r", "Tokens", "100");
+        for (int index = 0; index < 20; index++) {
+            answer = entry.ask("r" + index, "Tokens", "100");
+        }
+        long onDecode =
+                entry.sent.stream().filter(sent -> sent.upstream.equals("d0")).count();
+        assertThat(onDecode).isLessThanOrEqualTo(6);
+        entry.sent.stream().filter(sent -> sent.upstream.equals("d0")).forEach(sent -> sent.sealed(200));
+        assertThat(answer.status).isIn(0, 503);
+        assertThat(entry.ask("last", "Tokens", "100").headers.get("Retry-After"))
+                .isEqualTo("1.0");
+    }
+
     @Example
     void withoutEnginesForPromptsTheOthersTakeThemAll() {
         DirectFixture entry = fleet(0, 2);
