--- a/src/test/java/org/cuminshelf/direct/PlacementTest.java
+++ b/src/test/java/org/cuminshelf/direct/PlacementTest.java
@@ -55,8 +55,9 @@
     }
 
     /*
-     * Engines put running requests back and read their prompts again, and all streams slow down, long after a burst: more
-     * streams were sent to them than they have places. What has no place is refused at once, with a time to come back.
+     * Engines put running requests back and read their prompts again, and all streams slow down, long after a burst:
+     * more streams were sent to them than they have places. What has no place is refused at once, with a time to come
+     * back.
      */
     @Example
     void moreStreamsThanThereArePlacesAreRefusedWithATimeToComeBack() {
