--- a/src/main/java/org/cuminshelf/direct/Placement.java
+++ b/src/main/java/org/cuminshelf/direct/Placement.java
@@ -69,6 +69,10 @@
     private static final double MEMORY_SHARE = 0.8;
     /** Part of an engine's places that may be taken, by what entries know of each other some 50 ms late. */
     private static final double PLACES_SHARE = 0.85;
+    /** The same for what is over soon: it holds a place for a tenth of a second, others for two. */
+    private static final double PLACES_SHARE_BRIEF = 0.95;
+    /** Output tokens that are over soon: four events of twelve, some 0.25 s. */
+    private static final int BRIEF_TOKENS = 48;
     /** What a full engine counts for against one with room, in requests. */
     private static final double FULL_COST = 1_000;
 
@@ -203,7 +207,8 @@
     /** Whether a prompt may be taken in by an engine that also generates; more may wait there if no other can do it. */
     private boolean fitsBesideStreams(Choice choice, CallRow call, boolean prefillThere) {
         UpstreamRow row = choice.upstream;
-        boolean idle = row.occupancy() == 0;
+        // A stream that its caller has half of goes on beside what is there: cutting it would lose what it took so far.
+        boolean idle = row.occupancy() == 0 || call.begun;
         double backlog = row.backlogMillis(Integer.MAX_VALUE) + choice.promptMillis;
         return idle || hasPlace(row, call) && (!prefillThere || backlog <= MIXED_BACKLOG);
     }
@@ -215,7 +220,12 @@
      * it.
      */
     private boolean hasPlace(UpstreamRow row, CallRow call) {
-        return row.occupancy() < PLACES_SHARE * row.slots && memoryLoad(row, call) < FULL_COST * MEMORY_SHARE;
+        boolean brief = call.intent
+                .generation()
+                .filter(shape -> shape.outputTokens() <= BRIEF_TOKENS)
+                .isPresent();
+        double share = brief ? PLACES_SHARE_BRIEF : PLACES_SHARE;
+        return row.occupancy() < share * row.slots && memoryLoad(row, call) < FULL_COST * MEMORY_SHARE;
     }
 
     private Choice estimate(UpstreamRow row, CallRow call, GenerationShape shape, boolean home) {
--- a/src/test/java/org/cuminshelf/direct/PlacementTest.java
+++ b/src/test/java/org/cuminshelf/direct/PlacementTest.java
@@ -75,6 +75,27 @@
                 .isEqualTo("1.0");
     }
 
+    /*
+     * A caller loses the half of a stream that it has: its engine died, and as all places of the others were taken, it
+     * was refused like a new request.
+     */
+    @Example
+    void aStreamThatHasBegunGoesOnThoughAllPlacesAreTaken() {
+        DirectFixture entry = new DirectFixture(DirectFixture.route(RequestKind.STREAM, 2, true)).ready();
+        entry.upstream("d0", Role.ROLE_DECODE);
+        DirectFixture.Answer answer = entry.ask("first", "Tokens", "100");
+        DirectFixture.Sent first = entry.last();
+        first.sealed(200);
+        first.body("id: 1\ndata: a\n\n");
+        entry.upstream("d1", Role.ROLE_DECODE);
+        for (int index = 0; index < 30; index++) {
+            entry.ask("r" + index, "Tokens", "100");
+        }
+        first.handler.onFailed(true, "reset");
+        assertThat(entry.last().upstream).isEqualTo("d1");
+        assertThat(answer.aborted).isFalse();
+    }
+
     @Example
     void withoutEnginesForPromptsTheOthersTakeThemAll() {
         DirectFixture entry = fleet(0, 2);
