--- a/src/test/java/org/cuminshelf/network/TcpNetworkTest.java
+++ b/src/test/java/org/cuminshelf/network/TcpNetworkTest.java
@@ -54,6 +54,35 @@
         }
     }
 
+    /*
+     * A process stops hearing the others: something else wrote to its port for messages, and what could not be read
+     * took the rest with it. Only the connection that carried it may end.
+     */
+    @Example
+    void bytesThatAreNoMessageEndTheirConnectionAndNoOther() throws Exception {
+        Address address = freeAddress();
+        BlockingQueue<Envelope> received = new LinkedBlockingQueue<>();
+        try (TcpNetwork server = TcpNetwork.open(1, Optional.empty());
+                TcpNetwork client = TcpNetwork.open(1, Optional.empty());
+                java.net.Socket unreadable = new java.net.Socket();
+                java.net.Socket tooLong = new java.net.Socket()) {
+            server.listen(address, received::add);
+            for (java.net.Socket socket : new java.net.Socket[] {unreadable, tooLong}) {
+                socket.connect(TcpNetwork.socketAddress(address));
+                socket.setSoTimeout((int) TimeUnit.SECONDS.toMillis(PATIENCE_SECONDS));
+            }
+            unreadable.getOutputStream().write(new byte[] {0, 0, 0, 3, (byte) 0xFF, (byte) 0xFF, (byte) 0xFF});
+            tooLong.getOutputStream().write("GET / HTTP/1.1\r\n\r\n".getBytes());
+            assertThat(unreadable.getInputStream().read()).isEqualTo(-1);
+            assertThat(tooLong.getInputStream().read()).isEqualTo(-1);
+            client.send(address, cancel(7), false);
+            assertThat(received.poll(PATIENCE_SECONDS, TimeUnit.SECONDS)
+                            .getCancel()
+                            .getNumber())
+                    .isEqualTo(7);
+        }
+    }
+
     @Example
     void aPortInUseIsToldWithItsAddress() throws Exception {
         try (ServerSocket taken = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"));
