Take no new connections once the balancer has had its time to notice a stop

An entry asked to stop at 16.2 s took a request at 21.3 s and cut it at 23.8 s, 0.4 s before its grace period ended. Cause: it accepted connections as long as anything was open, and each request taken kept it open for the next. Ruled out: kept connections, which every answer closes.

--- a/src/main/java/org/cuminshelf/exchange/CallerListener.java
+++ b/src/main/java/org/cuminshelf/exchange/CallerListener.java
@@ -91,6 +91,11 @@
         leaving = true;
     }
 
+    /** Takes no new connections from now on; those that are open stay. */
+    public void stopAccepting() {
+        connector.close();
+    }
+
     /** Ends the connections that wait for a next request. */
     public void closeIdle() {
         lock.lock();
--- a/src/main/java/org/cuminshelf/process/DirectEntryProcess.java
+++ b/src/main/java/org/cuminshelf/process/DirectEntryProcess.java
@@ -266,7 +266,7 @@
 
     /**
      * Leaves without cutting a request: says that it isn't ready, goes on taking connections until the balancer has
-     * noticed, asks callers to go elsewhere with each answer, and ends once nothing is open.
+     * noticed and none after, asks callers to go elsewhere with each answer, and ends once nothing is open.
      */
     @Override
     public boolean stopGracefully() throws InterruptedException {
@@ -280,6 +280,8 @@
         while (millisSince(since) < ROTATION_MILLIS) {
             Thread.sleep(LOOK_AGAIN_MILLIS);
         }
+        // A connection taken now would bring a request that may not be finished in the time that is left.
+        callers.stopAccepting();
         boolean finished = false;
         while (!finished && millisSince(since) < common.graceMillis() - RESERVE_MILLIS) {
             callers.closeIdle();
--- a/src/test/java/org/cuminshelf/platform/GracefulStopTest.java
+++ b/src/test/java/org/cuminshelf/platform/GracefulStopTest.java
@@ -28,6 +28,7 @@
     private static final String HOST = "127.0.0.1";
     private static final int TRIES = 400;
     private static final long UPSTREAM_TAKES = 1_200;
+    private static final long UPSTREAM_TAKES_LONG = 4_500;
     private static final String CONFIG =
             "{\"version\":3,\"routes\":[{\"name\":\"r\",\"host\":\"h\",\"pathPrefix\":\"/\","
                     + "\"routeKind\":\"non_idempotent\",\"timeoutMs\":5000,\"service\":\"s\"}],"
@@ -89,6 +90,23 @@
         assertThat(stop.get(15, TimeUnit.SECONDS)).isTrue();
     }
 
+    /*
+     * A request is cut by a planned restart though it was sent seconds after the stop was asked for: the entry went on
+     * taking connections as long as any request was open, and each that it took kept it open for the next, until its
+     * time was up. Once the balancer has had its time, nothing new is taken, and what is open has the rest.
+     */
+    @Example
+    void onceTheBalancerHasHadItsTimeNothingNewIsTakenWhileWhatIsOpenIsFinished() throws Exception {
+        until(5, "POST /warm", "", "done");
+        CompletableFuture<String> open = CompletableFuture.supplyAsync(() -> ask("POST /long"));
+        Thread.sleep(300);
+        CompletableFuture<Boolean> stop = CompletableFuture.supplyAsync(this::stopEntry);
+        Thread.sleep(3_200);
+        assertThat(ask("POST /late")).startsWith("broken");
+        assertThat(open.get(10, TimeUnit.SECONDS)).startsWith("HTTP/1.1 200").endsWith("done");
+        assertThat(stop.get(10, TimeUnit.SECONDS)).isTrue();
+    }
+
     private boolean stopEntry() {
         stopped = true;
         try {
@@ -100,13 +118,15 @@
     }
 
     private CompletableFuture<String> ask() {
-        return CompletableFuture.supplyAsync(() -> {
-            try {
-                return call(5, "POST /a", "");
-            } catch (IOException e) {
-                return "broken: " + e.getMessage();
-            }
-        });
+        return CompletableFuture.supplyAsync(() -> ask("POST /a"));
+    }
+
+    private String ask(String call) {
+        try {
+            return call(5, call, "");
+        } catch (IOException e) {
+            return "broken: " + e.getMessage();
+        }
     }
 
     private void until(int port, String call, String body, String wanted) throws Exception {
@@ -175,7 +195,7 @@
             while (head.indexOf("\r\n\r\n") < 0) {
                 head.append((char) in.read());
             }
-            Thread.sleep(UPSTREAM_TAKES);
+            Thread.sleep(head.indexOf("/long") > 0 ? UPSTREAM_TAKES_LONG : UPSTREAM_TAKES);
             String answer =
                     "HTTP/1.1 200 OK\r\nConnection: close\r\n" + Headers.SEAL + ": s\r\nContent-Length: 4\r\n\r\ndone";
             socket.getOutputStream().write(answer.getBytes(StandardCharsets.UTF_8));
