--- a/src/main/java/org/cuminshelf/exchange/CallerConnection.java
+++ b/src/main/java/org/cuminshelf/exchange/CallerConnection.java
@@ -79,6 +79,10 @@
     @Override
     public void onOpen() {
         super.onOpen();
+        if (!listener.isAccepting()) {
+            getEndPoint().close();
+            return;
+        }
         lock.lock();
         try {
             listener.opened(this);
--- a/src/main/java/org/cuminshelf/exchange/CallerListener.java
+++ b/src/main/java/org/cuminshelf/exchange/CallerListener.java
@@ -36,6 +36,7 @@
     private final Server server;
     private final ServerConnector connector;
     private volatile boolean leaving;
+    private volatile boolean accepting = true;
 
     private CallerListener(ReentrantLock lock, CallerHandler handler, Supplier<CallerLimits> limits) {
         this.lock = lock;
@@ -91,8 +92,12 @@
         leaving = true;
     }
 
-    /** Takes no new connections from now on; those that are open stay. */
+    /**
+     * Takes no new connections from now on; those that are open stay. Closing the connector alone isn't enough: what
+     * the system still hands over is closed unread, so that its caller knows that nothing of its request was taken.
+     */
     public void stopAccepting() {
+        accepting = false;
         connector.close();
     }
 
@@ -131,6 +136,10 @@
         return leaving;
     }
 
+    boolean isAccepting() {
+        return accepting;
+    }
+
     void opened(CallerConnection connection) {
         connections.add(connection);
     }
