Never take a change of the directory for the whole of it

Cause: control counts an entry as subscribed for 4 s after it last heard from it, and tells it what changed since the version it held. An entry restarted within that time was told a change by every control process, noted its version as held, and never asked for the upstreams that it lacked: it refused every request (no-upstream) until it was restarted again. The entry beside sidecars had the same fault.

Ruled out: upstreams avoided after failures (none failed), a cut from control (configurations reached it all the time).

An incomplete list now names the version it builds on; a subscriber that doesn't hold it takes the news and asks for the whole. One class keeps this for both kinds of entry. Tests fail without it.

--- a/src/main/java/org/cuminshelf/control/Directory.java
+++ b/src/main/java/org/cuminshelf/control/Directory.java
@@ -110,7 +110,10 @@
     /** Adds what a subscriber lacks to an update. Returns whether that is the whole list. */
     boolean describe(long heldIncarnation, long heldVersion, Update.Builder update) {
         boolean whole = heldIncarnation != incarnation || heldVersion < oldestComplete;
-        update.setDirectoryIncarnation(incarnation).setDirectoryVersion(version).setWholeDirectory(whole);
+        update.setDirectoryIncarnation(incarnation)
+                .setDirectoryVersion(version)
+                .setDirectorySince(heldVersion)
+                .setWholeDirectory(whole);
         for (Row row : rows.values()) {
             boolean news = row.member.getChangedAt() > heldVersion;
             if (whole ? !row.member.getGone() : news) {
--- a/src/main/java/org/cuminshelf/direct/UpstreamTable.java
+++ b/src/main/java/org/cuminshelf/direct/UpstreamTable.java
@@ -12,6 +12,7 @@
 import org.cuminshelf.core.Address;
 import org.cuminshelf.core.Core;
 import org.cuminshelf.core.Durations;
+import org.cuminshelf.core.HeldDirectories;
 import org.cuminshelf.message.EntryLoad;
 import org.cuminshelf.message.Update;
 import org.cuminshelf.message.UpstreamBeat;
@@ -36,12 +37,10 @@
     /** What another entry told counts for as long; it tells ten times a second. */
     private static final long LOAD_KEPT = Durations.nanos(1_000);
 
-    private record Directory(long incarnation, long version) {}
-
     private final Map<String, UpstreamRow> rows = new TreeMap<>();
     private final Map<String, List<UpstreamRow>> byService = new HashMap<>();
     private final LinkedHashMap<String, Long> ended = new LinkedHashMap<>();
-    private final Map<Address, Directory> directories = new HashMap<>();
+    private final HeldDirectories directories = HeldDirectories.none();
     private final Map<Address, Long> loadsHeardAt = new HashMap<>();
     private final DecisionLog log;
 
@@ -62,20 +61,18 @@
     }
 
     long directoryIncarnation(Address control) {
-        return directories.getOrDefault(control, new Directory(0, 0)).incarnation;
+        return directories.incarnation(control);
     }
 
     long directoryVersion(Address control) {
-        return directories.getOrDefault(control, new Directory(0, 0)).version;
+        return directories.version(control);
     }
 
     void onUpdate(long now, Address control, Update update) {
-        Directory held = directories.getOrDefault(control, new Directory(0, 0));
-        boolean sameList = held.incarnation == update.getDirectoryIncarnation();
-        if (sameList && update.getDirectoryVersion() < held.version) {
+        if (directories.isStale(control, update)) {
             return;
         }
-        directories.put(control, new Directory(update.getDirectoryIncarnation(), update.getDirectoryVersion()));
+        directories.note(control, update);
         if (update.getWholeDirectory()) {
             rows.values().forEach(row -> unlist(now, row, control));
         }
--- a/src/main/java/org/cuminshelf/entry/Upstreams.java
+++ b/src/main/java/org/cuminshelf/entry/Upstreams.java
@@ -15,6 +15,7 @@
 import org.cuminshelf.core.Address;
 import org.cuminshelf.core.Core;
 import org.cuminshelf.core.Durations;
+import org.cuminshelf.core.HeldDirectories;
 import org.cuminshelf.core.Outbox;
 import org.cuminshelf.message.Envelope;
 import org.cuminshelf.message.LoadReport;
@@ -48,8 +49,7 @@
     /** Upstreams of each target in the whole directory. */
     private final Map<String, Integer> totals = new HashMap<>();
 
-    private final Map<Address, Long> directoryVersions = new HashMap<>();
-    private final Map<Address, Long> directoryIncarnations = new HashMap<>();
+    private final HeldDirectories directories = HeldDirectories.none();
     private boolean changed;
     private long nextHeartbeat;
 
@@ -68,11 +68,11 @@
     }
 
     long directoryVersion(Address control) {
-        return directoryVersions.getOrDefault(control, 0L);
+        return directories.version(control);
     }
 
     long directoryIncarnation(Address control) {
-        return directoryIncarnations.getOrDefault(control, 0L);
+        return directories.incarnation(control);
     }
 
     /** The upstreams of a service or model among which this entry chooses. */
@@ -93,6 +93,10 @@
     }
 
     void onUpdate(Address control, Update update) {
+        if (directories.isStale(control, update)) {
+            return;
+        }
+        directories.note(control, update);
         if (update.getWholeDirectory()) {
             rows.values().forEach(row -> row.listedBy.remove(control));
             changed = true;
@@ -100,8 +104,6 @@
         for (Member member : update.getMembersList()) {
             onMember(control, member);
         }
-        directoryVersions.put(control, update.getDirectoryVersion());
-        directoryIncarnations.put(control, update.getDirectoryIncarnation());
     }
 
     private void onMember(Address control, Member member) {
--- a/src/main/java/org/cuminshelf/message/Update.java
+++ b/src/main/java/org/cuminshelf/message/Update.java
@@ -969,6 +969,44 @@
     upstreams_.remove(index);
   }
 
+  public static final int DIRECTORY_SINCE_FIELD_NUMBER = 15;
+  private long directorySince_;
+  /**
+   * <pre>
+   * Version that the subscriber held when it asked last; an incomplete directory tells only what changed since.
+   * </pre>
+   *
+   * <code>uint64 directory_since = 15;</code>
+   * @return The directorySince.
+   */
+  @java.lang.Override
+  public long getDirectorySince() {
+    return directorySince_;
+  }
+  /**
+   * <pre>
+   * Version that the subscriber held when it asked last; an incomplete directory tells only what changed since.
+   * </pre>
+   *
+   * <code>uint64 directory_since = 15;</code>
+   * @param value The directorySince to set.
+   */
+  private void setDirectorySince(long value) {
+    
+    directorySince_ = value;
+  }
+  /**
+   * <pre>
+   * Version that the subscriber held when it asked last; an incomplete directory tells only what changed since.
+   * </pre>
+   *
+   * <code>uint64 directory_since = 15;</code>
+   */
+  private void clearDirectorySince() {
+
+    directorySince_ = 0L;
+  }
+
   public static org.cuminshelf.message.Update parseFrom(
       java.nio.ByteBuffer data)
       throws com.google.protobuf.InvalidProtocolBufferException {
@@ -2045,6 +2083,46 @@
       return this;
     }
 
+    /**
+     * <pre>
+     * Version that the subscriber held when it asked last; an incomplete directory tells only what changed since.
+     * </pre>
+     *
+     * <code>uint64 directory_since = 15;</code>
+     * @return The directorySince.
+     */
+    @java.lang.Override
+    public long getDirectorySince() {
+      return instance.getDirectorySince();
+    }
+    /**
+     * <pre>
+     * Version that the subscriber held when it asked last; an incomplete directory tells only what changed since.
+     * </pre>
+     *
+     * <code>uint64 directory_since = 15;</code>
+     * @param value The directorySince to set.
+     * @return This builder for chaining.
+     */
+    public Builder setDirectorySince(long value) {
+      copyOnWrite();
+      instance.setDirectorySince(value);
+      return this;
+    }
+    /**
+     * <pre>
+     * Version that the subscriber held when it asked last; an incomplete directory tells only what changed since.
+     * </pre>
+     *
+     * <code>uint64 directory_since = 15;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearDirectorySince() {
+      copyOnWrite();
+      instance.clearDirectorySince();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:cuminshelf.Update)
   }
   @java.lang.Override
@@ -2078,11 +2156,12 @@
             "entryAddresses_",
             "upstreams_",
             org.cuminshelf.message.UpstreamBeat.class,
+            "directorySince_",
           };
           java.lang.String info =
-              "\u0000\u000e\u0000\u0000\u0001\u000e\u000e\u0000\u0005\u0000\u0001\u0003\u0002\n" +
+              "\u0000\u000f\u0000\u0000\u0001\u000f\u000f\u0000\u0005\u0000\u0001\u0003\u0002\n" +
               "\u0003\u0003\u0004\u0003\u0005\u001b\u0006\u0007\u0007\u0007\b\u0208\t\u001b\n\u000b" +
-              "\u000b\u0007\f\u021a\r\u021a\u000e\u001b";
+              "\u000b\u0007\f\u021a\r\u021a\u000e\u001b\u000f\u0003";
           return newMessageInfo(DEFAULT_INSTANCE, info, objects);
       }
       case GET_DEFAULT_INSTANCE: {
--- a/src/main/java/org/cuminshelf/message/UpdateOrBuilder.java
+++ b/src/main/java/org/cuminshelf/message/UpdateOrBuilder.java
@@ -233,4 +233,14 @@
    * <code>repeated .cuminshelf.UpstreamBeat upstreams = 14;</code>
    */
   int getUpstreamsCount();
+
+  /**
+   * <pre>
+   * Version that the subscriber held when it asked last; an incomplete directory tells only what changed since.
+   * </pre>
+   *
+   * <code>uint64 directory_since = 15;</code>
+   * @return The directorySince.
+   */
+  long getDirectorySince();
 }
--- a/src/test/java/org/cuminshelf/control/DirectControlTest.java
+++ b/src/test/java/org/cuminshelf/control/DirectControlTest.java
@@ -90,6 +90,30 @@
         assertThat(told("u").getLeaving()).isTrue();
     }
 
+    /*
+     * A restarted entry never learns the upstreams: it is told a change without the version that the change builds on,
+     * and can't see that it lacks what came before.
+     */
+    @Example
+    void anIncompleteListNamesTheVersionItBuildsOn() {
+        beat(upstream("u", Role.ROLE_DECODE).setSequence(1));
+        subscribe();
+        pass(50);
+        Update whole = lastUpdate();
+        assertThat(whole.getWholeDirectory()).isTrue();
+        give(
+                ENTRY,
+                Envelope.newBuilder()
+                        .setSubscribe(Subscribe.newBuilder()
+                                .setWantsDirectory(true)
+                                .setDirectoryIncarnation(whole.getDirectoryIncarnation())
+                                .setDirectoryVersion(whole.getDirectoryVersion())));
+        beat(upstream("v", Role.ROLE_DECODE).setSequence(1));
+        pass(50);
+        assertThat(lastUpdate().getWholeDirectory()).isFalse();
+        assertThat(lastUpdate().getDirectorySince()).isEqualTo(whole.getDirectoryVersion());
+    }
+
     /*
      * An upstream that is gone gets requests again: a heartbeat it sent before was held up and arrives after its last
      * word.
@@ -164,6 +188,14 @@
         give(ENTRY, Envelope.newBuilder().setSubscribe(subscribe));
     }
 
+    private Update lastUpdate() {
+        return sent.stream()
+                .filter(Envelope::hasUpdate)
+                .map(Envelope::getUpdate)
+                .reduce((first, second) -> second)
+                .orElseThrow();
+    }
+
     private UpstreamBeat told(String id) {
         return sent.stream()
                 .filter(Envelope::hasUpdate)
--- a/src/test/java/org/cuminshelf/direct/UpstreamTableTest.java
+++ b/src/test/java/org/cuminshelf/direct/UpstreamTableTest.java
@@ -33,6 +33,30 @@
         assertThat(table.ofService("s")).isEmpty();
     }
 
+    /*
+     * An entry is restarted while configurations come in quick succession, and refuses every request for half a minute:
+     * control still counts it as subscribed, tells it what changed since its predecessor's version, and the entry takes
+     * that for the whole list and never asks for the upstreams that it lacks.
+     */
+    @Example
+    void aChangeOfAListThatIsNotHeldIsNotTakenForTheWholeList() {
+        Update change = Update.newBuilder()
+                .setDirectoryIncarnation(1)
+                .setDirectoryVersion(21)
+                .setDirectorySince(20)
+                .build();
+        table.onUpdate(now, CONTROL, change);
+        assertThat(table.directoryVersion(CONTROL)).isZero();
+        tell(1, 21, true, beat());
+        assertThat(table.directoryVersion(CONTROL)).isEqualTo(21);
+        table.onUpdate(
+                now,
+                CONTROL,
+                change.toBuilder().setDirectoryVersion(22).setDirectorySince(21).build());
+        assertThat(table.directoryVersion(CONTROL)).isEqualTo(22);
+        assertThat(table.ofService("s")).hasSize(1);
+    }
+
     @Example
     void anUpstreamThatSaidItIsGoneIsNotBroughtBackByALateHeartbeat() {
         tell(1, 1, false, beat());
