Change a role only where the mix asks for it for eight seconds

Cause: the planner followed swings of three seconds within blocks of fourteen.

Ruled out by trial: that changes pay as they were.

The planner's forecast now forgets in 20 s where upstreams announce themselves, weighs a change twice, and a change must be wanted for 8 s without a break; one engine goes at a time. A forecast no longer starts from its first second alone, which a test of swings found. A planner stays, as engines may be lost for good and a mix may move for minutes.

--- a/src/main/java/org/cuminshelf/control/StageSystem.java
+++ b/src/main/java/org/cuminshelf/control/StageSystem.java
@@ -19,6 +19,7 @@
 import org.cuminshelf.planning.PlannerSettings;
 import org.cuminshelf.planning.RoleChange;
 import org.cuminshelf.planning.RolePlanner;
+import org.cuminshelf.planning.SteadyPlanner;
 import org.cuminshelf.replica.Replica;
 import org.tinylog.Logger;
 
@@ -54,7 +55,10 @@
      * between 7,000 and 8,000 the calm and the heavy days do best. Too few engines for prompts make long
      * prompts late, too few that generate make every stream late.
      */
-    private static final PlannerSettings PLANNER = new PlannerSettings(85_000, 7_500, 3, 30, 1, 1, 1);
+    private static final PlannerSettings PLANNER = new PlannerSettings(85_000, 7_500, 3, 30, 20, 2, 1, 1);
+
+    /** How long the mix must ask for the same change: longer than the swings of three seconds within it. */
+    private static final long PATIENCE = Durations.nanos(8_000);
 
     private static final class Sent {
         private final DirectOrder order;
@@ -150,7 +154,8 @@
             }
         }
         byService.forEach((service, engines) -> {
-            RolePlanner planner = planners.computeIfAbsent(service, key -> PayingPlanner.of(PLANNER));
+            RolePlanner planner =
+                    planners.computeIfAbsent(service, key -> SteadyPlanner.of(PayingPlanner.of(PLANNER), PATIENCE));
             for (RoleChange change : planner.plan(now, engines, subscribers.demand(service))) {
                 propose(now, service, change);
             }
--- a/src/main/java/org/cuminshelf/planning/DemandForecast.java
+++ b/src/main/java/org/cuminshelf/planning/DemandForecast.java
@@ -6,16 +6,35 @@
  */
 final class DemandForecast {
 
-    private static final double FAST_SECONDS = 8;
-    private static final double SLOW_SECONDS = 24;
+    /** Times the memory of the fast mean that the slow one has. */
+    private static final double SLOW_FACTOR = 3;
+
     private static final double MOST_AHEAD_SECONDS = 15;
 
+    private final double fastSeconds;
+    private final double slowSeconds;
     private boolean started;
     private long lastCount;
     private double lastAt;
+    private double observed;
     private double fast;
     private double slow;
 
+    private DemandForecast(double memorySeconds) {
+        this.fastSeconds = memorySeconds;
+        this.slowSeconds = SLOW_FACTOR * memorySeconds;
+    }
+
+    /**
+     * Begins a forecast.
+     *
+     * @param memorySeconds seconds after which a change of the rate is mostly believed
+     * @return a forecast that has seen nothing yet
+     */
+    static DemandForecast of(double memorySeconds) {
+        return new DemandForecast(memorySeconds);
+    }
+
     void observe(double seconds, long count) {
         if (!started) {
             started = true;
@@ -28,20 +47,21 @@
             return;
         }
         double rate = Math.max(0, count - lastCount) / elapsed;
-        boolean first = fast == 0 && slow == 0;
-        fast += (rate - fast) * (first ? 1 : 1 - Math.exp(-elapsed / FAST_SECONDS));
-        slow += (rate - slow) * (first ? 1 : 1 - Math.exp(-elapsed / SLOW_SECONDS));
+        observed += elapsed;
+        fast += (rate - fast) * weight(elapsed, fastSeconds);
+        slow += (rate - slow) * weight(elapsed, slowSeconds);
         lastAt = seconds;
         lastCount = count;
     }
 
-    double now() {
-        return fast;
+    /** At first each observation weighs the same: a swing at the start is not to stand for the mix. */
+    private double weight(double elapsed, double memory) {
+        return Math.max(elapsed / observed, 1 - Math.exp(-elapsed / memory));
     }
 
     /** The rate expected so many seconds ahead. */
     double ahead(double seconds) {
-        double slope = (fast - slow) / (SLOW_SECONDS - FAST_SECONDS);
+        double slope = (fast - slow) / (slowSeconds - fastSeconds);
         return Math.max(0, fast + slope * Math.min(seconds, MOST_AHEAD_SECONDS));
     }
 }
--- a/src/main/java/org/cuminshelf/planning/PayingPlanner.java
+++ b/src/main/java/org/cuminshelf/planning/PayingPlanner.java
@@ -26,12 +26,14 @@
     private static final int WARM_UP_SECONDS = 5;
 
     private final PlannerSettings settings;
-    private final DemandForecast prompt = new DemandForecast();
-    private final DemandForecast output = new DemandForecast();
+    private final DemandForecast prompt;
+    private final DemandForecast output;
     private double startedAt = -1;
 
     private PayingPlanner(PlannerSettings settings) {
         this.settings = settings;
+        this.prompt = DemandForecast.of(settings.memorySeconds());
+        this.output = DemandForecast.of(settings.memorySeconds());
     }
 
     /**
--- a/src/main/java/org/cuminshelf/trial/Experiment.java
+++ b/src/main/java/org/cuminshelf/trial/Experiment.java
@@ -158,6 +158,7 @@
                 speed.decodePerSecond(),
                 speed.changeNanos() / NANOS_PER_SECOND,
                 60,
+                8,
                 contender.weight(),
                 1,
                 1);
--- /dev/null
+++ b/src/test/java/org/cuminshelf/planning/SteadyPlannerTest.java
@@ -0,0 +1,83 @@
+package org.cuminshelf.planning;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.ArrayList;
+import java.util.List;
+import net.jqwik.api.Example;
+import org.cuminshelf.core.Durations;
+import org.cuminshelf.message.Role;
+
+/** When engines change their roles under a mix that swings, and under one that stays. */
+class SteadyPlannerTest {
+
+    private static final long PATIENCE = Durations.nanos(8_000);
+    private final List<EngineView> engines = new ArrayList<>();
+    private final List<RoleChange> changes = new ArrayList<>();
+    private final PlannerSettings settings = new PlannerSettings(85_000, 7_500, 3, 30, 20, 2, 1, 1);
+    private final RolePlanner planner = SteadyPlanner.of(PayingPlanner.of(settings), PATIENCE);
+    private long prompts;
+    private long outputs;
+    private int seconds;
+
+    SteadyPlannerTest() {
+        for (int number = 0; number < 6; number++) {
+            engines.add(new EngineView("e" + number, number < 3 ? Role.ROLE_PREFILL : Role.ROLE_DECODE, false, 0));
+        }
+    }
+
+    /*
+     * Callers wait while engines change their roles to and fro: for three seconds there are more prompts than three
+     * engines can take in, for the next three more output, and each change comes when its swing is over.
+     */
+    @Example
+    void aMixThatSwingsWithinSecondsChangesNoRole() {
+        for (int swing = 0; swing < 20; swing++) {
+            boolean manyPrompts = swing % 2 == 0;
+            pass(3, manyPrompts ? 300_000 : 80_000, manyPrompts ? 8_000 : 24_000);
+        }
+        assertThat(changes).isEmpty();
+    }
+
+    /*
+     * Prompts wait for minutes though engines that generate are idle: the mix moved for good. One engine after the
+     * other is moved, until prompts and output are served alike.
+     */
+    @Example
+    void aMixThatMovedForGoodMovesOneEngineAfterTheOther() {
+        pass(10, 150_000, 15_000);
+        assertThat(changes).isEmpty();
+        pass(60, 330_000, 4_000);
+        assertThat(changes).isNotEmpty();
+        assertThat(changes).allMatch(change -> change.role() == Role.ROLE_PREFILL);
+        assertThat(changes.stream().map(RoleChange::engine)).doesNotHaveDuplicates();
+    }
+
+    /*
+     * Nothing can be served: the engines that generate are gone for good, all others only take prompts in.
+     */
+    @Example
+    void aRoleWithoutAnyEngineIsFilledSooner() {
+        engines.removeIf(engine -> engine.role() == Role.ROLE_DECODE);
+        pass(9, 100_000, 20_000);
+        assertThat(changes).isNotEmpty();
+        assertThat(changes.getFirst().role()).isEqualTo(Role.ROLE_DECODE);
+    }
+
+    private void pass(int duration, long promptTokens, long outputTokens) {
+        for (int second = 0; second < duration; second++) {
+            prompts += promptTokens;
+            outputs += outputTokens;
+            List<RoleChange> wanted =
+                    planner.plan(Durations.nanos(1_000L * ++seconds), engines, new Demand(prompts, outputs));
+            wanted.forEach(this::apply);
+            changes.addAll(wanted);
+        }
+    }
+
+    private void apply(RoleChange change) {
+        engines.replaceAll(engine -> engine.name().equals(change.engine())
+                ? new EngineView(engine.name(), change.role(), false, Integer.MAX_VALUE)
+                : engine);
+    }
+}
