Keep prompts off engines whose places are more than half taken

Cause: an engine that generates takes a prompt in at half the speed and delays all its streams meanwhile, so their places come free later.

The price of a prompt beside streams now rises with the places taken beyond half.

--- a/src/main/java/org/cuminshelf/direct/Placement.java
+++ b/src/main/java/org/cuminshelf/direct/Placement.java
@@ -67,8 +67,15 @@
     private static final double REREAD_COST = 0.32e-3;
     /** What moving the KV cache of one token costs, in the same unit: 327 KB at 0.027 a GB. */
     private static final double MOVE_COST = 9e-6;
-    /** What a millisecond of prompt costs the streams of an engine that also generates, for each of them. */
-    private static final double STREAM_DELAY_COST = 2e-5;
+    /** Part of an engine's places from which its time is short, so that prompts are better taken in elsewhere. */
+    private static final double CROWDED_SHARE = 0.5;
+    /**
+     * What a millisecond of prompt costs on an engine that also generates, for each whole of its places taken beyond
+     * {@link #CROWDED_SHARE}: a prompt there takes twice the time and delays all streams, whose places come free later.
+     * Against a price that did not rise with the streams this brought 0.02 of the mean worth of five days, most on the
+     * days with many streams.
+     */
+    private static final double CROWDED_COST = 0.02;
     /** Decides between equals: the sooner. */
     private static final double MILLI_COST = 1e-4;
     /**
@@ -266,7 +273,8 @@
         int held = Math.max(own, choice.source.map(shared::heldBy).orElse(0));
         int reread = Math.max(0, shared.tokens() - held);
         double moved = (held - own + (choice.prefillOnly ? shape.promptTokens() : 0)) * MOVE_COST;
-        double delay = choice.prefillOnly ? 0 : choice.promptMillis * row.occupancy() * STREAM_DELAY_COST;
+        double crowded = Math.max(0, (double) row.occupancy() / row.slots - CROWDED_SHARE);
+        double delay = choice.prefillOnly ? 0 : choice.promptMillis * crowded * CROWDED_COST;
         return late + reread * REREAD_COST + moved + delay + choice.firstMillis * MILLI_COST;
     }
 
