--- a/src/main/java/org/cuminshelf/platform/BootSettings.java
+++ b/src/main/java/org/cuminshelf/platform/BootSettings.java
@@ -18,7 +18,7 @@
  * @param zone           the availability zone
  * @param region         the region
  * @param messages       own address for messages of the system's processes: the first of the ports for these
- * @param metrics        own address for metrics: the last of these ports
+ * @param metrics        own address for metrics: the last of these ports, unless a flag names another
  * @param callers        where callers connect, on an entry
  * @param readiness      where the balancer asks whether this entry takes callers
  * @param control        where upstreams and operators call, on a control process
@@ -98,17 +98,29 @@
 
     /** These settings with a control process of the own VM as the only seed. */
     BootSettings withSeedPort(int port) {
-        String ip = messages.value().substring(0, messages.value().lastIndexOf(':'));
+        return with(metrics, List.of(onOwnVm(port)));
+    }
+
+    /** These settings with another port for metrics. */
+    BootSettings withMetricsPort(int port) {
+        return with(onOwnVm(port), seeds);
+    }
+
+    private Address onOwnVm(int port) {
+        return Address.of(messages.value().substring(0, messages.value().lastIndexOf(':')) + ":" + port);
+    }
+
+    private BootSettings with(Address metricsAddress, List<Address> firstSeeds) {
         return new BootSettings(
                 vm,
                 zone,
                 region,
                 messages,
-                metrics,
+                metricsAddress,
                 callers,
                 readiness,
                 control,
-                List.of(Address.of(ip + ":" + port)),
+                firstSeeds,
                 firstStart,
                 dataFolder,
                 graceMillis,
--- a/src/main/java/org/cuminshelf/platform/PlatformCommand.java
+++ b/src/main/java/org/cuminshelf/platform/PlatformCommand.java
@@ -5,6 +5,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
+import net.sourceforge.argparse4j.impl.Arguments;
 import net.sourceforge.argparse4j.inf.Namespace;
 import net.sourceforge.argparse4j.inf.Subparser;
 import org.cuminshelf.control.ControlSettings;
@@ -28,7 +29,9 @@
     private static final String ENTRY = "entry";
     private static final String CONTROL = "control";
     private static final String WARM_UP = "warm-up";
+    private static final String METRICS_PORT = "metricsPort";
     private static final int DISK_FAILED = 74;
+    private static final int MOST_PORT = 65_535;
 
     private PlatformCommand() {}
 
@@ -56,6 +59,11 @@
         parser.addArgument(ROLE)
                 .choices(ENTRY, CONTROL, WARM_UP)
                 .help("what the process is; warm-up serves one request by both on loopback and ends");
+        parser.addArgument("--metrics-port")
+                .dest(METRICS_PORT)
+                .type(Integer.class)
+                .choices(Arguments.range(1, MOST_PORT))
+                .help("port of the own address for metrics; the last of the ports for messages if left out");
     }
 
     @Override
@@ -64,7 +72,10 @@
             WarmUp.run();
             return 0;
         }
-        BootSettings boot = BootSettings.read();
+        BootSettings read = BootSettings.read();
+        BootSettings boot = Optional.ofNullable(flags.getInt(METRICS_PORT))
+                .map(read::withMetricsPort)
+                .orElse(read);
         if (flags.getString(ROLE).equals(CONTROL)) {
             return Serving.until(List.of(control(boot)));
         }
--- a/src/test/java/org/cuminshelf/platform/BootSettingsTest.java
+++ b/src/test/java/org/cuminshelf/platform/BootSettingsTest.java
@@ -33,6 +33,8 @@
         assertThat(boot.seeds()).containsExactly(Address.of("10.0.0.9:7000"));
         assertThat(boot.messages()).isEqualTo(Address.of("10.0.0.1:7000"));
         assertThat(boot.metrics()).isEqualTo(Address.of("10.0.0.1:7015"));
+        assertThat(boot.withMetricsPort(9464).metrics()).isEqualTo(Address.of("10.0.0.1:9464"));
+        assertThat(boot.withMetricsPort(9464).seeds()).isEqualTo(boot.seeds());
         assertThat(boot.graceMillis()).isEqualTo(8_000);
         assertThat(boot.repeats().allowance()).isEqualTo(58);
         assertThat(boot.control()).isEmpty();
