--- a/src/main/java/org/cuminshelf/direct/CallSystem.java
+++ b/src/main/java/org/cuminshelf/direct/CallSystem.java
@@ -16,8 +16,9 @@
 import org.eclipse.jetty.http.HttpFields;
 
 /**
- * Carries calls to their one answer: places them, and decides after each failure what may still be done. The rule is the verdict's: what did not run may go elsewhere; what may have run goes elsewhere only if it
- * may be repeated, and is never answered as "not run".
+ * Carries calls to their one answer: places them, and decides after each failure what may still be done. The rule is
+ * the verdict's: what did not run may go elsewhere; what may have run goes elsewhere only if it may be repeated, and is
+ * never answered as "not run".
  */
 final class CallSystem {
 
@@ -42,7 +43,7 @@
     private static final int MOST_FAILED_TRIES = 3;
     /** Least time left for which another attempt is worth sending. */
     private static final long LEAST_TIME_LEFT = Durations.nanos(60);
-    /** When to come back where all places of all engines are taken: streams end after some 2 s, so half of them by then. */
+    /** When to come back where all places are taken: streams end after some 2 s, so half of them by then. */
     private static final long FULL_RETRY_AFTER_MILLIS = 1_000;
 
     private final UpstreamProtocol protocol;
@@ -139,8 +140,8 @@
     }
 
     /**
-     * Whether a call waits for upstreams that this entry has not heard of yet. Guards against a refusal of all that comes
-     * while all processes restart together, of which half came back before anything was known and was lost.
+     * Whether a call waits for upstreams that this entry has not heard of yet. Guards against a refusal of all that
+     * comes while all processes restart together, of which half came back before anything was known and was lost.
      */
     private boolean waitsForUpstreams(long now, CallRow call) {
         return call.attempt == null && control.isYoung(now) && waiting.addForUpstreams(now, call);
--- a/src/main/java/org/cuminshelf/direct/SharedParts.java
+++ b/src/main/java/org/cuminshelf/direct/SharedParts.java
@@ -74,8 +74,8 @@
     }
 
     /**
-     * Another engine from which an engine may fetch what it lacks of the shared parts. It fetches nothing that it holds,
-     * and reads what the other turns out to have dropped, so that a wrong guess costs next to nothing.
+     * Another engine from which an engine may fetch what it lacks of the shared parts. It fetches nothing that it
+     * holds, and reads what the other turns out to have dropped, so that a wrong guess costs next to nothing.
      */
     Optional<UpstreamRow> sourceFor(UpstreamRow row) {
         int known = row.cache.heldTokens(shape.parts());
--- a/src/main/java/org/cuminshelf/direct/WaitingCalls.java
+++ b/src/main/java/org/cuminshelf/direct/WaitingCalls.java
@@ -21,8 +21,8 @@
     /** How often they are tried again: a place comes free about as often on the smallest deployment. */
     private static final long TRY_EVERY = Durations.nanos(10);
     /**
-     * Longest time for which a call waits here for its turn, in milliseconds. Beyond it the wait only makes more answers
-     * late: with 300 ms a fifth of the prompts of heavy days came late that were in time with 100.
+     * Longest time for which a call waits here for its turn, in milliseconds. Beyond it the wait only makes more
+     * answers late: with 300 ms a fifth of the prompts of heavy days came late that were in time with 100.
      */
     private static final double MOST_PATIENCE_MILLIS = 100;
     /** Milliseconds kept for what estimates miss: their usual error. */
--- a/src/test/java/org/cuminshelf/control/DirectControlTest.java
+++ b/src/test/java/org/cuminshelf/control/DirectControlTest.java
@@ -140,7 +140,8 @@
 
     /*
      * Prompts wait while engines that generate are idle: more prompt work is offered than the engines in the prefill
-     * role can take, and for longer than a swing. The leader moves engines, each once, and leaves each alone for as long as a late order may live.
+     * role can take, and for longer than a swing. The leader moves engines, each once, and leaves each
+     * alone for as long as a late order may live.
      */
     @Example
     void rolesFollowTheWorkOfferedAndNoEngineIsOrderedTwiceInARow() {
--- a/src/test/java/org/cuminshelf/direct/CallSystemTest.java
+++ b/src/test/java/org/cuminshelf/direct/CallSystemTest.java
@@ -238,8 +238,9 @@
     }
 
     /*
-     * All processes were killed and start again together. Requests find the entry before the control group has a leader,
-     * are refused, come back at once, are refused again and are lost, though everything is there a second later.
+     * All processes were killed and start again together. Requests find the entry before the control group has a
+     * leader, are refused, come back at once, are refused again and are lost, though everything is there a second
+     * later.
      */
     @Example
     void aRequestThatComesBeforeAQuorumConfirmedTheRoutesWaitsForThat() {
