Let streams of a subject go on at one engine, which keeps its shared parts

Cause: shared parts were credited to a home among the engines that generate, but handed-over streams went wherever there was least to do, so no engine there held them when an entry named it as a source, and engines in the prefill role, whose memory turns over in some ten seconds, read them again.

The test fails without the preference.

--- a/src/main/java/org/cuminshelf/direct/Placement.java
+++ b/src/main/java/org/cuminshelf/direct/Placement.java
@@ -55,6 +55,11 @@
     private static final double HANDOVER_MILLIS_PER_TOKEN = 1.8e-3;
     /** The same for parts fetched before the rest is read. */
     private static final double FETCH_MILLIS_PER_TOKEN = 1.8e-3;
+    /**
+     * Requests that the home of a subject may have more than another engine and still get the next stream of it. What it
+     * fetched it keeps: engines that generate have room for parts that those in the prefill role drop within seconds.
+     */
+    private static final double HOME_PREFERENCE = 6;
     /** Milliseconds that each stream already running on an engine adds to the next one's first token. */
     private static final double MILLIS_PER_STREAM = 0.3;
 
@@ -151,11 +156,15 @@
     private Optional<Choice> forHandover(long now, CallRow call) {
         UpstreamRow best = null;
         double least = Double.MAX_VALUE;
-        for (UpstreamRow row : upstreams.ofService(call.service)) {
-            if (row.role == Role.ROLE_PREFILL || !isOpen(now, row, call)) {
+        List<UpstreamRow> open = open(now, call);
+        Optional<SharedParts> shared = call.intent.generation().map(shape -> SharedParts.of(shape, open));
+        for (UpstreamRow row : open) {
+            if (row.role == Role.ROLE_PREFILL) {
                 continue;
             }
+            boolean home = shared.filter(parts -> parts.isHomeOfStreams(row)).isPresent();
             double load = memoryLoad(row, call)
+                    - (home ? HOME_PREFERENCE : 0)
                     + row.occupancy()
                     + row.backlogMillis(Integer.MAX_VALUE) / HANDOVER_MILLIS
                     + (row.zone.equals(zone) ? 0 : OTHER_ZONE_MILLIS)
--- a/src/main/java/org/cuminshelf/direct/SharedParts.java
+++ b/src/main/java/org/cuminshelf/direct/SharedParts.java
@@ -64,6 +64,11 @@
         return Math.max(expected, row.cache.heldTokens(shape.parts()));
     }
 
+    /** Whether an engine is the home of the subject among those that generate. */
+    boolean isHomeOfStreams(UpstreamRow row) {
+        return row.id.equals(otherHome);
+    }
+
     /** Tokens of the prompt that the home of the prefill role, or else that of the others, probably holds. */
     int heldByHome() {
         return engines.stream()
--- a/src/test/java/org/cuminshelf/direct/PlacementTest.java
+++ b/src/test/java/org/cuminshelf/direct/PlacementTest.java
@@ -3,7 +3,9 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.Map;
+import java.util.Set;
 import net.jqwik.api.Example;
 import org.cuminshelf.message.Role;
 import org.cuminshelf.routes.RequestKind;
@@ -98,6 +100,23 @@
         assertThat(entry.last().upstream).isEqualTo(home);
     }
 
+    /*
+     * Shared parts are read over and over: engines in the prefill role drop them within seconds, and each stream goes on
+     * at another engine, so that none of those that have room for the parts holds them when they are next asked for.
+     */
+    @Example
+    void streamsOfOneSubjectGoOnAtTheSameEngine() {
+        DirectFixture entry = fleet(1, 4);
+        Set<String> engines = new HashSet<>();
+        for (int index = 0; index < 4; index++) {
+            entry.ask("r" + index, "Tokens", "12000", "Shared", "5000");
+            entry.last().whole(200, "handle" + index);
+            assertThat(entry.last().request.headers().get("Cache")).isEqualTo("handle" + index);
+            engines.add(entry.last().upstream);
+        }
+        assertThat(engines).hasSize(1);
+    }
+
     /*
      * Engines put running requests back and read their prompts again, and all streams slow down, long after a burst:
      * more streams were sent to them than they have places. What has no place is refused at once, with a time to come
