--- a/src/main/java/org/cuminshelf/direct/WaitingCalls.java
+++ b/src/main/java/org/cuminshelf/direct/WaitingCalls.java
@@ -21,10 +21,11 @@
     /** How often they are tried again: a place comes free about as often on the smallest deployment. */
     private static final long TRY_EVERY = Durations.nanos(10);
     /**
-     * Longest time for which a call waits here for its turn, in milliseconds. Beyond it the wait only makes more
-     * answers late: with 300 ms a fifth of the prompts of heavy days came late that were in time with 100.
+     * Part of its target for which a call waits here for its turn: a refusal that comes within it leaves its caller as
+     * well off as one at once. A longer wait makes refusals late, and answers: with 300 ms a fifth of the prompts of
+     * heavy days came late that were in time with 100.
      */
-    private static final double MOST_PATIENCE_MILLIS = 100;
+    private static final double PATIENCE_SHARE = 0.125;
     /** Milliseconds kept for what estimates miss: their usual error. */
     private static final double MARGIN_MILLIS = 30;
     /**
@@ -50,7 +51,7 @@
      */
     boolean addForTurn(long now, CallRow call, double ownMillis) {
         double slack = call.route.targetMillis() - ownMillis;
-        double patience = Math.clamp(slack - MARGIN_MILLIS, 0, MOST_PATIENCE_MILLIS);
+        double patience = Math.clamp(slack - MARGIN_MILLIS, 0, PATIENCE_SHARE * call.route.targetMillis());
         return add(now, call, slack, Durations.nanos((long) patience));
     }
 
