--- a/src/test/java/org/cuminshelf/direct/PlacementTest.java
+++ b/src/test/java/org/cuminshelf/direct/PlacementTest.java
@@ -100,6 +100,22 @@
         assertThat(entry.last().upstream).isEqualTo(home);
     }
 
+    /*
+     * Streams are refused for want of places while engines for prompts are idle: each short prompt is taken in by an
+     * engine that generates, delays all its streams for twice the time, and their places come free later.
+     */
+    @Example
+    void aShortPromptKeepsOffAnEngineCrowdedWithStreams() {
+        DirectFixture entry = fleet(1, 1);
+        for (int index = 0; index < 4; index++) {
+            entry.ask("r" + index, "Tokens", "900");
+            entry.last().body("id: 1\ndata: a\n\n");
+        }
+        entry.ask("next", "Tokens", "900");
+        assertThat(entry.last().upstream).isEqualTo("p0");
+        assertThat(entry.sent.getFirst().upstream).isEqualTo("d0");
+    }
+
     /*
      * Shared parts are read over and over: engines in the prefill role drop them within seconds, and each stream goes on
      * at another engine, so that none of those that have room for the parts holds them when they are next asked for.
