--- a/src/test/java/org/cuminshelf/direct/PlacementTest.java
+++ b/src/test/java/org/cuminshelf/direct/PlacementTest.java
@@ -109,11 +109,12 @@
         DirectFixture entry = fleet(1, 1);
         for (int index = 0; index < 4; index++) {
             entry.ask("r" + index, "Tokens", "900");
+            assertThat(entry.last().upstream).isEqualTo("d0");
+            entry.last().sealed(200);
             entry.last().body("id: 1\ndata: a\n\n");
         }
         entry.ask("next", "Tokens", "900");
         assertThat(entry.last().upstream).isEqualTo("p0");
-        assertThat(entry.sent.getFirst().upstream).isEqualTo("d0");
     }
 
     /*
