--- a/src/main/java/org/cuminshelf/direct/EarlyRequests.java
+++ b/src/main/java/org/cuminshelf/direct/EarlyRequests.java
@@ -21,6 +21,8 @@
 
     /** Requests that wait at the most; what comes beyond is refused at once. */
     private static final int MOST = 2_000;
+    /** Bytes of bodies that wait at the most: an eighth of the heap of an entry of today. */
+    private static final long MOST_BYTES = 16 << 20;
 
     /**
      * One such request.
@@ -34,12 +36,14 @@
     record Early(ReceivedRequest request, CallerExchange exchange, CallIntent intent, long arrivedAt, long until) {}
 
     private final Map<CallerExchange, Early> requests = new LinkedHashMap<>();
+    private long bytes;
 
     /** Takes a request in, unless there are too many. */
     boolean add(long now, ReceivedRequest request, CallerExchange exchange, CallIntent intent, long patienceMillis) {
-        if (requests.size() >= MOST) {
+        if (requests.size() >= MOST || bytes + request.body().length > MOST_BYTES) {
             return false;
         }
+        bytes += request.body().length;
         long until = now + WaitingCalls.upstreamPatience(Durations.nanos(patienceMillis));
         requests.put(exchange, new Early(request, exchange, intent, now, until));
         return true;
@@ -47,13 +51,16 @@
 
     /** The caller left. Returns whether its request was waiting here. */
     boolean remove(CallerExchange exchange) {
-        return requests.remove(exchange) != null;
+        Early removed = requests.remove(exchange);
+        bytes -= removed == null ? 0 : removed.request.body().length;
+        return removed != null;
     }
 
     /** Takes out all requests, in the order in which they came. */
     List<Early> takeAll() {
         List<Early> all = new ArrayList<>(requests.values());
         requests.clear();
+        bytes = 0;
         return all;
     }
 
@@ -61,7 +68,7 @@
     Optional<Early> takeOverdue(long now) {
         Optional<Early> overdue =
                 requests.values().stream().filter(early -> now >= early.until).findFirst();
-        overdue.ifPresent(early -> requests.remove(early.exchange));
+        overdue.ifPresent(early -> remove(early.exchange));
         return overdue;
     }
 
--- /dev/null
+++ b/src/test/java/org/cuminshelf/direct/EarlyRequestsTest.java
@@ -0,0 +1,50 @@
+package org.cuminshelf.direct;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.Optional;
+import java.util.OptionalLong;
+import net.jqwik.api.Example;
+import org.cuminshelf.core.Durations;
+import org.cuminshelf.exchange.ReceivedRequest;
+import org.eclipse.jetty.http.HttpFields;
+
+/** What waits for a starting entry. */
+class EarlyRequestsTest {
+
+    private static final CallIntent INTENT =
+            new CallIntent("id", OptionalLong.of(8_000), Optional.empty(), OptionalLong.empty());
+    private final EarlyRequests early = new EarlyRequests();
+
+    /*
+     * An entry runs out of memory at its start and is started again and again: callers with large bodies wait for it, more
+     * of them each time.
+     */
+    @Example
+    void noMoreBytesWaitThanTheEntryHasRoomFor() {
+        byte[] large = new byte[4 << 20];
+        DirectFixture.Answer first = new DirectFixture.Answer();
+        assertThat(add(first, large)).isTrue();
+        for (int index = 0; index < 3; index++) {
+            assertThat(add(new DirectFixture.Answer(), large)).isTrue();
+        }
+        assertThat(add(new DirectFixture.Answer(), large)).isFalse();
+        assertThat(early.remove(first)).isTrue();
+        assertThat(add(new DirectFixture.Answer(), large)).isTrue();
+        assertThat(early.takeAll()).hasSize(4);
+        assertThat(add(new DirectFixture.Answer(), large)).isTrue();
+    }
+
+    @Example
+    void aRequestIsOverdueOnceItWaitedLongEnough() {
+        add(new DirectFixture.Answer(), new byte[0]);
+        assertThat(early.takeOverdue(Durations.nanos(1_400))).isEmpty();
+        assertThat(early.takeOverdue(Durations.nanos(1_600))).isPresent();
+        assertThat(early.size()).isZero();
+    }
+
+    private boolean add(DirectFixture.Answer caller, byte[] body) {
+        ReceivedRequest request = new ReceivedRequest("POST", "/a/b", HttpFields.EMPTY, body);
+        return early.add(0, request, caller, INTENT, 8_000);
+    }
+}
