--- a/src/main/java/org/cuminshelf/direct/Placement.java
+++ b/src/main/java/org/cuminshelf/direct/Placement.java
@@ -258,8 +258,7 @@
 
     private Choice estimate(UpstreamRow row, GenerationShape shape, SharedParts shared) {
         int own = shared.heldBy(row);
-        Optional<UpstreamRow> source = shared.sourceFor(row);
-        int held = Math.max(own, source.map(shared::heldBy).orElse(0));
+        int held = shared.withinReachOf(row);
         boolean prefill = row.role == Role.ROLE_PREFILL;
         double factor = prefill ? 1 : MIXED_FACTOR;
         double prompt = factor * PromptWork.millis(held, Math.max(0, shape.promptTokens() - held))
@@ -271,7 +270,7 @@
                 + row.occupancy() * MILLIS_PER_STREAM
                 + (row.zone.equals(zone) ? 0 : OTHER_ZONE_MILLIS)
                 + handover;
-        return new Choice(row, prefill, prompt, first, wait, source);
+        return new Choice(row, prefill, prompt, first, wait, shared.sourceFor(row));
     }
 
     private static double cost(Choice choice, CallRow call, GenerationShape shape, SharedParts shared) {
@@ -279,7 +278,7 @@
         double safe = SAFE_SHARE * call.route.targetMillis();
         double late = Math.clamp((choice.firstMillis - safe) / call.route.targetMillis(), 0, 4) * LATE_COST;
         int own = shared.heldBy(row);
-        int held = Math.max(own, choice.source.map(shared::heldBy).orElse(0));
+        int held = shared.withinReachOf(row);
         int reread = Math.max(0, shared.tokens() - held);
         double moved = (held - own + (choice.prefillOnly ? shape.promptTokens() : 0)) * MOVE_COST;
         double crowded = Math.max(0, (double) row.occupancy() / row.slots - CROWDED_SHARE);
--- a/src/main/java/org/cuminshelf/direct/SharedParts.java
+++ b/src/main/java/org/cuminshelf/direct/SharedParts.java
@@ -88,6 +88,11 @@
         return other.filter(engine -> heldBy(engine) >= known + LEAST_FETCH);
     }
 
+    /** Tokens of the prompt that an engine probably holds or can fetch. */
+    int withinReachOf(UpstreamRow row) {
+        return Math.max(heldBy(row), sourceFor(row).map(this::heldBy).orElse(0));
+    }
+
     private static int sharedTokens(List<PromptPart> parts) {
         int sum = 0;
         for (PromptPart part : parts.subList(0, Math.max(0, parts.size() - 1))) {
