--- a/src/test/java/org/cuminshelf/direct/EarlyRequestsTest.java
+++ b/src/test/java/org/cuminshelf/direct/EarlyRequestsTest.java
@@ -17,8 +17,8 @@
     private final EarlyRequests early = new EarlyRequests();
 
     /*
-     * An entry runs out of memory at its start and is started again and again: callers with large bodies wait for it, more
-     * of them each time.
+     * An entry runs out of memory at its start and is started again and again: callers with large bodies wait for it,
+     * more of them each time.
      */
     @Example
     void noMoreBytesWaitThanTheEntryHasRoomFor() {
--- a/src/test/java/org/cuminshelf/direct/PlacementTest.java
+++ b/src/test/java/org/cuminshelf/direct/PlacementTest.java
@@ -118,8 +118,8 @@
     }
 
     /*
-     * Shared parts are read over and over: engines in the prefill role drop them within seconds, and each stream goes on
-     * at another engine, so that none of those that have room for the parts holds them when they are next asked for.
+     * Shared parts are read over and over: engines in the prefill role drop them within seconds, and each stream goes
+     * on at another engine, so that none of those that have room for the parts holds them when they are next asked for.
      */
     @Example
     void streamsOfOneSubjectGoOnAtTheSameEngine() {
