--- a/src/main/java/org/cuminshelf/direct/Placement.java
+++ b/src/main/java/org/cuminshelf/direct/Placement.java
@@ -57,7 +57,7 @@
     private static final double FETCH_MILLIS_PER_TOKEN = 1.8e-3;
     /**
      * Requests that the home of a subject may have more than another engine and still get the next stream of it. What
-     * it fetched it keeps: engines that generate have room for parts that those in the prefill role drop within seconds.
+     * it fetched it keeps: engines that generate have room for parts that those in the prefill role drop in seconds.
      */
     private static final double HOME_PREFERENCE = 6;
     /** Milliseconds that each stream already running on an engine adds to the next one's first token. */
