--- a/src/main/java/org/cuminshelf/direct/AttemptRow.java
+++ b/src/main/java/org/cuminshelf/direct/AttemptRow.java
@@ -12,10 +12,10 @@
     final UpstreamRow upstream;
     /** Whether only the prompt is to be taken in. */
     final boolean prefillOnly;
-    /** Milliseconds that its prompt probably takes there. */
-    final double promptMillis;
-    /** Milliseconds after which its first event is expected. */
-    final double firstMillis;
+
+    final PromptEstimate estimate;
+    /** Streams that ran there when it was sent. */
+    final int streams;
 
     final long sentAt;
     final EventSplitter events = new EventSplitter();
@@ -29,8 +29,8 @@
     /** Whether it went on from a KV cache that another engine made. */
     final boolean hadCache;
 
-    /** Whether the prompt still counts as waiting at the upstream. */
-    boolean promptCounted;
+    /** Whether the upstream showed no sign yet that the prompt was taken in. */
+    boolean promptWaits;
 
     long lastProgressAt;
 
@@ -39,8 +39,8 @@
         this.call = call;
         this.upstream = choice.upstream();
         this.prefillOnly = choice.prefillOnly();
-        this.promptMillis = choice.promptMillis();
-        this.firstMillis = choice.firstMillis();
+        this.estimate = choice.estimate();
+        this.streams = upstream.occupancy();
         this.hadCache = !prefillOnly && call.cache.isPresent();
         this.sentAt = now;
         this.lastProgressAt = now;
--- a/src/main/java/org/cuminshelf/direct/AttemptSystem.java
+++ b/src/main/java/org/cuminshelf/direct/AttemptSystem.java
@@ -8,6 +8,9 @@
 import java.util.function.LongSupplier;
 import org.cuminshelf.core.Deadlines;
 import org.cuminshelf.core.Durations;
+import org.cuminshelf.engines.EngineModel;
+import org.cuminshelf.engines.PromptQueue;
+import org.cuminshelf.engines.PromptSample;
 import org.cuminshelf.exchange.UpstreamHandler;
 import org.cuminshelf.exchange.UpstreamRequest;
 import org.cuminshelf.routes.RequestKind;
@@ -51,6 +54,11 @@
     /** Times the expected time to a first event that adds to it. */
     private static final int SILENT_EXPECTED = 3;
 
+    /** Events of a stream from which the time between two is told: fewer say more of the first than of the rest. */
+    private static final int EVENTS_FOR_GAP = 5;
+
+    private static final double NANOS_PER_MILLI = 1e6;
+    private static final int OK = 200;
     private static final long MOST_BODY = 16 << 20;
     private static final int MIDDLE_PRIORITY = 5;
     private static final int HIGHEST_PRIORITY_NUMBER = 9;
@@ -61,6 +69,8 @@
     private final LongSupplier clock;
     private final DecisionLog log;
     private final Outcomes outcomes;
+    private final EngineModels models;
+    private final LoadGossip gossip;
     private final Map<Long, AttemptRow> attempts = new HashMap<>();
     private final Deadlines<Long> attemptChecks = Deadlines.create();
     private long nextAttempt = 1;
@@ -71,12 +81,16 @@
             CallerAnswers callers,
             LongSupplier clock,
             DecisionLog log,
+            EngineModels models,
+            LoadGossip gossip,
             Outcomes outcomes) {
         this.protocol = protocol;
         this.port = port;
         this.callers = callers;
         this.clock = clock;
         this.log = log;
+        this.models = models;
+        this.gossip = gossip;
         this.outcomes = outcomes;
     }
 
@@ -91,21 +105,25 @@
     /**
      * Sends a call to the upstream chosen for it.
      *
-     * @param now        the time in nanoseconds
-     * @param call       the call
-     * @param choice     where it goes
-     * @param cacheShare tokens of this entry's prompts that the upstream has room for
+     * @param now    the time in nanoseconds
+     * @param call   the call
+     * @param choice where it goes
      */
-    void send(long now, CallRow call, Placement.Choice choice, long cacheShare) {
+    void send(long now, CallRow call, Placement.Choice choice) {
         UpstreamRow upstream = choice.upstream();
         AttemptRow attempt = new AttemptRow(nextAttempt++, call, choice, now);
         call.attempt = attempt;
         attempts.put(attempt.number, attempt);
         upstream.running++;
         upstream.tokens += attempt.tokens();
-        upstream.promptWaiting[UpstreamRow.rankIndex(call.route.priority())] += attempt.promptMillis;
-        attempt.promptCounted = true;
-        call.intent.generation().ifPresent(shape -> upstream.cache.add(shape.parts(), cacheShare));
+        if (attempt.estimate.workMillis() > 0) {
+            upstream.prompts.add(attempt.number, new PromptQueue.Waiting(now, attempt.estimate.workMillis()));
+            attempt.promptWaits = true;
+        }
+        call.intent.generation().ifPresent(shape -> {
+            upstream.cache.add(shape.parts());
+            gossip.onSent(upstream, shape);
+        });
         if (!attempt.prefillOnly) {
             call.attempts++;
         }
@@ -131,7 +149,7 @@
         if (call.route.kind() == RequestKind.IDEMPOTENT) {
             return Math.max(SILENT_LEAST, SILENT_FACTOR * attempt.upstream.usualLatency());
         }
-        return SILENT_STREAM + SILENT_EXPECTED * Durations.nanos((long) attempt.firstMillis);
+        return SILENT_STREAM + SILENT_EXPECTED * Durations.nanos((long) attempt.estimate.firstMillis());
     }
 
     /** Takes the answer to one attempt. */
@@ -207,7 +225,7 @@
         CallRow call = attempt.call;
         Optional<EventSplitter.Event> event = attempt.events.next();
         while (event.isPresent() && !call.done) {
-            uncountPrompt(attempt);
+            onFirstEvent(now, attempt);
             boolean known = event.get().id().isPresent()
                     && call.lastEvent.isPresent()
                     && event.get().id().getAsLong() <= call.lastEvent.getAsLong();
@@ -226,11 +244,56 @@
         attemptChecks.set(attempt.number, now + STALLED_WITH_ENGINE);
     }
 
+    /** Learns from the first event of an attempt. */
+    private void onFirstEvent(long now, AttemptRow attempt) {
+        if (attempt.promptWaits) {
+            onPromptTaken(now, attempt);
+        } else if (attempt.hadCache && attempt.call.eventsGiven == 0) {
+            models.of(attempt.upstream.service)
+                    .observeHandover(attempt.call.promptTokens(), millis(now - attempt.sentAt));
+        }
+    }
+
+    private void onPromptTaken(long now, AttemptRow attempt) {
+        forgetPrompt(attempt);
+        attempt.upstream.prompts.taken(now);
+        gossip.onTaken(
+                attempt.upstream,
+                new PromptSample(
+                        attempt.upstream.id,
+                        attempt.upstream.generates(),
+                        attempt.streams,
+                        attempt.estimate.held(),
+                        attempt.estimate.uncached(),
+                        attempt.estimate.waitMillis(),
+                        millis(now - attempt.sentAt)));
+    }
+
+    private static double millis(long nanos) {
+        return nanos / NANOS_PER_MILLI;
+    }
+
     private void onComplete(long now, AttemptRow attempt) {
+        if (attempt.prefillOnly && attempt.promptWaits && attempt.status == OK) {
+            onPromptTaken(now, attempt);
+        }
+        learnGap(attempt);
         end(attempt);
         outcomes.answered(now, attempt);
     }
 
+    /** Learns from a stream that went through at one engine how far apart its events are. */
+    private void learnGap(AttemptRow attempt) {
+        CallRow call = attempt.call;
+        if (attempt.prefillOnly || call.eventsGiven < EVENTS_FOR_GAP || call.attempts != 1) {
+            return;
+        }
+        EngineModel model = models.of(attempt.upstream.service);
+        model.observeGap(
+                attempt.upstream.occupancy(), millis(call.lastEventAt - call.firstAnswerAt) / (call.eventsGiven - 1));
+        model.reading().observe(millis(call.longestPause), call.route.pauseMillis());
+    }
+
     private void onBroken(long now, AttemptRow attempt, boolean sent, String reason) {
         end(attempt);
         attempt.upstream.failed(now);
@@ -317,14 +380,11 @@
         attemptChecks.clear(attempt.number);
         attempt.upstream.running--;
         attempt.upstream.tokens -= attempt.tokens();
-        uncountPrompt(attempt);
+        forgetPrompt(attempt);
     }
 
-    private static void uncountPrompt(AttemptRow attempt) {
-        if (attempt.promptCounted) {
-            attempt.promptCounted = false;
-            attempt.upstream.promptWaiting[UpstreamRow.rankIndex(attempt.call.route.priority())] -=
-                    attempt.promptMillis;
-        }
+    private static void forgetPrompt(AttemptRow attempt) {
+        attempt.promptWaits = false;
+        attempt.upstream.prompts.remove(attempt.number);
     }
 }
--- a/src/main/java/org/cuminshelf/direct/CallSystem.java
+++ b/src/main/java/org/cuminshelf/direct/CallSystem.java
@@ -69,7 +69,9 @@
             RepeatBudget budget,
             LongSupplier clock,
             Invariants invariants,
-            DecisionLog log) {
+            DecisionLog log,
+            EngineModels models,
+            LoadGossip gossip) {
         this.protocol = protocol;
         this.port = port;
         this.upstreams = upstreams;
@@ -79,7 +81,7 @@
         this.invariants = invariants;
         this.log = log;
         this.callers = new CallerAnswers(control, log);
-        this.attempts = new AttemptSystem(protocol, port, callers, clock, log, new AttemptOutcomes());
+        this.attempts = new AttemptSystem(protocol, port, callers, clock, log, models, gossip, new AttemptOutcomes());
     }
 
     /** Gives answers that no call stands behind. */
@@ -148,7 +150,9 @@
     }
 
     private void sendUnlessLate(long now, CallRow call, Placement.Choice choice) {
-        if (call.attempt != null || choice.waitMillis() <= LONGEST_WAIT_MILLIS) {
+        double first = Durations.millis(now - call.arrivedAt) + choice.firstMillis();
+        boolean inTime = first <= call.route.targetMillis();
+        if (call.attempt != null || inTime || choice.waitMillis() <= LONGEST_WAIT_MILLIS) {
             send(now, call, choice);
         } else {
             refuseLate(now, call, choice);
@@ -202,7 +206,7 @@
                 "at-most-once",
                 () -> "request " + call.intent.id() + " is sent again though it may have run");
         waiting.remove(call);
-        attempts.send(now, call, choice, placement.cacheShare(call));
+        attempts.send(now, call, choice);
     }
 
     // ---- what became of an attempt
@@ -276,7 +280,7 @@
                     "status",
                     attempt.status,
                     "prompt-ms",
-                    Math.round(attempt.promptMillis),
+                    Math.round(attempt.estimate.workMillis()),
                     "running",
                     attempt.upstream.running);
             attempt.upstream.avoid(now + Durations.nanos(CallerAnswers.RETRY_AFTER_MILLIS) / 2);
--- a/src/main/java/org/cuminshelf/direct/DirectCore.java
+++ b/src/main/java/org/cuminshelf/direct/DirectCore.java
@@ -1,6 +1,5 @@
 package org.cuminshelf.direct;
 
-import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -17,10 +16,8 @@
 import org.cuminshelf.exchange.CallerHandler;
 import org.cuminshelf.exchange.CallerLimits;
 import org.cuminshelf.exchange.ReceivedRequest;
-import org.cuminshelf.message.EntryLoad;
 import org.cuminshelf.message.Envelope;
 import org.cuminshelf.message.Stopped;
-import org.cuminshelf.message.UpstreamLoad;
 import org.cuminshelf.routes.Route;
 import org.cuminshelf.routes.RouteTable;
 
@@ -28,8 +25,6 @@
 public final class DirectCore implements Core, CallerHandler {
 
     private static final long HOUSEKEEPING_EVERY = Durations.nanos(250);
-    /** How often other entries are told what is under way; a tenth of what a long prompt takes to be read. */
-    private static final long TELL_EVERY = Durations.nanos(50);
     /** Time a caller is given where it names none; callers of today wait 8 s at most. */
     private static final long DEFAULT_DEADLINE_MILLIS = 8_000;
 
@@ -42,12 +37,11 @@
     private final UpstreamTable upstreams;
     private final ControlFeed control;
     private final CallSystem calls;
+    private final LoadGossip gossip;
     private final EarlyRequests early = new EarlyRequests();
     private final Map<CallerExchange, CallRow> byExchange = new HashMap<>();
     private long nextCall = 1;
     private long nextHousekeeping;
-    private long nextTell;
-    private boolean toldSomething;
     private volatile boolean leaving;
     private boolean stopReported;
 
@@ -67,7 +61,9 @@
         long now = clock.getAsLong();
         this.upstreams = new UpstreamTable(log);
         this.control = new ControlFeed(settings, format, upstreams, now, invariants, log);
-        Placement placement = new Placement(upstreams, control, settings.zone());
+        EngineModels models = new EngineModels();
+        Placement placement = new Placement(upstreams, control, models, settings.zone());
+        this.gossip = new LoadGossip(upstreams, models, now);
         this.calls = new CallSystem(
                 protocol,
                 port,
@@ -77,9 +73,10 @@
                 new RepeatBudget(settings.repeats()),
                 clock,
                 invariants,
-                log);
+                log,
+                models,
+                gossip);
         this.nextHousekeeping = now;
-        this.nextTell = now;
     }
 
     /**
@@ -178,7 +175,7 @@
                 control.onUpdate(now, from, input.getUpdate());
                 startEarly(now);
             }
-            case ENTRY_LOAD -> upstreams.onLoad(now, from, input.getEntryLoad());
+            case ENTRY_LOAD -> gossip.onLoad(now, from, input.getEntryLoad());
             case STOP -> leaving = true;
             default -> {
                 // Not a message for such an entry.
@@ -196,10 +193,7 @@
             upstreams.tick(now);
             byExchange.values().removeIf(call -> call.done);
         }
-        if (now >= nextTell) {
-            nextTell = now + TELL_EVERY;
-            tellEntries(out);
-        }
+        gossip.tick(now, out, self, control.entries());
         if (leaving && openCalls() == 0 && !stopReported) {
             stopReported = true;
             out.send(Address.PROCESS, Envelope.newBuilder().setStopped(Stopped.getDefaultInstance()));
@@ -209,32 +203,7 @@
     @Override
     public long nextDue() {
         long due = Math.min(Math.min(control.nextDue(), calls.nextDue()), Math.min(early.nextDue(), nextHousekeeping));
-        return calls.open() > 0 || toldSomething ? Math.min(due, nextTell) : due;
-    }
-
-    /** Tells the other entries what is under way, so that their choices count it before the upstreams report it. */
-    private void tellEntries(Outbox out) {
-        EntryLoad.Builder load = EntryLoad.newBuilder();
-        for (UpstreamRow row : upstreams.rows()) {
-            if (row.running > 0) {
-                UpstreamLoad.Builder one = UpstreamLoad.newBuilder()
-                        .setId(row.id)
-                        .setRunning(row.running)
-                        .setTokens((int) row.tokens);
-                for (double millis : row.promptWaiting) {
-                    one.addPromptMs((int) Math.round(Math.max(0, millis)));
-                }
-                load.addUpstreams(one);
-            }
-        }
-        boolean something = load.getUpstreamsCount() > 0;
-        if (!something && !toldSomething) {
-            return;
-        }
-        toldSomething = something;
-        List<Address> others = new ArrayList<>(control.entries());
-        others.remove(self);
-        others.forEach(entry -> out.send(entry, Envelope.newBuilder().setEntryLoad(load)));
+        return Math.min(due, gossip.nextDue(calls.open() > 0));
     }
 
     // ---- what the process asks
--- /dev/null
+++ b/src/main/java/org/cuminshelf/direct/LoadGossip.java
@@ -0,0 +1,172 @@
+package org.cuminshelf.direct;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import org.cuminshelf.core.Address;
+import org.cuminshelf.core.Core;
+import org.cuminshelf.core.Durations;
+import org.cuminshelf.core.Outbox;
+import org.cuminshelf.engines.PromptQueue;
+import org.cuminshelf.engines.PromptSample;
+import org.cuminshelf.message.EntryLoad;
+import org.cuminshelf.message.Envelope;
+import org.cuminshelf.message.SentPrompt;
+import org.cuminshelf.message.TakenPrompt;
+import org.cuminshelf.message.UpstreamLoad;
+import org.cuminshelf.message.WaitingPrompt;
+
+/**
+ * What entries tell each other: what each has under way at the engines, which prompts it sent there, and how long
+ * prompts took. With it all entries choose by the same view, and learn from each other's requests.
+ *
+ * <p>Failure it guards against: several entries find the same engine free at once and all send to it, so that prompts
+ * wait for each other while other engines idle. News of a prompt that was sent leaves within milliseconds; news at
+ * fixed times, 50 ms apart, let up to five entries choose the same engine within one such time.
+ */
+final class LoadGossip {
+
+    /** How often the state is told again without news, as datagrams of news may be lost with a connection. */
+    private static final long TELL_EVERY = Durations.nanos(100);
+    /** Least time between two messages for each other entry: bounds what an entry sends to 1,000 messages a second. */
+    private static final long LEAST_GAP = Durations.nanos(1);
+    /** News kept for the next message at the most; what is beyond was told too late to matter. */
+    private static final int MOST_NEWS = 64;
+
+    private static final double MICROS_PER_MILLI = 1_000;
+    private static final double NANOS_PER_MICRO = 1_000;
+
+    private final UpstreamTable upstreams;
+    private final EngineModels models;
+    private final List<SentPrompt> sent = new ArrayList<>();
+    private final List<TakenPrompt> taken = new ArrayList<>();
+    private long nextTell;
+    private long lastTell;
+    private int listeners;
+    private boolean toldSomething;
+
+    LoadGossip(UpstreamTable upstreams, EngineModels models, long now) {
+        this.upstreams = upstreams;
+        this.models = models;
+        this.nextTell = now;
+        this.lastTell = now;
+    }
+
+    // ---- what this entry has to tell
+
+    /** A prompt was sent; the others should know before they choose. */
+    void onSent(UpstreamRow upstream, GenerationShape shape) {
+        nextTell = Math.min(nextTell, lastTell + listeners * LEAST_GAP);
+        if (sent.size() >= MOST_NEWS) {
+            return;
+        }
+        SentPrompt.Builder prompt = SentPrompt.newBuilder().setUpstream(upstream.id);
+        for (PromptPart part : shape.parts()) {
+            prompt.addParts(part.id());
+            prompt.addTokens(part.tokens());
+        }
+        sent.add(prompt.build());
+    }
+
+    /** A prompt was taken in. */
+    void onTaken(UpstreamRow upstream, PromptSample sample) {
+        models.of(upstream.service).observe(sample);
+        if (taken.size() >= MOST_NEWS) {
+            return;
+        }
+        taken.add(TakenPrompt.newBuilder()
+                .setUpstream(upstream.id)
+                .setBesideStreams(sample.besideStreams())
+                .setStreams(sample.streams())
+                .setHeld(sample.held())
+                .setUncached(sample.uncached())
+                .setWaitUs(micros(sample.waitMillis()))
+                .setTookUs(micros(sample.tookMillis()))
+                .build());
+    }
+
+    long nextDue(boolean busy) {
+        return busy || toldSomething ? nextTell : Core.NEVER;
+    }
+
+    /** Tells the other entries, if it is time. */
+    void tick(long now, Outbox out, Address self, List<Address> entries) {
+        if (now < nextTell) {
+            return;
+        }
+        lastTell = now;
+        nextTell = now + TELL_EVERY;
+        listeners = Math.max(0, entries.size() - 1);
+        EntryLoad.Builder load = EntryLoad.newBuilder().addAllSent(sent).addAllTaken(taken);
+        upstreams.rows().stream().filter(row -> row.running > 0).forEach(row -> load.addUpstreams(underWay(now, row)));
+        boolean something = load.getUpstreamsCount() > 0 || !taken.isEmpty();
+        sent.clear();
+        taken.clear();
+        if (something || toldSomething) {
+            entries.stream()
+                    .filter(entry -> !entry.equals(self))
+                    .forEach(entry -> out.send(entry, Envelope.newBuilder().setEntryLoad(load)));
+        }
+        toldSomething = something;
+    }
+
+    private static UpstreamLoad underWay(long now, UpstreamRow row) {
+        UpstreamLoad.Builder load =
+                UpstreamLoad.newBuilder().setId(row.id).setRunning(row.running).setTokens((int) row.tokens);
+        for (PromptQueue.Waiting prompt : row.prompts.own()) {
+            load.addPrompts(WaitingPrompt.newBuilder()
+                    .setAgeUs((int) ((now - prompt.sentAt()) / NANOS_PER_MICRO))
+                    .setWorkUs(micros(prompt.workMillis())));
+        }
+        return load.build();
+    }
+
+    private static int micros(double millis) {
+        return (int) Math.max(0, millis * MICROS_PER_MILLI);
+    }
+
+    // ---- what the others told
+
+    void onLoad(long now, Address entry, EntryLoad load) {
+        upstreams.onLoad(now, entry, load);
+        load.getSentList().forEach(this::onSentElsewhere);
+        load.getTakenList().forEach(prompt -> onTakenElsewhere(now, prompt));
+    }
+
+    private void onSentElsewhere(SentPrompt prompt) {
+        Optional<UpstreamRow> row = upstreams.row(prompt.getUpstream());
+        if (row.isEmpty() || prompt.getPartsCount() != prompt.getTokensCount()) {
+            return;
+        }
+        List<PromptPart> parts = new ArrayList<>();
+        for (int index = 0; index < prompt.getPartsCount(); index++) {
+            parts.add(new PromptPart(prompt.getParts(index), prompt.getTokens(index)));
+        }
+        row.get().cache.add(parts);
+    }
+
+    private void onTakenElsewhere(long now, TakenPrompt prompt) {
+        Optional<UpstreamRow> row = upstreams.row(prompt.getUpstream());
+        if (row.isEmpty()) {
+            return;
+        }
+        row.get().prompts.taken(now);
+        models.of(row.get().service)
+                .observe(new PromptSample(
+                        row.get().id,
+                        prompt.getBesideStreams(),
+                        prompt.getStreams(),
+                        prompt.getHeld(),
+                        prompt.getUncached(),
+                        prompt.getWaitUs() / MICROS_PER_MILLI,
+                        prompt.getTookUs() / MICROS_PER_MILLI));
+    }
+
+    /** The prompts that an entry says it has at an engine. */
+    static List<PromptQueue.Waiting> waiting(long now, UpstreamLoad load) {
+        return load.getPromptsList().stream()
+                .map(prompt -> new PromptQueue.Waiting(
+                        now - (long) (prompt.getAgeUs() * NANOS_PER_MICRO), prompt.getWorkUs() / MICROS_PER_MILLI))
+                .toList();
+    }
+}
--- a/src/main/java/org/cuminshelf/direct/PartCache.java
+++ b/src/main/java/org/cuminshelf/direct/PartCache.java
@@ -5,11 +5,11 @@
 import java.util.List;
 
 /**
- * Parts of prompts that an engine probably holds: what this entry sent there lately, least recently used first out.
+ * Parts of prompts that an engine probably holds: what entries sent there lately, least recently used first out.
  *
- * <p>The engine's memory also takes the parts that other entries sent. A part counts as held only until this entry sent
- * its share of the memory after it; without that bound parts counted as held for as long as the engine lived, though
- * under load it keeps one for some ten seconds, and prompts took half as long again as expected.
+ * <p>A part counts as held only until its engine's memory took as much after it; without that bound parts counted as
+ * held for as long as the engine lived, though under load it keeps one for some ten seconds, and prompts took half as
+ * long again as expected.
  */
 final class PartCache {
 
@@ -17,15 +17,20 @@
     private static final int MOST_PARTS = 4_096;
 
     private final LinkedHashMap<String, Integer> parts = new LinkedHashMap<>(16, 0.75f, true);
+    private long mostTokens = Long.MAX_VALUE;
     private long tokens;
 
+    /** Bounds the tokens that the engine has room for. */
+    void bound(long most) {
+        mostTokens = most;
+    }
+
     /**
      * Notes that the engine was given a prompt.
      *
-     * @param prompt     its parts in order
-     * @param mostTokens tokens of this entry's prompts that the engine has room for
+     * @param prompt its parts in order
      */
-    void add(List<PromptPart> prompt, long mostTokens) {
+    void add(List<PromptPart> prompt) {
         for (PromptPart part : prompt) {
             Integer before = parts.put(part.id(), part.tokens());
             tokens += part.tokens() - (before == null ? 0 : before);
--- a/src/main/java/org/cuminshelf/direct/Placement.java
+++ b/src/main/java/org/cuminshelf/direct/Placement.java
@@ -3,6 +3,8 @@
 import java.util.List;
 import java.util.Optional;
 import net.openhft.hashing.LongHashFunction;
+import org.cuminshelf.core.Durations;
+import org.cuminshelf.engines.EngineModel;
 import org.cuminshelf.message.Role;
 import org.cuminshelf.routes.EngineLimits;
 import org.cuminshelf.routes.RoutedService;
@@ -22,63 +24,53 @@
     /**
      * A choice.
      *
-     * @param upstream       where the request goes
-     * @param prefillOnly    whether only its prompt is taken in there
-     * @param promptMillis   time its prompt takes there, in milliseconds
-     * @param firstMillis    expected time to the first token, in milliseconds
-     * @param waitMillis     how much of it is for the prompts before it
-     * @param source         another engine from which it may fetch shared parts of the prompt that it lacks
+     * @param upstream    where the request goes
+     * @param prefillOnly whether only its prompt is taken in there
+     * @param estimate    what its prompt is expected to take there
+     * @param source      another engine from which it may fetch shared parts of the prompt that it lacks
      */
-    record Choice(
-            UpstreamRow upstream,
-            boolean prefillOnly,
-            double promptMillis,
-            double firstMillis,
-            double waitMillis,
-            Optional<UpstreamRow> source) {
+    record Choice(UpstreamRow upstream, boolean prefillOnly, PromptEstimate estimate, Optional<UpstreamRow> source) {
 
         private static Choice of(UpstreamRow upstream, double firstMillis) {
-            return new Choice(upstream, false, 0, firstMillis, 0, Optional.empty());
+            return new Choice(upstream, false, PromptEstimate.ofFirst(firstMillis), Optional.empty());
+        }
+
+        double firstMillis() {
+            return estimate.firstMillis();
+        }
+
+        double waitMillis() {
+            return estimate.waitMillis();
         }
     }
 
-    /** Times as long that a prompt takes on an engine that also generates. */
-    private static final double MIXED_FACTOR = 2;
-    /**
-     * Milliseconds of prompts that may wait on an engine that also generates. One event of a stream takes 12 steps;
-     * with a chunk of prompt in each it takes 180 ms, and pauses of 200 ms count as late.
-     */
-    private static final double MIXED_BACKLOG = 60;
-    /** One more hop, and the step of the engine that goes on: 15 ms from a prompt's end to the first event. */
-    private static final double HANDOVER_MILLIS = 14;
-    /** What the move of its KV cache adds for each token: 22 ms at 5,000 tokens, 95 ms at 42,000, as measured. */
-    private static final double HANDOVER_MILLIS_PER_TOKEN = 1.8e-3;
-    /** The same for parts fetched before the rest is read. */
-    private static final double FETCH_MILLIS_PER_TOKEN = 1.8e-3;
     /**
      * Requests that the home of a subject may have more than another engine and still get the next stream of it. What
      * it fetched it keeps: engines that generate have room for parts that those in the prefill role drop in seconds.
      */
     private static final double HOME_PREFERENCE = 6;
-    /** Milliseconds that each stream already running on an engine adds to the next one's first token. */
-    private static final double MILLIS_PER_STREAM = 0.3;
+    /** Milliseconds of prompts on an engine that count as much as one more request there. */
+    private static final double WAIT_OF_REQUEST_MILLIS = 14;
 
     private static final double OTHER_ZONE_MILLIS = 1;
-    /** Part of the target up to which an expected time is as good as none: estimates are off by a third. */
-    private static final double SAFE_SHARE = 0.6;
     /** What an answer that misses its target loses, against one request of middling worth. */
-    private static final double LATE_COST = 2.5;
-    /** What reading one token of a shared part once more costs, in the same unit. */
-    private static final double REREAD_COST = 0.32e-3;
+    private static final double LATE_COST = 0.6;
+    /** What each whole target adds by which it is missed, up to {@link #MOST_TARGETS_LATE}: callers leave by then. */
+    private static final double LATER_COST = 0.4;
+
+    private static final double MOST_TARGETS_LATE = 4;
+    /** Least milliseconds by which expectations may be off, whatever was seen: the clocks and hops on the way. */
+    private static final double LEAST_ERROR_MILLIS = 15;
+    /** Steepness of the logistic function whose median error is one. */
+    private static final double LOGISTIC = 1.1;
     /** What moving the KV cache of one token costs, in the same unit: 327 KB at 0.027 a GB. */
     private static final double MOVE_COST = 9e-6;
     /** Part of an engine's places from which its time is short, so that prompts are better taken in elsewhere. */
     private static final double CROWDED_SHARE = 0.5;
     /**
      * What a millisecond of prompt costs on an engine that also generates, for each whole of its places taken beyond
-     * {@link #CROWDED_SHARE}: a prompt there takes twice the time and delays all streams, whose places come free later.
-     * Against a price that did not rise with the streams this brought 0.02 of the mean worth of five days, most on the
-     * days with many streams.
+     * {@link #CROWDED_SHARE}: it delays all streams there, whose places come free later. Against a price that did not
+     * rise with the streams this brought 0.02 of the mean worth of five days, most on the days with many streams.
      */
     private static final double CROWDED_COST = 0.02;
     /** Decides between equals: the sooner. */
@@ -101,11 +93,14 @@
 
     private final UpstreamTable upstreams;
     private final ControlFeed control;
+    private final EngineModels models;
+    private final EnginePrices prices = new EnginePrices();
     private final String zone;
 
-    Placement(UpstreamTable upstreams, ControlFeed control, String zone) {
+    Placement(UpstreamTable upstreams, ControlFeed control, EngineModels models, String zone) {
         this.upstreams = upstreams;
         this.control = control;
+        this.models = models;
         this.zone = zone;
     }
 
@@ -127,7 +122,7 @@
     long offeredTokens(long now, CallRow call, GenerationShape shape) {
         List<UpstreamRow> open = open(now, call);
         int held = SharedParts.of(shape, open).heldByHome();
-        return PromptWork.tokens(PromptWork.millis(held, Math.max(0, shape.promptTokens() - held)));
+        return Math.max(0, shape.promptTokens() - held);
     }
 
     private Optional<Choice> forService(long now, CallRow call) {
@@ -156,6 +151,7 @@
     private Optional<Choice> forHandover(long now, CallRow call) {
         UpstreamRow best = null;
         double least = Double.MAX_VALUE;
+        EngineModel model = models.of(call.service);
         List<UpstreamRow> open = open(now, call);
         Optional<SharedParts> shared = call.intent.generation().map(shape -> SharedParts.of(shape, open));
         for (UpstreamRow row : open) {
@@ -166,7 +162,7 @@
             double load = memoryLoad(row, call)
                     - (home ? HOME_PREFERENCE : 0)
                     + row.occupancy()
-                    + row.backlogMillis(Integer.MAX_VALUE) / HANDOVER_MILLIS
+                    + row.prompts.waitMillis(now, model.latencyMillis(row.id, true)) / WAIT_OF_REQUEST_MILLIS
                     + (row.zone.equals(zone) ? 0 : OTHER_ZONE_MILLIS)
                     + spread(row, call.number);
             if (load < least) {
@@ -174,7 +170,7 @@
                 least = load;
             }
         }
-        return Optional.ofNullable(best).map(row -> Choice.of(row, HANDOVER_MILLIS));
+        return Optional.ofNullable(best).map(row -> Choice.of(row, model.handoverMillis(call.promptTokens())));
     }
 
     /**
@@ -202,43 +198,47 @@
                 .orElse(0L);
     }
 
-    /** Tokens of this entry's prompts for which each engine of a call's service has room, among those of the others. */
-    long cacheShare(CallRow call) {
+    /** Tokens of prompts for which each engine of a call's service has room, beside those of running requests. */
+    private long cacheRoom(CallRow call) {
         long capacity = cacheTokens(call);
-        return capacity == 0
-                ? Long.MAX_VALUE
-                : (long)
-                        (CACHED_SHARE * capacity / Math.max(1, control.entries().size()));
+        return capacity == 0 ? Long.MAX_VALUE : (long) (CACHED_SHARE * capacity);
     }
 
     private Optional<Choice> forPrompt(long now, CallRow call, GenerationShape shape) {
         List<UpstreamRow> open = open(now, call);
         boolean splits = call.lastEvent.isEmpty() && !call.wholeOnly;
-        boolean prefillThere = splits && open.stream().anyMatch(row -> row.role == Role.ROLE_PREFILL);
-        boolean placeThere = open.stream().anyMatch(row -> row.role != Role.ROLE_PREFILL && hasPlace(row, call));
+        boolean prefillThere = splits && open.stream().anyMatch(row -> !row.generates());
+        boolean placeThere = open.stream().anyMatch(row -> row.generates() && hasPlace(row, call));
+        EngineModel model = models.of(call.service);
+        long room = cacheRoom(call);
+        open.forEach(row -> row.cache.bound(room));
         Choice best = null;
         double least = Double.MAX_VALUE;
         SharedParts shared = SharedParts.of(shape, open);
         for (UpstreamRow row : open) {
-            boolean prefill = row.role == Role.ROLE_PREFILL;
-            Choice choice = estimate(row, shape, shared);
-            boolean fits = prefill ? splits && placeThere : fitsBesideStreams(choice, call, prefillThere);
-            double cost = fits ? cost(choice, call, shape, shared) : Double.MAX_VALUE;
+            Choice choice = estimate(now, row, model, shape, shared);
+            boolean fits =
+                    row.generates() ? fitsBesideStreams(choice, call, model, prefillThere) : splits && placeThere;
+            double cost = fits ? cost(now, choice, call, model, shape, shared) : Double.MAX_VALUE;
             if (cost < least) {
                 best = choice;
                 least = cost;
             }
         }
+        prices.observe(now, call.service, open, model);
+        Optional.ofNullable(best).ifPresent(choice -> prices.placed(call.service, choice.estimate.workMillis()));
         return Optional.ofNullable(best);
     }
 
     /** Whether a prompt may be taken in by an engine that also generates; more may wait there if no other can do it. */
-    private boolean fitsBesideStreams(Choice choice, CallRow call, boolean prefillThere) {
+    private boolean fitsBesideStreams(Choice choice, CallRow call, EngineModel model, boolean prefillThere) {
         UpstreamRow row = choice.upstream;
         // A stream that its caller has half of goes on beside what is there: cutting it would lose what it took so far.
         boolean idle = row.occupancy() == 0 || call.begun;
-        double backlog = row.backlogMillis(Integer.MAX_VALUE) + choice.promptMillis;
-        return idle || hasPlace(row, call) && (!prefillThere || backlog <= MIXED_BACKLOG);
+        double backlog = choice.waitMillis() + choice.estimate.workMillis();
+        return idle
+                || hasPlace(row, call)
+                        && (!prefillThere || backlog <= model.reading().millis());
     }
 
     /**
@@ -256,34 +256,41 @@
         return row.occupancy() < share * row.slots && memoryLoad(row, call) < FULL_COST * MEMORY_SHARE;
     }
 
-    private Choice estimate(UpstreamRow row, GenerationShape shape, SharedParts shared) {
+    private Choice estimate(long now, UpstreamRow row, EngineModel model, GenerationShape shape, SharedParts shared) {
         int own = shared.heldBy(row);
         int held = shared.withinReachOf(row);
-        boolean prefill = row.role == Role.ROLE_PREFILL;
-        double factor = prefill ? 1 : MIXED_FACTOR;
-        double prompt = factor * PromptWork.millis(held, Math.max(0, shape.promptTokens() - held))
-                + (held - own) * FETCH_MILLIS_PER_TOKEN;
-        double wait = row.backlogMillis(Integer.MAX_VALUE);
-        double handover = prefill ? HANDOVER_MILLIS + shape.promptTokens() * HANDOVER_MILLIS_PER_TOKEN : 0;
-        double first = wait
-                + prompt
-                + row.occupancy() * MILLIS_PER_STREAM
-                + (row.zone.equals(zone) ? 0 : OTHER_ZONE_MILLIS)
-                + handover;
-        return new Choice(row, prefill, prompt, first, wait, shared.sourceFor(row));
+        int uncached = Math.max(0, shape.promptTokens() - held);
+        boolean generates = row.generates();
+        double latency = model.latencyMillis(row.id, generates);
+        double work = model.workMillis(row.id, generates, row.occupancy(), held, uncached)
+                + model.moveMillis(Math.max(0, held - own));
+        double wait = row.prompts.waitMillis(now, latency);
+        double handover = generates ? 0 : model.handoverMillis(shape.promptTokens());
+        double first = wait + work + latency + (row.zone.equals(zone) ? 0 : OTHER_ZONE_MILLIS) + handover;
+        PromptEstimate estimate = new PromptEstimate(held, uncached, wait, work, first);
+        return new Choice(row, !generates, estimate, shared.sourceFor(row));
     }
 
-    private static double cost(Choice choice, CallRow call, GenerationShape shape, SharedParts shared) {
+    private double cost(
+            long now, Choice choice, CallRow call, EngineModel model, GenerationShape shape, SharedParts shared) {
         UpstreamRow row = choice.upstream;
-        double safe = SAFE_SHARE * call.route.targetMillis();
-        double late = Math.clamp((choice.firstMillis - safe) / call.route.targetMillis(), 0, 4) * LATE_COST;
         int own = shared.heldBy(row);
-        int held = shared.withinReachOf(row);
-        int reread = Math.max(0, shared.tokens() - held);
-        double moved = (held - own + (choice.prefillOnly ? shape.promptTokens() : 0)) * MOVE_COST;
+        double moved = (Math.max(0, choice.estimate.held() - own) + (choice.prefillOnly ? shape.promptTokens() : 0))
+                * MOVE_COST;
         double crowded = Math.max(0, (double) row.occupancy() / row.slots - CROWDED_SHARE);
-        double delay = choice.prefillOnly ? 0 : choice.promptMillis * crowded * CROWDED_COST;
-        return late + reread * REREAD_COST + moved + delay + choice.firstMillis * MILLI_COST;
+        double millisecond =
+                prices.ofMillisecond(call.service, row.generates()) + (row.generates() ? crowded * CROWDED_COST : 0);
+        double work = choice.estimate.workMillis() * millisecond;
+        return lateCost(now, choice, call, model) + work + moved + choice.firstMillis() * MILLI_COST;
+    }
+
+    /** What is lost on average by an answer's coming late: its chance to, and by how much. */
+    private static double lateCost(long now, Choice choice, CallRow call, EngineModel model) {
+        double target = call.route.targetMillis();
+        double late = Durations.millis(now - call.arrivedAt) + choice.firstMillis() - target;
+        double error = Math.max(LEAST_ERROR_MILLIS, model.error() * choice.firstMillis());
+        double chance = 1 / (1 + Math.exp(-LOGISTIC * late / error));
+        return chance * LATE_COST + Math.clamp(late / target, 0, MOST_TARGETS_LATE) * LATER_COST;
     }
 
     private List<UpstreamRow> open(long now, CallRow call) {
--- a/src/main/java/org/cuminshelf/direct/SharedParts.java
+++ b/src/main/java/org/cuminshelf/direct/SharedParts.java
@@ -60,8 +60,7 @@
 
     /** Tokens of the prompt that an engine probably holds. */
     int heldBy(UpstreamRow row) {
-        int expected = row.id.equals(prefillHome) || row.id.equals(otherHome) ? (int) (HOME_CREDIT * tokens) : 0;
-        return Math.max(expected, row.cache.heldTokens(shape.parts()));
+        return Math.min(tokens, row.cache.heldTokens(shape.parts()));
     }
 
     /** Whether an engine is the home of the subject among those that generate. */
--- a/src/main/java/org/cuminshelf/direct/UpstreamRow.java
+++ b/src/main/java/org/cuminshelf/direct/UpstreamRow.java
@@ -2,11 +2,13 @@
 
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import org.cuminshelf.core.Address;
 import org.cuminshelf.core.Core;
 import org.cuminshelf.core.Durations;
+import org.cuminshelf.engines.PromptQueue;
 import org.cuminshelf.message.Role;
 import org.cuminshelf.message.UpstreamBeat;
 import org.cuminshelf.message.UpstreamLoad;
@@ -22,8 +24,6 @@
     private static final int FAILURES_BEFORE_PAUSE = 2;
 
     private static final double LATENCY_WEIGHT = 0.1;
-    /** Ranks told apart; an engine's queue knows ten places. */
-    static final int RANKS = 4;
 
     final String id;
     final Address address;
@@ -49,8 +49,8 @@
     /** Tokens that this entry's attempts there take in its memory. */
     long tokens;
 
-    /** Milliseconds of prompts of this entry's attempts there that gave no first event yet, by rank. */
-    final double[] promptWaiting = new double[RANKS];
+    /** Prompts of all entries there that were not taken in yet, as far as this one knows. */
+    final PromptQueue prompts = PromptQueue.empty();
 
     /** When anything last came from it on any request. */
     long heardAt = Long.MIN_VALUE / 2;
@@ -84,12 +84,20 @@
         return changed;
     }
 
-    void onLoad(Address entry, UpstreamLoad load) {
+    /** Takes what another entry has under way there. */
+    void onLoad(Address entry, UpstreamLoad load, List<PromptQueue.Waiting> waiting) {
         others.put(entry, load);
+        prompts.told(entry, waiting);
     }
 
     void forgetLoad(Address entry) {
         others.remove(entry);
+        prompts.told(entry, List.of());
+    }
+
+    /** Whether it generates, so that a prompt there is taken in between the tokens of its streams. */
+    boolean generates() {
+        return role != Role.ROLE_PREFILL;
     }
 
     /** Attempts there of all entries, as far as this one knows. */
@@ -110,28 +118,6 @@
         return sum;
     }
 
-    /**
-     * Milliseconds of prompts that go before one of a rank there, of all entries, as far as this one knows. An engine
-     * takes prompts of a higher rank first.
-     */
-    double backlogMillis(int rank) {
-        int last = Math.min(rank, RANKS - 1);
-        double sum = 0;
-        for (int index = 0; index <= last; index++) {
-            sum += promptWaiting[index];
-        }
-        for (UpstreamLoad load : others.values()) {
-            for (int index = 0; index <= last && index < load.getPromptMsCount(); index++) {
-                sum += load.getPromptMs(index);
-            }
-        }
-        return sum;
-    }
-
-    static int rankIndex(int rank) {
-        return Math.clamp(rank, 0, RANKS - 1);
-    }
-
     boolean isAvoided(long now) {
         return now < avoidUntil;
     }
--- a/src/main/java/org/cuminshelf/direct/UpstreamTable.java
+++ b/src/main/java/org/cuminshelf/direct/UpstreamTable.java
@@ -150,7 +150,7 @@
             if (one == null) {
                 row.forgetLoad(entry);
             } else {
-                row.onLoad(entry, one);
+                row.onLoad(entry, one, LoadGossip.waiting(now, one));
             }
         }
     }
--- /dev/null
+++ b/src/main/java/org/cuminshelf/engines/PromptQueue.java
@@ -0,0 +1,132 @@
+package org.cuminshelf.engines;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.cuminshelf.core.Address;
+
+/**
+ * The prompts that were sent to one engine and showed no sign of having been taken in yet: those of this entry, and
+ * those that other entries told of.
+ *
+ * <p>An engine takes prompts one after the other. So the time at which it will be free follows from when each was sent
+ * and how long it takes, and it is corrected by what is seen: a prompt that should have been taken in and wasn't is
+ * still being read. Sums of what was sent would count the part that is done as if it were still to be done.
+ */
+public final class PromptQueue {
+
+    private static final double NANOS_PER_MILLI = 1e6;
+
+    /**
+     * One prompt under way.
+     *
+     * @param sentAt     when it was sent, in nanoseconds
+     * @param workMillis milliseconds for which it takes up the engine
+     */
+    public record Waiting(long sentAt, double workMillis) {}
+
+    private final Map<Long, Waiting> own = new HashMap<>();
+    private final Map<Address, List<Waiting>> others = new HashMap<>();
+    private long lastTakenAt = Long.MIN_VALUE / 2;
+
+    private PromptQueue() {}
+
+    /**
+     * Makes a queue without any prompt.
+     *
+     * @return the queue
+     */
+    public static PromptQueue empty() {
+        return new PromptQueue();
+    }
+
+    /**
+     * Notes a prompt of this entry.
+     *
+     * @param attempt names it
+     * @param prompt  when it was sent and what it takes
+     */
+    public void add(long attempt, Waiting prompt) {
+        own.put(attempt, prompt);
+    }
+
+    /**
+     * Notes that a prompt of this entry doesn't wait any more.
+     *
+     * @param attempt names it
+     */
+    public void remove(long attempt) {
+        own.remove(attempt);
+    }
+
+    /**
+     * Notes that the engine showed that it took a prompt in. Whatever is still there was read after it.
+     *
+     * @param now the time in nanoseconds
+     */
+    public void taken(long now) {
+        lastTakenAt = now;
+    }
+
+    /**
+     * Takes what another entry has under way, in place of what it told before.
+     *
+     * @param entry   names the entry
+     * @param prompts its prompts
+     */
+    public void told(Address entry, List<Waiting> prompts) {
+        if (prompts.isEmpty()) {
+            others.remove(entry);
+        } else {
+            others.put(entry, prompts);
+        }
+    }
+
+    /**
+     * The prompts of this entry.
+     *
+     * @return them, in no order
+     */
+    public List<Waiting> own() {
+        return List.copyOf(own.values());
+    }
+
+    /**
+     * Tells whether nothing is under way.
+     *
+     * @return true if no entry is known to have a prompt there
+     */
+    public boolean isEmpty() {
+        return own.isEmpty() && others.isEmpty();
+    }
+
+    /**
+     * Tells how long the prompts that are there still take up the engine.
+     *
+     * @param now           the time in nanoseconds
+     * @param latencyMillis milliseconds by which the sign that a prompt was taken in follows the engine's work on it
+     * @return milliseconds
+     */
+    public double waitMillis(long now, double latencyMillis) {
+        if (isEmpty()) {
+            return 0;
+        }
+        double free = (lastTakenAt - now) / NANOS_PER_MILLI - latencyMillis;
+        for (Waiting prompt : inOrder()) {
+            double sentMillis = (prompt.sentAt - now) / NANOS_PER_MILLI;
+            double end = Math.max(free, sentMillis) + prompt.workMillis;
+            // No sign of it has come, so it ended no sooner than the latency ago.
+            free = Math.max(end, -latencyMillis);
+        }
+        return Math.max(0, free);
+    }
+
+    private List<Waiting> inOrder() {
+        List<Waiting> all = new ArrayList<>(own.values());
+        others.values().forEach(all::addAll);
+        all.sort(Comparator.comparingLong(Waiting::sentAt));
+        return all;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/cuminshelf/engines/RobustFit.java
@@ -0,0 +1,139 @@
+package org.cuminshelf.engines;
+
+import org.hipparchus.exception.MathRuntimeException;
+import org.hipparchus.linear.Array2DRowRealMatrix;
+import org.hipparchus.linear.ArrayRealVector;
+import org.hipparchus.linear.LUDecomposition;
+import org.hipparchus.linear.RealMatrix;
+import org.hipparchus.linear.RealVector;
+import org.tinylog.Logger;
+
+/**
+ * A linear function of a few features, fitted to the latest observations by least absolute deviations.
+ *
+ * <p>Least absolute deviations, since what is observed has outliers on both sides: a part of the prompt that was
+ * thought cached and wasn't, an engine that paused, a process of ours that paused. As long as less than half of the
+ * observations are such, they hardly move the fit. The window is bounded, so that an old state is forgotten.
+ */
+final class RobustFit {
+
+    /** Observations that the fit is made of: some seconds of one service's prompts, a few kilobytes. */
+    private static final int WINDOW = 192;
+    /** Observations after which the fit is made anew. */
+    private static final int REFIT_EVERY = 6;
+    /** Rounds of reweighting; the coefficients change by under a hundredth after that. */
+    private static final int ROUNDS = 8;
+    /** Least deviation that weights tell apart, in the unit of the value: the clocks' own resolution. */
+    private static final double LEAST_DEVIATION = 1.0;
+    /** Weight of the prior, in observations: it decides while there are fewer. */
+    private static final double PRIOR_WEIGHT = 2;
+
+    private final double[] prior;
+    private final double[] scale;
+    private final double[][] features = new double[WINDOW][];
+    private final double[] values = new double[WINDOW];
+    private double[] coefficients;
+    private int count;
+
+    /**
+     * Makes a fit that has seen nothing.
+     *
+     * @param prior coefficients believed before the first observation
+     * @param scale usual size of each feature, so that the prior binds all coefficients alike
+     */
+    RobustFit(double[] prior, double[] scale) {
+        this.prior = prior.clone();
+        this.scale = scale.clone();
+        this.coefficients = prior.clone();
+    }
+
+    /** Takes an observation. */
+    void observe(double[] feature, double value) {
+        features[count % WINDOW] = feature;
+        values[count % WINDOW] = value;
+        count++;
+        if (count % REFIT_EVERY == 0) {
+            refit();
+        }
+    }
+
+    /** The value expected for some features. */
+    double expect(double... feature) {
+        double sum = 0;
+        for (int index = 0; index < feature.length; index++) {
+            sum += coefficients[index] * feature[index];
+        }
+        return sum;
+    }
+
+    double coefficient(int index) {
+        return coefficients[index];
+    }
+
+    /** Observations seen so far. */
+    int count() {
+        return count;
+    }
+
+    private void refit() {
+        double[] found = coefficients.clone();
+        for (int round = 0; round < ROUNDS; round++) {
+            double[] next = solve(found);
+            if (next.length == 0) {
+                return;
+            }
+            found = next;
+        }
+        coefficients = found;
+    }
+
+    /** One round of weighted least squares; empty where the observations don't determine the coefficients. */
+    private double[] solve(double[] before) {
+        int size = prior.length;
+        double[][] normal = new double[size][size];
+        double[] right = new double[size];
+        for (int index = 0; index < size; index++) {
+            double weight = PRIOR_WEIGHT * scale[index] * scale[index] / spread();
+            normal[index][index] += weight;
+            right[index] += weight * prior[index];
+        }
+        for (int row = 0; row < Math.min(count, WINDOW); row++) {
+            double weight = 1 / Math.max(LEAST_DEVIATION, Math.abs(values[row] - dot(before, features[row])));
+            for (int index = 0; index < size; index++) {
+                right[index] += weight * features[row][index] * values[row];
+                for (int other = 0; other < size; other++) {
+                    normal[index][other] += weight * features[row][index] * features[row][other];
+                }
+            }
+        }
+        try {
+            RealMatrix matrix = new Array2DRowRealMatrix(normal, false);
+            RealVector solved = new LUDecomposition(matrix).getSolver().solve(new ArrayRealVector(right, false));
+            return nonNegative(solved.toArray());
+        } catch (MathRuntimeException e) {
+            Logger.info("engines: event=fit outcome=undetermined reason=\"{}\"", e.getMessage());
+            return new double[0];
+        }
+    }
+
+    /** Deviation at which the prior counts as much as an observation: a tenth of what it expects of usual features. */
+    private double spread() {
+        return Math.max(LEAST_DEVIATION, dot(prior, scale) / 10);
+    }
+
+    /** Time grows with work: a negative coefficient is an artefact of features that move together. */
+    private static double[] nonNegative(double[] found) {
+        for (int index = 0; index < found.length; index++) {
+            found[index] = Math.max(0, found[index]);
+        }
+        return found;
+    }
+
+    private static double dot(double[] left, double[] right) {
+        double sum = 0;
+        for (int index = 0; index < left.length; index++) {
+            sum += left[index] * right[index];
+        }
+        return sum;
+    }
+}
--- a/src/main/java/org/cuminshelf/message/EntryLoad.java
+++ b/src/main/java/org/cuminshelf/message/EntryLoad.java
@@ -20,6 +20,8 @@
     EntryLoadOrBuilder {
   private EntryLoad() {
     upstreams_ = emptyProtobufList();
+    sent_ = emptyProtobufList();
+    taken_ = emptyProtobufList();
   }
   public static final int UPSTREAMS_FIELD_NUMBER = 1;
   private com.google.protobuf.Internal.ProtobufList<org.cuminshelf.message.UpstreamLoad> upstreams_;
@@ -118,6 +120,288 @@
     upstreams_.remove(index);
   }
 
+  public static final int SENT_FIELD_NUMBER = 2;
+  private com.google.protobuf.Internal.ProtobufList<org.cuminshelf.message.SentPrompt> sent_;
+  /**
+   * <pre>
+   * Prompts sent since the last message, so that all entries know which engine holds which parts.
+   * </pre>
+   *
+   * <code>repeated .cuminshelf.SentPrompt sent = 2;</code>
+   */
+  @java.lang.Override
+  public java.util.List<org.cuminshelf.message.SentPrompt> getSentList() {
+    return sent_;
+  }
+  /**
+   * <pre>
+   * Prompts sent since the last message, so that all entries know which engine holds which parts.
+   * </pre>
+   *
+   * <code>repeated .cuminshelf.SentPrompt sent = 2;</code>
+   */
+  public java.util.List<? extends org.cuminshelf.message.SentPromptOrBuilder> 
+      getSentOrBuilderList() {
+    return sent_;
+  }
+  /**
+   * <pre>
+   * Prompts sent since the last message, so that all entries know which engine holds which parts.
+   * </pre>
+   *
+   * <code>repeated .cuminshelf.SentPrompt sent = 2;</code>
+   */
+  @java.lang.Override
+  public int getSentCount() {
+    return sent_.size();
+  }
+  /**
+   * <pre>
+   * Prompts sent since the last message, so that all entries know which engine holds which parts.
+   * </pre>
+   *
+   * <code>repeated .cuminshelf.SentPrompt sent = 2;</code>
+   */
+  @java.lang.Override
+  public org.cuminshelf.message.SentPrompt getSent(int index) {
+    return sent_.get(index);
+  }
+  /**
+   * <pre>
+   * Prompts sent since the last message, so that all entries know which engine holds which parts.
+   * </pre>
+   *
+   * <code>repeated .cuminshelf.SentPrompt sent = 2;</code>
+   */
+  public org.cuminshelf.message.SentPromptOrBuilder getSentOrBuilder(
+      int index) {
+    return sent_.get(index);
+  }
+  private void ensureSentIsMutable() {
+    com.google.protobuf.Internal.ProtobufList<org.cuminshelf.message.SentPrompt> tmp = sent_;
+    if (!tmp.isModifiable()) {
+      sent_ =
+          com.google.protobuf.GeneratedMessageLite.mutableCopy(tmp);
+     }
+  }
+
+  /**
+   * <pre>
+   * Prompts sent since the last message, so that all entries know which engine holds which parts.
+   * </pre>
+   *
+   * <code>repeated .cuminshelf.SentPrompt sent = 2;</code>
+   */
+  @java.lang.SuppressWarnings("ReturnValueIgnored")
+  private void setSent(
+      int index, org.cuminshelf.message.SentPrompt value) {
+    value.getClass();  // minimal bytecode null check
+    ensureSentIsMutable();
+    sent_.set(index, value);
+  }
+  /**
+   * <pre>
+   * Prompts sent since the last message, so that all entries know which engine holds which parts.
+   * </pre>
+   *
+   * <code>repeated .cuminshelf.SentPrompt sent = 2;</code>
+   */
+  @java.lang.SuppressWarnings("ReturnValueIgnored")
+  private void addSent(org.cuminshelf.message.SentPrompt value) {
+    value.getClass();  // minimal bytecode null check
+    ensureSentIsMutable();
+    sent_.add(value);
+  }
+  /**
+   * <pre>
+   * Prompts sent since the last message, so that all entries know which engine holds which parts.
+   * </pre>
+   *
+   * <code>repeated .cuminshelf.SentPrompt sent = 2;</code>
+   */
+  @java.lang.SuppressWarnings("ReturnValueIgnored")
+  private void addSent(
+      int index, org.cuminshelf.message.SentPrompt value) {
+    value.getClass();  // minimal bytecode null check
+    ensureSentIsMutable();
+    sent_.add(index, value);
+  }
+  /**
+   * <pre>
+   * Prompts sent since the last message, so that all entries know which engine holds which parts.
+   * </pre>
+   *
+   * <code>repeated .cuminshelf.SentPrompt sent = 2;</code>
+   */
+  private void addAllSent(
+      java.lang.Iterable<? extends org.cuminshelf.message.SentPrompt> values) {
+    ensureSentIsMutable();
+    com.google.protobuf.AbstractMessageLite.addAll(
+        values, sent_);
+  }
+  /**
+   * <pre>
+   * Prompts sent since the last message, so that all entries know which engine holds which parts.
+   * </pre>
+   *
+   * <code>repeated .cuminshelf.SentPrompt sent = 2;</code>
+   */
+  private void clearSent() {
+    sent_ = emptyProtobufList();
+  }
+  /**
+   * <pre>
+   * Prompts sent since the last message, so that all entries know which engine holds which parts.
+   * </pre>
+   *
+   * <code>repeated .cuminshelf.SentPrompt sent = 2;</code>
+   */
+  private void removeSent(int index) {
+    ensureSentIsMutable();
+    sent_.remove(index);
+  }
+
+  public static final int TAKEN_FIELD_NUMBER = 3;
+  private com.google.protobuf.Internal.ProtobufList<org.cuminshelf.message.TakenPrompt> taken_;
+  /**
+   * <pre>
+   * Prompts taken in since the last message, so that all entries learn from all.
+   * </pre>
+   *
+   * <code>repeated .cuminshelf.TakenPrompt taken = 3;</code>
+   */
+  @java.lang.Override
+  public java.util.List<org.cuminshelf.message.TakenPrompt> getTakenList() {
+    return taken_;
+  }
+  /**
+   * <pre>
+   * Prompts taken in since the last message, so that all entries learn from all.
+   * </pre>
+   *
+   * <code>repeated .cuminshelf.TakenPrompt taken = 3;</code>
+   */
+  public java.util.List<? extends org.cuminshelf.message.TakenPromptOrBuilder> 
+      getTakenOrBuilderList() {
+    return taken_;
+  }
+  /**
+   * <pre>
+   * Prompts taken in since the last message, so that all entries learn from all.
+   * </pre>
+   *
+   * <code>repeated .cuminshelf.TakenPrompt taken = 3;</code>
+   */
+  @java.lang.Override
+  public int getTakenCount() {
+    return taken_.size();
+  }
+  /**
+   * <pre>
+   * Prompts taken in since the last message, so that all entries learn from all.
+   * </pre>
+   *
+   * <code>repeated .cuminshelf.TakenPrompt taken = 3;</code>
+   */
+  @java.lang.Override
+  public org.cuminshelf.message.TakenPrompt getTaken(int index) {
+    return taken_.get(index);
+  }
+  /**
+   * <pre>
+   * Prompts taken in since the last message, so that all entries learn from all.
+   * </pre>
+   *
+   * <code>repeated .cuminshelf.TakenPrompt taken = 3;</code>
+   */
+  public org.cuminshelf.message.TakenPromptOrBuilder getTakenOrBuilder(
+      int index) {
+    return taken_.get(index);
+  }
+  private void ensureTakenIsMutable() {
+    com.google.protobuf.Internal.ProtobufList<org.cuminshelf.message.TakenPrompt> tmp = taken_;
+    if (!tmp.isModifiable()) {
+      taken_ =
+          com.google.protobuf.GeneratedMessageLite.mutableCopy(tmp);
+     }
+  }
+
+  /**
+   * <pre>
+   * Prompts taken in since the last message, so that all entries learn from all.
+   * </pre>
+   *
+   * <code>repeated .cuminshelf.TakenPrompt taken = 3;</code>
+   */
+  @java.lang.SuppressWarnings("ReturnValueIgnored")
+  private void setTaken(
+      int index, org.cuminshelf.message.TakenPrompt value) {
+    value.getClass();  // minimal bytecode null check
+    ensureTakenIsMutable();
+    taken_.set(index, value);
+  }
+  /**
+   * <pre>
+   * Prompts taken in since the last message, so that all entries learn from all.
+   * </pre>
+   *
+   * <code>repeated .cuminshelf.TakenPrompt taken = 3;</code>
+   */
+  @java.lang.SuppressWarnings("ReturnValueIgnored")
+  private void addTaken(org.cuminshelf.message.TakenPrompt value) {
+    value.getClass();  // minimal bytecode null check
+    ensureTakenIsMutable();
+    taken_.add(value);
+  }
+  /**
+   * <pre>
+   * Prompts taken in since the last message, so that all entries learn from all.
+   * </pre>
+   *
+   * <code>repeated .cuminshelf.TakenPrompt taken = 3;</code>
+   */
+  @java.lang.SuppressWarnings("ReturnValueIgnored")
+  private void addTaken(
+      int index, org.cuminshelf.message.TakenPrompt value) {
+    value.getClass();  // minimal bytecode null check
+    ensureTakenIsMutable();
+    taken_.add(index, value);
+  }
+  /**
+   * <pre>
+   * Prompts taken in since the last message, so that all entries learn from all.
+   * </pre>
+   *
+   * <code>repeated .cuminshelf.TakenPrompt taken = 3;</code>
+   */
+  private void addAllTaken(
+      java.lang.Iterable<? extends org.cuminshelf.message.TakenPrompt> values) {
+    ensureTakenIsMutable();
+    com.google.protobuf.AbstractMessageLite.addAll(
+        values, taken_);
+  }
+  /**
+   * <pre>
+   * Prompts taken in since the last message, so that all entries learn from all.
+   * </pre>
+   *
+   * <code>repeated .cuminshelf.TakenPrompt taken = 3;</code>
+   */
+  private void clearTaken() {
+    taken_ = emptyProtobufList();
+  }
+  /**
+   * <pre>
+   * Prompts taken in since the last message, so that all entries learn from all.
+   * </pre>
+   *
+   * <code>repeated .cuminshelf.TakenPrompt taken = 3;</code>
+   */
+  private void removeTaken(int index) {
+    ensureTakenIsMutable();
+    taken_.remove(index);
+  }
+
   public static org.cuminshelf.message.EntryLoad parseFrom(
       java.nio.ByteBuffer data)
       throws com.google.protobuf.InvalidProtocolBufferException {
@@ -321,6 +605,306 @@
       return this;
     }
 
+    /**
+     * <pre>
+     * Prompts sent since the last message, so that all entries know which engine holds which parts.
+     * </pre>
+     *
+     * <code>repeated .cuminshelf.SentPrompt sent = 2;</code>
+     */
+    @java.lang.Override
+    public java.util.List<org.cuminshelf.message.SentPrompt> getSentList() {
+      return java.util.Collections.unmodifiableList(
+          instance.getSentList());
+    }
+    /**
+     * <pre>
+     * Prompts sent since the last message, so that all entries know which engine holds which parts.
+     * </pre>
+     *
+     * <code>repeated .cuminshelf.SentPrompt sent = 2;</code>
+     */
+    @java.lang.Override
+    public int getSentCount() {
+      return instance.getSentCount();
+    }/**
+     * <pre>
+     * Prompts sent since the last message, so that all entries know which engine holds which parts.
+     * </pre>
+     *
+     * <code>repeated .cuminshelf.SentPrompt sent = 2;</code>
+     */
+    @java.lang.Override
+    public org.cuminshelf.message.SentPrompt getSent(int index) {
+      return instance.getSent(index);
+    }
+    /**
+     * <pre>
+     * Prompts sent since the last message, so that all entries know which engine holds which parts.
+     * </pre>
+     *
+     * <code>repeated .cuminshelf.SentPrompt sent = 2;</code>
+     */
+    public Builder setSent(
+        int index, org.cuminshelf.message.SentPrompt value) {
+      copyOnWrite();
+      instance.setSent(index, value);
+      return this;
+    }
+    /**
+     * <pre>
+     * Prompts sent since the last message, so that all entries know which engine holds which parts.
+     * </pre>
+     *
+     * <code>repeated .cuminshelf.SentPrompt sent = 2;</code>
+     */
+    public Builder setSent(
+        int index, org.cuminshelf.message.SentPrompt.Builder builderForValue) {
+      copyOnWrite();
+      instance.setSent(index,
+          builderForValue.build());
+      return this;
+    }
+    /**
+     * <pre>
+     * Prompts sent since the last message, so that all entries know which engine holds which parts.
+     * </pre>
+     *
+     * <code>repeated .cuminshelf.SentPrompt sent = 2;</code>
+     */
+    public Builder addSent(org.cuminshelf.message.SentPrompt value) {
+      copyOnWrite();
+      instance.addSent(value);
+      return this;
+    }
+    /**
+     * <pre>
+     * Prompts sent since the last message, so that all entries know which engine holds which parts.
+     * </pre>
+     *
+     * <code>repeated .cuminshelf.SentPrompt sent = 2;</code>
+     */
+    public Builder addSent(
+        int index, org.cuminshelf.message.SentPrompt value) {
+      copyOnWrite();
+      instance.addSent(index, value);
+      return this;
+    }
+    /**
+     * <pre>
+     * Prompts sent since the last message, so that all entries know which engine holds which parts.
+     * </pre>
+     *
+     * <code>repeated .cuminshelf.SentPrompt sent = 2;</code>
+     */
+    public Builder addSent(
+        org.cuminshelf.message.SentPrompt.Builder builderForValue) {
+      copyOnWrite();
+      instance.addSent(builderForValue.build());
+      return this;
+    }
+    /**
+     * <pre>
+     * Prompts sent since the last message, so that all entries know which engine holds which parts.
+     * </pre>
+     *
+     * <code>repeated .cuminshelf.SentPrompt sent = 2;</code>
+     */
+    public Builder addSent(
+        int index, org.cuminshelf.message.SentPrompt.Builder builderForValue) {
+      copyOnWrite();
+      instance.addSent(index,
+          builderForValue.build());
+      return this;
+    }
+    /**
+     * <pre>
+     * Prompts sent since the last message, so that all entries know which engine holds which parts.
+     * </pre>
+     *
+     * <code>repeated .cuminshelf.SentPrompt sent = 2;</code>
+     */
+    public Builder addAllSent(
+        java.lang.Iterable<? extends org.cuminshelf.message.SentPrompt> values) {
+      copyOnWrite();
+      instance.addAllSent(values);
+      return this;
+    }
+    /**
+     * <pre>
+     * Prompts sent since the last message, so that all entries know which engine holds which parts.
+     * </pre>
+     *
+     * <code>repeated .cuminshelf.SentPrompt sent = 2;</code>
+     */
+    public Builder clearSent() {
+      copyOnWrite();
+      instance.clearSent();
+      return this;
+    }
+    /**
+     * <pre>
+     * Prompts sent since the last message, so that all entries know which engine holds which parts.
+     * </pre>
+     *
+     * <code>repeated .cuminshelf.SentPrompt sent = 2;</code>
+     */
+    public Builder removeSent(int index) {
+      copyOnWrite();
+      instance.removeSent(index);
+      return this;
+    }
+
+    /**
+     * <pre>
+     * Prompts taken in since the last message, so that all entries learn from all.
+     * </pre>
+     *
+     * <code>repeated .cuminshelf.TakenPrompt taken = 3;</code>
+     */
+    @java.lang.Override
+    public java.util.List<org.cuminshelf.message.TakenPrompt> getTakenList() {
+      return java.util.Collections.unmodifiableList(
+          instance.getTakenList());
+    }
+    /**
+     * <pre>
+     * Prompts taken in since the last message, so that all entries learn from all.
+     * </pre>
+     *
+     * <code>repeated .cuminshelf.TakenPrompt taken = 3;</code>
+     */
+    @java.lang.Override
+    public int getTakenCount() {
+      return instance.getTakenCount();
+    }/**
+     * <pre>
+     * Prompts taken in since the last message, so that all entries learn from all.
+     * </pre>
+     *
+     * <code>repeated .cuminshelf.TakenPrompt taken = 3;</code>
+     */
+    @java.lang.Override
+    public org.cuminshelf.message.TakenPrompt getTaken(int index) {
+      return instance.getTaken(index);
+    }
+    /**
+     * <pre>
+     * Prompts taken in since the last message, so that all entries learn from all.
+     * </pre>
+     *
+     * <code>repeated .cuminshelf.TakenPrompt taken = 3;</code>
+     */
+    public Builder setTaken(
+        int index, org.cuminshelf.message.TakenPrompt value) {
+      copyOnWrite();
+      instance.setTaken(index, value);
+      return this;
+    }
+    /**
+     * <pre>
+     * Prompts taken in since the last message, so that all entries learn from all.
+     * </pre>
+     *
+     * <code>repeated .cuminshelf.TakenPrompt taken = 3;</code>
+     */
+    public Builder setTaken(
+        int index, org.cuminshelf.message.TakenPrompt.Builder builderForValue) {
+      copyOnWrite();
+      instance.setTaken(index,
+          builderForValue.build());
+      return this;
+    }
+    /**
+     * <pre>
+     * Prompts taken in since the last message, so that all entries learn from all.
+     * </pre>
+     *
+     * <code>repeated .cuminshelf.TakenPrompt taken = 3;</code>
+     */
+    public Builder addTaken(org.cuminshelf.message.TakenPrompt value) {
+      copyOnWrite();
+      instance.addTaken(value);
+      return this;
+    }
+    /**
+     * <pre>
+     * Prompts taken in since the last message, so that all entries learn from all.
+     * </pre>
+     *
+     * <code>repeated .cuminshelf.TakenPrompt taken = 3;</code>
+     */
+    public Builder addTaken(
+        int index, org.cuminshelf.message.TakenPrompt value) {
+      copyOnWrite();
+      instance.addTaken(index, value);
+      return this;
+    }
+    /**
+     * <pre>
+     * Prompts taken in since the last message, so that all entries learn from all.
+     * </pre>
+     *
+     * <code>repeated .cuminshelf.TakenPrompt taken = 3;</code>
+     */
+    public Builder addTaken(
+        org.cuminshelf.message.TakenPrompt.Builder builderForValue) {
+      copyOnWrite();
+      instance.addTaken(builderForValue.build());
+      return this;
+    }
+    /**
+     * <pre>
+     * Prompts taken in since the last message, so that all entries learn from all.
+     * </pre>
+     *
+     * <code>repeated .cuminshelf.TakenPrompt taken = 3;</code>
+     */
+    public Builder addTaken(
+        int index, org.cuminshelf.message.TakenPrompt.Builder builderForValue) {
+      copyOnWrite();
+      instance.addTaken(index,
+          builderForValue.build());
+      return this;
+    }
+    /**
+     * <pre>
+     * Prompts taken in since the last message, so that all entries learn from all.
+     * </pre>
+     *
+     * <code>repeated .cuminshelf.TakenPrompt taken = 3;</code>
+     */
+    public Builder addAllTaken(
+        java.lang.Iterable<? extends org.cuminshelf.message.TakenPrompt> values) {
+      copyOnWrite();
+      instance.addAllTaken(values);
+      return this;
+    }
+    /**
+     * <pre>
+     * Prompts taken in since the last message, so that all entries learn from all.
+     * </pre>
+     *
+     * <code>repeated .cuminshelf.TakenPrompt taken = 3;</code>
+     */
+    public Builder clearTaken() {
+      copyOnWrite();
+      instance.clearTaken();
+      return this;
+    }
+    /**
+     * <pre>
+     * Prompts taken in since the last message, so that all entries learn from all.
+     * </pre>
+     *
+     * <code>repeated .cuminshelf.TakenPrompt taken = 3;</code>
+     */
+    public Builder removeTaken(int index) {
+      copyOnWrite();
+      instance.removeTaken(index);
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:cuminshelf.EntryLoad)
   }
   @java.lang.Override
@@ -339,9 +923,14 @@
           java.lang.Object[] objects = new java.lang.Object[] {
             "upstreams_",
             org.cuminshelf.message.UpstreamLoad.class,
+            "sent_",
+            org.cuminshelf.message.SentPrompt.class,
+            "taken_",
+            org.cuminshelf.message.TakenPrompt.class,
           };
           java.lang.String info =
-              "\u0000\u0001\u0000\u0000\u0001\u0001\u0001\u0000\u0001\u0000\u0001\u001b";
+              "\u0000\u0003\u0000\u0000\u0001\u0003\u0003\u0000\u0003\u0000\u0001\u001b\u0002\u001b" +
+              "\u0003\u001b";
           return newMessageInfo(DEFAULT_INSTANCE, info, objects);
       }
       case GET_DEFAULT_INSTANCE: {
--- a/src/main/java/org/cuminshelf/message/EntryLoadOrBuilder.java
+++ b/src/main/java/org/cuminshelf/message/EntryLoadOrBuilder.java
@@ -23,4 +23,56 @@
    * <code>repeated .cuminshelf.UpstreamLoad upstreams = 1;</code>
    */
   int getUpstreamsCount();
+
+  /**
+   * <pre>
+   * Prompts sent since the last message, so that all entries know which engine holds which parts.
+   * </pre>
+   *
+   * <code>repeated .cuminshelf.SentPrompt sent = 2;</code>
+   */
+  java.util.List<org.cuminshelf.message.SentPrompt> 
+      getSentList();
+  /**
+   * <pre>
+   * Prompts sent since the last message, so that all entries know which engine holds which parts.
+   * </pre>
+   *
+   * <code>repeated .cuminshelf.SentPrompt sent = 2;</code>
+   */
+  org.cuminshelf.message.SentPrompt getSent(int index);
+  /**
+   * <pre>
+   * Prompts sent since the last message, so that all entries know which engine holds which parts.
+   * </pre>
+   *
+   * <code>repeated .cuminshelf.SentPrompt sent = 2;</code>
+   */
+  int getSentCount();
+
+  /**
+   * <pre>
+   * Prompts taken in since the last message, so that all entries learn from all.
+   * </pre>
+   *
+   * <code>repeated .cuminshelf.TakenPrompt taken = 3;</code>
+   */
+  java.util.List<org.cuminshelf.message.TakenPrompt> 
+      getTakenList();
+  /**
+   * <pre>
+   * Prompts taken in since the last message, so that all entries learn from all.
+   * </pre>
+   *
+   * <code>repeated .cuminshelf.TakenPrompt taken = 3;</code>
+   */
+  org.cuminshelf.message.TakenPrompt getTaken(int index);
+  /**
+   * <pre>
+   * Prompts taken in since the last message, so that all entries learn from all.
+   * </pre>
+   *
+   * <code>repeated .cuminshelf.TakenPrompt taken = 3;</code>
+   */
+  int getTakenCount();
 }
--- a/src/main/java/org/cuminshelf/message/UpstreamLoad.java
+++ b/src/main/java/org/cuminshelf/message/UpstreamLoad.java
@@ -16,7 +16,7 @@
     UpstreamLoadOrBuilder {
   private UpstreamLoad() {
     id_ = "";
-    promptMs_ = emptyIntList();
+    prompts_ = emptyProtobufList();
   }
   public static final int ID_FIELD_NUMBER = 1;
   private java.lang.String id_;
@@ -130,103 +130,145 @@
     tokens_ = 0;
   }
 
-  public static final int PROMPT_MS_FIELD_NUMBER = 3;
-  private com.google.protobuf.Internal.IntList promptMs_;
+  public static final int PROMPTS_FIELD_NUMBER = 5;
+  private com.google.protobuf.Internal.ProtobufList<org.cuminshelf.message.WaitingPrompt> prompts_;
   /**
    * <pre>
-   * Milliseconds of prompts sent there that were not taken in yet, by the rank of their routes, first rank first.
+   * Prompts sent there that were not taken in yet.
    * </pre>
    *
-   * <code>repeated uint32 prompt_ms = 3;</code>
-   * @return A list containing the promptMs.
+   * <code>repeated .cuminshelf.WaitingPrompt prompts = 5;</code>
    */
   @java.lang.Override
-  public java.util.List<java.lang.Integer>
-      getPromptMsList() {
-    return promptMs_;
+  public java.util.List<org.cuminshelf.message.WaitingPrompt> getPromptsList() {
+    return prompts_;
   }
   /**
    * <pre>
-   * Milliseconds of prompts sent there that were not taken in yet, by the rank of their routes, first rank first.
+   * Prompts sent there that were not taken in yet.
    * </pre>
    *
-   * <code>repeated uint32 prompt_ms = 3;</code>
-   * @return The count of promptMs.
+   * <code>repeated .cuminshelf.WaitingPrompt prompts = 5;</code>
+   */
+  public java.util.List<? extends org.cuminshelf.message.WaitingPromptOrBuilder> 
+      getPromptsOrBuilderList() {
+    return prompts_;
+  }
+  /**
+   * <pre>
+   * Prompts sent there that were not taken in yet.
+   * </pre>
+   *
+   * <code>repeated .cuminshelf.WaitingPrompt prompts = 5;</code>
    */
   @java.lang.Override
-  public int getPromptMsCount() {
-    return promptMs_.size();
+  public int getPromptsCount() {
+    return prompts_.size();
   }
   /**
    * <pre>
-   * Milliseconds of prompts sent there that were not taken in yet, by the rank of their routes, first rank first.
+   * Prompts sent there that were not taken in yet.
    * </pre>
    *
-   * <code>repeated uint32 prompt_ms = 3;</code>
-   * @param index The index of the element to return.
-   * @return The promptMs at the given index.
+   * <code>repeated .cuminshelf.WaitingPrompt prompts = 5;</code>
    */
   @java.lang.Override
-  public int getPromptMs(int index) {
-    return promptMs_.getInt(index);
+  public org.cuminshelf.message.WaitingPrompt getPrompts(int index) {
+    return prompts_.get(index);
   }
-  private int promptMsMemoizedSerializedSize = -1;
-  private void ensurePromptMsIsMutable() {
-    com.google.protobuf.Internal.IntList tmp = promptMs_;
+  /**
+   * <pre>
+   * Prompts sent there that were not taken in yet.
+   * </pre>
+   *
+   * <code>repeated .cuminshelf.WaitingPrompt prompts = 5;</code>
+   */
+  public org.cuminshelf.message.WaitingPromptOrBuilder getPromptsOrBuilder(
+      int index) {
+    return prompts_.get(index);
+  }
+  private void ensurePromptsIsMutable() {
+    com.google.protobuf.Internal.ProtobufList<org.cuminshelf.message.WaitingPrompt> tmp = prompts_;
     if (!tmp.isModifiable()) {
-      promptMs_ =
+      prompts_ =
           com.google.protobuf.GeneratedMessageLite.mutableCopy(tmp);
      }
   }
+
+  /**
+   * <pre>
+   * Prompts sent there that were not taken in yet.
+   * </pre>
+   *
+   * <code>repeated .cuminshelf.WaitingPrompt prompts = 5;</code>
+   */
+  @java.lang.SuppressWarnings("ReturnValueIgnored")
+  private void setPrompts(
+      int index, org.cuminshelf.message.WaitingPrompt value) {
+    value.getClass();  // minimal bytecode null check
+    ensurePromptsIsMutable();
+    prompts_.set(index, value);
+  }
   /**
    * <pre>
-   * Milliseconds of prompts sent there that were not taken in yet, by the rank of their routes, first rank first.
+   * Prompts sent there that were not taken in yet.
    * </pre>
    *
-   * <code>repeated uint32 prompt_ms = 3;</code>
-   * @param index The index to set the value at.
-   * @param value The promptMs to set.
+   * <code>repeated .cuminshelf.WaitingPrompt prompts = 5;</code>
    */
-  private void setPromptMs(
-      int index, int value) {
-    ensurePromptMsIsMutable();
-    promptMs_.setInt(index, value);
+  @java.lang.SuppressWarnings("ReturnValueIgnored")
+  private void addPrompts(org.cuminshelf.message.WaitingPrompt value) {
+    value.getClass();  // minimal bytecode null check
+    ensurePromptsIsMutable();
+    prompts_.add(value);
   }
   /**
    * <pre>
-   * Milliseconds of prompts sent there that were not taken in yet, by the rank of their routes, first rank first.
+   * Prompts sent there that were not taken in yet.
    * </pre>
    *
-   * <code>repeated uint32 prompt_ms = 3;</code>
-   * @param value The promptMs to add.
+   * <code>repeated .cuminshelf.WaitingPrompt prompts = 5;</code>
    */
-  private void addPromptMs(int value) {
-    ensurePromptMsIsMutable();
-    promptMs_.addInt(value);
+  @java.lang.SuppressWarnings("ReturnValueIgnored")
+  private void addPrompts(
+      int index, org.cuminshelf.message.WaitingPrompt value) {
+    value.getClass();  // minimal bytecode null check
+    ensurePromptsIsMutable();
+    prompts_.add(index, value);
   }
   /**
    * <pre>
-   * Milliseconds of prompts sent there that were not taken in yet, by the rank of their routes, first rank first.
+   * Prompts sent there that were not taken in yet.
    * </pre>
    *
-   * <code>repeated uint32 prompt_ms = 3;</code>
-   * @param values The promptMs to add.
+   * <code>repeated .cuminshelf.WaitingPrompt prompts = 5;</code>
    */
-  private void addAllPromptMs(
-      java.lang.Iterable<? extends java.lang.Integer> values) {
-    ensurePromptMsIsMutable();
+  private void addAllPrompts(
+      java.lang.Iterable<? extends org.cuminshelf.message.WaitingPrompt> values) {
+    ensurePromptsIsMutable();
     com.google.protobuf.AbstractMessageLite.addAll(
-        values, promptMs_);
+        values, prompts_);
   }
   /**
    * <pre>
-   * Milliseconds of prompts sent there that were not taken in yet, by the rank of their routes, first rank first.
+   * Prompts sent there that were not taken in yet.
    * </pre>
    *
-   * <code>repeated uint32 prompt_ms = 3;</code>
+   * <code>repeated .cuminshelf.WaitingPrompt prompts = 5;</code>
    */
-  private void clearPromptMs() {
-    promptMs_ = emptyIntList();
+  private void clearPrompts() {
+    prompts_ = emptyProtobufList();
+  }
+  /**
+   * <pre>
+   * Prompts sent there that were not taken in yet.
+   * </pre>
+   *
+   * <code>repeated .cuminshelf.WaitingPrompt prompts = 5;</code>
+   */
+  private void removePrompts(int index) {
+    ensurePromptsIsMutable();
+    prompts_.remove(index);
   }
 
   public static org.cuminshelf.message.UpstreamLoad parseFrom(
@@ -445,98 +487,151 @@
 
     /**
      * <pre>
-     * Milliseconds of prompts sent there that were not taken in yet, by the rank of their routes, first rank first.
+     * Prompts sent there that were not taken in yet.
      * </pre>
      *
-     * <code>repeated uint32 prompt_ms = 3;</code>
-     * @return A list containing the promptMs.
+     * <code>repeated .cuminshelf.WaitingPrompt prompts = 5;</code>
      */
     @java.lang.Override
-    public java.util.List<java.lang.Integer>
-        getPromptMsList() {
+    public java.util.List<org.cuminshelf.message.WaitingPrompt> getPromptsList() {
       return java.util.Collections.unmodifiableList(
-          instance.getPromptMsList());
+          instance.getPromptsList());
     }
     /**
      * <pre>
-     * Milliseconds of prompts sent there that were not taken in yet, by the rank of their routes, first rank first.
+     * Prompts sent there that were not taken in yet.
      * </pre>
      *
-     * <code>repeated uint32 prompt_ms = 3;</code>
-     * @return The count of promptMs.
+     * <code>repeated .cuminshelf.WaitingPrompt prompts = 5;</code>
      */
     @java.lang.Override
-    public int getPromptMsCount() {
-      return instance.getPromptMsCount();
+    public int getPromptsCount() {
+      return instance.getPromptsCount();
+    }/**
+     * <pre>
+     * Prompts sent there that were not taken in yet.
+     * </pre>
+     *
+     * <code>repeated .cuminshelf.WaitingPrompt prompts = 5;</code>
+     */
+    @java.lang.Override
+    public org.cuminshelf.message.WaitingPrompt getPrompts(int index) {
+      return instance.getPrompts(index);
     }
     /**
      * <pre>
-     * Milliseconds of prompts sent there that were not taken in yet, by the rank of their routes, first rank first.
+     * Prompts sent there that were not taken in yet.
      * </pre>
      *
-     * <code>repeated uint32 prompt_ms = 3;</code>
-     * @param index The index of the element to return.
-     * @return The promptMs at the given index.
+     * <code>repeated .cuminshelf.WaitingPrompt prompts = 5;</code>
      */
-    @java.lang.Override
-    public int getPromptMs(int index) {
-      return instance.getPromptMs(index);
+    public Builder setPrompts(
+        int index, org.cuminshelf.message.WaitingPrompt value) {
+      copyOnWrite();
+      instance.setPrompts(index, value);
+      return this;
     }
     /**
      * <pre>
-     * Milliseconds of prompts sent there that were not taken in yet, by the rank of their routes, first rank first.
+     * Prompts sent there that were not taken in yet.
      * </pre>
      *
-     * <code>repeated uint32 prompt_ms = 3;</code>
-     * @param value The promptMs to set.
-     * @return This builder for chaining.
+     * <code>repeated .cuminshelf.WaitingPrompt prompts = 5;</code>
      */
-    public Builder setPromptMs(
-        int index, int value) {
+    public Builder setPrompts(
+        int index, org.cuminshelf.message.WaitingPrompt.Builder builderForValue) {
       copyOnWrite();
-      instance.setPromptMs(index, value);
+      instance.setPrompts(index,
+          builderForValue.build());
       return this;
     }
     /**
      * <pre>
-     * Milliseconds of prompts sent there that were not taken in yet, by the rank of their routes, first rank first.
+     * Prompts sent there that were not taken in yet.
      * </pre>
      *
-     * <code>repeated uint32 prompt_ms = 3;</code>
-     * @param value The promptMs to add.
-     * @return This builder for chaining.
+     * <code>repeated .cuminshelf.WaitingPrompt prompts = 5;</code>
      */
-    public Builder addPromptMs(int value) {
+    public Builder addPrompts(org.cuminshelf.message.WaitingPrompt value) {
       copyOnWrite();
-      instance.addPromptMs(value);
+      instance.addPrompts(value);
       return this;
     }
     /**
      * <pre>
-     * Milliseconds of prompts sent there that were not taken in yet, by the rank of their routes, first rank first.
+     * Prompts sent there that were not taken in yet.
      * </pre>
      *
-     * <code>repeated uint32 prompt_ms = 3;</code>
-     * @param values The promptMs to add.
-     * @return This builder for chaining.
+     * <code>repeated .cuminshelf.WaitingPrompt prompts = 5;</code>
      */
-    public Builder addAllPromptMs(
-        java.lang.Iterable<? extends java.lang.Integer> values) {
+    public Builder addPrompts(
+        int index, org.cuminshelf.message.WaitingPrompt value) {
       copyOnWrite();
-      instance.addAllPromptMs(values);
+      instance.addPrompts(index, value);
       return this;
     }
     /**
      * <pre>
-     * Milliseconds of prompts sent there that were not taken in yet, by the rank of their routes, first rank first.
+     * Prompts sent there that were not taken in yet.
      * </pre>
      *
-     * <code>repeated uint32 prompt_ms = 3;</code>
-     * @return This builder for chaining.
+     * <code>repeated .cuminshelf.WaitingPrompt prompts = 5;</code>
+     */
+    public Builder addPrompts(
+        org.cuminshelf.message.WaitingPrompt.Builder builderForValue) {
+      copyOnWrite();
+      instance.addPrompts(builderForValue.build());
+      return this;
+    }
+    /**
+     * <pre>
+     * Prompts sent there that were not taken in yet.
+     * </pre>
+     *
+     * <code>repeated .cuminshelf.WaitingPrompt prompts = 5;</code>
+     */
+    public Builder addPrompts(
+        int index, org.cuminshelf.message.WaitingPrompt.Builder builderForValue) {
+      copyOnWrite();
+      instance.addPrompts(index,
+          builderForValue.build());
+      return this;
+    }
+    /**
+     * <pre>
+     * Prompts sent there that were not taken in yet.
+     * </pre>
+     *
+     * <code>repeated .cuminshelf.WaitingPrompt prompts = 5;</code>
+     */
+    public Builder addAllPrompts(
+        java.lang.Iterable<? extends org.cuminshelf.message.WaitingPrompt> values) {
+      copyOnWrite();
+      instance.addAllPrompts(values);
+      return this;
+    }
+    /**
+     * <pre>
+     * Prompts sent there that were not taken in yet.
+     * </pre>
+     *
+     * <code>repeated .cuminshelf.WaitingPrompt prompts = 5;</code>
+     */
+    public Builder clearPrompts() {
+      copyOnWrite();
+      instance.clearPrompts();
+      return this;
+    }
+    /**
+     * <pre>
+     * Prompts sent there that were not taken in yet.
+     * </pre>
+     *
+     * <code>repeated .cuminshelf.WaitingPrompt prompts = 5;</code>
      */
-    public Builder clearPromptMs() {
+    public Builder removePrompts(int index) {
       copyOnWrite();
-      instance.clearPromptMs();
+      instance.removePrompts(index);
       return this;
     }
 
@@ -558,12 +653,13 @@
           java.lang.Object[] objects = new java.lang.Object[] {
             "id_",
             "running_",
-            "promptMs_",
             "tokens_",
+            "prompts_",
+            org.cuminshelf.message.WaitingPrompt.class,
           };
           java.lang.String info =
-              "\u0000\u0004\u0000\u0000\u0001\u0004\u0004\u0000\u0001\u0000\u0001\u0208\u0002\u000b" +
-              "\u0003+\u0004\u000b";
+              "\u0000\u0004\u0000\u0000\u0001\u0005\u0004\u0000\u0001\u0000\u0001\u0208\u0002\u000b" +
+              "\u0004\u000b\u0005\u001b";
           return newMessageInfo(DEFAULT_INSTANCE, info, objects);
       }
       case GET_DEFAULT_INSTANCE: {
--- a/src/main/java/org/cuminshelf/message/UpstreamLoadOrBuilder.java
+++ b/src/main/java/org/cuminshelf/message/UpstreamLoadOrBuilder.java
@@ -40,30 +40,27 @@
 
   /**
    * <pre>
-   * Milliseconds of prompts sent there that were not taken in yet, by the rank of their routes, first rank first.
+   * Prompts sent there that were not taken in yet.
    * </pre>
    *
-   * <code>repeated uint32 prompt_ms = 3;</code>
-   * @return A list containing the promptMs.
+   * <code>repeated .cuminshelf.WaitingPrompt prompts = 5;</code>
    */
-  java.util.List<java.lang.Integer> getPromptMsList();
+  java.util.List<org.cuminshelf.message.WaitingPrompt> 
+      getPromptsList();
   /**
    * <pre>
-   * Milliseconds of prompts sent there that were not taken in yet, by the rank of their routes, first rank first.
+   * Prompts sent there that were not taken in yet.
    * </pre>
    *
-   * <code>repeated uint32 prompt_ms = 3;</code>
-   * @return The count of promptMs.
+   * <code>repeated .cuminshelf.WaitingPrompt prompts = 5;</code>
    */
-  int getPromptMsCount();
+  org.cuminshelf.message.WaitingPrompt getPrompts(int index);
   /**
    * <pre>
-   * Milliseconds of prompts sent there that were not taken in yet, by the rank of their routes, first rank first.
+   * Prompts sent there that were not taken in yet.
    * </pre>
    *
-   * <code>repeated uint32 prompt_ms = 3;</code>
-   * @param index The index of the element to return.
-   * @return The promptMs at the given index.
+   * <code>repeated .cuminshelf.WaitingPrompt prompts = 5;</code>
    */
-  int getPromptMs(int index);
+  int getPromptsCount();
 }
--- a/src/main/java/org/cuminshelf/platform/ConfigDocument.java
+++ b/src/main/java/org/cuminshelf/platform/ConfigDocument.java
@@ -99,7 +99,8 @@
                 (int) number(node, "priority", 0),
                 services,
                 (int) Math.max(1, number(node, "maxAttempts", 1)),
-                node.path("resumable").asBoolean(false));
+                node.path("resumable").asBoolean(false),
+                Math.max(0, number(node, "gapAimMs", 0)));
     }
 
     private static RequestKind kind(String word) throws IOException {
--- a/src/main/java/org/cuminshelf/routes/Route.java
+++ b/src/main/java/org/cuminshelf/routes/Route.java
@@ -15,6 +15,7 @@
  * @param services      where its requests go
  * @param maxAttempts   most upstreams to which one request is sent
  * @param resumable     whether a stream may go on at another upstream after the last event that was delivered
+ * @param pauseMillis   longest pause between two events of a stream that counts as being on time; 0 if none is stated
  */
 public record Route(
         String name,
@@ -26,7 +27,8 @@
         int priority,
         List<WeightedService> services,
         int maxAttempts,
-        boolean resumable) {
+        boolean resumable,
+        long pauseMillis) {
 
     /**
      * Whether a request may run more than once.
--- /dev/null
+++ b/src/test/java/org/cuminshelf/engines/PromptQueueTest.java
@@ -0,0 +1,66 @@
+package org.cuminshelf.engines;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.List;
+import net.jqwik.api.Example;
+import org.cuminshelf.core.Address;
+
+/** When an engine will be free. */
+class PromptQueueTest {
+
+    private static final long MILLI = 1_000_000;
+    private static final long NOW = 5_000 * MILLI;
+    private static final Address OTHER = Address.of("10.0.1.2:7000");
+    private final PromptQueue queue = PromptQueue.empty();
+
+    /*
+     * A prompt waits at the entry for an engine that is nearly free: its queue counts as long as when it was sent,
+     * though most of it has been read.
+     */
+    @Example
+    void whatWasReadSinceCountsNoMore() {
+        queue.add(1, new PromptQueue.Waiting(NOW, 100));
+        queue.add(2, new PromptQueue.Waiting(NOW, 50));
+        assertThat(queue.waitMillis(NOW, 0)).isEqualTo(150);
+        assertThat(queue.waitMillis(NOW + 30 * MILLI, 0)).isEqualTo(120);
+        queue.remove(1);
+        queue.taken(NOW + 100 * MILLI);
+        assertThat(queue.waitMillis(NOW + 120 * MILLI, 0)).isEqualTo(30);
+    }
+
+    /*
+     * An engine that reads more slowly than expected looks free, gets all new prompts, and all of them are late: what
+     * showed no sign of having been taken in is still being read, however long ago it should have been.
+     */
+    @Example
+    void whatShowedNoSignIsStillThere() {
+        queue.add(1, new PromptQueue.Waiting(NOW, 100));
+        queue.add(2, new PromptQueue.Waiting(NOW, 50));
+        assertThat(queue.waitMillis(NOW + 900 * MILLI, 0)).isEqualTo(50);
+        queue.remove(1);
+        assertThat(queue.waitMillis(NOW + 900 * MILLI, 0)).isZero();
+    }
+
+    /*
+     * An engine counts as taken though it is free: the sign that a prompt was taken in follows a tenth of a second
+     * after the engine's work on it.
+     */
+    @Example
+    void theSignMayFollowTheWork() {
+        queue.add(1, new PromptQueue.Waiting(NOW, 100));
+        assertThat(queue.waitMillis(NOW + 150 * MILLI, 120)).isZero();
+        queue.add(2, new PromptQueue.Waiting(NOW + 150 * MILLI, 40));
+        assertThat(queue.waitMillis(NOW + 160 * MILLI, 120)).isEqualTo(30);
+    }
+
+    @Example
+    void whatOtherEntriesToldCountsUntilTheyTellAnew() {
+        queue.told(OTHER, List.of(new PromptQueue.Waiting(NOW, 80)));
+        queue.add(1, new PromptQueue.Waiting(NOW, 20));
+        assertThat(queue.waitMillis(NOW, 0)).isEqualTo(100);
+        queue.told(OTHER, List.of());
+        assertThat(queue.waitMillis(NOW, 0)).isEqualTo(20);
+        assertThat(queue.own()).hasSize(1);
+    }
+}
