Give large prompts of a route a share of what the route gets

Cause: what is late goes only if worth more than its engine's time, and the largest prompts take ten times the time of a usual one for at most four times its worth, so that by price they are always the ones refused.

--- a/src/main/java/org/cuminshelf/direct/CallRow.java
+++ b/src/main/java/org/cuminshelf/direct/CallRow.java
@@ -62,6 +62,9 @@
     /** Longest pause between two events so far, in nanoseconds. */
     long longestPause;
 
+    /** Its claim to the share of its size, where it is a generation. */
+    Optional<SizeFairness.Claim> claim = Optional.empty();
+
     Optional<Verdict> lastFailure = Optional.empty();
     boolean done;
 
--- a/src/main/java/org/cuminshelf/direct/CallSystem.java
+++ b/src/main/java/org/cuminshelf/direct/CallSystem.java
@@ -53,6 +53,7 @@
     private final Map<Long, CallRow> open = new HashMap<>();
     private final Deadlines<Long> callDeadlines = Deadlines.create();
     private final WaitingCalls waiting = new WaitingCalls();
+    private final SizeFairness fairness = new SizeFairness();
 
     CallSystem(
             UpstreamProtocol protocol,
@@ -97,12 +98,11 @@
         open.put(call.number, call);
         callDeadlines.set(call.number, call.deadline);
         budget.onRequest(now, call.service);
-        call.intent
-                .generation()
-                .ifPresent(shape -> control.offered(
-                        call.service,
-                        placement.readMicros(now, call, shape),
-                        placement.runningMicros(call.service, shape)));
+        call.intent.generation().ifPresent(shape -> {
+            call.claim = Optional.of(fairness.arrived(call.route.name(), CallValues.size(shape)));
+            control.offered(
+                    call.service, placement.readMicros(now, call, shape), placement.runningMicros(call.service, shape));
+        });
         place(now, call);
     }
 
@@ -146,20 +146,31 @@
     }
 
     /**
-     * Sends a call that will be in time, or whose answer is worth more than the engine's time though it comes late.
-     * Under more work than the engines can take their time is dear, so that only what is in time goes: queues of
-     * prompts that are all late serve nobody.
+     * Sends a call that will be in time, or whose answer is worth more than the engine's time though it comes late, or
+     * whose size was refused more than its share. Under more work than the engines can take their time is dear, so that
+     * only what is in time goes: queues of prompts that are all late serve nobody.
      */
     private void sendUnlessLate(long now, CallRow call, Placement.Choice choice) {
         double first = Durations.millis(now - call.arrivedAt) + choice.firstMillis();
         boolean inTime = first <= call.route.targetMillis();
-        if (call.attempt != null || inTime || choice.gain() > 0) {
+        if (call.attempt != null || inTime || choice.gain() > 0 || isOwed(call, first)) {
             send(now, call, choice);
         } else {
             refuseLate(now, call, choice);
         }
     }
 
+    /** Whether a call goes for its size's sake, which it does only where its caller will still be there. */
+    private static boolean isOwed(CallRow call, double firstMillis) {
+        return firstMillis <= longestFirst(call)
+                && call.claim.filter(SizeFairness.Claim::isOwed).isPresent();
+    }
+
+    /** Milliseconds after which the caller of a stream that shows nothing has left. */
+    private static double longestFirst(CallRow call) {
+        return Math.max(LONGEST_FIRST_MILLIS, LONGEST_FIRST_FACTOR * call.route.targetMillis());
+    }
+
     private void refuseUnplaced(long now, CallRow call, boolean full) {
         call.lastFailure = Optional.of(
                 full
@@ -194,11 +205,9 @@
         if (call.begun || call.cache.isPresent() || choice.firstMillis() == 0) {
             return false;
         }
-        double target = call.route.targetMillis();
         double own = choice.firstMillis() - choice.waitMillis();
         double first = Durations.millis(now - call.arrivedAt) + own;
-        return first > Math.max(LONGEST_FIRST_MILLIS, LONGEST_FIRST_FACTOR * target)
-                || now + Durations.nanos((long) own) > call.deadline;
+        return first > longestFirst(call) || now + Durations.nanos((long) own) > call.deadline;
     }
 
     private void send(long now, CallRow call, Placement.Choice choice) {
@@ -207,6 +216,7 @@
                 "at-most-once",
                 () -> "request " + call.intent.id() + " is sent again though it may have run");
         waiting.remove(call);
+        call.claim.ifPresent(SizeFairness.Claim::sent);
         attempts.send(now, call, choice);
     }
 
@@ -259,6 +269,7 @@
         callers.pass(now, attempt);
         // Whoever answered took the KV cache.
         attempt.call.cache = Optional.empty();
+        attempt.call.claim.ifPresent(claim -> claim.ended(attempt.isSuccess()));
         close(attempt.call);
     }
 
@@ -370,6 +381,7 @@
             return;
         }
         callers.giveUp(now, call, reason);
+        call.claim.ifPresent(claim -> claim.ended(false));
         close(call);
     }
 
--- a/src/main/java/org/cuminshelf/direct/CallValues.java
+++ b/src/main/java/org/cuminshelf/direct/CallValues.java
@@ -32,7 +32,8 @@
         return Math.min(MOST, BASE + (1 - BASE) * size(shape) / Math.max(1, mean));
     }
 
-    private static double size(GenerationShape shape) {
+    /** The size of a generation, in tokens of prompt. */
+    static double size(GenerationShape shape) {
         return shape.promptTokens() + OUTPUT_WEIGHT * shape.outputTokens();
     }
 }
