Tell the starts of an upstream apart, and take heartbeats whole or not at all

Cause, read in the code and shown by the tests, which failed before: an upstream that starts again under its name counts anew, and control dropped its words as late ones until it had counted past its former self, or for a minute if it had said that it is gone; entries went on believing that it held the parts, the load and the speed of its former self. Heartbeats were taken as far as they could be read, so that one of another writer named an upstream that isn't there. Change: the identity of a start is its name and the time of the start; control and entries keep a row for each start, the newest ends those before, words of older ones change nothing, orders keep their pause by name, as a late one reaches whichever start is there. The word that an upstream is gone names no start: it ends the newest known, or those begun before it. A heartbeat with a field missing, mistyped or unknown is refused, counted and logged at two lines a second.

--- a/src/main/java/org/cuminshelf/control/ControlCore.java
+++ b/src/main/java/org/cuminshelf/control/ControlCore.java
@@ -141,7 +141,7 @@
         switch (input.getBodyCase()) {
             case ANNOUNCE -> onAnnounce(now, from, input.getIncarnation(), input.getAnnounce());
             case SUBSCRIBE -> onSubscribe(now, from, input.getIncarnation(), input.getSubscribe(), out);
-            case UPSTREAM_BEAT -> registry.onBeat(now, input.getUpstreamBeat(), otherControl(), out);
+            case UPSTREAM_BEAT -> registry.onBeat(now, wallMillis, input.getUpstreamBeat(), otherControl(), out);
             case ORDER_APPLIED -> stages.onOutcome(input.getOrderApplied());
             case CLAIM_REQUEST -> onClaim(now, from, input.getClaimRequest(), out);
             case ORDER_REPORT ->
--- a/src/main/java/org/cuminshelf/control/Registry.java
+++ b/src/main/java/org/cuminshelf/control/Registry.java
@@ -1,10 +1,11 @@
 package org.cuminshelf.control;
 
-import java.util.Iterator;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.TreeMap;
+import java.util.stream.Stream;
 import org.cuminshelf.core.Address;
 import org.cuminshelf.core.Durations;
 import org.cuminshelf.core.Outbox;
@@ -17,8 +18,15 @@
  * The upstreams that announce themselves straight to control, each to one control process at a time, which passes the
  * word on to the others. Not replicated: a control process that restarts hears from all again within a heartbeat.
  *
- * <p>Failure it guards against: a heartbeat is delayed and arrives after the word that its sender is gone, or after a
- * newer one. The sequence orders the words of one start; a start that said it is gone stays gone.
+ * <p>Failures it guards against:
+ * <ul>
+ *   <li>A heartbeat is delayed and arrives after the word that its sender is gone, or after a newer one. The sequence
+ *       orders the words of one start; a start that said it is gone stays gone.</li>
+ *   <li>An upstream starts again under its name and counts anew. Ordered by the sequence alone it would not be heard
+ *       until it has counted past its former self, and what is known of the former start would be believed of it. Each
+ *       start has an identity of its own, made of the name and the time of the start; the newest is the one that is
+ *       there, and words of older ones change nothing.</li>
+ * </ul>
  */
 final class Registry {
 
@@ -34,41 +42,102 @@
         private long changingUntil;
     }
 
+    /** The starts of one name. */
+    private static final class Starts {
+        private long newest = -1;
+        private long goneUpTo = -1;
+        private final List<Row> rows = new ArrayList<>();
+    }
+
     private final Directory versions;
-    private final Map<String, Row> rows = new TreeMap<>();
+    private final Map<String, Starts> names = new TreeMap<>();
 
     Registry(Directory versions) {
         this.versions = versions;
     }
 
-    /** Takes an announcement; what came from the upstream itself is passed on to the other control processes. */
-    void onBeat(long now, UpstreamBeat beat, List<Address> others, Outbox out) {
-        Row row = rows.get(beat.getId());
-        boolean stale = row != null
-                && (row.beat.getDeleted() || !beat.getDeleted() && beat.getSequence() < row.beat.getSequence());
-        if (stale) {
-            return;
+    /**
+     * Takes an announcement; what came from the upstream itself is passed on to the other control processes.
+     *
+     * @param now        the time in nanoseconds
+     * @param wallMillis the time of day in Unix milliseconds
+     * @param beat       the announcement
+     * @param others     the other control processes
+     * @param out        takes what is passed on
+     */
+    void onBeat(long now, long wallMillis, UpstreamBeat beat, List<Address> others, Outbox out) {
+        UpstreamBeat known = beat.getDeleted() ? onGone(now, wallMillis, beat) : onAlive(now, beat);
+        if (!known.getName().isEmpty() && !beat.getPassedOn()) {
+            UpstreamBeat passed = known.toBuilder().setPassedOn(true).build();
+            others.forEach(other -> out.send(other, Envelope.newBuilder().setUpstreamBeat(passed)));
+        }
+    }
+
+    /** Takes a heartbeat; returns what is known then, or an empty word if it came too late to change anything. */
+    private UpstreamBeat onAlive(long now, UpstreamBeat beat) {
+        Starts starts = names.computeIfAbsent(beat.getName(), key -> new Starts());
+        if (beat.getBornMs() <= starts.goneUpTo || beat.getBornMs() < starts.newest) {
+            return UpstreamBeat.getDefaultInstance();
         }
-        if (row == null) {
-            row = new Row();
-            rows.put(beat.getId(), row);
+        if (beat.getBornMs() > starts.newest) {
+            starts.rows.forEach(this::end);
+            starts.newest = beat.getBornMs();
+            starts.rows.add(new Row());
+        }
+        Row row = starts.rows.getLast();
+        if (row.beat != null && beat.getSequence() < row.beat.getSequence()) {
+            return UpstreamBeat.getDefaultInstance();
         }
         row.heardAt = now;
         put(row, merged(row.beat, beat));
-        if (!beat.getPassedOn()) {
-            UpstreamBeat passed = row.beat.toBuilder().setPassedOn(true).build();
-            others.forEach(other -> out.send(other, Envelope.newBuilder().setUpstreamBeat(passed)));
+        return row.beat;
+    }
+
+    /**
+     * Takes the word that an upstream is gone. It may not say which start of it: then it is the newest that is known,
+     * or where none is, any that started up to now.
+     */
+    private UpstreamBeat onGone(long now, long wallMillis, UpstreamBeat beat) {
+        Starts starts = names.computeIfAbsent(beat.getName(), key -> new Starts());
+        long unnamed = starts.newest >= 0 ? starts.newest : wallMillis;
+        long upTo = beat.getBornMs() > 0 ? beat.getBornMs() : unnamed;
+        starts.goneUpTo = Math.max(starts.goneUpTo, upTo);
+        if (starts.newest < 0) {
+            Row row = new Row();
+            put(
+                    row,
+                    beat.toBuilder()
+                            .setId(identity(beat.getName(), upTo))
+                            .setBornMs(upTo)
+                            .build());
+            starts.rows.add(row);
+        }
+        for (Row row : starts.rows) {
+            row.heardAt = now;
+            if (row.beat.getBornMs() <= starts.goneUpTo) {
+                end(row);
+            }
         }
+        return UpstreamBeat.newBuilder()
+                .setName(beat.getName())
+                .setBornMs(starts.goneUpTo)
+                .setDeleted(true)
+                .build();
+    }
+
+    private void end(Row row) {
+        put(row, row.beat.toBuilder().setDeleted(true).setLapsed(false).build());
+    }
+
+    private static String identity(String name, long bornMillis) {
+        return name + '@' + bornMillis;
     }
 
-    /** The word that an upstream is gone names nothing but its identity; the rest stays as it was. */
     private static UpstreamBeat merged(UpstreamBeat before, UpstreamBeat beat) {
-        if (beat.getDeleted() && before != null) {
-            return before.toBuilder().setDeleted(true).setLapsed(false).build();
-        }
         boolean leaving = beat.getLeaving() || before != null && before.getLeaving();
         boolean changing = before != null && before.getChanging();
         return beat.toBuilder()
+                .setId(identity(beat.getName(), beat.getBornMs()))
                 .setLeaving(leaving)
                 .setLapsed(false)
                 .setChanging(changing)
@@ -95,49 +164,58 @@
     }
 
     /** Notes that an upstream takes no new work until it has a role, or until a time at the latest. */
-    void changing(String id, Role role, long until) {
-        Row row = rows.get(id);
-        if (row != null && row.beat.getRole() != role) {
+    void changing(String name, Role role, long until) {
+        newest(name).filter(row -> row.beat.getRole() != role).ifPresent(row -> {
             row.changingTo = role;
             row.changingUntil = until;
             put(row, row.beat.toBuilder().setChanging(true).build());
-        }
+        });
     }
 
     /** The upstreams that are neither gone nor leaving. */
     List<UpstreamBeat> serving() {
-        return rows.values().stream()
-                .map(row -> row.beat)
+        return rows().map(row -> row.beat)
                 .filter(beat -> !beat.getDeleted() && !beat.getLapsed() && !beat.getLeaving())
                 .toList();
     }
 
-    Optional<UpstreamBeat> row(String id) {
-        return Optional.ofNullable(rows.get(id)).map(row -> row.beat);
+    /** What is known of the newest start of a name. */
+    Optional<UpstreamBeat> row(String name) {
+        return newest(name).map(row -> row.beat);
+    }
+
+    private Optional<Row> newest(String name) {
+        return Optional.ofNullable(names.get(name)).map(starts -> starts.rows.getLast());
+    }
+
+    private Stream<Row> rows() {
+        return names.values().stream().flatMap(starts -> starts.rows.stream());
     }
 
     void tick(long now) {
-        Iterator<Row> all = rows.values().iterator();
-        while (all.hasNext()) {
-            Row row = all.next();
-            if (row.beat.getChanging() && (row.beat.getRole() == row.changingTo || now > row.changingUntil)) {
-                put(row, row.beat.toBuilder().setChanging(false).build());
-            }
-            boolean ended = row.beat.getDeleted() || row.beat.getLapsed();
-            if (!ended && now - row.heardAt > LEASE) {
-                put(row, row.beat.toBuilder().setLapsed(true).build());
-            } else if (ended && now - row.heardAt > GONE_KEPT) {
-                all.remove();
-            }
+        rows().forEach(row -> tick(now, row));
+        names.values().forEach(starts -> starts.rows.removeIf(row -> isForgotten(now, row)));
+        names.values().removeIf(starts -> starts.rows.isEmpty());
+    }
+
+    private void tick(long now, Row row) {
+        if (row.beat.getChanging() && (row.beat.getRole() == row.changingTo || now > row.changingUntil)) {
+            put(row, row.beat.toBuilder().setChanging(false).build());
+        }
+        boolean ended = row.beat.getDeleted() || row.beat.getLapsed();
+        if (!ended && now - row.heardAt > LEASE) {
+            put(row, row.beat.toBuilder().setLapsed(true).build());
         }
     }
 
+    private static boolean isForgotten(long now, Row row) {
+        boolean ended = row.beat.getDeleted() || row.beat.getLapsed();
+        return ended && now - row.heardAt > GONE_KEPT;
+    }
+
     /** Adds what a subscriber lacks to an update. */
     void describe(boolean whole, long heldVersion, Update.Builder update) {
-        for (Row row : rows.values()) {
-            if (whole || row.beat.getChangedAt() > heldVersion) {
-                update.addUpstreams(row.beat);
-            }
-        }
+        rows().filter(row -> whole || row.beat.getChangedAt() > heldVersion)
+                .forEach(row -> update.addUpstreams(row.beat));
     }
 }
--- a/src/main/java/org/cuminshelf/control/StageSystem.java
+++ b/src/main/java/org/cuminshelf/control/StageSystem.java
@@ -31,7 +31,8 @@
  *       a lease, and only by the leader of the term in which it was committed; its number is its index in the log, so
  *       that numbers rise across leaders.</li>
  *   <li>An engine takes an order, answers nothing, and carries it out seconds later, after a newer one. After an order
- *       an engine is left alone for {@link #QUIET}, by its successor too, which knows the order from the log.</li>
+ *       an engine is left alone for {@link #QUIET}, by its successor too, which knows the order from the log, and
+ *       under its name: the order may reach a later start of it.</li>
  *   <li>Requests reach an engine that is about to change its role and are refused. Entries are told
  *       {@link #NOTICE} before the order is sent.</li>
  * </ul>
@@ -159,10 +160,10 @@
      * for the last; one that had an order lately comes last, as it can't have another.
      */
     private EngineView view(long now, UpstreamBeat beat) {
-        Sent before = last.get(beat.getId());
+        Sent before = last.get(beat.getName());
         boolean ordered = before != null && now - before.knownAt <= QUIET;
         Role role = beat.getChanging() && before != null ? before.order.getRole() : beat.getRole();
-        return new EngineView(beat.getId(), role, false, ordered ? Integer.MAX_VALUE : 0);
+        return new EngineView(beat.getName(), role, false, ordered ? Integer.MAX_VALUE : 0);
     }
 
     /** Requests that one engine of a service runs at once. */
@@ -182,7 +183,7 @@
         }
         registry.row(change.engine()).ifPresent(beat -> {
             DirectOrder order = DirectOrder.newBuilder()
-                    .setUpstream(beat.getId())
+                    .setUpstream(beat.getName())
                     .setAddress(beat.getAddress())
                     .setRole(change.role())
                     .build();
@@ -190,7 +191,7 @@
                 proposals++;
                 Logger.info(
                         LOG + "event=order id={} number={} role={} service={} outcome=proposed demand={}",
-                        beat.getId(),
+                        beat.getName(),
                         index,
                         change.role(),
                         service,
--- a/src/main/java/org/cuminshelf/direct/AttemptSystem.java
+++ b/src/main/java/org/cuminshelf/direct/AttemptSystem.java
@@ -129,7 +129,7 @@
             call.attempts++;
         }
         AttemptPlan plan = new AttemptPlan(
-                upstream.id,
+                upstream.name,
                 Durations.millisLeft(now, call.deadline),
                 priority(call),
                 attempt.prefillOnly,
--- a/src/main/java/org/cuminshelf/direct/CallSystem.java
+++ b/src/main/java/org/cuminshelf/direct/CallSystem.java
@@ -276,8 +276,8 @@
     /** The upstream answered in full, but not with success. */
     private void onRefusal(long now, AttemptRow attempt) {
         CallRow call = attempt.call;
-        if (attempt.facts.isOtherThan(attempt.upstream.id)) {
-            upstreams.end(now, attempt.upstream.id, "another start has its address");
+        if (attempt.facts.isOtherThan(attempt.upstream.name)) {
+            upstreams.end(now, attempt.upstream, "another start has its address");
             failed(now, attempt, new Verdict.NotRun(Cause.WRONG_INCARNATION, 0));
             return;
         }
@@ -327,8 +327,8 @@
             place(now, call);
             return;
         }
-        if (attempt.facts.isOtherThan(attempt.upstream.id)) {
-            upstreams.end(now, attempt.upstream.id, "another start has its address");
+        if (attempt.facts.isOtherThan(attempt.upstream.name)) {
+            upstreams.end(now, attempt.upstream, "another start has its address");
         } else {
             attempt.upstream.failed(now);
         }
--- a/src/main/java/org/cuminshelf/direct/UpstreamRow.java
+++ b/src/main/java/org/cuminshelf/direct/UpstreamRow.java
@@ -25,7 +25,13 @@
 
     private static final double LATENCY_WEIGHT = 0.1;
 
+    /** Names this start. */
     final String id;
+    /** Names the upstream, whichever start of it. */
+    final String name;
+    /** When it started, in Unix milliseconds. */
+    final long bornMillis;
+
     final Address address;
     final String service;
     final String zone;
@@ -61,6 +67,8 @@
 
     UpstreamRow(UpstreamBeat beat) {
         this.id = beat.getId();
+        this.name = beat.getName();
+        this.bornMillis = beat.getBornMs();
         this.address = Address.of(beat.getAddress());
         this.service = beat.getService();
         this.zone = beat.getZone();
--- a/src/main/java/org/cuminshelf/direct/UpstreamTable.java
+++ b/src/main/java/org/cuminshelf/direct/UpstreamTable.java
@@ -25,8 +25,10 @@
  * <ul>
  *   <li>All control processes were just killed and know nobody yet. An upstream that none lists any more is kept for
  *       {@link #UNLISTED_KEPT}, in which a living one has announced itself several times.</li>
- *   <li>A delayed announcement of an upstream that is gone arrives late and brings it back. Identities that ended are
+ *   <li>A delayed announcement of an upstream that is gone arrives late and brings it back. Starts that ended are
  *       remembered for {@link #ENDED_KEPT} and never taken in again.</li>
+ *   <li>An upstream starts again under its name, and what it held and how fast it was is believed of the new start:
+ *       prompts count on parts that it lost. Each start has a row of its own, and the newest ends those before.</li>
  *   <li>Another upstream has the address. It refuses, its identity being another, and the old one ends here.</li>
  * </ul>
  */
@@ -37,9 +39,20 @@
     /** What another entry told counts for as long; it tells ten times a second. */
     private static final long LOAD_KEPT = Durations.nanos(1_000);
 
+    /**
+     * Starts of a name that ended.
+     *
+     * @param upTo when the last of them started, in Unix milliseconds
+     * @param at   when that was told, in nanoseconds
+     */
+    private record Ended(long upTo, long at) {}
+
     private final Map<String, UpstreamRow> rows = new TreeMap<>();
     private final Map<String, List<UpstreamRow>> byService = new HashMap<>();
-    private final LinkedHashMap<String, Long> ended = new LinkedHashMap<>();
+    /** The newest start of each name. */
+    private final Map<String, UpstreamRow> byName = new HashMap<>();
+
+    private final LinkedHashMap<String, Ended> ended = new LinkedHashMap<>();
     private final HeldDirectories directories = HeldDirectories.none();
     private final Map<Address, Long> loadsHeardAt = new HashMap<>();
     private final DecisionLog log;
@@ -80,11 +93,11 @@
     }
 
     private void onBeat(long now, Address control, UpstreamBeat beat) {
-        if (ended.containsKey(beat.getId())) {
+        if (beat.getDeleted()) {
+            end(now, beat.getName(), beat.getBornMs(), "deleted");
             return;
         }
-        if (beat.getDeleted()) {
-            end(now, beat.getId(), "deleted");
+        if (isPast(beat)) {
             return;
         }
         UpstreamRow row = rows.get(beat.getId());
@@ -96,9 +109,7 @@
         }
         boolean known = row != null;
         if (!known) {
-            row = new UpstreamRow(beat);
-            rows.put(row.id, row);
-            byService.computeIfAbsent(row.service, key -> new ArrayList<>()).add(row);
+            row = add(now, beat);
         }
         boolean changed = row.onBeat(beat);
         row.listedBy.add(control);
@@ -122,6 +133,25 @@
         }
     }
 
+    /** Whether a word is of a start that ended, or that a newer one of the same name followed. */
+    private boolean isPast(UpstreamBeat beat) {
+        Ended past = ended.get(beat.getName());
+        UpstreamRow newest = byName.get(beat.getName());
+        return past != null && beat.getBornMs() <= past.upTo || newest != null && beat.getBornMs() < newest.bornMillis;
+    }
+
+    private UpstreamRow add(long now, UpstreamBeat beat) {
+        UpstreamRow before = byName.get(beat.getName());
+        if (before != null) {
+            end(now, before, "it started again");
+        }
+        UpstreamRow row = new UpstreamRow(beat);
+        rows.put(row.id, row);
+        byName.put(row.name, row);
+        byService.computeIfAbsent(row.service, key -> new ArrayList<>()).add(row);
+        return row;
+    }
+
     private static void unlist(long now, UpstreamRow row, Address control) {
         row.listedBy.remove(control);
         if (row.listedBy.isEmpty() && row.unlistedSince == Core.NEVER) {
@@ -129,17 +159,29 @@
         }
     }
 
-    /** An identity ended; it is never taken in again. */
-    void end(long now, String id, String reason) {
-        ended.put(id, now);
-        UpstreamRow row = rows.remove(id);
-        if (row != null) {
+    /** A start ended; it is never taken in again. */
+    void end(long now, UpstreamRow row, String reason) {
+        end(now, row.name, row.bornMillis, reason);
+    }
+
+    /** All starts of a name up to a time ended. */
+    private void end(long now, String name, long upTo, String reason) {
+        Ended before = ended.remove(name);
+        ended.put(name, new Ended(before == null ? upTo : Math.max(upTo, before.upTo), now));
+        UpstreamRow row = byName.get(name);
+        if (row != null && row.bornMillis <= upTo) {
             row.leaving = true;
-            byService.get(row.service).remove(row);
-            log.note("upstream", id, "state", "ended", "reason", reason);
+            remove(row);
+            log.note("upstream", row.id, "state", "ended", "reason", reason);
         }
     }
 
+    private void remove(UpstreamRow row) {
+        rows.remove(row.id);
+        byName.remove(row.name, row);
+        byService.get(row.service).remove(row);
+    }
+
     /** Takes what another entry has under way. */
     void onLoad(long now, Address entry, EntryLoad load) {
         loadsHeardAt.put(entry, now);
@@ -157,13 +199,12 @@
 
     /** Forgets what is too old. */
     void tick(long now) {
-        List<String> silent = rows.values().stream()
+        List<UpstreamRow> silent = rows.values().stream()
                 .filter(row -> row.unlistedSince != Core.NEVER && now - row.unlistedSince > UNLISTED_KEPT)
-                .map(row -> row.id)
                 .toList();
-        silent.forEach(id -> forget(id));
-        Iterator<Long> oldest = ended.values().iterator();
-        while (oldest.hasNext() && now - oldest.next() > ENDED_KEPT) {
+        silent.forEach(this::forget);
+        Iterator<Ended> oldest = ended.values().iterator();
+        while (oldest.hasNext() && now - oldest.next().at > ENDED_KEPT) {
             oldest.remove();
         }
         loadsHeardAt.entrySet().removeIf(entry -> {
@@ -175,10 +216,9 @@
         });
     }
 
-    /** It fell silent; unlike an identity that ended it may announce itself again. */
-    private void forget(String id) {
-        UpstreamRow row = rows.remove(id);
-        byService.get(row.service).remove(row);
-        log.note("upstream", id, "state", "silent", "service", row.service);
+    /** It fell silent; unlike a start that ended it may announce itself again. */
+    private void forget(UpstreamRow row) {
+        remove(row);
+        log.note("upstream", row.id, "state", "silent", "service", row.service);
     }
 }
--- a/src/main/java/org/cuminshelf/message/DirectOrder.java
+++ b/src/main/java/org/cuminshelf/message/DirectOrder.java
@@ -25,6 +25,10 @@
   public static final int UPSTREAM_FIELD_NUMBER = 1;
   private java.lang.String upstream_;
   /**
+   * <pre>
+   * The name of the upstream, whatever start of it takes the order.
+   * </pre>
+   *
    * <code>string upstream = 1;</code>
    * @return The upstream.
    */
@@ -33,6 +37,10 @@
     return upstream_;
   }
   /**
+   * <pre>
+   * The name of the upstream, whatever start of it takes the order.
+   * </pre>
+   *
    * <code>string upstream = 1;</code>
    * @return The bytes for upstream.
    */
@@ -42,6 +50,10 @@
     return com.google.protobuf.ByteString.copyFromUtf8(upstream_);
   }
   /**
+   * <pre>
+   * The name of the upstream, whatever start of it takes the order.
+   * </pre>
+   *
    * <code>string upstream = 1;</code>
    * @param value The upstream to set.
    */
@@ -53,6 +65,10 @@
     upstream_ = value;
   }
   /**
+   * <pre>
+   * The name of the upstream, whatever start of it takes the order.
+   * </pre>
+   *
    * <code>string upstream = 1;</code>
    */
   private void clearUpstream() {
@@ -60,6 +76,10 @@
     upstream_ = getDefaultInstance().getUpstream();
   }
   /**
+   * <pre>
+   * The name of the upstream, whatever start of it takes the order.
+   * </pre>
+   *
    * <code>string upstream = 1;</code>
    * @param value The bytes for upstream to set.
    */
@@ -301,6 +321,10 @@
 
 
     /**
+     * <pre>
+     * The name of the upstream, whatever start of it takes the order.
+     * </pre>
+     *
      * <code>string upstream = 1;</code>
      * @return The upstream.
      */
@@ -309,6 +333,10 @@
       return instance.getUpstream();
     }
     /**
+     * <pre>
+     * The name of the upstream, whatever start of it takes the order.
+     * </pre>
+     *
      * <code>string upstream = 1;</code>
      * @return The bytes for upstream.
      */
@@ -318,6 +346,10 @@
       return instance.getUpstreamBytes();
     }
     /**
+     * <pre>
+     * The name of the upstream, whatever start of it takes the order.
+     * </pre>
+     *
      * <code>string upstream = 1;</code>
      * @param value The upstream to set.
      * @return This builder for chaining.
@@ -329,6 +361,10 @@
       return this;
     }
     /**
+     * <pre>
+     * The name of the upstream, whatever start of it takes the order.
+     * </pre>
+     *
      * <code>string upstream = 1;</code>
      * @return This builder for chaining.
      */
@@ -338,6 +374,10 @@
       return this;
     }
     /**
+     * <pre>
+     * The name of the upstream, whatever start of it takes the order.
+     * </pre>
+     *
      * <code>string upstream = 1;</code>
      * @param value The bytes for upstream to set.
      * @return This builder for chaining.
--- a/src/main/java/org/cuminshelf/message/DirectOrderOrBuilder.java
+++ b/src/main/java/org/cuminshelf/message/DirectOrderOrBuilder.java
@@ -11,11 +11,19 @@
     com.google.protobuf.MessageLiteOrBuilder {
 
   /**
+   * <pre>
+   * The name of the upstream, whatever start of it takes the order.
+   * </pre>
+   *
    * <code>string upstream = 1;</code>
    * @return The upstream.
    */
   java.lang.String getUpstream();
   /**
+   * <pre>
+   * The name of the upstream, whatever start of it takes the order.
+   * </pre>
+   *
    * <code>string upstream = 1;</code>
    * @return The bytes for upstream.
    */
--- a/src/main/java/org/cuminshelf/message/UpstreamBeat.java
+++ b/src/main/java/org/cuminshelf/message/UpstreamBeat.java
@@ -24,12 +24,13 @@
     address_ = "";
     zone_ = "";
     models_ = com.google.protobuf.GeneratedMessageLite.emptyProtobufList();
+    name_ = "";
   }
   public static final int ID_FIELD_NUMBER = 1;
   private java.lang.String id_;
   /**
    * <pre>
-   * Identity of one start of the upstream; never used again.
+   * Identity of one start of the upstream, made of its name and the time of the start; never used again.
    * </pre>
    *
    * <code>string id = 1;</code>
@@ -41,7 +42,7 @@
   }
   /**
    * <pre>
-   * Identity of one start of the upstream; never used again.
+   * Identity of one start of the upstream, made of its name and the time of the start; never used again.
    * </pre>
    *
    * <code>string id = 1;</code>
@@ -54,7 +55,7 @@
   }
   /**
    * <pre>
-   * Identity of one start of the upstream; never used again.
+   * Identity of one start of the upstream, made of its name and the time of the start; never used again.
    * </pre>
    *
    * <code>string id = 1;</code>
@@ -69,7 +70,7 @@
   }
   /**
    * <pre>
-   * Identity of one start of the upstream; never used again.
+   * Identity of one start of the upstream, made of its name and the time of the start; never used again.
    * </pre>
    *
    * <code>string id = 1;</code>
@@ -80,7 +81,7 @@
   }
   /**
    * <pre>
-   * Identity of one start of the upstream; never used again.
+   * Identity of one start of the upstream, made of its name and the time of the start; never used again.
    * </pre>
    *
    * <code>string id = 1;</code>
@@ -693,6 +694,112 @@
     changing_ = false;
   }
 
+  public static final int NAME_FIELD_NUMBER = 16;
+  private java.lang.String name_;
+  /**
+   * <pre>
+   * The name under which it announces itself, which it keeps when it starts again.
+   * </pre>
+   *
+   * <code>string name = 16;</code>
+   * @return The name.
+   */
+  @java.lang.Override
+  public java.lang.String getName() {
+    return name_;
+  }
+  /**
+   * <pre>
+   * The name under which it announces itself, which it keeps when it starts again.
+   * </pre>
+   *
+   * <code>string name = 16;</code>
+   * @return The bytes for name.
+   */
+  @java.lang.Override
+  public com.google.protobuf.ByteString
+      getNameBytes() {
+    return com.google.protobuf.ByteString.copyFromUtf8(name_);
+  }
+  /**
+   * <pre>
+   * The name under which it announces itself, which it keeps when it starts again.
+   * </pre>
+   *
+   * <code>string name = 16;</code>
+   * @param value The name to set.
+   */
+  @java.lang.SuppressWarnings("ReturnValueIgnored")
+  private void setName(
+      java.lang.String value) {
+    value.getClass();  // minimal bytecode null check
+
+    name_ = value;
+  }
+  /**
+   * <pre>
+   * The name under which it announces itself, which it keeps when it starts again.
+   * </pre>
+   *
+   * <code>string name = 16;</code>
+   */
+  private void clearName() {
+
+    name_ = getDefaultInstance().getName();
+  }
+  /**
+   * <pre>
+   * The name under which it announces itself, which it keeps when it starts again.
+   * </pre>
+   *
+   * <code>string name = 16;</code>
+   * @param value The bytes for name to set.
+   */
+  private void setNameBytes(
+      com.google.protobuf.ByteString value) {
+    checkByteStringIsUtf8(value);
+    name_ = value.toStringUtf8();
+
+  }
+
+  public static final int BORN_MS_FIELD_NUMBER = 17;
+  private long bornMs_;
+  /**
+   * <pre>
+   * Unix milliseconds of its start. With the word that it is gone: of the last start that is gone, 0 if unknown.
+   * </pre>
+   *
+   * <code>uint64 born_ms = 17;</code>
+   * @return The bornMs.
+   */
+  @java.lang.Override
+  public long getBornMs() {
+    return bornMs_;
+  }
+  /**
+   * <pre>
+   * Unix milliseconds of its start. With the word that it is gone: of the last start that is gone, 0 if unknown.
+   * </pre>
+   *
+   * <code>uint64 born_ms = 17;</code>
+   * @param value The bornMs to set.
+   */
+  private void setBornMs(long value) {
+    
+    bornMs_ = value;
+  }
+  /**
+   * <pre>
+   * Unix milliseconds of its start. With the word that it is gone: of the last start that is gone, 0 if unknown.
+   * </pre>
+   *
+   * <code>uint64 born_ms = 17;</code>
+   */
+  private void clearBornMs() {
+
+    bornMs_ = 0L;
+  }
+
   public static org.cuminshelf.message.UpstreamBeat parseFrom(
       java.nio.ByteBuffer data)
       throws com.google.protobuf.InvalidProtocolBufferException {
@@ -796,7 +903,7 @@
 
     /**
      * <pre>
-     * Identity of one start of the upstream; never used again.
+     * Identity of one start of the upstream, made of its name and the time of the start; never used again.
      * </pre>
      *
      * <code>string id = 1;</code>
@@ -808,7 +915,7 @@
     }
     /**
      * <pre>
-     * Identity of one start of the upstream; never used again.
+     * Identity of one start of the upstream, made of its name and the time of the start; never used again.
      * </pre>
      *
      * <code>string id = 1;</code>
@@ -821,7 +928,7 @@
     }
     /**
      * <pre>
-     * Identity of one start of the upstream; never used again.
+     * Identity of one start of the upstream, made of its name and the time of the start; never used again.
      * </pre>
      *
      * <code>string id = 1;</code>
@@ -836,7 +943,7 @@
     }
     /**
      * <pre>
-     * Identity of one start of the upstream; never used again.
+     * Identity of one start of the upstream, made of its name and the time of the start; never used again.
      * </pre>
      *
      * <code>string id = 1;</code>
@@ -849,7 +956,7 @@
     }
     /**
      * <pre>
-     * Identity of one start of the upstream; never used again.
+     * Identity of one start of the upstream, made of its name and the time of the start; never used again.
      * </pre>
      *
      * <code>string id = 1;</code>
@@ -1485,6 +1592,115 @@
       return this;
     }
 
+    /**
+     * <pre>
+     * The name under which it announces itself, which it keeps when it starts again.
+     * </pre>
+     *
+     * <code>string name = 16;</code>
+     * @return The name.
+     */
+    @java.lang.Override
+    public java.lang.String getName() {
+      return instance.getName();
+    }
+    /**
+     * <pre>
+     * The name under which it announces itself, which it keeps when it starts again.
+     * </pre>
+     *
+     * <code>string name = 16;</code>
+     * @return The bytes for name.
+     */
+    @java.lang.Override
+    public com.google.protobuf.ByteString
+        getNameBytes() {
+      return instance.getNameBytes();
+    }
+    /**
+     * <pre>
+     * The name under which it announces itself, which it keeps when it starts again.
+     * </pre>
+     *
+     * <code>string name = 16;</code>
+     * @param value The name to set.
+     * @return This builder for chaining.
+     */
+    public Builder setName(
+        java.lang.String value) {
+      copyOnWrite();
+      instance.setName(value);
+      return this;
+    }
+    /**
+     * <pre>
+     * The name under which it announces itself, which it keeps when it starts again.
+     * </pre>
+     *
+     * <code>string name = 16;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearName() {
+      copyOnWrite();
+      instance.clearName();
+      return this;
+    }
+    /**
+     * <pre>
+     * The name under which it announces itself, which it keeps when it starts again.
+     * </pre>
+     *
+     * <code>string name = 16;</code>
+     * @param value The bytes for name to set.
+     * @return This builder for chaining.
+     */
+    public Builder setNameBytes(
+        com.google.protobuf.ByteString value) {
+      copyOnWrite();
+      instance.setNameBytes(value);
+      return this;
+    }
+
+    /**
+     * <pre>
+     * Unix milliseconds of its start. With the word that it is gone: of the last start that is gone, 0 if unknown.
+     * </pre>
+     *
+     * <code>uint64 born_ms = 17;</code>
+     * @return The bornMs.
+     */
+    @java.lang.Override
+    public long getBornMs() {
+      return instance.getBornMs();
+    }
+    /**
+     * <pre>
+     * Unix milliseconds of its start. With the word that it is gone: of the last start that is gone, 0 if unknown.
+     * </pre>
+     *
+     * <code>uint64 born_ms = 17;</code>
+     * @param value The bornMs to set.
+     * @return This builder for chaining.
+     */
+    public Builder setBornMs(long value) {
+      copyOnWrite();
+      instance.setBornMs(value);
+      return this;
+    }
+    /**
+     * <pre>
+     * Unix milliseconds of its start. With the word that it is gone: of the last start that is gone, 0 if unknown.
+     * </pre>
+     *
+     * <code>uint64 born_ms = 17;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearBornMs() {
+      copyOnWrite();
+      instance.clearBornMs();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:cuminshelf.UpstreamBeat)
   }
   @java.lang.Override
@@ -1516,11 +1732,13 @@
             "changedAt_",
             "passedOn_",
             "changing_",
+            "name_",
+            "bornMs_",
           };
           java.lang.String info =
-              "\u0000\u000f\u0000\u0000\u0001\u000f\u000f\u0000\u0001\u0000\u0001\u0208\u0002\u0208" +
+              "\u0000\u0011\u0000\u0000\u0001\u0011\u0011\u0000\u0001\u0000\u0001\u0208\u0002\u0208" +
               "\u0003\u0208\u0004\u0208\u0005\u0003\u0006\u0007\u0007\u0007\b\u0007\t\u000b\n\f" +
-              "\u000b\u021a\f\u000b\r\u0003\u000e\u0007\u000f\u0007";
+              "\u000b\u021a\f\u000b\r\u0003\u000e\u0007\u000f\u0007\u0010\u0208\u0011\u0003";
           return newMessageInfo(DEFAULT_INSTANCE, info, objects);
       }
       case GET_DEFAULT_INSTANCE: {
--- a/src/main/java/org/cuminshelf/message/UpstreamBeatOrBuilder.java
+++ b/src/main/java/org/cuminshelf/message/UpstreamBeatOrBuilder.java
@@ -12,7 +12,7 @@
 
   /**
    * <pre>
-   * Identity of one start of the upstream; never used again.
+   * Identity of one start of the upstream, made of its name and the time of the start; never used again.
    * </pre>
    *
    * <code>string id = 1;</code>
@@ -21,7 +21,7 @@
   java.lang.String getId();
   /**
    * <pre>
-   * Identity of one start of the upstream; never used again.
+   * Identity of one start of the upstream, made of its name and the time of the start; never used again.
    * </pre>
    *
    * <code>string id = 1;</code>
@@ -183,4 +183,34 @@
    * @return The changing.
    */
   boolean getChanging();
+
+  /**
+   * <pre>
+   * The name under which it announces itself, which it keeps when it starts again.
+   * </pre>
+   *
+   * <code>string name = 16;</code>
+   * @return The name.
+   */
+  java.lang.String getName();
+  /**
+   * <pre>
+   * The name under which it announces itself, which it keeps when it starts again.
+   * </pre>
+   *
+   * <code>string name = 16;</code>
+   * @return The bytes for name.
+   */
+  com.google.protobuf.ByteString
+      getNameBytes();
+
+  /**
+   * <pre>
+   * Unix milliseconds of its start. With the word that it is gone: of the last start that is gone, 0 if unknown.
+   * </pre>
+   *
+   * <code>uint64 born_ms = 17;</code>
+   * @return The bornMs.
+   */
+  long getBornMs();
 }
--- a/src/main/java/org/cuminshelf/platform/ControlCalls.java
+++ b/src/main/java/org/cuminshelf/platform/ControlCalls.java
@@ -44,21 +44,32 @@
     private final UpstreamConnections upstreams;
     private final String vm;
     private final MetricsPage metrics;
+    private final RefusedBeats refused;
     private long nextQuestion = 1;
 
-    private ControlCalls(Consumer<Envelope.Builder> core, BootSettings boot, Address address, MetricsPage metrics)
+    private ControlCalls(
+            Consumer<Envelope.Builder> core,
+            BootSettings boot,
+            Address address,
+            MetricsPage metrics,
+            RefusedBeats refused)
             throws IOException {
         this.core = core;
         this.vm = boot.vm();
         this.metrics = metrics;
+        this.refused = refused;
         this.upstreams = UpstreamConnections.start(lock);
         this.listener = CallerListener.start(address, lock, this, () -> CallerLimits.DEFAULT);
     }
 
     /** Opens the interface of a VM at an address, as a control process asks for it. */
     static ControlInterface.Opener at(Address address, BootSettings boot) {
-        return (core, config, ready, registry) ->
-                new ControlCalls(core, boot, address, MetricsPage.open(boot.metrics(), registry));
+        return (core, config, ready, registry) -> new ControlCalls(
+                core,
+                boot,
+                address,
+                MetricsPage.open(boot.metrics(), registry),
+                RefusedBeats.register(registry, System::nanoTime));
     }
 
     @Override
@@ -77,7 +88,7 @@
         } else if (path.startsWith(INSTANCES) && method.equals("DELETE")) {
             String id = path.substring(INSTANCES.length());
             Logger.info("control: event=upstream-gone id={}", id);
-            tell(UpstreamBeat.newBuilder().setId(id).setDeleted(true).build());
+            tell(UpstreamBeat.newBuilder().setName(id).setDeleted(true).build());
             answer(exchange, 200, "{}");
         } else {
             answer(exchange, 404, problem("there is no such call"));
@@ -109,7 +120,7 @@
                     answer(exchange, 200, "{}");
                 })
                 .peekLeft(wrong -> {
-                    Logger.info("control: event=heartbeat-refused id={} reason=\"{}\"", id, wrong);
+                    refused.note(id, wrong);
                     answer(exchange, 400, problem(wrong));
                 });
     }
--- a/src/main/java/org/cuminshelf/platform/WarmUp.java
+++ b/src/main/java/org/cuminshelf/platform/WarmUp.java
@@ -43,7 +43,8 @@
                     PlatformCommand.entry(settings(folder, ports[3], ports[4], ports[0], ports[5], ports[6])));
             until(ports[2], "PUT /cuminshelf/config", CONFIG, "200");
             String beat = "{\"service\":\"s\",\"address\":\"" + HOST + ":" + upstream.getLocalPort()
-                    + "\",\"zone\":\"z\",\"slots\":4,\"state\":\"ready\",\"stage\":\"decode\",\"sequence\":1}";
+                    + "\",\"zone\":\"z\",\"slots\":4,\"state\":\"ready\",\"stage\":\"decode\","
+                    + "\"sequence\":1,\"born\":1}";
             until(ports[2], "PUT /cuminshelf/instances/i-1", beat, "200");
             until(ports[6], "GET /", "", "200");
             until(ports[5], "POST /a", "", "id: 1");
--- a/src/test/java/org/cuminshelf/control/DirectControlTest.java
+++ b/src/test/java/org/cuminshelf/control/DirectControlTest.java
@@ -26,6 +26,7 @@
 import org.cuminshelf.message.Subscribe;
 import org.cuminshelf.message.Update;
 import org.cuminshelf.message.UpstreamBeat;
+import org.cuminshelf.message.WallClock;
 import org.cuminshelf.replica.DurableState;
 import org.cuminshelf.replica.MembershipPolicy;
 import org.cuminshelf.replica.ReplicaSettings;
@@ -122,12 +123,81 @@
     void aHeartbeatThatComesAfterTheLastWordChangesNothing() {
         beat(upstream("u", Role.ROLE_DECODE).setSequence(1));
         subscribe();
-        beat(UpstreamBeat.newBuilder().setId("u").setDeleted(true));
+        beat(UpstreamBeat.newBuilder().setName("u").setDeleted(true));
         beat(upstream("u", Role.ROLE_DECODE).setSequence(9));
         pass(50);
         assertThat(told("u").getDeleted()).isTrue();
     }
 
+    /*
+     * An engine crashes, starts again under its name and gets no request until it has sent as many heartbeats as its
+     * former self: its count began anew, and was taken for that of a delayed heartbeat.
+     */
+    @Example
+    void anUpstreamThatStartsAgainUnderItsNameIsHeardAtOnce() {
+        beat(upstream("u", Role.ROLE_DECODE).setBornMs(1_000).setSequence(50).setLeaving(true));
+        subscribe();
+        beat(upstream("u", Role.ROLE_PREFILL).setBornMs(9_000).setSequence(1));
+        pass(50);
+        assertThat(told("u").getRole()).isEqualTo(Role.ROLE_PREFILL);
+        assertThat(told("u").getLeaving()).isFalse();
+        assertThat(told("u").getDeleted()).isFalse();
+        beat(upstream("u", Role.ROLE_DECODE).setBornMs(1_000).setSequence(51));
+        pass(50);
+        assertThat(told("u").getBornMs()).isEqualTo(9_000);
+    }
+
+    /*
+     * An engine said that it is gone, and starts again under its name. It gets no request for a minute, as the word
+     * that it is gone stands; a heartbeat of the start that is gone must still change nothing.
+     */
+    @Example
+    void anUpstreamThatIsGoneComesBackWithALaterStartOnly() {
+        beat(upstream("u", Role.ROLE_DECODE).setBornMs(1_000).setSequence(1));
+        subscribe();
+        beat(UpstreamBeat.newBuilder().setName("u").setDeleted(true));
+        beat(upstream("u", Role.ROLE_DECODE).setBornMs(1_000).setSequence(9));
+        pass(50);
+        assertThat(told("u").getDeleted()).isTrue();
+        beat(upstream("u", Role.ROLE_DECODE).setBornMs(9_000).setSequence(1));
+        pass(50);
+        assertThat(told("u").getDeleted()).isFalse();
+    }
+
+    /*
+     * A control process that was just restarted acknowledges that an engine is gone, then hears a heartbeat that the
+     * engine had sent before, and has it given requests again. It never heard of the engine, so that it can't tell the
+     * start that is gone: any that began before the word counts as gone.
+     */
+    @Example
+    void theWordThatAnUnknownUpstreamIsGoneHoldsForAllStartsBeforeIt() {
+        give(
+                Address.PROCESS,
+                Envelope.newBuilder().setWallClock(WallClock.newBuilder().setEpochMs(5_000)));
+        subscribe();
+        beat(UpstreamBeat.newBuilder().setName("u").setDeleted(true));
+        beat(upstream("u", Role.ROLE_DECODE).setBornMs(4_000).setSequence(9));
+        pass(50);
+        assertThat(told("u").getDeleted()).isTrue();
+        beat(upstream("u", Role.ROLE_DECODE).setBornMs(6_000).setSequence(1));
+        pass(50);
+        assertThat(told("u").getDeleted()).isFalse();
+    }
+
+    /* The word that a former start is gone reaches another control process after the new start announced itself. */
+    @Example
+    void aLateWordThatAFormerStartIsGoneDoesNotEndTheNewOne() {
+        subscribe();
+        beat(upstream("u", Role.ROLE_DECODE).setBornMs(9_000).setSequence(1));
+        beat(UpstreamBeat.newBuilder()
+                .setName("u")
+                .setBornMs(1_000)
+                .setDeleted(true)
+                .setPassedOn(true));
+        pass(50);
+        assertThat(told("u").getDeleted()).isFalse();
+    }
+
     @Example
     void anUpstreamThatFellSilentLapsesAndComesBackWithItsNextHeartbeat() {
         beat(upstream("u", Role.ROLE_DECODE).setSequence(1));
@@ -169,6 +239,7 @@
     private static UpstreamBeat.Builder upstream(String id, Role role) {
         return UpstreamBeat.newBuilder()
                 .setId(id)
+                .setName(id)
                 .setService("s")
                 .setAddress("10.9.0.1:80")
                 .setSlots(64)
@@ -198,13 +269,13 @@
                 .orElseThrow();
     }
 
-    private UpstreamBeat told(String id) {
+    private UpstreamBeat told(String name) {
         return sent.stream()
                 .filter(Envelope::hasUpdate)
                 .map(Envelope::getUpdate)
                 .map(Update::getUpstreamsList)
                 .flatMap(List::stream)
-                .filter(beat -> beat.getId().equals(id))
+                .filter(beat -> beat.getName().equals(name))
                 .reduce((first, second) -> second)
                 .orElseThrow();
     }
--- a/src/test/java/org/cuminshelf/direct/DirectFixture.java
+++ b/src/test/java/org/cuminshelf/direct/DirectFixture.java
@@ -95,6 +95,7 @@
     static UpstreamBeat beat(String id, Role role) {
         return UpstreamBeat.newBuilder()
                 .setId(id)
+                .setName(id)
                 .setService("s")
                 .setAddress(address(id).value())
                 .setZone("z")
--- a/src/test/java/org/cuminshelf/direct/UpstreamTableTest.java
+++ b/src/test/java/org/cuminshelf/direct/UpstreamTableTest.java
@@ -2,6 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.util.List;
 import net.jqwik.api.Example;
 import org.cuminshelf.core.Address;
 import org.cuminshelf.core.Durations;
@@ -85,6 +86,41 @@
         assertThat(row.isAvoided(now)).isFalse();
     }
 
+    /*
+     * Prompts take seconds instead of a tenth: an engine started again under its name, empty, and is believed to hold
+     * the parts that its former self was sent, to be as fast, and to run what died with it.
+     */
+    @Example
+    void aLaterStartOfAnUpstreamHasNothingOfTheFormer() {
+        tell(1, 1, false, start(1_000));
+        UpstreamRow former = table.ofService("s").getFirst();
+        former.cache.add(List.of(new PromptPart("p", 100)), now);
+        former.running = 3;
+        former.failed(now);
+        former.failed(now);
+        tell(1, 2, false, start(9_000));
+        assertThat(table.ofService("s")).hasSize(1);
+        UpstreamRow row = table.ofService("s").getFirst();
+        assertThat(row.id).isNotEqualTo(former.id);
+        assertThat(row.cache.heldTokens(List.of(new PromptPart("p", 100)))).isZero();
+        assertThat(row.occupancy()).isZero();
+        assertThat(row.isAvoided(now)).isFalse();
+        assertThat(former.leaving).isTrue();
+    }
+
+    @Example
+    void aLateHeartbeatOfAFormerStartChangesNothing() {
+        tell(1, 1, false, start(9_000));
+        tell(1, 2, false, start(1_000));
+        tell(1, 3, false, start(1_000).toBuilder().setDeleted(true).build());
+        assertThat(table.ofService("s")).hasSize(1);
+        assertThat(table.ofService("s").getFirst().bornMillis).isEqualTo(9_000);
+    }
+
+    private static UpstreamBeat start(long bornMillis) {
+        return beat().toBuilder().setId("u@" + bornMillis).setBornMs(bornMillis).build();
+    }
+
     private void tell(long incarnation, long version, boolean whole, UpstreamBeat... beats) {
         Update.Builder update = Update.newBuilder()
                 .setDirectoryIncarnation(incarnation)
--- a/src/test/java/org/cuminshelf/platform/BeatDocumentTest.java
+++ b/src/test/java/org/cuminshelf/platform/BeatDocumentTest.java
@@ -2,15 +2,34 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.prometheus.metrics.model.registry.PrometheusRegistry;
 import io.vavr.control.Either;
+import java.io.IOException;
+import java.math.BigInteger;
 import java.nio.charset.StandardCharsets;
+import java.util.Optional;
+import net.jqwik.api.Arbitraries;
+import net.jqwik.api.Arbitrary;
+import net.jqwik.api.Assume;
 import net.jqwik.api.Example;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.Provide;
+import net.jqwik.api.constraints.IntRange;
 import org.cuminshelf.message.Role;
 import org.cuminshelf.message.UpstreamBeat;
 
 /** Heartbeats of upstreams, good and bad. */
 class BeatDocumentTest {
 
+    private static final ObjectMapper JSON = new ObjectMapper();
+    private static final String PLAIN = "{\"service\":\"s\",\"address\":\"10.0.0.1:80\",\"zone\":\"z\","
+            + "\"slots\":6,\"state\":\"ready\",\"sequence\":4,\"born\":1786708249123}";
+
     private static Either<String, UpstreamBeat> read(String document) {
         return BeatDocument.read("i-1", document.getBytes(StandardCharsets.UTF_8));
     }
@@ -19,9 +38,11 @@
     void aHeartbeatIsReadAndWhatIsUnknownIsIgnored() {
         UpstreamBeat beat = read("{\"service\":\"s\",\"address\":\"10.0.0.1:80\",\"zone\":\"z\",\"version\":\"v1\","
                         + "\"slots\":64,\"state\":\"draining\",\"coldLeftMs\":5,\"stage\":\"decode\","
-                        + "\"models\":[{\"name\":\"m\",\"version\":1,\"adapters\":[]}],\"sequence\":4,\"later\":{}}")
+                        + "\"models\":[{\"name\":\"m\",\"version\":1,\"adapters\":[]}],\"sequence\":4,"
+                        + "\"born\":1786708249123,\"later\":{}}")
                 .get();
-        assertThat(beat.getId()).isEqualTo("i-1");
+        assertThat(beat.getName()).isEqualTo("i-1");
+        assertThat(beat.getBornMs()).isEqualTo(1_786_708_249_123L);
         assertThat(beat.getLeaving()).isTrue();
         assertThat(beat.getRole()).isEqualTo(Role.ROLE_DECODE);
         assertThat(beat.getSlots()).isEqualTo(64);
@@ -31,8 +52,7 @@
 
     @Example
     void aPlainServiceHasNoRole() {
-        UpstreamBeat beat = read("{\"service\":\"s\",\"address\":\"10.0.0.1:80\",\"state\":\"ready\"}")
-                .get();
+        UpstreamBeat beat = read(PLAIN).get();
         assertThat(beat.getRole()).isEqualTo(Role.ROLE_MIXED);
         assertThat(beat.getLeaving()).isFalse();
     }
@@ -40,8 +60,78 @@
     @Example
     void whatIsNoHeartbeatIsRefusedWithTheReason() {
         assertThat(read("{\"service\":").getLeft()).contains("no JSON");
-        assertThat(read("[]").getLeft()).contains("'service' and 'address'");
-        assertThat(read("{\"service\":\"s\"}").getLeft()).contains("'service' and 'address'");
+        assertThat(read("[]").getLeft()).contains("no JSON object");
+        assertThat(read("{\"service\":\"s\"}").getLeft()).contains("'address' must be a text");
         assertThat(read("").getLeft()).contains("heartbeat");
     }
+
+    /*
+     * Requests are lost at an address where nobody listens: a heartbeat of another program was taken as far as it could
+     * be read. One field is missing, or of another type, or says what nobody knows: none of it counts.
+     */
+    @Property(tries = 300, seed = "51")
+    void aHeartbeatWithOneSpoiledFieldNamesNoUpstream(
+            @ForAll("fields") String field, @ForAll("spoiled") Optional<JsonNode> value) throws IOException {
+        Assume.that(!field.equals("born") || value.isPresent());
+        ObjectNode document = (ObjectNode) JSON.readTree(PLAIN);
+        document.remove(field);
+        value.ifPresent(other -> document.set(field, other));
+        assertThat(read(document.toString()).isLeft()).isTrue();
+    }
+
+    @Provide
+    Arbitrary<String> fields() {
+        return Arbitraries.of("service", "address", "zone", "state", "sequence", "slots", "born");
+    }
+
+    @Provide
+    Arbitrary<Optional<JsonNode>> spoiled() {
+        JsonNodeFactory nodes = JsonNodeFactory.instance;
+        return Arbitraries.of(
+                Optional.empty(),
+                Optional.of(nodes.nullNode()),
+                Optional.of(nodes.numberNode(1.5)),
+                Optional.of(nodes.numberNode(-3)),
+                Optional.of(nodes.numberNode(new BigInteger("99999999999999999999"))),
+                Optional.of(nodes.booleanNode(true)),
+                Optional.of(nodes.textNode("")),
+                Optional.of(nodes.arrayNode().add("s")),
+                Optional.of(nodes.objectNode()));
+    }
+
+    @Example
+    void anUpstreamThatTakesANewNameWithEachStartNeedNotSayWhenItWas() {
+        UpstreamBeat beat = read(PLAIN.replace(",\"born\":1786708249123", "")).get();
+        assertThat(beat.getBornMs()).isZero();
+    }
+
+    @Example
+    void anUnknownStateOrRoleIsRefused() {
+        assertThat(read(PLAIN.replace("ready", "resting")).getLeft()).contains("'state'");
+        assertThat(read(PLAIN.replace("}", ",\"stage\":\"sleep\"}")).getLeft()).contains("'stage'");
+        assertThat(read(PLAIN.replace("}", ",\"stage\":7}")).getLeft()).contains("'stage'");
+    }
+
+    @Property(tries = 300, seed = "52")
+    void bytesThatCannotBeReadAreRefused(@ForAll byte[] bytes) {
+        assertThat(BeatDocument.read("i-1", bytes).isLeft()).isTrue();
+    }
+
+    @Property(tries = 200, seed = "53")
+    void aHeartbeatThatWasCutIsRefused(@ForAll @IntRange(max = 100) int length) {
+        assertThat(read(PLAIN.substring(0, length)).isLeft()).isTrue();
+    }
+
+    @Example
+    void linesOnRefusedHeartbeatsAreBounded() {
+        long[] now = {0};
+        RefusedBeats refused = RefusedBeats.register(new PrometheusRegistry(), () -> now[0]);
+        int lines = 0;
+        for (int index = 0; index < 100; index++) {
+            lines += refused.note("x".repeat(10_000), "it is no JSON") ? 1 : 0;
+        }
+        assertThat(lines).isEqualTo(2);
+        now[0] += 1_000_000_000L;
+        assertThat(refused.note("x", "it is no JSON")).isTrue();
+    }
 }
--- a/src/test/java/org/cuminshelf/platform/GracefulStopTest.java
+++ b/src/test/java/org/cuminshelf/platform/GracefulStopTest.java
@@ -154,7 +154,7 @@
 
     private String beat() {
         return "{\"service\":\"s\",\"address\":\"" + HOST + ":" + upstream.getLocalPort()
-                + "\",\"zone\":\"z\",\"slots\":4,\"state\":\"ready\",\"sequence\":1}";
+                + "\",\"zone\":\"z\",\"slots\":4,\"state\":\"ready\",\"sequence\":1,\"born\":1}";
     }
 
     private BootSettings settings(int messages, int metrics, int listen, int ready) throws IOException {
