Send the body of a configuration once to each entry, from one source, deflated, read beside requests

Cause: every control process put the whole document into every update to every entry, again for each change of the directory and each answer, until the entry's next question said that it has it; five copies of 300 KB fill an entry's link for longer than it takes to ask for five more, and requests share the link. The document was parsed under the lock of the request path. Ruled out: choosing the control process by a hash, as a silent one would starve its share of entries; sending rarer alone, which keeps five copies. The list of entries is told only where it differs from the one held.

--- a/src/main/java/org/cuminshelf/control/ConfigMachine.java
+++ b/src/main/java/org/cuminshelf/control/ConfigMachine.java
@@ -7,6 +7,7 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
+import org.cuminshelf.core.Deflated;
 import org.cuminshelf.message.AcceptedConfig;
 import org.cuminshelf.message.AdminAnswer;
 import org.cuminshelf.message.AdminResult;
@@ -36,6 +37,8 @@
     private volatile long version;
     private volatile ByteString config = ByteString.EMPTY;
     private String hash = "";
+    private ByteString deflated = ByteString.EMPTY;
+    private long deflatedVersion;
 
     long version() {
         return version;
@@ -45,6 +48,15 @@
         return config;
     }
 
+    /** The accepted configuration as it is sent to those that ask for it; made once for each version. */
+    ByteString deflated() {
+        if (deflatedVersion != version) {
+            deflated = Deflated.deflate(config);
+            deflatedVersion = version;
+        }
+        return deflated;
+    }
+
     String hash() {
         return hash;
     }
--- a/src/main/java/org/cuminshelf/control/ControlCore.java
+++ b/src/main/java/org/cuminshelf/control/ControlCore.java
@@ -21,6 +21,8 @@
 import org.cuminshelf.message.ClaimRequest;
 import org.cuminshelf.message.ClaimResult;
 import org.cuminshelf.message.ConfigApply;
+import org.cuminshelf.message.ConfigBody;
+import org.cuminshelf.message.ConfigFetch;
 import org.cuminshelf.message.Envelope;
 import org.cuminshelf.message.FleetStatus;
 import org.cuminshelf.message.GroupLeader;
@@ -141,6 +143,7 @@
         switch (input.getBodyCase()) {
             case ANNOUNCE -> onAnnounce(now, from, input.getIncarnation(), input.getAnnounce());
             case SUBSCRIBE -> onSubscribe(now, from, input.getIncarnation(), input.getSubscribe(), out);
+            case CONFIG_FETCH -> onConfigFetch(from, input.getConfigFetch(), out);
             case UPSTREAM_BEAT -> registry.onBeat(now, wallMillis, input.getUpstreamBeat(), otherControl(), out);
             case ORDER_APPLIED -> stages.onOutcome(input.getOrderApplied());
             case CLAIM_REQUEST -> onClaim(now, from, input.getClaimRequest(), out);
@@ -284,23 +287,40 @@
         }
     }
 
+    /** Gives an entry the body of the configuration, which it asks one control process for at a time. */
+    private void onConfigFetch(Address from, ConfigFetch fetch, Outbox out) {
+        boolean newer =
+                replicas.get(ControlSettings.GLOBAL).isSettledVoter() && config.version() > fetch.getHeldVersion();
+        ConfigBody.Builder body = ConfigBody.newBuilder();
+        if (newer) {
+            body.setVersion(config.version()).setDeflated(config.deflated());
+        }
+        out.send(from, Envelope.newBuilder().setConfigBody(body));
+    }
+
     private void sendUpdate(Subscribers.Row row, boolean confirmed, Outbox out) {
+        sendUpdate(row, confirmed, subscribers.entries(), out);
+    }
+
+    private void sendUpdate(Subscribers.Row row, boolean confirmed, List<String> entries, Outbox out) {
         boolean voter = replicas.get(ControlSettings.GLOBAL).isSettledVoter();
         Update.Builder update = Update.newBuilder()
                 .setVoter(voter)
                 .setConfigVersion(voter ? config.version() : 0)
                 .setConfirmed(confirmed)
                 .setRegion(settings.region())
-                .setEntries(subscribers.entries());
-        if (voter && row.configVersion < config.version()) {
+                .setEntries(entries.size());
+        if (voter && !row.fetchesConfig && row.configVersion < config.version()) {
             update.setConfig(config.config());
         }
         if (row.wantsDirectory) {
             boolean whole = directory.describe(row.directoryIncarnation, row.directoryVersion, update);
             registry.describe(whole, row.directoryVersion, update);
-            subscribers.rows().stream()
-                    .filter(other -> other.wantsDirectory)
-                    .forEach(other -> update.addEntryAddresses(other.address.value()));
+            long hash = LongHashFunction.xx3().hashChars(String.join(",", entries));
+            update.setEntriesHash(hash);
+            if (row.entriesHash != hash) {
+                update.addAllEntryAddresses(entries);
+            }
         }
         if (voter) {
             replicas.get(ControlSettings.GLOBAL).members().forEach(member -> update.addControl(member.value()));
@@ -324,9 +344,10 @@
         boolean configChanged = spreadConfigVersion != config.version();
         spreadConfigVersion = config.version();
         spreadDirectoryVersion = directory.version();
+        List<String> entries = subscribers.entries();
         for (Subscribers.Row row : subscribers.rows()) {
             if (configChanged || row.wantsDirectory) {
-                sendUpdate(row, false, out);
+                sendUpdate(row, false, entries, out);
             }
         }
     }
--- a/src/main/java/org/cuminshelf/control/Subscribers.java
+++ b/src/main/java/org/cuminshelf/control/Subscribers.java
@@ -24,6 +24,11 @@
         long directoryVersion;
         long directoryIncarnation;
         boolean wantsDirectory;
+        /** Whether it asks for the body of a configuration itself. */
+        boolean fetchesConfig;
+        /** Hash of the list of entries that it holds. */
+        long entriesHash;
+
         List<OfferedWork> offered = List.of();
 
         private Row(Address address) {
@@ -42,6 +47,8 @@
         row.directoryVersion = subscribe.getDirectoryVersion();
         row.directoryIncarnation = subscribe.getDirectoryIncarnation();
         row.wantsDirectory = subscribe.getWantsDirectory();
+        row.fetchesConfig = subscribe.getFetchesConfig();
+        row.entriesHash = subscribe.getEntriesHash();
         note(row, subscribe.getOfferedList());
         return row;
     }
@@ -75,8 +82,12 @@
         return rows.values();
     }
 
-    int entries() {
-        return (int) rows.values().stream().filter(row -> row.wantsDirectory).count();
+    /** Addresses of the entries, in order. */
+    List<String> entries() {
+        return rows.values().stream()
+                .filter(row -> row.wantsDirectory)
+                .map(row -> row.address.value())
+                .toList();
     }
 
     void tick(long now) {
--- a/src/main/java/org/cuminshelf/direct/ControlFeed.java
+++ b/src/main/java/org/cuminshelf/direct/ControlFeed.java
@@ -7,12 +7,13 @@
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.TreeSet;
-import java.util.function.Function;
 import org.cuminshelf.core.Address;
 import org.cuminshelf.core.Core;
 import org.cuminshelf.core.Durations;
 import org.cuminshelf.core.Invariants;
 import org.cuminshelf.core.Outbox;
+import org.cuminshelf.message.ConfigBody;
+import org.cuminshelf.message.ConfigFetch;
 import org.cuminshelf.message.Envelope;
 import org.cuminshelf.message.OfferedWork;
 import org.cuminshelf.message.Subscribe;
@@ -33,29 +34,36 @@
     private static final long YOUNG = Durations.nanos(2_400);
 
     private final DirectSettings settings;
-    private final Function<byte[], Optional<RouteTable>> format;
+    private final RouteReader reader;
+    private final ConfigSource source = new ConfigSource();
     private final UpstreamTable upstreams;
     private final Invariants invariants;
     private final DecisionLog log;
     private final Set<Address> control = new TreeSet<>();
     private List<Address> seeds;
     private List<Address> entries = List.of();
+    private long entriesHash;
     private volatile RouteTable routes = RouteTable.empty();
     private volatile long version;
     private volatile boolean ready;
+    /** The version that a quorum confirmed to be the newest accepted when this entry asked; none yet if negative. */
+    private long confirmed = -1;
+    /** The highest version that could not be read, so that it is not fetched over and over. */
+    private long unreadable;
+
     private long readySince = Core.NEVER;
     private final Map<String, OfferedWork> offered = new TreeMap<>();
     private long nextAsk;
 
     ControlFeed(
             DirectSettings settings,
-            Function<byte[], Optional<RouteTable>> format,
+            RouteReader reader,
             UpstreamTable upstreams,
             long now,
             Invariants invariants,
             DecisionLog log) {
         this.settings = settings;
-        this.format = format;
+        this.reader = reader;
         this.upstreams = upstreams;
         this.invariants = invariants;
         this.log = log;
@@ -117,32 +125,59 @@
         }
         if (!update.getEntryAddressesList().isEmpty()) {
             entries = update.getEntryAddressesList().stream().map(Address::of).toList();
+            entriesHash = update.getEntriesHash();
         }
-        long before = version;
-        if (update.getConfigVersion() > version && !update.getConfig().isEmpty()) {
-            take(from, update);
+        source.told(now, from, update.getConfigVersion());
+        if (update.getConfirmed()) {
+            confirmed = update.getConfigVersion();
         }
-        invariants.check(
-                version >= before,
-                "configuration-never-goes-back",
-                () -> "version " + before + " was followed by " + version);
-        if (!ready && update.getConfirmed() && update.getConfigVersion() <= version) {
+        becomeReady(now);
+        upstreams.onUpdate(now, from, update);
+    }
+
+    private void becomeReady(long now) {
+        if (!ready && confirmed >= 0 && confirmed <= version) {
             ready = true;
             readySince = now;
-            log.note("control", from.value(), "state", "confirmed", "version", version);
+            log.note("control", "quorum", "state", "confirmed", "version", version);
         }
-        upstreams.onUpdate(now, from, update);
     }
 
-    private void take(Address from, Update update) {
-        Optional<RouteTable> read = format.apply(update.getConfig().toByteArray());
+    /** Takes the body of a configuration, which is read beside the way of requests. */
+    void onBody(long now, Address from, ConfigBody body) {
+        if (body.getDeflated().isEmpty() || body.getVersion() <= held()) {
+            source.hasNone(from);
+            return;
+        }
+        source.arrived();
+        reader.read(body.getDeflated().toByteArray(), read -> {
+            source.read();
+            take(from, body.getVersion(), read);
+            // Tells control that it is in force, and asks for what came in the meantime.
+            nextAsk = now;
+            becomeReady(now);
+        });
+    }
+
+    /** The highest version that is not to be fetched again. */
+    private long held() {
+        return Math.max(version, unreadable);
+    }
+
+    private void take(Address from, long taken, Optional<RouteTable> read) {
+        long before = version;
         if (read.isEmpty()) {
-            log.note("config", String.valueOf(update.getConfigVersion()), "state", "unreadable", "told-by", from);
+            unreadable = taken;
+            log.note("config", String.valueOf(taken), "state", "unreadable", "told-by", from);
             return;
         }
+        invariants.check(
+                taken > before,
+                "configuration-never-goes-back",
+                () -> "version " + before + " was followed by " + taken);
         log.note(
                 "config",
-                String.valueOf(update.getConfigVersion()),
+                String.valueOf(taken),
                 "state",
                 "in-force",
                 "before",
@@ -152,10 +187,15 @@
                 "told-by",
                 from);
         routes = read.get();
-        version = update.getConfigVersion();
+        version = taken;
     }
 
     void tick(long now, Outbox out) {
+        source.next(now, held())
+                .ifPresent(address -> out.send(
+                        address,
+                        Envelope.newBuilder()
+                                .setConfigFetch(ConfigFetch.newBuilder().setHeldVersion(version))));
         if (now < nextAsk) {
             return;
         }
@@ -171,6 +211,8 @@
                     .setRegion(settings.region())
                     .setVm(settings.vm())
                     .setWantsDirectory(true)
+                    .setFetchesConfig(true)
+                    .setEntriesHash(entriesHash)
                     .addAllOffered(offered.values())
                     .build();
             out.send(address, Envelope.newBuilder().setSubscribe(subscribe));
@@ -178,6 +220,6 @@
     }
 
     long nextDue() {
-        return nextAsk;
+        return Math.min(nextAsk, source.nextDue(held()));
     }
 }
--- a/src/main/java/org/cuminshelf/direct/DirectCore.java
+++ b/src/main/java/org/cuminshelf/direct/DirectCore.java
@@ -4,7 +4,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.function.Function;
 import java.util.function.LongSupplier;
 import net.openhft.hashing.LongHashFunction;
 import org.cuminshelf.core.Address;
@@ -19,7 +18,6 @@
 import org.cuminshelf.message.Envelope;
 import org.cuminshelf.message.Stopped;
 import org.cuminshelf.routes.Route;
-import org.cuminshelf.routes.RouteTable;
 
 /** The decisions of an entry that reaches upstreams straight. */
 public final class DirectCore implements Core, CallerHandler {
@@ -49,7 +47,7 @@
             DirectSettings settings,
             Address self,
             UpstreamProtocol protocol,
-            Function<byte[], Optional<RouteTable>> format,
+            RouteReader reader,
             UpstreamPort port,
             LongSupplier clock,
             Invariants invariants,
@@ -60,7 +58,7 @@
         this.log = log;
         long now = clock.getAsLong();
         this.upstreams = new UpstreamTable(log);
-        this.control = new ControlFeed(settings, format, upstreams, now, invariants, log);
+        this.control = new ControlFeed(settings, reader, upstreams, now, invariants, log);
         EngineModels models = new EngineModels();
         Placement placement = new Placement(upstreams, control, models, settings.zone());
         this.gossip = new LoadGossip(upstreams, models, now);
@@ -85,7 +83,7 @@
      * @param settings   its place
      * @param self       its own address for messages
      * @param protocol   how the deployment's callers and upstreams write
-     * @param format     reads the accepted configuration
+     * @param reader     reads the accepted configuration
      * @param port       where requests to upstreams leave
      * @param clock      monotonic nanoseconds
      * @param invariants receives the outcome of assertions
@@ -96,12 +94,12 @@
             DirectSettings settings,
             Address self,
             UpstreamProtocol protocol,
-            Function<byte[], Optional<RouteTable>> format,
+            RouteReader reader,
             UpstreamPort port,
             LongSupplier clock,
             Invariants invariants,
             DecisionLog log) {
-        return new DirectCore(settings, self, protocol, format, port, clock, invariants, log);
+        return new DirectCore(settings, self, protocol, reader, port, clock, invariants, log);
     }
 
     // ---- callers
@@ -175,6 +173,10 @@
                 control.onUpdate(now, from, input.getUpdate());
                 startEarly(now);
             }
+            case CONFIG_BODY -> {
+                control.onBody(now, from, input.getConfigBody());
+                startEarly(now);
+            }
             case ENTRY_LOAD -> gossip.onLoad(now, from, input.getEntryLoad());
             case STOP -> leaving = true;
             default -> {
--- a/src/main/java/org/cuminshelf/message/Envelope.java
+++ b/src/main/java/org/cuminshelf/message/Envelope.java
@@ -56,6 +56,8 @@
     JOIN_REQUEST(58),
     UPSTREAM_BEAT(60),
     ENTRY_LOAD(61),
+    CONFIG_FETCH(63),
+    CONFIG_BODY(64),
     SEND_DIRECT_ORDER(62),
     CALL_ARRIVED(70),
     CALL_GONE(71),
@@ -122,6 +124,8 @@
         case 58: return JOIN_REQUEST;
         case 60: return UPSTREAM_BEAT;
         case 61: return ENTRY_LOAD;
+        case 63: return CONFIG_FETCH;
+        case 64: return CONFIG_BODY;
         case 62: return SEND_DIRECT_ORDER;
         case 70: return CALL_ARRIVED;
         case 71: return CALL_GONE;
@@ -1961,6 +1965,110 @@
     }
   }
 
+  public static final int CONFIG_FETCH_FIELD_NUMBER = 63;
+  /**
+   * <code>.cuminshelf.ConfigFetch config_fetch = 63;</code>
+   */
+  @java.lang.Override
+  public boolean hasConfigFetch() {
+    return bodyCase_ == 63;
+  }
+  /**
+   * <code>.cuminshelf.ConfigFetch config_fetch = 63;</code>
+   */
+  @java.lang.Override
+  public org.cuminshelf.message.ConfigFetch getConfigFetch() {
+    if (bodyCase_ == 63) {
+       return (org.cuminshelf.message.ConfigFetch) body_;
+    }
+    return org.cuminshelf.message.ConfigFetch.getDefaultInstance();
+  }
+  /**
+   * <code>.cuminshelf.ConfigFetch config_fetch = 63;</code>
+   */
+  @java.lang.SuppressWarnings("ReturnValueIgnored")
+  private void setConfigFetch(org.cuminshelf.message.ConfigFetch value) {
+    value.getClass();  // minimal bytecode null check
+    body_ = value;
+    bodyCase_ = 63;
+  }
+  /**
+   * <code>.cuminshelf.ConfigFetch config_fetch = 63;</code>
+   */
+  @java.lang.SuppressWarnings("ReturnValueIgnored")
+  private void mergeConfigFetch(org.cuminshelf.message.ConfigFetch value) {
+    value.getClass();  // minimal bytecode null check
+    if (bodyCase_ == 63 &&
+        body_ != org.cuminshelf.message.ConfigFetch.getDefaultInstance()) {
+      body_ = org.cuminshelf.message.ConfigFetch.newBuilder((org.cuminshelf.message.ConfigFetch) body_)
+          .mergeFrom(value).buildPartial();
+    } else {
+      body_ = value;
+    }
+    bodyCase_ = 63;
+  }
+  /**
+   * <code>.cuminshelf.ConfigFetch config_fetch = 63;</code>
+   */
+  private void clearConfigFetch() {
+    if (bodyCase_ == 63) {
+      bodyCase_ = 0;
+      body_ = null;
+    }
+  }
+
+  public static final int CONFIG_BODY_FIELD_NUMBER = 64;
+  /**
+   * <code>.cuminshelf.ConfigBody config_body = 64;</code>
+   */
+  @java.lang.Override
+  public boolean hasConfigBody() {
+    return bodyCase_ == 64;
+  }
+  /**
+   * <code>.cuminshelf.ConfigBody config_body = 64;</code>
+   */
+  @java.lang.Override
+  public org.cuminshelf.message.ConfigBody getConfigBody() {
+    if (bodyCase_ == 64) {
+       return (org.cuminshelf.message.ConfigBody) body_;
+    }
+    return org.cuminshelf.message.ConfigBody.getDefaultInstance();
+  }
+  /**
+   * <code>.cuminshelf.ConfigBody config_body = 64;</code>
+   */
+  @java.lang.SuppressWarnings("ReturnValueIgnored")
+  private void setConfigBody(org.cuminshelf.message.ConfigBody value) {
+    value.getClass();  // minimal bytecode null check
+    body_ = value;
+    bodyCase_ = 64;
+  }
+  /**
+   * <code>.cuminshelf.ConfigBody config_body = 64;</code>
+   */
+  @java.lang.SuppressWarnings("ReturnValueIgnored")
+  private void mergeConfigBody(org.cuminshelf.message.ConfigBody value) {
+    value.getClass();  // minimal bytecode null check
+    if (bodyCase_ == 64 &&
+        body_ != org.cuminshelf.message.ConfigBody.getDefaultInstance()) {
+      body_ = org.cuminshelf.message.ConfigBody.newBuilder((org.cuminshelf.message.ConfigBody) body_)
+          .mergeFrom(value).buildPartial();
+    } else {
+      body_ = value;
+    }
+    bodyCase_ = 64;
+  }
+  /**
+   * <code>.cuminshelf.ConfigBody config_body = 64;</code>
+   */
+  private void clearConfigBody() {
+    if (bodyCase_ == 64) {
+      bodyCase_ = 0;
+      body_ = null;
+    }
+  }
+
   public static final int SEND_DIRECT_ORDER_FIELD_NUMBER = 62;
   /**
    * <pre>
@@ -4907,6 +5015,102 @@
       return this;
     }
 
+    /**
+     * <code>.cuminshelf.ConfigFetch config_fetch = 63;</code>
+     */
+    @java.lang.Override
+    public boolean hasConfigFetch() {
+      return instance.hasConfigFetch();
+    }
+    /**
+     * <code>.cuminshelf.ConfigFetch config_fetch = 63;</code>
+     */
+    @java.lang.Override
+    public org.cuminshelf.message.ConfigFetch getConfigFetch() {
+      return instance.getConfigFetch();
+    }
+    /**
+     * <code>.cuminshelf.ConfigFetch config_fetch = 63;</code>
+     */
+    public Builder setConfigFetch(org.cuminshelf.message.ConfigFetch value) {
+      copyOnWrite();
+      instance.setConfigFetch(value);
+      return this;
+    }
+    /**
+     * <code>.cuminshelf.ConfigFetch config_fetch = 63;</code>
+     */
+    public Builder setConfigFetch(
+        org.cuminshelf.message.ConfigFetch.Builder builderForValue) {
+      copyOnWrite();
+      instance.setConfigFetch(builderForValue.build());
+      return this;
+    }
+    /**
+     * <code>.cuminshelf.ConfigFetch config_fetch = 63;</code>
+     */
+    public Builder mergeConfigFetch(org.cuminshelf.message.ConfigFetch value) {
+      copyOnWrite();
+      instance.mergeConfigFetch(value);
+      return this;
+    }
+    /**
+     * <code>.cuminshelf.ConfigFetch config_fetch = 63;</code>
+     */
+    public Builder clearConfigFetch() {
+      copyOnWrite();
+      instance.clearConfigFetch();
+      return this;
+    }
+
+    /**
+     * <code>.cuminshelf.ConfigBody config_body = 64;</code>
+     */
+    @java.lang.Override
+    public boolean hasConfigBody() {
+      return instance.hasConfigBody();
+    }
+    /**
+     * <code>.cuminshelf.ConfigBody config_body = 64;</code>
+     */
+    @java.lang.Override
+    public org.cuminshelf.message.ConfigBody getConfigBody() {
+      return instance.getConfigBody();
+    }
+    /**
+     * <code>.cuminshelf.ConfigBody config_body = 64;</code>
+     */
+    public Builder setConfigBody(org.cuminshelf.message.ConfigBody value) {
+      copyOnWrite();
+      instance.setConfigBody(value);
+      return this;
+    }
+    /**
+     * <code>.cuminshelf.ConfigBody config_body = 64;</code>
+     */
+    public Builder setConfigBody(
+        org.cuminshelf.message.ConfigBody.Builder builderForValue) {
+      copyOnWrite();
+      instance.setConfigBody(builderForValue.build());
+      return this;
+    }
+    /**
+     * <code>.cuminshelf.ConfigBody config_body = 64;</code>
+     */
+    public Builder mergeConfigBody(org.cuminshelf.message.ConfigBody value) {
+      copyOnWrite();
+      instance.mergeConfigBody(value);
+      return this;
+    }
+    /**
+     * <code>.cuminshelf.ConfigBody config_body = 64;</code>
+     */
+    public Builder clearConfigBody() {
+      copyOnWrite();
+      instance.clearConfigBody();
+      return this;
+    }
+
     /**
      * <pre>
      * local: orders port of a control process
@@ -6039,6 +6243,8 @@
             org.cuminshelf.message.UpstreamBeat.class,
             org.cuminshelf.message.EntryLoad.class,
             org.cuminshelf.message.DirectOrder.class,
+            org.cuminshelf.message.ConfigFetch.class,
+            org.cuminshelf.message.ConfigBody.class,
             org.cuminshelf.message.CallArrived.class,
             org.cuminshelf.message.CallGone.class,
             org.cuminshelf.message.AnswerHead.class,
@@ -6060,13 +6266,13 @@
             org.cuminshelf.message.WallClock.class,
           };
           java.lang.String info =
-              "\u00005\u0001\u0000\u0001a5\u0000\u0000\u0000\u0001\u0208\u0002\u0003\n<\u0000\u000b" +
+              "\u00007\u0001\u0000\u0001a7\u0000\u0000\u0000\u0001\u0208\u0002\u0003\n<\u0000\u000b" +
               "<\u0000\f<\u0000\r<\u0000\u000e<\u0000\u000f<\u0000\u0010<\u0000\u0011<\u0000\u0012" +
               "<\u0000\u0013<\u0000\u0014<\u0000\u001e<\u0000\u001f<\u0000 <\u0000!<\u0000\"<\u0000" +
               "#<\u0000$<\u0000%<\u0000&<\u00002<\u00003<\u00004<\u00005<\u00006<\u00007<\u0000" +
-              "8<\u00009<\u0000:<\u0000<<\u0000=<\u0000><\u0000F<\u0000G<\u0000H<\u0000I<\u0000" +
-              "J<\u0000P<\u0000Q<\u0000R<\u0000S<\u0000T<\u0000U<\u0000V<\u0000W<\u0000X<\u0000" +
-              "Z<\u0000[<\u0000_<\u0000`<\u0000a<\u0000";
+              "8<\u00009<\u0000:<\u0000<<\u0000=<\u0000><\u0000?<\u0000@<\u0000F<\u0000G<\u0000" +
+              "H<\u0000I<\u0000J<\u0000P<\u0000Q<\u0000R<\u0000S<\u0000T<\u0000U<\u0000V<\u0000" +
+              "W<\u0000X<\u0000Z<\u0000[<\u0000_<\u0000`<\u0000a<\u0000";
           return newMessageInfo(DEFAULT_INSTANCE, info, objects);
       }
       case GET_DEFAULT_INSTANCE: {
--- a/src/main/java/org/cuminshelf/message/EnvelopeOrBuilder.java
+++ b/src/main/java/org/cuminshelf/message/EnvelopeOrBuilder.java
@@ -413,6 +413,28 @@
    */
   org.cuminshelf.message.EntryLoad getEntryLoad();
 
+  /**
+   * <code>.cuminshelf.ConfigFetch config_fetch = 63;</code>
+   * @return Whether the configFetch field is set.
+   */
+  boolean hasConfigFetch();
+  /**
+   * <code>.cuminshelf.ConfigFetch config_fetch = 63;</code>
+   * @return The configFetch.
+   */
+  org.cuminshelf.message.ConfigFetch getConfigFetch();
+
+  /**
+   * <code>.cuminshelf.ConfigBody config_body = 64;</code>
+   * @return Whether the configBody field is set.
+   */
+  boolean hasConfigBody();
+  /**
+   * <code>.cuminshelf.ConfigBody config_body = 64;</code>
+   * @return The configBody.
+   */
+  org.cuminshelf.message.ConfigBody getConfigBody();
+
   /**
    * <pre>
    * local: orders port of a control process
--- a/src/main/java/org/cuminshelf/message/Subscribe.java
+++ b/src/main/java/org/cuminshelf/message/Subscribe.java
@@ -402,6 +402,82 @@
     offered_.remove(index);
   }
 
+  public static final int FETCHES_CONFIG_FIELD_NUMBER = 9;
+  private boolean fetchesConfig_;
+  /**
+   * <pre>
+   * Asks for the body of a newer configuration itself, and is to be told its version only.
+   * </pre>
+   *
+   * <code>bool fetches_config = 9;</code>
+   * @return The fetchesConfig.
+   */
+  @java.lang.Override
+  public boolean getFetchesConfig() {
+    return fetchesConfig_;
+  }
+  /**
+   * <pre>
+   * Asks for the body of a newer configuration itself, and is to be told its version only.
+   * </pre>
+   *
+   * <code>bool fetches_config = 9;</code>
+   * @param value The fetchesConfig to set.
+   */
+  private void setFetchesConfig(boolean value) {
+    
+    fetchesConfig_ = value;
+  }
+  /**
+   * <pre>
+   * Asks for the body of a newer configuration itself, and is to be told its version only.
+   * </pre>
+   *
+   * <code>bool fetches_config = 9;</code>
+   */
+  private void clearFetchesConfig() {
+
+    fetchesConfig_ = false;
+  }
+
+  public static final int ENTRIES_HASH_FIELD_NUMBER = 10;
+  private long entriesHash_;
+  /**
+   * <pre>
+   * Hash of the list of entries that it holds; that list is told only where it differs.
+   * </pre>
+   *
+   * <code>uint64 entries_hash = 10;</code>
+   * @return The entriesHash.
+   */
+  @java.lang.Override
+  public long getEntriesHash() {
+    return entriesHash_;
+  }
+  /**
+   * <pre>
+   * Hash of the list of entries that it holds; that list is told only where it differs.
+   * </pre>
+   *
+   * <code>uint64 entries_hash = 10;</code>
+   * @param value The entriesHash to set.
+   */
+  private void setEntriesHash(long value) {
+    
+    entriesHash_ = value;
+  }
+  /**
+   * <pre>
+   * Hash of the list of entries that it holds; that list is told only where it differs.
+   * </pre>
+   *
+   * <code>uint64 entries_hash = 10;</code>
+   */
+  private void clearEntriesHash() {
+
+    entriesHash_ = 0L;
+  }
+
   public static org.cuminshelf.message.Subscribe parseFrom(
       java.nio.ByteBuffer data)
       throws com.google.protobuf.InvalidProtocolBufferException {
@@ -903,6 +979,86 @@
       return this;
     }
 
+    /**
+     * <pre>
+     * Asks for the body of a newer configuration itself, and is to be told its version only.
+     * </pre>
+     *
+     * <code>bool fetches_config = 9;</code>
+     * @return The fetchesConfig.
+     */
+    @java.lang.Override
+    public boolean getFetchesConfig() {
+      return instance.getFetchesConfig();
+    }
+    /**
+     * <pre>
+     * Asks for the body of a newer configuration itself, and is to be told its version only.
+     * </pre>
+     *
+     * <code>bool fetches_config = 9;</code>
+     * @param value The fetchesConfig to set.
+     * @return This builder for chaining.
+     */
+    public Builder setFetchesConfig(boolean value) {
+      copyOnWrite();
+      instance.setFetchesConfig(value);
+      return this;
+    }
+    /**
+     * <pre>
+     * Asks for the body of a newer configuration itself, and is to be told its version only.
+     * </pre>
+     *
+     * <code>bool fetches_config = 9;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearFetchesConfig() {
+      copyOnWrite();
+      instance.clearFetchesConfig();
+      return this;
+    }
+
+    /**
+     * <pre>
+     * Hash of the list of entries that it holds; that list is told only where it differs.
+     * </pre>
+     *
+     * <code>uint64 entries_hash = 10;</code>
+     * @return The entriesHash.
+     */
+    @java.lang.Override
+    public long getEntriesHash() {
+      return instance.getEntriesHash();
+    }
+    /**
+     * <pre>
+     * Hash of the list of entries that it holds; that list is told only where it differs.
+     * </pre>
+     *
+     * <code>uint64 entries_hash = 10;</code>
+     * @param value The entriesHash to set.
+     * @return This builder for chaining.
+     */
+    public Builder setEntriesHash(long value) {
+      copyOnWrite();
+      instance.setEntriesHash(value);
+      return this;
+    }
+    /**
+     * <pre>
+     * Hash of the list of entries that it holds; that list is told only where it differs.
+     * </pre>
+     *
+     * <code>uint64 entries_hash = 10;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearEntriesHash() {
+      copyOnWrite();
+      instance.clearEntriesHash();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:cuminshelf.Subscribe)
   }
   @java.lang.Override
@@ -928,10 +1084,12 @@
             "wantsDirectory_",
             "offered_",
             org.cuminshelf.message.OfferedWork.class,
+            "fetchesConfig_",
+            "entriesHash_",
           };
           java.lang.String info =
-              "\u0000\b\u0000\u0000\u0001\b\b\u0000\u0001\u0000\u0001\u0003\u0002\u0003\u0003\u0003" +
-              "\u0004\u0007\u0005\u0208\u0006\u0208\u0007\u0007\b\u001b";
+              "\u0000\n\u0000\u0000\u0001\n\n\u0000\u0001\u0000\u0001\u0003\u0002\u0003\u0003\u0003" +
+              "\u0004\u0007\u0005\u0208\u0006\u0208\u0007\u0007\b\u001b\t\u0007\n\u0003";
           return newMessageInfo(DEFAULT_INSTANCE, info, objects);
       }
       case GET_DEFAULT_INSTANCE: {
--- a/src/main/java/org/cuminshelf/message/SubscribeOrBuilder.java
+++ b/src/main/java/org/cuminshelf/message/SubscribeOrBuilder.java
@@ -93,4 +93,24 @@
    * <code>repeated .cuminshelf.OfferedWork offered = 8;</code>
    */
   int getOfferedCount();
+
+  /**
+   * <pre>
+   * Asks for the body of a newer configuration itself, and is to be told its version only.
+   * </pre>
+   *
+   * <code>bool fetches_config = 9;</code>
+   * @return The fetchesConfig.
+   */
+  boolean getFetchesConfig();
+
+  /**
+   * <pre>
+   * Hash of the list of entries that it holds; that list is told only where it differs.
+   * </pre>
+   *
+   * <code>uint64 entries_hash = 10;</code>
+   * @return The entriesHash.
+   */
+  long getEntriesHash();
 }
--- a/src/main/java/org/cuminshelf/message/Update.java
+++ b/src/main/java/org/cuminshelf/message/Update.java
@@ -1007,6 +1007,44 @@
     directorySince_ = 0L;
   }
 
+  public static final int ENTRIES_HASH_FIELD_NUMBER = 16;
+  private long entriesHash_;
+  /**
+   * <pre>
+   * Hash of the list of entries, whether or not the list is told.
+   * </pre>
+   *
+   * <code>uint64 entries_hash = 16;</code>
+   * @return The entriesHash.
+   */
+  @java.lang.Override
+  public long getEntriesHash() {
+    return entriesHash_;
+  }
+  /**
+   * <pre>
+   * Hash of the list of entries, whether or not the list is told.
+   * </pre>
+   *
+   * <code>uint64 entries_hash = 16;</code>
+   * @param value The entriesHash to set.
+   */
+  private void setEntriesHash(long value) {
+    
+    entriesHash_ = value;
+  }
+  /**
+   * <pre>
+   * Hash of the list of entries, whether or not the list is told.
+   * </pre>
+   *
+   * <code>uint64 entries_hash = 16;</code>
+   */
+  private void clearEntriesHash() {
+
+    entriesHash_ = 0L;
+  }
+
   public static org.cuminshelf.message.Update parseFrom(
       java.nio.ByteBuffer data)
       throws com.google.protobuf.InvalidProtocolBufferException {
@@ -2123,6 +2161,46 @@
       return this;
     }
 
+    /**
+     * <pre>
+     * Hash of the list of entries, whether or not the list is told.
+     * </pre>
+     *
+     * <code>uint64 entries_hash = 16;</code>
+     * @return The entriesHash.
+     */
+    @java.lang.Override
+    public long getEntriesHash() {
+      return instance.getEntriesHash();
+    }
+    /**
+     * <pre>
+     * Hash of the list of entries, whether or not the list is told.
+     * </pre>
+     *
+     * <code>uint64 entries_hash = 16;</code>
+     * @param value The entriesHash to set.
+     * @return This builder for chaining.
+     */
+    public Builder setEntriesHash(long value) {
+      copyOnWrite();
+      instance.setEntriesHash(value);
+      return this;
+    }
+    /**
+     * <pre>
+     * Hash of the list of entries, whether or not the list is told.
+     * </pre>
+     *
+     * <code>uint64 entries_hash = 16;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearEntriesHash() {
+      copyOnWrite();
+      instance.clearEntriesHash();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:cuminshelf.Update)
   }
   @java.lang.Override
@@ -2157,11 +2235,12 @@
             "upstreams_",
             org.cuminshelf.message.UpstreamBeat.class,
             "directorySince_",
+            "entriesHash_",
           };
           java.lang.String info =
-              "\u0000\u000f\u0000\u0000\u0001\u000f\u000f\u0000\u0005\u0000\u0001\u0003\u0002\n" +
+              "\u0000\u0010\u0000\u0000\u0001\u0010\u0010\u0000\u0005\u0000\u0001\u0003\u0002\n" +
               "\u0003\u0003\u0004\u0003\u0005\u001b\u0006\u0007\u0007\u0007\b\u0208\t\u001b\n\u000b" +
-              "\u000b\u0007\f\u021a\r\u021a\u000e\u001b\u000f\u0003";
+              "\u000b\u0007\f\u021a\r\u021a\u000e\u001b\u000f\u0003\u0010\u0003";
           return newMessageInfo(DEFAULT_INSTANCE, info, objects);
       }
       case GET_DEFAULT_INSTANCE: {
--- a/src/main/java/org/cuminshelf/message/UpdateOrBuilder.java
+++ b/src/main/java/org/cuminshelf/message/UpdateOrBuilder.java
@@ -243,4 +243,14 @@
    * @return The directorySince.
    */
   long getDirectorySince();
+
+  /**
+   * <pre>
+   * Hash of the list of entries, whether or not the list is told.
+   * </pre>
+   *
+   * <code>uint64 entries_hash = 16;</code>
+   * @return The entriesHash.
+   */
+  long getEntriesHash();
 }
--- a/src/main/java/org/cuminshelf/process/DirectEntryProcess.java
+++ b/src/main/java/org/cuminshelf/process/DirectEntryProcess.java
@@ -5,14 +5,18 @@
 import java.nio.ByteBuffer;
 import java.util.List;
 import java.util.Optional;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.locks.Condition;
 import java.util.concurrent.locks.ReentrantLock;
+import java.util.function.Consumer;
 import java.util.function.Function;
 import org.cuminshelf.core.Address;
 import org.cuminshelf.core.Outbox;
 import org.cuminshelf.direct.DirectCore;
 import org.cuminshelf.direct.DirectSettings;
+import org.cuminshelf.direct.RouteReader;
 import org.cuminshelf.direct.UpstreamPort;
 import org.cuminshelf.direct.UpstreamProtocol;
 import org.cuminshelf.exchange.CallerExchange;
@@ -75,6 +79,9 @@
     private final CountingInvariants invariants = CountingInvariants.create();
     private final UpstreamConnections connections;
     private final DirectCore core;
+    private final Function<byte[], Optional<RouteTable>> format;
+    private final ExecutorService configReader = Executors.newSingleThreadExecutor(
+            Thread.ofPlatform().daemon().name("config").factory());
     private final Thread ticker = new Thread(this::tickOn, "core");
     private final long incarnation;
     private final PrometheusRegistry registry = new PrometheusRegistry();
@@ -101,12 +108,13 @@
         this.common = common;
         this.incarnation = System.currentTimeMillis() << 20 | System.nanoTime() & 0xFFFFF;
         this.network = TcpNetwork.open(1, common.meshTls());
+        this.format = options.format();
         this.connections = UpstreamConnections.start(lock);
         this.core = DirectCore.start(
                 options.settings(),
                 common.listen(),
                 options.protocol(),
-                options.format(),
+                this::readRoutes,
                 new Port(),
                 System::nanoTime,
                 invariants,
@@ -181,6 +189,19 @@
         }
     }
 
+    private void readRoutes(byte[] deflated, Consumer<Optional<RouteTable>> whenRead) {
+        configReader.execute(() -> {
+            Optional<RouteTable> read = RouteReader.parse(deflated, format);
+            lock.lock();
+            try {
+                whenRead.accept(read);
+                wakeIfDue();
+            } finally {
+                lock.unlock();
+            }
+        });
+    }
+
     private void deliver(Address to, Envelope.Builder message, boolean fresh) {
         if (!to.isLocal()) {
             network.send(
@@ -302,6 +323,7 @@
     public void close() {
         running = false;
         ticker.interrupt();
+        configReader.shutdownNow();
         if (callers != null) {
             callers.close();
         }
--- a/src/test/java/org/cuminshelf/control/DirectControlTest.java
+++ b/src/test/java/org/cuminshelf/control/DirectControlTest.java
@@ -3,6 +3,8 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import com.google.protobuf.ByteString;
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
@@ -10,6 +12,7 @@
 import net.jqwik.api.Example;
 import org.apache.commons.rng.simple.RandomSource;
 import org.cuminshelf.core.Address;
+import org.cuminshelf.core.Deflated;
 import org.cuminshelf.core.Durations;
 import org.cuminshelf.core.Invariants;
 import org.cuminshelf.core.RecordingOutbox;
@@ -17,6 +20,8 @@
 import org.cuminshelf.message.AdminRequest;
 import org.cuminshelf.message.AdminResult;
 import org.cuminshelf.message.ConfigApply;
+import org.cuminshelf.message.ConfigBody;
+import org.cuminshelf.message.ConfigFetch;
 import org.cuminshelf.message.ConfigRead;
 import org.cuminshelf.message.DirectOrder;
 import org.cuminshelf.message.Envelope;
@@ -91,6 +96,56 @@
         assertThat(told("u").getLeaving()).isTrue();
     }
 
+    /*
+     * Nothing is served for seconds after a large configuration, as each answer to an entry carries the whole of it. An
+     * entry that asks for the body itself is told the version only, and gets the body once for each time it asks.
+     */
+    @Example
+    void anEntryThatFetchesTheConfigurationIsToldItsVersionOnly() throws IOException {
+        apply(7, "a large document");
+        sent.clear();
+        give(
+                ENTRY,
+                Envelope.newBuilder()
+                        .setSubscribe(
+                                Subscribe.newBuilder().setWantsDirectory(true).setFetchesConfig(true)));
+        pass(50);
+        assertThat(lastUpdate().getConfigVersion()).isEqualTo(7);
+        assertThat(lastUpdate().getConfig().isEmpty()).isTrue();
+        give(ENTRY, Envelope.newBuilder().setConfigFetch(ConfigFetch.getDefaultInstance()));
+        ConfigBody body = lastBody();
+        assertThat(body.getVersion()).isEqualTo(7);
+        assertThat(new String(Deflated.inflate(body.getDeflated().toByteArray()), StandardCharsets.UTF_8))
+                .isEqualTo("a large document");
+        give(
+                ENTRY,
+                Envelope.newBuilder().setConfigFetch(ConfigFetch.newBuilder().setHeldVersion(7)));
+        assertThat(lastBody().getDeflated().isEmpty()).isTrue();
+    }
+
+    private ConfigBody lastBody() {
+        return sent.stream()
+                .filter(Envelope::hasConfigBody)
+                .map(Envelope::getConfigBody)
+                .reduce((first, second) -> second)
+                .orElseThrow();
+    }
+
+    /* Each answer to an entry carries the addresses of all entries: at 330 entries 60 KB/s for each of them. */
+    @Example
+    void theListOfEntriesIsToldOnlyWhereItDiffers() {
+        subscribe();
+        Update first = lastUpdate();
+        assertThat(first.getEntryAddressesList()).containsExactly(ENTRY.value());
+        give(
+                ENTRY,
+                Envelope.newBuilder()
+                        .setSubscribe(
+                                Subscribe.newBuilder().setWantsDirectory(true).setEntriesHash(first.getEntriesHash())));
+        assertThat(lastUpdate().getEntryAddressesList()).isEmpty();
+        assertThat(lastUpdate().getEntriesHash()).isEqualTo(first.getEntriesHash());
+    }
+
     /*
      * A restarted entry never learns the upstreams: it is told a change without the version that the change builds on,
      * and can't see that it lacks what came before.
--- a/src/test/java/org/cuminshelf/direct/DirectFixture.java
+++ b/src/test/java/org/cuminshelf/direct/DirectFixture.java
@@ -1,5 +1,6 @@
 package org.cuminshelf.direct;
 
+import com.google.protobuf.ByteString;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
@@ -8,6 +9,7 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import org.cuminshelf.core.Address;
+import org.cuminshelf.core.Deflated;
 import org.cuminshelf.core.Durations;
 import org.cuminshelf.core.Invariants;
 import org.cuminshelf.core.RecordingOutbox;
@@ -17,6 +19,7 @@
 import org.cuminshelf.exchange.UpstreamExchange;
 import org.cuminshelf.exchange.UpstreamHandler;
 import org.cuminshelf.exchange.UpstreamRequest;
+import org.cuminshelf.message.ConfigBody;
 import org.cuminshelf.message.EntryLoad;
 import org.cuminshelf.message.Envelope;
 import org.cuminshelf.message.Role;
@@ -51,7 +54,7 @@
                 new DirectSettings("r", "z", "vm", List.of(CONTROL), new RepeatLimits(0.2, 100, 10_000)),
                 SELF,
                 new Protocol(),
-                document -> Optional.of(table),
+                RouteReader.atOnce(document -> Optional.of(table)),
                 new Port(),
                 () -> now,
                 Invariants.throwing(),
@@ -77,10 +80,16 @@
     }
 
     DirectFixture ready() {
-        update(Update.newBuilder()
-                .setConfigVersion(7)
-                .setConfig(com.google.protobuf.ByteString.copyFromUtf8("x"))
-                .setConfirmed(true));
+        update(Update.newBuilder().setConfigVersion(7).setConfirmed(true));
+        core.accept(
+                now,
+                Envelope.newBuilder()
+                        .setFrom(CONTROL.value())
+                        .setConfigBody(ConfigBody.newBuilder()
+                                .setVersion(7)
+                                .setDeflated(Deflated.deflate(ByteString.copyFromUtf8("x"))))
+                        .build(),
+                out);
         return this;
     }
 
