--- a/src/main/java/org/cuminshelf/routes/RouteTable.java
+++ b/src/main/java/org/cuminshelf/routes/RouteTable.java
@@ -1,7 +1,5 @@
 package org.cuminshelf.routes;
 
-import java.util.ArrayList;
-import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -20,8 +18,7 @@
     private final Map<String, RoutedService> services;
     private final CallerLimits limits;
     private final List<Route> routes;
-    /** Routes by host, those with the longest prefix first. */
-    private final Map<String, List<Route>> byHost = new HashMap<>();
+    private final Map<String, HostRoutes> byHost = new HashMap<>();
 
     private RouteTable(long version, List<Route> routes, Map<String, RoutedService> services, CallerLimits limits) {
         this.version = version;
@@ -29,11 +26,34 @@
         this.limits = limits;
         this.routes = routes;
         routes.forEach(route ->
-                byHost.computeIfAbsent(route.host(), key -> new ArrayList<>()).add(route));
-        byHost.values()
-                .forEach(list -> list.sort(Comparator.comparingInt(
-                                (Route route) -> route.pathPrefix().length())
-                        .reversed()));
+                byHost.computeIfAbsent(route.host(), key -> new HostRoutes()).add(route));
+    }
+
+    /**
+     * The routes of one host by their prefixes. A lookup costs as many steps as the deepest prefix has segments,
+     * however many routes there are; configurations of a thousand routes are usual.
+     */
+    private static final class HostRoutes {
+        private final Map<String, Route> byPrefix = new HashMap<>();
+        private int deepest;
+
+        private void add(Route route) {
+            byPrefix.putIfAbsent(route.pathPrefix(), route);
+            int slashes =
+                    (int) route.pathPrefix().chars().filter(one -> one == '/').count();
+            deepest = Math.max(deepest, slashes);
+        }
+
+        private Optional<Route> longest(String path) {
+            Route found = null;
+            int slash = path.indexOf('/');
+            for (int depth = 1; depth <= deepest && slash >= 0; depth++) {
+                Route route = byPrefix.get(path.substring(0, slash + 1));
+                found = route == null ? found : route;
+                slash = path.indexOf('/', slash + 1);
+            }
+            return Optional.ofNullable(found);
+        }
     }
 
     /**
@@ -146,11 +166,6 @@
     public Optional<Route> route(String host, String path) {
         int port = host.lastIndexOf(':');
         String name = (port > 0 ? host.substring(0, port) : host).toLowerCase(Locale.ROOT);
-        for (Route route : byHost.getOrDefault(name, List.of())) {
-            if (path.startsWith(route.pathPrefix())) {
-                return Optional.of(route);
-            }
-        }
-        return Optional.empty();
+        return Optional.ofNullable(byHost.get(name)).flatMap(found -> found.longest(path));
     }
 }
