Take the telling of subscribers out of the control core; brief streams by events, not tokens

What a brief stream is was 48 tokens, four events of one engine; now it is four events of whatever the configuration states.

--- a/src/main/java/org/cuminshelf/control/ControlCore.java
+++ b/src/main/java/org/cuminshelf/control/ControlCore.java
@@ -21,17 +21,13 @@
 import org.cuminshelf.message.ClaimRequest;
 import org.cuminshelf.message.ClaimResult;
 import org.cuminshelf.message.ConfigApply;
-import org.cuminshelf.message.ConfigBody;
-import org.cuminshelf.message.ConfigFetch;
 import org.cuminshelf.message.Envelope;
 import org.cuminshelf.message.FleetStatus;
-import org.cuminshelf.message.GroupLeader;
 import org.cuminshelf.message.LogEntry;
 import org.cuminshelf.message.OrderPlace;
 import org.cuminshelf.message.OrderPlaced;
 import org.cuminshelf.message.Stopped;
 import org.cuminshelf.message.Subscribe;
-import org.cuminshelf.message.Update;
 import org.cuminshelf.replica.DurableState;
 import org.cuminshelf.replica.Replica;
 import org.cuminshelf.replica.ReplicaSettings;
@@ -40,7 +36,6 @@
 public final class ControlCore implements Core {
 
     private static final long HOUSEKEEPING_EVERY = Durations.nanos(250);
-    private static final long SPREAD_EVERY = Durations.nanos(20);
     private static final long ADMIN_PATIENCE = Durations.nanos(5_000);
 
     /** Who waits for the outcome of an entry. */
@@ -59,6 +54,7 @@
     private final Registry registry;
     private StageSystem stages;
     private final Subscribers subscribers = new Subscribers();
+    private final UpdateSystem updates;
     private final Map<Long, Waiter> configWaiters = new HashMap<>();
     private final Map<String, Map<Long, Waiter>> claimWaiters = new HashMap<>();
     private final Map<String, Map<Long, Waiter>> orderWaiters = new HashMap<>();
@@ -69,9 +65,6 @@
     private long nextToken;
 
     private long nextHousekeeping;
-    private long nextSpread;
-    private long spreadConfigVersion;
-    private long spreadDirectoryVersion;
     private boolean stopping;
     private FleetConfig typedConfig = FleetConfig.empty();
     private long typedVersion;
@@ -85,7 +78,7 @@
         this.registry = new Registry(directory);
         this.nextToken = LongHashFunction.xx3().hashLong(incarnation) & Long.MAX_VALUE >> 1;
         this.nextHousekeeping = now;
-        this.nextSpread = now;
+        this.updates = new UpdateSystem(settings.region(), replicas, config, directory, registry, subscribers, now);
     }
 
     /**
@@ -143,7 +136,7 @@
         switch (input.getBodyCase()) {
             case ANNOUNCE -> onAnnounce(now, from, input.getIncarnation(), input.getAnnounce());
             case SUBSCRIBE -> onSubscribe(now, from, input.getIncarnation(), input.getSubscribe(), out);
-            case CONFIG_FETCH -> onConfigFetch(from, input.getConfigFetch(), out);
+            case CONFIG_FETCH -> updates.onConfigFetch(from, input.getConfigFetch(), out);
             case UPSTREAM_BEAT -> registry.onBeat(now, wallMillis, input.getUpstreamBeat(), otherControl(), out);
             case ORDER_APPLIED -> stages.onOutcome(input.getOrderApplied());
             case CLAIM_REQUEST -> onClaim(now, from, input.getClaimRequest(), out);
@@ -188,7 +181,7 @@
         });
         answerReads(out);
         stages.tick(now, out);
-        spread(now, out);
+        updates.tick(now, out);
         if (now >= nextHousekeeping) {
             nextHousekeeping = now + HOUSEKEEPING_EVERY;
             directory.tick(now);
@@ -204,7 +197,7 @@
         for (Replica replica : replicas.values()) {
             due = Math.min(due, replica.nextDue());
         }
-        return isSpreadDue() ? Math.min(due, nextSpread) : due;
+        return Math.min(due, updates.nextDue());
     }
 
     /**
@@ -254,7 +247,7 @@
                 return;
             }
         }
-        sendUpdate(row, false, out);
+        updates.send(row, false, out);
     }
 
     /** The other control processes, by the log of the global group. */
@@ -283,72 +276,7 @@
             Address asker = readWaiters.remove(token);
             subscribers.rows().stream()
                     .filter(row -> row.address.equals(asker))
-                    .forEach(row -> sendUpdate(row, true, out));
-        }
-    }
-
-    /** Gives an entry the body of the configuration, which it asks one control process for at a time. */
-    private void onConfigFetch(Address from, ConfigFetch fetch, Outbox out) {
-        boolean newer =
-                replicas.get(ControlSettings.GLOBAL).isSettledVoter() && config.version() > fetch.getHeldVersion();
-        ConfigBody.Builder body = ConfigBody.newBuilder();
-        if (newer) {
-            body.setVersion(config.version()).setDeflated(config.deflated());
-        }
-        out.send(from, Envelope.newBuilder().setConfigBody(body));
-    }
-
-    private void sendUpdate(Subscribers.Row row, boolean confirmed, Outbox out) {
-        sendUpdate(row, confirmed, subscribers.entries(), out);
-    }
-
-    private void sendUpdate(Subscribers.Row row, boolean confirmed, List<String> entries, Outbox out) {
-        boolean voter = replicas.get(ControlSettings.GLOBAL).isSettledVoter();
-        Update.Builder update = Update.newBuilder()
-                .setVoter(voter)
-                .setConfigVersion(voter ? config.version() : 0)
-                .setConfirmed(confirmed)
-                .setRegion(settings.region())
-                .setEntries(entries.size());
-        if (voter && !row.fetchesConfig && row.configVersion < config.version()) {
-            update.setConfig(config.config());
-        }
-        if (row.wantsDirectory) {
-            boolean whole = directory.describe(row.directoryIncarnation, row.directoryVersion, update);
-            registry.describe(whole, row.directoryVersion, update);
-            long hash = LongHashFunction.xx3().hashChars(String.join(",", entries));
-            update.setEntriesHash(hash);
-            if (row.entriesHash != hash) {
-                update.addAllEntryAddresses(entries);
-            }
-        }
-        if (voter) {
-            replicas.get(ControlSettings.GLOBAL).members().forEach(member -> update.addControl(member.value()));
-        }
-        replicas.forEach((group, replica) -> replica.leader()
-                .ifPresent(leader -> update.addLeaders(
-                        GroupLeader.newBuilder().setGroup(group).setAddress(leader.value()))));
-        out.send(row.address, Envelope.newBuilder().setUpdate(update));
-    }
-
-    private boolean isSpreadDue() {
-        return spreadConfigVersion != config.version() || spreadDirectoryVersion != directory.version();
-    }
-
-    /** Tells subscribers of changes at once; those lost on the way are made up for at the next heartbeat. */
-    private void spread(long now, Outbox out) {
-        if (!isSpreadDue() || now < nextSpread) {
-            return;
-        }
-        nextSpread = now + SPREAD_EVERY;
-        boolean configChanged = spreadConfigVersion != config.version();
-        spreadConfigVersion = config.version();
-        spreadDirectoryVersion = directory.version();
-        List<String> entries = subscribers.entries();
-        for (Subscribers.Row row : subscribers.rows()) {
-            if (configChanged || row.wantsDirectory) {
-                sendUpdate(row, false, entries, out);
-            }
+                    .forEach(row -> updates.send(row, true, out));
         }
     }
 
--- a/src/main/java/org/cuminshelf/control/Registry.java
+++ b/src/main/java/org/cuminshelf/control/Registry.java
@@ -129,8 +129,9 @@
         put(row, row.beat.toBuilder().setDeleted(true).setLapsed(false).build());
     }
 
+    /** Names a start; where upstreams take a new name with each start that name does. */
     private static String identity(String name, long bornMillis) {
-        return name + '@' + bornMillis;
+        return bornMillis == 0 ? name : name + '@' + bornMillis;
     }
 
     private static UpstreamBeat merged(UpstreamBeat before, UpstreamBeat beat) {
--- /dev/null
+++ b/src/main/java/org/cuminshelf/control/UpdateSystem.java
@@ -0,0 +1,140 @@
+package org.cuminshelf.control;
+
+import java.util.List;
+import java.util.Map;
+import net.openhft.hashing.LongHashFunction;
+import org.cuminshelf.core.Address;
+import org.cuminshelf.core.Core;
+import org.cuminshelf.core.Durations;
+import org.cuminshelf.core.Outbox;
+import org.cuminshelf.message.ConfigBody;
+import org.cuminshelf.message.ConfigFetch;
+import org.cuminshelf.message.Envelope;
+import org.cuminshelf.message.GroupLeader;
+import org.cuminshelf.message.Update;
+import org.cuminshelf.replica.Replica;
+
+/**
+ * Tells subscribers what they lack: the version of the configuration, what changed in the directory, the control
+ * processes and the entries. Changes are told at once; those lost on the way are made up for when a subscriber asks.
+ */
+final class UpdateSystem {
+
+    /** Least time between two rounds of changes: engines that restart together announce themselves within it. */
+    private static final long SPREAD_EVERY = Durations.nanos(20);
+
+    /**
+     * The entries as all of them are told.
+     *
+     * @param addresses in order
+     * @param hash      of the addresses, by which a subscriber's list is compared
+     */
+    private record EntryList(List<String> addresses, long hash) {
+        private static EntryList of(List<String> addresses) {
+            return new EntryList(addresses, LongHashFunction.xx3().hashChars(String.join(",", addresses)));
+        }
+    }
+
+    private final String region;
+    private final Map<String, Replica> replicas;
+    private final ConfigMachine config;
+    private final Directory directory;
+    private final Registry registry;
+    private final Subscribers subscribers;
+    private long nextSpread;
+    private long spreadConfigVersion;
+    private long spreadDirectoryVersion;
+
+    UpdateSystem(
+            String region,
+            Map<String, Replica> replicas,
+            ConfigMachine config,
+            Directory directory,
+            Registry registry,
+            Subscribers subscribers,
+            long now) {
+        this.region = region;
+        this.replicas = replicas;
+        this.config = config;
+        this.directory = directory;
+        this.registry = registry;
+        this.subscribers = subscribers;
+        this.nextSpread = now;
+    }
+
+    /** Gives an entry the body of the configuration, which it asks one control process for at a time. */
+    void onConfigFetch(Address from, ConfigFetch fetch, Outbox out) {
+        boolean newer = isSettledVoter() && config.version() > fetch.getHeldVersion();
+        ConfigBody.Builder body = ConfigBody.newBuilder();
+        if (newer) {
+            body.setVersion(config.version()).setDeflated(config.deflated());
+        }
+        out.send(from, Envelope.newBuilder().setConfigBody(body));
+    }
+
+    /** Tells one subscriber what it lacks; {@code confirmed} says that a quorum confirmed the version told. */
+    void send(Subscribers.Row row, boolean confirmed, Outbox out) {
+        send(row, confirmed, EntryList.of(subscribers.entries()), out);
+    }
+
+    private void send(Subscribers.Row row, boolean confirmed, EntryList entries, Outbox out) {
+        boolean voter = isSettledVoter();
+        Update.Builder update = Update.newBuilder()
+                .setVoter(voter)
+                .setConfigVersion(voter ? config.version() : 0)
+                .setConfirmed(confirmed)
+                .setRegion(region)
+                .setEntries(entries.addresses.size());
+        if (voter && !row.fetchesConfig && row.configVersion < config.version()) {
+            update.setConfig(config.config());
+        }
+        if (row.wantsDirectory) {
+            describeDirectory(row, entries, update);
+        }
+        if (voter) {
+            replicas.get(ControlSettings.GLOBAL).members().forEach(member -> update.addControl(member.value()));
+        }
+        replicas.forEach((group, replica) -> replica.leader()
+                .ifPresent(leader -> update.addLeaders(
+                        GroupLeader.newBuilder().setGroup(group).setAddress(leader.value()))));
+        out.send(row.address, Envelope.newBuilder().setUpdate(update));
+    }
+
+    private void describeDirectory(Subscribers.Row row, EntryList entries, Update.Builder update) {
+        boolean whole = directory.describe(row.directoryIncarnation, row.directoryVersion, update);
+        registry.describe(whole, row.directoryVersion, update);
+        update.setEntriesHash(entries.hash);
+        if (row.entriesHash != entries.hash) {
+            update.addAllEntryAddresses(entries.addresses);
+        }
+    }
+
+    private boolean isSettledVoter() {
+        return replicas.get(ControlSettings.GLOBAL).isSettledVoter();
+    }
+
+    /** Tells all subscribers of changes. */
+    void tick(long now, Outbox out) {
+        if (!isDue() || now < nextSpread) {
+            return;
+        }
+        nextSpread = now + SPREAD_EVERY;
+        boolean configChanged = spreadConfigVersion != config.version();
+        spreadConfigVersion = config.version();
+        spreadDirectoryVersion = directory.version();
+        EntryList entries = EntryList.of(subscribers.entries());
+        for (Subscribers.Row row : subscribers.rows()) {
+            if (configChanged || row.wantsDirectory) {
+                send(row, false, entries, out);
+            }
+        }
+    }
+
+    long nextDue() {
+        return isDue() ? nextSpread : Core.NEVER;
+    }
+
+    private boolean isDue() {
+        return spreadConfigVersion != config.version() || spreadDirectoryVersion != directory.version();
+    }
+}
--- a/src/main/java/org/cuminshelf/direct/Placement.java
+++ b/src/main/java/org/cuminshelf/direct/Placement.java
@@ -91,8 +91,8 @@
     private static final double PLACES_SHARE = 0.85;
     /** The same for what is over soon: it holds a place for a tenth of a second, others for two. */
     private static final double PLACES_SHARE_BRIEF = 0.95;
-    /** Output tokens that are over soon: four events of twelve, some 0.25 s. */
-    private static final int BRIEF_TOKENS = 48;
+    /** Events of a stream that are over soon: few beside those of a usual one, some 0.25 s at the first users. */
+    private static final int BRIEF_EVENTS = 4;
     /** What a full engine counts for against one with room, in requests. */
     private static final double FULL_COST = 1_000;
 
@@ -139,7 +139,7 @@
     /** How long a generation takes a place of an engine that has a usual number of streams. */
     long runningMicros(String service, GenerationShape shape) {
         Optional<EngineLimits> limits = limits(service);
-        int perEvent = limits.map(EngineLimits::tokensPerEvent).orElse(1);
+        int perEvent = tokensPerEvent(service);
         int usualStreams = limits.map(EngineLimits::slots).orElse(1) / 2;
         double events = Math.ceil((double) shape.outputTokens() / perEvent);
         double millis = events * models.of(service).gapMillis(usualStreams);
@@ -220,6 +220,10 @@
         return limits(call.service).map(EngineLimits::tokenBytes).orElse(0.0);
     }
 
+    private int tokensPerEvent(String service) {
+        return limits(service).map(EngineLimits::tokensPerEvent).orElse(1);
+    }
+
     private Optional<EngineLimits> limits(String service) {
         return control.routes().service(service).flatMap(RoutedService::engine);
     }
@@ -280,9 +284,10 @@
      * it.
      */
     private boolean hasPlace(UpstreamRow row, CallRow call) {
+        int briefTokens = BRIEF_EVENTS * tokensPerEvent(call.service);
         boolean brief = call.intent
                 .generation()
-                .filter(shape -> shape.outputTokens() <= BRIEF_TOKENS)
+                .filter(shape -> shape.outputTokens() <= briefTokens)
                 .isPresent();
         double share = brief ? PLACES_SHARE_BRIEF : PLACES_SHARE;
         return row.occupancy() < share * row.slots && memoryLoad(row, call) < FULL_COST * MEMORY_SHARE;
