--- /dev/null
+++ b/src/test/java/org/cuminshelf/direct/LargePromptsUnderLoadTest.java
@@ -0,0 +1,97 @@
+package org.cuminshelf.direct;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.ArrayList;
+import java.util.Iterator;
+import java.util.List;
+import net.jqwik.api.Example;
+import org.apache.commons.rng.UniformRandomProvider;
+import org.apache.commons.rng.simple.RandomSource;
+import org.cuminshelf.core.Durations;
+import org.cuminshelf.message.Role;
+import org.cuminshelf.routes.RequestKind;
+
+/** An entry in front of one engine that reads prompts one after the other, under more of them than it can read. */
+class LargePromptsUnderLoadTest {
+
+    private static final String ENGINE = "d0";
+    private static final double MILLIS_PER_TOKEN = 1 / 40.0;
+    private static final int USUAL_TOKENS = 1_000;
+    private static final int LARGE_TOKENS = 7_000;
+    /** A burst of twice what the engine can read. */
+    private static final int GAP_MILLIS = 20;
+
+    private static final int CALLS = 1_500;
+
+    /** A prompt that the engine has and has not read yet, or a stream that has not ended. */
+    private record Running(DirectFixture.Sent sent, long endsAt) {}
+
+    private final UniformRandomProvider random = RandomSource.XO_RO_SHI_RO_128_PP.create(5);
+    private final DirectFixture entry = new DirectFixture(DirectFixture.route(RequestKind.STREAM, 1, false)).ready();
+    private final List<Running> running = new ArrayList<>();
+    private long engineFreeAt;
+
+    /*
+     * The dealers with the longest histories get no draft on a busy morning: there is twice the work that the engine can
+     * do, and the largest prompts, worth less than the time they take, are the ones that are refused.
+     */
+    @Example
+    void largePromptsAreAnsweredHalfAsOftenAsAllAtLeast() {
+        entry.pass(5_000);
+        entry.upstream(ENGINE, Role.ROLE_DECODE);
+        entry.teach(ENGINE, Role.ROLE_DECODE, 5, 1_000 * MILLIS_PER_TOKEN);
+        List<DirectFixture.Answer> usual = new ArrayList<>();
+        List<DirectFixture.Answer> large = new ArrayList<>();
+        for (int call = 0; call < CALLS; call++) {
+            boolean isLarge = random.nextInt(10) == 0;
+            int tokens = isLarge ? LARGE_TOKENS : USUAL_TOKENS + random.nextInt(USUAL_TOKENS);
+            int before = entry.sent.size();
+            (isLarge ? large : usual).add(entry.ask("r" + call, "Tokens", String.valueOf(tokens), "Shared", "1"));
+            take(before, tokens);
+            for (int millis = 0; millis < GAP_MILLIS; millis++) {
+                int sentBefore = entry.sent.size();
+                entry.pass(1);
+                take(sentBefore, USUAL_TOKENS);
+                finish();
+            }
+        }
+        double largeShare = answered(large);
+        double allShare = (answered(large) * large.size() + answered(usual) * usual.size()) / CALLS;
+        assertThat(allShare).isBetween(0.3, 0.9);
+        assertThat(largeShare).isGreaterThan(0.5 * allShare);
+    }
+
+    private static double answered(List<DirectFixture.Answer> answers) {
+        long complete = answers.stream()
+                .filter(answer -> answer.complete && answer.status == 200)
+                .count();
+        return (double) complete / answers.size();
+    }
+
+    /** The engine takes what was sent since: it reads one prompt after the other. */
+    private void take(int from, int tokens) {
+        for (DirectFixture.Sent sent : entry.sent.subList(from, entry.sent.size())) {
+            long start = Math.max(entry.now, engineFreeAt);
+            engineFreeAt = start + Durations.nanos((long) (tokens * MILLIS_PER_TOKEN));
+            running.add(new Running(sent, engineFreeAt));
+        }
+    }
+
+    private void finish() {
+        Iterator<Running> all = running.iterator();
+        List<DirectFixture.Sent> done = new ArrayList<>();
+        while (all.hasNext()) {
+            Running one = all.next();
+            if (one.endsAt <= entry.now) {
+                all.remove();
+                done.add(one.sent);
+            }
+        }
+        done.stream().filter(sent -> !sent.cancelled).forEach(sent -> {
+            sent.sealed(200);
+            sent.body("id: 1\ndata: a\n\n");
+            sent.handler.onComplete();
+        });
+    }
+}
