--- a/src/test/java/org/cuminshelf/direct/LargePromptsUnderLoadTest.java
+++ b/src/test/java/org/cuminshelf/direct/LargePromptsUnderLoadTest.java
@@ -33,8 +33,8 @@
     private long engineFreeAt;
 
     /*
-     * The dealers with the longest histories get no draft on a busy morning: there is twice the work that the engine can
-     * do, and the largest prompts, worth less than the time they take, are the ones that are refused.
+     * The dealers with the longest histories get no draft on a busy morning: there is twice the work that the engine
+     * can do, and the largest prompts, worth less than the time they take, are the ones that are refused.
      */
     @Example
     void largePromptsAreAnsweredHalfAsOftenAsAllAtLeast() {
