--- a/src/test/java/org/cuminshelf/direct/LoadGossipTest.java
+++ b/src/test/java/org/cuminshelf/direct/LoadGossipTest.java
@@ -89,7 +89,7 @@
                 .addUpstreams(UpstreamLoad.newBuilder()
                         .setId("p0")
                         .setRunning(1)
-                        .addPrompts(WaitingPrompt.newBuilder().setWorkUs(90_000)))
+                        .addPrompts(WaitingPrompt.newBuilder().setWorkUs(190_000)))
                 .addUpstreams(UpstreamLoad.newBuilder()
                         .setId("p1")
                         .setRunning(1)
--- a/src/test/java/org/cuminshelf/direct/UpstreamTableTest.java
+++ b/src/test/java/org/cuminshelf/direct/UpstreamTableTest.java
@@ -6,9 +6,11 @@
 import net.jqwik.api.Example;
 import org.cuminshelf.core.Address;
 import org.cuminshelf.core.Durations;
+import org.cuminshelf.message.EntryLoad;
 import org.cuminshelf.message.Role;
 import org.cuminshelf.message.Update;
 import org.cuminshelf.message.UpstreamBeat;
+import org.cuminshelf.message.UpstreamLoad;
 
 /** What an entry believes of upstreams. */
 class UpstreamTableTest {
@@ -117,6 +119,36 @@
         assertThat(table.ofService("s").getFirst().bornMillis).isEqualTo(9_000);
     }
 
+    /*
+     * Calls are refused for want of places that are free: what another entry had at an engine was added up each time it
+     * told of it, and not taken off when it told of less.
+     */
+    @Example
+    void whatOthersHaveAtAnEngineIsWhatTheyToldLast() {
+        tell(1, 1, false, beat());
+        UpstreamRow row = table.row("u").orElseThrow();
+        Address first = Address.of("10.0.1.2:7");
+        Address second = Address.of("10.0.1.3:7");
+        table.onLoad(now, first, load(3, 300));
+        table.onLoad(now, second, load(2, 200));
+        table.onLoad(now, first, load(1, 100));
+        assertThat(row.occupancy()).isEqualTo(3);
+        assertThat(row.memoryTokens()).isEqualTo(300);
+        table.onLoad(now, second, EntryLoad.getDefaultInstance());
+        assertThat(row.occupancy()).isEqualTo(1);
+        now += Durations.nanos(1_500);
+        table.tick(now);
+        assertThat(row.occupancy()).isZero();
+        assertThat(row.memoryTokens()).isZero();
+    }
+
+    private static EntryLoad load(int running, int tokens) {
+        return EntryLoad.newBuilder()
+                .addUpstreams(
+                        UpstreamLoad.newBuilder().setId("u").setRunning(running).setTokens(tokens))
+                .build();
+    }
+
     private static UpstreamBeat start(long bornMillis) {
         return beat().toBuilder().setId("u@" + bornMillis).setBornMs(bornMillis).build();
     }
