--- a/src/main/java/org/cuminshelf/direct/LoadGossip.java
+++ b/src/main/java/org/cuminshelf/direct/LoadGossip.java
@@ -34,9 +34,9 @@
     /**
      * Messages a second that all entries together send at the most, up to {@link #LONGEST_GAP}. Each costs some four
      * system calls at its two ends; unbounded they grew with the square of the entries, to 640 a second at each of 33,
-     * and the fleet's processor time with them: 0.144 of a core for each entry on a heavy day, 0.098 with the bound. The
-     * more entries there are, the rarer two of them choose at the same moment: at 18 news within 110 ms was worth as
-     * much as news within 20.
+     * and processor time with them: 0.144 of a core for each entry on a heavy day, 0.098 with the bound. The more
+     * entries there are, the rarer two of them choose at the same moment: at 18 news within 110 ms was worth as much
+     * as news within 20.
      */
     private static final double MOST_MESSAGES = 6_000;
     /** Gap beyond which news would be older than the prompts that they tell of, which take some 100 ms. */
