--- a/src/main/java/org/cuminshelf/control/Registry.java
+++ b/src/main/java/org/cuminshelf/control/Registry.java
@@ -29,7 +29,7 @@
  *   <li>All control processes lose power while an engine changes its role, and read the order in their logs before they
  *       hear the engine again. Were the change kept with the engine it would be lost, and the engine, which looks idle,
  *       be given whatever comes: on a recorded day 42 calls in 1.5 s, all of which it refused. So changes are kept by
- *       name, whether or not the engine is known.</li>
+ *       name, whether or not the engine is known; 17 calls are left, from before the group has a leader again.</li>
  * </ul>
  */
 final class Registry {
