--- a/src/main/java/org/cuminshelf/control/UpdateSystem.java
+++ b/src/main/java/org/cuminshelf/control/UpdateSystem.java
@@ -20,7 +20,7 @@
  */
 final class UpdateSystem {
 
-    /** Least time between two rounds of changes: engines that restart together announce themselves within it. */
+    /** Least time between two rounds of changes: short against the seconds in which a change must be in force. */
     private static final long SPREAD_EVERY = Durations.nanos(20);
 
     /**
--- a/src/main/java/org/cuminshelf/direct/LoadGossip.java
+++ b/src/main/java/org/cuminshelf/direct/LoadGossip.java
@@ -33,13 +33,13 @@
     private static final long LEAST_GAP = Durations.nanos(1);
     /**
      * Messages a second that all entries together send at the most, up to {@link #LONGEST_GAP}. Each costs some four
-     * system calls at its two ends; unbounded they grew with the square of the entries, to 640 a second at each of 33,
-     * and processor time with them: 0.144 of a core for each entry on a heavy day, 0.098 with the bound. The more
-     * entries there are, the rarer two of them choose at the same moment: at 18 news within 110 ms was worth as much
-     * as news within 20.
+     * system calls at its two ends; unbounded they grew with the square of the entries, to 640 a second at each of 33.
+     * A heavy day there took 0.144 of a core for each entry before and 0.098 with the bound and the sums kept in
+     * {@link UpstreamRow}, on machines of other load. At 18 entries news within 110 ms was worth as much as news within
+     * 20; at 33 that was not measured.
      */
     private static final double MOST_MESSAGES = 6_000;
-    /** Gap beyond which news would be older than the prompts that they tell of, which take some 100 ms. */
+    /** Gap beyond which news would come after the first event of the prompts that they tell of, 200 to 400 ms later. */
     private static final long LONGEST_GAP = Durations.nanos(250);
 
     private static final double NANOS_PER_SECOND = 1e9;
--- a/src/main/java/org/cuminshelf/direct/RouteReader.java
+++ b/src/main/java/org/cuminshelf/direct/RouteReader.java
@@ -9,8 +9,8 @@
 import org.tinylog.Logger;
 
 /**
- * Reads configurations beside the way of requests. A thousand routes take a tenth of a second of a whole core, which
- * is half a second on a quarter of one; read under the entry's lock they would hold up every request for as long.
+ * Reads configurations beside the way of requests. Read under the entry's lock, a document of some 300 KB would hold up
+ * every request until all of it is read; how long that is was not measured apart.
  */
 public interface RouteReader {
 
