Tell in the logs what the planner wants and why, and which rule refused a prompt

Why no order came can't be seen where the planner only logs orders; too-late stood for two rules, and whether a prompt was owed its size's share was not told. No change of logic.

--- a/src/main/java/org/cuminshelf/control/StageSystem.java
+++ b/src/main/java/org/cuminshelf/control/StageSystem.java
@@ -4,6 +4,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.TreeMap;
 import org.cuminshelf.core.Address;
 import org.cuminshelf.core.Durations;
@@ -17,7 +18,6 @@
 import org.cuminshelf.planning.BalancedPlanner;
 import org.cuminshelf.planning.EngineView;
 import org.cuminshelf.planning.RoleChange;
-import org.cuminshelf.planning.RolePlanner;
 import org.cuminshelf.planning.SteadyPlanner;
 import org.cuminshelf.replica.Replica;
 import org.tinylog.Logger;
@@ -40,6 +40,9 @@
 final class StageSystem {
 
     private static final String LOG = "control: ";
+    /** How often the basis of plans is logged where it stays the same: half a line a second at the most. */
+    private static final long TELL_EVERY = Durations.nanos(2_000);
+
     private static final long PLAN_EVERY = Durations.nanos(500);
     /** How long entries have to hear that an engine takes no new work; news reach them within some 30 ms. */
     private static final long NOTICE = Durations.nanos(120);
@@ -53,6 +56,17 @@
     /** How long the mix must ask for the same change: longer than the swings of three seconds within it. */
     private static final long PATIENCE = Durations.nanos(8_000);
 
+    /** A planner, and what was last logged of it. */
+    private static final class Plan {
+        private final SteadyPlanner planner;
+        private Optional<Role> told = Optional.empty();
+        private long toldAt = Long.MIN_VALUE / 2;
+
+        private Plan(SteadyPlanner planner) {
+            this.planner = planner;
+        }
+    }
+
     private static final class Sent {
         private final DirectOrder order;
         private final long knownAt;
@@ -71,7 +85,7 @@
     private final Registry registry;
     private final Subscribers subscribers;
     private final Map<String, Sent> last = new TreeMap<>();
-    private final Map<String, RolePlanner> planners = new HashMap<>();
+    private final Map<String, Plan> plans = new HashMap<>();
     private long proposedTerm;
     private int proposals;
     private long ledSince = Long.MAX_VALUE;
@@ -89,7 +103,7 @@
         takeCommitted(now, leads);
         if (!leads) {
             ledSince = Long.MAX_VALUE;
-            planners.clear();
+            plans.clear();
             return;
         }
         if (ledSince == Long.MAX_VALUE || proposedTerm != replica.term()) {
@@ -147,14 +161,29 @@
             }
         }
         byService.forEach((service, engines) -> {
-            RolePlanner planner = planners.computeIfAbsent(
-                    service, key -> SteadyPlanner.of(BalancedPlanner.of(slots(engines)), PATIENCE));
-            for (RoleChange change : planner.plan(now, engines, subscribers.demand(service))) {
-                propose(now, service, change);
-            }
+            Plan plan = plans.computeIfAbsent(
+                    service, key -> new Plan(SteadyPlanner.of(BalancedPlanner.of(slots(engines)), PATIENCE)));
+            List<RoleChange> changes = plan.planner.plan(now, engines, subscribers.demand(service));
+            tell(now, service, plan);
+            changes.forEach(change -> propose(now, service, change));
         });
     }
 
+    /** Logs what engines are wanted for and why: without it, why no order came can't be told afterwards. */
+    private static void tell(long now, String service, Plan plan) {
+        Optional<Role> wanted = plan.planner.wanted();
+        if (wanted.equals(plan.told) && now - plan.toldAt < TELL_EVERY) {
+            return;
+        }
+        plan.told = wanted;
+        plan.toldAt = now;
+        Logger.info(
+                LOG + "event=plan id={} wants={} {}",
+                service,
+                wanted.map(Role::name).orElse("none"),
+                plan.planner.basis());
+    }
+
     /**
      * An engine as the planner is to see it: one that is changing has its new role already, or each change would wait
      * for the last; one that had an order lately comes last, as it can't have another.
--- a/src/main/java/org/cuminshelf/direct/CallSystem.java
+++ b/src/main/java/org/cuminshelf/direct/CallSystem.java
@@ -117,7 +117,7 @@
                 refuseUnplaced(now, call, full);
             }
         } else if (isHopeless(now, call, choice.get())) {
-            refuseLate(now, call, choice.get());
+            refuse(now, call, choice.get(), "too-late");
         } else if (choice.get().waitMillis() <= ENGINE_WAIT_MILLIS
                 || !waitsForTurn(
                         now, call, choice.get().firstMillis() - choice.get().waitMillis())) {
@@ -156,7 +156,7 @@
         if (call.attempt != null || inTime || choice.gain() > 0 || isOwed(call, first)) {
             send(now, call, choice);
         } else {
-            refuseLate(now, call, choice);
+            refuse(now, call, choice, "too-dear");
         }
     }
 
@@ -179,10 +179,10 @@
         giveUp(now, call, full ? "all places are taken" : "no-upstream");
     }
 
-    private void refuseLate(long now, CallRow call, Placement.Choice choice) {
+    private void refuse(long now, CallRow call, Placement.Choice choice, String reason) {
         long wait = (long) Math.max(CallerAnswers.RETRY_AFTER_MILLIS, choice.waitMillis());
         call.lastFailure = Optional.of(new Verdict.NotRun(Cause.OVERLOADED, wait));
-        giveUp(now, call, "too-late");
+        giveUp(now, call, reason);
     }
 
     /** Tries calls that wait, as long as engines take any. */
--- a/src/main/java/org/cuminshelf/direct/SizeFairness.java
+++ b/src/main/java/org/cuminshelf/direct/SizeFairness.java
@@ -1,6 +1,7 @@
 package org.cuminshelf.direct;
 
 import java.util.HashMap;
+import java.util.Locale;
 import java.util.Map;
 
 /**
@@ -83,6 +84,11 @@
             this.group = group;
         }
 
+        /** The group of its size among those of its route, in one word. */
+        String size() {
+            return group.name().toLowerCase(Locale.ROOT);
+        }
+
         /** Whether its group was sent less than its share, so that this call is not to be refused for its cost. */
         boolean isOwed() {
             return group != SizeGroup.USUAL && route.owed[group.ordinal()] > 0;
--- a/src/main/java/org/cuminshelf/planning/BalancedPlanner.java
+++ b/src/main/java/org/cuminshelf/planning/BalancedPlanner.java
@@ -1,6 +1,7 @@
 package org.cuminshelf.planning;
 
 import java.util.List;
+import java.util.Locale;
 import java.util.Optional;
 import org.cuminshelf.message.Role;
 
@@ -18,6 +19,7 @@
 public final class BalancedPlanner implements RolePlanner {
 
     private static final double NANOS_PER_SECOND = 1e9;
+    private static final double MICROS_PER_SECOND = 1e6;
     /** Seconds after which a change of the mix is mostly believed: some swings of three seconds. */
     private static final double MEMORY_SECONDS = 8;
     /**
@@ -41,6 +43,7 @@
     private final DemandForecast generating = DemandForecast.of(MEMORY_SECONDS);
     private final double places;
     private double startedAt = -1;
+    private String basis = "";
 
     private BalancedPlanner(double places) {
         this.places = places;
@@ -63,12 +66,11 @@
         startedAt = startedAt < 0 ? seconds : startedAt;
         reading.observe(seconds, demand.prefill());
         generating.observe(seconds, demand.decode());
+        basis = basisOf(engines);
         if (seconds - startedAt < WARM_UP_SECONDS || engines.size() < 2) {
             return List.of();
         }
-        int present = (int) engines.stream()
-                .filter(engine -> engine.role() == Role.ROLE_PREFILL)
-                .count();
+        int present = readers(engines);
         int wanted = best(present, engines.size());
         if (wanted == present) {
             return List.of();
@@ -78,6 +80,28 @@
         return change(engines, from, to).stream().toList();
     }
 
+    @Override
+    public String basis() {
+        return basis;
+    }
+
+    private String basisOf(List<EngineView> engines) {
+        int readers = readers(engines);
+        return String.format(
+                Locale.ROOT,
+                "reading=%.2f generating=%.2f readers=%d generators=%d",
+                reading.ahead(0) / MICROS_PER_SECOND,
+                generating.ahead(0) / MICROS_PER_SECOND / places,
+                readers,
+                engines.size() - readers);
+    }
+
+    private static int readers(List<EngineView> engines) {
+        return (int) engines.stream()
+                .filter(engine -> engine.role() == Role.ROLE_PREFILL)
+                .count();
+    }
+
     /** The number of engines that read, one more or less than there are if that gains enough. */
     private int best(int present, int engines) {
         double now = use(present, engines);
@@ -97,8 +121,8 @@
         if (reads < 1 || reads >= engines) {
             return Double.MAX_VALUE;
         }
-        double read = reading.ahead(0) / 1e6 / reads;
-        double generate = generating.ahead(0) / 1e6 / places / (engines - reads);
+        double read = reading.ahead(0) / MICROS_PER_SECOND / reads;
+        double generate = generating.ahead(0) / MICROS_PER_SECOND / places / (engines - reads);
         return Math.max(read, generate);
     }
 
--- a/src/main/java/org/cuminshelf/planning/RolePlanner.java
+++ b/src/main/java/org/cuminshelf/planning/RolePlanner.java
@@ -15,6 +15,15 @@
      */
     List<RoleChange> plan(long now, List<EngineView> engines, Demand demand);
 
+    /**
+     * Tells on what the last decision rested.
+     *
+     * @return names and values for a log line, such as {@code reading=1.2}; empty where nothing is told
+     */
+    default String basis() {
+        return "";
+    }
+
     /**
      * A planner that changes nothing: whatever split the engines start with stays.
      *
--- a/src/main/java/org/cuminshelf/planning/SteadyPlanner.java
+++ b/src/main/java/org/cuminshelf/planning/SteadyPlanner.java
@@ -38,6 +38,20 @@
         return new SteadyPlanner(planner, patience);
     }
 
+    /**
+     * The role that an engine is wanted for, whether or not it was wanted for long enough.
+     *
+     * @return the role, or nothing where all engines are to stay as they are
+     */
+    public Optional<Role> wanted() {
+        return wanted;
+    }
+
+    @Override
+    public String basis() {
+        return planner.basis();
+    }
+
     @Override
     public List<RoleChange> plan(long now, List<EngineView> engines, Demand demand) {
         Optional<RoleChange> change =
