--- /dev/null
+++ b/src/test/java/org/cuminshelf/control/ControlGroup.java
@@ -0,0 +1,145 @@
+package org.cuminshelf.control;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+import org.apache.commons.rng.simple.RandomSource;
+import org.cuminshelf.core.Address;
+import org.cuminshelf.core.Durations;
+import org.cuminshelf.core.Invariants;
+import org.cuminshelf.core.RecordingOutbox;
+import org.cuminshelf.message.DirectOrder;
+import org.cuminshelf.message.Envelope;
+import org.cuminshelf.message.Persist;
+import org.cuminshelf.message.Persisted;
+import org.cuminshelf.replica.DurableState;
+import org.cuminshelf.replica.MembershipPolicy;
+import org.cuminshelf.replica.Replica;
+import org.cuminshelf.replica.ReplicaSettings;
+
+/** Three control processes that pass messages to each other at once, driven by hand in virtual time. */
+final class ControlGroup {
+
+    private static final int PROCESSES = 3;
+    private static final long STEP_MILLIS = 10;
+
+    /** An order that was sent to an engine, and when. */
+    record SentOrder(DirectOrder order, long at) {}
+
+    private record Message(Address from, Address to, Envelope body) {}
+
+    private final Map<Address, ControlCore> running = new TreeMap<>();
+    private final List<Message> underWay = new ArrayList<>();
+    final List<SentOrder> orders = new ArrayList<>();
+    long now = Durations.nanos(10_000);
+
+    ControlGroup() {
+        List<Address> seeds = new ArrayList<>();
+        for (int number = 1; number <= PROCESSES; number++) {
+            seeds.add(Address.of("10.0.0." + number + ":7000"));
+        }
+        for (int number = 1; number <= PROCESSES; number++) {
+            running.put(seeds.get(number - 1), start(number, seeds));
+        }
+    }
+
+    private ControlCore start(int number, List<Address> seeds) {
+        Address self = seeds.get(number - 1);
+        ControlSettings settings = new ControlSettings(
+                "r",
+                List.of(new ReplicaSettings(ControlSettings.GLOBAL, self, seeds, true, MembershipPolicy.OPEN)),
+                bytes -> Optional.empty());
+        return ControlCore.start(
+                settings,
+                self,
+                number,
+                Map.of(ControlSettings.GLOBAL, DurableState.fresh(number)),
+                now,
+                RandomSource.XO_RO_SHI_RO_128_PP.create(number),
+                Invariants.throwing());
+    }
+
+    /** The process that leads under a lease. */
+    Optional<Address> leader() {
+        return running.entrySet().stream()
+                .filter(process -> replica(process.getValue()).hasLease(now))
+                .map(Map.Entry::getKey)
+                .findFirst();
+    }
+
+    private static Replica replica(ControlCore core) {
+        return core.replica(ControlSettings.GLOBAL).orElseThrow();
+    }
+
+    /** Ends a process for good. */
+    void kill(Address process) {
+        running.remove(process);
+    }
+
+    /** Gives a message to all processes that run. */
+    void giveAll(Address from, Envelope.Builder message) {
+        Envelope body = message.setFrom(from.value()).build();
+        running.keySet().forEach(process -> underWay.add(new Message(from, process, body)));
+    }
+
+    /** Gives a message to one of the processes that run. */
+    void giveOne(Address from, Envelope.Builder message) {
+        Address process = running.keySet().iterator().next();
+        underWay.add(new Message(from, process, message.setFrom(from.value()).build()));
+    }
+
+    void pass(long millis) {
+        for (long passed = 0; passed < millis; passed += STEP_MILLIS) {
+            now += Durations.nanos(STEP_MILLIS);
+            deliver();
+            running.forEach(this::tick);
+        }
+    }
+
+    private void deliver() {
+        List<Message> due = List.copyOf(underWay);
+        underWay.clear();
+        for (Message message : due) {
+            ControlCore core = running.get(message.to);
+            if (core != null) {
+                RecordingOutbox out = new RecordingOutbox();
+                core.accept(now, message.body, out);
+                take(message.to, out);
+            }
+        }
+    }
+
+    private void tick(Address process, ControlCore core) {
+        RecordingOutbox out = new RecordingOutbox();
+        core.tick(now, out);
+        take(process, out);
+    }
+
+    private void take(Address process, RecordingOutbox out) {
+        for (RecordingOutbox.Sent sent : out.takeSent()) {
+            Envelope message = sent.message();
+            if (message.hasSendDirectOrder()) {
+                orders.add(new SentOrder(message.getSendDirectOrder(), now));
+            } else if (message.hasPersist()) {
+                persisted(process, message.getPersist());
+            } else {
+                Envelope body = message.toBuilder().setFrom(process.value()).build();
+                underWay.add(new Message(process, sent.to(), body));
+            }
+        }
+    }
+
+    private void persisted(Address process, Persist persist) {
+        Persisted done = Persisted.newBuilder()
+                .setGroup(persist.getGroup())
+                .setSequence(persist.getSequence())
+                .build();
+        Envelope body = Envelope.newBuilder()
+                .setFrom(Address.STORAGE.value())
+                .setPersisted(done)
+                .build();
+        underWay.add(new Message(Address.STORAGE, process, body));
+    }
+}
--- a/src/test/java/org/cuminshelf/core/RecordingOutbox.java
+++ b/src/test/java/org/cuminshelf/core/RecordingOutbox.java
@@ -23,6 +23,13 @@
         send(to, message);
     }
 
+    /** Takes all that was sent, with its receivers. */
+    public List<Sent> takeSent() {
+        List<Sent> taken = List.copyOf(sent);
+        sent.clear();
+        return taken;
+    }
+
     /** Takes what was sent and matches, leaving the rest out for good. */
     public List<Envelope> take(Predicate<Envelope> wanted) {
         List<Envelope> taken = sent.stream().map(Sent::message).filter(wanted).toList();
--- /dev/null
+++ b/src/test/java/org/cuminshelf/direct/OfferedWorkTest.java
@@ -0,0 +1,77 @@
+package org.cuminshelf.direct;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import net.jqwik.api.Example;
+import org.cuminshelf.message.Envelope;
+import org.cuminshelf.message.OfferedWork;
+import org.cuminshelf.message.Role;
+import org.cuminshelf.message.Subscribe;
+import org.cuminshelf.routes.RequestKind;
+
+/** What control is told of the work that callers offered, from which it plans the roles of engines. */
+class OfferedWorkTest {
+
+    private static final int CALLS = 40;
+    /** Half a second is how often an entry asks control; calls of the fixture end after 800 ms. */
+    private static final long ASKED_EVERY_MILLIS = 510;
+    /** Places of an engine in the fixture. */
+    private static final int PLACES = 6;
+
+    private static DirectFixture fleet() {
+        DirectFixture entry = new DirectFixture(DirectFixture.route(RequestKind.STREAM, 1, false)).ready();
+        // Long after its start: a young entry waits for upstreams that it has not heard of.
+        entry.pass(5_000);
+        entry.upstream("p0", Role.ROLE_PREFILL).upstream("d0", Role.ROLE_DECODE);
+        entry.teach("p0", Role.ROLE_PREFILL, 5, 12).teach("d0", Role.ROLE_DECODE, 5, 24);
+        return entry;
+    }
+
+    private static OfferedWork told(DirectFixture entry) {
+        entry.pass(ASKED_EVERY_MILLIS);
+        return entry.out.take(Envelope::hasSubscribe).stream()
+                .map(Envelope::getSubscribe)
+                .reduce((first, second) -> second)
+                .map(Subscribe::getOfferedList)
+                .filter(offered -> !offered.isEmpty())
+                .map(offered -> offered.getFirst())
+                .orElse(OfferedWork.getDefaultInstance());
+    }
+
+    /*
+     * Callers are refused for want of a place, and engines that read prompts idle. Still no engine was moved: what was
+     * refused counted as reading too, though none of it came so far, so that readers seemed to be short as well.
+     */
+    @Example
+    void whatIsRefusedForWantOfAPlaceIsNoWorkForEnginesThatRead() {
+        DirectFixture entry = fleet();
+        for (int stream = 0; stream < PLACES; stream++) {
+            entry.ask("s" + stream, "Tokens", "10");
+        }
+        OfferedWork before = told(entry);
+        int sentBefore = entry.sent.size();
+        for (int call = 0; call < CALLS; call++) {
+            entry.ask("r" + call, "Tokens", "600", "Shared", "1");
+        }
+        entry.pass(100);
+        assertThat(entry.sent).hasSize(sentBefore);
+        OfferedWork after = told(entry);
+        assertThat(after.getDecode()).isGreaterThan(before.getDecode());
+        assertThat(after.getPrefill()).isEqualTo(before.getPrefill());
+    }
+
+    /* The other way round: what no engine can read in time takes no place, though many are free. */
+    @Example
+    void whatIsRefusedForWantOfTimeIsNoWorkForEnginesThatGenerate() {
+        DirectFixture entry = fleet();
+        entry.ask("warm", "Tokens", "4000");
+        OfferedWork one = told(entry);
+        for (int call = 0; call < CALLS; call++) {
+            entry.ask("r" + call, "Tokens", "4000");
+        }
+        OfferedWork all = told(entry);
+        assertThat(entry.sent.size()).isLessThan(CALLS / 2);
+        assertThat(all.getPrefill()).isGreaterThan(CALLS / 2 * one.getPrefill());
+        assertThat(all.getDecode()).isLessThanOrEqualTo((entry.sent.size() + 1) * one.getDecode());
+    }
+}
