Tests that notice each guard of the mend being removed

Twelve guards were taken out of a scratch copy one by one; four were noticed by nothing: the peak of places, the warm-up from the first work on, counting a handover once, and an order of another process as a ground to wait. Each has a test now that fails without it.

--- a/src/test/java/org/cuminshelf/control/LostEnginesTest.java
+++ b/src/test/java/org/cuminshelf/control/LostEnginesTest.java
@@ -22,15 +22,19 @@
 
     private static final Address ENTRY = Address.of("10.0.1.1:7000");
     private static final long STEP_MILLIS = 500;
-    /** Microseconds of reading in a step. */
-    private static final long READING = 2_500_000 / 2;
-    /** Microseconds of places in a step: 85 of 100 of an engine's 64 places can be used. */
-    private static final long GENERATING = 2 * 54_400_000L / 2;
+    /** Microseconds of one engine's reading in a step. */
+    private static final double READING = 1_000 * STEP_MILLIS;
+    /** Microseconds of one engine's places in a step: 85 of 100 of 64 can be used. */
+    private static final double GENERATING = 54.4 * 1_000 * STEP_MILLIS;
     /** An order is decided within two looks at the engines, half a second apart, and sent 0.12 s later. */
     private static final long SOON_MILLIS = 2_000;
 
     private final ControlGroup control = new ControlGroup();
     private final Map<String, Role> engines = new LinkedHashMap<>();
+    /** Engines' worth of work that is offered to each role. */
+    private double readers = 2.5;
+
+    private double generators = 2;
     private long reading;
     private long generating;
     private long sequence;
@@ -81,6 +85,25 @@
         assertThat(control.orders).isEmpty();
     }
 
+    /*
+     * Two engines are away at once where one was to follow the other: the leader is lost after it ordered a change, and
+     * its successor orders the next at once, as if none had been ordered for the engines that left.
+     */
+    @Example
+    void aNewLeaderLeavesTimeAfterAChangeThatAnotherOrdered() {
+        readers = 1;
+        generators = 2.9;
+        pass(30_000);
+        long left = leave("e3", "e4");
+        pass(SOON_MILLIS);
+        assertThat(firstOrderAfter(left).getRole()).isEqualTo(Role.ROLE_DECODE);
+        engines.replace(firstOrderAfter(left).getUpstream(), Role.ROLE_DECODE);
+        control.kill(control.leader().orElseThrow());
+        pass(6_000);
+        assertThat(control.leader()).isPresent();
+        assertThat(control.orders).hasSize(1);
+    }
+
     /** Engines say that they leave; returns when. */
     private long leave(String... names) {
         for (String name : names) {
@@ -99,8 +122,8 @@
 
     private void pass(long millis) {
         for (long passed = 0; passed < millis; passed += STEP_MILLIS) {
-            reading += READING;
-            generating += GENERATING;
+            reading += (long) (readers * READING);
+            generating += (long) (generators * GENERATING);
             sequence++;
             engines.forEach((name, role) -> control.giveOne(Address.ADMINISTRATORS, beat(name, role, false)));
             control.giveAll(ENTRY, Envelope.newBuilder().setSubscribe(subscribe()));
--- a/src/test/java/org/cuminshelf/direct/OfferedWorkTest.java
+++ b/src/test/java/org/cuminshelf/direct/OfferedWorkTest.java
@@ -60,6 +60,18 @@
         assertThat(after.getPrefill()).isEqualTo(before.getPrefill());
     }
 
+    /* A prompt that is read by one engine and goes on at another is sent twice and offered once. */
+    @Example
+    void whatIsHandedOverIsOfferedOnce() {
+        DirectFixture entry = fleet();
+        entry.ask("r", "Tokens", "4000", "Shared", "1");
+        assertThat(entry.last().upstream).isEqualTo("p0");
+        OfferedWork read = told(entry);
+        entry.last().whole(200, "handle");
+        assertThat(entry.last().upstream).isEqualTo("d0");
+        assertThat(told(entry)).isEqualTo(read);
+    }
+
     /* The other way round: what no engine can read in time takes no place, though many are free. */
     @Example
     void whatIsRefusedForWantOfTimeIsNoWorkForEnginesThatGenerate() {
--- a/src/test/java/org/cuminshelf/planning/BalancedPlannerTest.java
+++ b/src/test/java/org/cuminshelf/planning/BalancedPlannerTest.java
@@ -86,14 +86,15 @@
     void aLullOfLongAnswersTakesNoEngineFromThem() {
         fleet(2, 2);
         offer(20, 2, 95);
-        offer(6, 3.5, 50);
+        offer(8, 4.2, 40);
         assertThat(changes).isZero();
     }
 
-    /* The first seconds after a restart of everything, when nothing is learnt, count for nothing. */
+    /* The first seconds of work, when nothing is learnt, count for nothing, however long control has run by then. */
     @Example
     void theFirstSecondsOfWorkAreNoGroundForAChange() {
         fleet(3, 3);
+        offer(20, 0, 0);
         offer(3, 12, 50);
         offer(9, 2.2, 80);
         assertThat(changes).isZero();
