--- a/src/main/java/org/cuminshelf/direct/OfferedGeneration.java
+++ b/src/main/java/org/cuminshelf/direct/OfferedGeneration.java
@@ -6,8 +6,8 @@
  *
  * <p>Answers the load pattern of engines of one role that were lost: their work is refused, and callers come back with
  * it. Counted for both roles, it made the other role look as short as the one that refused it, so that the split seemed
- * right: with one engine left that generates, three of four streams were refused for want of a place for 11 s while
- * three engines that read prompts had room.
+ * right: with one engine left that generates, 990 calls were refused for want of a place within 14 s and six for want
+ * of time, while three engines read prompts.
  */
 final class OfferedGeneration {
 
--- a/src/main/java/org/cuminshelf/planning/BalancedPlanner.java
+++ b/src/main/java/org/cuminshelf/planning/BalancedPlanner.java
@@ -36,8 +36,8 @@
     /**
      * Seconds in which a peak of the places asked for is mostly forgotten: longer than blocks of a mix last. Prompts
      * that come at once wait for each other, and engines that generate read some of them; streams that find no place
-     * are refused. Without it one of four engines was left to generate 2 s before a burst of long answers, and up to
-     * half of all requests were refused in the 10 s after it; with it a fifth.
+     * are refused. Without it one of four engines was left to generate 2 s before a burst of long answers, and a third
+     * of all requests were refused in the 14 s after it; with it a ninth (one play each).
      */
     private static final double PEAK_SECONDS = 16;
 
@@ -50,8 +50,8 @@
      */
     private static final int WARM_UP_SECONDS = 8;
     /**
-     * Seconds of it that forecasts leave out: in the first ones after a restart of everything, work looked three times
-     * what it was, and forecasts showed it for half a minute.
+     * Seconds of it that forecasts leave out: in the first ones after a restart of everything, reading looked three
+     * times what it was, and forecasts showed it for 15 s.
      */
     private static final int COLD_SECONDS = 4;
 
--- a/src/main/java/org/cuminshelf/planning/SteadyPlanner.java
+++ b/src/main/java/org/cuminshelf/planning/SteadyPlanner.java
@@ -13,8 +13,8 @@
  * than never changing a role.
  *
  * <p>An engine that said that it leaves is no swing: it doesn't come back. What is wanted after it is let through as
- * soon as it is wanted twice in a row. With two of three engines of a role gone, waiting as for a swing took 11 s, in
- * which three of four requests that needed the role were refused.
+ * soon as it is wanted twice in a row. With two of three engines that generate gone, waiting as for a swing took 11 s,
+ * and 990 calls were refused for want of a place.
  */
 public final class SteadyPlanner implements RolePlanner {
 
@@ -92,6 +92,7 @@
     @Override
     public List<RoleChange> plan(long now, List<EngineView> engines, Demand demand) {
         Optional<RoleChange> change = look(now, engines, demand);
+        // What is wanted since this look only may not be wanted at the next.
         if (change.isEmpty() || now == since || now - since < needed(now, engines)) {
             return List.of();
         }
--- a/src/test/java/org/cuminshelf/control/LostEnginesTest.java
+++ b/src/test/java/org/cuminshelf/control/LostEnginesTest.java
@@ -48,9 +48,9 @@
     }
 
     /*
-     * Three of four callers were refused for half a minute, for want of a place, while engines that read prompts idled.
-     * Two of three engines that generate had said that they leave. The planner waited, as it does for a mix that may
-     * swing back, until all its waits were over; what says that it leaves doesn't come back.
+     * Callers were refused for 11 s for want of a place, while engines that read prompts had room: two of three engines
+     * that generate had said that they leave. The planner waited, as it does for a mix that may swing back, until all
+     * its waits were over; what says that it leaves doesn't come back.
      */
     @Example
     void anEngineMovesAtOnceWhereEnginesSaidThatTheyLeave() {
--- a/src/test/java/org/cuminshelf/planning/BalancedPlannerTest.java
+++ b/src/test/java/org/cuminshelf/planning/BalancedPlannerTest.java
@@ -78,9 +78,9 @@
     }
 
     /*
-     * Half of all callers were refused for want of a place: in a lull of long answers, one of the last two engines that
-     * generate was set to read prompts, and two seconds later the long answers came again. Places that were asked for a
-     * moment ago are kept.
+     * A third of all callers were refused for want of a place: in a lull of long answers, one of the last two engines
+     * that generate was set to read prompts, and two seconds later the long answers came again. Places that were asked
+     * for a moment ago are kept.
      */
     @Example
     void aLullOfLongAnswersTakesNoEngineFromThem() {
