Name a request by what it is in the lines on broken attempts, and how long it had run

The lines could not tell whether one request was there at each crash, nor whether it had run at all: they named only the caller's id, new with each return, and the time since sending. Now they carry a fingerprint (128-bit hash of method, host, path, caller and body, by the hashing library in use) and the time since the first event there. It is computed only where an attempt broke.

--- a/src/main/java/org/cuminshelf/direct/AttemptRow.java
+++ b/src/main/java/org/cuminshelf/direct/AttemptRow.java
@@ -1,6 +1,7 @@
 package org.cuminshelf.direct;
 
 import java.io.ByteArrayOutputStream;
+import org.cuminshelf.core.Core;
 import org.cuminshelf.exchange.UpstreamExchange;
 import org.eclipse.jetty.http.HttpFields;
 
@@ -34,6 +35,9 @@
 
     long lastProgressAt;
 
+    /** When its upstream showed the first event of its run; {@link Core#NEVER} until then. */
+    long firstEventAt = Core.NEVER;
+
     AttemptRow(long number, CallRow call, Placement.Choice choice, long now) {
         this.number = number;
         this.call = call;
--- a/src/main/java/org/cuminshelf/direct/AttemptSystem.java
+++ b/src/main/java/org/cuminshelf/direct/AttemptSystem.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.function.LongSupplier;
+import org.cuminshelf.core.Core;
 import org.cuminshelf.core.Deadlines;
 import org.cuminshelf.core.Durations;
 import org.cuminshelf.engines.EngineModel;
@@ -247,6 +248,7 @@
 
     /** Learns from the first event of an attempt. */
     private void onFirstEvent(long now, AttemptRow attempt) {
+        attempt.firstEventAt = Math.min(attempt.firstEventAt, now);
         if (attempt.promptWaits) {
             onPromptTaken(now, attempt);
         } else if (attempt.hadCache && attempt.call.eventsGiven == 0) {
@@ -311,7 +313,11 @@
                 "reason",
                 reason,
                 "ms",
-                Durations.millis(now - attempt.sentAt));
+                Durations.millis(now - attempt.sentAt),
+                "run-ms",
+                attempt.firstEventAt == Core.NEVER ? "none" : Durations.millis(now - attempt.firstEventAt),
+                "fingerprint",
+                sent ? call.fingerprint() : "none");
         outcomes.broken(now, attempt, sent);
     }
 
--- a/src/main/java/org/cuminshelf/direct/CallIntent.java
+++ b/src/main/java/org/cuminshelf/direct/CallIntent.java
@@ -10,6 +10,11 @@
  * @param deadlineMillis milliseconds that the caller will wait; nothing where it doesn't say
  * @param generation     the shape of a generation, where the request is one
  * @param resumeAfter    the last event that the caller holds, where it resumes a stream
+ * @param caller         names who asks, the same each time; empty where nothing does
  */
 public record CallIntent(
-        String id, OptionalLong deadlineMillis, Optional<GenerationShape> generation, OptionalLong resumeAfter) {}
+        String id,
+        OptionalLong deadlineMillis,
+        Optional<GenerationShape> generation,
+        OptionalLong resumeAfter,
+        String caller) {}
--- a/src/main/java/org/cuminshelf/direct/CallRow.java
+++ b/src/main/java/org/cuminshelf/direct/CallRow.java
@@ -6,9 +6,11 @@
 import java.util.Set;
 import org.cuminshelf.exchange.CallerExchange;
 import org.cuminshelf.exchange.ReceivedRequest;
+import org.cuminshelf.poison.Fingerprint;
 import org.cuminshelf.routes.RequestKind;
 import org.cuminshelf.routes.Route;
 import org.cuminshelf.verdict.Verdict;
+import org.eclipse.jetty.http.HttpHeader;
 
 /** One request of a caller, from its arrival to its one answer. */
 final class CallRow {
@@ -70,6 +72,7 @@
 
     Optional<Verdict> lastFailure = Optional.empty();
     boolean done;
+    private Fingerprint fingerprint;
 
     CallRow(
             long number,
@@ -91,6 +94,16 @@
         this.lastEvent = intent.resumeAfter();
     }
 
+    /** What makes it the same request when it comes again; computed when first asked for, as few calls need it. */
+    Fingerprint fingerprint() {
+        if (fingerprint == null) {
+            String host =
+                    Optional.ofNullable(request.headers().get(HttpHeader.HOST)).orElse("");
+            fingerprint = Fingerprint.of(request.method(), host, request.target(), intent.caller(), request.body());
+        }
+        return fingerprint;
+    }
+
     boolean isStream() {
         return route.kind() == RequestKind.STREAM;
     }
--- a/src/main/java/org/cuminshelf/platform/Headers.java
+++ b/src/main/java/org/cuminshelf/platform/Headers.java
@@ -19,6 +19,8 @@
     static final String LENGTH_HINT = "X-Cuminshelf-Length-Hint";
     /** The last event that the receiver of a stream holds. */
     static final String LAST_EVENT = "Last-Event-Id";
+    /** The key of the organisation that asks, on deployments that have keys; no caller is named elsewhere. */
+    static final String CALLER_KEY = "X-Cuminshelf-Credential";
     /** Marks an answer as that of a run. */
     static final String SEAL = "X-Cuminshelf-Response-Seal";
     /** Identity of the start of an upstream that is to answer. */
--- a/src/main/java/org/cuminshelf/platform/PlatformProtocol.java
+++ b/src/main/java/org/cuminshelf/platform/PlatformProtocol.java
@@ -41,7 +41,8 @@
                 Optional.ofNullable(headers.get(Headers.REQUEST_ID)).orElse(""),
                 number(headers, Headers.DEADLINE),
                 generation(headers),
-                number(headers, Headers.LAST_EVENT));
+                number(headers, Headers.LAST_EVENT),
+                Optional.ofNullable(headers.get(Headers.CALLER_KEY)).orElse(""));
     }
 
     private static Optional<GenerationShape> generation(HttpFields headers) {
--- a/src/test/java/org/cuminshelf/direct/DirectFixture.java
+++ b/src/test/java/org/cuminshelf/direct/DirectFixture.java
@@ -285,7 +285,7 @@
                             List.of(
                                     new PromptPart("shared", sharedTokens(headers)),
                                     new PromptPart(headers.get("Id"), 10))));
-            return new CallIntent(headers.get("Id"), OptionalLong.of(800), shape, number(headers.get("Last")));
+            return new CallIntent(headers.get("Id"), OptionalLong.of(800), shape, number(headers.get("Last")), "");
         }
 
         private static int sharedTokens(HttpFields headers) {
--- a/src/test/java/org/cuminshelf/direct/EarlyRequestsTest.java
+++ b/src/test/java/org/cuminshelf/direct/EarlyRequestsTest.java
@@ -13,7 +13,7 @@
 class EarlyRequestsTest {
 
     private static final CallIntent INTENT =
-            new CallIntent("id", OptionalLong.of(8_000), Optional.empty(), OptionalLong.empty());
+            new CallIntent("id", OptionalLong.of(8_000), Optional.empty(), OptionalLong.empty(), "");
     private final EarlyRequests early = new EarlyRequests();
 
     /*
