--- /dev/null
+++ b/src/main/java/org/cuminshelf/direct/Admission.java
@@ -0,0 +1,150 @@
+package org.cuminshelf.direct;
+
+import java.util.Optional;
+import org.cuminshelf.core.Durations;
+import org.cuminshelf.message.Cause;
+import org.cuminshelf.verdict.Verdict;
+
+/** Decides what is done with a call now: it is sent where it is served best, waits a moment, or is refused. */
+final class Admission {
+
+    /** What is done with a call now. */
+    sealed interface Decision {
+
+        /** It goes to an upstream. */
+        record Send(Placement.Choice choice) implements Decision {}
+
+        /** It waits here, and is decided again. */
+        record Wait() implements Decision {}
+
+        /**
+         * It is refused.
+         *
+         * @param verdict what its caller is told
+         * @param reason  why, for the log
+         */
+        record Refuse(Verdict.NotRun verdict, String reason) implements Decision {}
+    }
+
+    /** Time for which a caller waits for the first event at the most, and times the target, whichever is longer. */
+    private static final double LONGEST_FIRST_MILLIS = 1_900;
+
+    private static final double LONGEST_FIRST_FACTOR = 3.8;
+    /**
+     * Milliseconds of prompts before it for which a prompt waits at an engine rather than here: short against the
+     * targets, and long enough that no engine runs dry before the next calls are tried.
+     */
+    private static final double ENGINE_WAIT_MILLIS = 100;
+    /** Milliseconds to the first event of a usual prompt, where no engine could be estimated. */
+    private static final double USUAL_FIRST_MILLIS = 50;
+    /** When to come back where all places are taken: streams end after some 2 s, so half of them by then. */
+    private static final long FULL_RETRY_AFTER_MILLIS = 1_000;
+
+    private static final Decision WAIT = new Decision.Wait();
+
+    private final Placement placement;
+    private final ControlFeed control;
+    private final WaitingCalls waiting;
+
+    Admission(Placement placement, ControlFeed control, WaitingCalls waiting) {
+        this.placement = placement;
+        this.control = control;
+        this.waiting = waiting;
+    }
+
+    Decision decide(long now, CallRow call) {
+        Optional<Placement.Choice> choice = placement.choose(now, call);
+        choice.ifPresent(found -> expect(call, found));
+        return choice.map(found -> decide(now, call, found)).orElseGet(() -> decideUnplaced(now, call));
+    }
+
+    private static void expect(CallRow call, Placement.Choice choice) {
+        if (call.attempt == null) {
+            call.expectedMillis = choice.firstMillis();
+            call.waitMillis = choice.waitMillis();
+        }
+    }
+
+    private Decision decide(long now, CallRow call, Placement.Choice choice) {
+        if (isHopeless(now, call, choice)) {
+            return refuse(call, choice, "too-late");
+        }
+        double own = choice.firstMillis() - choice.waitMillis();
+        if (choice.waitMillis() > ENGINE_WAIT_MILLIS && waitsForTurn(now, call, own)) {
+            return WAIT;
+        }
+        return sendUnlessLate(now, call, choice);
+    }
+
+    private Decision decideUnplaced(long now, CallRow call) {
+        boolean full = placement.hasOpen(now, call);
+        boolean waits = full ? waitsForTurn(now, call, USUAL_FIRST_MILLIS) : waitsForUpstreams(now, call);
+        if (waits) {
+            return WAIT;
+        }
+        if (full) {
+            call.offered.ifPresent(OfferedGeneration::refusedForPlaces);
+            Verdict.NotRun verdict = new Verdict.NotRun(Cause.OVERLOADED, FULL_RETRY_AFTER_MILLIS);
+            return new Decision.Refuse(verdict, "all places are taken");
+        }
+        Verdict.NotRun verdict = new Verdict.NotRun(Cause.NO_UPSTREAM, CallerAnswers.RETRY_AFTER_MILLIS);
+        return new Decision.Refuse(verdict, "no-upstream");
+    }
+
+    private static Decision refuse(CallRow call, Placement.Choice choice, String reason) {
+        call.offered.ifPresent(OfferedGeneration::refusedForTime);
+        long wait = (long) Math.max(CallerAnswers.RETRY_AFTER_MILLIS, choice.waitMillis());
+        return new Decision.Refuse(new Verdict.NotRun(Cause.OVERLOADED, wait), reason);
+    }
+
+    /** Whether a call waits here for its turn; one that an upstream has had, or whose answer began, doesn't. */
+    private boolean waitsForTurn(long now, CallRow call, double ownMillis) {
+        return call.attempt == null && call.isStream() && waiting.addForTurn(now, call, ownMillis);
+    }
+
+    /**
+     * Whether a call waits for upstreams that this entry has not heard of yet. Guards against a refusal of all that
+     * comes while all processes restart together, of which half came back before anything was known and was lost.
+     */
+    private boolean waitsForUpstreams(long now, CallRow call) {
+        return call.attempt == null && control.isYoung(now) && waiting.addForUpstreams(now, call);
+    }
+
+    /**
+     * Sends a call that will be in time, or whose answer is worth more than the engine's time though it comes late, or
+     * whose size was refused more than its share. Under more work than the engines can take their time is dear, so that
+     * only what is in time goes: queues of prompts that are all late serve nobody.
+     */
+    private static Decision sendUnlessLate(long now, CallRow call, Placement.Choice choice) {
+        double first = Durations.millis(now - call.arrivedAt) + choice.firstMillis();
+        boolean inTime = first <= call.route.targetMillis();
+        if (call.attempt != null || inTime || choice.gain() > 0 || isOwed(call, first)) {
+            return new Decision.Send(choice);
+        }
+        return refuse(call, choice, "too-dear");
+    }
+
+    /** Whether a call goes for its size's sake, which it does only where its caller will still be there. */
+    private static boolean isOwed(CallRow call, double firstMillis) {
+        return firstMillis <= longestFirst(call)
+                && call.claim.filter(SizeFairness.Claim::isOwed).isPresent();
+    }
+
+    /** Milliseconds after which the caller of a stream that shows nothing has left. */
+    private static double longestFirst(CallRow call) {
+        return Math.max(LONGEST_FIRST_MILLIS, LONGEST_FIRST_FACTOR * call.route.targetMillis());
+    }
+
+    /**
+     * Whether a generation would be answered too late to be of use. Guards against a queue of which every answer is
+     * late, or made for callers that have left: what can't be served in time is refused at once, while the rest is.
+     */
+    private static boolean isHopeless(long now, CallRow call, Placement.Choice choice) {
+        if (call.begun || call.cache.isPresent() || choice.firstMillis() == 0) {
+            return false;
+        }
+        double own = choice.firstMillis() - choice.waitMillis();
+        double first = Durations.millis(now - call.arrivedAt) + own;
+        return first > longestFirst(call) || now + Durations.nanos((long) own) > call.deadline;
+    }
+}
--- a/src/main/java/org/cuminshelf/direct/CallSystem.java
+++ b/src/main/java/org/cuminshelf/direct/CallSystem.java
@@ -24,23 +24,10 @@
  */
 final class CallSystem {
 
-    /** Time for which a caller waits for the first event at the most, and times the target, whichever is longer. */
-    private static final double LONGEST_FIRST_MILLIS = 1_900;
-
-    private static final double LONGEST_FIRST_FACTOR = 3.8;
-    /**
-     * Milliseconds of prompts before it for which a prompt waits at an engine rather than here: short against the
-     * targets, and long enough that no engine runs dry before the next calls are tried.
-     */
-    private static final double ENGINE_WAIT_MILLIS = 100;
-    /** Milliseconds to the first event of a usual prompt, where no engine could be estimated. */
-    private static final double USUAL_FIRST_MILLIS = 50;
     /** Calls that wait which are tried in vain at one time: what engines can't take now they can't for the others. */
     private static final int MOST_FAILED_TRIES = 3;
     /** Least time left for which another attempt is worth sending. */
     private static final long LEAST_TIME_LEFT = Durations.nanos(60);
-    /** When to come back where all places are taken: streams end after some 2 s, so half of them by then. */
-    private static final long FULL_RETRY_AFTER_MILLIS = 1_000;
 
     private final UpstreamProtocol protocol;
     private final UpstreamPort port;
@@ -56,6 +43,7 @@
     private final Map<Long, CallRow> open = new HashMap<>();
     private final Deadlines<Long> callDeadlines = Deadlines.create();
     private final WaitingCalls waiting = new WaitingCalls();
+    private final Admission admission;
     private final SizeFairness fairness = new SizeFairness();
 
     CallSystem(
@@ -80,6 +68,7 @@
         this.invariants = invariants;
         this.log = log;
         this.poison = poison;
+        this.admission = new Admission(placement, control, waiting);
         this.callers = new CallerAnswers(control, log);
         this.attempts = new AttemptSystem(protocol, port, callers, clock, log, models, gossip, new AttemptOutcomes());
     }
@@ -121,87 +110,17 @@
         place(now, call);
     }
 
-    /** Sends a call where it is served best, lets it wait, or refuses it. */
     private void place(long now, CallRow call) {
-        Optional<Placement.Choice> choice = placement.choose(now, call);
-        choice.ifPresent(found -> expect(call, found));
-        if (choice.isEmpty()) {
-            boolean full = placement.hasOpen(now, call);
-            boolean waits = full ? waitsForTurn(now, call, USUAL_FIRST_MILLIS) : waitsForUpstreams(now, call);
-            if (!waits) {
-                refuseUnplaced(now, call, full);
+        switch (admission.decide(now, call)) {
+            case Admission.Decision.Send(Placement.Choice choice) -> send(now, call, choice);
+            case Admission.Decision.Wait() -> {
+                // It is tried again with the others that wait.
+            }
+            case Admission.Decision.Refuse(Verdict.NotRun verdict, String reason) -> {
+                call.lastFailure = Optional.of(verdict);
+                giveUp(now, call, reason);
             }
-        } else if (isHopeless(now, call, choice.get())) {
-            refuse(now, call, choice.get(), "too-late");
-        } else if (choice.get().waitMillis() <= ENGINE_WAIT_MILLIS
-                || !waitsForTurn(
-                        now, call, choice.get().firstMillis() - choice.get().waitMillis())) {
-            sendUnlessLate(now, call, choice.get());
-        }
-    }
-
-    private static void expect(CallRow call, Placement.Choice choice) {
-        if (call.attempt == null) {
-            call.expectedMillis = choice.firstMillis();
-            call.waitMillis = choice.waitMillis();
-        }
-    }
-
-    /** Whether a call waits here for its turn; one that an upstream has had, or whose answer began, doesn't. */
-    private boolean waitsForTurn(long now, CallRow call, double ownMillis) {
-        return call.attempt == null && call.isStream() && waiting.addForTurn(now, call, ownMillis);
-    }
-
-    /**
-     * Whether a call waits for upstreams that this entry has not heard of yet. Guards against a refusal of all that
-     * comes while all processes restart together, of which half came back before anything was known and was lost.
-     */
-    private boolean waitsForUpstreams(long now, CallRow call) {
-        return call.attempt == null && control.isYoung(now) && waiting.addForUpstreams(now, call);
-    }
-
-    /**
-     * Sends a call that will be in time, or whose answer is worth more than the engine's time though it comes late, or
-     * whose size was refused more than its share. Under more work than the engines can take their time is dear, so that
-     * only what is in time goes: queues of prompts that are all late serve nobody.
-     */
-    private void sendUnlessLate(long now, CallRow call, Placement.Choice choice) {
-        double first = Durations.millis(now - call.arrivedAt) + choice.firstMillis();
-        boolean inTime = first <= call.route.targetMillis();
-        if (call.attempt != null || inTime || choice.gain() > 0 || isOwed(call, first)) {
-            send(now, call, choice);
-        } else {
-            refuse(now, call, choice, "too-dear");
-        }
-    }
-
-    /** Whether a call goes for its size's sake, which it does only where its caller will still be there. */
-    private static boolean isOwed(CallRow call, double firstMillis) {
-        return firstMillis <= longestFirst(call)
-                && call.claim.filter(SizeFairness.Claim::isOwed).isPresent();
-    }
-
-    /** Milliseconds after which the caller of a stream that shows nothing has left. */
-    private static double longestFirst(CallRow call) {
-        return Math.max(LONGEST_FIRST_MILLIS, LONGEST_FIRST_FACTOR * call.route.targetMillis());
-    }
-
-    private void refuseUnplaced(long now, CallRow call, boolean full) {
-        if (full) {
-            call.offered.ifPresent(OfferedGeneration::refusedForPlaces);
         }
-        call.lastFailure = Optional.of(
-                full
-                        ? new Verdict.NotRun(Cause.OVERLOADED, FULL_RETRY_AFTER_MILLIS)
-                        : new Verdict.NotRun(Cause.NO_UPSTREAM, CallerAnswers.RETRY_AFTER_MILLIS));
-        giveUp(now, call, full ? "all places are taken" : "no-upstream");
-    }
-
-    private void refuse(long now, CallRow call, Placement.Choice choice, String reason) {
-        call.offered.ifPresent(OfferedGeneration::refusedForTime);
-        long wait = (long) Math.max(CallerAnswers.RETRY_AFTER_MILLIS, choice.waitMillis());
-        call.lastFailure = Optional.of(new Verdict.NotRun(Cause.OVERLOADED, wait));
-        giveUp(now, call, reason);
     }
 
     /** Tries calls that wait, as long as engines take any. */
@@ -216,19 +135,6 @@
         }
     }
 
-    /**
-     * Whether a generation would be answered too late to be of use. Guards against a queue of which every answer is
-     * late, or made for callers that have left: what can't be served in time is refused at once, while the rest is.
-     */
-    private static boolean isHopeless(long now, CallRow call, Placement.Choice choice) {
-        if (call.begun || call.cache.isPresent() || choice.firstMillis() == 0) {
-            return false;
-        }
-        double own = choice.firstMillis() - choice.waitMillis();
-        double first = Durations.millis(now - call.arrivedAt) + own;
-        return first > longestFirst(call) || now + Durations.nanos((long) own) > call.deadline;
-    }
-
     private void send(long now, CallRow call, Placement.Choice choice) {
         invariants.check(
                 call.isRepeatable() || !call.mayHaveRun,
@@ -429,7 +335,11 @@
         List<CallRow> copies = open.values().stream()
                 .filter(call -> call.fingerprint().equals(request))
                 .toList();
-        copies.forEach(call -> stop(now, call, "quarantined"));
+        for (CallRow call : copies) {
+            call.lastFailure =
+                    Optional.of(new Verdict.NotRun(Cause.UPSTREAM_ERROR, PoisonSystem.QUARANTINED_RETRY_AFTER_MILLIS));
+            stop(now, call, "quarantined");
+        }
     }
 
     private void expire(long now, CallRow call) {
--- a/src/main/java/org/cuminshelf/direct/PoisonSystem.java
+++ b/src/main/java/org/cuminshelf/direct/PoisonSystem.java
@@ -45,8 +45,8 @@
     /** Least time between two urgent words to control: a crash is seen in several broken attempts. */
     private static final long URGENT_GAP = Durations.nanos(10);
 
-    /** Why a request is refused, and when its caller may come back. */
-    record Refusal(String reason, long retryAfterMillis) {}
+    /** How the log names a refusal, and when the caller may come back. */
+    record Refusal(String outcome, long retryAfterMillis) {}
 
     private final PoisonRegister register = new PoisonRegister();
     private final CrashWatch watch;
--- a/src/main/java/org/cuminshelf/poison/PoisonRegister.java
+++ b/src/main/java/org/cuminshelf/poison/PoisonRegister.java
@@ -26,7 +26,7 @@
      * @return whether neither crashes nor quarantined requests are known
      */
     public boolean isEmpty() {
-        return crashes.isEmpty() && quarantine.all().isEmpty();
+        return crashes.isEmpty() && quarantine.isEmpty();
     }
 
     /**
--- a/src/main/java/org/cuminshelf/poison/Quarantine.java
+++ b/src/main/java/org/cuminshelf/poison/Quarantine.java
@@ -143,6 +143,15 @@
                 .build());
     }
 
+    /**
+     * Tells whether nothing is kept.
+     *
+     * @return whether no request is quarantined or was released
+     */
+    public boolean isEmpty() {
+        return rows.isEmpty();
+    }
+
     /**
      * All that is kept, the oldest first.
      *
--- a/src/test/java/org/cuminshelf/direct/PoisonCallsTest.java
+++ b/src/test/java/org/cuminshelf/direct/PoisonCallsTest.java
@@ -81,10 +81,21 @@
     }
 
     /*
-     * One more engine ends though the request is known: a copy of it was on its way when the word came.
+     * One more engine ends though the request is known: a copy of it waited, or was on its way, when the word came.
      */
     @Example
-    void copiesThatRunOrWaitAreStoppedWhenTheWordComes() {
+    void copiesThatWaitAreRefusedWhenTheWordComes() {
+        DirectFixture entry = new DirectFixture(DirectFixture.route(RequestKind.STREAM, 2, true)).ready();
+        DirectFixture.Answer waiting = entry.ask("a", "Tokens", "600");
+        assertThat(waiting.complete).as("no upstream is known yet").isFalse();
+        entry.update(Update.newBuilder().addQuarantined(quarantined()));
+        entry.pass(1);
+        assertThat(waiting.status).isEqualTo(503);
+        assertThat(waiting.headers.get("Retry-After")).isEqualTo("3600.0");
+    }
+
+    @Example
+    void copiesThatRunAreStoppedWhenTheWordComes() {
         DirectFixture entry = entry(false);
         DirectFixture.Answer running = entry.ask("a", "Tokens", "600");
         assertThat(entry.sent).hasSize(1);
