List and release quarantined requests, over HTTP and by a command; what a fingerprint costs

cuminshelf quarantine list, release; the same calls at the product's administration interface and at control processes on the users' platform. Control logs and counts what is quarantined and released. A test over real sockets: three crashes, refusal, release, served again. The fixture of the graceful stop's test is shared with it.

--- a/src/main/java/org/cuminshelf/control/ControlCore.java
+++ b/src/main/java/org/cuminshelf/control/ControlCore.java
@@ -226,6 +226,15 @@
         return config.config().toByteArray();
     }
 
+    /**
+     * Counts the requests that are refused because upstreams crash when they run them.
+     *
+     * @return their number, as far as this process knows
+     */
+    public long quarantinedRequests() {
+        return poison.quarantine().size();
+    }
+
     /** The requests that are refused as poison, as far as a quorum wrote them down. */
     Quarantine durableQuarantine() {
         return config.quarantine();
@@ -358,6 +367,7 @@
                         from,
                         request.getQuestion(),
                         AdminAnswer.newBuilder()
+                                .setListsQuarantine(true)
                                 .addAllQuarantined(poison.quarantine().all()),
                         out);
             case QUARANTINE_RELEASE -> onRelease(now, from, request, out);
--- a/src/main/java/org/cuminshelf/control/QuarantineSystem.java
+++ b/src/main/java/org/cuminshelf/control/QuarantineSystem.java
@@ -12,6 +12,7 @@
 import org.cuminshelf.poison.PoisonRegister;
 import org.cuminshelf.poison.Quarantine;
 import org.cuminshelf.replica.Replica;
+import org.tinylog.Logger;
 
 /**
  * What control knows of poison requests: it passes on what entries tell, and keeps the quarantine in the global group's
@@ -50,7 +51,7 @@
             learnt = durable.changes();
             durable.all().forEach(row -> register.merge(now, row, versions::nextVersion));
         }
-        register.takeChanged();
+        register.takeChanged().forEach(QuarantineSystem::log);
         if (!replica.isLeader()) {
             proposed.clear();
             return;
@@ -62,6 +63,19 @@
         }
     }
 
+    private static void log(QuarantinedRequest row) {
+        Logger.info(
+                "control: event=poison id={} outcome={} generation={} upstreams={} found-by={} released-by={}"
+                        + " reason=\"{}\"",
+                Quarantine.fingerprint(row),
+                row.getReleased() ? "released" : "quarantined",
+                row.getGeneration(),
+                row.getUpstreamsList(),
+                row.getFoundBy(),
+                row.getReleasedBy(),
+                row.getReason());
+    }
+
     private void propose(long now, long wallMillis, QuarantinedRequest row) {
         Long before = proposed.get(Quarantine.fingerprint(row));
         if (before != null && now - before < PROPOSED_AGAIN) {
--- a/src/main/java/org/cuminshelf/http/AdminHandler.java
+++ b/src/main/java/org/cuminshelf/http/AdminHandler.java
@@ -116,8 +116,18 @@
                 ask(response, callback, AdminRequest.newBuilder().setConfigRead(ConfigRead.getDefaultInstance()));
             case "POST config" -> withBody(request, response, callback, body -> apply(request, body, operator));
             case "POST orders" -> withBody(request, response, callback, body -> order(body, operator));
+            case "GET " + QuarantineJson.LIST -> ask(response, callback, QuarantineJson.list());
+            case "POST " + QuarantineJson.RELEASE ->
+                withBody(
+                        request,
+                        response,
+                        callback,
+                        body -> QuarantineJson.release(body, Optional.of(operator.team())));
             default ->
-                Problem.badRequest(404, "No such call; there are GET status, GET config, POST config and POST orders.")
+                Problem.badRequest(
+                                404,
+                                "No such call; there are GET status, GET config, POST config, POST orders,"
+                                        + " GET quarantine and POST quarantine/release.")
                         .write(response, callback);
         }
     }
@@ -231,6 +241,9 @@
     }
 
     private static ObjectNode json(AdminAnswer answer) {
+        if (answer.getListsQuarantine()) {
+            return QuarantineJson.of(answer);
+        }
         if (answer.hasStatus()) {
             return StatusJson.of(answer.getStatus());
         }
--- a/src/main/java/org/cuminshelf/message/AdminAnswer.java
+++ b/src/main/java/org/cuminshelf/message/AdminAnswer.java
@@ -384,6 +384,44 @@
     quarantined_.remove(index);
   }
 
+  public static final int LISTS_QUARANTINE_FIELD_NUMBER = 9;
+  private boolean listsQuarantine_;
+  /**
+   * <pre>
+   * Whether this is the list of the quarantine, which may be empty.
+   * </pre>
+   *
+   * <code>bool lists_quarantine = 9;</code>
+   * @return The listsQuarantine.
+   */
+  @java.lang.Override
+  public boolean getListsQuarantine() {
+    return listsQuarantine_;
+  }
+  /**
+   * <pre>
+   * Whether this is the list of the quarantine, which may be empty.
+   * </pre>
+   *
+   * <code>bool lists_quarantine = 9;</code>
+   * @param value The listsQuarantine to set.
+   */
+  private void setListsQuarantine(boolean value) {
+    
+    listsQuarantine_ = value;
+  }
+  /**
+   * <pre>
+   * Whether this is the list of the quarantine, which may be empty.
+   * </pre>
+   *
+   * <code>bool lists_quarantine = 9;</code>
+   */
+  private void clearListsQuarantine() {
+
+    listsQuarantine_ = false;
+  }
+
   public static org.cuminshelf.message.AdminAnswer parseFrom(
       java.nio.ByteBuffer data)
       throws com.google.protobuf.InvalidProtocolBufferException {
@@ -859,6 +897,46 @@
       return this;
     }
 
+    /**
+     * <pre>
+     * Whether this is the list of the quarantine, which may be empty.
+     * </pre>
+     *
+     * <code>bool lists_quarantine = 9;</code>
+     * @return The listsQuarantine.
+     */
+    @java.lang.Override
+    public boolean getListsQuarantine() {
+      return instance.getListsQuarantine();
+    }
+    /**
+     * <pre>
+     * Whether this is the list of the quarantine, which may be empty.
+     * </pre>
+     *
+     * <code>bool lists_quarantine = 9;</code>
+     * @param value The listsQuarantine to set.
+     * @return This builder for chaining.
+     */
+    public Builder setListsQuarantine(boolean value) {
+      copyOnWrite();
+      instance.setListsQuarantine(value);
+      return this;
+    }
+    /**
+     * <pre>
+     * Whether this is the list of the quarantine, which may be empty.
+     * </pre>
+     *
+     * <code>bool lists_quarantine = 9;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearListsQuarantine() {
+      copyOnWrite();
+      instance.clearListsQuarantine();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:cuminshelf.AdminAnswer)
   }
   @java.lang.Override
@@ -885,10 +963,11 @@
             "status_",
             "quarantined_",
             org.cuminshelf.message.QuarantinedRequest.class,
+            "listsQuarantine_",
           };
           java.lang.String info =
-              "\u0000\b\u0000\u0001\u0001\b\b\u0000\u0001\u0000\u0001\u0003\u0002\f\u0003\u0003" +
-              "\u0004\u0208\u0005\u0208\u0006\n\u0007\u1009\u0000\b\u001b";
+              "\u0000\t\u0000\u0001\u0001\t\t\u0000\u0001\u0000\u0001\u0003\u0002\f\u0003\u0003" +
+              "\u0004\u0208\u0005\u0208\u0006\n\u0007\u1009\u0000\b\u001b\t\u0007";
           return newMessageInfo(DEFAULT_INSTANCE, info, objects);
       }
       case GET_DEFAULT_INSTANCE: {
--- a/src/main/java/org/cuminshelf/message/AdminAnswerOrBuilder.java
+++ b/src/main/java/org/cuminshelf/message/AdminAnswerOrBuilder.java
@@ -87,4 +87,14 @@
    * <code>repeated .cuminshelf.QuarantinedRequest quarantined = 8;</code>
    */
   int getQuarantinedCount();
+
+  /**
+   * <pre>
+   * Whether this is the list of the quarantine, which may be empty.
+   * </pre>
+   *
+   * <code>bool lists_quarantine = 9;</code>
+   * @return The listsQuarantine.
+   */
+  boolean getListsQuarantine();
 }
--- a/src/main/java/org/cuminshelf/platform/ControlCalls.java
+++ b/src/main/java/org/cuminshelf/platform/ControlCalls.java
@@ -6,6 +6,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.locks.ReentrantLock;
 import java.util.function.Consumer;
 import org.cuminshelf.config.MergedConfig;
@@ -16,6 +17,7 @@
 import org.cuminshelf.exchange.CallerListener;
 import org.cuminshelf.exchange.ReceivedRequest;
 import org.cuminshelf.exchange.UpstreamConnections;
+import org.cuminshelf.http.QuarantineJson;
 import org.cuminshelf.message.AdminAnswer;
 import org.cuminshelf.message.AdminRequest;
 import org.cuminshelf.message.ConfigApply;
@@ -36,6 +38,11 @@
     private static final String CONFIG = "/cuminshelf/config";
     private static final String INSTANCES = "/cuminshelf/instances/";
     private static final String AUTHOR = "operator";
+    /** Calls of our own, under the path of the product's administration interface, so that its commands work. */
+    private static final String ADMIN = "/admin/";
+
+    private static final String QUARANTINE = ADMIN + QuarantineJson.LIST;
+    private static final String QUARANTINE_RELEASE = ADMIN + QuarantineJson.RELEASE;
 
     private final ReentrantLock lock = new ReentrantLock();
     private final Consumer<Envelope.Builder> core;
@@ -90,6 +97,12 @@
             Logger.info("control: event=upstream-gone id={}", id);
             tell(UpstreamBeat.newBuilder().setName(id).setDeleted(true).build());
             answer(exchange, 200, "{}");
+        } else if (path.equals(QUARANTINE) && method.equals("GET")) {
+            ask(exchange, QuarantineJson.list());
+        } else if (path.equals(QUARANTINE_RELEASE) && method.equals("POST")) {
+            QuarantineJson.release(request.body(), Optional.empty())
+                    .peek(release -> ask(exchange, release))
+                    .peekLeft(wrong -> answer(exchange, 400, problem(wrong)));
         } else {
             answer(exchange, 404, problem("there is no such call"));
         }
@@ -164,6 +177,10 @@
     private static void answer(CallerExchange exchange, AdminAnswer answer) {
         switch (answer.getResult()) {
             case ADMIN_DONE -> {
+                if (answer.getListsQuarantine()) {
+                    answer(exchange, 200, QuarantineJson.of(answer).toString());
+                    return;
+                }
                 boolean read = !answer.getConfig().isEmpty();
                 boolean none = answer.getVersion() == 0;
                 if (read) {
@@ -172,6 +189,7 @@
                     answer(exchange, none ? 503 : 200, none ? problem("no configuration was accepted yet") : "{}");
                 }
             }
+            case ADMIN_UNKNOWN -> answer(exchange, 404, problem(answer.getDetail()));
             case ADMIN_BAD -> answer(exchange, 400, problem(answer.getDetail()));
             default -> answer(exchange, 503, problem(answer.getDetail()));
         }
--- a/src/main/java/org/cuminshelf/process/ControlProcess.java
+++ b/src/main/java/org/cuminshelf/process/ControlProcess.java
@@ -143,6 +143,11 @@
     private static void describe(PrometheusRegistry registry, ControlCore core, Frame frame) {
         EntryProcess.gauge(
                 registry, "cuminshelf_config_version", "Version of the configuration accepted.", core::configVersion);
+        EntryProcess.gauge(
+                registry,
+                "cuminshelf_quarantined_requests",
+                "Requests refused because upstreams crash when they run them.",
+                core::quarantinedRequests);
         EntryProcess.gauge(
                 registry, "cuminshelf_invariant_breach_count", "Promises found broken.", frame.invariants()::count);
         for (String group : core.groups()) {
--- a/src/main/java/org/cuminshelf/tools/BenchCommand.java
+++ b/src/main/java/org/cuminshelf/tools/BenchCommand.java
@@ -6,6 +6,7 @@
 import net.sourceforge.argparse4j.inf.Namespace;
 import net.sourceforge.argparse4j.inf.Subparser;
 import org.cuminshelf.bench.ClaimBench;
+import org.cuminshelf.bench.FingerprintBench;
 import org.cuminshelf.bench.PathBench;
 import org.cuminshelf.bench.SlopeBench;
 import org.cuminshelf.standin.EngineSpeed;
@@ -26,9 +27,9 @@
     @Override
     public void describe(Subparser parser) {
         parser.addArgument("what")
-                .choices("path", "slopes", "claims")
+                .choices("path", "slopes", "claims", "fingerprint")
                 .help("path: entry and sidecar against the engine alone; slopes: the cores without sockets;"
-                        + " claims: a group of three with real disks");
+                        + " claims: a group of three with real disks; fingerprint: a request among poison requests");
     }
 
     @Override
@@ -36,6 +37,7 @@
         List<String> lines = switch (flags.getString("what")) {
             case "path" -> path();
             case "slopes" -> SlopeBench.measure();
+            case "fingerprint" -> FingerprintBench.measure();
             default -> ClaimBench.measure();
         };
         lines.forEach(System.out::println);
--- a/src/main/java/org/cuminshelf/tools/Main.java
+++ b/src/main/java/org/cuminshelf/tools/Main.java
@@ -30,6 +30,7 @@
             new ExperimentCommand(),
             OrderCommand.order(),
             OrderCommand.drain(),
+            QuarantineCommand.create(),
             PlatformCommand.create());
 
     private Main() {}
--- a/src/test/java/org/cuminshelf/platform/GracefulStopTest.java
+++ b/src/test/java/org/cuminshelf/platform/GracefulStopTest.java
@@ -8,25 +8,15 @@
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
-import java.nio.file.Files;
-import java.nio.file.Path;
-import java.util.ArrayList;
-import java.util.Comparator;
-import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
-import java.util.stream.Stream;
 import net.jqwik.api.Example;
 import net.jqwik.api.lifecycle.AfterProperty;
 import net.jqwik.api.lifecycle.BeforeProperty;
-import org.cuminshelf.process.DirectEntryProcess;
-import org.cuminshelf.process.ServingProcess;
 
 /** Both roles of the users' platform as they run, on loopback, with an upstream that takes its time. */
 class GracefulStopTest {
 
-    private static final String HOST = "127.0.0.1";
-    private static final int TRIES = 400;
     private static final long UPSTREAM_TAKES = 1_200;
     private static final long UPSTREAM_TAKES_LONG = 4_500;
     private static final String CONFIG =
@@ -34,41 +24,26 @@
                     + "\"routeKind\":\"non_idempotent\",\"timeoutMs\":5000,\"service\":\"s\"}],"
                     + "\"services\":[{\"name\":\"s\"}],\"limits\":{}}";
 
-    private final List<Integer> ports = new ArrayList<>();
-    private Path folder;
     private ServerSocket upstream;
-    private ServingProcess control;
-    private DirectEntryProcess entry;
+    private LoopbackPlatform platform;
     /** A graceful stop closes the entry itself. */
     private volatile boolean stopped;
 
     @BeforeProperty
     void start() throws Exception {
-        folder = Files.createTempDirectory("graceful-stop");
-        upstream = new ServerSocket(0, 10, InetAddress.getByName(HOST));
+        upstream = new ServerSocket(0, 10, InetAddress.getByName(LoopbackPlatform.HOST));
         Thread answers = new Thread(this::answerSlowly);
         answers.setDaemon(true);
         answers.start();
-        takePorts(7);
-        control = PlatformCommand.control(settings(0, 1, 2, 2));
-        entry = PlatformCommand.entry(settings(3, 4, 5, 6));
-        until(2, "PUT /cuminshelf/config", CONFIG, "200");
-        until(2, "PUT /cuminshelf/instances/i-1", beat(), "200");
-        until(6, "GET /", "", "200");
+        platform = new LoopbackPlatform(CONFIG);
+        platform.announce("i-1", upstream.getLocalPort());
+        platform.until(LoopbackPlatform.READINESS, "GET /", "", "200");
     }
 
     @AfterProperty
     void stop() throws IOException {
-        if (!stopped) {
-            entry.close();
-        }
-        control.close();
+        platform.close(stopped);
         upstream.close();
-        try (Stream<Path> files = Files.walk(folder)) {
-            for (Path file : files.sorted(Comparator.reverseOrder()).toList()) {
-                Files.delete(file);
-            }
-        }
     }
 
     /*
@@ -78,12 +53,12 @@
      */
     @Example
     void aPlannedStopCutsNoRequestNorOneThatComesWhileTheBalancerHasNotNoticed() throws Exception {
-        until(5, "POST /warm", "", "done");
+        platform.until(LoopbackPlatform.CALLERS, "POST /warm", "", "done");
         CompletableFuture<String> before = ask();
         Thread.sleep(300);
         CompletableFuture<Boolean> stop = CompletableFuture.supplyAsync(this::stopEntry);
         Thread.sleep(300);
-        assertThat(call(6, "GET /", "")).startsWith("HTTP/1.1 503");
+        assertThat(platform.call(LoopbackPlatform.READINESS, "GET /", "")).startsWith("HTTP/1.1 503");
         CompletableFuture<String> during = ask();
         assertThat(before.get(10, TimeUnit.SECONDS)).startsWith("HTTP/1.1 200").endsWith("done");
         assertThat(during.get(10, TimeUnit.SECONDS)).startsWith("HTTP/1.1 200").contains("Connection: close");
@@ -97,7 +72,7 @@
      */
     @Example
     void onceTheBalancerHasHadItsTimeNothingNewIsTakenWhileWhatIsOpenIsFinished() throws Exception {
-        until(5, "POST /warm", "", "done");
+        platform.until(LoopbackPlatform.CALLERS, "POST /warm", "", "done");
         CompletableFuture<String> open = CompletableFuture.supplyAsync(() -> ask("POST /long"));
         Thread.sleep(300);
         CompletableFuture<Boolean> stop = CompletableFuture.supplyAsync(this::stopEntry);
@@ -111,7 +86,7 @@
     private boolean stopEntry() {
         stopped = true;
         try {
-            return entry.stopGracefully();
+            return platform.entry.stopGracefully();
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
             return false;
@@ -124,60 +99,12 @@
 
     private String ask(String call) {
         try {
-            return call(5, call, "");
+            return platform.call(LoopbackPlatform.CALLERS, call, "");
         } catch (IOException e) {
             return "broken: " + e.getMessage();
         }
     }
 
-    private void until(int port, String call, String body, String wanted) throws Exception {
-        String answer = "";
-        for (int attempt = 0; attempt < TRIES && !answer.contains(wanted); attempt++) {
-            Thread.sleep(25);
-            try {
-                answer = call(port, call, body);
-            } catch (IOException e) {
-                answer = "not yet: " + e.getMessage();
-            }
-        }
-        assertThat(answer).contains(wanted);
-    }
-
-    private String call(int port, String call, String body) throws IOException {
-        String request = call + " HTTP/1.1\r\nHost: h\r\nConnection: close\r\n" + Headers.REQUEST_ID
-                + ": w\r\nContent-Length: " + body.length() + "\r\n\r\n" + body;
-        try (Socket socket = new Socket(HOST, ports.get(port))) {
-            socket.getOutputStream().write(request.getBytes(StandardCharsets.UTF_8));
-            return new String(socket.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
-        }
-    }
-
-    private String beat() {
-        return "{\"service\":\"s\",\"address\":\"" + HOST + ":" + upstream.getLocalPort()
-                + "\",\"zone\":\"z\",\"slots\":4,\"state\":\"ready\",\"sequence\":1,\"born\":1}";
-    }
-
-    private BootSettings settings(int messages, int metrics, int listen, int ready) throws IOException {
-        String text = "{\"node\":\"n\",\"zone\":\"z\",\"region\":\"r\",\"ip\":\"" + HOST + "\",\"internalPorts\":["
-                + ports.get(messages) + "," + ports.get(metrics) + "],\"seeds\":[],\"bootstrap\":true,\"dataDir\":\""
-                + folder + "\",\"listen\":{\"front\":\"" + HOST + ":" + ports.get(listen) + "\",\"control\":\"" + HOST
-                + ":" + ports.get(listen) + "\",\"ready\":\"" + HOST + ":" + ports.get(ready) + "\"},\"bounds\":{}}";
-        Path file = Files.writeString(folder.resolve("boot-" + messages + ".json"), text);
-        return BootSettings.read(file).withSeedPort(ports.get(0));
-    }
-
-    private void takePorts(int count) throws IOException {
-        List<ServerSocket> held = new ArrayList<>();
-        for (int index = 0; index < count; index++) {
-            ServerSocket socket = new ServerSocket(0, 1, InetAddress.getByName(HOST));
-            held.add(socket);
-            ports.add(socket.getLocalPort());
-        }
-        for (ServerSocket socket : held) {
-            socket.close();
-        }
-    }
-
     private void answerSlowly() {
         try {
             while (true) {
