--- a/src/main/java/org/cuminshelf/poison/CrashTable.java
+++ b/src/main/java/org/cuminshelf/poison/CrashTable.java
@@ -63,6 +63,8 @@
     private final Set<Fingerprint> grave = new LinkedHashSet<>();
 
     private long nextCheck = Core.NEVER;
+    /** Number of the newest change. */
+    private long newest;
 
     boolean isEmpty() {
         return crashes.isEmpty();
@@ -84,7 +86,9 @@
             return false;
         }
         boolean suspect = involvement != Involvement.CLEARED;
-        crash.runs.put(request, new Crash.Run(involvement, numbers.next(suspect)));
+        long number = numbers.next(suspect);
+        crash.runs.put(request, new Crash.Run(involvement, number));
+        newest = Math.max(newest, number);
         byRequest.computeIfAbsent(request, key -> new LinkedHashSet<>()).add(crash);
         if (suspect) {
             crash.lastAddedAt = now;
@@ -253,8 +257,11 @@
         }
     }
 
-    /** What changed since a number. */
+    /** What changed since a number. Each subscriber asks twice a second, mostly when nothing did: that costs nothing. */
     List<UpstreamCrash> since(long changeNumber) {
+        if (changeNumber >= newest) {
+            return List.of();
+        }
         List<UpstreamCrash> news = new ArrayList<>();
         for (Crash crash : crashes.values()) {
             UpstreamCrash.Builder told = UpstreamCrash.newBuilder().setUpstream(crash.upstream);
--- a/src/main/java/org/cuminshelf/poison/Quarantine.java
+++ b/src/main/java/org/cuminshelf/poison/Quarantine.java
@@ -31,6 +31,8 @@
 
     private final Map<Fingerprint, Row> rows = new LinkedHashMap<>();
     private long changes;
+    /** Number of the newest change. */
+    private long newest = Long.MIN_VALUE;
 
     /** Makes an empty quarantine. */
     public Quarantine() {}
@@ -57,7 +59,9 @@
         if (isAsLate(told)) {
             return false;
         }
-        rows.put(request, new Row(told, numbers.next(true)));
+        long number = numbers.next(true);
+        rows.put(request, new Row(told, number));
+        newest = Math.max(newest, number);
         changes++;
         if (rows.size() > MOST) {
             drop();
@@ -168,6 +172,9 @@
      * @return the rows
      */
     public List<QuarantinedRequest> since(long changeNumber) {
+        if (changeNumber >= newest) {
+            return List.of();
+        }
         return rows.values().stream()
                 .filter(row -> row.changedAt > changeNumber)
                 .map(Row::request)
--- a/src/test/java/org/cuminshelf/control/QuarantineSystemTest.java
+++ b/src/test/java/org/cuminshelf/control/QuarantineSystemTest.java
@@ -11,6 +11,7 @@
 import org.cuminshelf.message.CrashedRun;
 import org.cuminshelf.message.Envelope;
 import org.cuminshelf.message.Involvement;
+import org.cuminshelf.message.LogEntry;
 import org.cuminshelf.message.QuarantineList;
 import org.cuminshelf.message.QuarantineRelease;
 import org.cuminshelf.message.QuarantinedRequest;
@@ -107,6 +108,19 @@
         assertThat(control.quarantineWrittenDown()).hasSize(3).allMatch(rows -> rows.size() == 1);
     }
 
+    /*
+     * A poison request ends three more upstreams: control came back from a snapshot, which had left the quarantine out.
+     */
+    @Example
+    void aSnapshotHoldsTheQuarantine() {
+        ConfigMachine machine = new ConfigMachine();
+        machine.apply(
+                LogEntry.newBuilder().setIndex(4).setQuarantined(quarantined()).build());
+        ConfigMachine restored = new ConfigMachine();
+        restored.load(machine.save());
+        assertThat(restored.quarantine().all()).containsExactly(quarantined());
+    }
+
     @Example
     void anOperatorReleasesARequestThroughAnyControlProcess() {
         settle();
--- a/src/test/java/org/cuminshelf/direct/DirectFixture.java
+++ b/src/test/java/org/cuminshelf/direct/DirectFixture.java
@@ -50,6 +50,8 @@
     private int beats;
     /** What a new connection to an upstream shows. */
     Reachability reachability = Reachability.LISTENING;
+    /** New connections that were opened to see who listens. */
+    int probes;
 
     DirectFixture(Route... routes) {
         this.table = RouteTable.of(
@@ -298,6 +300,7 @@
 
         @Override
         public void probe(Address address, String upstream, Consumer<Reachability> whenSeen) {
+            probes++;
             whenSeen.accept(reachability);
         }
     }
--- a/src/test/java/org/cuminshelf/direct/PoisonCallsTest.java
+++ b/src/test/java/org/cuminshelf/direct/PoisonCallsTest.java
@@ -169,6 +169,25 @@
                         .setLeaving(true)));
         entry.last().handler.onFailed(true, "closed");
         assertThat(told(entry)).isEmpty();
+        assertThat(entry.probes).as("nobody needs to look").isZero();
+    }
+
+    @Example
+    void theEndOfAnUpstreamThatSaidItLeavesJustAfterItsConnectionsBrokeIsNoCrash() {
+        DirectFixture entry = entry(false);
+        entry.reachability = Reachability.UNKNOWN;
+        entry.ask("a", "Tokens", "600");
+        String upstream = entry.last().upstream;
+        entry.last().handler.onFailed(true, "closed");
+        entry.update(Update.newBuilder()
+                .addUpstreams(DirectFixture.beat(upstream, Role.ROLE_DECODE).toBuilder()
+                        .setSequence(2)
+                        .setLeaving(true)));
+        entry.pass(2_000);
+        entry.update(Update.newBuilder()
+                .addUpstreams(DirectFixture.beat("next", Role.ROLE_DECODE).toBuilder()
+                        .setAddress(DirectFixture.address(upstream).value())));
+        assertThat(told(entry)).isEmpty();
     }
 
     /*
