--- a/src/main/java/org/cuminshelf/poison/CrashTable.java
+++ b/src/main/java/org/cuminshelf/poison/CrashTable.java
@@ -257,7 +257,7 @@
         }
     }
 
-    /** What changed since a number. Each subscriber asks twice a second, mostly when nothing did: that costs nothing. */
+    /** What changed since a number. Each subscriber asks twice a second, mostly when nothing did: that costs little. */
     List<UpstreamCrash> since(long changeNumber) {
         if (changeNumber >= newest) {
             return List.of();
