Count requests for the metrics on the core's own thread, and forget a request with its crash

Read in review, no failure seen: the gauges looked through tables of the core from the thread that serves metrics, which may break a scrape while calls go on; now they are counted once a second where the tables change. A request that made room for another at a crash stayed in the index (the test of a flood counts it now). A leader looked through the quarantine at each tick; now only while something is not in the log yet.

--- a/src/main/java/org/cuminshelf/control/ControlCore.java
+++ b/src/main/java/org/cuminshelf/control/ControlCore.java
@@ -227,12 +227,12 @@
     }
 
     /**
-     * Counts the requests that are refused because upstreams crash when they run them.
+     * Counts the requests that are refused because upstreams crash when they run them. Any thread may ask.
      *
      * @return their number, as far as this process knows
      */
     public long quarantinedRequests() {
-        return poison.quarantine().size();
+        return quarantine.quarantined();
     }
 
     /** The requests that are refused as poison, as far as a quorum wrote them down. */
--- a/src/main/java/org/cuminshelf/control/QuarantineSystem.java
+++ b/src/main/java/org/cuminshelf/control/QuarantineSystem.java
@@ -1,6 +1,7 @@
 package org.cuminshelf.control;
 
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import org.cuminshelf.core.Durations;
@@ -27,12 +28,18 @@
     /** Time after which an entry of the log that was not committed is proposed again. */
     private static final long PROPOSED_AGAIN = Durations.nanos(2_000);
 
+    private static final long NOTHING_WRITTEN = -1;
+
     private final Replica replica;
     private final Quarantine durable;
     private final PoisonRegister register;
     private final Directory versions;
     private final Map<Fingerprint, Long> proposed = new HashMap<>();
     private long learnt;
+    /** Changes of the register of which all are in the log, on a leader. */
+    private long written = NOTHING_WRITTEN;
+
+    private volatile long quarantined;
 
     QuarantineSystem(Replica replica, Quarantine durable, PoisonRegister register, Directory versions) {
         this.replica = replica;
@@ -52,14 +59,22 @@
             durable.all().forEach(row -> register.merge(now, row, versions::nextVersion));
         }
         register.takeChanged().forEach(QuarantineSystem::log);
+        quarantined = register.quarantine().size();
         if (!replica.isLeader()) {
             proposed.clear();
-            return;
+            written = NOTHING_WRITTEN;
+        } else if (written != register.quarantine().changes()) {
+            writeDown(now, wallMillis);
         }
-        for (QuarantinedRequest row : register.quarantine().all()) {
-            if (!durable.isAsLate(row)) {
-                propose(now, wallMillis, row);
-            }
+    }
+
+    private void writeDown(long now, long wallMillis) {
+        List<QuarantinedRequest> missing = register.quarantine().all().stream()
+                .filter(row -> !durable.isAsLate(row))
+                .toList();
+        missing.forEach(row -> propose(now, wallMillis, row));
+        if (missing.isEmpty()) {
+            written = register.quarantine().changes();
         }
     }
 
@@ -87,6 +102,11 @@
                 now, LogEntry.newBuilder().setQuarantined(row.toBuilder().setFoundMs(foundMillis)));
     }
 
+    /** Requests that are refused, for any thread to read. */
+    long quarantined() {
+        return quarantined;
+    }
+
     /** What releases a request, or nothing where it is not quarantined. */
     Optional<QuarantinedRequest> release(long wallMillis, QuarantineRelease release) {
         Fingerprint request = new Fingerprint(release.getHigh(), release.getLow());
--- a/src/main/java/org/cuminshelf/direct/PoisonSystem.java
+++ b/src/main/java/org/cuminshelf/direct/PoisonSystem.java
@@ -52,6 +52,8 @@
     private static final long CRASHED_AVOIDED = Durations.nanos(12_000);
     /** Least time between two urgent words to control: a crash is seen in several broken attempts. */
     private static final long URGENT_GAP = Durations.nanos(10);
+    /** How often requests are counted for the metrics, which other threads read. */
+    private static final long COUNT_EVERY = Durations.nanos(1_000);
 
     /** How the log names a refusal, and when the caller may come back. */
     record Refusal(String outcome, long retryAfterMillis) {}
@@ -68,6 +70,9 @@
     private long version = LEARNT;
     private boolean urgent;
     private long urgentAt = Long.MIN_VALUE;
+    private long nextCount = Long.MIN_VALUE;
+    private volatile long suspects;
+    private volatile long quarantined;
 
     PoisonSystem(UpstreamPort port, UpstreamTable upstreams, LongSupplier clock, String vm, DecisionLog log) {
         this.upstreams = upstreams;
@@ -186,6 +191,11 @@
         if (now >= register.nextDue()) {
             register.findPoison(now, vm, own);
         }
+        if (now >= nextCount) {
+            nextCount = now + COUNT_EVERY;
+            suspects = register.suspects();
+            quarantined = register.quarantine().size();
+        }
     }
 
     long nextDue() {
@@ -219,12 +229,13 @@
         return quarantined;
     }
 
-    /** Requests that may have crashed an upstream and were not cleared. */
+    /** Requests that may have crashed an upstream and were not cleared, as of the last second; any thread may ask. */
     long suspects() {
-        return register.suspects();
+        return suspects;
     }
 
+    /** Requests that are refused, as of the last second; any thread may ask. */
     long quarantined() {
-        return register.quarantine().size();
+        return quarantined;
     }
 }
--- a/src/main/java/org/cuminshelf/poison/Crash.java
+++ b/src/main/java/org/cuminshelf/poison/Crash.java
@@ -36,11 +36,6 @@
         this.lastAddedAt = now;
     }
 
-    /** Makes room for one more request that had just begun, by forgetting one that had run for a while. */
-    boolean makeRoom() {
-        return runs.values().removeIf(run -> run.involvement == Involvement.UNDER_WAY);
-    }
-
     boolean holdsUncleared(Predicate<Fingerprint> wanted) {
         return runs.entrySet().stream().anyMatch(run -> !run.getValue().isCleared() && wanted.test(run.getKey()));
     }
--- a/src/main/java/org/cuminshelf/poison/CrashTable.java
+++ b/src/main/java/org/cuminshelf/poison/CrashTable.java
@@ -7,6 +7,7 @@
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.function.Predicate;
 import java.util.stream.Collectors;
@@ -82,7 +83,7 @@
             return false;
         }
         boolean full = before == null && crash.runs.size() >= MOST_RUNS;
-        if (full && (involvement != Involvement.JUST_BEGUN || !crash.makeRoom())) {
+        if (full && (involvement != Involvement.JUST_BEGUN || !makeRoom(crash))) {
             return false;
         }
         boolean suspect = involvement != Involvement.CLEARED;
@@ -103,6 +104,19 @@
         return true;
     }
 
+    /** Makes room for one more request that had just begun, by forgetting one that had run for a while. */
+    private boolean makeRoom(Crash crash) {
+        Optional<Fingerprint> forgotten = crash.runs.entrySet().stream()
+                .filter(run -> run.getValue().involvement() == Involvement.UNDER_WAY)
+                .map(Map.Entry::getKey)
+                .findFirst();
+        forgotten.ifPresent(request -> {
+            crash.runs.remove(request);
+            forget(request, crash);
+        });
+        return forgotten.isPresent();
+    }
+
     /** A request ended well: it caused none of the crashes that are known. Returns whether that is news. */
     boolean clear(long now, Fingerprint request, ChangeNumbers numbers) {
         boolean urgent = points(request) >= POISON_POINTS;
@@ -142,6 +156,11 @@
                 .toList();
     }
 
+    /** Requests that were at any crash, cleared ones among them. */
+    int requests() {
+        return byRequest.size();
+    }
+
     /** Requests that may have caused a crash and weren't cleared. */
     long suspects() {
         return byRequest.keySet().stream()
@@ -247,13 +266,15 @@
 
     private void drop(Crash crash) {
         crashes.remove(crash.upstream);
-        for (Fingerprint request : crash.runs.keySet()) {
-            Set<Crash> others = byRequest.get(request);
-            others.remove(crash);
-            if (others.isEmpty()) {
-                byRequest.remove(request);
-                grave.remove(request);
-            }
+        crash.runs.keySet().forEach(request -> forget(request, crash));
+    }
+
+    private void forget(Fingerprint request, Crash crash) {
+        Set<Crash> others = byRequest.get(request);
+        others.remove(crash);
+        if (others.isEmpty()) {
+            byRequest.remove(request);
+            grave.remove(request);
         }
     }
 
--- a/src/test/java/org/cuminshelf/poison/CrashTableTest.java
+++ b/src/test/java/org/cuminshelf/poison/CrashTableTest.java
@@ -204,6 +204,9 @@
         }
         justBegun("u1", POISON);
         assertThat(table.crashesUnder(POISON)).containsExactly("u1");
+        assertThat(table.requests())
+                .as("nothing is kept of those that were forgotten")
+                .isEqualTo(128);
         assertThat(table.since(0).getFirst().getRunsCount()).isLessThanOrEqualTo(128);
     }
 }
