--- a/src/test/java/org/cuminshelf/trial/PoisonRequestTest.java
+++ b/src/test/java/org/cuminshelf/trial/PoisonRequestTest.java
@@ -288,6 +288,9 @@
             long restarted = day.fleet.time.now();
             day.endAfter(30);
             day.assertStoppedSince(restarted);
+            assertThat(day.fleet.records.requestsAfter(restarted))
+                    .as("requests that reached engines after the restart")
+                    .isZero();
         }
     }
 }
