--- a/src/main/java/org/cuminshelf/poison/CrashTable.java
+++ b/src/main/java/org/cuminshelf/poison/CrashTable.java
@@ -25,8 +25,8 @@
  *
  * <p>A request is found to be poison when three starts crashed under it just after it had begun, and no other request
  * was at all of these crashes too. One that had run for a while counts half: a poison request ends an upstream when it
- * begins to run. Failure this guards against: an innocent stream that goes on elsewhere after a crash, beside the
- * poison request that goes on there too, is at the next crash as well, and is refused for ever. An innocent request is
+ * begins to run. Failure this guards against: a harmless stream that goes on elsewhere after a crash, beside the
+ * poison request that goes on there too, is at the next crash as well, and is refused for ever. A harmless request is
  * cleared by one answer that ends well.
  */
 final class CrashTable {
@@ -41,7 +41,7 @@
     private static final int CERTAIN_POINTS = 5 * JUST_BEGUN_POINTS;
     /**
      * Other crashes without an explanation, within {@link #STORM}, for each of which one more crash is asked for. In a
-     * storm of crashes by chance, one each two seconds at four engines, one innocent request in some 2,200 that were at
+     * storm of crashes by chance, one each two seconds at four engines, one harmless request in some 2,200 that were at
      * a crash was at three just after it began; with this, see the test, fewer than one in 10,000 are refused.
      */
     private static final int OTHERS_FOR_ONE_MORE = 3;
@@ -61,7 +61,7 @@
     private final Map<String, Crash> crashes = new LinkedHashMap<>();
     private final Map<Fingerprint, Set<Crash>> byRequest = new HashMap<>();
     /** Requests with enough points to be poison, perhaps fewer by now. */
-    private final Set<Fingerprint> grave = new LinkedHashSet<>();
+    private final Set<Fingerprint> candidates = new LinkedHashSet<>();
 
     private long nextCheck = Core.NEVER;
     /** Number of the newest change. */
@@ -93,11 +93,11 @@
         byRequest.computeIfAbsent(request, key -> new LinkedHashSet<>()).add(crash);
         if (suspect) {
             crash.lastAddedAt = now;
-        } else if (!grave.isEmpty()) {
+        } else if (!candidates.isEmpty()) {
             nextCheck = now;
         }
         if (points(request) >= POISON_POINTS) {
-            grave.add(request);
+            candidates.add(request);
             nextCheck = Math.min(nextCheck, now + SETTLED);
         }
         dropLeast();
@@ -177,7 +177,7 @@
 
     /** Whether a request has the points of poison and who else was there may not be known yet. */
     boolean isUnsettled(long now, Fingerprint request) {
-        return grave.contains(request) && points(request) >= POISON_POINTS && now < settledAt(request);
+        return candidates.contains(request) && points(request) >= POISON_POINTS && now < settledAt(request);
     }
 
     long nextDue() {
@@ -190,9 +190,9 @@
             return List.of();
         }
         nextCheck = Core.NEVER;
-        grave.removeIf(request -> points(request) < POISON_POINTS || isPoison.test(request));
+        candidates.removeIf(request -> points(request) < POISON_POINTS || isPoison.test(request));
         List<Fingerprint> found = new ArrayList<>();
-        for (Fingerprint request : grave) {
+        for (Fingerprint request : candidates) {
             long settledAt = settledAt(request);
             if (now < settledAt) {
                 nextCheck = Math.min(nextCheck, settledAt);
@@ -274,7 +274,7 @@
         others.remove(crash);
         if (others.isEmpty()) {
             byRequest.remove(request);
-            grave.remove(request);
+            candidates.remove(request);
         }
     }
 
--- a/src/test/java/org/cuminshelf/direct/PoisonCallsTest.java
+++ b/src/test/java/org/cuminshelf/direct/PoisonCallsTest.java
@@ -245,7 +245,7 @@
     }
 
     /*
-     * An innocent request is refused for an hour, or a poison one ends a fourth engine: it comes back within the 0.3 s
+     * A harmless request is refused for an hour, or a poison one ends a fourth engine: it comes back within the 0.3 s
      * in which it isn't known yet who else was at the third crash.
      */
     @Example
--- a/src/test/java/org/cuminshelf/poison/CrashStorm.java
+++ b/src/test/java/org/cuminshelf/poison/CrashStorm.java
@@ -11,7 +11,7 @@
 
 /**
  * Two minutes of a fleet of four engines, each of which ends of itself every eight seconds on average, as one register
- * hears of it. Innocent requests are tried up to four times; a poison request comes each second, until it is found.
+ * hears of it. Harmless requests are tried up to four times; a poison request comes each second, until it is found.
  */
 final class CrashStorm {
 
@@ -37,7 +37,7 @@
     private final TreeMap<Fingerprint, Integer> tries = new TreeMap<>();
     private final Set<Fingerprint> atCrashes = new HashSet<>();
     private long number;
-    private long nextInnocent = 10;
+    private long nextHarmless = 10;
     private int poisonCrashes;
 
     CrashStorm(long seed) {
@@ -51,7 +51,7 @@
         for (int step = 0; step < STEPS; step++) {
             long now = (step + 10) * STEP;
             for (int arrival = 0; arrival < ARRIVALS; arrival++) {
-                place(step, new Fingerprint(0, nextInnocent++));
+                place(step, new Fingerprint(0, nextHarmless++));
             }
             int poisoned =
                     step % STEPS_OF_RETURN == 0 && !register.isQuarantined(POISON) ? random.nextInt(ENGINES) : -1;
@@ -101,7 +101,7 @@
         cut.forEach(run -> place(step + 1, run.request));
     }
 
-    int innocents() {
+    int harmlessOnes() {
         return atCrashes.size();
     }
 
--- a/src/test/java/org/cuminshelf/poison/CrashTableTest.java
+++ b/src/test/java/org/cuminshelf/poison/CrashTableTest.java
@@ -67,7 +67,7 @@
     }
 
     /*
-     * An innocent request is refused for ever. It and the poison request were at the same three crashes, one entry told
+     * A harmless request is refused for ever. It and the poison request were at the same three crashes, one entry told
      * of it some milliseconds before another told of the poison request, and was believed at once.
      */
     @Example
@@ -135,7 +135,7 @@
     }
 
     /*
-     * An innocent request is refused for ever: it was beside a known poison request at three crashes, after that one
+     * A harmless request is refused for ever: it was beside a known poison request at three crashes, after that one
      * had been found and before all entries knew.
      */
     @Example
@@ -171,7 +171,7 @@
     }
 
     /*
-     * An innocent request is refused for ever. Upstreams end of themselves, one after the other, and it was at three of
+     * A harmless request is refused for ever. Upstreams end of themselves, one after the other, and it was at three of
      * twelve.
      */
     @Example
--- a/src/test/java/org/cuminshelf/poison/FingerprintTest.java
+++ b/src/test/java/org/cuminshelf/poison/FingerprintTest.java
@@ -22,7 +22,7 @@
     }
 
     /*
-     * An innocent request is refused in place of a poison one that differs in one part only.
+     * A harmless request is refused in place of a poison one that differs in one part only.
      */
     @Example
     void eachPartTellsRequestsApart() {
--- a/src/test/java/org/cuminshelf/poison/PoisonRegisterTest.java
+++ b/src/test/java/org/cuminshelf/poison/PoisonRegisterTest.java
@@ -24,7 +24,7 @@
 
     private static final Fingerprint POISON = new Fingerprint(0, 1);
     private static final long SECOND = Durations.nanos(1_000);
-    /** Innocent requests at crashes of which one may be refused: some 770 are in a storm, so one in thirteen storms. */
+    /** Harmless requests at crashes of which one may be refused: some 770 are in a storm, so one in thirteen storms. */
     private static final int MOST_REFUSED_ONE_IN = 10_000;
 
     private long number;
@@ -79,24 +79,24 @@
     }
 
     /*
-     * Innocent requests are refused for ever. Engines end under a poison request, and others of themselves; whatever
+     * Harmless requests are refused for ever. Engines end under a poison request, and others of themselves; whatever
      * was there is sent again, up to four times in all, and is there again when the next one ends.
      */
     @Example
-    void innocentRequestsAreNotTakenForPoison() {
-        int innocents = 0;
+    void harmlessRequestsAreNotTakenForPoison() {
+        int harmlessOnes = 0;
         int refused = 0;
         for (int seed = 1; seed <= 200; seed++) {
             CrashStorm storm = new CrashStorm(seed);
             storm.play();
-            innocents += storm.innocents();
+            harmlessOnes += storm.harmlessOnes();
             refused += storm.refused();
             assertThat(storm.poisonCrashes())
                     .as("crashes of the poison request, seed %d", seed)
                     .isLessThanOrEqualTo(6);
         }
-        System.out.printf("innocent requests at crashes: %d, taken for poison: %d%n", innocents, refused);
-        assertThat(refused).isLessThanOrEqualTo(innocents / MOST_REFUSED_ONE_IN);
+        System.out.printf("harmless requests at crashes: %d, taken for poison: %d%n", harmlessOnes, refused);
+        assertThat(refused).isLessThanOrEqualTo(harmlessOnes / MOST_REFUSED_ONE_IN);
     }
 
     /*
--- a/src/test/java/org/cuminshelf/trial/PoisonRequestTest.java
+++ b/src/test/java/org/cuminshelf/trial/PoisonRequestTest.java
@@ -32,7 +32,7 @@
 
     private static final long SHORTEST_RETURN = SECOND / 5;
     private static final long RETURN_SPREAD = SECOND;
-    private static final long INNOCENT_EVERY = SECOND / 20;
+    private static final long HARMLESS_EVERY = SECOND / 20;
     private static final long CROWD_EVERY = SECOND / 120;
 
     /** A fleet with usual callers and one that sends a poison request again and again. */
@@ -40,24 +40,24 @@
         private final DirectFleet fleet;
         private final String path;
         private final List<DirectFleet.Call> poison = new ArrayList<>();
-        private final List<DirectFleet.Call> innocent = new ArrayList<>();
-        private final long innocentEvery;
-        private int nextInnocent;
+        private final List<DirectFleet.Call> harmless = new ArrayList<>();
+        private final long harmlessEvery;
+        private int nextHarmless;
 
         private Day(long seed) {
-            this(seed, INNOCENT_EVERY);
+            this(seed, HARMLESS_EVERY);
         }
 
-        private Day(long seed, long innocentEvery) {
-            this(seed, innocentEvery, ENTRIES, ENGINES);
+        private Day(long seed, long harmlessEvery) {
+            this(seed, harmlessEvery, ENTRIES, ENGINES);
         }
 
-        private Day(long seed, long innocentEvery, int entries, int engines) {
+        private Day(long seed, long harmlessEvery, int entries, int engines) {
             System.out.println("poison requests, seed " + seed);
-            this.innocentEvery = innocentEvery;
+            this.harmlessEvery = harmlessEvery;
             fleet = new DirectFleet(seed, entries, engines);
             path = seed % 2 == 0 ? DirectFleet.RESUMABLE : DirectFleet.ONCE;
-            fleet.time.at(START, this::askInnocent);
+            fleet.time.at(START, this::askHarmless);
         }
 
         private void sendPoisonFrom(long time) {
@@ -73,18 +73,18 @@
         }
 
         /** An usual caller, which asks once more where it failed. */
-        private void askInnocent() {
-            String body = "innocent-" + nextInnocent++;
+        private void askHarmless() {
+            String body = "harmless-" + nextHarmless++;
             String where = fleet.random.nextBoolean() ? DirectFleet.RESUMABLE : DirectFleet.ONCE;
             Consumer<DirectFleet.Call> again = call -> {
                 if (!call.isServed()) {
                     fleet.time.after(
                             SHORTEST_RETURN,
-                            () -> innocent.add(fleet.ask(fleet.anyEntry(), where, body, second -> {})));
+                            () -> harmless.add(fleet.ask(fleet.anyEntry(), where, body, second -> {})));
                 }
             };
-            innocent.add(fleet.ask(fleet.anyEntry(), where, body, again));
-            fleet.time.after(innocentEvery, this::askInnocent);
+            harmless.add(fleet.ask(fleet.anyEntry(), where, body, again));
+            fleet.time.after(harmlessEvery, this::askHarmless);
         }
 
         /** Lets time pass until engines ended under poison requests so often. */
@@ -100,13 +100,13 @@
         }
 
         private void print() {
-            long served = innocent.stream().filter(DirectFleet.Call::isServed).count();
-            long refused = innocent.stream()
+            long served = harmless.stream().filter(DirectFleet.Call::isServed).count();
+            long refused = harmless.stream()
                     .filter(DirectFleet.Call::isRefusedAsPoison)
                     .count();
             System.out.printf(
                     "engines ended: %d; other requests: %d, served: %d, refused as poison: %d%n",
-                    fleet.records.crashes.size(), innocent.size(), served, refused);
+                    fleet.records.crashes.size(), harmless.size(), served, refused);
         }
 
         private void assertStoppedAfterThirdCrash() {
@@ -124,7 +124,7 @@
         }
 
         private void assertNobodyElseIsRefused() {
-            assertThat(innocent).as("other requests refused as poison").noneMatch(DirectFleet.Call::isRefusedAsPoison);
+            assertThat(harmless).as("other requests refused as poison").noneMatch(DirectFleet.Call::isRefusedAsPoison);
         }
     }
 
@@ -210,7 +210,7 @@
 
     @Example
     void itReachesNoMoreAmongAHundredEntries() {
-        Day day = new Day(1, INNOCENT_EVERY, MANY_ENTRIES, MANY_ENGINES);
+        Day day = new Day(1, HARMLESS_EVERY, MANY_ENTRIES, MANY_ENGINES);
         day.sendPoisonFrom(10 * SECOND);
         day.untilCrashes(3);
         day.endAfter(15);
