--- a/src/test/java/org/cuminshelf/trial/PoisonRequestTest.java
+++ b/src/test/java/org/cuminshelf/trial/PoisonRequestTest.java
@@ -99,6 +99,25 @@
             fleet.time.runUntil(fleet.time.now() + seconds * SECOND);
         }
 
+        private void failSomething() {
+            switch (fleet.random.nextInt(4)) {
+                case 0 -> fleet.restart(fleet.anyEntry(), 300 + fleet.random.nextLong(2_000));
+                case 1 ->
+                    fleet.restart(
+                            fleet.control.get(fleet.random.nextInt(fleet.control.size())),
+                            300 + fleet.random.nextLong(2_000));
+                case 2 ->
+                    fleet.network.cut(
+                            fleet.anyEntry().address(), fleet.control.getLast().address());
+                default -> {
+                    CrashingEngine engine = fleet.engines.get(fleet.random.nextInt(ENGINES));
+                    if (engine.isUp()) {
+                        engine.crash();
+                    }
+                }
+            }
+        }
+
         private void print() {
             long served = harmless.stream().filter(DirectFleet.Call::isServed).count();
             long refused = harmless.stream()
@@ -208,6 +227,28 @@
                         day.fleet.anyEntry(), DirectFleet.ONCE, "the same", call -> askAgainAndAgain(day, calls))));
     }
 
+    /*
+     * A request ends one engine after the other for as long as anything else fails too: messages are lost, late or
+     * doubled, entries and control processes restart, engines crash of themselves.
+     */
+    @Example
+    void itReachesNoMoreOnceWhateverElseFailedIsOver() {
+        for (long seed = 1; seed <= SEEDS; seed++) {
+            Day day = new Day(seed);
+            day.sendPoisonFrom(10 * SECOND);
+            day.fleet.time.at(9 * SECOND, () -> day.fleet.network.weather(0.05, 0.1, 0.05));
+            for (int fault = 0; fault < 12; fault++) {
+                day.fleet.time.at(9 * SECOND + day.fleet.random.nextLong(12 * SECOND), () -> day.failSomething());
+            }
+            day.fleet.time.at(24 * SECOND, day.fleet.network::heal);
+            day.fleet.time.runUntil(50 * SECOND);
+            day.print();
+            // Two may be enough, where an engine that crashed of itself had the request too.
+            long third = day.fleet.records.crashes.stream().skip(2).findFirst().orElse(0L);
+            day.assertStoppedSince(Math.max(24 * SECOND, third));
+        }
+    }
+
     @Example
     void itReachesNoMoreAmongAHundredEntries() {
         Day day = new Day(1, HARMLESS_EVERY, MANY_ENTRIES, MANY_ENGINES);
