--- a/src/test/java/org/cuminshelf/trial/PoisonRequestTest.java
+++ b/src/test/java/org/cuminshelf/trial/PoisonRequestTest.java
@@ -11,8 +11,8 @@
  * Callers see their streams cut again and again, and at times no engine is left: sixteen engines ended within 45 s.
  * One request ends each engine that begins to run it, its caller is told that it failed, and sends it again, under a
  * new id and to another entry. Each time it was placed as if it had never been seen: entries knew a request only by the
- * caller's id, and forgot with the call what it had met. Proved by the fingerprint of the request, the same at each
- * crash, and by these days: 33.8 engines ended on average before requests were known again, three with it.
+ * caller's id, and forgot with the call what it had met. Proved by these days: 33.8 engines ended on average before
+ * requests were known again, three with it.
  */
 class PoisonRequestTest {
 
