Run requests in the name of the organisation that holds their key, and show upstreams no key

Cause: the configuration's organisations were not read; the caller's key went on to upstreams with each request, no name was set, and keys that no configuration holds were served.

A package of its own holds organisations by the digests of their keys; routes and keys are one table, so that a request is judged by one version of both. 401 for a key that the configuration in force does not hold; 503 and a time to come back, for routes too, while the entry was told of a newer version that it has not taken in, or hears from no control process: 401 and 404 are final for callers. The rank of an organisation goes before that of a route. What tells the caller of a poison request is the organisation, as keys are rotated. The reader's own message on a configuration that can't be read quoted it, keys and all; it names the place instead.

--- a/src/main/java/org/cuminshelf/direct/AttemptSystem.java
+++ b/src/main/java/org/cuminshelf/direct/AttemptSystem.java
@@ -14,6 +14,7 @@
 import org.cuminshelf.engines.PromptSample;
 import org.cuminshelf.exchange.UpstreamHandler;
 import org.cuminshelf.exchange.UpstreamRequest;
+import org.cuminshelf.organisations.Organisation;
 import org.cuminshelf.routes.RequestKind;
 import org.eclipse.jetty.http.HttpFields;
 
@@ -131,6 +132,7 @@
         }
         AttemptPlan plan = new AttemptPlan(
                 upstream.name,
+                call.organisation.map(Organisation::name),
                 Durations.millisLeft(now, call.deadline),
                 priority(call),
                 attempt.prefillOnly,
@@ -142,9 +144,9 @@
         attempt.exchange = port.send(upstream.address, upstream.id, request, new Answers(attempt));
     }
 
-    /** The place of a call in an engine's queue: by the rank of its route. */
+    /** The place of a call in an engine's queue: by the rank of its organisation, or that of its route. */
     private static int priority(CallRow call) {
-        return Math.min(HIGHEST_PRIORITY_NUMBER, MIDDLE_PRIORITY - 2 + call.route.priority());
+        return Math.clamp(MIDDLE_PRIORITY - 2 + call.rank(), 0, HIGHEST_PRIORITY_NUMBER);
     }
 
     private static long silence(CallRow call, AttemptRow attempt) {
--- a/src/main/java/org/cuminshelf/direct/CallIntent.java
+++ b/src/main/java/org/cuminshelf/direct/CallIntent.java
@@ -2,6 +2,7 @@
 
 import java.util.Optional;
 import java.util.OptionalLong;
+import org.cuminshelf.organisations.CallerKeys;
 
 /**
  * What a caller asks for, beside the request's own bytes.
@@ -10,11 +11,11 @@
  * @param deadlineMillis milliseconds that the caller will wait; nothing where it doesn't say
  * @param generation     the shape of a generation, where the request is one
  * @param resumeAfter    the last event that the caller holds, where it resumes a stream
- * @param caller         names who asks, the same each time; empty where nothing does
+ * @param keys           the keys that came with it
  */
 public record CallIntent(
         String id,
         OptionalLong deadlineMillis,
         Optional<GenerationShape> generation,
         OptionalLong resumeAfter,
-        String caller) {}
+        CallerKeys keys) {}
--- a/src/main/java/org/cuminshelf/direct/CallRow.java
+++ b/src/main/java/org/cuminshelf/direct/CallRow.java
@@ -2,10 +2,13 @@
 
 import java.util.HashSet;
 import java.util.Optional;
+import java.util.OptionalInt;
 import java.util.OptionalLong;
 import java.util.Set;
 import org.cuminshelf.exchange.CallerExchange;
 import org.cuminshelf.exchange.ReceivedRequest;
+import org.cuminshelf.organisations.CallerKey;
+import org.cuminshelf.organisations.Organisation;
 import org.cuminshelf.poison.Fingerprint;
 import org.cuminshelf.routes.RequestKind;
 import org.cuminshelf.routes.Route;
@@ -21,6 +24,9 @@
     final CallIntent intent;
     final Route route;
     final String service;
+    /** The organisation in whose name it runs, where there is one. */
+    final Optional<Organisation> organisation;
+
     final long arrivedAt;
     /** When the caller stops waiting or the route's timeout is reached, whichever is first. */
     final long deadline;
@@ -81,6 +87,7 @@
             CallIntent intent,
             Route route,
             String service,
+            Optional<Organisation> organisation,
             long now,
             long deadline) {
         this.number = number;
@@ -89,6 +96,7 @@
         this.intent = intent;
         this.route = route;
         this.service = service;
+        this.organisation = organisation;
         this.arrivedAt = now;
         this.deadline = deadline;
         this.lastEvent = intent.resumeAfter();
@@ -99,11 +107,27 @@
         if (fingerprint == null) {
             String host =
                     Optional.ofNullable(request.headers().get(HttpHeader.HOST)).orElse("");
-            fingerprint = Fingerprint.of(request.method(), host, request.target(), intent.caller(), request.body());
+            fingerprint = Fingerprint.of(request.method(), host, request.target(), caller(), request.body());
         }
         return fingerprint;
     }
 
+    /** Names who asks, the same each time: the organisation, as its keys change, or the key; empty without either. */
+    private String caller() {
+        return organisation
+                .map(Organisation::name)
+                .or(() -> intent.keys().only().map(CallerKey::digest))
+                .orElse("");
+    }
+
+    /** Its rank, 0 first: that of its organisation goes before that of its route. */
+    int rank() {
+        return organisation
+                .map(Organisation::priority)
+                .orElseGet(OptionalInt::empty)
+                .orElse(route.priority());
+    }
+
     boolean isStream() {
         return route.kind() == RequestKind.STREAM;
     }
--- a/src/main/java/org/cuminshelf/direct/CallerAnswers.java
+++ b/src/main/java/org/cuminshelf/direct/CallerAnswers.java
@@ -149,6 +149,14 @@
         refuse(exchange, "This process has no confirmed configuration yet.", RETRY_AFTER_MILLIS);
     }
 
+    /** Refuses what a newer configuration than the one in force here may know. */
+    void refuseUntilCurrent(CallerExchange exchange) {
+        refuse(
+                exchange,
+                "A newer configuration may know this request; it is not in force here yet.",
+                RETRY_AFTER_MILLIS);
+    }
+
     /**
      * Refuses a request under which upstreams crashed. With 503, which is true of this attempt and keeps a request that
      * is refused wrongly from being lost: a status of the caller's own fault would tell it never to ask again, also
--- a/src/main/java/org/cuminshelf/direct/ConfigSource.java
+++ b/src/main/java/org/cuminshelf/direct/ConfigSource.java
@@ -77,10 +77,14 @@
         asked = Optional.empty();
     }
 
+    /** Whether a control process told of a version above the one held. */
+    boolean knowsNewer(long held) {
+        return told.values().stream().anyMatch(one -> one.version > held);
+    }
+
     /** When someone is to be asked next. */
     long nextDue(long held) {
-        boolean newer = told.values().stream().anyMatch(one -> one.version > held);
-        if (!newer || reading) {
+        if (!knowsNewer(held) || reading) {
             return Core.NEVER;
         }
         return asked.isPresent() ? askedAt + SILENCE : Long.MIN_VALUE;
--- a/src/main/java/org/cuminshelf/direct/ControlFeed.java
+++ b/src/main/java/org/cuminshelf/direct/ControlFeed.java
@@ -33,6 +33,9 @@
     /** Time in which all upstreams announce themselves: two heartbeats of 1.2 s, for one that is late. */
     private static final long YOUNG = Durations.nanos(2_400);
 
+    /** Silence of all control processes after which this entry may have missed a configuration: three questions. */
+    private static final long OUT_OF_TOUCH = Durations.nanos(1_500);
+
     private final DirectSettings settings;
     private final RouteReader reader;
     private final ConfigSource source = new ConfigSource();
@@ -55,6 +58,7 @@
     private long readySince = Core.NEVER;
     private final Map<String, OfferedWork> offered = new TreeMap<>();
     private long nextAsk;
+    private long heardAt;
 
     ControlFeed(
             DirectSettings settings,
@@ -71,6 +75,7 @@
         this.invariants = invariants;
         this.log = log;
         this.nextAsk = now;
+        this.heardAt = now;
         this.seeds = settings.seeds();
         control.addAll(seeds);
     }
@@ -93,6 +98,11 @@
         return now - readySince < YOUNG;
     }
 
+    /** Whether a newer configuration is accepted, or may be, than the one in force here. */
+    boolean mayBeBehind(long now) {
+        return source.knowsNewer(held()) || now - heardAt > OUT_OF_TOUCH;
+    }
+
     /** The entries that control hears from, this one among them. */
     List<Address> entries() {
         return entries;
@@ -130,6 +140,7 @@
             entries = update.getEntryAddressesList().stream().map(Address::of).toList();
             entriesHash = update.getEntriesHash();
         }
+        heardAt = update.getVoter() ? now : heardAt;
         source.told(now, from, update.getConfigVersion());
         if (update.getConfirmed()) {
             confirmed = update.getConfigVersion();
--- a/src/main/java/org/cuminshelf/direct/DirectCore.java
+++ b/src/main/java/org/cuminshelf/direct/DirectCore.java
@@ -17,6 +17,8 @@
 import org.cuminshelf.exchange.ReceivedRequest;
 import org.cuminshelf.message.Envelope;
 import org.cuminshelf.message.Stopped;
+import org.cuminshelf.organisations.Access;
+import org.cuminshelf.organisations.Organisation;
 import org.cuminshelf.routes.Route;
 
 /** The decisions of an entry that reaches upstreams straight. */
@@ -26,6 +28,7 @@
     /** Time a caller is given where it names none; callers of today wait 8 s at most. */
     private static final long DEFAULT_DEADLINE_MILLIS = 8_000;
 
+    private static final int UNAUTHORIZED = 401;
     private static final int NOT_FOUND = 404;
 
     private final LongSupplier clock;
@@ -124,21 +127,63 @@
         String host = Optional.ofNullable(request.headers().get("Host")).orElse("");
         Optional<Route> route = control.routes().route(host, request.path());
         if (route.isEmpty()) {
-            log.note("request", intent.id(), "outcome", "no-route", "config", control.version());
-            calls.callers().plainly(exchange, NOT_FOUND, "No route stands for this host and path.");
+            refuseUnknown(exchange, intent, "no-route", NOT_FOUND, "No route stands for this host and path.");
             return;
         }
-        String service = route.get().service(LongHashFunction.xx3().hashChars(intent.id()));
-        long patience = Math.min(
-                intent.deadlineMillis().orElse(DEFAULT_DEADLINE_MILLIS),
-                route.get().timeoutMillis());
+        switch (control.routes()
+                .organisations()
+                .access(intent.keys(), route.get().publicRoute())) {
+            case Access.Member(Organisation organisation) ->
+                start(arrivedAt, request, exchange, intent, route.get(), Optional.of(organisation));
+            case Access.Anonymous() -> start(arrivedAt, request, exchange, intent, route.get(), Optional.empty());
+            case Access.Denied(String reason) ->
+                refuseUnknown(
+                        exchange, intent, reason, UNAUTHORIZED, "This route asks for the key of an organisation.");
+        }
+    }
+
+    /**
+     * Refuses what the configuration in force does not know.
+     *
+     * <p>Failure it guards against: a caller uses a route or a key that was just added, at an entry that hasn't taken
+     * the new configuration in or is cut off from control, and is told for good that there is none. Such an entry says
+     * that the request did not run, and that the caller may come back.
+     */
+    private void refuseUnknown(CallerExchange exchange, CallIntent intent, String reason, int status, String text) {
+        boolean behind = control.mayBeBehind(clock.getAsLong());
+        log.note(
+                "request",
+                intent.id(),
+                "outcome",
+                behind ? "not-run" : "denied",
+                "reason",
+                reason,
+                "config",
+                control.version());
+        if (behind) {
+            calls.callers().refuseUntilCurrent(exchange);
+        } else {
+            calls.callers().plainly(exchange, status, text);
+        }
+    }
+
+    private void start(
+            long arrivedAt,
+            ReceivedRequest request,
+            CallerExchange exchange,
+            CallIntent intent,
+            Route route,
+            Optional<Organisation> organisation) {
+        String service = route.service(LongHashFunction.xx3().hashChars(intent.id()));
+        long patience = Math.min(intent.deadlineMillis().orElse(DEFAULT_DEADLINE_MILLIS), route.timeoutMillis());
         CallRow call = new CallRow(
                 nextCall++,
                 request,
                 exchange,
                 intent,
-                route.get(),
+                route,
                 service,
+                organisation,
                 arrivedAt,
                 arrivedAt + Durations.nanos(patience));
         byExchange.put(exchange, call);
--- a/src/main/java/org/cuminshelf/platform/ConfigDocument.java
+++ b/src/main/java/org/cuminshelf/platform/ConfigDocument.java
@@ -14,7 +14,11 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalInt;
 import org.cuminshelf.exchange.CallerLimits;
+import org.cuminshelf.organisations.CallerKey;
+import org.cuminshelf.organisations.Organisation;
+import org.cuminshelf.organisations.Organisations;
 import org.cuminshelf.routes.EngineLimits;
 import org.cuminshelf.routes.RequestKind;
 import org.cuminshelf.routes.Route;
@@ -48,12 +52,19 @@
             Optional<String> problem = table.problem();
             return problem.isPresent() ? Either.left(problem.get()) : Either.right(table);
         } catch (JsonProcessingException e) {
-            return Either.left("the configuration can't be read: " + e.getOriginalMessage());
+            return Either.left("the configuration can't be read: " + place(e));
         } catch (IOException e) {
             return Either.left(e.getMessage());
         }
     }
 
+    /** Where a document can't be read. The reader's own message quotes the document, which holds keys of callers. */
+    private static String place(JsonProcessingException problem) {
+        return Optional.ofNullable(problem.getLocation())
+                .map(location -> "no sound JSON at line " + location.getLineNr() + ", column " + location.getColumnNr())
+                .orElse("no sound JSON");
+    }
+
     private static RouteTable table(JsonNode root) throws IOException {
         if (!root.path("routes").isArray() || !root.path("services").isArray()) {
             throw new IOException("'routes' and 'services' must be lists");
@@ -67,7 +78,45 @@
         for (JsonNode node : root.path("routes")) {
             routes.add(route(node));
         }
-        return RouteTable.of(root.path("version").longValue(), routes, services, limits(root.path("limits")));
+        return RouteTable.of(
+                root.path("version").longValue(),
+                routes,
+                services,
+                organisations(root.path("tenants")),
+                limits(root.path("limits")));
+    }
+
+    /** The organisations, which the platform calls tenants; a configuration without that list asks for no keys. */
+    private static Organisations organisations(JsonNode list) throws IOException {
+        if (list.isMissingNode() || list.isNull()) {
+            return Organisations.unknown();
+        }
+        if (!list.isArray()) {
+            throw new IOException("'tenants' must be a list");
+        }
+        List<Organisation> all = new ArrayList<>();
+        for (JsonNode node : list) {
+            all.add(organisation(node));
+        }
+        return Organisations.of(all);
+    }
+
+    private static Organisation organisation(JsonNode node) throws IOException {
+        String name = text(node, "name");
+        JsonNode list = node.path("apiKeys");
+        if (!list.isArray() && !list.isMissingNode()) {
+            throw new IOException("'apiKeys' of " + name + " must be a list");
+        }
+        List<CallerKey> keys = new ArrayList<>();
+        for (JsonNode key : list) {
+            if (!key.isTextual() || key.textValue().isEmpty()) {
+                throw new IOException("a key of " + name + " is empty or no text");
+            }
+            keys.add(CallerKey.of(key.textValue()));
+        }
+        boolean ranked = node.hasNonNull("priority");
+        OptionalInt priority = ranked ? OptionalInt.of((int) number(node, "priority", 0)) : OptionalInt.empty();
+        return new Organisation(name, keys, priority);
     }
 
     private static RoutedService service(JsonNode node) throws IOException {
@@ -102,7 +151,8 @@
                 services,
                 (int) Math.max(1, number(node, "maxAttempts", 1)),
                 node.path("resumable").asBoolean(false),
-                Math.max(0, number(node, "gapAimMs", 0)));
+                Math.max(0, number(node, "gapAimMs", 0)),
+                node.path("public").asBoolean(false));
     }
 
     private static RequestKind kind(String word) throws IOException {
--- a/src/main/java/org/cuminshelf/platform/Headers.java
+++ b/src/main/java/org/cuminshelf/platform/Headers.java
@@ -19,8 +19,10 @@
     static final String LENGTH_HINT = "X-Cuminshelf-Length-Hint";
     /** The last event that the receiver of a stream holds. */
     static final String LAST_EVENT = "Last-Event-Id";
-    /** The key of the organisation that asks, on deployments that have keys; no caller is named elsewhere. */
+    /** The key of the caller's organisation, on deployments that have keys; upstreams never get it. */
     static final String CALLER_KEY = "X-Cuminshelf-Credential";
+    /** The name of the organisation in which a request runs, for its upstream. */
+    static final String ORGANISATION = "X-Cuminshelf-Tenant";
     /** Marks an answer as that of a run. */
     static final String SEAL = "X-Cuminshelf-Response-Seal";
     /** Identity of the start of an upstream that is to answer. */
@@ -42,8 +44,10 @@
     /** IP:PORT of another engine from which shared parts of the prompt are fetched. */
     static final String PART_SOURCE = "Kv-Fetch";
 
-    /** Headers that only the system sets; what a caller sends under these names is not passed on. */
-    static final Set<String> SET_BY_SYSTEM = Set.of(
+    /** Headers that are for the system or that only it sets; what a caller sends in them is not passed on. */
+    static final Set<String> NOT_PASSED_ON = Set.of(
+            "x-cuminshelf-credential",
+            "x-cuminshelf-tenant",
             "x-cuminshelf-deadline-ms",
             "x-cuminshelf-expect-instance",
             "x-cuminshelf-expect-version",
--- a/src/main/java/org/cuminshelf/platform/PlatformProtocol.java
+++ b/src/main/java/org/cuminshelf/platform/PlatformProtocol.java
@@ -20,6 +20,8 @@
 import org.cuminshelf.direct.UpstreamProtocol;
 import org.cuminshelf.exchange.ReceivedRequest;
 import org.cuminshelf.exchange.UpstreamRequest;
+import org.cuminshelf.organisations.CallerKey;
+import org.cuminshelf.organisations.CallerKeys;
 import org.eclipse.jetty.http.HttpField;
 import org.eclipse.jetty.http.HttpFields;
 import org.eclipse.jetty.http.HttpHeader;
@@ -42,7 +44,14 @@
                 number(headers, Headers.DEADLINE),
                 generation(headers),
                 number(headers, Headers.LAST_EVENT),
-                Optional.ofNullable(headers.get(Headers.CALLER_KEY)).orElse(""));
+                keys(headers));
+    }
+
+    private static CallerKeys keys(HttpFields headers) {
+        List<String> sent = headers.getValuesList(Headers.CALLER_KEY);
+        return sent.isEmpty()
+                ? CallerKeys.none()
+                : new CallerKeys(sent.stream().map(CallerKey::of).toList());
     }
 
     private static Optional<GenerationShape> generation(HttpFields headers) {
@@ -98,13 +107,14 @@
         HttpFields.Mutable headers = HttpFields.build();
         for (HttpField field : request.headers()) {
             String name = field.getName().toLowerCase(Locale.ROOT);
-            boolean kept = !HopHeaders.contains(field) && !Headers.SET_BY_SYSTEM.contains(name);
+            boolean kept = !HopHeaders.contains(field) && !Headers.NOT_PASSED_ON.contains(name);
             if (kept && !named.contains(name)) {
                 headers.add(field);
             }
         }
         headers.put(Headers.DEADLINE, String.valueOf(plan.remainingMillis()));
         headers.put(Headers.EXPECTED_START, plan.upstream());
+        plan.organisation().ifPresent(name -> headers.put(Headers.ORGANISATION, name));
         if (request.headers().contains(Headers.TOKENS)) {
             headers.put(Headers.PRIORITY, String.valueOf(plan.priority()));
         }
--- a/src/main/java/org/cuminshelf/routes/Route.java
+++ b/src/main/java/org/cuminshelf/routes/Route.java
@@ -16,6 +16,7 @@
  * @param maxAttempts   most upstreams to which one request is sent
  * @param resumable     whether a stream may go on at another upstream after the last event that was delivered
  * @param pauseMillis   longest pause between two events of a stream that counts as being on time; 0 if none is stated
+ * @param publicRoute   whether its requests need no key of an organisation
  */
 public record Route(
         String name,
@@ -28,7 +29,8 @@
         List<WeightedService> services,
         int maxAttempts,
         boolean resumable,
-        long pauseMillis) {
+        long pauseMillis,
+        boolean publicRoute) {
 
     /**
      * Whether a request may run more than once.
--- a/src/main/java/org/cuminshelf/routes/RouteTable.java
+++ b/src/main/java/org/cuminshelf/routes/RouteTable.java
@@ -8,21 +8,30 @@
 import java.util.Optional;
 import java.util.Set;
 import org.cuminshelf.exchange.CallerLimits;
+import org.cuminshelf.organisations.Organisations;
 
-/** All routes and services under one version, checked. */
+/** All routes, services and organisations under one version, checked. */
 public final class RouteTable {
 
-    private static final RouteTable EMPTY = new RouteTable(0, List.of(), Map.of(), CallerLimits.DEFAULT);
+    private static final RouteTable EMPTY =
+            new RouteTable(0, List.of(), Map.of(), Organisations.unknown(), CallerLimits.DEFAULT);
 
     private final long version;
     private final Map<String, RoutedService> services;
+    private final Organisations organisations;
     private final CallerLimits limits;
     private final List<Route> routes;
     private final Map<String, HostRoutes> byHost = new HashMap<>();
 
-    private RouteTable(long version, List<Route> routes, Map<String, RoutedService> services, CallerLimits limits) {
+    private RouteTable(
+            long version,
+            List<Route> routes,
+            Map<String, RoutedService> services,
+            Organisations organisations,
+            CallerLimits limits) {
         this.version = version;
         this.services = services;
+        this.organisations = organisations;
         this.limits = limits;
         this.routes = routes;
         routes.forEach(route ->
@@ -66,7 +75,7 @@
     }
 
     /**
-     * Makes a table.
+     * Makes the table of a deployment that knows no organisations.
      *
      * @param version  the version
      * @param routes   the routes
@@ -76,7 +85,26 @@
      */
     public static RouteTable of(
             long version, List<Route> routes, Map<String, RoutedService> services, CallerLimits limits) {
-        return new RouteTable(version, List.copyOf(routes), Map.copyOf(services), limits);
+        return of(version, routes, services, Organisations.unknown(), limits);
+    }
+
+    /**
+     * Makes a table.
+     *
+     * @param version       the version
+     * @param routes        the routes
+     * @param services      the services, by name
+     * @param organisations the organisations, by their keys
+     * @param limits        what callers may send
+     * @return the table; see {@link #problem()}
+     */
+    public static RouteTable of(
+            long version,
+            List<Route> routes,
+            Map<String, RoutedService> services,
+            Organisations organisations,
+            CallerLimits limits) {
+        return new RouteTable(version, List.copyOf(routes), Map.copyOf(services), organisations, limits);
     }
 
     /**
@@ -102,7 +130,7 @@
                 return wrongService.map(where::concat);
             }
         }
-        return Optional.empty();
+        return organisations.problem();
     }
 
     private Optional<String> serviceProblem(Route route) {
@@ -137,6 +165,15 @@
         return limits;
     }
 
+    /**
+     * In whose name requests may run.
+     *
+     * @return the organisations
+     */
+    public Organisations organisations() {
+        return organisations;
+    }
+
     /**
      * All routes.
      *
--- a/src/test/java/org/cuminshelf/direct/DirectFixture.java
+++ b/src/test/java/org/cuminshelf/direct/DirectFixture.java
@@ -28,6 +28,9 @@
 import org.cuminshelf.message.TakenPrompt;
 import org.cuminshelf.message.Update;
 import org.cuminshelf.message.UpstreamBeat;
+import org.cuminshelf.organisations.CallerKey;
+import org.cuminshelf.organisations.CallerKeys;
+import org.cuminshelf.organisations.Organisations;
 import org.cuminshelf.routes.RequestKind;
 import org.cuminshelf.routes.Route;
 import org.cuminshelf.routes.RouteTable;
@@ -46,7 +49,7 @@
     final RecordingOutbox out = new RecordingOutbox();
     final List<Sent> sent = new ArrayList<>();
     final DirectCore core;
-    private final RouteTable table;
+    private RouteTable table;
     private int beats;
     /** What a new connection to an upstream shows. */
     Reachability reachability = Reachability.LISTENING;
@@ -54,8 +57,11 @@
     int probes;
 
     DirectFixture(Route... routes) {
-        this.table = RouteTable.of(
-                7, List.of(routes), Map.of("s", new RoutedService("s", 100, Optional.empty())), CallerLimits.DEFAULT);
+        this(Organisations.unknown(), routes);
+    }
+
+    DirectFixture(Organisations organisations, Route... routes) {
+        this.table = table(7, organisations, routes);
         this.core = DirectCore.start(
                 new DirectSettings("r", "z", "vm", List.of(CONTROL), new RepeatLimits(0.2, 100, 10_000)),
                 SELF,
@@ -67,6 +73,11 @@
                 DecisionLog.none());
     }
 
+    static RouteTable table(long version, Organisations organisations, Route... routes) {
+        Map<String, RoutedService> services = Map.of("s", new RoutedService("s", 100, Optional.empty()));
+        return RouteTable.of(version, List.of(routes), services, organisations, CallerLimits.DEFAULT);
+    }
+
     /** Longest pause between two events that the route's callers take as being on time, in milliseconds. */
     static final long PAUSE_MILLIS = 200;
 
@@ -82,17 +93,24 @@
                 List.of(new WeightedService("s", 1)),
                 attempts,
                 resumable,
-                PAUSE_MILLIS);
+                PAUSE_MILLIS,
+                false);
     }
 
     DirectFixture ready() {
-        update(Update.newBuilder().setConfigVersion(7).setConfirmed(true));
+        update(Update.newBuilder().setVoter(true).setConfigVersion(7).setConfirmed(true));
+        return take(table);
+    }
+
+    /** The body of a configuration arrives. */
+    DirectFixture take(RouteTable newer) {
+        table = newer;
         core.accept(
                 now,
                 Envelope.newBuilder()
                         .setFrom(CONTROL.value())
                         .setConfigBody(ConfigBody.newBuilder()
-                                .setVersion(7)
+                                .setVersion(newer.version())
                                 .setDeflated(Deflated.deflate(ByteString.copyFromUtf8("x"))))
                         .build(),
                 out);
@@ -318,7 +336,8 @@
                             List.of(
                                     new PromptPart("shared", sharedTokens(headers)),
                                     new PromptPart(headers.get("Id"), 10))));
-            return new CallIntent(headers.get("Id"), OptionalLong.of(800), shape, number(headers.get("Last")), "");
+            return new CallIntent(
+                    headers.get("Id"), OptionalLong.of(800), shape, number(headers.get("Last")), keys(headers));
         }
 
         private static int sharedTokens(HttpFields headers) {
@@ -327,6 +346,11 @@
                     .orElse(100);
         }
 
+        private static CallerKeys keys(HttpFields headers) {
+            return new CallerKeys(
+                    headers.getValuesList("Key").stream().map(CallerKey::of).toList());
+        }
+
         private static OptionalLong number(String value) {
             return value == null ? OptionalLong.empty() : OptionalLong.of(Long.parseLong(value));
         }
@@ -337,6 +361,7 @@
                     .put("Expect", plan.upstream())
                     .put("Left", String.valueOf(plan.remainingMillis()))
                     .put("Prefill", String.valueOf(plan.prefillOnly()));
+            plan.organisation().ifPresent(name -> fields.put("Organisation", name));
             plan.cache().ifPresent(cache -> fields.put("Cache", cache.handle()));
             plan.partSource().ifPresent(engine -> fields.put("Parts-From", engine.value()));
             plan.resumeAfter().ifPresent(event -> fields.put("Last", String.valueOf(event)));
--- /dev/null
+++ b/src/test/java/org/cuminshelf/direct/OrganisationCallsTest.java
@@ -0,0 +1,116 @@
+package org.cuminshelf.direct;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.List;
+import java.util.OptionalInt;
+import net.jqwik.api.Example;
+import org.cuminshelf.message.Role;
+import org.cuminshelf.message.Update;
+import org.cuminshelf.organisations.CallerKey;
+import org.cuminshelf.organisations.Organisation;
+import org.cuminshelf.organisations.Organisations;
+import org.cuminshelf.routes.RequestKind;
+import org.cuminshelf.routes.Route;
+
+/** In whose name an entry has requests run. */
+class OrganisationCallsTest {
+
+    private static final Route ROUTE = DirectFixture.route(RequestKind.IDEMPOTENT, 2, false);
+    private static final Organisations ACME = organisations("k1", "k2");
+
+    private static Organisations organisations(String... keys) {
+        List<CallerKey> digests = List.of(keys).stream().map(CallerKey::of).toList();
+        return Organisations.of(List.of(new Organisation("acme", digests, OptionalInt.empty())));
+    }
+
+    private static Route open() {
+        return new Route(
+                ROUTE.name(),
+                ROUTE.host(),
+                ROUTE.pathPrefix(),
+                ROUTE.kind(),
+                ROUTE.timeoutMillis(),
+                ROUTE.targetMillis(),
+                ROUTE.priority(),
+                ROUTE.services(),
+                ROUTE.maxAttempts(),
+                ROUTE.resumable(),
+                ROUTE.pauseMillis(),
+                true);
+    }
+
+    private static DirectFixture entry(Organisations organisations, Route route) {
+        return new DirectFixture(organisations, route)
+                .ready()
+                .upstream("u1", Role.ROLE_DECODE)
+                .upstream("u2", Role.ROLE_DECODE);
+    }
+
+    @Example
+    void eachAttemptCarriesTheNameOfTheOrganisation() {
+        DirectFixture entry = entry(ACME, ROUTE);
+        entry.ask("x", "Key", "k2");
+        assertThat(entry.last().request.headers().get("Organisation")).isEqualTo("acme");
+        entry.last().handler.onFailed(true, "reset");
+        assertThat(entry.sent).hasSize(2);
+        assertThat(entry.last().request.headers().get("Organisation")).isEqualTo("acme");
+    }
+
+    @Example
+    void aRequestWithoutAKnownKeyReachesNoUpstream() {
+        DirectFixture entry = entry(ACME, ROUTE);
+        assertThat(entry.ask("x").status).isEqualTo(401);
+        assertThat(entry.ask("y", "Key", "unknown").status).isEqualTo(401);
+        assertThat(entry.sent).isEmpty();
+    }
+
+    @Example
+    void aPublicRouteNeedsNoKeyAndNamesTheHolderOfAKnownOne() {
+        DirectFixture entry = entry(ACME, open());
+        entry.ask("x", "Key", "unknown");
+        assertThat(entry.last().request.headers().get("Organisation")).isNull();
+        entry.ask("y", "Key", "k1");
+        assertThat(entry.last().request.headers().get("Organisation")).isEqualTo("acme");
+    }
+
+    /* A key is taken away; a caller that kept its connection open goes on with it. */
+    @Example
+    void aKeyThatWasTakenAwayIsRefusedFromTheNextRequestOn() {
+        DirectFixture entry = entry(ACME, ROUTE);
+        DirectFixture.Answer before = entry.ask("x", "Key", "k1");
+        entry.take(DirectFixture.table(8, organisations("k2"), ROUTE));
+        assertThat(entry.ask("y", "Key", "k1").status).isEqualTo(401);
+        entry.last().whole(200, "done");
+        assertThat(before.status).isEqualTo(200);
+    }
+
+    /*
+     * A caller uses a key that was just added, and is told for good that it is unknown: the entry has heard of the new
+     * configuration but not taken it in yet.
+     */
+    @Example
+    void anUnknownKeyMayComeBackWhileANewerConfigurationIsOnItsWay() {
+        DirectFixture entry = entry(ACME, ROUTE);
+        entry.update(Update.newBuilder().setVoter(true).setConfigVersion(8));
+        DirectFixture.Answer early = entry.ask("x", "Key", "k3");
+        assertThat(early.status).isEqualTo(503);
+        assertThat(early.headers.contains("Retry-After")).isTrue();
+        entry.take(DirectFixture.table(8, organisations("k2", "k3"), ROUTE));
+        entry.ask("y", "Key", "k3");
+        assertThat(entry.last().request.headers().get("Organisation")).isEqualTo("acme");
+        assertThat(entry.ask("z", "Key", "k1").status).isEqualTo(401);
+    }
+
+    /* The same at an entry that hears from no control process, and can't know of what was added since. */
+    @Example
+    void anUnknownKeyMayComeBackWhileNothingIsHeardFromControl() {
+        DirectFixture entry = entry(ACME, ROUTE);
+        entry.pass(2_000);
+        assertThat(entry.ask("x", "Key", "k3").status).isEqualTo(503);
+        entry.ask("y", "Key", "k1");
+        assertThat(entry.sent).hasSize(1);
+        entry.update(Update.newBuilder().setVoter(true).setConfigVersion(7));
+        assertThat(entry.ask("z", "Key", "k3").status).isEqualTo(401);
+    }
+}
--- a/src/test/java/org/cuminshelf/platform/ConfigDocumentTest.java
+++ b/src/test/java/org/cuminshelf/platform/ConfigDocumentTest.java
@@ -4,7 +4,11 @@
 
 import io.vavr.control.Either;
 import java.nio.charset.StandardCharsets;
+import java.util.List;
 import net.jqwik.api.Example;
+import org.cuminshelf.organisations.Access;
+import org.cuminshelf.organisations.CallerKey;
+import org.cuminshelf.organisations.CallerKeys;
 import org.cuminshelf.routes.EngineLimits;
 import org.cuminshelf.routes.RouteTable;
 import org.cuminshelf.routes.RoutedService;
@@ -111,6 +115,59 @@
         assertThat(wrong(document("0", ROUTE, SERVICE))).contains("version");
     }
 
+    private static String withOrganisations(String list) {
+        return document("7", ROUTE, SERVICE).replace("\"later\":1", "\"tenants\":" + list);
+    }
+
+    private static Access access(String document, String key) {
+        return read(document).get().organisations().access(new CallerKeys(List.of(CallerKey.of(key))), false);
+    }
+
+    @Example
+    void organisationsAreKnownByAnyOfTheirKeys() {
+        String document = withOrganisations(
+                "[{\"name\":\"a\",\"apiKeys\":[\"k1\",\"k2\"],\"priority\":3},{\"name\":\"b\",\"apiKeys\":[\"k3\"]}]");
+        assertThat(access(document, "k2")).isInstanceOfSatisfying(Access.Member.class, member -> {
+            assertThat(member.organisation().name()).isEqualTo("a");
+            assertThat(member.organisation().priority()).hasValue(3);
+        });
+        assertThat(access(document, "k3"))
+                .isInstanceOfSatisfying(
+                        Access.Member.class,
+                        member -> assertThat(member.organisation().priority()).isEmpty());
+        assertThat(access(document, "k4")).isInstanceOf(Access.Denied.class);
+        assertThat(access(document("7", ROUTE, SERVICE), "k4")).isInstanceOf(Access.Anonymous.class);
+        assertThat(access(withOrganisations("[]"), "k4")).isInstanceOf(Access.Denied.class);
+    }
+
+    /* What is wrong with an organisation is told to the operator and logged: with its name, never with a key. */
+    @Example
+    void organisationsThatCannotBeToldApartAreRefusedWithoutShowingAKey() {
+        assertThat(wrong(withOrganisations(
+                        "[{\"name\":\"a\",\"apiKeys\":[\"secret\"]},{\"name\":\"b\",\"apiKeys\":[\"x\",\"secret\"]}]")))
+                .contains("a and b hold the same key")
+                .doesNotContain("secret");
+        assertThat(wrong(withOrganisations("[{\"name\":\"a\"},{\"name\":\"a\"}]")))
+                .contains("named a");
+        assertThat(wrong(withOrganisations("[{\"name\":\" \"}]"))).contains("empty name");
+        assertThat(wrong(withOrganisations("[{\"name\":\"a\",\"apiKeys\":[7]}]")))
+                .contains("a key of a");
+        assertThat(wrong(withOrganisations("[{\"name\":\"a\",\"apiKeys\":\"secret\"}]")))
+                .contains("'apiKeys' of a")
+                .doesNotContain("secret");
+        assertThat(wrong(withOrganisations("[{\"name\":\"a\",\"apiKeys\":[secret]}]")))
+                .contains("can't be read")
+                .doesNotContain("secret");
+        assertThat(wrong(withOrganisations("{}"))).contains("'tenants' must be a list");
+    }
+
+    @Example
+    void oneOrganisationMayNameAKeyTwice() {
+        assertThat(read(withOrganisations("[{\"name\":\"a\",\"apiKeys\":[\"k\",\"k\"]}]"))
+                        .isRight())
+                .isTrue();
+    }
+
     @Example
     void requestsAreSplitByWeightAndNoneGoesToAWeightOfNothing() {
         String split = ROUTE.replace(
--- a/src/test/java/org/cuminshelf/platform/PlatformProtocolTest.java
+++ b/src/test/java/org/cuminshelf/platform/PlatformProtocolTest.java
@@ -2,6 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.util.Locale;
 import java.util.Optional;
 import java.util.OptionalLong;
 import net.jqwik.api.Example;
@@ -12,6 +13,7 @@
 import org.cuminshelf.direct.CallIntent;
 import org.cuminshelf.exchange.ReceivedRequest;
 import org.cuminshelf.exchange.UpstreamRequest;
+import org.cuminshelf.organisations.CallerKey;
 import org.eclipse.jetty.http.HttpFields;
 
 /** The platform's headers on their way in and out. */
@@ -29,7 +31,14 @@
 
     private static AttemptPlan plan(boolean prefill, Optional<CacheHandle> cache) {
         return new AttemptPlan(
-                "i-1", 750, 3, prefill, cache, Optional.of(Address.of("10.1.0.9:80")), OptionalLong.of(12));
+                "i-1",
+                Optional.of("acme"),
+                750,
+                3,
+                prefill,
+                cache,
+                Optional.of(Address.of("10.1.0.9:80")),
+                OptionalLong.of(12));
     }
 
     @Example
@@ -105,6 +114,37 @@
         assertThat(sent.target()).isEqualTo("/a/b?c=%20d");
     }
 
+    /*
+     * Whoever runs or watches an upstream can ask in the name of its callers: it is given their keys. Cause: a header
+     * that is for the system only is passed on like any other. And a caller runs in the name of another organisation,
+     * as it sends that name itself.
+     */
+    @Example
+    void anUpstreamGetsTheNameOfTheOrganisationAndNeverAKey() {
+        UpstreamRequest sent = protocol.attempt(
+                request(
+                        Headers.CALLER_KEY,
+                        "secret-1",
+                        Headers.CALLER_KEY.toUpperCase(Locale.ROOT),
+                        "secret-2",
+                        Headers.ORGANISATION,
+                        "forged-1",
+                        Headers.ORGANISATION.toLowerCase(Locale.ROOT),
+                        "forged-2"),
+                plan(true, Optional.empty()));
+        assertThat(sent.headers().asString()).doesNotContain("secret").doesNotContain("forged");
+        assertThat(sent.headers().getValuesList(Headers.ORGANISATION)).containsExactly("acme");
+    }
+
+    @Example
+    void whatIsReadOfARequestShowsNoKey() {
+        CallIntent intent = protocol.intent(request(Headers.CALLER_KEY, "secret"));
+        assertThat(intent.keys().only()).hasValue(CallerKey.of("secret"));
+        assertThat(intent.toString()).doesNotContain("secret");
+        CallIntent twice = protocol.intent(request(Headers.CALLER_KEY, "a", Headers.CALLER_KEY, "b"));
+        assertThat(twice.keys().only()).isEmpty();
+    }
+
     @Example
     void aCacheIsNamedByItsEngineAndHandle() {
         CacheHandle cache = new CacheHandle(Address.of("10.0.0.1:80"), "k");
--- a/src/test/java/org/cuminshelf/routes/RouteTableTest.java
+++ b/src/test/java/org/cuminshelf/routes/RouteTableTest.java
@@ -30,7 +30,8 @@
                     List.of(new WeightedService("s", 1)),
                     1,
                     false,
-                    0));
+                    0,
+                    false));
         }
         RoutedService service = new RoutedService("s", 10, Optional.empty());
         return RouteTable.of(1, routes, Map.of("s", service), CallerLimits.DEFAULT);
--- a/src/test/java/org/cuminshelf/trial/DirectFleet.java
+++ b/src/test/java/org/cuminshelf/trial/DirectFleet.java
@@ -39,6 +39,8 @@
 import org.cuminshelf.message.AdminRequest;
 import org.cuminshelf.message.ConfigApply;
 import org.cuminshelf.message.Envelope;
+import org.cuminshelf.organisations.CallerKey;
+import org.cuminshelf.organisations.CallerKeys;
 import org.cuminshelf.replica.DurableState;
 import org.cuminshelf.replica.ReplicaSettings;
 import org.cuminshelf.routes.RequestKind;
@@ -65,6 +67,8 @@
     final VirtualNetwork network;
     final List<VirtualNode> control = new ArrayList<>();
     final List<VirtualNode> entries = new ArrayList<>();
+    private static final CallerKeys CALLER = new CallerKeys(List.of(CallerKey.of("caller")));
+
     final List<CrashingEngine> engines = new ArrayList<>();
     final CrashingEngine.Records records = new CrashingEngine.Records();
     final UniformRandomProvider random;
@@ -111,7 +115,8 @@
                 List.of(new WeightedService(SERVICE, 1)),
                 attempts,
                 resumable,
-                200);
+                200,
+                false);
     }
 
     private UniformRandomProvider ownRandom() {
@@ -363,7 +368,7 @@
             GenerationShape shape =
                     new GenerationShape("m", 600, 100, List.of(new PromptPart("shared", 100), new PromptPart(id, 500)));
             return new CallIntent(
-                    id, OptionalLong.of(PATIENCE_MILLIS), Optional.of(shape), OptionalLong.empty(), "caller");
+                    id, OptionalLong.of(PATIENCE_MILLIS), Optional.of(shape), OptionalLong.empty(), CALLER);
         }
 
         @Override
