--- a/src/main/java/org/cuminshelf/control/ConfigMachine.java
+++ b/src/main/java/org/cuminshelf/control/ConfigMachine.java
@@ -17,6 +17,7 @@
 import org.cuminshelf.poison.ChangeNumbers;
 import org.cuminshelf.poison.Quarantine;
 import org.cuminshelf.replica.GroupMachine;
+import org.cuminshelf.usage.SettledUsage;
 
 /**
  * The accepted configuration: by compare-and-set, or, where authors give versions themselves, the highest given.
@@ -34,6 +35,7 @@
 
     private final OrderBook orders = new OrderBook();
     private final Quarantine quarantine = new Quarantine();
+    private final SettledUsage usage = SettledUsage.create();
     private final Map<Long, AdminAnswer> answers = new HashMap<>();
     private final Map<Key, Long> accepted = new HashMap<>();
     private final Deque<AcceptedConfig> acceptedInOrder = new ArrayDeque<>();
@@ -73,6 +75,11 @@
         return quarantine;
     }
 
+    /** The usage that stands, as far as a quorum wrote it down. */
+    SettledUsage usage() {
+        return usage;
+    }
+
     /** The outcome of the entry at an index, once, on the replica that applied it. */
     Optional<AdminAnswer> takeAnswer(long index) {
         return Optional.ofNullable(answers.remove(index));
@@ -87,6 +94,12 @@
             quarantine.merge(entry.getQuarantined(), ChangeNumbers.always(entry.getIndex()));
             answer(entry.getIndex(), answer(AdminResult.ADMIN_DONE, version));
         }
+        if (entry.hasUsageSettled()) {
+            usage.settle(entry.getUsageSettled());
+        }
+        if (entry.hasUsageReported()) {
+            usage.reported(entry.getUsageReported());
+        }
         if (entry.hasConfig()) {
             answer(entry.getIndex(), accept(entry.getConfig()));
         }
@@ -157,6 +170,8 @@
                 .addAllAccepted(acceptedInOrder)
                 .addAllOrders(orders.all())
                 .addAllQuarantined(quarantine.all())
+                .setUsageSettled(usage.last())
+                .addAllUsageDue(usage.due())
                 .build()
                 .toByteString();
     }
@@ -173,6 +188,7 @@
             answers.clear();
             state.getAcceptedList().forEach(this::remember);
             orders.load(state.getOrdersList());
+            usage.load(state.getUsageSettled(), state.getUsageDueList());
             quarantine.clear();
             state.getQuarantinedList().forEach(row -> quarantine.merge(row, ChangeNumbers.always(0)));
         } catch (InvalidProtocolBufferException e) {
--- a/src/main/java/org/cuminshelf/control/ControlCore.java
+++ b/src/main/java/org/cuminshelf/control/ControlCore.java
@@ -5,6 +5,8 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.concurrent.TimeUnit;
 import net.openhft.hashing.LongHashFunction;
 import org.apache.commons.rng.UniformRandomProvider;
 import org.cuminshelf.config.FleetConfig;
@@ -29,6 +31,7 @@
 import org.cuminshelf.message.QuarantinedRequest;
 import org.cuminshelf.message.Stopped;
 import org.cuminshelf.message.Subscribe;
+import org.cuminshelf.message.WallClock;
 import org.cuminshelf.poison.PoisonRegister;
 import org.cuminshelf.poison.Quarantine;
 import org.cuminshelf.replica.DurableState;
@@ -40,6 +43,7 @@
 
     private static final long HOUSEKEEPING_EVERY = Durations.nanos(250);
     private static final long ADMIN_PATIENCE = Durations.nanos(5_000);
+    private static final long NANOS_PER_MICRO = 1_000;
 
     /** Who waits for the outcome of an entry. */
     private record Waiter(Address asker, long question, long term, long since) {}
@@ -55,7 +59,9 @@
     private final ConfigMachine config = new ConfigMachine();
     private final Directory directory;
     private final Registry registry;
+    private DutyHolder holder;
     private StageSystem stages;
+    private Optional<UsageSystem> usage = Optional.empty();
     private QuarantineSystem quarantine;
     private final PoisonRegister poison = new PoisonRegister();
     private final Subscribers subscribers = new Subscribers();
@@ -74,6 +80,7 @@
     private FleetConfig typedConfig = FleetConfig.empty();
     private long typedVersion;
     private long wallMillis;
+    private long wallReadAt;
 
     private ControlCore(ControlSettings settings, Address self, long incarnation, long now, Invariants invariants) {
         this.settings = settings;
@@ -118,7 +125,12 @@
         if (group.group().equals(ControlSettings.GLOBAL)) {
             Replica replica = Replica.start(group, state, config, now, random, invariants);
             replicas.put(group.group(), replica);
-            stages = new StageSystem(replica, config.orders(), registry, subscribers);
+            holder = new DutyHolder(replica, settings.duties().leaseMillis());
+            stages = new StageSystem(replica, config.orders(), registry, subscribers, holder);
+            OptionalLong usageLate = settings.duties().usageLateMillis();
+            if (usageLate.isPresent()) {
+                usage = Optional.of(new UsageSystem(replica, config.usage(), holder, usageLate.getAsLong()));
+            }
             quarantine = new QuarantineSystem(replica, config.quarantine(), poison, directory);
             return;
         }
@@ -146,12 +158,13 @@
             case CONFIG_FETCH -> updates.onConfigFetch(from, input.getConfigFetch(), out);
             case UPSTREAM_BEAT -> registry.onBeat(now, wallMillis, input.getUpstreamBeat(), otherControl(), out);
             case ORDER_APPLIED -> stages.onOutcome(input.getOrderApplied());
+            case USAGE_REPORTED -> usage.ifPresent(system -> system.onReported(now, input.getUsageReported()));
             case CLAIM_REQUEST -> onClaim(now, from, input.getClaimRequest(), out);
             case ORDER_REPORT ->
                 regions.values().forEach(region -> region.orders().onReport(now, from, input.getOrderReport()));
             case ADMIN_REQUEST -> onAdmin(now, from, input.getAdminRequest(), out);
             case ADMIN_ANSWER -> onForwardedAnswer(input.getAdminAnswer(), out);
-            case WALL_CLOCK -> wallMillis = input.getWallClock().getEpochMs();
+            case WALL_CLOCK -> onWallClock(now, input.getWallClock());
             case STOP -> stop(out);
             default ->
                 Optional.ofNullable(replicas.get(groupOf(input)))
@@ -159,6 +172,19 @@
         }
     }
 
+    private void onWallClock(long now, WallClock clock) {
+        wallMillis = clock.getEpochMs();
+        wallReadAt = now;
+        if (clock.getJumped()) {
+            replicas.values().forEach(replica -> replica.onClockJump(now));
+        }
+    }
+
+    /** The time of day, 0 before it was read. */
+    private long unixMicros(long now) {
+        return wallMillis == 0 ? 0 : TimeUnit.MILLISECONDS.toMicros(wallMillis) + (now - wallReadAt) / NANOS_PER_MICRO;
+    }
+
     private static String groupOf(Envelope input) {
         return switch (input.getBodyCase()) {
             case FORMATION_QUERY -> input.getFormationQuery().getGroup();
@@ -178,7 +204,9 @@
     @Override
     public void tick(long now, Outbox out) {
         replicas.values().forEach(replica -> replica.tick(now, out));
+        holder.tick(now);
         quarantine.tick(now, wallMillis);
+        usage.ifPresent(system -> system.tick(now, out));
         answerConfigWaiters(out);
         regions.forEach((name, region) -> {
             answerClaimWaiters(name, region, out);
@@ -263,6 +291,8 @@
     private void onSubscribe(long now, Address from, long incarnation, Subscribe subscribe, Outbox out) {
         Subscribers.Row row = subscribers.onSubscribe(now, from, incarnation, subscribe);
         quarantine.onSubscribe(now, subscribe);
+        row.takenAt = unixMicros(now);
+        usage.ifPresent(system -> system.onSubscribe(now, row, subscribe));
         if (subscribe.getConfirm()) {
             long token = nextToken++;
             if (replicas.get(ControlSettings.GLOBAL).confirmRead(token)) {
--- a/src/main/java/org/cuminshelf/control/StageSystem.java
+++ b/src/main/java/org/cuminshelf/control/StageSystem.java
@@ -52,9 +52,6 @@
     private static final long QUIET = Durations.nanos(16_000);
     /** A change takes 3 s after running work ended; an engine not back by then is asked to show its role itself. */
     private static final long CHANGE_TAKES = Durations.nanos(6_000);
-    /** A new leader first hears all engines and entries again. */
-    private static final long SETTLE = Durations.nanos(2_500);
-
     /** How long the mix must ask for the same change: longer than the swings of three seconds within it. */
     private static final long PATIENCE = Durations.nanos(8_000);
 
@@ -87,27 +84,25 @@
     private final OrderBook book;
     private final Registry registry;
     private final Subscribers subscribers;
+    private final DutyHolder holder;
     private final Map<String, Sent> last = new TreeMap<>();
     private final Map<String, Plan> plans = new HashMap<>();
     private long proposedTerm;
     private int proposals;
-    private long ledSince = Long.MAX_VALUE;
     private long nextPlan;
 
-    StageSystem(Replica replica, OrderBook book, Registry registry, Subscribers subscribers) {
+    StageSystem(Replica replica, OrderBook book, Registry registry, Subscribers subscribers, DutyHolder holder) {
         this.replica = replica;
         this.book = book;
         this.registry = registry;
         this.subscribers = subscribers;
+        this.holder = holder;
     }
 
     void tick(long now, Outbox out) {
-        boolean leads = replica.hasLease(now);
+        boolean leads = holder.holds(now);
         takeCommitted(now, leads);
-        if (!leads) {
-            ledSince = Long.MAX_VALUE;
-        } else if (ledSince == Long.MAX_VALUE || proposedTerm != replica.term()) {
-            ledSince = now;
+        if (leads && proposedTerm != replica.term()) {
             proposedTerm = replica.term();
             proposals = 0;
         }
@@ -116,7 +111,7 @@
         }
         if (now >= nextPlan) {
             nextPlan = now + PLAN_EVERY;
-            plan(now, leads && now - ledSince > SETTLE);
+            plan(now, holder.mayAct(now));
         }
     }
 
--- a/src/main/java/org/cuminshelf/control/Subscribers.java
+++ b/src/main/java/org/cuminshelf/control/Subscribers.java
@@ -31,6 +31,13 @@
         /** Up to which of its own changes it has told what it knows of poison requests. */
         long poisonHeard;
 
+        /** Clock reading of its last question, and Unix microseconds at which that was taken in. */
+        long askedAt;
+
+        long takenAt;
+        /** Version of what it counted of usage up to which nothing is missing here. */
+        long usageHeard;
+
         List<OfferedWork> offered = List.of();
 
         private Row(Address address) {
@@ -46,6 +53,7 @@
         Row row = rows.computeIfAbsent(from, Row::new);
         row.incarnation = incarnation;
         row.heardAt = now;
+        row.askedAt = subscribe.getAskedAtNs();
         row.configVersion = subscribe.getConfigVersion();
         row.directoryVersion = subscribe.getDirectoryVersion();
         row.directoryIncarnation = subscribe.getDirectoryIncarnation();
--- a/src/main/java/org/cuminshelf/control/UpdateSystem.java
+++ b/src/main/java/org/cuminshelf/control/UpdateSystem.java
@@ -98,6 +98,10 @@
         if (voter) {
             replicas.get(ControlSettings.GLOBAL).members().forEach(member -> update.addControl(member.value()));
         }
+        update.setAskedAtNs(row.askedAt)
+                .setTakenAtUs(row.takenAt)
+                .setUsageHeard(row.usageHeard)
+                .setUsageSettled(config.usage().last());
         replicas.forEach((group, replica) -> replica.leader()
                 .ifPresent(leader -> update.addLeaders(
                         GroupLeader.newBuilder().setGroup(group).setAddress(leader.value()))));
--- a/src/main/java/org/cuminshelf/direct/AttemptSystem.java
+++ b/src/main/java/org/cuminshelf/direct/AttemptSystem.java
@@ -27,6 +27,9 @@
     /** What becomes of attempts. */
     interface Outcomes {
 
+        /** An upstream showed the first event of its run. */
+        void firstEvent(long now, AttemptRow attempt);
+
         /** An upstream answered in full, with success or without. */
         void answered(long now, AttemptRow attempt);
 
@@ -250,7 +253,10 @@
 
     /** Learns from the first event of an attempt. */
     private void onFirstEvent(long now, AttemptRow attempt) {
-        attempt.firstEventAt = Math.min(attempt.firstEventAt, now);
+        if (attempt.firstEventAt == Core.NEVER) {
+            attempt.firstEventAt = now;
+            outcomes.firstEvent(now, attempt);
+        }
         if (attempt.promptWaits) {
             onPromptTaken(now, attempt);
         } else if (attempt.hadCache && attempt.call.eventsGiven == 0) {
--- a/src/main/java/org/cuminshelf/direct/CallRow.java
+++ b/src/main/java/org/cuminshelf/direct/CallRow.java
@@ -77,6 +77,9 @@
     Optional<OfferedGeneration> offered = Optional.empty();
 
     Optional<Verdict> lastFailure = Optional.empty();
+    /** Whether it was counted for the usage of its organisation. */
+    boolean counted;
+
     boolean done;
     private Fingerprint fingerprint;
 
--- a/src/main/java/org/cuminshelf/direct/CallSystem.java
+++ b/src/main/java/org/cuminshelf/direct/CallSystem.java
@@ -38,6 +38,7 @@
     private final Invariants invariants;
     private final DecisionLog log;
     private final PoisonSystem poison;
+    private final UsageMeter usage;
     private final CallerAnswers callers;
     private final AttemptSystem attempts;
     private final Map<Long, CallRow> open = new HashMap<>();
@@ -58,7 +59,8 @@
             DecisionLog log,
             EngineModels models,
             LoadGossip gossip,
-            PoisonSystem poison) {
+            PoisonSystem poison,
+            UsageMeter usage) {
         this.protocol = protocol;
         this.port = port;
         this.upstreams = upstreams;
@@ -68,6 +70,7 @@
         this.invariants = invariants;
         this.log = log;
         this.poison = poison;
+        this.usage = usage;
         this.admission = new Admission(placement, control, waiting);
         this.callers = new CallerAnswers(control, log);
         this.attempts = new AttemptSystem(protocol, port, callers, clock, log, models, gossip, new AttemptOutcomes());
@@ -150,8 +153,17 @@
 
     private final class AttemptOutcomes implements AttemptSystem.Outcomes {
 
+        @Override
+        public void firstEvent(long now, AttemptRow attempt) {
+            usage.began(attempt.call, now);
+        }
+
         @Override
         public void answered(long now, AttemptRow attempt) {
+            if (!attempt.prefillOnly && !attempt.facts.notExecuted()) {
+                // A plain call begins to run when it arrives there; that a stream began was seen by its first event.
+                usage.began(attempt.call, attempt.sentAt);
+            }
             if (attempt.prefillOnly) {
                 onPromptTaken(now, attempt);
             } else if (attempt.isSuccess()) {
@@ -169,6 +181,7 @@
                 attempt.call.attempts -= attempt.prefillOnly ? 0 : 1;
                 failed(now, attempt, new Verdict.NotRun(Cause.CONNECT_FAILED, CallerAnswers.RETRY_AFTER_MILLIS), false);
             } else {
+                noteUnanswered(attempt);
                 poison.broken(now, attempt);
                 failed(now, attempt, unanswered(attempt, Cause.CONNECTION_BROKEN));
             }
@@ -176,6 +189,7 @@
 
         @Override
         public void silent(long now, AttemptRow attempt) {
+            noteUnanswered(attempt);
             failed(now, attempt, unanswered(attempt, Cause.UPSTREAM_SILENT));
         }
 
@@ -185,6 +199,13 @@
         }
     }
 
+    /** A plain call that was sent had most likely begun; a stream would have shown an event. */
+    private void noteUnanswered(AttemptRow attempt) {
+        if (!attempt.call.isStream()) {
+            usage.began(attempt.call, attempt.sentAt);
+        }
+    }
+
     /** Taking a prompt in runs nothing; whatever else was sent and not answered may have run. */
     private static Verdict unanswered(AttemptRow attempt, Cause cause) {
         return attempt.prefillOnly
@@ -350,6 +371,7 @@
         AttemptRow attempt = call.attempt;
         if (attempt != null && !attempt.ended) {
             call.mayHaveRun |= !attempt.prefillOnly;
+            noteUnanswered(attempt);
             attempts.stop(attempt);
         }
         giveUp(now, call, reason);
@@ -361,6 +383,9 @@
         }
         AttemptRow attempt = call.attempt;
         boolean running = attempt != null && !attempt.ended;
+        if (running) {
+            noteUnanswered(attempt);
+        }
         if (running && (call.isStream() || call.isRepeatable())) {
             attempts.stop(attempt);
         }
--- a/src/main/java/org/cuminshelf/direct/ControlFeed.java
+++ b/src/main/java/org/cuminshelf/direct/ControlFeed.java
@@ -41,6 +41,7 @@
     private final ConfigSource source = new ConfigSource();
     private final UpstreamTable upstreams;
     private final PoisonSystem poison;
+    private final UsageMeter usage;
     private final Invariants invariants;
     private final DecisionLog log;
     private final Set<Address> control = new TreeSet<>();
@@ -65,6 +66,7 @@
             RouteReader reader,
             UpstreamTable upstreams,
             PoisonSystem poison,
+            UsageMeter usage,
             long now,
             Invariants invariants,
             DecisionLog log) {
@@ -72,6 +74,7 @@
         this.reader = reader;
         this.upstreams = upstreams;
         this.poison = poison;
+        this.usage = usage;
         this.invariants = invariants;
         this.log = log;
         this.nextAsk = now;
@@ -148,6 +151,7 @@
         becomeReady(now);
         upstreams.onUpdate(now, from, update);
         poison.onUpdate(now, from, update);
+        usage.onUpdate(now, from, update);
     }
 
     private void becomeReady(long now) {
@@ -235,6 +239,7 @@
                     .setEntriesHash(entriesHash)
                     .addAllOffered(offered.values());
             poison.describe(address, subscribe);
+            usage.describe(now, address, subscribe);
             out.send(address, Envelope.newBuilder().setSubscribe(subscribe));
         }
         poison.told(now);
--- a/src/main/java/org/cuminshelf/direct/DirectCore.java
+++ b/src/main/java/org/cuminshelf/direct/DirectCore.java
@@ -37,6 +37,7 @@
     private final DecisionLog log;
     private final UpstreamTable upstreams;
     private final PoisonSystem poison;
+    private final UsageMeter usage;
     private final ControlFeed control;
     private final CallSystem calls;
     private final LoadGossip gossip;
@@ -63,7 +64,8 @@
         long now = clock.getAsLong();
         this.upstreams = new UpstreamTable(log);
         this.poison = new PoisonSystem(port, upstreams, clock, settings.vm(), log);
-        this.control = new ControlFeed(settings, reader, upstreams, poison, now, invariants, log);
+        this.usage = new UsageMeter(settings.usageWindowMillis(), log);
+        this.control = new ControlFeed(settings, reader, upstreams, poison, usage, now, invariants, log);
         EngineModels models = new EngineModels();
         Placement placement = new Placement(upstreams, control, models, settings.zone());
         this.gossip = new LoadGossip(upstreams, models, now);
@@ -79,7 +81,8 @@
                 log,
                 models,
                 gossip,
-                poison);
+                poison,
+                usage);
         this.nextHousekeeping = now;
     }
 
@@ -226,6 +229,7 @@
                 startEarly(now);
             }
             case ENTRY_LOAD -> gossip.onLoad(now, from, input.getEntryLoad());
+            case WALL_CLOCK -> usage.ownClock(now, input.getWallClock().getEpochMs());
             case STOP -> leaving = true;
             default -> {
                 // Not a message for such an entry.
--- a/src/main/java/org/cuminshelf/direct/DirectSettings.java
+++ b/src/main/java/org/cuminshelf/direct/DirectSettings.java
@@ -1,6 +1,7 @@
 package org.cuminshelf.direct;
 
 import java.util.List;
+import java.util.OptionalLong;
 import org.cuminshelf.core.Address;
 
 /**
@@ -11,5 +12,26 @@
  * @param vm      the name of the VM
  * @param seeds   control processes known at the start; the others are learnt from them
  * @param repeats how often all entries together may send requests once more
+ * @param usageWindowMillis length of the windows in which usage is counted; nothing where it isn't
  */
-public record DirectSettings(String region, String zone, String vm, List<Address> seeds, RepeatLimits repeats) {}
+public record DirectSettings(
+        String region,
+        String zone,
+        String vm,
+        List<Address> seeds,
+        RepeatLimits repeats,
+        OptionalLong usageWindowMillis) {
+
+    /**
+     * A place where no usage is counted.
+     *
+     * @param region  the region of the VM
+     * @param zone    the availability zone of the VM
+     * @param vm      the name of the VM
+     * @param seeds   control processes known at the start
+     * @param repeats how often all entries together may send requests once more
+     */
+    public DirectSettings(String region, String zone, String vm, List<Address> seeds, RepeatLimits repeats) {
+        this(region, zone, vm, seeds, repeats, OptionalLong.empty());
+    }
+}
--- a/src/main/java/org/cuminshelf/exchange/UpstreamConnection.java
+++ b/src/main/java/org/cuminshelf/exchange/UpstreamConnection.java
@@ -1,7 +1,9 @@
 package org.cuminshelf.exchange;
 
 import java.io.IOException;
+import java.net.StandardSocketOptions;
 import java.nio.ByteBuffer;
+import java.nio.channels.SocketChannel;
 import java.util.concurrent.Executor;
 import java.util.concurrent.locks.ReentrantLock;
 import org.eclipse.jetty.http.HttpCompliance;
@@ -16,6 +18,7 @@
 import org.eclipse.jetty.util.BufferUtil;
 import org.eclipse.jetty.util.Callback;
 import org.eclipse.jetty.util.thread.Invocable;
+import org.tinylog.Logger;
 
 /**
  * A connection to an upstream, with one request at a time.
@@ -108,6 +111,18 @@
         }
     }
 
+    /** Has the connection reset when it is closed, so that nothing of it is delivered later. */
+    void resetOnClose() {
+        if (getEndPoint().getTransport() instanceof SocketChannel channel) {
+            try {
+                channel.setOption(StandardSocketOptions.SO_LINGER, 0);
+            } catch (IOException alreadyClosed) {
+                Logger.debug(
+                        "exchange: A connection was closed before it could be reset: {}.", alreadyClosed.getMessage());
+            }
+        }
+    }
+
     /** Ends the connection without a word to the handler. */
     void drop() {
         handler = null;
--- a/src/main/java/org/cuminshelf/exchange/UpstreamConnections.java
+++ b/src/main/java/org/cuminshelf/exchange/UpstreamConnections.java
@@ -347,5 +347,13 @@
                 connection.dropIfServing(handler);
             }
         }
+
+        @Override
+        public void discard() {
+            if (!cancelled && connection != null) {
+                connection.resetOnClose();
+            }
+            cancel();
+        }
     }
 }
--- a/src/main/java/org/cuminshelf/message/ConfigMachineState.java
+++ b/src/main/java/org/cuminshelf/message/ConfigMachineState.java
@@ -24,6 +24,7 @@
     accepted_ = emptyProtobufList();
     orders_ = emptyProtobufList();
     quarantined_ = emptyProtobufList();
+    usageDue_ = emptyProtobufList();
   }
   public static final int VERSION_FIELD_NUMBER = 1;
   private long version_;
@@ -461,6 +462,141 @@
     quarantined_.remove(index);
   }
 
+  public static final int USAGE_SETTLED_FIELD_NUMBER = 7;
+  private long usageSettled_;
+  /**
+   * <pre>
+   * Number of the last window whose counts stand, and the windows whose report wasn't acknowledged.
+   * </pre>
+   *
+   * <code>uint64 usage_settled = 7;</code>
+   * @return The usageSettled.
+   */
+  @java.lang.Override
+  public long getUsageSettled() {
+    return usageSettled_;
+  }
+  /**
+   * <pre>
+   * Number of the last window whose counts stand, and the windows whose report wasn't acknowledged.
+   * </pre>
+   *
+   * <code>uint64 usage_settled = 7;</code>
+   * @param value The usageSettled to set.
+   */
+  private void setUsageSettled(long value) {
+    
+    usageSettled_ = value;
+  }
+  /**
+   * <pre>
+   * Number of the last window whose counts stand, and the windows whose report wasn't acknowledged.
+   * </pre>
+   *
+   * <code>uint64 usage_settled = 7;</code>
+   */
+  private void clearUsageSettled() {
+
+    usageSettled_ = 0L;
+  }
+
+  public static final int USAGE_DUE_FIELD_NUMBER = 8;
+  private com.google.protobuf.Internal.ProtobufList<org.cuminshelf.message.UsageWindow> usageDue_;
+  /**
+   * <code>repeated .cuminshelf.UsageWindow usage_due = 8;</code>
+   */
+  @java.lang.Override
+  public java.util.List<org.cuminshelf.message.UsageWindow> getUsageDueList() {
+    return usageDue_;
+  }
+  /**
+   * <code>repeated .cuminshelf.UsageWindow usage_due = 8;</code>
+   */
+  public java.util.List<? extends org.cuminshelf.message.UsageWindowOrBuilder> 
+      getUsageDueOrBuilderList() {
+    return usageDue_;
+  }
+  /**
+   * <code>repeated .cuminshelf.UsageWindow usage_due = 8;</code>
+   */
+  @java.lang.Override
+  public int getUsageDueCount() {
+    return usageDue_.size();
+  }
+  /**
+   * <code>repeated .cuminshelf.UsageWindow usage_due = 8;</code>
+   */
+  @java.lang.Override
+  public org.cuminshelf.message.UsageWindow getUsageDue(int index) {
+    return usageDue_.get(index);
+  }
+  /**
+   * <code>repeated .cuminshelf.UsageWindow usage_due = 8;</code>
+   */
+  public org.cuminshelf.message.UsageWindowOrBuilder getUsageDueOrBuilder(
+      int index) {
+    return usageDue_.get(index);
+  }
+  private void ensureUsageDueIsMutable() {
+    com.google.protobuf.Internal.ProtobufList<org.cuminshelf.message.UsageWindow> tmp = usageDue_;
+    if (!tmp.isModifiable()) {
+      usageDue_ =
+          com.google.protobuf.GeneratedMessageLite.mutableCopy(tmp);
+     }
+  }
+
+  /**
+   * <code>repeated .cuminshelf.UsageWindow usage_due = 8;</code>
+   */
+  @java.lang.SuppressWarnings("ReturnValueIgnored")
+  private void setUsageDue(
+      int index, org.cuminshelf.message.UsageWindow value) {
+    value.getClass();  // minimal bytecode null check
+    ensureUsageDueIsMutable();
+    usageDue_.set(index, value);
+  }
+  /**
+   * <code>repeated .cuminshelf.UsageWindow usage_due = 8;</code>
+   */
+  @java.lang.SuppressWarnings("ReturnValueIgnored")
+  private void addUsageDue(org.cuminshelf.message.UsageWindow value) {
+    value.getClass();  // minimal bytecode null check
+    ensureUsageDueIsMutable();
+    usageDue_.add(value);
+  }
+  /**
+   * <code>repeated .cuminshelf.UsageWindow usage_due = 8;</code>
+   */
+  @java.lang.SuppressWarnings("ReturnValueIgnored")
+  private void addUsageDue(
+      int index, org.cuminshelf.message.UsageWindow value) {
+    value.getClass();  // minimal bytecode null check
+    ensureUsageDueIsMutable();
+    usageDue_.add(index, value);
+  }
+  /**
+   * <code>repeated .cuminshelf.UsageWindow usage_due = 8;</code>
+   */
+  private void addAllUsageDue(
+      java.lang.Iterable<? extends org.cuminshelf.message.UsageWindow> values) {
+    ensureUsageDueIsMutable();
+    com.google.protobuf.AbstractMessageLite.addAll(
+        values, usageDue_);
+  }
+  /**
+   * <code>repeated .cuminshelf.UsageWindow usage_due = 8;</code>
+   */
+  private void clearUsageDue() {
+    usageDue_ = emptyProtobufList();
+  }
+  /**
+   * <code>repeated .cuminshelf.UsageWindow usage_due = 8;</code>
+   */
+  private void removeUsageDue(int index) {
+    ensureUsageDueIsMutable();
+    usageDue_.remove(index);
+  }
+
   public static org.cuminshelf.message.ConfigMachineState parseFrom(
       java.nio.ByteBuffer data)
       throws com.google.protobuf.InvalidProtocolBufferException {
@@ -1021,6 +1157,148 @@
       return this;
     }
 
+    /**
+     * <pre>
+     * Number of the last window whose counts stand, and the windows whose report wasn't acknowledged.
+     * </pre>
+     *
+     * <code>uint64 usage_settled = 7;</code>
+     * @return The usageSettled.
+     */
+    @java.lang.Override
+    public long getUsageSettled() {
+      return instance.getUsageSettled();
+    }
+    /**
+     * <pre>
+     * Number of the last window whose counts stand, and the windows whose report wasn't acknowledged.
+     * </pre>
+     *
+     * <code>uint64 usage_settled = 7;</code>
+     * @param value The usageSettled to set.
+     * @return This builder for chaining.
+     */
+    public Builder setUsageSettled(long value) {
+      copyOnWrite();
+      instance.setUsageSettled(value);
+      return this;
+    }
+    /**
+     * <pre>
+     * Number of the last window whose counts stand, and the windows whose report wasn't acknowledged.
+     * </pre>
+     *
+     * <code>uint64 usage_settled = 7;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearUsageSettled() {
+      copyOnWrite();
+      instance.clearUsageSettled();
+      return this;
+    }
+
+    /**
+     * <code>repeated .cuminshelf.UsageWindow usage_due = 8;</code>
+     */
+    @java.lang.Override
+    public java.util.List<org.cuminshelf.message.UsageWindow> getUsageDueList() {
+      return java.util.Collections.unmodifiableList(
+          instance.getUsageDueList());
+    }
+    /**
+     * <code>repeated .cuminshelf.UsageWindow usage_due = 8;</code>
+     */
+    @java.lang.Override
+    public int getUsageDueCount() {
+      return instance.getUsageDueCount();
+    }/**
+     * <code>repeated .cuminshelf.UsageWindow usage_due = 8;</code>
+     */
+    @java.lang.Override
+    public org.cuminshelf.message.UsageWindow getUsageDue(int index) {
+      return instance.getUsageDue(index);
+    }
+    /**
+     * <code>repeated .cuminshelf.UsageWindow usage_due = 8;</code>
+     */
+    public Builder setUsageDue(
+        int index, org.cuminshelf.message.UsageWindow value) {
+      copyOnWrite();
+      instance.setUsageDue(index, value);
+      return this;
+    }
+    /**
+     * <code>repeated .cuminshelf.UsageWindow usage_due = 8;</code>
+     */
+    public Builder setUsageDue(
+        int index, org.cuminshelf.message.UsageWindow.Builder builderForValue) {
+      copyOnWrite();
+      instance.setUsageDue(index,
+          builderForValue.build());
+      return this;
+    }
+    /**
+     * <code>repeated .cuminshelf.UsageWindow usage_due = 8;</code>
+     */
+    public Builder addUsageDue(org.cuminshelf.message.UsageWindow value) {
+      copyOnWrite();
+      instance.addUsageDue(value);
+      return this;
+    }
+    /**
+     * <code>repeated .cuminshelf.UsageWindow usage_due = 8;</code>
+     */
+    public Builder addUsageDue(
+        int index, org.cuminshelf.message.UsageWindow value) {
+      copyOnWrite();
+      instance.addUsageDue(index, value);
+      return this;
+    }
+    /**
+     * <code>repeated .cuminshelf.UsageWindow usage_due = 8;</code>
+     */
+    public Builder addUsageDue(
+        org.cuminshelf.message.UsageWindow.Builder builderForValue) {
+      copyOnWrite();
+      instance.addUsageDue(builderForValue.build());
+      return this;
+    }
+    /**
+     * <code>repeated .cuminshelf.UsageWindow usage_due = 8;</code>
+     */
+    public Builder addUsageDue(
+        int index, org.cuminshelf.message.UsageWindow.Builder builderForValue) {
+      copyOnWrite();
+      instance.addUsageDue(index,
+          builderForValue.build());
+      return this;
+    }
+    /**
+     * <code>repeated .cuminshelf.UsageWindow usage_due = 8;</code>
+     */
+    public Builder addAllUsageDue(
+        java.lang.Iterable<? extends org.cuminshelf.message.UsageWindow> values) {
+      copyOnWrite();
+      instance.addAllUsageDue(values);
+      return this;
+    }
+    /**
+     * <code>repeated .cuminshelf.UsageWindow usage_due = 8;</code>
+     */
+    public Builder clearUsageDue() {
+      copyOnWrite();
+      instance.clearUsageDue();
+      return this;
+    }
+    /**
+     * <code>repeated .cuminshelf.UsageWindow usage_due = 8;</code>
+     */
+    public Builder removeUsageDue(int index) {
+      copyOnWrite();
+      instance.removeUsageDue(index);
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:cuminshelf.ConfigMachineState)
   }
   @java.lang.Override
@@ -1046,10 +1324,13 @@
             org.cuminshelf.message.DirectOrder.class,
             "quarantined_",
             org.cuminshelf.message.QuarantinedRequest.class,
+            "usageSettled_",
+            "usageDue_",
+            org.cuminshelf.message.UsageWindow.class,
           };
           java.lang.String info =
-              "\u0000\u0006\u0000\u0000\u0001\u0006\u0006\u0000\u0003\u0000\u0001\u0003\u0002\n" +
-              "\u0003\u0208\u0004\u001b\u0005\u001b\u0006\u001b";
+              "\u0000\b\u0000\u0000\u0001\b\b\u0000\u0004\u0000\u0001\u0003\u0002\n\u0003\u0208" +
+              "\u0004\u001b\u0005\u001b\u0006\u001b\u0007\u0003\b\u001b";
           return newMessageInfo(DEFAULT_INSTANCE, info, objects);
       }
       case GET_DEFAULT_INSTANCE: {
--- a/src/main/java/org/cuminshelf/message/ConfigMachineStateOrBuilder.java
+++ b/src/main/java/org/cuminshelf/message/ConfigMachineStateOrBuilder.java
@@ -87,4 +87,28 @@
    * <code>repeated .cuminshelf.QuarantinedRequest quarantined = 6;</code>
    */
   int getQuarantinedCount();
+
+  /**
+   * <pre>
+   * Number of the last window whose counts stand, and the windows whose report wasn't acknowledged.
+   * </pre>
+   *
+   * <code>uint64 usage_settled = 7;</code>
+   * @return The usageSettled.
+   */
+  long getUsageSettled();
+
+  /**
+   * <code>repeated .cuminshelf.UsageWindow usage_due = 8;</code>
+   */
+  java.util.List<org.cuminshelf.message.UsageWindow> 
+      getUsageDueList();
+  /**
+   * <code>repeated .cuminshelf.UsageWindow usage_due = 8;</code>
+   */
+  org.cuminshelf.message.UsageWindow getUsageDue(int index);
+  /**
+   * <code>repeated .cuminshelf.UsageWindow usage_due = 8;</code>
+   */
+  int getUsageDueCount();
 }
--- a/src/main/java/org/cuminshelf/message/Envelope.java
+++ b/src/main/java/org/cuminshelf/message/Envelope.java
@@ -59,6 +59,9 @@
     CONFIG_FETCH(63),
     CONFIG_BODY(64),
     SEND_DIRECT_ORDER(62),
+    SEND_USAGE_REPORT(65),
+    GIVE_UP_USAGE_REPORT(66),
+    USAGE_REPORTED(67),
     CALL_ARRIVED(70),
     CALL_GONE(71),
     ANSWER_HEAD(72),
@@ -127,6 +130,9 @@
         case 63: return CONFIG_FETCH;
         case 64: return CONFIG_BODY;
         case 62: return SEND_DIRECT_ORDER;
+        case 65: return SEND_USAGE_REPORT;
+        case 66: return GIVE_UP_USAGE_REPORT;
+        case 67: return USAGE_REPORTED;
         case 70: return CALL_ARRIVED;
         case 71: return CALL_GONE;
         case 72: return ANSWER_HEAD;
@@ -2141,6 +2147,182 @@
     }
   }
 
+  public static final int SEND_USAGE_REPORT_FIELD_NUMBER = 65;
+  /**
+   * <pre>
+   * local: the same port, for calls to the platform
+   * </pre>
+   *
+   * <code>.cuminshelf.UsageReport send_usage_report = 65;</code>
+   */
+  @java.lang.Override
+  public boolean hasSendUsageReport() {
+    return bodyCase_ == 65;
+  }
+  /**
+   * <pre>
+   * local: the same port, for calls to the platform
+   * </pre>
+   *
+   * <code>.cuminshelf.UsageReport send_usage_report = 65;</code>
+   */
+  @java.lang.Override
+  public org.cuminshelf.message.UsageReport getSendUsageReport() {
+    if (bodyCase_ == 65) {
+       return (org.cuminshelf.message.UsageReport) body_;
+    }
+    return org.cuminshelf.message.UsageReport.getDefaultInstance();
+  }
+  /**
+   * <pre>
+   * local: the same port, for calls to the platform
+   * </pre>
+   *
+   * <code>.cuminshelf.UsageReport send_usage_report = 65;</code>
+   */
+  @java.lang.SuppressWarnings("ReturnValueIgnored")
+  private void setSendUsageReport(org.cuminshelf.message.UsageReport value) {
+    value.getClass();  // minimal bytecode null check
+    body_ = value;
+    bodyCase_ = 65;
+  }
+  /**
+   * <pre>
+   * local: the same port, for calls to the platform
+   * </pre>
+   *
+   * <code>.cuminshelf.UsageReport send_usage_report = 65;</code>
+   */
+  @java.lang.SuppressWarnings("ReturnValueIgnored")
+  private void mergeSendUsageReport(org.cuminshelf.message.UsageReport value) {
+    value.getClass();  // minimal bytecode null check
+    if (bodyCase_ == 65 &&
+        body_ != org.cuminshelf.message.UsageReport.getDefaultInstance()) {
+      body_ = org.cuminshelf.message.UsageReport.newBuilder((org.cuminshelf.message.UsageReport) body_)
+          .mergeFrom(value).buildPartial();
+    } else {
+      body_ = value;
+    }
+    bodyCase_ = 65;
+  }
+  /**
+   * <pre>
+   * local: the same port, for calls to the platform
+   * </pre>
+   *
+   * <code>.cuminshelf.UsageReport send_usage_report = 65;</code>
+   */
+  private void clearSendUsageReport() {
+    if (bodyCase_ == 65) {
+      bodyCase_ = 0;
+      body_ = null;
+    }
+  }
+
+  public static final int GIVE_UP_USAGE_REPORT_FIELD_NUMBER = 66;
+  /**
+   * <code>.cuminshelf.UsageGiveUp give_up_usage_report = 66;</code>
+   */
+  @java.lang.Override
+  public boolean hasGiveUpUsageReport() {
+    return bodyCase_ == 66;
+  }
+  /**
+   * <code>.cuminshelf.UsageGiveUp give_up_usage_report = 66;</code>
+   */
+  @java.lang.Override
+  public org.cuminshelf.message.UsageGiveUp getGiveUpUsageReport() {
+    if (bodyCase_ == 66) {
+       return (org.cuminshelf.message.UsageGiveUp) body_;
+    }
+    return org.cuminshelf.message.UsageGiveUp.getDefaultInstance();
+  }
+  /**
+   * <code>.cuminshelf.UsageGiveUp give_up_usage_report = 66;</code>
+   */
+  @java.lang.SuppressWarnings("ReturnValueIgnored")
+  private void setGiveUpUsageReport(org.cuminshelf.message.UsageGiveUp value) {
+    value.getClass();  // minimal bytecode null check
+    body_ = value;
+    bodyCase_ = 66;
+  }
+  /**
+   * <code>.cuminshelf.UsageGiveUp give_up_usage_report = 66;</code>
+   */
+  @java.lang.SuppressWarnings("ReturnValueIgnored")
+  private void mergeGiveUpUsageReport(org.cuminshelf.message.UsageGiveUp value) {
+    value.getClass();  // minimal bytecode null check
+    if (bodyCase_ == 66 &&
+        body_ != org.cuminshelf.message.UsageGiveUp.getDefaultInstance()) {
+      body_ = org.cuminshelf.message.UsageGiveUp.newBuilder((org.cuminshelf.message.UsageGiveUp) body_)
+          .mergeFrom(value).buildPartial();
+    } else {
+      body_ = value;
+    }
+    bodyCase_ = 66;
+  }
+  /**
+   * <code>.cuminshelf.UsageGiveUp give_up_usage_report = 66;</code>
+   */
+  private void clearGiveUpUsageReport() {
+    if (bodyCase_ == 66) {
+      bodyCase_ = 0;
+      body_ = null;
+    }
+  }
+
+  public static final int USAGE_REPORTED_FIELD_NUMBER = 67;
+  /**
+   * <code>.cuminshelf.UsageReported usage_reported = 67;</code>
+   */
+  @java.lang.Override
+  public boolean hasUsageReported() {
+    return bodyCase_ == 67;
+  }
+  /**
+   * <code>.cuminshelf.UsageReported usage_reported = 67;</code>
+   */
+  @java.lang.Override
+  public org.cuminshelf.message.UsageReported getUsageReported() {
+    if (bodyCase_ == 67) {
+       return (org.cuminshelf.message.UsageReported) body_;
+    }
+    return org.cuminshelf.message.UsageReported.getDefaultInstance();
+  }
+  /**
+   * <code>.cuminshelf.UsageReported usage_reported = 67;</code>
+   */
+  @java.lang.SuppressWarnings("ReturnValueIgnored")
+  private void setUsageReported(org.cuminshelf.message.UsageReported value) {
+    value.getClass();  // minimal bytecode null check
+    body_ = value;
+    bodyCase_ = 67;
+  }
+  /**
+   * <code>.cuminshelf.UsageReported usage_reported = 67;</code>
+   */
+  @java.lang.SuppressWarnings("ReturnValueIgnored")
+  private void mergeUsageReported(org.cuminshelf.message.UsageReported value) {
+    value.getClass();  // minimal bytecode null check
+    if (bodyCase_ == 67 &&
+        body_ != org.cuminshelf.message.UsageReported.getDefaultInstance()) {
+      body_ = org.cuminshelf.message.UsageReported.newBuilder((org.cuminshelf.message.UsageReported) body_)
+          .mergeFrom(value).buildPartial();
+    } else {
+      body_ = value;
+    }
+    bodyCase_ = 67;
+  }
+  /**
+   * <code>.cuminshelf.UsageReported usage_reported = 67;</code>
+   */
+  private void clearUsageReported() {
+    if (bodyCase_ == 67) {
+      bodyCase_ = 0;
+      body_ = null;
+    }
+  }
+
   public static final int CALL_ARRIVED_FIELD_NUMBER = 70;
   /**
    * <pre>
@@ -5183,6 +5365,174 @@
       return this;
     }
 
+    /**
+     * <pre>
+     * local: the same port, for calls to the platform
+     * </pre>
+     *
+     * <code>.cuminshelf.UsageReport send_usage_report = 65;</code>
+     */
+    @java.lang.Override
+    public boolean hasSendUsageReport() {
+      return instance.hasSendUsageReport();
+    }
+    /**
+     * <pre>
+     * local: the same port, for calls to the platform
+     * </pre>
+     *
+     * <code>.cuminshelf.UsageReport send_usage_report = 65;</code>
+     */
+    @java.lang.Override
+    public org.cuminshelf.message.UsageReport getSendUsageReport() {
+      return instance.getSendUsageReport();
+    }
+    /**
+     * <pre>
+     * local: the same port, for calls to the platform
+     * </pre>
+     *
+     * <code>.cuminshelf.UsageReport send_usage_report = 65;</code>
+     */
+    public Builder setSendUsageReport(org.cuminshelf.message.UsageReport value) {
+      copyOnWrite();
+      instance.setSendUsageReport(value);
+      return this;
+    }
+    /**
+     * <pre>
+     * local: the same port, for calls to the platform
+     * </pre>
+     *
+     * <code>.cuminshelf.UsageReport send_usage_report = 65;</code>
+     */
+    public Builder setSendUsageReport(
+        org.cuminshelf.message.UsageReport.Builder builderForValue) {
+      copyOnWrite();
+      instance.setSendUsageReport(builderForValue.build());
+      return this;
+    }
+    /**
+     * <pre>
+     * local: the same port, for calls to the platform
+     * </pre>
+     *
+     * <code>.cuminshelf.UsageReport send_usage_report = 65;</code>
+     */
+    public Builder mergeSendUsageReport(org.cuminshelf.message.UsageReport value) {
+      copyOnWrite();
+      instance.mergeSendUsageReport(value);
+      return this;
+    }
+    /**
+     * <pre>
+     * local: the same port, for calls to the platform
+     * </pre>
+     *
+     * <code>.cuminshelf.UsageReport send_usage_report = 65;</code>
+     */
+    public Builder clearSendUsageReport() {
+      copyOnWrite();
+      instance.clearSendUsageReport();
+      return this;
+    }
+
+    /**
+     * <code>.cuminshelf.UsageGiveUp give_up_usage_report = 66;</code>
+     */
+    @java.lang.Override
+    public boolean hasGiveUpUsageReport() {
+      return instance.hasGiveUpUsageReport();
+    }
+    /**
+     * <code>.cuminshelf.UsageGiveUp give_up_usage_report = 66;</code>
+     */
+    @java.lang.Override
+    public org.cuminshelf.message.UsageGiveUp getGiveUpUsageReport() {
+      return instance.getGiveUpUsageReport();
+    }
+    /**
+     * <code>.cuminshelf.UsageGiveUp give_up_usage_report = 66;</code>
+     */
+    public Builder setGiveUpUsageReport(org.cuminshelf.message.UsageGiveUp value) {
+      copyOnWrite();
+      instance.setGiveUpUsageReport(value);
+      return this;
+    }
+    /**
+     * <code>.cuminshelf.UsageGiveUp give_up_usage_report = 66;</code>
+     */
+    public Builder setGiveUpUsageReport(
+        org.cuminshelf.message.UsageGiveUp.Builder builderForValue) {
+      copyOnWrite();
+      instance.setGiveUpUsageReport(builderForValue.build());
+      return this;
+    }
+    /**
+     * <code>.cuminshelf.UsageGiveUp give_up_usage_report = 66;</code>
+     */
+    public Builder mergeGiveUpUsageReport(org.cuminshelf.message.UsageGiveUp value) {
+      copyOnWrite();
+      instance.mergeGiveUpUsageReport(value);
+      return this;
+    }
+    /**
+     * <code>.cuminshelf.UsageGiveUp give_up_usage_report = 66;</code>
+     */
+    public Builder clearGiveUpUsageReport() {
+      copyOnWrite();
+      instance.clearGiveUpUsageReport();
+      return this;
+    }
+
+    /**
+     * <code>.cuminshelf.UsageReported usage_reported = 67;</code>
+     */
+    @java.lang.Override
+    public boolean hasUsageReported() {
+      return instance.hasUsageReported();
+    }
+    /**
+     * <code>.cuminshelf.UsageReported usage_reported = 67;</code>
+     */
+    @java.lang.Override
+    public org.cuminshelf.message.UsageReported getUsageReported() {
+      return instance.getUsageReported();
+    }
+    /**
+     * <code>.cuminshelf.UsageReported usage_reported = 67;</code>
+     */
+    public Builder setUsageReported(org.cuminshelf.message.UsageReported value) {
+      copyOnWrite();
+      instance.setUsageReported(value);
+      return this;
+    }
+    /**
+     * <code>.cuminshelf.UsageReported usage_reported = 67;</code>
+     */
+    public Builder setUsageReported(
+        org.cuminshelf.message.UsageReported.Builder builderForValue) {
+      copyOnWrite();
+      instance.setUsageReported(builderForValue.build());
+      return this;
+    }
+    /**
+     * <code>.cuminshelf.UsageReported usage_reported = 67;</code>
+     */
+    public Builder mergeUsageReported(org.cuminshelf.message.UsageReported value) {
+      copyOnWrite();
+      instance.mergeUsageReported(value);
+      return this;
+    }
+    /**
+     * <code>.cuminshelf.UsageReported usage_reported = 67;</code>
+     */
+    public Builder clearUsageReported() {
+      copyOnWrite();
+      instance.clearUsageReported();
+      return this;
+    }
+
     /**
      * <pre>
      * local: callers' port of an entry
@@ -6245,6 +6595,9 @@
             org.cuminshelf.message.DirectOrder.class,
             org.cuminshelf.message.ConfigFetch.class,
             org.cuminshelf.message.ConfigBody.class,
+            org.cuminshelf.message.UsageReport.class,
+            org.cuminshelf.message.UsageGiveUp.class,
+            org.cuminshelf.message.UsageReported.class,
             org.cuminshelf.message.CallArrived.class,
             org.cuminshelf.message.CallGone.class,
             org.cuminshelf.message.AnswerHead.class,
@@ -6266,13 +6619,14 @@
             org.cuminshelf.message.WallClock.class,
           };
           java.lang.String info =
-              "\u00007\u0001\u0000\u0001a7\u0000\u0000\u0000\u0001\u0208\u0002\u0003\n<\u0000\u000b" +
+              "\u0000:\u0001\u0000\u0001a:\u0000\u0000\u0000\u0001\u0208\u0002\u0003\n<\u0000\u000b" +
               "<\u0000\f<\u0000\r<\u0000\u000e<\u0000\u000f<\u0000\u0010<\u0000\u0011<\u0000\u0012" +
               "<\u0000\u0013<\u0000\u0014<\u0000\u001e<\u0000\u001f<\u0000 <\u0000!<\u0000\"<\u0000" +
               "#<\u0000$<\u0000%<\u0000&<\u00002<\u00003<\u00004<\u00005<\u00006<\u00007<\u0000" +
-              "8<\u00009<\u0000:<\u0000<<\u0000=<\u0000><\u0000?<\u0000@<\u0000F<\u0000G<\u0000" +
-              "H<\u0000I<\u0000J<\u0000P<\u0000Q<\u0000R<\u0000S<\u0000T<\u0000U<\u0000V<\u0000" +
-              "W<\u0000X<\u0000Z<\u0000[<\u0000_<\u0000`<\u0000a<\u0000";
+              "8<\u00009<\u0000:<\u0000<<\u0000=<\u0000><\u0000?<\u0000@<\u0000A<\u0000B<\u0000" +
+              "C<\u0000F<\u0000G<\u0000H<\u0000I<\u0000J<\u0000P<\u0000Q<\u0000R<\u0000S<\u0000" +
+              "T<\u0000U<\u0000V<\u0000W<\u0000X<\u0000Z<\u0000[<\u0000_<\u0000`<\u0000a<\u0000" +
+              "";
           return newMessageInfo(DEFAULT_INSTANCE, info, objects);
       }
       case GET_DEFAULT_INSTANCE: {
--- a/src/main/java/org/cuminshelf/message/EnvelopeOrBuilder.java
+++ b/src/main/java/org/cuminshelf/message/EnvelopeOrBuilder.java
@@ -454,6 +454,47 @@
    */
   org.cuminshelf.message.DirectOrder getSendDirectOrder();
 
+  /**
+   * <pre>
+   * local: the same port, for calls to the platform
+   * </pre>
+   *
+   * <code>.cuminshelf.UsageReport send_usage_report = 65;</code>
+   * @return Whether the sendUsageReport field is set.
+   */
+  boolean hasSendUsageReport();
+  /**
+   * <pre>
+   * local: the same port, for calls to the platform
+   * </pre>
+   *
+   * <code>.cuminshelf.UsageReport send_usage_report = 65;</code>
+   * @return The sendUsageReport.
+   */
+  org.cuminshelf.message.UsageReport getSendUsageReport();
+
+  /**
+   * <code>.cuminshelf.UsageGiveUp give_up_usage_report = 66;</code>
+   * @return Whether the giveUpUsageReport field is set.
+   */
+  boolean hasGiveUpUsageReport();
+  /**
+   * <code>.cuminshelf.UsageGiveUp give_up_usage_report = 66;</code>
+   * @return The giveUpUsageReport.
+   */
+  org.cuminshelf.message.UsageGiveUp getGiveUpUsageReport();
+
+  /**
+   * <code>.cuminshelf.UsageReported usage_reported = 67;</code>
+   * @return Whether the usageReported field is set.
+   */
+  boolean hasUsageReported();
+  /**
+   * <code>.cuminshelf.UsageReported usage_reported = 67;</code>
+   * @return The usageReported.
+   */
+  org.cuminshelf.message.UsageReported getUsageReported();
+
   /**
    * <pre>
    * local: callers' port of an entry
--- a/src/main/java/org/cuminshelf/message/LogEntry.java
+++ b/src/main/java/org/cuminshelf/message/LogEntry.java
@@ -29,6 +29,8 @@
     NONE(10),
     DIRECT_ORDER(11),
     QUARANTINED(12),
+    USAGE_SETTLED(13),
+    USAGE_REPORTED(14),
     COMMAND_NOT_SET(0);
     private final int value;
     private CommandCase(int value) {
@@ -53,6 +55,8 @@
         case 10: return NONE;
         case 11: return DIRECT_ORDER;
         case 12: return QUARANTINED;
+        case 13: return USAGE_SETTLED;
+        case 14: return USAGE_REPORTED;
         case 0: return COMMAND_NOT_SET;
         default: return null;
       }
@@ -618,6 +622,132 @@
     }
   }
 
+  public static final int USAGE_SETTLED_FIELD_NUMBER = 13;
+  /**
+   * <pre>
+   * The counts of a window, as they are reported from now on.
+   * </pre>
+   *
+   * <code>.cuminshelf.UsageWindow usage_settled = 13;</code>
+   */
+  @java.lang.Override
+  public boolean hasUsageSettled() {
+    return commandCase_ == 13;
+  }
+  /**
+   * <pre>
+   * The counts of a window, as they are reported from now on.
+   * </pre>
+   *
+   * <code>.cuminshelf.UsageWindow usage_settled = 13;</code>
+   */
+  @java.lang.Override
+  public org.cuminshelf.message.UsageWindow getUsageSettled() {
+    if (commandCase_ == 13) {
+       return (org.cuminshelf.message.UsageWindow) command_;
+    }
+    return org.cuminshelf.message.UsageWindow.getDefaultInstance();
+  }
+  /**
+   * <pre>
+   * The counts of a window, as they are reported from now on.
+   * </pre>
+   *
+   * <code>.cuminshelf.UsageWindow usage_settled = 13;</code>
+   */
+  @java.lang.SuppressWarnings("ReturnValueIgnored")
+  private void setUsageSettled(org.cuminshelf.message.UsageWindow value) {
+    value.getClass();  // minimal bytecode null check
+    command_ = value;
+    commandCase_ = 13;
+  }
+  /**
+   * <pre>
+   * The counts of a window, as they are reported from now on.
+   * </pre>
+   *
+   * <code>.cuminshelf.UsageWindow usage_settled = 13;</code>
+   */
+  @java.lang.SuppressWarnings("ReturnValueIgnored")
+  private void mergeUsageSettled(org.cuminshelf.message.UsageWindow value) {
+    value.getClass();  // minimal bytecode null check
+    if (commandCase_ == 13 &&
+        command_ != org.cuminshelf.message.UsageWindow.getDefaultInstance()) {
+      command_ = org.cuminshelf.message.UsageWindow.newBuilder((org.cuminshelf.message.UsageWindow) command_)
+          .mergeFrom(value).buildPartial();
+    } else {
+      command_ = value;
+    }
+    commandCase_ = 13;
+  }
+  /**
+   * <pre>
+   * The counts of a window, as they are reported from now on.
+   * </pre>
+   *
+   * <code>.cuminshelf.UsageWindow usage_settled = 13;</code>
+   */
+  private void clearUsageSettled() {
+    if (commandCase_ == 13) {
+      commandCase_ = 0;
+      command_ = null;
+    }
+  }
+
+  public static final int USAGE_REPORTED_FIELD_NUMBER = 14;
+  /**
+   * <pre>
+   * Number of a window whose report was acknowledged.
+   * </pre>
+   *
+   * <code>uint64 usage_reported = 14;</code>
+   * @return Whether the usageReported field is set.
+   */
+  @java.lang.Override
+  public boolean hasUsageReported() {
+    return commandCase_ == 14;
+  }
+  /**
+   * <pre>
+   * Number of a window whose report was acknowledged.
+   * </pre>
+   *
+   * <code>uint64 usage_reported = 14;</code>
+   * @return The usageReported.
+   */
+  @java.lang.Override
+  public long getUsageReported() {
+    if (commandCase_ == 14) {
+      return (java.lang.Long) command_;
+    }
+    return 0L;
+  }
+  /**
+   * <pre>
+   * Number of a window whose report was acknowledged.
+   * </pre>
+   *
+   * <code>uint64 usage_reported = 14;</code>
+   * @param value The usageReported to set.
+   */
+  private void setUsageReported(long value) {
+    commandCase_ = 14;
+    command_ = value;
+  }
+  /**
+   * <pre>
+   * Number of a window whose report was acknowledged.
+   * </pre>
+   *
+   * <code>uint64 usage_reported = 14;</code>
+   */
+  private void clearUsageReported() {
+    if (commandCase_ == 14) {
+      commandCase_ = 0;
+      command_ = null;
+    }
+  }
+
   public static org.cuminshelf.message.LogEntry parseFrom(
       java.nio.ByteBuffer data)
       throws com.google.protobuf.InvalidProtocolBufferException {
@@ -1243,6 +1373,130 @@
       return this;
     }
 
+    /**
+     * <pre>
+     * The counts of a window, as they are reported from now on.
+     * </pre>
+     *
+     * <code>.cuminshelf.UsageWindow usage_settled = 13;</code>
+     */
+    @java.lang.Override
+    public boolean hasUsageSettled() {
+      return instance.hasUsageSettled();
+    }
+    /**
+     * <pre>
+     * The counts of a window, as they are reported from now on.
+     * </pre>
+     *
+     * <code>.cuminshelf.UsageWindow usage_settled = 13;</code>
+     */
+    @java.lang.Override
+    public org.cuminshelf.message.UsageWindow getUsageSettled() {
+      return instance.getUsageSettled();
+    }
+    /**
+     * <pre>
+     * The counts of a window, as they are reported from now on.
+     * </pre>
+     *
+     * <code>.cuminshelf.UsageWindow usage_settled = 13;</code>
+     */
+    public Builder setUsageSettled(org.cuminshelf.message.UsageWindow value) {
+      copyOnWrite();
+      instance.setUsageSettled(value);
+      return this;
+    }
+    /**
+     * <pre>
+     * The counts of a window, as they are reported from now on.
+     * </pre>
+     *
+     * <code>.cuminshelf.UsageWindow usage_settled = 13;</code>
+     */
+    public Builder setUsageSettled(
+        org.cuminshelf.message.UsageWindow.Builder builderForValue) {
+      copyOnWrite();
+      instance.setUsageSettled(builderForValue.build());
+      return this;
+    }
+    /**
+     * <pre>
+     * The counts of a window, as they are reported from now on.
+     * </pre>
+     *
+     * <code>.cuminshelf.UsageWindow usage_settled = 13;</code>
+     */
+    public Builder mergeUsageSettled(org.cuminshelf.message.UsageWindow value) {
+      copyOnWrite();
+      instance.mergeUsageSettled(value);
+      return this;
+    }
+    /**
+     * <pre>
+     * The counts of a window, as they are reported from now on.
+     * </pre>
+     *
+     * <code>.cuminshelf.UsageWindow usage_settled = 13;</code>
+     */
+    public Builder clearUsageSettled() {
+      copyOnWrite();
+      instance.clearUsageSettled();
+      return this;
+    }
+
+    /**
+     * <pre>
+     * Number of a window whose report was acknowledged.
+     * </pre>
+     *
+     * <code>uint64 usage_reported = 14;</code>
+     * @return Whether the usageReported field is set.
+     */
+    @java.lang.Override
+    public boolean hasUsageReported() {
+      return instance.hasUsageReported();
+    }
+    /**
+     * <pre>
+     * Number of a window whose report was acknowledged.
+     * </pre>
+     *
+     * <code>uint64 usage_reported = 14;</code>
+     * @return The usageReported.
+     */
+    @java.lang.Override
+    public long getUsageReported() {
+      return instance.getUsageReported();
+    }
+    /**
+     * <pre>
+     * Number of a window whose report was acknowledged.
+     * </pre>
+     *
+     * <code>uint64 usage_reported = 14;</code>
+     * @param value The usageReported to set.
+     * @return This builder for chaining.
+     */
+    public Builder setUsageReported(long value) {
+      copyOnWrite();
+      instance.setUsageReported(value);
+      return this;
+    }
+    /**
+     * <pre>
+     * Number of a window whose report was acknowledged.
+     * </pre>
+     *
+     * <code>uint64 usage_reported = 14;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearUsageReported() {
+      copyOnWrite();
+      instance.clearUsageReported();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:cuminshelf.LogEntry)
   }
   @java.lang.Override
@@ -1272,11 +1526,12 @@
             org.cuminshelf.message.UpstreamSeen.class,
             org.cuminshelf.message.DirectOrder.class,
             org.cuminshelf.message.QuarantinedRequest.class,
+            org.cuminshelf.message.UsageWindow.class,
           };
           java.lang.String info =
-              "\u0000\f\u0001\u0000\u0001\f\f\u0000\u0000\u0000\u0001\u0003\u0002\u0003\u0003\u0003" +
-              "\u0004<\u0000\u0005<\u0000\u0006<\u0000\u0007<\u0000\b<\u0000\t<\u0000\n:\u0000\u000b" +
-              "<\u0000\f<\u0000";
+              "\u0000\u000e\u0001\u0000\u0001\u000e\u000e\u0000\u0000\u0000\u0001\u0003\u0002\u0003" +
+              "\u0003\u0003\u0004<\u0000\u0005<\u0000\u0006<\u0000\u0007<\u0000\b<\u0000\t<\u0000" +
+              "\n:\u0000\u000b<\u0000\f<\u0000\r<\u0000\u000e6\u0000";
           return newMessageInfo(DEFAULT_INSTANCE, info, objects);
       }
       case GET_DEFAULT_INSTANCE: {
--- a/src/main/java/org/cuminshelf/message/LogEntryOrBuilder.java
+++ b/src/main/java/org/cuminshelf/message/LogEntryOrBuilder.java
@@ -131,5 +131,43 @@
    */
   org.cuminshelf.message.QuarantinedRequest getQuarantined();
 
+  /**
+   * <pre>
+   * The counts of a window, as they are reported from now on.
+   * </pre>
+   *
+   * <code>.cuminshelf.UsageWindow usage_settled = 13;</code>
+   * @return Whether the usageSettled field is set.
+   */
+  boolean hasUsageSettled();
+  /**
+   * <pre>
+   * The counts of a window, as they are reported from now on.
+   * </pre>
+   *
+   * <code>.cuminshelf.UsageWindow usage_settled = 13;</code>
+   * @return The usageSettled.
+   */
+  org.cuminshelf.message.UsageWindow getUsageSettled();
+
+  /**
+   * <pre>
+   * Number of a window whose report was acknowledged.
+   * </pre>
+   *
+   * <code>uint64 usage_reported = 14;</code>
+   * @return Whether the usageReported field is set.
+   */
+  boolean hasUsageReported();
+  /**
+   * <pre>
+   * Number of a window whose report was acknowledged.
+   * </pre>
+   *
+   * <code>uint64 usage_reported = 14;</code>
+   * @return The usageReported.
+   */
+  long getUsageReported();
+
   public org.cuminshelf.message.LogEntry.CommandCase getCommandCase();
 }
--- a/src/main/java/org/cuminshelf/message/Subscribe.java
+++ b/src/main/java/org/cuminshelf/message/Subscribe.java
@@ -24,6 +24,7 @@
     offered_ = emptyProtobufList();
     crashes_ = emptyProtobufList();
     quarantined_ = emptyProtobufList();
+    usage_ = emptyProtobufList();
   }
   public static final int CONFIG_VERSION_FIELD_NUMBER = 1;
   private long configVersion_;
@@ -738,6 +739,243 @@
     quarantined_.remove(index);
   }
 
+  public static final int ASKED_AT_NS_FIELD_NUMBER = 15;
+  private long askedAtNs_;
+  /**
+   * <pre>
+   * Reading of the sender's monotonic clock, which the answer returns.
+   * </pre>
+   *
+   * <code>sint64 asked_at_ns = 15;</code>
+   * @return The askedAtNs.
+   */
+  @java.lang.Override
+  public long getAskedAtNs() {
+    return askedAtNs_;
+  }
+  /**
+   * <pre>
+   * Reading of the sender's monotonic clock, which the answer returns.
+   * </pre>
+   *
+   * <code>sint64 asked_at_ns = 15;</code>
+   * @param value The askedAtNs to set.
+   */
+  private void setAskedAtNs(long value) {
+    
+    askedAtNs_ = value;
+  }
+  /**
+   * <pre>
+   * Reading of the sender's monotonic clock, which the answer returns.
+   * </pre>
+   *
+   * <code>sint64 asked_at_ns = 15;</code>
+   */
+  private void clearAskedAtNs() {
+
+    askedAtNs_ = 0L;
+  }
+
+  public static final int USAGE_VERSION_FIELD_NUMBER = 16;
+  private long usageVersion_;
+  /**
+   * <pre>
+   * Version of what the sender counted of usage, and the version since which changes are told here.
+   * </pre>
+   *
+   * <code>uint64 usage_version = 16;</code>
+   * @return The usageVersion.
+   */
+  @java.lang.Override
+  public long getUsageVersion() {
+    return usageVersion_;
+  }
+  /**
+   * <pre>
+   * Version of what the sender counted of usage, and the version since which changes are told here.
+   * </pre>
+   *
+   * <code>uint64 usage_version = 16;</code>
+   * @param value The usageVersion to set.
+   */
+  private void setUsageVersion(long value) {
+    
+    usageVersion_ = value;
+  }
+  /**
+   * <pre>
+   * Version of what the sender counted of usage, and the version since which changes are told here.
+   * </pre>
+   *
+   * <code>uint64 usage_version = 16;</code>
+   */
+  private void clearUsageVersion() {
+
+    usageVersion_ = 0L;
+  }
+
+  public static final int USAGE_SINCE_FIELD_NUMBER = 17;
+  private long usageSince_;
+  /**
+   * <code>uint64 usage_since = 17;</code>
+   * @return The usageSince.
+   */
+  @java.lang.Override
+  public long getUsageSince() {
+    return usageSince_;
+  }
+  /**
+   * <code>uint64 usage_since = 17;</code>
+   * @param value The usageSince to set.
+   */
+  private void setUsageSince(long value) {
+    
+    usageSince_ = value;
+  }
+  /**
+   * <code>uint64 usage_since = 17;</code>
+   */
+  private void clearUsageSince() {
+
+    usageSince_ = 0L;
+  }
+
+  public static final int USAGE_FIELD_NUMBER = 18;
+  private com.google.protobuf.Internal.ProtobufList<org.cuminshelf.message.UsageWindow> usage_;
+  /**
+   * <code>repeated .cuminshelf.UsageWindow usage = 18;</code>
+   */
+  @java.lang.Override
+  public java.util.List<org.cuminshelf.message.UsageWindow> getUsageList() {
+    return usage_;
+  }
+  /**
+   * <code>repeated .cuminshelf.UsageWindow usage = 18;</code>
+   */
+  public java.util.List<? extends org.cuminshelf.message.UsageWindowOrBuilder> 
+      getUsageOrBuilderList() {
+    return usage_;
+  }
+  /**
+   * <code>repeated .cuminshelf.UsageWindow usage = 18;</code>
+   */
+  @java.lang.Override
+  public int getUsageCount() {
+    return usage_.size();
+  }
+  /**
+   * <code>repeated .cuminshelf.UsageWindow usage = 18;</code>
+   */
+  @java.lang.Override
+  public org.cuminshelf.message.UsageWindow getUsage(int index) {
+    return usage_.get(index);
+  }
+  /**
+   * <code>repeated .cuminshelf.UsageWindow usage = 18;</code>
+   */
+  public org.cuminshelf.message.UsageWindowOrBuilder getUsageOrBuilder(
+      int index) {
+    return usage_.get(index);
+  }
+  private void ensureUsageIsMutable() {
+    com.google.protobuf.Internal.ProtobufList<org.cuminshelf.message.UsageWindow> tmp = usage_;
+    if (!tmp.isModifiable()) {
+      usage_ =
+          com.google.protobuf.GeneratedMessageLite.mutableCopy(tmp);
+     }
+  }
+
+  /**
+   * <code>repeated .cuminshelf.UsageWindow usage = 18;</code>
+   */
+  @java.lang.SuppressWarnings("ReturnValueIgnored")
+  private void setUsage(
+      int index, org.cuminshelf.message.UsageWindow value) {
+    value.getClass();  // minimal bytecode null check
+    ensureUsageIsMutable();
+    usage_.set(index, value);
+  }
+  /**
+   * <code>repeated .cuminshelf.UsageWindow usage = 18;</code>
+   */
+  @java.lang.SuppressWarnings("ReturnValueIgnored")
+  private void addUsage(org.cuminshelf.message.UsageWindow value) {
+    value.getClass();  // minimal bytecode null check
+    ensureUsageIsMutable();
+    usage_.add(value);
+  }
+  /**
+   * <code>repeated .cuminshelf.UsageWindow usage = 18;</code>
+   */
+  @java.lang.SuppressWarnings("ReturnValueIgnored")
+  private void addUsage(
+      int index, org.cuminshelf.message.UsageWindow value) {
+    value.getClass();  // minimal bytecode null check
+    ensureUsageIsMutable();
+    usage_.add(index, value);
+  }
+  /**
+   * <code>repeated .cuminshelf.UsageWindow usage = 18;</code>
+   */
+  private void addAllUsage(
+      java.lang.Iterable<? extends org.cuminshelf.message.UsageWindow> values) {
+    ensureUsageIsMutable();
+    com.google.protobuf.AbstractMessageLite.addAll(
+        values, usage_);
+  }
+  /**
+   * <code>repeated .cuminshelf.UsageWindow usage = 18;</code>
+   */
+  private void clearUsage() {
+    usage_ = emptyProtobufList();
+  }
+  /**
+   * <code>repeated .cuminshelf.UsageWindow usage = 18;</code>
+   */
+  private void removeUsage(int index) {
+    ensureUsageIsMutable();
+    usage_.remove(index);
+  }
+
+  public static final int USAGE_UNTIL_FIELD_NUMBER = 19;
+  private long usageUntil_;
+  /**
+   * <pre>
+   * Number of the first window of which the sender may still count; 0 where it knows no time yet.
+   * </pre>
+   *
+   * <code>uint64 usage_until = 19;</code>
+   * @return The usageUntil.
+   */
+  @java.lang.Override
+  public long getUsageUntil() {
+    return usageUntil_;
+  }
+  /**
+   * <pre>
+   * Number of the first window of which the sender may still count; 0 where it knows no time yet.
+   * </pre>
+   *
+   * <code>uint64 usage_until = 19;</code>
+   * @param value The usageUntil to set.
+   */
+  private void setUsageUntil(long value) {
+    
+    usageUntil_ = value;
+  }
+  /**
+   * <pre>
+   * Number of the first window of which the sender may still count; 0 where it knows no time yet.
+   * </pre>
+   *
+   * <code>uint64 usage_until = 19;</code>
+   */
+  private void clearUsageUntil() {
+
+    usageUntil_ = 0L;
+  }
+
   public static org.cuminshelf.message.Subscribe parseFrom(
       java.nio.ByteBuffer data)
       throws com.google.protobuf.InvalidProtocolBufferException {
@@ -1591,6 +1829,256 @@
       return this;
     }
 
+    /**
+     * <pre>
+     * Reading of the sender's monotonic clock, which the answer returns.
+     * </pre>
+     *
+     * <code>sint64 asked_at_ns = 15;</code>
+     * @return The askedAtNs.
+     */
+    @java.lang.Override
+    public long getAskedAtNs() {
+      return instance.getAskedAtNs();
+    }
+    /**
+     * <pre>
+     * Reading of the sender's monotonic clock, which the answer returns.
+     * </pre>
+     *
+     * <code>sint64 asked_at_ns = 15;</code>
+     * @param value The askedAtNs to set.
+     * @return This builder for chaining.
+     */
+    public Builder setAskedAtNs(long value) {
+      copyOnWrite();
+      instance.setAskedAtNs(value);
+      return this;
+    }
+    /**
+     * <pre>
+     * Reading of the sender's monotonic clock, which the answer returns.
+     * </pre>
+     *
+     * <code>sint64 asked_at_ns = 15;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearAskedAtNs() {
+      copyOnWrite();
+      instance.clearAskedAtNs();
+      return this;
+    }
+
+    /**
+     * <pre>
+     * Version of what the sender counted of usage, and the version since which changes are told here.
+     * </pre>
+     *
+     * <code>uint64 usage_version = 16;</code>
+     * @return The usageVersion.
+     */
+    @java.lang.Override
+    public long getUsageVersion() {
+      return instance.getUsageVersion();
+    }
+    /**
+     * <pre>
+     * Version of what the sender counted of usage, and the version since which changes are told here.
+     * </pre>
+     *
+     * <code>uint64 usage_version = 16;</code>
+     * @param value The usageVersion to set.
+     * @return This builder for chaining.
+     */
+    public Builder setUsageVersion(long value) {
+      copyOnWrite();
+      instance.setUsageVersion(value);
+      return this;
+    }
+    /**
+     * <pre>
+     * Version of what the sender counted of usage, and the version since which changes are told here.
+     * </pre>
+     *
+     * <code>uint64 usage_version = 16;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearUsageVersion() {
+      copyOnWrite();
+      instance.clearUsageVersion();
+      return this;
+    }
+
+    /**
+     * <code>uint64 usage_since = 17;</code>
+     * @return The usageSince.
+     */
+    @java.lang.Override
+    public long getUsageSince() {
+      return instance.getUsageSince();
+    }
+    /**
+     * <code>uint64 usage_since = 17;</code>
+     * @param value The usageSince to set.
+     * @return This builder for chaining.
+     */
+    public Builder setUsageSince(long value) {
+      copyOnWrite();
+      instance.setUsageSince(value);
+      return this;
+    }
+    /**
+     * <code>uint64 usage_since = 17;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearUsageSince() {
+      copyOnWrite();
+      instance.clearUsageSince();
+      return this;
+    }
+
+    /**
+     * <code>repeated .cuminshelf.UsageWindow usage = 18;</code>
+     */
+    @java.lang.Override
+    public java.util.List<org.cuminshelf.message.UsageWindow> getUsageList() {
+      return java.util.Collections.unmodifiableList(
+          instance.getUsageList());
+    }
+    /**
+     * <code>repeated .cuminshelf.UsageWindow usage = 18;</code>
+     */
+    @java.lang.Override
+    public int getUsageCount() {
+      return instance.getUsageCount();
+    }/**
+     * <code>repeated .cuminshelf.UsageWindow usage = 18;</code>
+     */
+    @java.lang.Override
+    public org.cuminshelf.message.UsageWindow getUsage(int index) {
+      return instance.getUsage(index);
+    }
+    /**
+     * <code>repeated .cuminshelf.UsageWindow usage = 18;</code>
+     */
+    public Builder setUsage(
+        int index, org.cuminshelf.message.UsageWindow value) {
+      copyOnWrite();
+      instance.setUsage(index, value);
+      return this;
+    }
+    /**
+     * <code>repeated .cuminshelf.UsageWindow usage = 18;</code>
+     */
+    public Builder setUsage(
+        int index, org.cuminshelf.message.UsageWindow.Builder builderForValue) {
+      copyOnWrite();
+      instance.setUsage(index,
+          builderForValue.build());
+      return this;
+    }
+    /**
+     * <code>repeated .cuminshelf.UsageWindow usage = 18;</code>
+     */
+    public Builder addUsage(org.cuminshelf.message.UsageWindow value) {
+      copyOnWrite();
+      instance.addUsage(value);
+      return this;
+    }
+    /**
+     * <code>repeated .cuminshelf.UsageWindow usage = 18;</code>
+     */
+    public Builder addUsage(
+        int index, org.cuminshelf.message.UsageWindow value) {
+      copyOnWrite();
+      instance.addUsage(index, value);
+      return this;
+    }
+    /**
+     * <code>repeated .cuminshelf.UsageWindow usage = 18;</code>
+     */
+    public Builder addUsage(
+        org.cuminshelf.message.UsageWindow.Builder builderForValue) {
+      copyOnWrite();
+      instance.addUsage(builderForValue.build());
+      return this;
+    }
+    /**
+     * <code>repeated .cuminshelf.UsageWindow usage = 18;</code>
+     */
+    public Builder addUsage(
+        int index, org.cuminshelf.message.UsageWindow.Builder builderForValue) {
+      copyOnWrite();
+      instance.addUsage(index,
+          builderForValue.build());
+      return this;
+    }
+    /**
+     * <code>repeated .cuminshelf.UsageWindow usage = 18;</code>
+     */
+    public Builder addAllUsage(
+        java.lang.Iterable<? extends org.cuminshelf.message.UsageWindow> values) {
+      copyOnWrite();
+      instance.addAllUsage(values);
+      return this;
+    }
+    /**
+     * <code>repeated .cuminshelf.UsageWindow usage = 18;</code>
+     */
+    public Builder clearUsage() {
+      copyOnWrite();
+      instance.clearUsage();
+      return this;
+    }
+    /**
+     * <code>repeated .cuminshelf.UsageWindow usage = 18;</code>
+     */
+    public Builder removeUsage(int index) {
+      copyOnWrite();
+      instance.removeUsage(index);
+      return this;
+    }
+
+    /**
+     * <pre>
+     * Number of the first window of which the sender may still count; 0 where it knows no time yet.
+     * </pre>
+     *
+     * <code>uint64 usage_until = 19;</code>
+     * @return The usageUntil.
+     */
+    @java.lang.Override
+    public long getUsageUntil() {
+      return instance.getUsageUntil();
+    }
+    /**
+     * <pre>
+     * Number of the first window of which the sender may still count; 0 where it knows no time yet.
+     * </pre>
+     *
+     * <code>uint64 usage_until = 19;</code>
+     * @param value The usageUntil to set.
+     * @return This builder for chaining.
+     */
+    public Builder setUsageUntil(long value) {
+      copyOnWrite();
+      instance.setUsageUntil(value);
+      return this;
+    }
+    /**
+     * <pre>
+     * Number of the first window of which the sender may still count; 0 where it knows no time yet.
+     * </pre>
+     *
+     * <code>uint64 usage_until = 19;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearUsageUntil() {
+      copyOnWrite();
+      instance.clearUsageUntil();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:cuminshelf.Subscribe)
   }
   @java.lang.Override
@@ -1624,11 +2112,18 @@
             org.cuminshelf.message.UpstreamCrash.class,
             "quarantined_",
             org.cuminshelf.message.QuarantinedRequest.class,
+            "askedAtNs_",
+            "usageVersion_",
+            "usageSince_",
+            "usage_",
+            org.cuminshelf.message.UsageWindow.class,
+            "usageUntil_",
           };
           java.lang.String info =
-              "\u0000\u000e\u0000\u0000\u0001\u000e\u000e\u0000\u0003\u0000\u0001\u0003\u0002\u0003" +
+              "\u0000\u0013\u0000\u0000\u0001\u0013\u0013\u0000\u0004\u0000\u0001\u0003\u0002\u0003" +
               "\u0003\u0003\u0004\u0007\u0005\u0208\u0006\u0208\u0007\u0007\b\u001b\t\u0007\n\u0003" +
-              "\u000b\u0003\f\u0003\r\u001b\u000e\u001b";
+              "\u000b\u0003\f\u0003\r\u001b\u000e\u001b\u000f\u0010\u0010\u0003\u0011\u0003\u0012" +
+              "\u001b\u0013\u0003";
           return newMessageInfo(DEFAULT_INSTANCE, info, objects);
       }
       case GET_DEFAULT_INSTANCE: {
--- a/src/main/java/org/cuminshelf/message/SubscribeOrBuilder.java
+++ b/src/main/java/org/cuminshelf/message/SubscribeOrBuilder.java
@@ -157,4 +157,54 @@
    * <code>repeated .cuminshelf.QuarantinedRequest quarantined = 14;</code>
    */
   int getQuarantinedCount();
+
+  /**
+   * <pre>
+   * Reading of the sender's monotonic clock, which the answer returns.
+   * </pre>
+   *
+   * <code>sint64 asked_at_ns = 15;</code>
+   * @return The askedAtNs.
+   */
+  long getAskedAtNs();
+
+  /**
+   * <pre>
+   * Version of what the sender counted of usage, and the version since which changes are told here.
+   * </pre>
+   *
+   * <code>uint64 usage_version = 16;</code>
+   * @return The usageVersion.
+   */
+  long getUsageVersion();
+
+  /**
+   * <code>uint64 usage_since = 17;</code>
+   * @return The usageSince.
+   */
+  long getUsageSince();
+
+  /**
+   * <code>repeated .cuminshelf.UsageWindow usage = 18;</code>
+   */
+  java.util.List<org.cuminshelf.message.UsageWindow> 
+      getUsageList();
+  /**
+   * <code>repeated .cuminshelf.UsageWindow usage = 18;</code>
+   */
+  org.cuminshelf.message.UsageWindow getUsage(int index);
+  /**
+   * <code>repeated .cuminshelf.UsageWindow usage = 18;</code>
+   */
+  int getUsageCount();
+
+  /**
+   * <pre>
+   * Number of the first window of which the sender may still count; 0 where it knows no time yet.
+   * </pre>
+   *
+   * <code>uint64 usage_until = 19;</code>
+   * @return The usageUntil.
+   */
+  long getUsageUntil();
 }
--- a/src/main/java/org/cuminshelf/message/Update.java
+++ b/src/main/java/org/cuminshelf/message/Update.java
@@ -1323,6 +1323,146 @@
     quarantined_.remove(index);
   }
 
+  public static final int ASKED_AT_NS_FIELD_NUMBER = 20;
+  private long askedAtNs_;
+  /**
+   * <pre>
+   * Clock reading of the question, and Unix microseconds at which the question was taken in; 0 where unknown.
+   * </pre>
+   *
+   * <code>sint64 asked_at_ns = 20;</code>
+   * @return The askedAtNs.
+   */
+  @java.lang.Override
+  public long getAskedAtNs() {
+    return askedAtNs_;
+  }
+  /**
+   * <pre>
+   * Clock reading of the question, and Unix microseconds at which the question was taken in; 0 where unknown.
+   * </pre>
+   *
+   * <code>sint64 asked_at_ns = 20;</code>
+   * @param value The askedAtNs to set.
+   */
+  private void setAskedAtNs(long value) {
+    
+    askedAtNs_ = value;
+  }
+  /**
+   * <pre>
+   * Clock reading of the question, and Unix microseconds at which the question was taken in; 0 where unknown.
+   * </pre>
+   *
+   * <code>sint64 asked_at_ns = 20;</code>
+   */
+  private void clearAskedAtNs() {
+
+    askedAtNs_ = 0L;
+  }
+
+  public static final int TAKEN_AT_US_FIELD_NUMBER = 21;
+  private long takenAtUs_;
+  /**
+   * <code>uint64 taken_at_us = 21;</code>
+   * @return The takenAtUs.
+   */
+  @java.lang.Override
+  public long getTakenAtUs() {
+    return takenAtUs_;
+  }
+  /**
+   * <code>uint64 taken_at_us = 21;</code>
+   * @param value The takenAtUs to set.
+   */
+  private void setTakenAtUs(long value) {
+    
+    takenAtUs_ = value;
+  }
+  /**
+   * <code>uint64 taken_at_us = 21;</code>
+   */
+  private void clearTakenAtUs() {
+
+    takenAtUs_ = 0L;
+  }
+
+  public static final int USAGE_HEARD_FIELD_NUMBER = 22;
+  private long usageHeard_;
+  /**
+   * <pre>
+   * Version up to which the sender has heard what the subscriber counted of usage.
+   * </pre>
+   *
+   * <code>uint64 usage_heard = 22;</code>
+   * @return The usageHeard.
+   */
+  @java.lang.Override
+  public long getUsageHeard() {
+    return usageHeard_;
+  }
+  /**
+   * <pre>
+   * Version up to which the sender has heard what the subscriber counted of usage.
+   * </pre>
+   *
+   * <code>uint64 usage_heard = 22;</code>
+   * @param value The usageHeard to set.
+   */
+  private void setUsageHeard(long value) {
+    
+    usageHeard_ = value;
+  }
+  /**
+   * <pre>
+   * Version up to which the sender has heard what the subscriber counted of usage.
+   * </pre>
+   *
+   * <code>uint64 usage_heard = 22;</code>
+   */
+  private void clearUsageHeard() {
+
+    usageHeard_ = 0L;
+  }
+
+  public static final int USAGE_SETTLED_FIELD_NUMBER = 23;
+  private long usageSettled_;
+  /**
+   * <pre>
+   * Number of the last window whose counts stand for good.
+   * </pre>
+   *
+   * <code>uint64 usage_settled = 23;</code>
+   * @return The usageSettled.
+   */
+  @java.lang.Override
+  public long getUsageSettled() {
+    return usageSettled_;
+  }
+  /**
+   * <pre>
+   * Number of the last window whose counts stand for good.
+   * </pre>
+   *
+   * <code>uint64 usage_settled = 23;</code>
+   * @param value The usageSettled to set.
+   */
+  private void setUsageSettled(long value) {
+    
+    usageSettled_ = value;
+  }
+  /**
+   * <pre>
+   * Number of the last window whose counts stand for good.
+   * </pre>
+   *
+   * <code>uint64 usage_settled = 23;</code>
+   */
+  private void clearUsageSettled() {
+
+    usageSettled_ = 0L;
+  }
+
   public static org.cuminshelf.message.Update parseFrom(
       java.nio.ByteBuffer data)
       throws com.google.protobuf.InvalidProtocolBufferException {
@@ -2771,6 +2911,154 @@
       return this;
     }
 
+    /**
+     * <pre>
+     * Clock reading of the question, and Unix microseconds at which the question was taken in; 0 where unknown.
+     * </pre>
+     *
+     * <code>sint64 asked_at_ns = 20;</code>
+     * @return The askedAtNs.
+     */
+    @java.lang.Override
+    public long getAskedAtNs() {
+      return instance.getAskedAtNs();
+    }
+    /**
+     * <pre>
+     * Clock reading of the question, and Unix microseconds at which the question was taken in; 0 where unknown.
+     * </pre>
+     *
+     * <code>sint64 asked_at_ns = 20;</code>
+     * @param value The askedAtNs to set.
+     * @return This builder for chaining.
+     */
+    public Builder setAskedAtNs(long value) {
+      copyOnWrite();
+      instance.setAskedAtNs(value);
+      return this;
+    }
+    /**
+     * <pre>
+     * Clock reading of the question, and Unix microseconds at which the question was taken in; 0 where unknown.
+     * </pre>
+     *
+     * <code>sint64 asked_at_ns = 20;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearAskedAtNs() {
+      copyOnWrite();
+      instance.clearAskedAtNs();
+      return this;
+    }
+
+    /**
+     * <code>uint64 taken_at_us = 21;</code>
+     * @return The takenAtUs.
+     */
+    @java.lang.Override
+    public long getTakenAtUs() {
+      return instance.getTakenAtUs();
+    }
+    /**
+     * <code>uint64 taken_at_us = 21;</code>
+     * @param value The takenAtUs to set.
+     * @return This builder for chaining.
+     */
+    public Builder setTakenAtUs(long value) {
+      copyOnWrite();
+      instance.setTakenAtUs(value);
+      return this;
+    }
+    /**
+     * <code>uint64 taken_at_us = 21;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearTakenAtUs() {
+      copyOnWrite();
+      instance.clearTakenAtUs();
+      return this;
+    }
+
+    /**
+     * <pre>
+     * Version up to which the sender has heard what the subscriber counted of usage.
+     * </pre>
+     *
+     * <code>uint64 usage_heard = 22;</code>
+     * @return The usageHeard.
+     */
+    @java.lang.Override
+    public long getUsageHeard() {
+      return instance.getUsageHeard();
+    }
+    /**
+     * <pre>
+     * Version up to which the sender has heard what the subscriber counted of usage.
+     * </pre>
+     *
+     * <code>uint64 usage_heard = 22;</code>
+     * @param value The usageHeard to set.
+     * @return This builder for chaining.
+     */
+    public Builder setUsageHeard(long value) {
+      copyOnWrite();
+      instance.setUsageHeard(value);
+      return this;
+    }
+    /**
+     * <pre>
+     * Version up to which the sender has heard what the subscriber counted of usage.
+     * </pre>
+     *
+     * <code>uint64 usage_heard = 22;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearUsageHeard() {
+      copyOnWrite();
+      instance.clearUsageHeard();
+      return this;
+    }
+
+    /**
+     * <pre>
+     * Number of the last window whose counts stand for good.
+     * </pre>
+     *
+     * <code>uint64 usage_settled = 23;</code>
+     * @return The usageSettled.
+     */
+    @java.lang.Override
+    public long getUsageSettled() {
+      return instance.getUsageSettled();
+    }
+    /**
+     * <pre>
+     * Number of the last window whose counts stand for good.
+     * </pre>
+     *
+     * <code>uint64 usage_settled = 23;</code>
+     * @param value The usageSettled to set.
+     * @return This builder for chaining.
+     */
+    public Builder setUsageSettled(long value) {
+      copyOnWrite();
+      instance.setUsageSettled(value);
+      return this;
+    }
+    /**
+     * <pre>
+     * Number of the last window whose counts stand for good.
+     * </pre>
+     *
+     * <code>uint64 usage_settled = 23;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearUsageSettled() {
+      copyOnWrite();
+      instance.clearUsageSettled();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:cuminshelf.Update)
   }
   @java.lang.Override
@@ -2811,12 +3099,16 @@
             org.cuminshelf.message.UpstreamCrash.class,
             "quarantined_",
             org.cuminshelf.message.QuarantinedRequest.class,
+            "askedAtNs_",
+            "takenAtUs_",
+            "usageHeard_",
+            "usageSettled_",
           };
           java.lang.String info =
-              "\u0000\u0013\u0000\u0000\u0001\u0013\u0013\u0000\u0007\u0000\u0001\u0003\u0002\n" +
+              "\u0000\u0017\u0000\u0000\u0001\u0017\u0017\u0000\u0007\u0000\u0001\u0003\u0002\n" +
               "\u0003\u0003\u0004\u0003\u0005\u001b\u0006\u0007\u0007\u0007\b\u0208\t\u001b\n\u000b" +
               "\u000b\u0007\f\u021a\r\u021a\u000e\u001b\u000f\u0003\u0010\u0003\u0011\u0003\u0012" +
-              "\u001b\u0013\u001b";
+              "\u001b\u0013\u001b\u0014\u0010\u0015\u0003\u0016\u0003\u0017\u0003";
           return newMessageInfo(DEFAULT_INSTANCE, info, objects);
       }
       case GET_DEFAULT_INSTANCE: {
--- a/src/main/java/org/cuminshelf/message/UpdateOrBuilder.java
+++ b/src/main/java/org/cuminshelf/message/UpdateOrBuilder.java
@@ -303,4 +303,40 @@
    * <code>repeated .cuminshelf.QuarantinedRequest quarantined = 19;</code>
    */
   int getQuarantinedCount();
+
+  /**
+   * <pre>
+   * Clock reading of the question, and Unix microseconds at which the question was taken in; 0 where unknown.
+   * </pre>
+   *
+   * <code>sint64 asked_at_ns = 20;</code>
+   * @return The askedAtNs.
+   */
+  long getAskedAtNs();
+
+  /**
+   * <code>uint64 taken_at_us = 21;</code>
+   * @return The takenAtUs.
+   */
+  long getTakenAtUs();
+
+  /**
+   * <pre>
+   * Version up to which the sender has heard what the subscriber counted of usage.
+   * </pre>
+   *
+   * <code>uint64 usage_heard = 22;</code>
+   * @return The usageHeard.
+   */
+  long getUsageHeard();
+
+  /**
+   * <pre>
+   * Number of the last window whose counts stand for good.
+   * </pre>
+   *
+   * <code>uint64 usage_settled = 23;</code>
+   * @return The usageSettled.
+   */
+  long getUsageSettled();
 }
--- a/src/main/java/org/cuminshelf/message/WallClock.java
+++ b/src/main/java/org/cuminshelf/message/WallClock.java
@@ -46,6 +46,44 @@
     epochMs_ = 0L;
   }
 
+  public static final int JUMPED_FIELD_NUMBER = 2;
+  private boolean jumped_;
+  /**
+   * <pre>
+   * It moved against the monotonic clock: the VM may have stood still without that clock noticing.
+   * </pre>
+   *
+   * <code>bool jumped = 2;</code>
+   * @return The jumped.
+   */
+  @java.lang.Override
+  public boolean getJumped() {
+    return jumped_;
+  }
+  /**
+   * <pre>
+   * It moved against the monotonic clock: the VM may have stood still without that clock noticing.
+   * </pre>
+   *
+   * <code>bool jumped = 2;</code>
+   * @param value The jumped to set.
+   */
+  private void setJumped(boolean value) {
+    
+    jumped_ = value;
+  }
+  /**
+   * <pre>
+   * It moved against the monotonic clock: the VM may have stood still without that clock noticing.
+   * </pre>
+   *
+   * <code>bool jumped = 2;</code>
+   */
+  private void clearJumped() {
+
+    jumped_ = false;
+  }
+
   public static org.cuminshelf.message.WallClock parseFrom(
       java.nio.ByteBuffer data)
       throws com.google.protobuf.InvalidProtocolBufferException {
@@ -175,6 +213,46 @@
       return this;
     }
 
+    /**
+     * <pre>
+     * It moved against the monotonic clock: the VM may have stood still without that clock noticing.
+     * </pre>
+     *
+     * <code>bool jumped = 2;</code>
+     * @return The jumped.
+     */
+    @java.lang.Override
+    public boolean getJumped() {
+      return instance.getJumped();
+    }
+    /**
+     * <pre>
+     * It moved against the monotonic clock: the VM may have stood still without that clock noticing.
+     * </pre>
+     *
+     * <code>bool jumped = 2;</code>
+     * @param value The jumped to set.
+     * @return This builder for chaining.
+     */
+    public Builder setJumped(boolean value) {
+      copyOnWrite();
+      instance.setJumped(value);
+      return this;
+    }
+    /**
+     * <pre>
+     * It moved against the monotonic clock: the VM may have stood still without that clock noticing.
+     * </pre>
+     *
+     * <code>bool jumped = 2;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearJumped() {
+      copyOnWrite();
+      instance.clearJumped();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:cuminshelf.WallClock)
   }
   @java.lang.Override
@@ -192,9 +270,11 @@
       case BUILD_MESSAGE_INFO: {
           java.lang.Object[] objects = new java.lang.Object[] {
             "epochMs_",
+            "jumped_",
           };
           java.lang.String info =
-              "\u0000\u0001\u0000\u0000\u0001\u0001\u0001\u0000\u0000\u0000\u0001\u0003";
+              "\u0000\u0002\u0000\u0000\u0001\u0002\u0002\u0000\u0000\u0000\u0001\u0003\u0002\u0007" +
+              "";
           return newMessageInfo(DEFAULT_INSTANCE, info, objects);
       }
       case GET_DEFAULT_INSTANCE: {
--- a/src/main/java/org/cuminshelf/message/WallClockOrBuilder.java
+++ b/src/main/java/org/cuminshelf/message/WallClockOrBuilder.java
@@ -15,4 +15,14 @@
    * @return The epochMs.
    */
   long getEpochMs();
+
+  /**
+   * <pre>
+   * It moved against the monotonic clock: the VM may have stood still without that clock noticing.
+   * </pre>
+   *
+   * <code>bool jumped = 2;</code>
+   * @return The jumped.
+   */
+  boolean getJumped();
 }
--- a/src/main/java/org/cuminshelf/platform/BootSettings.java
+++ b/src/main/java/org/cuminshelf/platform/BootSettings.java
@@ -27,6 +27,7 @@
  * @param dataFolder     the folder for files that last, where there is a disk
  * @param graceMillis    milliseconds from the request to stop until the process is killed
  * @param repeats        how often all entries together may send requests once more
+ * @param duties         calls to the platform that are the duty of one node at a time
  */
 record BootSettings(
         String vm,
@@ -41,7 +42,8 @@
         boolean firstStart,
         Optional<Path> dataFolder,
         long graceMillis,
-        RepeatLimits repeats) {
+        RepeatLimits repeats,
+        DutyTerms duties) {
 
     /** Variable that holds the path of the settings file. */
     static final String VARIABLE = "CUMINSHELF_BOOT";
@@ -93,7 +95,8 @@
                 root.path("bootstrap").asBoolean(false),
                 Optional.ofNullable(root.path("dataDir").textValue()).map(Path::of),
                 (long) (bounds.path("graceS").asDouble(DEFAULT_GRACE_SECONDS) * MILLIS_PER_SECOND),
-                repeats(bounds));
+                repeats(bounds),
+                DutyTerms.of(root));
     }
 
     /** These settings with a control process of the own VM as the only seed. */
@@ -124,7 +127,8 @@
                 firstStart,
                 dataFolder,
                 graceMillis,
-                repeats);
+                repeats,
+                duties);
     }
 
     private static RepeatLimits repeats(JsonNode bounds) {
--- a/src/main/java/org/cuminshelf/platform/ControlCalls.java
+++ b/src/main/java/org/cuminshelf/platform/ControlCalls.java
@@ -52,6 +52,7 @@
     private final String vm;
     private final MetricsPage metrics;
     private final RefusedBeats refused;
+    private final Optional<DutyCalls> duties;
     private long nextQuestion = 1;
 
     private ControlCalls(
@@ -66,6 +67,7 @@
         this.metrics = metrics;
         this.refused = refused;
         this.upstreams = UpstreamConnections.start(lock);
+        this.duties = boot.duties().platform().map(platform -> new DutyCalls(upstreams, platform, boot.vm(), core));
         this.listener = CallerListener.start(address, lock, this, () -> CallerLimits.DEFAULT);
     }
 
@@ -156,6 +158,14 @@
                 order(message.getSendDirectOrder());
                 return;
             }
+            if (message.hasSendUsageReport()) {
+                duties.ifPresent(calls -> calls.report(message.getSendUsageReport()));
+                return;
+            }
+            if (message.hasGiveUpUsageReport()) {
+                duties.ifPresent(DutyCalls::giveUp);
+                return;
+            }
             AdminAnswer answer = message.getAdminAnswer();
             CallerExchange exchange = waiting.remove(answer.getQuestion());
             if (exchange != null) {
--- a/src/main/java/org/cuminshelf/platform/PlatformCommand.java
+++ b/src/main/java/org/cuminshelf/platform/PlatformCommand.java
@@ -108,7 +108,13 @@
         Address callers =
                 boot.callers().orElseThrow(() -> new UsageException("the settings name no address for callers"));
         DirectEntryProcess.Options options = new DirectEntryProcess.Options(
-                new DirectSettings(boot.region(), boot.zone(), boot.vm(), boot.seeds(), boot.repeats()),
+                new DirectSettings(
+                        boot.region(),
+                        boot.zone(),
+                        boot.vm(),
+                        boot.seeds(),
+                        boot.repeats(),
+                        boot.duties().usageWindowMillis()),
                 callers,
                 boot.readiness(),
                 Optional.of(boot.metrics()),
@@ -130,7 +136,8 @@
         ControlSettings settings = new ControlSettings(
                 boot.region(),
                 List.of(group),
-                document -> ConfigDocument.read(document).fold(Optional::of, fine -> Optional.empty()));
+                document -> ConfigDocument.read(document).fold(Optional::of, fine -> Optional.empty()),
+                boot.duties().forControl());
         ControlProcess.Options options =
                 new ControlProcess.Options(settings, folder, address, Optional.empty(), new HashSet<>(), false, true);
         return ControlProcess.start(
--- a/src/main/java/org/cuminshelf/process/CoreRunner.java
+++ b/src/main/java/org/cuminshelf/process/CoreRunner.java
@@ -17,6 +17,7 @@
 import org.cuminshelf.message.Envelope;
 import org.cuminshelf.message.Stop;
 import org.cuminshelf.message.TraceRecord;
+import org.cuminshelf.message.WallClock;
 import org.cuminshelf.network.Network;
 import org.tinylog.Logger;
 
@@ -27,6 +28,8 @@
     private static final int MOST_INPUTS_BEFORE_TICK = 256;
     private static final long NANOS_PER_SECOND = TimeUnit.SECONDS.toNanos(1);
     private static final long LONGEST_WAIT = TimeUnit.SECONDS.toNanos(1);
+    /** Difference between the clocks' paces that counts as a jump: reading both takes far less. */
+    private static final long JUMP_MILLIS = 100;
 
     private final String name;
     private final Address self;
@@ -40,6 +43,9 @@
     private final Thread thread;
     private volatile boolean running = true;
     private Runnable secondly = () -> {};
+    /** Time of day less monotonic time when last looked at, in milliseconds. */
+    private long pacedAt = System.currentTimeMillis() - TimeUnit.NANOSECONDS.toMillis(System.nanoTime());
+
     private long secondlyAt = System.nanoTime() - NANOS_PER_SECOND;
 
     private final Outbox outbox = new Outbox() {
@@ -154,6 +160,7 @@
             while (running) {
                 batch.clear();
                 await(batch);
+                noticeClockJump(batch);
                 runSecondly();
                 step(batch);
             }
@@ -173,6 +180,23 @@
         }
     }
 
+    /**
+     * Tells the core when the time of day moved against the monotonic clock. Guards against a VM that was suspended:
+     * its monotonic clock stood still, so that a lease seems to hold which ended long ago. It is told before anything
+     * that arrived since, and before the next tick.
+     */
+    private void noticeClockJump(List<Envelope> batch) {
+        long wall = System.currentTimeMillis();
+        long pace = wall - TimeUnit.NANOSECONDS.toMillis(System.nanoTime());
+        if (Math.abs(pace - pacedAt) > JUMP_MILLIS) {
+            batch.addFirst(Envelope.newBuilder()
+                    .setFrom(Address.PROCESS.value())
+                    .setWallClock(WallClock.newBuilder().setEpochMs(wall).setJumped(true))
+                    .build());
+        }
+        pacedAt = pace;
+    }
+
     private void runSecondly() {
         long now = System.nanoTime();
         if (now - secondlyAt >= NANOS_PER_SECOND) {
--- a/src/main/java/org/cuminshelf/process/DirectEntryProcess.java
+++ b/src/main/java/org/cuminshelf/process/DirectEntryProcess.java
@@ -31,6 +31,7 @@
 import org.cuminshelf.exchange.UpstreamRequest;
 import org.cuminshelf.message.Envelope;
 import org.cuminshelf.message.Stop;
+import org.cuminshelf.message.WallClock;
 import org.cuminshelf.network.TcpNetwork;
 import org.cuminshelf.routes.RouteTable;
 import org.eclipse.jetty.http.HttpFields;
@@ -235,6 +236,7 @@
                 if (now >= sweepAt) {
                     sweepAt = now + LONGEST_WAIT;
                     connections.sweep();
+                    core.accept(now, wallClock(), outbox);
                 }
                 long wait = Math.min(LONGEST_WAIT, core.nextDue() - System.nanoTime());
                 wakeAt = System.nanoTime() + wait;
@@ -249,6 +251,13 @@
         }
     }
 
+    private static Envelope wallClock() {
+        return Envelope.newBuilder()
+                .setFrom(Address.PROCESS.value())
+                .setWallClock(WallClock.newBuilder().setEpochMs(System.currentTimeMillis()))
+                .build();
+    }
+
     /** Wakes the ticking thread if something fell due before it would wake by itself. */
     private void wakeIfDue() {
         if (core.nextDue() < wakeAt) {
--- a/src/main/java/org/cuminshelf/replica/PeerTable.java
+++ b/src/main/java/org/cuminshelf/replica/PeerTable.java
@@ -24,6 +24,8 @@
     private final TreeMap<Long, Long> rounds = new TreeMap<>();
     private Membership membership = Membership.getDefaultInstance();
     private long round;
+    /** Answers to what was sent before this time don't count for the lease. */
+    private long leaseNotBefore = NEVER_HEARD;
 
     PeerTable(long self) {
         this.self = self;
@@ -89,6 +91,16 @@
         return reached(now, peer -> peer.ackedRoundSentAt, NEVER_HEARD);
     }
 
+    /** Has the lease begin with answers to what is sent from now on. */
+    void voidLease(long now) {
+        leaseNotBefore = now;
+    }
+
+    /** Whether no quorum has answered since the lease was made void. */
+    boolean isLeaseVoid(long now) {
+        return leaseStart(now) < leaseNotBefore;
+    }
+
     /** The newest round that a quorum answered. */
     long quorumRound() {
         return reached(round, peer -> peer.ackedRound, 0);
--- a/src/main/java/org/cuminshelf/replica/Replica.java
+++ b/src/main/java/org/cuminshelf/replica/Replica.java
@@ -1,11 +1,9 @@
 package org.cuminshelf.replica;
 
-import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
-import java.util.TreeMap;
 import org.apache.commons.rng.UniformRandomProvider;
 import org.cuminshelf.core.Address;
 import org.cuminshelf.core.Durations;
@@ -78,8 +76,7 @@
     private final PeerTable peers;
     private final Set<Long> votes = new HashSet<>();
     private final Formation formation;
-    private final TreeMap<Long, List<Long>> reads = new TreeMap<>();
-    private final List<Long> confirmedReads = new ArrayList<>();
+    private final PendingReads reads = new PendingReads();
 
     private long cluster;
     private volatile long term;
@@ -92,6 +89,7 @@
     private long electionDue;
     private long leaderHeardAt;
     private long nextHeartbeat;
+
     private long ledSince;
     private long clockAtLead;
     private long termStart;
@@ -208,7 +206,7 @@
      */
     public long nextDue() {
         if (role == Role.LEADER) {
-            return appendDue || !reads.isEmpty() && reads.lastKey() > peers.round() ? 0 : nextHeartbeat;
+            return appendDue || reads.needsRoundAfter(peers.round()) ? 0 : nextHeartbeat;
         }
         return electionDue;
     }
@@ -244,7 +242,7 @@
         if (role != Role.LEADER) {
             return false;
         }
-        reads.computeIfAbsent(peers.round() + 1, key -> new ArrayList<>()).add(token);
+        reads.add(peers.round() + 1, token);
         return true;
     }
 
@@ -254,12 +252,7 @@
      * @return their tokens
      */
     public List<Long> takeConfirmedReads() {
-        if (confirmedReads.isEmpty()) {
-            return List.of();
-        }
-        List<Long> taken = List.copyOf(confirmedReads);
-        confirmedReads.clear();
-        return taken;
+        return reads.takeConfirmed();
     }
 
     /**
@@ -278,7 +271,27 @@
      * @return true while the lease holds
      */
     public boolean hasLease(long now) {
-        return role == Role.LEADER && commit >= termStart && now < peers.leaseStart(now) + LEASE;
+        return role == Role.LEADER && commit >= termStart && !peers.isLeaseVoid(now) && now < leaseEnd(now);
+    }
+
+    /**
+     * Tells until when no other replica can lead, if this one leads.
+     *
+     * @param now the time in nanoseconds
+     * @return the end of the lease in nanoseconds
+     */
+    public long leaseEnd(long now) {
+        return peers.leaseStart(now) + LEASE;
+    }
+
+    /**
+     * Voids the lease until a quorum answers what is sent from now on. Guards against a leader whose VM stood still
+     * without its monotonic clock: it wakes, and believes in a lease that ended long ago.
+     *
+     * @param now the time in nanoseconds
+     */
+    public void onClockJump(long now) {
+        peers.voidLease(now);
     }
 
     /**
@@ -556,7 +569,6 @@
         }
         if (wasLeader) {
             reads.clear();
-            confirmedReads.clear();
             electionDue = now + electionTimeout();
         }
     }
@@ -692,7 +704,7 @@
             becomeFollower(now, term, Optional.empty());
             return;
         }
-        boolean readDue = !reads.isEmpty() && reads.lastKey() > peers.round();
+        boolean readDue = reads.needsRoundAfter(peers.round());
         if (now >= nextHeartbeat || readDue) {
             nextHeartbeat = now + HEARTBEAT;
             peers.startRound(now);
@@ -794,12 +806,8 @@
     }
 
     private void confirmReads() {
-        if (reads.isEmpty() || applied < termStart || applied < commit) {
-            return;
-        }
-        long reached = peers.quorumRound();
-        while (!reads.isEmpty() && reads.firstKey() <= reached) {
-            confirmedReads.addAll(reads.pollFirstEntry().getValue());
+        if (applied >= termStart && applied >= commit) {
+            reads.reached(peers.quorumRound());
         }
     }
 
--- /dev/null
+++ b/src/main/java/org/cuminshelf/usage/SettledUsage.java
@@ -0,0 +1,96 @@
+package org.cuminshelf.usage;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.TreeMap;
+import org.cuminshelf.message.UsageWindow;
+
+/**
+ * The windows whose counts stand, as a group of control processes has them in its log.
+ *
+ * <p>Failure it guards against: two reports of one window with different counts. The first counts of a window that the
+ * log holds stand; only they are reported, by whichever process.
+ */
+public final class SettledUsage {
+
+    /** Windows that wait for an acknowledgement at the most: what is older counts no more. */
+    private static final int MOST_DUE = 64;
+
+    private final TreeMap<Long, UsageWindow> due = new TreeMap<>();
+    private long last;
+
+    private SettledUsage() {}
+
+    /**
+     * Makes no windows.
+     *
+     * @return the windows
+     */
+    public static SettledUsage create() {
+        return new SettledUsage();
+    }
+
+    /**
+     * Takes counts that were committed.
+     *
+     * @param window the window with its counts
+     */
+    public void settle(UsageWindow window) {
+        if (window.getWindow() <= last) {
+            return;
+        }
+        last = window.getWindow();
+        due.put(last, window);
+        if (due.size() > MOST_DUE) {
+            due.pollFirstEntry();
+        }
+    }
+
+    /**
+     * Takes the committed word that a report was acknowledged.
+     *
+     * @param window the number of its window
+     */
+    public void reported(long window) {
+        due.remove(window);
+    }
+
+    /**
+     * The last window whose counts stand; those before it do too, or are given up.
+     *
+     * @return its number, 0 before the first
+     */
+    public long last() {
+        return last;
+    }
+
+    /**
+     * The window to report next.
+     *
+     * @return the oldest one without an acknowledgement
+     */
+    public Optional<UsageWindow> next() {
+        return Optional.ofNullable(due.firstEntry()).map(entry -> entry.getValue());
+    }
+
+    /**
+     * All windows without an acknowledgement.
+     *
+     * @return the windows, oldest first
+     */
+    public List<UsageWindow> due() {
+        return List.copyOf(due.values());
+    }
+
+    /**
+     * Takes what a snapshot holds.
+     *
+     * @param lastWindow the last window whose counts stand
+     * @param waiting    the windows without an acknowledgement
+     */
+    public void load(long lastWindow, List<UsageWindow> waiting) {
+        last = lastWindow;
+        due.clear();
+        waiting.forEach(window -> due.put(window.getWindow(), window));
+    }
+}
--- a/src/test/java/org/cuminshelf/control/ControlGroup.java
+++ b/src/test/java/org/cuminshelf/control/ControlGroup.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.TreeMap;
 import org.apache.commons.rng.simple.RandomSource;
 import org.cuminshelf.core.Address;
@@ -17,6 +18,7 @@
 import org.cuminshelf.message.Persist;
 import org.cuminshelf.message.Persisted;
 import org.cuminshelf.message.QuarantinedRequest;
+import org.cuminshelf.message.UsageReport;
 import org.cuminshelf.replica.DurableState;
 import org.cuminshelf.replica.MembershipPolicy;
 import org.cuminshelf.replica.ReplicaSettings;
@@ -27,19 +29,25 @@
     /** Name of the region's group. */
     static final String REGION = "region";
 
+    static final long LEASE_MILLIS = 3_000;
     private static final int PROCESSES = 3;
     private static final long STEP_MILLIS = 10;
 
     /** An order that was sent to an engine, and when. */
     record SentOrder(DirectOrder order, long at) {}
 
+    /** A report of usage that a process was to send, and when. */
+    record SentReport(Address holder, UsageReport report, long at) {}
+
     private record Message(Address from, Address to, Envelope body) {}
 
+    private final DutySettings duties;
     private final Map<Address, ControlCore> running = new TreeMap<>();
     private final List<Message> underWay = new ArrayList<>();
     /** What was sent to others than these processes. */
     private final List<Message> sentOut = new ArrayList<>();
 
+    final List<SentReport> reports = new ArrayList<>();
     final List<SentOrder> orders = new ArrayList<>();
     /** Orders that were sent to sidecars. */
     final List<OrderSent> sidecarOrders = new ArrayList<>();
@@ -48,10 +56,16 @@
 
     /** Processes for upstreams that announce themselves straight to control. */
     ControlGroup() {
-        this(MembershipPolicy.OPEN);
+        this(MembershipPolicy.OPEN, DutySettings.NONE);
+    }
+
+    /** Processes one of which reports usage, due 10 s after each window; holders may take turns after 3 s. */
+    static ControlGroup withUsage() {
+        return new ControlGroup(MembershipPolicy.OPEN, new DutySettings(LEASE_MILLIS, OptionalLong.of(10_000)));
     }
 
-    private ControlGroup(MembershipPolicy policy) {
+    private ControlGroup(MembershipPolicy policy, DutySettings duties) {
+        this.duties = duties;
         List<Address> seeds = new ArrayList<>();
         for (int number = 1; number <= PROCESSES; number++) {
             seeds.add(Address.of("10.0.0." + number + ":7000"));
@@ -63,7 +77,7 @@
 
     /** Processes with a group for the region {@code r}, whose upstreams have sidecars. */
     static ControlGroup withRegion() {
-        return new ControlGroup(MembershipPolicy.FIXED);
+        return new ControlGroup(MembershipPolicy.FIXED, DutySettings.NONE);
     }
 
     private ControlCore start(int number, List<Address> seeds, MembershipPolicy policy) {
@@ -78,7 +92,7 @@
         }
         ControlSettings settings = policy == MembershipPolicy.FIXED
                 ? new ControlSettings("r", groups)
-                : new ControlSettings("r", groups, bytes -> Optional.empty());
+                : new ControlSettings("r", groups, bytes -> Optional.empty(), duties);
         return ControlCore.start(
                 settings,
                 self,
@@ -178,6 +192,8 @@
             Envelope message = sent.message();
             if (message.hasSendDirectOrder()) {
                 orders.add(new SentOrder(message.getSendDirectOrder(), now));
+            } else if (message.hasSendUsageReport()) {
+                reports.add(new SentReport(process, message.getSendUsageReport(), now));
             } else if (message.hasOrderSent()) {
                 sidecarOrders.add(message.getOrderSent());
             } else if (message.hasPersist()) {
--- /dev/null
+++ b/src/test/java/org/cuminshelf/control/UsageSystemTest.java
@@ -0,0 +1,155 @@
+package org.cuminshelf.control;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.List;
+import net.jqwik.api.Example;
+import org.cuminshelf.core.Address;
+import org.cuminshelf.core.Durations;
+import org.cuminshelf.message.Envelope;
+import org.cuminshelf.message.OrganisationCount;
+import org.cuminshelf.message.Subscribe;
+import org.cuminshelf.message.UsageReported;
+import org.cuminshelf.message.UsageWindow;
+import org.cuminshelf.message.WallClock;
+
+/** Who reports usage to the platform, when, and what. */
+class UsageSystemTest {
+
+    private static final List<Address> ENTRIES =
+            List.of(Address.of("10.0.1.1:7000"), Address.of("10.0.1.2:7000"), Address.of("10.0.1.3:7000"));
+
+    private final ControlGroup control = ControlGroup.withUsage();
+    private long version;
+
+    /** All entries tell their counts of a window, for as long as entries do; the lists say up to where each is. */
+    private void tell(long millis, long window, int count, long... until) {
+        for (long passed = 0; passed < millis; passed += 500) {
+            version++;
+            for (int index = 0; index < until.length; index++) {
+                control.giveAll(
+                        ENTRIES.get(index),
+                        Envelope.newBuilder()
+                                .setSubscribe(Subscribe.newBuilder()
+                                        .setWantsDirectory(true)
+                                        .setUsageVersion(version)
+                                        .setUsageUntil(until[index])
+                                        .addUsage(counts(window, count))));
+            }
+            control.pass(500);
+        }
+    }
+
+    private static UsageWindow counts(long window, int count) {
+        return UsageWindow.newBuilder()
+                .setWindow(window)
+                .addCounts(OrganisationCount.newBuilder().setOrganisation("o").setCount(count))
+                .build();
+    }
+
+    private void acknowledge(Address holder, long window) {
+        control.give(
+                holder,
+                Address.ORDERS,
+                Envelope.newBuilder()
+                        .setUsageReported(
+                                UsageReported.newBuilder().setWindow(window).setAccepted(true)));
+    }
+
+    @Example
+    void aWindowIsReportedOnceAllEntriesHaveToldAllOfIt() {
+        tell(5_000, 5, 2, 5, 5);
+        assertThat(control.reports).isEmpty();
+        tell(1_000, 5, 3, 6, 6);
+        ControlGroup.SentReport first = control.reports.getFirst();
+        assertThat(first.report().getUsage()).isEqualTo(counts(5, 6));
+        assertThat(control.leader()).hasValue(first.holder());
+        acknowledge(first.holder(), 5);
+        control.pass(100);
+        control.reports.clear();
+        tell(5_000, 6, 1, 6, 6);
+        assertThat(control.reports).isEmpty();
+    }
+
+    /* Usage is never reported: one entry was cut off, and control waits for its word for good. */
+    @Example
+    void anEntryThatTellsNothingMoreIsWaitedForOnlySoLong() {
+        tell(5_000, 5, 2, 6, 6, 5);
+        tell(3_000, 5, 2, 6, 6, 5);
+        assertThat(control.reports).isNotEmpty();
+    }
+
+    /*
+     * Usage of a window is reported twice with different counts: the holder ends after it sent the report, more words
+     * of entries arrive, and the next holder reports what it has heard by then.
+     */
+    @Example
+    void theNextHolderReportsTheSameCountsUnderAHigherNumberAndNotAtOnce() {
+        tell(5_000, 5, 2, 5, 5);
+        tell(1_000, 5, 2, 6, 6);
+        ControlGroup.SentReport first = control.reports.getLast();
+        control.kill(first.holder());
+        control.reports.clear();
+        tell(8_000, 5, 9, 6, 6);
+        ControlGroup.SentReport next = control.reports.getFirst();
+        assertThat(next.holder()).isNotEqualTo(first.holder());
+        assertThat(next.report().getUsage()).isEqualTo(first.report().getUsage());
+        assertThat(next.report().getNumber()).isGreaterThan(first.report().getNumber());
+        assertThat(next.at() - first.at()).isGreaterThan(Durations.nanos(ControlGroup.LEASE_MILLIS));
+    }
+
+    /* The platform's answer is lost, or it is busy: the same is sent again, and no window is left out. */
+    @Example
+    void aReportWithoutAnAcknowledgementIsSentAgainUnchanged() {
+        tell(5_000, 5, 2, 5, 5);
+        tell(4_000, 5, 2, 6, 6);
+        assertThat(control.reports).hasSizeGreaterThan(2);
+        assertThat(control.reports)
+                .allSatisfy(sent -> assertThat(sent.report().getUsage()).isEqualTo(counts(5, 4)));
+    }
+
+    /* The next holder need not report what was acknowledged: that is in the log. */
+    @Example
+    void whatWasAcknowledgedIsNotReportedByTheNextHolder() {
+        tell(5_000, 5, 2, 5, 5);
+        tell(500, 5, 2, 6, 6);
+        Address holder = control.reports.getFirst().holder();
+        acknowledge(holder, 5);
+        control.pass(200);
+        control.kill(holder);
+        control.reports.clear();
+        tell(8_000, 6, 1, 6, 6);
+        assertThat(control.reports).isEmpty();
+    }
+
+    /*
+     * A holder was suspended and its monotonic clock with it. It believes in its lease, and sends a report after its
+     * successor did. Its clocks no longer agree, which voids the lease until others answer it again.
+     */
+    @Example
+    void aHolderWhoseVmStoodStillReportsNothingUntilItIsHeardAgain() {
+        tell(5_000, 5, 2, 5, 5);
+        Address holder = control.leader().orElseThrow();
+        for (Address other : control.processes()) {
+            if (!other.equals(holder)) {
+                control.kill(other);
+            }
+        }
+        control.give(
+                holder,
+                Address.PROCESS,
+                Envelope.newBuilder()
+                        .setWallClock(WallClock.newBuilder().setEpochMs(9_000).setJumped(true)));
+        tell(300, 5, 2, 6, 6);
+        assertThat(control.reports).isEmpty();
+    }
+
+    /** What a report may be written until is the end of the lease under which it was decided. */
+    @Example
+    void aReportMayBeWrittenOnlyUnderTheLease() {
+        tell(5_000, 5, 2, 5, 5);
+        tell(1_000, 5, 2, 6, 6);
+        ControlGroup.SentReport first = control.reports.getFirst();
+        assertThat(first.report().getWriteUntilNs() - first.at()).isBetween(1L, Durations.nanos(450));
+    }
+}
--- a/src/test/java/org/cuminshelf/direct/ControlFeedTest.java
+++ b/src/test/java/org/cuminshelf/direct/ControlFeedTest.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.function.Consumer;
 import net.jqwik.api.Example;
 import org.cuminshelf.core.Address;
@@ -34,6 +35,7 @@
             (deflated, whenRead) -> reading.add(whenRead),
             upstreams,
             new PoisonSystem(DirectFixture.noPort(), upstreams, () -> now, "vm", DecisionLog.none()),
+            new UsageMeter(OptionalLong.empty(), DecisionLog.none()),
             now,
             Invariants.throwing(),
             DecisionLog.none());
--- a/src/test/java/org/cuminshelf/direct/DirectFixture.java
+++ b/src/test/java/org/cuminshelf/direct/DirectFixture.java
@@ -63,7 +63,8 @@
     DirectFixture(Organisations organisations, Route... routes) {
         this.table = table(7, organisations, routes);
         this.core = DirectCore.start(
-                new DirectSettings("r", "z", "vm", List.of(CONTROL), new RepeatLimits(0.2, 100, 10_000)),
+                new DirectSettings(
+                        "r", "z", "vm", List.of(CONTROL), new RepeatLimits(0.2, 100, 10_000), OptionalLong.of(5_000)),
                 SELF,
                 new Protocol(),
                 RouteReader.atOnce(document -> Optional.of(table)),
--- /dev/null
+++ b/src/test/java/org/cuminshelf/direct/UsageMeterTest.java
@@ -0,0 +1,113 @@
+package org.cuminshelf.direct;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.List;
+import java.util.OptionalInt;
+import net.jqwik.api.Example;
+import org.cuminshelf.core.Address;
+import org.cuminshelf.message.Envelope;
+import org.cuminshelf.message.OrganisationCount;
+import org.cuminshelf.message.Role;
+import org.cuminshelf.message.Subscribe;
+import org.cuminshelf.message.Update;
+import org.cuminshelf.message.WallClock;
+import org.cuminshelf.organisations.CallerKey;
+import org.cuminshelf.organisations.Organisation;
+import org.cuminshelf.organisations.Organisations;
+import org.cuminshelf.routes.RequestKind;
+
+/** Which calls an entry counts for the usage of organisations. */
+class UsageMeterTest {
+
+    private static final Organisations ACME =
+            Organisations.of(List.of(new Organisation("acme", List.of(CallerKey.of("k")), OptionalInt.empty())));
+
+    private static DirectFixture entry(RequestKind kind) {
+        DirectFixture entry = new DirectFixture(ACME, DirectFixture.route(kind, 3, true))
+                .ready()
+                .upstream("u1", Role.ROLE_DECODE)
+                .upstream("u2", Role.ROLE_DECODE);
+        entry.core.accept(
+                entry.now,
+                Envelope.newBuilder()
+                        .setFrom(Address.PROCESS.value())
+                        .setWallClock(WallClock.newBuilder().setEpochMs(1_700_000_000_000L))
+                        .build(),
+                entry.out);
+        return entry;
+    }
+
+    /** What the entry tells of usage next. */
+    private static Subscribe told(DirectFixture entry) {
+        entry.out.take(Envelope::hasSubscribe);
+        entry.pass(600);
+        return entry.out.take(Envelope::hasSubscribe).getFirst().getSubscribe();
+    }
+
+    private static int counted(DirectFixture entry) {
+        return told(entry).getUsageList().stream()
+                .flatMap(window -> window.getCountsList().stream())
+                .mapToInt(OrganisationCount::getCount)
+                .sum();
+    }
+
+    @Example
+    void aStreamCountsOnceItShowedItsFirstEvent() {
+        DirectFixture entry = entry(RequestKind.STREAM);
+        entry.ask("x", "Key", "k");
+        assertThat(counted(entry)).isZero();
+        entry.last().sealed(200);
+        entry.last().body("id: 1\ndata: a\n\n");
+        assertThat(counted(entry)).isEqualTo(1);
+    }
+
+    /* An organisation is charged twice for one call, as its stream broke and went on at another upstream. */
+    @Example
+    void aStreamThatGoesOnElsewhereCountsOnce() {
+        DirectFixture entry = entry(RequestKind.STREAM);
+        entry.ask("x", "Key", "k");
+        entry.last().sealed(200);
+        entry.last().body("id: 1\ndata: a\n\n");
+        entry.last().handler.onFailed(true, "reset");
+        entry.last().sealed(200);
+        entry.last().body("id: 2\ndata: b\n\n");
+        assertThat(entry.sent).hasSize(2);
+        assertThat(counted(entry)).isEqualTo(1);
+    }
+
+    @Example
+    void aPlainCallThatAnUpstreamRefusedDoesNotCount() {
+        DirectFixture entry = entry(RequestKind.IDEMPOTENT);
+        entry.ask("x", "Key", "k");
+        entry.last().head(503, "Not-Run", "1");
+        entry.last().handler.onComplete();
+        assertThat(entry.sent).hasSize(2);
+        assertThat(counted(entry)).isZero();
+        entry.last().whole(200, "done");
+        assertThat(counted(entry)).isEqualTo(1);
+    }
+
+    /* Usage is too low by the calls whose answers were lost: they ran all the same. */
+    @Example
+    void aPlainCallWhoseAnswerWasLostCounts() {
+        DirectFixture entry = entry(RequestKind.NON_IDEMPOTENT);
+        entry.ask("x", "Key", "k");
+        entry.last().handler.onFailed(true, "reset");
+        assertThat(counted(entry)).isEqualTo(1);
+    }
+
+    /* Control was told and says so: the next word leaves out what it has, until a window that stands is forgotten. */
+    @Example
+    void onlyWhatControlHasNotHeardIsToldAgain() {
+        DirectFixture entry = entry(RequestKind.IDEMPOTENT);
+        entry.ask("x", "Key", "k");
+        entry.last().whole(200, "done");
+        Subscribe first = told(entry);
+        assertThat(first.getUsageCount()).isEqualTo(1);
+        assertThat(told(entry).getUsageCount()).isEqualTo(1);
+        entry.update(Update.newBuilder().setVoter(true).setConfigVersion(7).setUsageHeard(first.getUsageVersion()));
+        assertThat(told(entry).getUsageCount()).isZero();
+        assertThat(first.getUsageUntil()).isLessThanOrEqualTo(first.getUsage(0).getWindow());
+    }
+}
