--- a/src/test/java/org/cuminshelf/control/SubscribersTest.java
+++ b/src/test/java/org/cuminshelf/control/SubscribersTest.java
@@ -36,6 +36,20 @@
         assertThat(subscribers.demand("m").prefill()).isEqualTo(1_000_000L);
     }
 
+    /*
+     * A poison request ends more upstreams than it must: what an entry saw after its restart was never heard. It comes
+     * back at its address within the lease of its former life, control says that it has heard far more changes than the
+     * entry ever made, and the entry tells only what comes after those.
+     */
+    @Example
+    void ofAnEntryThatWasRestartedNothingIsHeardYet() {
+        now += Durations.nanos(500);
+        Subscribe before = Subscribe.newBuilder().setPoisonVersion(40).build();
+        assertThat(subscribers.onSubscribe(now, ENTRY, 1, before).poisonHeard).isEqualTo(40);
+        Subscribe after = Subscribe.newBuilder().setPoisonVersion(1).build();
+        assertThat(subscribers.onSubscribe(now, ENTRY, 2, after).poisonHeard).isEqualTo(1);
+    }
+
     @Example
     void anEntryThatWasRestartedCountsAnew() {
         tell(0);
