--- a/src/main/java/org/cuminshelf/control/Subscribers.java
+++ b/src/main/java/org/cuminshelf/control/Subscribers.java
@@ -51,7 +51,11 @@
     Row onSubscribe(long now, Address from, long incarnation, Subscribe subscribe) {
         boolean known = rows.containsKey(from);
         Row row = rows.computeIfAbsent(from, Row::new);
-        row.incarnation = incarnation;
+        if (row.incarnation != incarnation) {
+            // Its changes are numbered anew: what was heard of its former life says nothing of them.
+            row.incarnation = incarnation;
+            row.poisonHeard = 0;
+        }
         row.heardAt = now;
         row.askedAt = subscribe.getAskedAtNs();
         row.configVersion = subscribe.getConfigVersion();
--- a/src/test/java/org/cuminshelf/control/SubscribersTest.java
+++ b/src/test/java/org/cuminshelf/control/SubscribersTest.java
@@ -39,7 +39,8 @@
     /*
      * A poison request ends more upstreams than it must: what an entry saw after its restart was never heard. It comes
      * back at its address within the lease of its former life, control says that it has heard far more changes than the
-     * entry ever made, and the entry tells only what comes after those.
+     * entry ever made, and the entry tells only what comes after those. Cause: the count of changes heard belonged to
+     * the address, not to the start.
      */
     @Example
     void ofAnEntryThatWasRestartedNothingIsHeardYet() {
