Report windows that wait one after the other, without a pause after each acknowledgement

Cause: the pause before an acknowledgement is proposed again held up the next report, too. The test fails without the mend.

--- a/src/main/java/org/cuminshelf/control/UsageSystem.java
+++ b/src/main/java/org/cuminshelf/control/UsageSystem.java
@@ -56,6 +56,8 @@
     private long proposedAt = Long.MIN_VALUE / 2;
     private long proposed;
     private long acknowledged;
+    private long writtenDown;
+    private long writtenDownAt;
     private long nextTry = Long.MIN_VALUE;
     private boolean underWay;
 
@@ -159,10 +161,11 @@
 
     /** Has the group remember an acknowledgement, so that no later holder reports the window again. */
     private void writeDown(long now, UsageWindow window) {
-        if (now < nextTry) {
+        if (acknowledged == writtenDown && now - writtenDownAt < PROPOSED_AGAIN) {
             return;
         }
-        nextTry = now + PROPOSED_AGAIN;
+        writtenDown = acknowledged;
+        writtenDownAt = now;
         replica.propose(now, LogEntry.newBuilder().setUsageReported(window.getWindow()));
     }
 }
--- a/src/test/java/org/cuminshelf/control/UsageSystemTest.java
+++ b/src/test/java/org/cuminshelf/control/UsageSystemTest.java
@@ -108,6 +108,19 @@
                 .allSatisfy(sent -> assertThat(sent.report().getUsage()).isEqualTo(counts(5, 4)));
     }
 
+    /* After an outage windows are reported one after the other, without a pause once one is acknowledged. */
+    @Example
+    void windowsThatWaitFollowEachOtherAtOnce() {
+        tell(5_000, 5, 2, 5, 5);
+        tell(500, 6, 1, 7, 7);
+        ControlGroup.SentReport first = control.reports.getLast();
+        control.reports.clear();
+        acknowledge(first.holder(), 5);
+        control.pass(200);
+        assertThat(control.reports).hasSize(1);
+        assertThat(control.reports.getFirst().report().getUsage()).isEqualTo(counts(6, 2));
+    }
+
     /* The next holder need not report what was acknowledged: that is in the log. */
     @Example
     void whatWasAcknowledgedIsNotReportedByTheNextHolder() {
