--- a/src/main/java/org/cuminshelf/direct/CallRow.java
+++ b/src/main/java/org/cuminshelf/direct/CallRow.java
@@ -115,6 +115,11 @@
         return fingerprint;
     }
 
+    /** The name of its organisation for logs, {@code none} without one. */
+    String organisationName() {
+        return organisation.map(Organisation::name).orElse("none");
+    }
+
     /** Names who asks, the same each time: the organisation, as its keys change, or the key; empty without either. */
     private String caller() {
         return organisation
