--- a/src/test/java/org/cuminshelf/platform/LoopbackPlatform.java
+++ b/src/test/java/org/cuminshelf/platform/LoopbackPlatform.java
@@ -23,6 +23,7 @@
     /** Places of the ports by use. */
     static final int CONTROL = 2;
 
+    static final int METRICS = 4;
     static final int CALLERS = 5;
     static final int READINESS = 6;
     private static final int TRIES = 400;
@@ -69,7 +70,12 @@
     }
 
     String call(int place, String call, String body) throws IOException {
-        String request = call + " HTTP/1.1\r\nHost: h\r\nConnection: close\r\n" + Headers.REQUEST_ID
+        return call(place, call, body, "");
+    }
+
+    /** Sends a call with header lines of its own. */
+    String call(int place, String call, String body, String headers) throws IOException {
+        String request = call + " HTTP/1.1\r\nHost: h\r\nConnection: close\r\n" + headers + Headers.REQUEST_ID
                 + ": w\r\nContent-Length: " + body.length() + "\r\n\r\n" + body;
         try (Socket socket = new Socket(HOST, ports.get(place))) {
             socket.getOutputStream().write(request.getBytes(StandardCharsets.UTF_8));
