--- a/src/main/java/org/cuminshelf/tools/BenchCommand.java
+++ b/src/main/java/org/cuminshelf/tools/BenchCommand.java
@@ -7,6 +7,7 @@
 import net.sourceforge.argparse4j.inf.Subparser;
 import org.cuminshelf.bench.ClaimBench;
 import org.cuminshelf.bench.FingerprintBench;
+import org.cuminshelf.bench.OrganisationBench;
 import org.cuminshelf.bench.PathBench;
 import org.cuminshelf.bench.SlopeBench;
 import org.cuminshelf.standin.EngineSpeed;
@@ -27,9 +28,10 @@
     @Override
     public void describe(Subparser parser) {
         parser.addArgument("what")
-                .choices("path", "slopes", "claims", "fingerprint")
+                .choices("path", "slopes", "claims", "fingerprint", "organisations")
                 .help("path: entry and sidecar against the engine alone; slopes: the cores without sockets;"
-                        + " claims: a group of three with real disks; fingerprint: a request among poison requests");
+                        + " claims: a group of three with real disks; fingerprint: a request among poison requests;"
+                        + " organisations: a request among organisations and their keys");
     }
 
     @Override
@@ -38,6 +40,7 @@
             case "path" -> path();
             case "slopes" -> SlopeBench.measure();
             case "fingerprint" -> FingerprintBench.measure();
+            case "organisations" -> OrganisationBench.measure();
             default -> ClaimBench.measure();
         };
         lines.forEach(System.out::println);
