Elect a leader sooner after all processes were killed: a replica's wait counts from the begin of its program

Cause: a replica that starts again waits 0.6 to 0.9 s before it votes or stands, as its former life may have answered a leader that still holds a lease. That life ended before the program began, and a lease lasts 0.45 s, most of which the start itself takes. The wait now counts from the begin of the program for the first process in it, and replicas still stand at different times. Ruled out: a shorter wait for all, which is the guard itself.

followersThatStartAgainElectNobodyBeforeTheLeaseTheyForgotIsOver fails with two leases when the wait is taken away. Two tests of ReplicaTest ticked a replica for the first time 5 s after its start, which no process does; they tick it at the start, too, and check the same.

--- a/src/main/java/org/cuminshelf/control/ControlCore.java
+++ b/src/main/java/org/cuminshelf/control/ControlCore.java
@@ -101,7 +101,7 @@
      * @param self        its own address
      * @param incarnation the incarnation of this process
      * @param durable     what its disk holds of each group, by name
-     * @param now         the time in nanoseconds
+     * @param now         the time in nanoseconds, or an earlier one since which no former life has said anything
      * @param random      the seeded source of election timeouts
      * @param invariants  receives the outcome of assertions
      * @return the core
--- a/src/main/java/org/cuminshelf/process/ControlProcess.java
+++ b/src/main/java/org/cuminshelf/process/ControlProcess.java
@@ -115,7 +115,7 @@
                 common.listen(),
                 frame.incarnation(),
                 durable,
-                System.nanoTime(),
+                ProcessStart.silentSince(),
                 frame.random(),
                 frame.invariants());
         CoreRunner runner = frame.run(opened -> core);
--- a/src/main/java/org/cuminshelf/replica/Members.java
+++ b/src/main/java/org/cuminshelf/replica/Members.java
@@ -1,5 +1,6 @@
 package org.cuminshelf.replica;
 
+import java.util.List;
 import java.util.Optional;
 import org.cuminshelf.core.Address;
 import org.cuminshelf.message.Membership;
@@ -26,6 +27,12 @@
                 .anyMatch(voter -> voter.getIdentity() == identity && !voter.getLearner());
     }
 
+    static List<Address> addresses(Membership membership) {
+        return membership.getVotersList().stream()
+                .map(voter -> Address.of(voter.getAddress()))
+                .toList();
+    }
+
     static int quorum(Membership membership) {
         long voters = membership.getVotersList().stream()
                 .filter(voter -> !voter.getLearner())
--- a/src/main/java/org/cuminshelf/replica/Replica.java
+++ b/src/main/java/org/cuminshelf/replica/Replica.java
@@ -87,6 +87,7 @@
     private long savedCommit;
     private volatile long applied;
     private long electionDue;
+    private boolean ticked;
     private long leaderHeardAt;
     private long nextHeartbeat;
 
@@ -118,7 +119,7 @@
         this.savedCommit = commit;
         this.durability = new Durability(settings.group(), log.lastIndex(), commit);
         this.role = cluster == 0 ? Role.UNFORMED : Role.FOLLOWER;
-        // A vote right after a restart could break the lease of a leader this replica has forgotten.
+        // A vote right after its former life ended could break the lease of a leader this replica has forgotten.
         this.leaderHeardAt = now;
         this.electionDue = now + electionTimeout();
     }
@@ -129,7 +130,7 @@
      * @param settings   its group and peers
      * @param durable    what its disk holds
      * @param machine    what the log is applied to, in its first state
-     * @param now        the time in nanoseconds
+     * @param now        the time in nanoseconds, or an earlier one since which no former life has said anything
      * @param random     the seeded source of election timeouts
      * @param invariants receives the outcome of assertions
      * @return the replica
@@ -185,6 +186,11 @@
      * @param out receives what is to be sent
      */
     public void tick(long now, Outbox out) {
+        if (!ticked) {
+            ticked = true;
+            // Processes that start together must not all stand at once, however long their programs took to start.
+            electionDue = Math.max(electionDue, now + random.nextLong(ELECTION_SPREAD));
+        }
         if (now >= electionDue && role != Role.LEADER) {
             onElectionDue(now, out);
         }
@@ -319,7 +325,7 @@
      * @return the addresses
      */
     public List<Address> members() {
-        return memberAddresses();
+        return Members.addresses(log.membership());
     }
 
     /**
@@ -432,7 +438,7 @@
             if (alone && settings.membership().mayForm()) {
                 form(now);
             } else {
-                formation.ask(header(), role != Role.UNFORMED, memberAddresses(), out);
+                formation.ask(header(), role != Role.UNFORMED, Members.addresses(log.membership()), out);
                 electionDue = now + FORMATION_AGAIN;
             }
             return;
@@ -442,16 +448,10 @@
             stand(now, true);
         } else {
             leader = Optional.empty();
-            formation.ask(header(), role != Role.UNFORMED, memberAddresses(), out);
+            formation.ask(header(), role != Role.UNFORMED, Members.addresses(log.membership()), out);
         }
     }
 
-    private List<Address> memberAddresses() {
-        return log.membership().getVotersList().stream()
-                .map(voter -> Address.of(voter.getAddress()))
-                .toList();
-    }
-
     private void stand(long now, boolean trial) {
         role = trial ? Role.TRIAL : Role.CANDIDATE;
         leader = Optional.empty();
--- a/src/main/java/org/cuminshelf/tools/Main.java
+++ b/src/main/java/org/cuminshelf/tools/Main.java
@@ -12,6 +12,7 @@
 import net.sourceforge.argparse4j.inf.Subparser;
 import net.sourceforge.argparse4j.inf.Subparsers;
 import org.cuminshelf.platform.PlatformCommand;
+import org.cuminshelf.process.ProcessStart;
 
 /** The one program: its first argument names the role or the command. */
 public final class Main {
@@ -41,6 +42,7 @@
      * @param arguments the command and its flags
      */
     public static void main(String[] arguments) {
+        ProcessStart.note();
         System.exit(run(arguments));
     }
 
--- a/src/test/java/org/cuminshelf/replica/OpenMembershipTest.java
+++ b/src/test/java/org/cuminshelf/replica/OpenMembershipTest.java
@@ -45,11 +45,16 @@
         }
 
         private void start(List<Address> seeds, MembershipPolicy policy) {
+            start(seeds, policy, now);
+        }
+
+        /** Starts in a program that began at a time. */
+        private void start(List<Address> seeds, MembershipPolicy policy, long began) {
             replica = Replica.start(
                     new ReplicaSettings("g", self, seeds, true, policy),
                     recovered(),
                     new CountingMachine(),
-                    now,
+                    began,
                     RandomSource.XO_RO_SHI_RO_128_PP.create(identity),
                     Invariants.throwing());
         }
@@ -200,6 +205,43 @@
         assertThat(commits()).isTrue();
     }
 
+    /*
+     * All processes are killed at once, and nothing is served for 0.7 s after they listen again: each waits for a lease
+     * to end that it might have forgotten. It ended while their programs started.
+     */
+    @Example
+    void programsThatTookLongerToStartThanALeaseLastsHaveALeaderSoon() {
+        formThree();
+        long began = now;
+        now += Durations.nanos(700);
+        nodes.values().forEach(node -> node.start(SEEDS, MembershipPolicy.JOIN_ONLY, began));
+        pass(300);
+        assertThat(leader()).isPresent();
+    }
+
+    /*
+     * Two leaders give orders at once: the followers of one that is cut off are killed, start again within a moment and
+     * elect another, as they have forgotten what they answered the first.
+     */
+    @Example
+    void followersThatStartAgainElectNobodyBeforeTheLeaseTheyForgotIsOver() {
+        formThree();
+        Node leads = leader().orElseThrow();
+        down.add(leads.self);
+        long began = now;
+        for (Node node : nodes.values()) {
+            if (node != leads) {
+                node.start(SEEDS, MembershipPolicy.JOIN_ONLY, began);
+            }
+        }
+        pass(
+                1_500,
+                () -> assertThat(leads.replica.hasLease(now) && leader().isPresent())
+                        .as("two leases")
+                        .isFalse());
+        assertThat(leader()).isPresent();
+    }
+
     private boolean commits() {
         Node leads = leader().orElseThrow();
         long index =
@@ -224,6 +266,10 @@
     }
 
     private void pass(long millis) {
+        pass(millis, () -> {});
+    }
+
+    private void pass(long millis, Runnable afterEachStep) {
         List<Message> onTheWay = new ArrayList<>();
         for (long passed = 0; passed < millis; passed += 5) {
             now += Durations.nanos(5);
@@ -240,6 +286,7 @@
                     node.replica.tick(now, outbox(node, onTheWay));
                 }
             }
+            afterEachStep.run();
         }
     }
 
--- a/src/test/java/org/cuminshelf/replica/ReplicaTest.java
+++ b/src/test/java/org/cuminshelf/replica/ReplicaTest.java
@@ -73,6 +73,7 @@
                 .setPreviousTerm(1)
                 .build();
         fresh.accept(now, OTHER, Envelope.newBuilder().setAppendRequest(append).build(), out);
+        fresh.tick(now, out);
         now += Durations.nanos(5_000);
         fresh.tick(now, out);
         assertThat(out.take(message -> message.hasAppendAnswer() || message.hasFormationQuery()))
@@ -110,6 +111,7 @@
     @Example
     void anIdentityThatIsNoMemberDoesNotStandForElection() {
         Replica stranger = member(99);
+        stranger.tick(now, out);
         now += Durations.nanos(5_000);
         stranger.tick(now, out);
         assertThat(out.take(message -> message.hasVoteRequest() || message.hasJoinRequest()))
