Spread prompts over engines alike within what entries can't know of each other

Cause: the p90 of reading a prompt was 2 to 3 times its median on the shifted deployment (91 to 292 ms, 163 to 384, 287 to 652 by size), though half of the engines' reading was idle: 21 entries hear of each other up to 70 ms late, all see the same engine free, all send there. What others probably sent since is now added to an engine's known wait, by a different share for each call and engine, up to 3 times the mean. With few entries news is milliseconds old and the share next to nothing.

In virtual time (UnseenWorkTest) the mean wait of 20 entries with news 100 ms old falls from 222 to 24 ms, the same for shares of 2, 6 and 12; 5 entries with news 4 ms old stay as they were. Ruled out: more messages (they grow with the square of the entries).

--- a/src/main/java/org/cuminshelf/direct/CallSystem.java
+++ b/src/main/java/org/cuminshelf/direct/CallSystem.java
@@ -146,6 +146,7 @@
         waiting.remove(call);
         call.claim.ifPresent(SizeFairness.Claim::sent);
         call.offered.ifPresent(work -> work.sent(choice));
+        placement.sent(now, choice);
         attempts.send(now, call, choice);
     }
 
--- a/src/main/java/org/cuminshelf/direct/LoadGossip.java
+++ b/src/main/java/org/cuminshelf/direct/LoadGossip.java
@@ -101,6 +101,11 @@
 
     /** Least time between two messages to each of the others, in nanoseconds. */
     private long gap() {
+        return gap(listeners);
+    }
+
+    /** The same, where an entry tells so many others. */
+    static long gap(int listeners) {
         double shared = listeners * (listeners + 1) / MOST_MESSAGES * NANOS_PER_SECOND;
         return Math.clamp((long) shared, listeners * LEAST_GAP, Math.max(listeners * LEAST_GAP, LONGEST_GAP));
     }
--- a/src/main/java/org/cuminshelf/direct/Placement.java
+++ b/src/main/java/org/cuminshelf/direct/Placement.java
@@ -1,6 +1,8 @@
 package org.cuminshelf.direct;
 
+import java.util.EnumMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import net.openhft.hashing.LongHashFunction;
 import org.cuminshelf.core.Durations;
@@ -103,6 +105,7 @@
     private final EngineModels models;
     private final EnginePrices prices = new EnginePrices();
     private final CallValues values = new CallValues();
+    private final UnseenWork unseen = new UnseenWork();
     private final String zone;
 
     Placement(UpstreamTable upstreams, ControlFeed control, EngineModels models, String zone) {
@@ -234,6 +237,24 @@
         return capacity == 0 ? Long.MAX_VALUE : (long) (CACHED_SHARE * capacity);
     }
 
+    /** Takes note that a call was sent where it was chosen to go. */
+    void sent(long now, Choice choice) {
+        if (choice.estimate.workMillis() > 0) {
+            unseen.sent(now, choice.upstream.role, choice.estimate.workMillis());
+        }
+    }
+
+    /** Milliseconds of work of other entries that is probably on its way to each open engine, by role. */
+    private Map<Role, Double> unseenMillis(long now, List<UpstreamRow> open) {
+        int others = Math.max(0, control.entries().size() - 1);
+        Map<Role, Integer> engines = new EnumMap<>(Role.class);
+        open.forEach(row -> engines.merge(row.role, 1, Integer::sum));
+        Map<Role, Double> millis = new EnumMap<>(Role.class);
+        engines.forEach(
+                (role, count) -> millis.put(role, unseen.millis(now, role, LoadGossip.gap(others), others, count)));
+        return millis;
+    }
+
     private Optional<Choice> forPrompt(long now, CallRow call, GenerationShape shape) {
         List<UpstreamRow> open = open(now, call);
         boolean splits = call.lastEvent.isEmpty() && !call.wholeOnly;
@@ -245,8 +266,11 @@
         Choice best = null;
         double least = Double.MAX_VALUE;
         SharedParts shared = SharedParts.of(shape, open, now);
+        Map<Role, Double> onTheirWay = unseenMillis(now, open);
+        long callHash = LongHashFunction.xx3().hashChars(call.intent.id());
         for (UpstreamRow row : open) {
-            Choice choice = estimate(now, row, model, shape, shared);
+            double onItsWay = onTheirWay.get(row.role) * UnseenWork.share(row.id, callHash);
+            Choice choice = estimate(now, row, model, shape, shared, onItsWay);
             boolean fits =
                     row.generates() ? fitsBesideStreams(choice, call, model, prefillThere) : splits && placeThere;
             double cost = fits ? cost(now, choice, call, model, shape, shared) : Double.MAX_VALUE;
@@ -293,7 +317,8 @@
         return row.occupancy() < share * row.slots && memoryLoad(row, call) < FULL_COST * MEMORY_SHARE;
     }
 
-    private Choice estimate(long now, UpstreamRow row, EngineModel model, GenerationShape shape, SharedParts shared) {
+    private Choice estimate(
+            long now, UpstreamRow row, EngineModel model, GenerationShape shape, SharedParts shared, double onItsWay) {
         int own = shared.heldBy(row);
         int held = shared.withinReachOf(row);
         int uncached = Math.max(0, shape.promptTokens() - held);
@@ -301,7 +326,7 @@
         double latency = model.latencyMillis(row.id, generates);
         double work = model.workMillis(row.id, generates, row.occupancy(), held, uncached)
                 + model.moveMillis(Math.max(0, held - own));
-        double wait = row.prompts.waitMillis(now, latency);
+        double wait = row.prompts.waitMillis(now, latency) + onItsWay;
         double handover = generates ? 0 : model.handoverMillis(shape.promptTokens());
         double first = wait + work + latency + (row.zone.equals(zone) ? 0 : OTHER_ZONE_MILLIS) + handover;
         PromptEstimate estimate = new PromptEstimate(held, uncached, wait, work, first);
