--- a/src/main/java/org/cuminshelf/direct/UnseenWork.java
+++ b/src/main/java/org/cuminshelf/direct/UnseenWork.java
@@ -24,7 +24,7 @@
      * The most that a call reckons with, against the mean: what is sent unseen goes to few engines, those that seem to
      * be free.
      */
-    private static final double MOST_SHARE = 3;
+    private static final double MOST_SHARE = 6;
 
     /** Milliseconds of engines' work that this entry sends in a millisecond. */
     private static final class Rate {
