--- a/src/test/java/org/cuminshelf/platform/PlatformProtocolTest.java
+++ b/src/test/java/org/cuminshelf/platform/PlatformProtocolTest.java
@@ -136,6 +136,15 @@
         assertThat(sent.headers().getValuesList(Headers.ORGANISATION)).containsExactly("acme");
     }
 
+    /* On a public route a request runs in nobody's name. Its caller must not be able to choose one. */
+    @Example
+    void inNobodysNameMeansThatNoNameIsSent() {
+        AttemptPlan nobodys = new AttemptPlan(
+                "i-1", Optional.empty(), 750, 3, false, Optional.empty(), Optional.empty(), OptionalLong.empty());
+        UpstreamRequest sent = protocol.attempt(request(Headers.ORGANISATION, "forged"), nobodys);
+        assertThat(sent.headers().contains(Headers.ORGANISATION)).isFalse();
+    }
+
     @Example
     void whatIsReadOfARequestShowsNoKey() {
         CallIntent intent = protocol.intent(request(Headers.CALLER_KEY, "secret"));
