Leave clocks of processes that are gone out of the fleet's time, and keep unseen work apart by service

Symptoms that would have come: usage counted in the wrong window after control VMs were replaced and clocks ran apart; with several services of engines calls of one reckon with the work of another. On deployments with one service of engines and control VMs that last decisions are the same as before. clocksThatAreGoneDoNotOutvoteThoseThatAreThere fails without the first.

--- a/src/main/java/org/cuminshelf/direct/Placement.java
+++ b/src/main/java/org/cuminshelf/direct/Placement.java
@@ -1,6 +1,7 @@
 package org.cuminshelf.direct;
 
 import java.util.EnumMap;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -105,7 +106,7 @@
     private final EngineModels models;
     private final EnginePrices prices = new EnginePrices();
     private final CallValues values = new CallValues();
-    private final UnseenWork unseen = new UnseenWork();
+    private final Map<String, UnseenWork> unseen = new HashMap<>();
     private final String zone;
 
     Placement(UpstreamTable upstreams, ControlFeed control, EngineModels models, String zone) {
@@ -240,18 +241,23 @@
     /** Takes note that a call was sent where it was chosen to go. */
     void sent(long now, Choice choice) {
         if (choice.estimate.workMillis() > 0) {
-            unseen.sent(now, choice.upstream.role, choice.estimate.workMillis());
+            unseenOf(choice.upstream.service).sent(now, choice.upstream.role, choice.estimate.workMillis());
         }
     }
 
+    private UnseenWork unseenOf(String service) {
+        return unseen.computeIfAbsent(service, key -> new UnseenWork());
+    }
+
     /** Milliseconds of work of other entries that is probably on its way to each open engine, by role. */
-    private Map<Role, Double> unseenMillis(long now, List<UpstreamRow> open) {
+    private Map<Role, Double> unseenMillis(long now, String service, List<UpstreamRow> open) {
+        UnseenWork work = unseenOf(service);
         int others = Math.max(0, control.entries().size() - 1);
         Map<Role, Integer> engines = new EnumMap<>(Role.class);
         open.forEach(row -> engines.merge(row.role, 1, Integer::sum));
         Map<Role, Double> millis = new EnumMap<>(Role.class);
         engines.forEach(
-                (role, count) -> millis.put(role, unseen.millis(now, role, LoadGossip.gap(others), others, count)));
+                (role, count) -> millis.put(role, work.millis(now, role, LoadGossip.gap(others), others, count)));
         return millis;
     }
 
@@ -266,7 +272,7 @@
         Choice best = null;
         double least = Double.MAX_VALUE;
         SharedParts shared = SharedParts.of(shape, open, now);
-        Map<Role, Double> onTheirWay = unseenMillis(now, open);
+        Map<Role, Double> onTheirWay = unseenMillis(now, call.service, open);
         long callHash = LongHashFunction.xx3().hashChars(call.intent.id());
         for (UpstreamRow row : open) {
             double onItsWay = onTheirWay.get(row.role) * UnseenWork.share(row.id, callHash);
--- a/src/main/java/org/cuminshelf/usage/FleetClock.java
+++ b/src/main/java/org/cuminshelf/usage/FleetClock.java
@@ -29,6 +29,9 @@
     /** Change of the own clock against the monotonic one after which all samples are forgotten. */
     private static final long JUMP = Durations.nanos(200);
 
+    /** Time after which a clock that gave no answer any more counts no more, if others do. */
+    private static final long KEPT = Durations.nanos(30_000);
+
     /** Bounds of an offset: nanoseconds from the monotonic clock to the time since the start of 1970. */
     private record Bounds(long lowest, long highest) {
 
@@ -45,6 +48,7 @@
     private record Edge(long offset, boolean begins) {}
 
     private final Map<Address, Deque<Bounds>> samples = new HashMap<>();
+    private final Map<Address, Long> heardAt = new HashMap<>();
     private OptionalLong own = OptionalLong.empty();
     private OptionalLong agreed = OptionalLong.empty();
 
@@ -90,6 +94,10 @@
         if (of.size() > SAMPLES) {
             of.remove();
         }
+        heardAt.put(clock, now);
+        // Clocks run apart in days: those of processes that are gone must not outvote those that are there.
+        heardAt.values().removeIf(at -> now - at > KEPT);
+        samples.keySet().retainAll(heardAt.keySet());
         agreed = OptionalLong.of(agree());
     }
 
--- a/src/test/java/org/cuminshelf/usage/FleetClockTest.java
+++ b/src/test/java/org/cuminshelf/usage/FleetClockTest.java
@@ -79,6 +79,22 @@
         assertThat(error()).isBetween(15L, 25L);
     }
 
+    /*
+     * Usage is counted in the wrong window after months: control VMs that were replaced long ago go on counting as
+     * clocks, though the own monotonic clock has run apart from theirs by then.
+     */
+    @Example
+    void clocksThatAreGoneDoNotOutvoteThoseThatAreThere() {
+        for (int number = 11; number <= 15; number++) {
+            answer(number, 4, -700);
+        }
+        now += Durations.nanos(60_000);
+        for (int number = 1; number <= 3; number++) {
+            answer(number, 4, 0);
+        }
+        assertThat(error()).isBetween(-40L, 40L);
+    }
+
     /*
      * A VM was suspended for 7 s. Its monotonic clock stood still, so that all that was learnt of other clocks is 7 s
      * behind.
