--- a/src/test/java/org/cuminshelf/platform/BootSettingsTest.java
+++ b/src/test/java/org/cuminshelf/platform/BootSettingsTest.java
@@ -6,7 +6,9 @@
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.OptionalLong;
 import net.jqwik.api.Example;
+import org.cuminshelf.control.DutySettings;
 import org.cuminshelf.core.Address;
 
 /** The platform's settings file. */
@@ -40,6 +42,26 @@
         assertThat(boot.control()).isEmpty();
     }
 
+    @Example
+    void usageIsADutyOnlyWhereAPlatformTakesItAndItsWindowIsStated() throws IOException {
+        String bounds = "\"bounds\":{\"usageWindowS\":5,\"usageLateS\":10,\"leaseMs\":2500,";
+        String duties = FILE.replace("\"bounds\":{", bounds)
+                .replace(
+                        "\"unknown\":{}",
+                        "\"cloud\":{\"address\":\"10.9.0.1:80\",\"duties\":[\"autoscale\",\"usage_report\"]}");
+        DutyTerms terms = read(duties).duties();
+        assertThat(terms.platform()).hasValue(Address.of("10.9.0.1:80"));
+        assertThat(terms.usageWindowMillis()).hasValue(5_000);
+        assertThat(terms.forControl()).isEqualTo(new DutySettings(2_500, OptionalLong.of(10_000)));
+        assertThat(read(duties.replace("usage_report", "another")).duties().usageWindowMillis())
+                .isEmpty();
+        assertThat(read(duties.replace("\"usageWindowS\":5", "\"usageWindowS\":\"x\""))
+                        .duties()
+                        .usageWindowMillis())
+                .isEmpty();
+        assertThat(read(FILE).duties().forControl().usageLateMillis()).isEmpty();
+    }
+
     @Example
     void aFileThatLacksWhatIsNeededIsRefusedByName() {
         assertThatThrownBy(() -> read(FILE.replace("\"ip\"", "\"pi\"")))
