See what limit an upstream states: decoded, logged, counted; nothing is decided by it yet

The logs could not tell whether an answer with a limit came at all, when and at which entry. The stand-in engine of the virtual fleet learns to state a limit and records what reached it from entries that it had told.

--- a/src/main/java/org/cuminshelf/direct/AnswerFacts.java
+++ b/src/main/java/org/cuminshelf/direct/AnswerFacts.java
@@ -1,6 +1,7 @@
 package org.cuminshelf.direct;
 
 import java.util.Optional;
+import org.cuminshelf.backpressure.StatedLimit;
 
 /**
  * What the head of an upstream's answer says about the request.
@@ -9,8 +10,10 @@
  * @param notExecuted whether the upstream states that the request did not run
  * @param start       identity of the start that answered, as far as it says
  * @param authentic   whether the answer is that of a run, by the upstream's own mark
+ * @param limit       what it says of how many requests the upstream takes
  */
-public record AnswerFacts(Optional<String> requestId, boolean notExecuted, Optional<String> start, boolean authentic) {
+public record AnswerFacts(
+        Optional<String> requestId, boolean notExecuted, Optional<String> start, boolean authentic, StatedLimit limit) {
 
     /** Whether another start of an upstream has the address by now. */
     boolean isOtherThan(String expected) {
--- a/src/main/java/org/cuminshelf/direct/AttemptSystem.java
+++ b/src/main/java/org/cuminshelf/direct/AttemptSystem.java
@@ -6,6 +6,8 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.function.LongSupplier;
+import org.cuminshelf.backpressure.RateLimits;
+import org.cuminshelf.backpressure.StatedLimit;
 import org.cuminshelf.core.Core;
 import org.cuminshelf.core.Deadlines;
 import org.cuminshelf.core.Durations;
@@ -76,6 +78,7 @@
     private final Outcomes outcomes;
     private final EngineModels models;
     private final LoadGossip gossip;
+    private final RateLimits limits;
     private final Map<Long, AttemptRow> attempts = new HashMap<>();
     private final Deadlines<Long> attemptChecks = Deadlines.create();
     private long nextAttempt = 1;
@@ -88,6 +91,7 @@
             DecisionLog log,
             EngineModels models,
             LoadGossip gossip,
+            RateLimits limits,
             Outcomes outcomes) {
         this.protocol = protocol;
         this.port = port;
@@ -96,6 +100,7 @@
         this.log = log;
         this.models = models;
         this.gossip = gossip;
+        this.limits = limits;
         this.outcomes = outcomes;
     }
 
@@ -202,6 +207,7 @@
         attempt.headers = headers;
         attempt.facts = protocol.facts(status, headers);
         attempt.lastProgressAt = now;
+        noteLimit(now, attempt);
         String own = attempt.call.intent.id();
         if (attempt.facts.requestId().filter(id -> !id.equals(own)).isPresent()) {
             // An upstream may answer twice, or late: these bytes belong to another request.
@@ -210,6 +216,25 @@
         }
     }
 
+    private void noteLimit(long now, AttemptRow attempt) {
+        String start = attempt.upstream.id;
+        if (attempt.facts.limit() instanceof StatedLimit.Unreadable(String text)) {
+            log.note("upstream", start, "outcome", "limit-unreadable", "stated", text);
+        }
+        limits.heard(now, start, attempt.sentAt, attempt.facts.limit())
+                .ifPresent(change -> log.note(
+                        "upstream",
+                        start,
+                        "outcome",
+                        change.after().isPresent() ? "limit-stated" : "limit-lifted",
+                        "per-second",
+                        change.after(),
+                        "before",
+                        change.before(),
+                        "request",
+                        attempt.call.intent.id()));
+    }
+
     private void onBody(long now, AttemptRow attempt, ByteBuffer bytes) {
         attempt.lastProgressAt = now;
         attempt.upstream.heardAt = now;
--- a/src/main/java/org/cuminshelf/direct/CallSystem.java
+++ b/src/main/java/org/cuminshelf/direct/CallSystem.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.function.LongSupplier;
+import org.cuminshelf.backpressure.RateLimits;
 import org.cuminshelf.core.Core;
 import org.cuminshelf.core.Deadlines;
 import org.cuminshelf.core.Durations;
@@ -59,6 +60,7 @@
             DecisionLog log,
             EngineModels models,
             LoadGossip gossip,
+            RateLimits limits,
             PoisonSystem poison,
             UsageMeter usage) {
         this.protocol = protocol;
@@ -73,7 +75,8 @@
         this.usage = usage;
         this.admission = new Admission(placement, control, waiting);
         this.callers = new CallerAnswers(control, log);
-        this.attempts = new AttemptSystem(protocol, port, callers, clock, log, models, gossip, new AttemptOutcomes());
+        this.attempts =
+                new AttemptSystem(protocol, port, callers, clock, log, models, gossip, limits, new AttemptOutcomes());
     }
 
     /** Gives answers that no call stands behind. */
--- a/src/main/java/org/cuminshelf/direct/DirectCore.java
+++ b/src/main/java/org/cuminshelf/direct/DirectCore.java
@@ -6,6 +6,7 @@
 import java.util.Optional;
 import java.util.function.LongSupplier;
 import net.openhft.hashing.LongHashFunction;
+import org.cuminshelf.backpressure.RateLimits;
 import org.cuminshelf.core.Address;
 import org.cuminshelf.core.Core;
 import org.cuminshelf.core.Durations;
@@ -41,6 +42,7 @@
     private final ControlFeed control;
     private final CallSystem calls;
     private final LoadGossip gossip;
+    private final RateLimits limits = RateLimits.none();
     private final EarlyRequests early = new EarlyRequests();
     private final Map<CallerExchange, CallRow> byExchange = new HashMap<>();
     private long nextCall = 1;
@@ -81,6 +83,7 @@
                 log,
                 models,
                 gossip,
+                limits,
                 poison,
                 usage);
         this.nextHousekeeping = now;
@@ -316,6 +319,15 @@
         return poison.quarantined();
     }
 
+    /**
+     * Counts the upstreams that state a limit on requests now.
+     *
+     * @return their number
+     */
+    public long limitedUpstreams() {
+        return limits.inForce();
+    }
+
     /**
      * Counts the calls not answered yet.
      *
--- a/src/main/java/org/cuminshelf/platform/Headers.java
+++ b/src/main/java/org/cuminshelf/platform/Headers.java
@@ -32,6 +32,9 @@
     /** Present where the upstream states that the request did not run. */
     static final String NOT_EXECUTED = "X-Cuminshelf-Not-Executed";
 
+    /** Requests a second that the answering upstream takes from all VMs together, a decimal number. */
+    static final String RATE_LIMIT = "Server-Limit";
+
     /** Place in the engine's queue, 0 to 9. */
     static final String PRIORITY = "X-Cuminshelf-Request-Priority";
     /** With the value {@link #PREFILL}: take in the prompt only. */
--- a/src/main/java/org/cuminshelf/platform/PlatformProtocol.java
+++ b/src/main/java/org/cuminshelf/platform/PlatformProtocol.java
@@ -10,6 +10,8 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
+import java.util.regex.Pattern;
+import org.cuminshelf.backpressure.StatedLimit;
 import org.cuminshelf.direct.AnswerFacts;
 import org.cuminshelf.direct.AttemptPlan;
 import org.cuminshelf.direct.CacheHandle;
@@ -34,6 +36,12 @@
     /** An upstream's refusal of a request that expects another start, version or role. */
     private static final int MISDIRECTED = 421;
 
+    /** A number of at least 0 that a double holds. */
+    private static final Pattern DECIMAL = Pattern.compile("[0-9]{1,15}(\\.[0-9]{1,15})?");
+
+    /** Characters of an unreadable header that the log shows. */
+    private static final int MOST_SHOWN = 60;
+
     private static final byte[] NOTHING = new byte[0];
 
     @Override
@@ -147,7 +155,20 @@
                 Optional.ofNullable(headers.get(Headers.REQUEST_ID)),
                 status == MISDIRECTED || headers.contains(Headers.NOT_EXECUTED),
                 Optional.ofNullable(headers.get(Headers.ANSWERING_START)),
-                headers.contains(Headers.SEAL));
+                headers.contains(Headers.SEAL),
+                limit(headers));
+    }
+
+    private static StatedLimit limit(HttpFields headers) {
+        List<String> stated = headers.getValuesList(Headers.RATE_LIMIT);
+        if (stated.isEmpty()) {
+            return new StatedLimit.Unlimited();
+        }
+        if (stated.size() == 1 && DECIMAL.matcher(stated.getFirst()).matches()) {
+            return new StatedLimit.PerSecond(Double.parseDouble(stated.getFirst()));
+        }
+        String text = stated.toString();
+        return new StatedLimit.Unreadable(text.substring(0, Math.min(text.length(), MOST_SHOWN)));
     }
 
     @Override
--- a/src/main/java/org/cuminshelf/process/DirectEntryProcess.java
+++ b/src/main/java/org/cuminshelf/process/DirectEntryProcess.java
@@ -173,6 +173,11 @@
                 "cuminshelf_quarantined_requests",
                 "Requests refused because upstreams crash when they run them.",
                 core::quarantinedRequests);
+        EntryProcess.gauge(
+                registry,
+                "cuminshelf_limited_upstreams",
+                "Upstreams that state a limit on requests.",
+                core::limitedUpstreams);
         EntryProcess.gauge(registry, "cuminshelf_invariant_breach_count", "Promises found broken.", invariants::count);
     }
 
--- a/src/test/java/org/cuminshelf/direct/DirectFixture.java
+++ b/src/test/java/org/cuminshelf/direct/DirectFixture.java
@@ -9,6 +9,7 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.function.Consumer;
+import org.cuminshelf.backpressure.StatedLimit;
 import org.cuminshelf.core.Address;
 import org.cuminshelf.core.Deflated;
 import org.cuminshelf.core.Durations;
@@ -380,7 +381,13 @@
                     Optional.ofNullable(headers.get("Id")),
                     headers.contains("Not-Run"),
                     Optional.ofNullable(headers.get("Start")),
-                    headers.contains("Seal"));
+                    headers.contains("Seal"),
+                    limit(headers));
+        }
+
+        private static StatedLimit limit(HttpFields headers) {
+            String stated = headers.get("Limit");
+            return stated == null ? new StatedLimit.Unlimited() : new StatedLimit.PerSecond(Double.parseDouble(stated));
         }
 
         @Override
--- a/src/test/java/org/cuminshelf/platform/PlatformProtocolTest.java
+++ b/src/test/java/org/cuminshelf/platform/PlatformProtocolTest.java
@@ -2,10 +2,12 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.util.List;
 import java.util.Locale;
 import java.util.Optional;
 import java.util.OptionalLong;
 import net.jqwik.api.Example;
+import org.cuminshelf.backpressure.StatedLimit;
 import org.cuminshelf.core.Address;
 import org.cuminshelf.direct.AnswerFacts;
 import org.cuminshelf.direct.AttemptPlan;
@@ -175,4 +177,30 @@
         assertThat(silent.notExecuted()).isFalse();
         assertThat(other.start()).hasValue("i-2");
     }
+
+    private StatedLimit limit(String... stated) {
+        HttpFields.Mutable headers = HttpFields.build();
+        for (String value : stated) {
+            headers.add(Headers.RATE_LIMIT, value);
+        }
+        return protocol.facts(200, headers).limit();
+    }
+
+    @Example
+    void theLimitOfAnUpstreamIsRead() {
+        assertThat(limit()).isEqualTo(new StatedLimit.Unlimited());
+        assertThat(limit("6")).isEqualTo(new StatedLimit.PerSecond(6));
+        assertThat(limit("5.1")).isEqualTo(new StatedLimit.PerSecond(5.1));
+        assertThat(limit("0")).isEqualTo(new StatedLimit.PerSecond(0));
+        assertThat(limit("1000000000000")).isEqualTo(new StatedLimit.PerSecond(1e12));
+    }
+
+    /** Guards against an upstream in need that is taken for one without a limit, as its limit can't be read. */
+    @Example
+    void aLimitThatCanNotBeReadIsToldFromNone() {
+        for (String value : List.of("", "many", "-1", "NaN", "Infinity", "1e12", "0x10", "5,1", "9".repeat(400))) {
+            assertThat(limit(value)).as(value).isInstanceOf(StatedLimit.Unreadable.class);
+        }
+        assertThat(limit("5", "6")).isEqualTo(new StatedLimit.Unreadable("[5, 6]"));
+    }
 }
--- a/src/test/java/org/cuminshelf/trial/CrashingEngine.java
+++ b/src/test/java/org/cuminshelf/trial/CrashingEngine.java
@@ -81,7 +81,7 @@
                 time.after(SHORTEST_POISONING + random.nextLong(POISONING_SPREAD), this::poisonEngine);
                 return;
             }
-            handler.onHead(200, HttpFields.build().put("Seal", "s"));
+            handler.onHead(200, head("Seal", "s"));
             event();
         }
 
@@ -121,6 +121,9 @@
     private final UniformRandomProvider random;
     private final List<Address> control;
     private final Records records;
+    /** What it asks of entries, and what they do about it. */
+    final NeedyUpstream needs;
+
     private final List<Run> runs = new ArrayList<>();
     private int starts;
     private long sequence;
@@ -139,6 +142,13 @@
         this.random = random;
         this.control = control;
         this.records = records;
+        this.needs = new NeedyUpstream(time);
+    }
+
+    private HttpFields.Mutable head(String name, String value) {
+        HttpFields.Mutable head = HttpFields.build().put(name, value);
+        needs.limit().ifPresent(limit -> head.put("Limit", String.valueOf(limit)));
+        return head;
     }
 
     Address address() {
@@ -212,19 +222,23 @@
         time.after(HOP, () -> whenSeen.accept(up ? Reachability.LISTENING : Reachability.REFUSED));
     }
 
-    UpstreamExchange send(String upstream, UpstreamRequest request, UpstreamHandler handler) {
+    UpstreamExchange send(Address entry, String upstream, UpstreamRequest request, UpstreamHandler answers) {
+        UpstreamHandler handler = needs.watch(entry, answers);
         String body = new String(request.body(), StandardCharsets.UTF_8);
         boolean poison = body.startsWith(POISON);
         long resumeAfter = Long.parseLong(request.headers().get("Last"));
         Run run = new Run(handler, poison, FEWEST_EVENTS + random.nextInt(EVENTS_SPREAD), resumeAfter);
-        time.after(HOP, () -> arrive(upstream, request, run));
+        time.after(HOP, () -> arrive(entry, upstream, request, run));
         return run;
     }
 
-    private void arrive(String upstream, UpstreamRequest request, Run run) {
+    private void arrive(Address entry, String upstream, UpstreamRequest request, Run run) {
         if (run.over) {
             return;
         }
+        if (up) {
+            needs.arrived(entry);
+        }
         if (!up) {
             run.over = true;
             run.handler.onFailed(false, "refused");
--- a/src/test/java/org/cuminshelf/trial/DirectFleet.java
+++ b/src/test/java/org/cuminshelf/trial/DirectFleet.java
@@ -12,6 +12,7 @@
 import java.util.function.Consumer;
 import org.apache.commons.rng.UniformRandomProvider;
 import org.apache.commons.rng.simple.RandomSource;
+import org.cuminshelf.backpressure.StatedLimit;
 import org.cuminshelf.control.ControlCore;
 import org.cuminshelf.control.ControlSettings;
 import org.cuminshelf.core.Address;
@@ -310,7 +311,7 @@
         @Override
         public UpstreamExchange send(
                 Address address, String upstream, UpstreamRequest request, UpstreamHandler handler) {
-            return byAddress.get(address).send(upstream, request, new Guarded(handler));
+            return byAddress.get(address).send(node.address(), upstream, request, new Guarded(handler));
         }
 
         @Override
@@ -390,7 +391,13 @@
                     Optional.empty(),
                     headers.contains("Not-Run"),
                     Optional.ofNullable(headers.get("Start")),
-                    headers.contains("Seal"));
+                    headers.contains("Seal"),
+                    limit(headers));
+        }
+
+        private static StatedLimit limit(HttpFields headers) {
+            String stated = headers.get("Limit");
+            return stated == null ? new StatedLimit.Unlimited() : new StatedLimit.PerSecond(Double.parseDouble(stated));
         }
 
         @Override
