Keep to the limits that upstreams state, all entries together

Callers saw: nothing yet; an engine in need that states how many requests a second it takes got as many as any other, 60 in 4 s where 34 are allowed, until it fails for all.

Cause: an answer's limit was not read, and nothing knew of a rate that all entries share. Class: a signal of the other side that no part of the design listens to. Ruled out: each entry keeping to the limit by itself (arrivals did not change at all when it was stated, nor had any line), a burst of what was under way (they went on for 18 s).

Mend: package backpressure. Each entry uses the part of the limit that it has of all calls for the service, told in the messages that entries send each other anyway; who is not heard counts as an equal. Permits come at even intervals, in turn over entries, and lapse, so that all entries together never hold more than a second's worth and three. Any send passes PacedPort; placement sees an upstream without a permit as closed; a prompt is read apart only with a permit kept for its handover. A limit holds until an answer without it to a request sent afterwards, whoever heard it; the newest statement wins.

Why it holds: in 4 s at most 4 s of the rate and the permits that stand can be used, 5 L + 3 against 6 L + 5.

--- a/src/main/java/org/cuminshelf/direct/Admission.java
+++ b/src/main/java/org/cuminshelf/direct/Admission.java
@@ -1,6 +1,7 @@
 package org.cuminshelf.direct;
 
 import java.util.Optional;
+import java.util.OptionalLong;
 import org.cuminshelf.core.Durations;
 import org.cuminshelf.message.Cause;
 import org.cuminshelf.verdict.Verdict;
@@ -40,6 +41,9 @@
     /** When to come back where all places are taken: streams end after some 2 s, so half of them by then. */
     private static final long FULL_RETRY_AFTER_MILLIS = 1_000;
 
+    /** Milliseconds over which callers come back that were refused for want of a permit. */
+    private static final int PERMIT_RETURNS_SPREAD_MILLIS = 1_000;
+
     private static final Decision WAIT = new Decision.Wait();
 
     private final Placement placement;
@@ -77,6 +81,10 @@
     }
 
     private Decision decideUnplaced(long now, CallRow call) {
+        OptionalLong permit = placement.nextPermit(now, call);
+        if (permit.isPresent()) {
+            return decideLimited(now, call, permit.getAsLong());
+        }
         boolean full = placement.hasOpen(now, call);
         boolean waits = full ? waitsForTurn(now, call, USUAL_FIRST_MILLIS) : waitsForUpstreams(now, call);
         if (waits) {
@@ -91,6 +99,22 @@
         return new Decision.Refuse(verdict, "no-upstream");
     }
 
+    /**
+     * Decides on a call all of whose upstreams state limits: it waits if the next permit comes before its patience
+     * ends, and is refused at once otherwise. The times to come back are spread, so that not all come for the first
+     * permit.
+     */
+    private Decision decideLimited(long now, CallRow call, long permitAt) {
+        boolean fresh = call.attempt == null;
+        if ((fresh || call.cache.isPresent()) && waiting.addForPermit(now, call, permitAt)) {
+            return WAIT;
+        }
+        call.offered.ifPresent(OfferedGeneration::refusedForPlaces);
+        long spread = Math.floorMod(call.intent.id().hashCode(), PERMIT_RETURNS_SPREAD_MILLIS);
+        long wait = Math.max(CallerAnswers.RETRY_AFTER_MILLIS, Durations.millis(permitAt - now)) + spread;
+        return new Decision.Refuse(new Verdict.NotRun(Cause.OVERLOADED, wait), "upstreams-limit-requests");
+    }
+
     private static Decision refuse(CallRow call, Placement.Choice choice, String reason) {
         call.offered.ifPresent(OfferedGeneration::refusedForTime);
         long wait = (long) Math.max(CallerAnswers.RETRY_AFTER_MILLIS, choice.waitMillis());
--- a/src/main/java/org/cuminshelf/direct/AttemptSystem.java
+++ b/src/main/java/org/cuminshelf/direct/AttemptSystem.java
@@ -6,8 +6,6 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.function.LongSupplier;
-import org.cuminshelf.backpressure.RateLimits;
-import org.cuminshelf.backpressure.StatedLimit;
 import org.cuminshelf.core.Core;
 import org.cuminshelf.core.Deadlines;
 import org.cuminshelf.core.Durations;
@@ -78,7 +76,7 @@
     private final Outcomes outcomes;
     private final EngineModels models;
     private final LoadGossip gossip;
-    private final RateLimits limits;
+    private final LimitWatch limitWatch;
     private final Map<Long, AttemptRow> attempts = new HashMap<>();
     private final Deadlines<Long> attemptChecks = Deadlines.create();
     private long nextAttempt = 1;
@@ -91,7 +89,7 @@
             DecisionLog log,
             EngineModels models,
             LoadGossip gossip,
-            RateLimits limits,
+            LimitWatch limitWatch,
             Outcomes outcomes) {
         this.protocol = protocol;
         this.port = port;
@@ -100,7 +98,7 @@
         this.log = log;
         this.models = models;
         this.gossip = gossip;
-        this.limits = limits;
+        this.limitWatch = limitWatch;
         this.outcomes = outcomes;
     }
 
@@ -207,8 +205,8 @@
         attempt.headers = headers;
         attempt.facts = protocol.facts(status, headers);
         attempt.lastProgressAt = now;
-        noteLimit(now, attempt);
         String own = attempt.call.intent.id();
+        limitWatch.onHead(now, attempt.upstream, attempt.sentAt, own, attempt.facts);
         if (attempt.facts.requestId().filter(id -> !id.equals(own)).isPresent()) {
             // An upstream may answer twice, or late: these bytes belong to another request.
             attempt.exchange.cancel();
@@ -216,25 +214,6 @@
         }
     }
 
-    private void noteLimit(long now, AttemptRow attempt) {
-        String start = attempt.upstream.id;
-        if (attempt.facts.limit() instanceof StatedLimit.Unreadable(String text)) {
-            log.note("upstream", start, "outcome", "limit-unreadable", "stated", text);
-        }
-        limits.heard(now, start, attempt.sentAt, attempt.facts.limit())
-                .ifPresent(change -> log.note(
-                        "upstream",
-                        start,
-                        "outcome",
-                        change.after().isPresent() ? "limit-stated" : "limit-lifted",
-                        "per-second",
-                        change.after(),
-                        "before",
-                        change.before(),
-                        "request",
-                        attempt.call.intent.id()));
-    }
-
     private void onBody(long now, AttemptRow attempt, ByteBuffer bytes) {
         attempt.lastProgressAt = now;
         attempt.upstream.heardAt = now;
--- a/src/main/java/org/cuminshelf/direct/CallRow.java
+++ b/src/main/java/org/cuminshelf/direct/CallRow.java
@@ -40,6 +40,9 @@
     /** KV cache taken in for it by another engine, until an engine took it. */
     Optional<CacheHandle> cache = Optional.empty();
 
+    /** Start of an upstream with a limit of which a permit is kept for it, until it is sent there. */
+    Optional<String> keptPermit = Optional.empty();
+
     /** Engines that would not go on from the KV cache. */
     int handoversFailed;
 
--- a/src/main/java/org/cuminshelf/direct/CallSystem.java
+++ b/src/main/java/org/cuminshelf/direct/CallSystem.java
@@ -36,8 +36,11 @@
     private final Placement placement;
     private final ControlFeed control;
     private final RepeatBudget budget;
+    private final LongSupplier clock;
     private final Invariants invariants;
     private final DecisionLog log;
+    private final RateLimits limits;
+    private final LimitWatch limitWatch;
     private final PoisonSystem poison;
     private final UsageMeter usage;
     private final CallerAnswers callers;
@@ -61,6 +64,7 @@
             EngineModels models,
             LoadGossip gossip,
             RateLimits limits,
+            LimitWatch limitWatch,
             PoisonSystem poison,
             UsageMeter usage) {
         this.protocol = protocol;
@@ -69,14 +73,17 @@
         this.placement = placement;
         this.control = control;
         this.budget = budget;
+        this.clock = clock;
         this.invariants = invariants;
         this.log = log;
+        this.limits = limits;
+        this.limitWatch = limitWatch;
         this.poison = poison;
         this.usage = usage;
         this.admission = new Admission(placement, control, waiting);
         this.callers = new CallerAnswers(control, log);
-        this.attempts =
-                new AttemptSystem(protocol, port, callers, clock, log, models, gossip, limits, new AttemptOutcomes());
+        this.attempts = new AttemptSystem(
+                protocol, port, callers, clock, log, models, gossip, limitWatch, new AttemptOutcomes());
     }
 
     /** Gives answers that no call stands behind. */
@@ -105,6 +112,7 @@
         open.put(call.number, call);
         callDeadlines.set(call.number, call.deadline);
         budget.onRequest(now, call.service);
+        limits.called(now, call.service);
         call.intent.generation().ifPresent(shape -> {
             call.claim = Optional.of(fairness.arrived(call.route.name(), CallValues.size(shape)));
             call.offered = Optional.of(new OfferedGeneration(
@@ -150,7 +158,25 @@
         call.claim.ifPresent(SizeFairness.Claim::sent);
         call.offered.ifPresent(work -> work.sent(choice));
         placement.sent(now, choice);
+        returnPermit(call);
         attempts.send(now, call, choice);
+        if (choice.prefillOnly()) {
+            keepPermit(now, call);
+        }
+    }
+
+    /**
+     * Keeps a permit of the engine that is to go on, where all that could do so state limits. Guards against prompts
+     * that are read in vain: many would be read for one permit, of which the first to be ready uses it.
+     */
+    private void keepPermit(long now, CallRow call) {
+        call.keptPermit = placement.limitedForHandover(now, call).map(row -> row.id);
+        call.keptPermit.ifPresent(start -> limits.use(now, start));
+    }
+
+    private void returnPermit(CallRow call) {
+        call.keptPermit.ifPresent(limits::giveBack);
+        call.keptPermit = Optional.empty();
     }
 
     // ---- what became of an attempt
@@ -402,6 +428,7 @@
         waiting.remove(call);
         open.remove(call.number);
         callDeadlines.clear(call.number);
+        returnPermit(call);
         releaseCache(call);
     }
 
@@ -412,22 +439,35 @@
         }
         CacheHandle handle = call.cache.get();
         call.cache = Optional.empty();
+        long now = clock.getAsLong();
         upstreams.rows().stream()
                 .filter(row -> row.address.equals(handle.engine()))
                 .findFirst()
-                .ifPresent(row -> port.send(row.address, row.id, protocol.release(handle), new Ignored()));
+                .ifPresent(row -> port.send(
+                        row.address, row.id, protocol.release(handle), new Released(row, call.intent.id(), now)));
     }
 
-    /** The answer to a word that needs none. */
-    private static final class Ignored implements UpstreamHandler {
+    /** The answer to the release of a KV cache, which lapses by itself whatever comes back. */
+    private final class Released implements UpstreamHandler {
+
+        private final UpstreamRow upstream;
+        private final String request;
+        private final long sentAt;
+
+        private Released(UpstreamRow upstream, String request, long sentAt) {
+            this.upstream = upstream;
+            this.request = request;
+            this.sentAt = sentAt;
+        }
+
         @Override
         public void onHead(int status, HttpFields headers) {
-            // Whatever the engine says, the cache lapses by itself.
+            limitWatch.onHead(clock.getAsLong(), upstream, sentAt, request, protocol.facts(status, headers));
         }
 
         @Override
         public void onBody(ByteBuffer bytes) {
-            // As above.
+            // Nothing is asked for.
         }
 
         @Override
@@ -437,7 +477,7 @@
 
         @Override
         public void onFailed(boolean sent, String reason) {
-            // As above.
+            // The cache lapses by itself.
         }
     }
 
--- a/src/main/java/org/cuminshelf/direct/DirectCore.java
+++ b/src/main/java/org/cuminshelf/direct/DirectCore.java
@@ -42,7 +42,7 @@
     private final ControlFeed control;
     private final CallSystem calls;
     private final LoadGossip gossip;
-    private final RateLimits limits = RateLimits.none();
+    private final RateLimits limits;
     private final EarlyRequests early = new EarlyRequests();
     private final Map<CallerExchange, CallRow> byExchange = new HashMap<>();
     private long nextCall = 1;
@@ -69,11 +69,13 @@
         this.usage = new UsageMeter(settings.usageWindowMillis(), log);
         this.control = new ControlFeed(settings, reader, upstreams, poison, usage, now, invariants, log);
         EngineModels models = new EngineModels();
-        Placement placement = new Placement(upstreams, control, models, settings.zone());
-        this.gossip = new LoadGossip(upstreams, models, now);
+        this.limits = RateLimits.none(self);
+        LimitWatch limitWatch = new LimitWatch(limits, log);
+        Placement placement = new Placement(upstreams, control, models, limits, settings.zone());
+        this.gossip = new LoadGossip(upstreams, models, limits, limitWatch, now);
         this.calls = new CallSystem(
                 protocol,
-                port,
+                new PacedPort(port, limits, clock),
                 upstreams,
                 placement,
                 control,
@@ -84,6 +86,7 @@
                 models,
                 gossip,
                 limits,
+                limitWatch,
                 poison,
                 usage);
         this.nextHousekeeping = now;
@@ -243,6 +246,7 @@
     @Override
     public void tick(long now, Outbox out) {
         control.tick(now, out);
+        limits.tick(now, control.entries());
         calls.tick(now);
         startEarly(now);
         if (now >= nextHousekeeping) {
--- a/src/main/java/org/cuminshelf/direct/LoadGossip.java
+++ b/src/main/java/org/cuminshelf/direct/LoadGossip.java
@@ -3,6 +3,8 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalDouble;
+import org.cuminshelf.backpressure.RateLimits;
 import org.cuminshelf.core.Address;
 import org.cuminshelf.core.Core;
 import org.cuminshelf.core.Durations;
@@ -11,14 +13,17 @@
 import org.cuminshelf.engines.PromptSample;
 import org.cuminshelf.message.EntryLoad;
 import org.cuminshelf.message.Envelope;
+import org.cuminshelf.message.HeardLimit;
 import org.cuminshelf.message.SentPrompt;
+import org.cuminshelf.message.ServiceDemand;
 import org.cuminshelf.message.TakenPrompt;
 import org.cuminshelf.message.UpstreamLoad;
 import org.cuminshelf.message.WaitingPrompt;
 
 /**
- * What entries tell each other: what each has under way at the engines, which prompts it sent there, and how long
- * prompts took. With it all entries choose by the same view, and learn from each other's requests.
+ * What entries tell each other: what each has under way at the engines, which prompts it sent there, how long prompts
+ * took, and which limits upstreams state. With it all entries choose by the same view, and learn from each other's
+ * requests.
  *
  * <p>Failure it guards against: several entries find the same engine free at once and all send to it, so that prompts
  * wait for each other while other engines idle. News of a prompt that was sent leaves within milliseconds, one for each
@@ -51,6 +56,8 @@
 
     private final UpstreamTable upstreams;
     private final EngineModels models;
+    private final RateLimits limits;
+    private final LimitWatch limitWatch;
     private final List<SentPrompt> sent = new ArrayList<>();
     private final List<TakenPrompt> taken = new ArrayList<>();
     private long nextTell;
@@ -58,9 +65,11 @@
     private int listeners;
     private boolean toldSomething;
 
-    LoadGossip(UpstreamTable upstreams, EngineModels models, long now) {
+    LoadGossip(UpstreamTable upstreams, EngineModels models, RateLimits limits, LimitWatch limitWatch, long now) {
         this.upstreams = upstreams;
         this.models = models;
+        this.limits = limits;
+        this.limitWatch = limitWatch;
         this.nextTell = now;
         this.lastTell = now;
     }
@@ -124,7 +133,9 @@
         nextTell = now + Math.max(TELL_EVERY, gap());
         EntryLoad.Builder load = EntryLoad.newBuilder().addAllSent(sent).addAllTaken(taken);
         upstreams.rows().stream().filter(row -> row.running > 0).forEach(row -> load.addUpstreams(underWay(now, row)));
-        boolean something = load.getUpstreamsCount() > 0 || !taken.isEmpty();
+        addLimits(now, load);
+        boolean something =
+                load.getUpstreamsCount() > 0 || !taken.isEmpty() || load.getLimitsCount() + load.getDemandsCount() > 0;
         sent.clear();
         taken.clear();
         if (something || toldSomething) {
@@ -135,6 +146,20 @@
         toldSomething = something;
     }
 
+    private void addLimits(long now, EntryLoad.Builder load) {
+        for (RateLimits.Heard heard : limits.heardHere(now)) {
+            HeardLimit.Builder limit = HeardLimit.newBuilder()
+                    .setUpstream(heard.start())
+                    .setAgeUs((long) (heard.ageNanos() / NANOS_PER_MICRO));
+            heard.perSecond().ifPresent(limit::setPerSecond);
+            load.addLimits(limit);
+        }
+        for (RateLimits.Demand demand : limits.demandsHere(now)) {
+            load.addDemands(
+                    ServiceDemand.newBuilder().setService(demand.service()).setCallsPerSecond(demand.perSecond()));
+        }
+    }
+
     private static UpstreamLoad underWay(long now, UpstreamRow row) {
         UpstreamLoad.Builder load =
                 UpstreamLoad.newBuilder().setId(row.id).setRunning(row.running).setTokens((int) row.tokens);
@@ -156,6 +181,19 @@
         upstreams.onLoad(now, entry, load);
         load.getSentList().forEach(prompt -> onSentElsewhere(now, prompt));
         load.getTakenList().forEach(prompt -> onTakenElsewhere(now, prompt));
+        load.getLimitsList().forEach(limit -> onLimitHeardElsewhere(now, entry, limit));
+        load.getDemandsList()
+                .forEach(demand -> limits.told(
+                        now, entry, new RateLimits.Demand(demand.getService(), demand.getCallsPerSecond())));
+    }
+
+    private void onLimitHeardElsewhere(long now, Address entry, HeardLimit limit) {
+        OptionalDouble perSecond =
+                limit.hasPerSecond() ? OptionalDouble.of(limit.getPerSecond()) : OptionalDouble.empty();
+        long age = (long) (limit.getAgeUs() * NANOS_PER_MICRO);
+        upstreams
+                .row(limit.getUpstream())
+                .ifPresent(row -> limitWatch.told(now, row, entry, new RateLimits.Heard(row.id, perSecond, age)));
     }
 
     private void onSentElsewhere(long now, SentPrompt prompt) {
--- /dev/null
+++ b/src/main/java/org/cuminshelf/direct/PacedPort.java
@@ -0,0 +1,52 @@
+package org.cuminshelf.direct;
+
+import java.util.function.Consumer;
+import java.util.function.LongSupplier;
+import org.cuminshelf.backpressure.RateLimits;
+import org.cuminshelf.core.Address;
+import org.cuminshelf.exchange.Reachability;
+import org.cuminshelf.exchange.UpstreamExchange;
+import org.cuminshelf.exchange.UpstreamHandler;
+import org.cuminshelf.exchange.UpstreamRequest;
+
+/**
+ * The way to upstreams, which keeps to the limits that they state.
+ *
+ * <p>Failure it guards against: a kind of request that nobody thought of, such as the release of a KV cache, goes to an
+ * upstream past the choice that looks at its limit. Whatever is sent uses a permit here, or is not sent.
+ */
+final class PacedPort implements UpstreamPort {
+
+    private static final UpstreamExchange NOT_SENT = () -> {};
+
+    private final UpstreamPort port;
+    private final RateLimits limits;
+    private final LongSupplier clock;
+
+    PacedPort(UpstreamPort port, RateLimits limits, LongSupplier clock) {
+        this.port = port;
+        this.limits = limits;
+        this.clock = clock;
+    }
+
+    @Override
+    public UpstreamExchange send(Address address, String upstream, UpstreamRequest request, UpstreamHandler handler) {
+        long now = clock.getAsLong();
+        if (!limits.admits(now, upstream)) {
+            handler.onFailed(false, "the limit that the upstream states leaves no room");
+            return NOT_SENT;
+        }
+        limits.use(now, upstream);
+        return port.send(address, upstream, request, handler);
+    }
+
+    @Override
+    public void forgetIdle(Address address, String upstream) {
+        port.forgetIdle(address, upstream);
+    }
+
+    @Override
+    public void probe(Address address, String upstream, Consumer<Reachability> whenSeen) {
+        port.probe(address, upstream, whenSeen);
+    }
+}
--- a/src/main/java/org/cuminshelf/direct/Placement.java
+++ b/src/main/java/org/cuminshelf/direct/Placement.java
@@ -5,7 +5,10 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import net.openhft.hashing.LongHashFunction;
+import org.cuminshelf.backpressure.RateLimits;
+import org.cuminshelf.core.Core;
 import org.cuminshelf.core.Durations;
 import org.cuminshelf.engines.EngineModel;
 import org.cuminshelf.message.Role;
@@ -104,15 +107,17 @@
     private final UpstreamTable upstreams;
     private final ControlFeed control;
     private final EngineModels models;
+    private final RateLimits limits;
     private final EnginePrices prices = new EnginePrices();
     private final CallValues values = new CallValues();
     private final Map<String, UnseenWork> unseen = new HashMap<>();
     private final String zone;
 
-    Placement(UpstreamTable upstreams, ControlFeed control, EngineModels models, String zone) {
+    Placement(UpstreamTable upstreams, ControlFeed control, EngineModels models, RateLimits limits, String zone) {
         this.upstreams = upstreams;
         this.control = control;
         this.models = models;
+        this.limits = limits;
         this.zone = zone;
     }
 
@@ -372,7 +377,57 @@
                 .toList();
     }
 
-    private static boolean isOpen(long now, UpstreamRow row, CallRow call) {
+    private boolean isOpen(long now, UpstreamRow row, CallRow call) {
+        return isServing(now, row, call) && hasPermit(now, row, call);
+    }
+
+    private static boolean isServing(long now, UpstreamRow row, CallRow call) {
         return !row.leaving && !row.changing && !row.isAvoided(now) && !call.excluded.contains(row.id);
     }
+
+    private boolean hasPermit(long now, UpstreamRow row, CallRow call) {
+        return limits.admits(now, row.id)
+                || call.keptPermit.filter(row.id::equals).isPresent();
+    }
+
+    /** Whether an upstream can answer a call, and not just read its prompt. */
+    private static boolean canAnswer(UpstreamRow row, CallRow call) {
+        return !call.isStream() || row.generates();
+    }
+
+    /**
+     * When a call may be sent, where all upstreams that could answer it state limits and have no permit left.
+     *
+     * @return the time of the next permit in nanoseconds; empty where an upstream is open, or none is there at all
+     */
+    OptionalLong nextPermit(long now, CallRow call) {
+        long next = Core.NEVER;
+        for (UpstreamRow row : upstreams.ofService(call.service)) {
+            if (!isServing(now, row, call) || !canAnswer(row, call)) {
+                continue;
+            }
+            if (hasPermit(now, row, call)) {
+                return OptionalLong.empty();
+            }
+            next = Math.min(next, limits.nextPermit(now, row.id));
+        }
+        return next == Core.NEVER ? OptionalLong.empty() : OptionalLong.of(next);
+    }
+
+    /**
+     * The engine of which a permit should be kept for the handover of a call: none if one without a limit can do it.
+     */
+    Optional<UpstreamRow> limitedForHandover(long now, CallRow call) {
+        UpstreamRow best = null;
+        for (UpstreamRow row : open(now, call)) {
+            if (!row.generates() || !hasPlace(row, call)) {
+                continue;
+            }
+            if (!limits.isLimited(row.id)) {
+                return Optional.empty();
+            }
+            best = best == null || row.occupancy() < best.occupancy() ? row : best;
+        }
+        return Optional.ofNullable(best);
+    }
 }
--- a/src/main/java/org/cuminshelf/direct/WaitingCalls.java
+++ b/src/main/java/org/cuminshelf/direct/WaitingCalls.java
@@ -55,6 +55,22 @@
         return add(now, call, slack, Durations.nanos((long) patience));
     }
 
+    /**
+     * Lets a call wait for a permit of an upstream with a limit, if one comes before its patience ends. A call whose
+     * prompt was read has more of it: what was read would be lost.
+     *
+     * @param now      the time in nanoseconds
+     * @param call     the call
+     * @param permitAt when the next permit comes, in nanoseconds
+     * @return whether it waits now
+     */
+    boolean addForPermit(long now, CallRow call, long permitAt) {
+        double share = call.cache.isPresent() ? 1 : PATIENCE_SHARE;
+        long patience = Durations.nanos((long) (share * call.route.targetMillis()));
+        boolean inTime = permitAt < call.arrivedAt + patience;
+        return inTime && add(now, call, call.route.targetMillis(), patience);
+    }
+
     /**
      * Lets a call wait for upstreams that are yet to be heard of.
      *
--- a/src/main/java/org/cuminshelf/message/EntryLoad.java
+++ b/src/main/java/org/cuminshelf/message/EntryLoad.java
@@ -22,6 +22,8 @@
     upstreams_ = emptyProtobufList();
     sent_ = emptyProtobufList();
     taken_ = emptyProtobufList();
+    limits_ = emptyProtobufList();
+    demands_ = emptyProtobufList();
   }
   public static final int UPSTREAMS_FIELD_NUMBER = 1;
   private com.google.protobuf.Internal.ProtobufList<org.cuminshelf.message.UpstreamLoad> upstreams_;
@@ -402,6 +404,288 @@
     taken_.remove(index);
   }
 
+  public static final int LIMITS_FIELD_NUMBER = 4;
+  private com.google.protobuf.Internal.ProtobufList<org.cuminshelf.message.HeardLimit> limits_;
+  /**
+   * <pre>
+   * What upstreams said to the entry of the requests that they take.
+   * </pre>
+   *
+   * <code>repeated .cuminshelf.HeardLimit limits = 4;</code>
+   */
+  @java.lang.Override
+  public java.util.List<org.cuminshelf.message.HeardLimit> getLimitsList() {
+    return limits_;
+  }
+  /**
+   * <pre>
+   * What upstreams said to the entry of the requests that they take.
+   * </pre>
+   *
+   * <code>repeated .cuminshelf.HeardLimit limits = 4;</code>
+   */
+  public java.util.List<? extends org.cuminshelf.message.HeardLimitOrBuilder> 
+      getLimitsOrBuilderList() {
+    return limits_;
+  }
+  /**
+   * <pre>
+   * What upstreams said to the entry of the requests that they take.
+   * </pre>
+   *
+   * <code>repeated .cuminshelf.HeardLimit limits = 4;</code>
+   */
+  @java.lang.Override
+  public int getLimitsCount() {
+    return limits_.size();
+  }
+  /**
+   * <pre>
+   * What upstreams said to the entry of the requests that they take.
+   * </pre>
+   *
+   * <code>repeated .cuminshelf.HeardLimit limits = 4;</code>
+   */
+  @java.lang.Override
+  public org.cuminshelf.message.HeardLimit getLimits(int index) {
+    return limits_.get(index);
+  }
+  /**
+   * <pre>
+   * What upstreams said to the entry of the requests that they take.
+   * </pre>
+   *
+   * <code>repeated .cuminshelf.HeardLimit limits = 4;</code>
+   */
+  public org.cuminshelf.message.HeardLimitOrBuilder getLimitsOrBuilder(
+      int index) {
+    return limits_.get(index);
+  }
+  private void ensureLimitsIsMutable() {
+    com.google.protobuf.Internal.ProtobufList<org.cuminshelf.message.HeardLimit> tmp = limits_;
+    if (!tmp.isModifiable()) {
+      limits_ =
+          com.google.protobuf.GeneratedMessageLite.mutableCopy(tmp);
+     }
+  }
+
+  /**
+   * <pre>
+   * What upstreams said to the entry of the requests that they take.
+   * </pre>
+   *
+   * <code>repeated .cuminshelf.HeardLimit limits = 4;</code>
+   */
+  @java.lang.SuppressWarnings("ReturnValueIgnored")
+  private void setLimits(
+      int index, org.cuminshelf.message.HeardLimit value) {
+    value.getClass();  // minimal bytecode null check
+    ensureLimitsIsMutable();
+    limits_.set(index, value);
+  }
+  /**
+   * <pre>
+   * What upstreams said to the entry of the requests that they take.
+   * </pre>
+   *
+   * <code>repeated .cuminshelf.HeardLimit limits = 4;</code>
+   */
+  @java.lang.SuppressWarnings("ReturnValueIgnored")
+  private void addLimits(org.cuminshelf.message.HeardLimit value) {
+    value.getClass();  // minimal bytecode null check
+    ensureLimitsIsMutable();
+    limits_.add(value);
+  }
+  /**
+   * <pre>
+   * What upstreams said to the entry of the requests that they take.
+   * </pre>
+   *
+   * <code>repeated .cuminshelf.HeardLimit limits = 4;</code>
+   */
+  @java.lang.SuppressWarnings("ReturnValueIgnored")
+  private void addLimits(
+      int index, org.cuminshelf.message.HeardLimit value) {
+    value.getClass();  // minimal bytecode null check
+    ensureLimitsIsMutable();
+    limits_.add(index, value);
+  }
+  /**
+   * <pre>
+   * What upstreams said to the entry of the requests that they take.
+   * </pre>
+   *
+   * <code>repeated .cuminshelf.HeardLimit limits = 4;</code>
+   */
+  private void addAllLimits(
+      java.lang.Iterable<? extends org.cuminshelf.message.HeardLimit> values) {
+    ensureLimitsIsMutable();
+    com.google.protobuf.AbstractMessageLite.addAll(
+        values, limits_);
+  }
+  /**
+   * <pre>
+   * What upstreams said to the entry of the requests that they take.
+   * </pre>
+   *
+   * <code>repeated .cuminshelf.HeardLimit limits = 4;</code>
+   */
+  private void clearLimits() {
+    limits_ = emptyProtobufList();
+  }
+  /**
+   * <pre>
+   * What upstreams said to the entry of the requests that they take.
+   * </pre>
+   *
+   * <code>repeated .cuminshelf.HeardLimit limits = 4;</code>
+   */
+  private void removeLimits(int index) {
+    ensureLimitsIsMutable();
+    limits_.remove(index);
+  }
+
+  public static final int DEMANDS_FIELD_NUMBER = 5;
+  private com.google.protobuf.Internal.ProtobufList<org.cuminshelf.message.ServiceDemand> demands_;
+  /**
+   * <pre>
+   * Calls at the entry for services of which an upstream states a limit.
+   * </pre>
+   *
+   * <code>repeated .cuminshelf.ServiceDemand demands = 5;</code>
+   */
+  @java.lang.Override
+  public java.util.List<org.cuminshelf.message.ServiceDemand> getDemandsList() {
+    return demands_;
+  }
+  /**
+   * <pre>
+   * Calls at the entry for services of which an upstream states a limit.
+   * </pre>
+   *
+   * <code>repeated .cuminshelf.ServiceDemand demands = 5;</code>
+   */
+  public java.util.List<? extends org.cuminshelf.message.ServiceDemandOrBuilder> 
+      getDemandsOrBuilderList() {
+    return demands_;
+  }
+  /**
+   * <pre>
+   * Calls at the entry for services of which an upstream states a limit.
+   * </pre>
+   *
+   * <code>repeated .cuminshelf.ServiceDemand demands = 5;</code>
+   */
+  @java.lang.Override
+  public int getDemandsCount() {
+    return demands_.size();
+  }
+  /**
+   * <pre>
+   * Calls at the entry for services of which an upstream states a limit.
+   * </pre>
+   *
+   * <code>repeated .cuminshelf.ServiceDemand demands = 5;</code>
+   */
+  @java.lang.Override
+  public org.cuminshelf.message.ServiceDemand getDemands(int index) {
+    return demands_.get(index);
+  }
+  /**
+   * <pre>
+   * Calls at the entry for services of which an upstream states a limit.
+   * </pre>
+   *
+   * <code>repeated .cuminshelf.ServiceDemand demands = 5;</code>
+   */
+  public org.cuminshelf.message.ServiceDemandOrBuilder getDemandsOrBuilder(
+      int index) {
+    return demands_.get(index);
+  }
+  private void ensureDemandsIsMutable() {
+    com.google.protobuf.Internal.ProtobufList<org.cuminshelf.message.ServiceDemand> tmp = demands_;
+    if (!tmp.isModifiable()) {
+      demands_ =
+          com.google.protobuf.GeneratedMessageLite.mutableCopy(tmp);
+     }
+  }
+
+  /**
+   * <pre>
+   * Calls at the entry for services of which an upstream states a limit.
+   * </pre>
+   *
+   * <code>repeated .cuminshelf.ServiceDemand demands = 5;</code>
+   */
+  @java.lang.SuppressWarnings("ReturnValueIgnored")
+  private void setDemands(
+      int index, org.cuminshelf.message.ServiceDemand value) {
+    value.getClass();  // minimal bytecode null check
+    ensureDemandsIsMutable();
+    demands_.set(index, value);
+  }
+  /**
+   * <pre>
+   * Calls at the entry for services of which an upstream states a limit.
+   * </pre>
+   *
+   * <code>repeated .cuminshelf.ServiceDemand demands = 5;</code>
+   */
+  @java.lang.SuppressWarnings("ReturnValueIgnored")
+  private void addDemands(org.cuminshelf.message.ServiceDemand value) {
+    value.getClass();  // minimal bytecode null check
+    ensureDemandsIsMutable();
+    demands_.add(value);
+  }
+  /**
+   * <pre>
+   * Calls at the entry for services of which an upstream states a limit.
+   * </pre>
+   *
+   * <code>repeated .cuminshelf.ServiceDemand demands = 5;</code>
+   */
+  @java.lang.SuppressWarnings("ReturnValueIgnored")
+  private void addDemands(
+      int index, org.cuminshelf.message.ServiceDemand value) {
+    value.getClass();  // minimal bytecode null check
+    ensureDemandsIsMutable();
+    demands_.add(index, value);
+  }
+  /**
+   * <pre>
+   * Calls at the entry for services of which an upstream states a limit.
+   * </pre>
+   *
+   * <code>repeated .cuminshelf.ServiceDemand demands = 5;</code>
+   */
+  private void addAllDemands(
+      java.lang.Iterable<? extends org.cuminshelf.message.ServiceDemand> values) {
+    ensureDemandsIsMutable();
+    com.google.protobuf.AbstractMessageLite.addAll(
+        values, demands_);
+  }
+  /**
+   * <pre>
+   * Calls at the entry for services of which an upstream states a limit.
+   * </pre>
+   *
+   * <code>repeated .cuminshelf.ServiceDemand demands = 5;</code>
+   */
+  private void clearDemands() {
+    demands_ = emptyProtobufList();
+  }
+  /**
+   * <pre>
+   * Calls at the entry for services of which an upstream states a limit.
+   * </pre>
+   *
+   * <code>repeated .cuminshelf.ServiceDemand demands = 5;</code>
+   */
+  private void removeDemands(int index) {
+    ensureDemandsIsMutable();
+    demands_.remove(index);
+  }
+
   public static org.cuminshelf.message.EntryLoad parseFrom(
       java.nio.ByteBuffer data)
       throws com.google.protobuf.InvalidProtocolBufferException {
@@ -905,6 +1189,306 @@
       return this;
     }
 
+    /**
+     * <pre>
+     * What upstreams said to the entry of the requests that they take.
+     * </pre>
+     *
+     * <code>repeated .cuminshelf.HeardLimit limits = 4;</code>
+     */
+    @java.lang.Override
+    public java.util.List<org.cuminshelf.message.HeardLimit> getLimitsList() {
+      return java.util.Collections.unmodifiableList(
+          instance.getLimitsList());
+    }
+    /**
+     * <pre>
+     * What upstreams said to the entry of the requests that they take.
+     * </pre>
+     *
+     * <code>repeated .cuminshelf.HeardLimit limits = 4;</code>
+     */
+    @java.lang.Override
+    public int getLimitsCount() {
+      return instance.getLimitsCount();
+    }/**
+     * <pre>
+     * What upstreams said to the entry of the requests that they take.
+     * </pre>
+     *
+     * <code>repeated .cuminshelf.HeardLimit limits = 4;</code>
+     */
+    @java.lang.Override
+    public org.cuminshelf.message.HeardLimit getLimits(int index) {
+      return instance.getLimits(index);
+    }
+    /**
+     * <pre>
+     * What upstreams said to the entry of the requests that they take.
+     * </pre>
+     *
+     * <code>repeated .cuminshelf.HeardLimit limits = 4;</code>
+     */
+    public Builder setLimits(
+        int index, org.cuminshelf.message.HeardLimit value) {
+      copyOnWrite();
+      instance.setLimits(index, value);
+      return this;
+    }
+    /**
+     * <pre>
+     * What upstreams said to the entry of the requests that they take.
+     * </pre>
+     *
+     * <code>repeated .cuminshelf.HeardLimit limits = 4;</code>
+     */
+    public Builder setLimits(
+        int index, org.cuminshelf.message.HeardLimit.Builder builderForValue) {
+      copyOnWrite();
+      instance.setLimits(index,
+          builderForValue.build());
+      return this;
+    }
+    /**
+     * <pre>
+     * What upstreams said to the entry of the requests that they take.
+     * </pre>
+     *
+     * <code>repeated .cuminshelf.HeardLimit limits = 4;</code>
+     */
+    public Builder addLimits(org.cuminshelf.message.HeardLimit value) {
+      copyOnWrite();
+      instance.addLimits(value);
+      return this;
+    }
+    /**
+     * <pre>
+     * What upstreams said to the entry of the requests that they take.
+     * </pre>
+     *
+     * <code>repeated .cuminshelf.HeardLimit limits = 4;</code>
+     */
+    public Builder addLimits(
+        int index, org.cuminshelf.message.HeardLimit value) {
+      copyOnWrite();
+      instance.addLimits(index, value);
+      return this;
+    }
+    /**
+     * <pre>
+     * What upstreams said to the entry of the requests that they take.
+     * </pre>
+     *
+     * <code>repeated .cuminshelf.HeardLimit limits = 4;</code>
+     */
+    public Builder addLimits(
+        org.cuminshelf.message.HeardLimit.Builder builderForValue) {
+      copyOnWrite();
+      instance.addLimits(builderForValue.build());
+      return this;
+    }
+    /**
+     * <pre>
+     * What upstreams said to the entry of the requests that they take.
+     * </pre>
+     *
+     * <code>repeated .cuminshelf.HeardLimit limits = 4;</code>
+     */
+    public Builder addLimits(
+        int index, org.cuminshelf.message.HeardLimit.Builder builderForValue) {
+      copyOnWrite();
+      instance.addLimits(index,
+          builderForValue.build());
+      return this;
+    }
+    /**
+     * <pre>
+     * What upstreams said to the entry of the requests that they take.
+     * </pre>
+     *
+     * <code>repeated .cuminshelf.HeardLimit limits = 4;</code>
+     */
+    public Builder addAllLimits(
+        java.lang.Iterable<? extends org.cuminshelf.message.HeardLimit> values) {
+      copyOnWrite();
+      instance.addAllLimits(values);
+      return this;
+    }
+    /**
+     * <pre>
+     * What upstreams said to the entry of the requests that they take.
+     * </pre>
+     *
+     * <code>repeated .cuminshelf.HeardLimit limits = 4;</code>
+     */
+    public Builder clearLimits() {
+      copyOnWrite();
+      instance.clearLimits();
+      return this;
+    }
+    /**
+     * <pre>
+     * What upstreams said to the entry of the requests that they take.
+     * </pre>
+     *
+     * <code>repeated .cuminshelf.HeardLimit limits = 4;</code>
+     */
+    public Builder removeLimits(int index) {
+      copyOnWrite();
+      instance.removeLimits(index);
+      return this;
+    }
+
+    /**
+     * <pre>
+     * Calls at the entry for services of which an upstream states a limit.
+     * </pre>
+     *
+     * <code>repeated .cuminshelf.ServiceDemand demands = 5;</code>
+     */
+    @java.lang.Override
+    public java.util.List<org.cuminshelf.message.ServiceDemand> getDemandsList() {
+      return java.util.Collections.unmodifiableList(
+          instance.getDemandsList());
+    }
+    /**
+     * <pre>
+     * Calls at the entry for services of which an upstream states a limit.
+     * </pre>
+     *
+     * <code>repeated .cuminshelf.ServiceDemand demands = 5;</code>
+     */
+    @java.lang.Override
+    public int getDemandsCount() {
+      return instance.getDemandsCount();
+    }/**
+     * <pre>
+     * Calls at the entry for services of which an upstream states a limit.
+     * </pre>
+     *
+     * <code>repeated .cuminshelf.ServiceDemand demands = 5;</code>
+     */
+    @java.lang.Override
+    public org.cuminshelf.message.ServiceDemand getDemands(int index) {
+      return instance.getDemands(index);
+    }
+    /**
+     * <pre>
+     * Calls at the entry for services of which an upstream states a limit.
+     * </pre>
+     *
+     * <code>repeated .cuminshelf.ServiceDemand demands = 5;</code>
+     */
+    public Builder setDemands(
+        int index, org.cuminshelf.message.ServiceDemand value) {
+      copyOnWrite();
+      instance.setDemands(index, value);
+      return this;
+    }
+    /**
+     * <pre>
+     * Calls at the entry for services of which an upstream states a limit.
+     * </pre>
+     *
+     * <code>repeated .cuminshelf.ServiceDemand demands = 5;</code>
+     */
+    public Builder setDemands(
+        int index, org.cuminshelf.message.ServiceDemand.Builder builderForValue) {
+      copyOnWrite();
+      instance.setDemands(index,
+          builderForValue.build());
+      return this;
+    }
+    /**
+     * <pre>
+     * Calls at the entry for services of which an upstream states a limit.
+     * </pre>
+     *
+     * <code>repeated .cuminshelf.ServiceDemand demands = 5;</code>
+     */
+    public Builder addDemands(org.cuminshelf.message.ServiceDemand value) {
+      copyOnWrite();
+      instance.addDemands(value);
+      return this;
+    }
+    /**
+     * <pre>
+     * Calls at the entry for services of which an upstream states a limit.
+     * </pre>
+     *
+     * <code>repeated .cuminshelf.ServiceDemand demands = 5;</code>
+     */
+    public Builder addDemands(
+        int index, org.cuminshelf.message.ServiceDemand value) {
+      copyOnWrite();
+      instance.addDemands(index, value);
+      return this;
+    }
+    /**
+     * <pre>
+     * Calls at the entry for services of which an upstream states a limit.
+     * </pre>
+     *
+     * <code>repeated .cuminshelf.ServiceDemand demands = 5;</code>
+     */
+    public Builder addDemands(
+        org.cuminshelf.message.ServiceDemand.Builder builderForValue) {
+      copyOnWrite();
+      instance.addDemands(builderForValue.build());
+      return this;
+    }
+    /**
+     * <pre>
+     * Calls at the entry for services of which an upstream states a limit.
+     * </pre>
+     *
+     * <code>repeated .cuminshelf.ServiceDemand demands = 5;</code>
+     */
+    public Builder addDemands(
+        int index, org.cuminshelf.message.ServiceDemand.Builder builderForValue) {
+      copyOnWrite();
+      instance.addDemands(index,
+          builderForValue.build());
+      return this;
+    }
+    /**
+     * <pre>
+     * Calls at the entry for services of which an upstream states a limit.
+     * </pre>
+     *
+     * <code>repeated .cuminshelf.ServiceDemand demands = 5;</code>
+     */
+    public Builder addAllDemands(
+        java.lang.Iterable<? extends org.cuminshelf.message.ServiceDemand> values) {
+      copyOnWrite();
+      instance.addAllDemands(values);
+      return this;
+    }
+    /**
+     * <pre>
+     * Calls at the entry for services of which an upstream states a limit.
+     * </pre>
+     *
+     * <code>repeated .cuminshelf.ServiceDemand demands = 5;</code>
+     */
+    public Builder clearDemands() {
+      copyOnWrite();
+      instance.clearDemands();
+      return this;
+    }
+    /**
+     * <pre>
+     * Calls at the entry for services of which an upstream states a limit.
+     * </pre>
+     *
+     * <code>repeated .cuminshelf.ServiceDemand demands = 5;</code>
+     */
+    public Builder removeDemands(int index) {
+      copyOnWrite();
+      instance.removeDemands(index);
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:cuminshelf.EntryLoad)
   }
   @java.lang.Override
@@ -927,10 +1511,14 @@
             org.cuminshelf.message.SentPrompt.class,
             "taken_",
             org.cuminshelf.message.TakenPrompt.class,
+            "limits_",
+            org.cuminshelf.message.HeardLimit.class,
+            "demands_",
+            org.cuminshelf.message.ServiceDemand.class,
           };
           java.lang.String info =
-              "\u0000\u0003\u0000\u0000\u0001\u0003\u0003\u0000\u0003\u0000\u0001\u001b\u0002\u001b" +
-              "\u0003\u001b";
+              "\u0000\u0005\u0000\u0000\u0001\u0005\u0005\u0000\u0005\u0000\u0001\u001b\u0002\u001b" +
+              "\u0003\u001b\u0004\u001b\u0005\u001b";
           return newMessageInfo(DEFAULT_INSTANCE, info, objects);
       }
       case GET_DEFAULT_INSTANCE: {
--- a/src/main/java/org/cuminshelf/message/EntryLoadOrBuilder.java
+++ b/src/main/java/org/cuminshelf/message/EntryLoadOrBuilder.java
@@ -75,4 +75,56 @@
    * <code>repeated .cuminshelf.TakenPrompt taken = 3;</code>
    */
   int getTakenCount();
+
+  /**
+   * <pre>
+   * What upstreams said to the entry of the requests that they take.
+   * </pre>
+   *
+   * <code>repeated .cuminshelf.HeardLimit limits = 4;</code>
+   */
+  java.util.List<org.cuminshelf.message.HeardLimit> 
+      getLimitsList();
+  /**
+   * <pre>
+   * What upstreams said to the entry of the requests that they take.
+   * </pre>
+   *
+   * <code>repeated .cuminshelf.HeardLimit limits = 4;</code>
+   */
+  org.cuminshelf.message.HeardLimit getLimits(int index);
+  /**
+   * <pre>
+   * What upstreams said to the entry of the requests that they take.
+   * </pre>
+   *
+   * <code>repeated .cuminshelf.HeardLimit limits = 4;</code>
+   */
+  int getLimitsCount();
+
+  /**
+   * <pre>
+   * Calls at the entry for services of which an upstream states a limit.
+   * </pre>
+   *
+   * <code>repeated .cuminshelf.ServiceDemand demands = 5;</code>
+   */
+  java.util.List<org.cuminshelf.message.ServiceDemand> 
+      getDemandsList();
+  /**
+   * <pre>
+   * Calls at the entry for services of which an upstream states a limit.
+   * </pre>
+   *
+   * <code>repeated .cuminshelf.ServiceDemand demands = 5;</code>
+   */
+  org.cuminshelf.message.ServiceDemand getDemands(int index);
+  /**
+   * <pre>
+   * Calls at the entry for services of which an upstream states a limit.
+   * </pre>
+   *
+   * <code>repeated .cuminshelf.ServiceDemand demands = 5;</code>
+   */
+  int getDemandsCount();
 }
--- a/src/test/java/org/cuminshelf/direct/DirectFixture.java
+++ b/src/test/java/org/cuminshelf/direct/DirectFixture.java
@@ -127,6 +127,11 @@
         return this;
     }
 
+    /** Control names the entries that it hears from. */
+    void entries(String... addresses) {
+        update(Update.newBuilder().addAllEntryAddresses(List.of(addresses)));
+    }
+
     static UpstreamBeat beat(String id, Role role) {
         return UpstreamBeat.newBuilder()
                 .setId(id)
