See when an upstream asks for rest or says that it leaves: decoded and logged; nothing is decided by it yet

Refusals were logged without what they ask for, and a pause of 100 ms that our own code sets could not be told from one that was asked for. The stand-in engine learns to refuse, to ask for rest and to leave.

--- a/src/main/java/org/cuminshelf/direct/AnswerFacts.java
+++ b/src/main/java/org/cuminshelf/direct/AnswerFacts.java
@@ -1,7 +1,7 @@
 package org.cuminshelf.direct;
 
 import java.util.Optional;
-import org.cuminshelf.backpressure.StatedLimit;
+import org.cuminshelf.backpressure.Demands;
 
 /**
  * What the head of an upstream's answer says about the request.
@@ -10,10 +10,10 @@
  * @param notExecuted whether the upstream states that the request did not run
  * @param start       identity of the start that answered, as far as it says
  * @param authentic   whether the answer is that of a run, by the upstream's own mark
- * @param limit       what it says of how many requests the upstream takes
+ * @param demands     what it asks of those that send requests
  */
 public record AnswerFacts(
-        Optional<String> requestId, boolean notExecuted, Optional<String> start, boolean authentic, StatedLimit limit) {
+        Optional<String> requestId, boolean notExecuted, Optional<String> start, boolean authentic, Demands demands) {
 
     /** Whether another start of an upstream has the address by now. */
     boolean isOtherThan(String expected) {
--- a/src/main/java/org/cuminshelf/direct/AttemptSystem.java
+++ b/src/main/java/org/cuminshelf/direct/AttemptSystem.java
@@ -76,7 +76,7 @@
     private final Outcomes outcomes;
     private final EngineModels models;
     private final LoadGossip gossip;
-    private final LimitWatch limitWatch;
+    private final DemandWatch demandWatch;
     private final Map<Long, AttemptRow> attempts = new HashMap<>();
     private final Deadlines<Long> attemptChecks = Deadlines.create();
     private long nextAttempt = 1;
@@ -89,7 +89,7 @@
             DecisionLog log,
             EngineModels models,
             LoadGossip gossip,
-            LimitWatch limitWatch,
+            DemandWatch demandWatch,
             Outcomes outcomes) {
         this.protocol = protocol;
         this.port = port;
@@ -98,7 +98,7 @@
         this.log = log;
         this.models = models;
         this.gossip = gossip;
-        this.limitWatch = limitWatch;
+        this.demandWatch = demandWatch;
         this.outcomes = outcomes;
     }
 
@@ -206,7 +206,7 @@
         attempt.facts = protocol.facts(status, headers);
         attempt.lastProgressAt = now;
         String own = attempt.call.intent.id();
-        limitWatch.onHead(now, attempt.upstream, attempt.sentAt, own, attempt.facts);
+        demandWatch.onHead(now, attempt.upstream, attempt.sentAt, own, attempt.facts);
         if (attempt.facts.requestId().filter(id -> !id.equals(own)).isPresent()) {
             // An upstream may answer twice, or late: these bytes belong to another request.
             attempt.exchange.cancel();
--- a/src/main/java/org/cuminshelf/direct/CallSystem.java
+++ b/src/main/java/org/cuminshelf/direct/CallSystem.java
@@ -40,7 +40,7 @@
     private final Invariants invariants;
     private final DecisionLog log;
     private final RateLimits limits;
-    private final LimitWatch limitWatch;
+    private final DemandWatch demandWatch;
     private final PoisonSystem poison;
     private final UsageMeter usage;
     private final CallerAnswers callers;
@@ -64,7 +64,7 @@
             EngineModels models,
             LoadGossip gossip,
             RateLimits limits,
-            LimitWatch limitWatch,
+            DemandWatch demandWatch,
             PoisonSystem poison,
             UsageMeter usage) {
         this.protocol = protocol;
@@ -77,13 +77,13 @@
         this.invariants = invariants;
         this.log = log;
         this.limits = limits;
-        this.limitWatch = limitWatch;
+        this.demandWatch = demandWatch;
         this.poison = poison;
         this.usage = usage;
         this.admission = new Admission(placement, control, waiting);
         this.callers = new CallerAnswers(control, log);
         this.attempts = new AttemptSystem(
-                protocol, port, callers, clock, log, models, gossip, limitWatch, new AttemptOutcomes());
+                protocol, port, callers, clock, log, models, gossip, demandWatch, new AttemptOutcomes());
     }
 
     /** Gives answers that no call stands behind. */
@@ -462,7 +462,7 @@
 
         @Override
         public void onHead(int status, HttpFields headers) {
-            limitWatch.onHead(clock.getAsLong(), upstream, sentAt, request, protocol.facts(status, headers));
+            demandWatch.onHead(clock.getAsLong(), upstream, sentAt, request, protocol.facts(status, headers));
         }
 
         @Override
--- a/src/main/java/org/cuminshelf/direct/LimitWatch.java
+++ b/src/main/java/org/cuminshelf/direct/DemandWatch.java
@@ -5,13 +5,13 @@
 import org.cuminshelf.backpressure.StatedLimit;
 import org.cuminshelf.core.Address;
 
-/** Hears what answers, and other entries, say of upstreams' limits, and notes what changed. */
-final class LimitWatch {
+/** Hears what answers, and other entries, say of what upstreams ask for, and notes what changed. */
+final class DemandWatch {
 
     private final RateLimits limits;
     private final DecisionLog log;
 
-    LimitWatch(RateLimits limits, DecisionLog log) {
+    DemandWatch(RateLimits limits, DecisionLog log) {
         this.limits = limits;
         this.log = log;
     }
@@ -29,15 +29,22 @@
         if (facts.isOtherThan(upstream.name)) {
             return;
         }
-        if (facts.limit() instanceof StatedLimit.Unreadable(String text)) {
+        facts.demands()
+                .rest()
+                .ifPresent(rest -> log.note(
+                        "upstream", upstream.id, "outcome", "rest-asked", "ms", rest.toMillis(), "request", request));
+        if (facts.demands().leaving()) {
+            log.note("upstream", upstream.id, "outcome", "leaving-stated", "request", request);
+        }
+        if (facts.demands().limit() instanceof StatedLimit.Unreadable(String text)) {
             log.note("upstream", upstream.id, "outcome", "limit-unreadable", "stated", text, "request", request);
         }
         boolean another = facts.requestId().filter(id -> !id.equals(request)).isPresent();
-        if (another && facts.limit() instanceof StatedLimit.Unlimited) {
+        if (another && facts.demands().limit() instanceof StatedLimit.Unlimited) {
             // The answer to an earlier request, which may have been written before the limit was named.
             return;
         }
-        limits.heard(now, upstream.id, upstream.service, sentAt, facts.limit())
+        limits.heard(now, upstream.id, upstream.service, sentAt, facts.demands().limit())
                 .ifPresent(change -> note(upstream, change, "request", request));
     }
 
--- a/src/main/java/org/cuminshelf/direct/DirectCore.java
+++ b/src/main/java/org/cuminshelf/direct/DirectCore.java
@@ -70,9 +70,9 @@
         this.control = new ControlFeed(settings, reader, upstreams, poison, usage, now, invariants, log);
         EngineModels models = new EngineModels();
         this.limits = RateLimits.none(self);
-        LimitWatch limitWatch = new LimitWatch(limits, log);
+        DemandWatch demandWatch = new DemandWatch(limits, log);
         Placement placement = new Placement(upstreams, control, models, limits, settings.zone());
-        this.gossip = new LoadGossip(upstreams, models, limits, limitWatch, now);
+        this.gossip = new LoadGossip(upstreams, models, limits, demandWatch, now);
         this.calls = new CallSystem(
                 protocol,
                 new PacedPort(port, limits, clock),
@@ -86,7 +86,7 @@
                 models,
                 gossip,
                 limits,
-                limitWatch,
+                demandWatch,
                 poison,
                 usage);
         this.nextHousekeeping = now;
--- a/src/main/java/org/cuminshelf/direct/LoadGossip.java
+++ b/src/main/java/org/cuminshelf/direct/LoadGossip.java
@@ -57,7 +57,7 @@
     private final UpstreamTable upstreams;
     private final EngineModels models;
     private final RateLimits limits;
-    private final LimitWatch limitWatch;
+    private final DemandWatch demandWatch;
     private final List<SentPrompt> sent = new ArrayList<>();
     private final List<TakenPrompt> taken = new ArrayList<>();
     private long nextTell;
@@ -65,11 +65,11 @@
     private int listeners;
     private boolean toldSomething;
 
-    LoadGossip(UpstreamTable upstreams, EngineModels models, RateLimits limits, LimitWatch limitWatch, long now) {
+    LoadGossip(UpstreamTable upstreams, EngineModels models, RateLimits limits, DemandWatch demandWatch, long now) {
         this.upstreams = upstreams;
         this.models = models;
         this.limits = limits;
-        this.limitWatch = limitWatch;
+        this.demandWatch = demandWatch;
         this.nextTell = now;
         this.lastTell = now;
     }
@@ -193,7 +193,7 @@
         long age = (long) (limit.getAgeUs() * NANOS_PER_MICRO);
         upstreams
                 .row(limit.getUpstream())
-                .ifPresent(row -> limitWatch.told(now, row, entry, new RateLimits.Heard(row.id, perSecond, age)));
+                .ifPresent(row -> demandWatch.told(now, row, entry, new RateLimits.Heard(row.id, perSecond, age)));
     }
 
     private void onSentElsewhere(long now, SentPrompt prompt) {
--- a/src/main/java/org/cuminshelf/platform/Headers.java
+++ b/src/main/java/org/cuminshelf/platform/Headers.java
@@ -35,6 +35,9 @@
     /** Requests a second that the answering upstream takes from all VMs together, a decimal number. */
     static final String RATE_LIMIT = "Server-Limit";
 
+    /** Present where the answering upstream says that it leaves. */
+    static final String LEAVING = "Server-Leaving";
+
     /** Place in the engine's queue, 0 to 9. */
     static final String PRIORITY = "X-Cuminshelf-Request-Priority";
     /** With the value {@link #PREFILL}: take in the prompt only. */
--- a/src/main/java/org/cuminshelf/platform/PlatformProtocol.java
+++ b/src/main/java/org/cuminshelf/platform/PlatformProtocol.java
@@ -3,6 +3,7 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import java.io.IOException;
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
@@ -11,6 +12,7 @@
 import java.util.OptionalLong;
 import java.util.Set;
 import java.util.regex.Pattern;
+import org.cuminshelf.backpressure.Demands;
 import org.cuminshelf.backpressure.StatedLimit;
 import org.cuminshelf.direct.AnswerFacts;
 import org.cuminshelf.direct.AttemptPlan;
@@ -42,6 +44,12 @@
     /** Characters of an unreadable header that the log shows. */
     private static final int MOST_SHOWN = 60;
 
+    private static final int UNAVAILABLE = 503;
+    /** A day; a longer rest ends with the upstream. */
+    private static final double LONGEST_REST_SECONDS = 86_400;
+
+    private static final double MILLIS_PER_SECOND = 1_000;
+
     private static final byte[] NOTHING = new byte[0];
 
     @Override
@@ -156,7 +164,21 @@
                 status == MISDIRECTED || headers.contains(Headers.NOT_EXECUTED),
                 Optional.ofNullable(headers.get(Headers.ANSWERING_START)),
                 headers.contains(Headers.SEAL),
-                limit(headers));
+                new Demands(limit(headers), rest(status, headers), "1".equals(headers.get(Headers.LEAVING))));
+    }
+
+    /** Only a refusal asks for rest; elsewhere the header means something else, or nothing. */
+    private static Optional<Duration> rest(int status, HttpFields headers) {
+        String stated = headers.get(HttpHeader.RETRY_AFTER);
+        if (status != UNAVAILABLE || stated == null) {
+            return Optional.empty();
+        }
+        if (!DECIMAL.matcher(stated).matches()) {
+            Logger.info("platform: event=unreadable-header header={} value=\"{}\"", HttpHeader.RETRY_AFTER, stated);
+            return Optional.empty();
+        }
+        double seconds = Math.min(LONGEST_REST_SECONDS, Double.parseDouble(stated));
+        return Optional.of(Duration.ofMillis((long) Math.ceil(seconds * MILLIS_PER_SECOND)));
     }
 
     private static StatedLimit limit(HttpFields headers) {
--- a/src/test/java/org/cuminshelf/direct/DirectFixture.java
+++ b/src/test/java/org/cuminshelf/direct/DirectFixture.java
@@ -3,12 +3,14 @@
 import com.google.protobuf.ByteString;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.function.Consumer;
+import org.cuminshelf.backpressure.Demands;
 import org.cuminshelf.backpressure.StatedLimit;
 import org.cuminshelf.core.Address;
 import org.cuminshelf.core.Deflated;
@@ -387,7 +389,11 @@
                     headers.contains("Not-Run"),
                     Optional.ofNullable(headers.get("Start")),
                     headers.contains("Seal"),
-                    limit(headers));
+                    new Demands(limit(headers), rest(headers), headers.contains("Leaving")));
+        }
+
+        private static Optional<Duration> rest(HttpFields headers) {
+            return Optional.ofNullable(headers.get("Rest")).map(millis -> Duration.ofMillis(Long.parseLong(millis)));
         }
 
         private static StatedLimit limit(HttpFields headers) {
--- a/src/test/java/org/cuminshelf/platform/PlatformProtocolTest.java
+++ b/src/test/java/org/cuminshelf/platform/PlatformProtocolTest.java
@@ -2,6 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.time.Duration;
 import java.util.List;
 import java.util.Locale;
 import java.util.Optional;
@@ -183,7 +184,7 @@
         for (String value : stated) {
             headers.add(Headers.RATE_LIMIT, value);
         }
-        return protocol.facts(200, headers).limit();
+        return protocol.facts(200, headers).demands().limit();
     }
 
     @Example
@@ -203,4 +204,28 @@
         }
         assertThat(limit("5", "6")).isEqualTo(new StatedLimit.Unreadable("[5, 6]"));
     }
+
+    private Optional<Duration> rest(int status, String stated) {
+        return protocol.facts(status, HttpFields.build().put("Retry-After", stated))
+                .demands()
+                .rest();
+    }
+
+    @Example
+    void theRestThatARefusalAsksForIsRead() {
+        assertThat(rest(503, "3")).contains(Duration.ofSeconds(3));
+        assertThat(rest(503, "0.2504")).contains(Duration.ofMillis(251));
+        assertThat(rest(503, "999999999999")).contains(Duration.ofDays(1));
+        assertThat(rest(200, "3")).isEmpty();
+        for (String value : List.of("", "-1", "soon", "NaN", "Wed, 21 Oct 2026 07:28:00 GMT")) {
+            assertThat(rest(503, value)).as(value).isEmpty();
+        }
+    }
+
+    @Example
+    void thatAnUpstreamLeavesIsRead() {
+        HttpFields leaving = HttpFields.build().put(Headers.LEAVING, "1");
+        assertThat(protocol.facts(200, leaving).demands().leaving()).isTrue();
+        assertThat(protocol.facts(200, HttpFields.EMPTY).demands().leaving()).isFalse();
+    }
 }
--- a/src/test/java/org/cuminshelf/platform/WireNamesTest.java
+++ b/src/test/java/org/cuminshelf/platform/WireNamesTest.java
@@ -15,8 +15,8 @@
 class WireNamesTest {
 
     private static final Path SOURCES = Path.of("src/main/java/org/cuminshelf");
-    private static final Pattern NAMES =
-            Pattern.compile("X-Cuminshelf-|Server-Limit|/cuminshelf/|heartbeatAddr|routeKind|kvHandle|trafficSplit"
+    private static final Pattern NAMES = Pattern.compile(
+            "X-Cuminshelf-|Server-Limit|Server-Leaving|/cuminshelf/|heartbeatAddr|routeKind|kvHandle|trafficSplit"
                     + "|CUMINSHELF_BOOT|internalPorts");
 
     @Example
--- a/src/test/java/org/cuminshelf/trial/CrashingEngine.java
+++ b/src/test/java/org/cuminshelf/trial/CrashingEngine.java
@@ -4,6 +4,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import java.util.TreeSet;
 import java.util.function.Consumer;
 import org.apache.commons.rng.UniformRandomProvider;
@@ -149,7 +150,7 @@
 
     private HttpFields.Mutable head(String name, String value) {
         HttpFields.Mutable head = HttpFields.build().put(name, value);
-        needs.limit().ifPresent(limit -> head.put("Limit", String.valueOf(limit)));
+        needs.describe(head);
         return head;
     }
 
@@ -239,6 +240,16 @@
         return run;
     }
 
+    private boolean refused(Address entry, Run run) {
+        Optional<HttpFields.Mutable> refusal = needs.refusal(entry);
+        refusal.ifPresent(head -> {
+            run.over = true;
+            run.handler.onHead(503, head);
+            run.handler.onComplete();
+        });
+        return refusal.isPresent();
+    }
+
     private void arrive(Address entry, String upstream, UpstreamRequest request, Run run) {
         if (run.over) {
             return;
@@ -253,7 +264,7 @@
             run.over = true;
             run.handler.onHead(421, HttpFields.build().put("Not-Run", "1").put("Start", identity()));
             run.handler.onComplete();
-        } else {
+        } else if (!refused(entry, run)) {
             if (run.poison) {
                 records.arrivals.add(new Arrival(time.now(), request.headers().get("Id")));
             }
--- a/src/test/java/org/cuminshelf/trial/DirectFleet.java
+++ b/src/test/java/org/cuminshelf/trial/DirectFleet.java
@@ -3,6 +3,7 @@
 import com.google.protobuf.ByteString;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
@@ -12,6 +13,7 @@
 import java.util.function.Consumer;
 import org.apache.commons.rng.UniformRandomProvider;
 import org.apache.commons.rng.simple.RandomSource;
+import org.cuminshelf.backpressure.Demands;
 import org.cuminshelf.backpressure.StatedLimit;
 import org.cuminshelf.control.ControlCore;
 import org.cuminshelf.control.ControlSettings;
@@ -392,7 +394,11 @@
                     headers.contains("Not-Run"),
                     Optional.ofNullable(headers.get("Start")),
                     headers.contains("Seal"),
-                    limit(headers));
+                    new Demands(limit(headers), rest(headers), headers.contains("Leaving")));
+        }
+
+        private static Optional<Duration> rest(HttpFields headers) {
+            return Optional.ofNullable(headers.get("Rest")).map(millis -> Duration.ofMillis(Long.parseLong(millis)));
         }
 
         private static StatedLimit limit(HttpFields headers) {
--- a/src/test/java/org/cuminshelf/trial/NeedyUpstream.java
+++ b/src/test/java/org/cuminshelf/trial/NeedyUpstream.java
@@ -5,6 +5,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.OptionalDouble;
 import org.cuminshelf.core.Address;
 import org.cuminshelf.core.Durations;
@@ -19,6 +20,9 @@
     /** Time after which an entry counts as told. */
     private static final long TOLD = Durations.nanos(500);
 
+    /** Time after a refusal in which requests may still be on their way. */
+    private static final long ON_THEIR_WAY = Durations.nanos(500);
+
     private static final long WINDOW = Durations.nanos(4_000);
     private static final double MOST_SHARE = 1.5;
     private static final int SLACK = 5;
@@ -27,7 +31,14 @@
     /** A request that reached it, and from where. */
     private record Arrival(long at, Address entry) {}
 
+    /** A refusal that asked an entry for rest. */
+    private record Refusal(long at, Address entry, long rest) {}
+
     private final VirtualTime time;
+    private final List<Refusal> refusals = new ArrayList<>();
+    private final Map<Address, Long> toldThatItLeaves = new HashMap<>();
+    private long restMillis;
+    private boolean leaving;
     private final List<Arrival> arrivals = new ArrayList<>();
     private final Map<Address, Long> toldAt = new HashMap<>();
     private OptionalDouble limit = OptionalDouble.empty();
@@ -37,10 +48,6 @@
         this.time = time;
     }
 
-    OptionalDouble limit() {
-        return limit;
-    }
-
     /** Names a limit in all answers from now on. */
     void state(double perSecond) {
         limit = OptionalDouble.of(perSecond);
@@ -53,9 +60,67 @@
         limit = OptionalDouble.empty();
     }
 
+    /** Refuses all that comes from now on, and asks for so much rest each time. */
+    void askForRest(long millis) {
+        restMillis = millis;
+    }
+
+    /** Refuses nothing any more. */
+    void takeAll() {
+        restMillis = 0;
+    }
+
+    /** Says in all answers from now on that it leaves. */
+    void leave() {
+        leaving = true;
+    }
+
+    /** The head of a refusal, if it refuses. */
+    Optional<HttpFields.Mutable> refusal(Address entry) {
+        if (restMillis == 0) {
+            return Optional.empty();
+        }
+        refusals.add(new Refusal(time.now(), entry, Durations.nanos(restMillis)));
+        return Optional.of(HttpFields.build().put("Not-Run", "1").put("Rest", String.valueOf(restMillis)));
+    }
+
+    long refused() {
+        return refusals.size();
+    }
+
+    /** Most requests that came from an entry within a rest that it was asked for. */
+    long worstWithinRest() {
+        return refusals.stream()
+                .mapToLong(refusal -> arrivals.stream()
+                        .filter(arrival -> arrival.entry.equals(refusal.entry))
+                        .filter(arrival -> arrival.at > refusal.at + ON_THEIR_WAY)
+                        .filter(arrival -> arrival.at < refusal.at + refusal.rest)
+                        .count())
+                .max()
+                .orElse(0);
+    }
+
+    /** Requests that came from an entry so long after it was told that this upstream leaves. */
+    long afterToldOfLeaving(long delay) {
+        return arrivals.stream()
+                .filter(arrival ->
+                        arrival.at > toldThatItLeaves.getOrDefault(arrival.entry, Long.MAX_VALUE - delay) + delay)
+                .count();
+    }
+
+    /** Says what it asks for in the head of an answer. */
+    void describe(HttpFields.Mutable head) {
+        limit.ifPresent(perSecond -> head.put("Limit", String.valueOf(perSecond)));
+        if (leaving) {
+            head.put("Leaving", "1");
+        }
+    }
+
     /** A restart of an entry: it has to be told again. */
     void forget(Address entry) {
         toldAt.remove(entry);
+        toldThatItLeaves.remove(entry);
+        refusals.removeIf(refusal -> refusal.entry.equals(entry));
     }
 
     void arrived(Address entry) {
@@ -94,7 +159,7 @@
         return toldAt.getOrDefault(arrival.entry, Long.MAX_VALUE - TOLD) + TOLD <= arrival.at;
     }
 
-    /** Takes note of which entries pass on an answer that names the limit. */
+    /** Takes note of which entries pass on an answer that names a limit, or that it leaves. */
     UpstreamHandler watch(Address entry, UpstreamHandler handler) {
         return new UpstreamHandler() {
             @Override
@@ -102,6 +167,9 @@
                 if (headers.contains("Limit")) {
                     toldAt.putIfAbsent(entry, time.now());
                 }
+                if (headers.contains("Leaving")) {
+                    toldThatItLeaves.putIfAbsent(entry, time.now());
+                }
                 handler.onHead(status, headers);
             }
 
