Keep the rest that upstreams ask for when they refuse a request

Cause: the time was not read; a refusal paused an upstream for 100 ms whatever it asked for, and a success of what was sent before ended the pause, as one field held failures, fullness and rest. A refusal to read a prompt counted as a failure of the engine. Class: as with the limits, a signal of the other side that no part of the design listens to. Ruled out as the cause by itself: what was under way (sends came 100 ms apart for 3 s).

Mend: backpressure.Rests, a circuit breaker whose time the upstream states. Nothing is sent before the time is over, by placement and by the port; a shorter rest or a success of an earlier request ends none; after it one request at a time until one is answered. Other entries are told, and prefer other upstreams of the role. Where all rest a call is refused at once with the time at which the first rest ends, spread over a second. A refused prompt is a refusal.

--- a/src/main/java/org/cuminshelf/direct/Admission.java
+++ b/src/main/java/org/cuminshelf/direct/Admission.java
@@ -41,8 +41,8 @@
     /** When to come back where all places are taken: streams end after some 2 s, so half of them by then. */
     private static final long FULL_RETRY_AFTER_MILLIS = 1_000;
 
-    /** Milliseconds over which callers come back that were refused for want of a permit. */
-    private static final int PERMIT_RETURNS_SPREAD_MILLIS = 1_000;
+    /** Milliseconds over which callers come back that were refused as their upstreams ask to wait. */
+    private static final int RETURNS_SPREAD_MILLIS = 1_000;
 
     private static final Decision WAIT = new Decision.Wait();
 
@@ -81,9 +81,9 @@
     }
 
     private Decision decideUnplaced(long now, CallRow call) {
-        OptionalLong permit = placement.nextPermit(now, call);
-        if (permit.isPresent()) {
-            return decideLimited(now, call, permit.getAsLong());
+        OptionalLong next = placement.nextSend(now, call);
+        if (next.isPresent()) {
+            return decideHeldBack(now, call, next.getAsLong());
         }
         boolean full = placement.hasOpen(now, call);
         boolean waits = full ? waitsForTurn(now, call, USUAL_FIRST_MILLIS) : waitsForUpstreams(now, call);
@@ -100,19 +100,18 @@
     }
 
     /**
-     * Decides on a call all of whose upstreams state limits: it waits if the next permit comes before its patience
-     * ends, and is refused at once otherwise. The times to come back are spread, so that not all come for the first
-     * permit.
+     * Decides on a call all of whose upstreams rest or state limits: it waits if one takes it before its patience ends,
+     * and is refused at once otherwise. The times to come back are spread, so that not all come for the first chance.
      */
-    private Decision decideLimited(long now, CallRow call, long permitAt) {
+    private Decision decideHeldBack(long now, CallRow call, long nextAt) {
         boolean fresh = call.attempt == null;
-        if ((fresh || call.cache.isPresent()) && waiting.addForPermit(now, call, permitAt)) {
+        if ((fresh || call.cache.isPresent()) && waiting.addUntil(now, call, nextAt)) {
             return WAIT;
         }
         call.offered.ifPresent(OfferedGeneration::refusedForPlaces);
-        long spread = Math.floorMod(call.intent.id().hashCode(), PERMIT_RETURNS_SPREAD_MILLIS);
-        long wait = Math.max(CallerAnswers.RETRY_AFTER_MILLIS, Durations.millis(permitAt - now)) + spread;
-        return new Decision.Refuse(new Verdict.NotRun(Cause.OVERLOADED, wait), "upstreams-limit-requests");
+        long spread = Math.floorMod(call.intent.id().hashCode(), RETURNS_SPREAD_MILLIS);
+        long wait = Math.max(CallerAnswers.RETRY_AFTER_MILLIS, Durations.millis(nextAt - now)) + spread;
+        return new Decision.Refuse(new Verdict.NotRun(Cause.OVERLOADED, wait), "upstreams-ask-to-wait");
     }
 
     private static Decision refuse(CallRow call, Placement.Choice choice, String reason) {
--- a/src/main/java/org/cuminshelf/direct/CallSystem.java
+++ b/src/main/java/org/cuminshelf/direct/CallSystem.java
@@ -7,7 +7,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.function.LongSupplier;
-import org.cuminshelf.backpressure.RateLimits;
+import org.cuminshelf.backpressure.Backpressure;
 import org.cuminshelf.core.Core;
 import org.cuminshelf.core.Deadlines;
 import org.cuminshelf.core.Durations;
@@ -39,7 +39,7 @@
     private final LongSupplier clock;
     private final Invariants invariants;
     private final DecisionLog log;
-    private final RateLimits limits;
+    private final Backpressure backpressure;
     private final DemandWatch demandWatch;
     private final PoisonSystem poison;
     private final UsageMeter usage;
@@ -63,7 +63,7 @@
             DecisionLog log,
             EngineModels models,
             LoadGossip gossip,
-            RateLimits limits,
+            Backpressure backpressure,
             DemandWatch demandWatch,
             PoisonSystem poison,
             UsageMeter usage) {
@@ -76,7 +76,7 @@
         this.clock = clock;
         this.invariants = invariants;
         this.log = log;
-        this.limits = limits;
+        this.backpressure = backpressure;
         this.demandWatch = demandWatch;
         this.poison = poison;
         this.usage = usage;
@@ -112,7 +112,7 @@
         open.put(call.number, call);
         callDeadlines.set(call.number, call.deadline);
         budget.onRequest(now, call.service);
-        limits.called(now, call.service);
+        backpressure.limits().called(now, call.service);
         call.intent.generation().ifPresent(shape -> {
             call.claim = Optional.of(fairness.arrived(call.route.name(), CallValues.size(shape)));
             call.offered = Optional.of(new OfferedGeneration(
@@ -171,11 +171,11 @@
      */
     private void keepPermit(long now, CallRow call) {
         call.keptPermit = placement.limitedForHandover(now, call).map(row -> row.id);
-        call.keptPermit.ifPresent(start -> limits.use(now, start));
+        call.keptPermit.ifPresent(start -> backpressure.limits().use(now, start));
     }
 
     private void returnPermit(CallRow call) {
-        call.keptPermit.ifPresent(limits::giveBack);
+        call.keptPermit.ifPresent(backpressure.limits()::giveBack);
         call.keptPermit = Optional.empty();
     }
 
@@ -263,20 +263,7 @@
             return;
         }
         if (attempt.facts.notExecuted()) {
-            log.note(
-                    "attempt",
-                    call.intent.id(),
-                    "upstream",
-                    attempt.upstream.id,
-                    "outcome",
-                    "not-executed",
-                    "status",
-                    attempt.status,
-                    "prompt-ms",
-                    Math.round(attempt.estimate.workMillis()),
-                    "running",
-                    attempt.upstream.running);
-            attempt.upstream.avoid(now + Durations.nanos(CallerAnswers.RETRY_AFTER_MILLIS) / 2);
+            refusedForNow(now, attempt);
             failed(now, attempt, new Verdict.NotRun(Cause.OVERLOADED, CallerAnswers.RETRY_AFTER_MILLIS));
             return;
         }
@@ -291,6 +278,24 @@
         failed(now, attempt, new Verdict.HasRun(Cause.UPSTREAM_ERROR), !repeat);
     }
 
+    /** It takes nothing at this moment, which is no failure. */
+    private void refusedForNow(long now, AttemptRow attempt) {
+        log.note(
+                "attempt",
+                attempt.call.intent.id(),
+                "upstream",
+                attempt.upstream.id,
+                "outcome",
+                "not-executed",
+                "status",
+                attempt.status,
+                "prompt-ms",
+                Math.round(attempt.estimate.workMillis()),
+                "running",
+                attempt.upstream.running);
+        attempt.upstream.avoid(now + Durations.nanos(CallerAnswers.RETRY_AFTER_MILLIS) / 2);
+    }
+
     private static boolean isServerError(int status) {
         int firstServerError = 500;
         return status >= firstServerError;
@@ -310,6 +315,8 @@
         }
         if (attempt.facts.isOtherThan(attempt.upstream.name)) {
             upstreams.end(now, attempt.upstream, "another start has its address");
+        } else if (attempt.facts.notExecuted()) {
+            refusedForNow(now, attempt);
         } else {
             attempt.upstream.failed(now);
         }
--- a/src/main/java/org/cuminshelf/direct/DemandWatch.java
+++ b/src/main/java/org/cuminshelf/direct/DemandWatch.java
@@ -1,6 +1,8 @@
 package org.cuminshelf.direct;
 
+import java.time.Duration;
 import java.util.OptionalDouble;
+import org.cuminshelf.backpressure.Backpressure;
 import org.cuminshelf.backpressure.RateLimits;
 import org.cuminshelf.backpressure.StatedLimit;
 import org.cuminshelf.core.Address;
@@ -8,11 +10,11 @@
 /** Hears what answers, and other entries, say of what upstreams ask for, and notes what changed. */
 final class DemandWatch {
 
-    private final RateLimits limits;
+    private final Backpressure backpressure;
     private final DecisionLog log;
 
-    DemandWatch(RateLimits limits, DecisionLog log) {
-        this.limits = limits;
+    DemandWatch(Backpressure backpressure, DecisionLog log) {
+        this.backpressure = backpressure;
         this.log = log;
     }
 
@@ -29,28 +31,43 @@
         if (facts.isOtherThan(upstream.name)) {
             return;
         }
-        facts.demands()
-                .rest()
-                .ifPresent(rest -> log.note(
-                        "upstream", upstream.id, "outcome", "rest-asked", "ms", rest.toMillis(), "request", request));
         if (facts.demands().leaving()) {
             log.note("upstream", upstream.id, "outcome", "leaving-stated", "request", request);
         }
         if (facts.demands().limit() instanceof StatedLimit.Unreadable(String text)) {
             log.note("upstream", upstream.id, "outcome", "limit-unreadable", "stated", text, "request", request);
         }
+        facts.demands().rest().ifPresent(rest -> hearRest(now, upstream, request, rest));
         boolean another = facts.requestId().filter(id -> !id.equals(request)).isPresent();
         if (another && facts.demands().limit() instanceof StatedLimit.Unlimited) {
-            // The answer to an earlier request, which may have been written before the limit was named.
+            // The answer to an earlier request, which may have been written before anything was asked for.
             return;
         }
-        limits.heard(now, upstream.id, upstream.service, sentAt, facts.demands().limit())
+        if (facts.demands().rest().isEmpty()) {
+            backpressure.rests().answered(upstream.id, sentAt);
+        }
+        backpressure
+                .limits()
+                .heard(
+                        now,
+                        upstream.id,
+                        upstream.service,
+                        sentAt,
+                        facts.demands().limit())
                 .ifPresent(change -> note(upstream, change, "request", request));
     }
 
+    private void hearRest(long now, UpstreamRow upstream, String request, Duration rest) {
+        backpressure.rests().asked(now, upstream.id, rest);
+        log.note("upstream", upstream.id, "outcome", "rest-asked", "ms", rest.toMillis(), "request", request);
+    }
+
     /** Takes what another entry heard from an upstream. */
     void told(long now, UpstreamRow upstream, Address entry, RateLimits.Heard heard) {
-        limits.told(now, upstream.service, heard).ifPresent(change -> note(upstream, change, "told-by", entry));
+        backpressure
+                .limits()
+                .told(now, upstream.service, heard)
+                .ifPresent(change -> note(upstream, change, "told-by", entry));
     }
 
     private void note(UpstreamRow upstream, RateLimits.Change change, String source, Object from) {
--- a/src/main/java/org/cuminshelf/direct/DirectCore.java
+++ b/src/main/java/org/cuminshelf/direct/DirectCore.java
@@ -6,7 +6,7 @@
 import java.util.Optional;
 import java.util.function.LongSupplier;
 import net.openhft.hashing.LongHashFunction;
-import org.cuminshelf.backpressure.RateLimits;
+import org.cuminshelf.backpressure.Backpressure;
 import org.cuminshelf.core.Address;
 import org.cuminshelf.core.Core;
 import org.cuminshelf.core.Durations;
@@ -42,7 +42,7 @@
     private final ControlFeed control;
     private final CallSystem calls;
     private final LoadGossip gossip;
-    private final RateLimits limits;
+    private final Backpressure backpressure;
     private final EarlyRequests early = new EarlyRequests();
     private final Map<CallerExchange, CallRow> byExchange = new HashMap<>();
     private long nextCall = 1;
@@ -69,13 +69,13 @@
         this.usage = new UsageMeter(settings.usageWindowMillis(), log);
         this.control = new ControlFeed(settings, reader, upstreams, poison, usage, now, invariants, log);
         EngineModels models = new EngineModels();
-        this.limits = RateLimits.none(self);
-        DemandWatch demandWatch = new DemandWatch(limits, log);
-        Placement placement = new Placement(upstreams, control, models, limits, settings.zone());
-        this.gossip = new LoadGossip(upstreams, models, limits, demandWatch, now);
+        this.backpressure = Backpressure.none(self);
+        DemandWatch demandWatch = new DemandWatch(backpressure, log);
+        Placement placement = new Placement(upstreams, control, models, backpressure, settings.zone());
+        this.gossip = new LoadGossip(upstreams, models, backpressure, demandWatch, now);
         this.calls = new CallSystem(
                 protocol,
-                new PacedPort(port, limits, clock),
+                new PacedPort(port, backpressure, clock),
                 upstreams,
                 placement,
                 control,
@@ -85,7 +85,7 @@
                 log,
                 models,
                 gossip,
-                limits,
+                backpressure,
                 demandWatch,
                 poison,
                 usage);
@@ -246,12 +246,13 @@
     @Override
     public void tick(long now, Outbox out) {
         control.tick(now, out);
-        limits.tick(now, control.entries());
+        backpressure.limits().tick(now, control.entries());
         calls.tick(now);
         startEarly(now);
         if (now >= nextHousekeeping) {
             nextHousekeeping = now + HOUSEKEEPING_EVERY;
             upstreams.tick(now);
+            backpressure.rests().tick(now);
             byExchange.values().removeIf(call -> call.done);
         }
         gossip.tick(now, out, self, control.entries());
@@ -329,7 +330,16 @@
      * @return their number
      */
     public long limitedUpstreams() {
-        return limits.inForce();
+        return backpressure.limits().inForce();
+    }
+
+    /**
+     * Counts the upstreams that asked this entry for rest which isn't over.
+     *
+     * @return their number
+     */
+    public long restingUpstreams() {
+        return backpressure.rests().resting(clock.getAsLong());
     }
 
     /**
--- a/src/main/java/org/cuminshelf/direct/LoadGossip.java
+++ b/src/main/java/org/cuminshelf/direct/LoadGossip.java
@@ -4,7 +4,9 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalDouble;
+import org.cuminshelf.backpressure.Backpressure;
 import org.cuminshelf.backpressure.RateLimits;
+import org.cuminshelf.backpressure.Rests;
 import org.cuminshelf.core.Address;
 import org.cuminshelf.core.Core;
 import org.cuminshelf.core.Durations;
@@ -14,6 +16,7 @@
 import org.cuminshelf.message.EntryLoad;
 import org.cuminshelf.message.Envelope;
 import org.cuminshelf.message.HeardLimit;
+import org.cuminshelf.message.RestingUpstream;
 import org.cuminshelf.message.SentPrompt;
 import org.cuminshelf.message.ServiceDemand;
 import org.cuminshelf.message.TakenPrompt;
@@ -22,7 +25,7 @@
 
 /**
  * What entries tell each other: what each has under way at the engines, which prompts it sent there, how long prompts
- * took, and which limits upstreams state. With it all entries choose by the same view, and learn from each other's
+ * took, and what upstreams ask for. With it all entries choose by the same view, and learn from each other's
  * requests.
  *
  * <p>Failure it guards against: several entries find the same engine free at once and all send to it, so that prompts
@@ -56,7 +59,7 @@
 
     private final UpstreamTable upstreams;
     private final EngineModels models;
-    private final RateLimits limits;
+    private final Backpressure backpressure;
     private final DemandWatch demandWatch;
     private final List<SentPrompt> sent = new ArrayList<>();
     private final List<TakenPrompt> taken = new ArrayList<>();
@@ -65,10 +68,15 @@
     private int listeners;
     private boolean toldSomething;
 
-    LoadGossip(UpstreamTable upstreams, EngineModels models, RateLimits limits, DemandWatch demandWatch, long now) {
+    LoadGossip(
+            UpstreamTable upstreams,
+            EngineModels models,
+            Backpressure backpressure,
+            DemandWatch demandWatch,
+            long now) {
         this.upstreams = upstreams;
         this.models = models;
-        this.limits = limits;
+        this.backpressure = backpressure;
         this.demandWatch = demandWatch;
         this.nextTell = now;
         this.lastTell = now;
@@ -133,9 +141,8 @@
         nextTell = now + Math.max(TELL_EVERY, gap());
         EntryLoad.Builder load = EntryLoad.newBuilder().addAllSent(sent).addAllTaken(taken);
         upstreams.rows().stream().filter(row -> row.running > 0).forEach(row -> load.addUpstreams(underWay(now, row)));
-        addLimits(now, load);
-        boolean something =
-                load.getUpstreamsCount() > 0 || !taken.isEmpty() || load.getLimitsCount() + load.getDemandsCount() > 0;
+        boolean asked = addDemands(now, load);
+        boolean something = load.getUpstreamsCount() > 0 || !taken.isEmpty() || asked;
         sent.clear();
         taken.clear();
         if (something || toldSomething) {
@@ -146,18 +153,24 @@
         toldSomething = something;
     }
 
-    private void addLimits(long now, EntryLoad.Builder load) {
-        for (RateLimits.Heard heard : limits.heardHere(now)) {
+    /** Adds what upstreams ask for, and returns whether that is anything. */
+    private boolean addDemands(long now, EntryLoad.Builder load) {
+        for (RateLimits.Heard heard : backpressure.limits().heardHere(now)) {
             HeardLimit.Builder limit = HeardLimit.newBuilder()
                     .setUpstream(heard.start())
                     .setAgeUs((long) (heard.ageNanos() / NANOS_PER_MICRO));
             heard.perSecond().ifPresent(limit::setPerSecond);
             load.addLimits(limit);
         }
-        for (RateLimits.Demand demand : limits.demandsHere(now)) {
+        for (RateLimits.Demand demand : backpressure.limits().demandsHere(now)) {
             load.addDemands(
                     ServiceDemand.newBuilder().setService(demand.service()).setCallsPerSecond(demand.perSecond()));
         }
+        for (Rests.Left rest : backpressure.rests().heardHere(now)) {
+            load.addRests(RestingUpstream.newBuilder().setUpstream(rest.start()).setLeftUs((long)
+                    (rest.leftNanos() / NANOS_PER_MICRO)));
+        }
+        return load.getLimitsCount() + load.getDemandsCount() + load.getRestsCount() > 0;
     }
 
     private static UpstreamLoad underWay(long now, UpstreamRow row) {
@@ -182,9 +195,16 @@
         load.getSentList().forEach(prompt -> onSentElsewhere(now, prompt));
         load.getTakenList().forEach(prompt -> onTakenElsewhere(now, prompt));
         load.getLimitsList().forEach(limit -> onLimitHeardElsewhere(now, entry, limit));
+        load.getRestsList().forEach(rest -> onRestElsewhere(now, rest));
         load.getDemandsList()
-                .forEach(demand -> limits.told(
-                        now, entry, new RateLimits.Demand(demand.getService(), demand.getCallsPerSecond())));
+                .forEach(demand -> backpressure
+                        .limits()
+                        .told(now, entry, new RateLimits.Demand(demand.getService(), demand.getCallsPerSecond())));
+    }
+
+    private void onRestElsewhere(long now, RestingUpstream rest) {
+        long left = (long) (rest.getLeftUs() * NANOS_PER_MICRO);
+        backpressure.rests().told(now, new Rests.Left(rest.getUpstream(), left));
     }
 
     private void onLimitHeardElsewhere(long now, Address entry, HeardLimit limit) {
--- a/src/main/java/org/cuminshelf/direct/PacedPort.java
+++ b/src/main/java/org/cuminshelf/direct/PacedPort.java
@@ -2,7 +2,7 @@
 
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
-import org.cuminshelf.backpressure.RateLimits;
+import org.cuminshelf.backpressure.Backpressure;
 import org.cuminshelf.core.Address;
 import org.cuminshelf.exchange.Reachability;
 import org.cuminshelf.exchange.UpstreamExchange;
@@ -10,33 +10,33 @@
 import org.cuminshelf.exchange.UpstreamRequest;
 
 /**
- * The way to upstreams, which keeps to the limits that they state.
+ * The way to upstreams, which keeps to what they ask for.
  *
  * <p>Failure it guards against: a kind of request that nobody thought of, such as the release of a KV cache, goes to an
- * upstream past the choice that looks at its limit. Whatever is sent uses a permit here, or is not sent.
+ * upstream past the choice that looks at its limit and its rest. Whatever is sent passes here, or is not sent.
  */
 final class PacedPort implements UpstreamPort {
 
     private static final UpstreamExchange NOT_SENT = () -> {};
 
     private final UpstreamPort port;
-    private final RateLimits limits;
+    private final Backpressure backpressure;
     private final LongSupplier clock;
 
-    PacedPort(UpstreamPort port, RateLimits limits, LongSupplier clock) {
+    PacedPort(UpstreamPort port, Backpressure backpressure, LongSupplier clock) {
         this.port = port;
-        this.limits = limits;
+        this.backpressure = backpressure;
         this.clock = clock;
     }
 
     @Override
     public UpstreamExchange send(Address address, String upstream, UpstreamRequest request, UpstreamHandler handler) {
         long now = clock.getAsLong();
-        if (!limits.admits(now, upstream)) {
-            handler.onFailed(false, "the limit that the upstream states leaves no room");
+        if (!backpressure.admits(now, upstream)) {
+            handler.onFailed(false, "the upstream asked to wait");
             return NOT_SENT;
         }
-        limits.use(now, upstream);
+        backpressure.use(now, upstream);
         return port.send(address, upstream, request, handler);
     }
 
--- a/src/main/java/org/cuminshelf/direct/Placement.java
+++ b/src/main/java/org/cuminshelf/direct/Placement.java
@@ -1,13 +1,15 @@
 package org.cuminshelf.direct;
 
 import java.util.EnumMap;
+import java.util.EnumSet;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.Set;
 import net.openhft.hashing.LongHashFunction;
-import org.cuminshelf.backpressure.RateLimits;
+import org.cuminshelf.backpressure.Backpressure;
 import org.cuminshelf.core.Core;
 import org.cuminshelf.core.Durations;
 import org.cuminshelf.engines.EngineModel;
@@ -107,17 +109,18 @@
     private final UpstreamTable upstreams;
     private final ControlFeed control;
     private final EngineModels models;
-    private final RateLimits limits;
+    private final Backpressure backpressure;
     private final EnginePrices prices = new EnginePrices();
     private final CallValues values = new CallValues();
     private final Map<String, UnseenWork> unseen = new HashMap<>();
     private final String zone;
 
-    Placement(UpstreamTable upstreams, ControlFeed control, EngineModels models, RateLimits limits, String zone) {
+    Placement(
+            UpstreamTable upstreams, ControlFeed control, EngineModels models, Backpressure backpressure, String zone) {
         this.upstreams = upstreams;
         this.control = control;
         this.models = models;
-        this.limits = limits;
+        this.backpressure = backpressure;
         this.zone = zone;
     }
 
@@ -159,10 +162,7 @@
     private Optional<Choice> forService(long now, CallRow call) {
         UpstreamRow best = null;
         double bestLoad = Double.MAX_VALUE;
-        for (UpstreamRow row : upstreams.ofService(call.service)) {
-            if (!isOpen(now, row, call)) {
-                continue;
-            }
+        for (UpstreamRow row : open(now, call)) {
             double load = (double) row.occupancy() / row.slots
                     + (row.zone.equals(zone) ? 0 : 1e-3)
                     + 1e-4 * spread(row, call.number);
@@ -371,10 +371,20 @@
         return Durations.millis(now - call.arrivedAt) + choice.firstMillis() - call.route.targetMillis();
     }
 
+    /** The upstreams that take a call now; one that asked another entry for rest only if no other has its role. */
     private List<UpstreamRow> open(long now, CallRow call) {
-        return upstreams.ofService(call.service).stream()
+        List<UpstreamRow> open = upstreams.ofService(call.service).stream()
                 .filter(row -> isOpen(now, row, call))
                 .toList();
+        Set<Role> willing = EnumSet.noneOf(Role.class);
+        open.stream().filter(row -> !isAskedElsewhere(now, row)).forEach(row -> willing.add(row.role));
+        return open.stream()
+                .filter(row -> !isAskedElsewhere(now, row) || !willing.contains(row.role))
+                .toList();
+    }
+
+    private boolean isAskedElsewhere(long now, UpstreamRow row) {
+        return backpressure.rests().isAskedElsewhere(now, row.id);
     }
 
     private boolean isOpen(long now, UpstreamRow row, CallRow call) {
@@ -386,8 +396,8 @@
     }
 
     private boolean hasPermit(long now, UpstreamRow row, CallRow call) {
-        return limits.admits(now, row.id)
-                || call.keptPermit.filter(row.id::equals).isPresent();
+        boolean kept = call.keptPermit.filter(row.id::equals).isPresent();
+        return kept ? backpressure.admitsKept(now, row.id) : backpressure.admits(now, row.id);
     }
 
     /** Whether an upstream can answer a call, and not just read its prompt. */
@@ -396,11 +406,11 @@
     }
 
     /**
-     * When a call may be sent, where all upstreams that could answer it state limits and have no permit left.
+     * When a call may be sent, where all upstreams that could answer it rest, or state limits and have no permit left.
      *
-     * @return the time of the next permit in nanoseconds; empty where an upstream is open, or none is there at all
+     * @return that time in nanoseconds; empty where an upstream is open, or none is there at all
      */
-    OptionalLong nextPermit(long now, CallRow call) {
+    OptionalLong nextSend(long now, CallRow call) {
         long next = Core.NEVER;
         for (UpstreamRow row : upstreams.ofService(call.service)) {
             if (!isServing(now, row, call) || !canAnswer(row, call)) {
@@ -409,7 +419,7 @@
             if (hasPermit(now, row, call)) {
                 return OptionalLong.empty();
             }
-            next = Math.min(next, limits.nextPermit(now, row.id));
+            next = Math.min(next, backpressure.nextSend(now, row.id));
         }
         return next == Core.NEVER ? OptionalLong.empty() : OptionalLong.of(next);
     }
@@ -423,7 +433,7 @@
             if (!row.generates() || !hasPlace(row, call)) {
                 continue;
             }
-            if (!limits.isLimited(row.id)) {
+            if (!backpressure.limits().isLimited(row.id)) {
                 return Optional.empty();
             }
             best = best == null || row.occupancy() < best.occupancy() ? row : best;
--- a/src/main/java/org/cuminshelf/direct/WaitingCalls.java
+++ b/src/main/java/org/cuminshelf/direct/WaitingCalls.java
@@ -56,18 +56,18 @@
     }
 
     /**
-     * Lets a call wait for a permit of an upstream with a limit, if one comes before its patience ends. A call whose
+     * Lets a call wait until an upstream takes it that asked to wait, if that is before its patience ends. A call whose
      * prompt was read has more of it: what was read would be lost.
      *
-     * @param now      the time in nanoseconds
-     * @param call     the call
-     * @param permitAt when the next permit comes, in nanoseconds
+     * @param now    the time in nanoseconds
+     * @param call   the call
+     * @param nextAt when an upstream may be sent a request again, in nanoseconds
      * @return whether it waits now
      */
-    boolean addForPermit(long now, CallRow call, long permitAt) {
+    boolean addUntil(long now, CallRow call, long nextAt) {
         double share = call.cache.isPresent() ? 1 : PATIENCE_SHARE;
         long patience = Durations.nanos((long) (share * call.route.targetMillis()));
-        boolean inTime = permitAt < call.arrivedAt + patience;
+        boolean inTime = nextAt < call.arrivedAt + patience;
         return inTime && add(now, call, call.route.targetMillis(), patience);
     }
 
--- a/src/main/java/org/cuminshelf/message/EntryLoad.java
+++ b/src/main/java/org/cuminshelf/message/EntryLoad.java
@@ -24,6 +24,7 @@
     taken_ = emptyProtobufList();
     limits_ = emptyProtobufList();
     demands_ = emptyProtobufList();
+    rests_ = emptyProtobufList();
   }
   public static final int UPSTREAMS_FIELD_NUMBER = 1;
   private com.google.protobuf.Internal.ProtobufList<org.cuminshelf.message.UpstreamLoad> upstreams_;
@@ -686,6 +687,147 @@
     demands_.remove(index);
   }
 
+  public static final int RESTS_FIELD_NUMBER = 6;
+  private com.google.protobuf.Internal.ProtobufList<org.cuminshelf.message.RestingUpstream> rests_;
+  /**
+   * <pre>
+   * Rest that upstreams asked of the entry.
+   * </pre>
+   *
+   * <code>repeated .cuminshelf.RestingUpstream rests = 6;</code>
+   */
+  @java.lang.Override
+  public java.util.List<org.cuminshelf.message.RestingUpstream> getRestsList() {
+    return rests_;
+  }
+  /**
+   * <pre>
+   * Rest that upstreams asked of the entry.
+   * </pre>
+   *
+   * <code>repeated .cuminshelf.RestingUpstream rests = 6;</code>
+   */
+  public java.util.List<? extends org.cuminshelf.message.RestingUpstreamOrBuilder> 
+      getRestsOrBuilderList() {
+    return rests_;
+  }
+  /**
+   * <pre>
+   * Rest that upstreams asked of the entry.
+   * </pre>
+   *
+   * <code>repeated .cuminshelf.RestingUpstream rests = 6;</code>
+   */
+  @java.lang.Override
+  public int getRestsCount() {
+    return rests_.size();
+  }
+  /**
+   * <pre>
+   * Rest that upstreams asked of the entry.
+   * </pre>
+   *
+   * <code>repeated .cuminshelf.RestingUpstream rests = 6;</code>
+   */
+  @java.lang.Override
+  public org.cuminshelf.message.RestingUpstream getRests(int index) {
+    return rests_.get(index);
+  }
+  /**
+   * <pre>
+   * Rest that upstreams asked of the entry.
+   * </pre>
+   *
+   * <code>repeated .cuminshelf.RestingUpstream rests = 6;</code>
+   */
+  public org.cuminshelf.message.RestingUpstreamOrBuilder getRestsOrBuilder(
+      int index) {
+    return rests_.get(index);
+  }
+  private void ensureRestsIsMutable() {
+    com.google.protobuf.Internal.ProtobufList<org.cuminshelf.message.RestingUpstream> tmp = rests_;
+    if (!tmp.isModifiable()) {
+      rests_ =
+          com.google.protobuf.GeneratedMessageLite.mutableCopy(tmp);
+     }
+  }
+
+  /**
+   * <pre>
+   * Rest that upstreams asked of the entry.
+   * </pre>
+   *
+   * <code>repeated .cuminshelf.RestingUpstream rests = 6;</code>
+   */
+  @java.lang.SuppressWarnings("ReturnValueIgnored")
+  private void setRests(
+      int index, org.cuminshelf.message.RestingUpstream value) {
+    value.getClass();  // minimal bytecode null check
+    ensureRestsIsMutable();
+    rests_.set(index, value);
+  }
+  /**
+   * <pre>
+   * Rest that upstreams asked of the entry.
+   * </pre>
+   *
+   * <code>repeated .cuminshelf.RestingUpstream rests = 6;</code>
+   */
+  @java.lang.SuppressWarnings("ReturnValueIgnored")
+  private void addRests(org.cuminshelf.message.RestingUpstream value) {
+    value.getClass();  // minimal bytecode null check
+    ensureRestsIsMutable();
+    rests_.add(value);
+  }
+  /**
+   * <pre>
+   * Rest that upstreams asked of the entry.
+   * </pre>
+   *
+   * <code>repeated .cuminshelf.RestingUpstream rests = 6;</code>
+   */
+  @java.lang.SuppressWarnings("ReturnValueIgnored")
+  private void addRests(
+      int index, org.cuminshelf.message.RestingUpstream value) {
+    value.getClass();  // minimal bytecode null check
+    ensureRestsIsMutable();
+    rests_.add(index, value);
+  }
+  /**
+   * <pre>
+   * Rest that upstreams asked of the entry.
+   * </pre>
+   *
+   * <code>repeated .cuminshelf.RestingUpstream rests = 6;</code>
+   */
+  private void addAllRests(
+      java.lang.Iterable<? extends org.cuminshelf.message.RestingUpstream> values) {
+    ensureRestsIsMutable();
+    com.google.protobuf.AbstractMessageLite.addAll(
+        values, rests_);
+  }
+  /**
+   * <pre>
+   * Rest that upstreams asked of the entry.
+   * </pre>
+   *
+   * <code>repeated .cuminshelf.RestingUpstream rests = 6;</code>
+   */
+  private void clearRests() {
+    rests_ = emptyProtobufList();
+  }
+  /**
+   * <pre>
+   * Rest that upstreams asked of the entry.
+   * </pre>
+   *
+   * <code>repeated .cuminshelf.RestingUpstream rests = 6;</code>
+   */
+  private void removeRests(int index) {
+    ensureRestsIsMutable();
+    rests_.remove(index);
+  }
+
   public static org.cuminshelf.message.EntryLoad parseFrom(
       java.nio.ByteBuffer data)
       throws com.google.protobuf.InvalidProtocolBufferException {
@@ -1489,6 +1631,156 @@
       return this;
     }
 
+    /**
+     * <pre>
+     * Rest that upstreams asked of the entry.
+     * </pre>
+     *
+     * <code>repeated .cuminshelf.RestingUpstream rests = 6;</code>
+     */
+    @java.lang.Override
+    public java.util.List<org.cuminshelf.message.RestingUpstream> getRestsList() {
+      return java.util.Collections.unmodifiableList(
+          instance.getRestsList());
+    }
+    /**
+     * <pre>
+     * Rest that upstreams asked of the entry.
+     * </pre>
+     *
+     * <code>repeated .cuminshelf.RestingUpstream rests = 6;</code>
+     */
+    @java.lang.Override
+    public int getRestsCount() {
+      return instance.getRestsCount();
+    }/**
+     * <pre>
+     * Rest that upstreams asked of the entry.
+     * </pre>
+     *
+     * <code>repeated .cuminshelf.RestingUpstream rests = 6;</code>
+     */
+    @java.lang.Override
+    public org.cuminshelf.message.RestingUpstream getRests(int index) {
+      return instance.getRests(index);
+    }
+    /**
+     * <pre>
+     * Rest that upstreams asked of the entry.
+     * </pre>
+     *
+     * <code>repeated .cuminshelf.RestingUpstream rests = 6;</code>
+     */
+    public Builder setRests(
+        int index, org.cuminshelf.message.RestingUpstream value) {
+      copyOnWrite();
+      instance.setRests(index, value);
+      return this;
+    }
+    /**
+     * <pre>
+     * Rest that upstreams asked of the entry.
+     * </pre>
+     *
+     * <code>repeated .cuminshelf.RestingUpstream rests = 6;</code>
+     */
+    public Builder setRests(
+        int index, org.cuminshelf.message.RestingUpstream.Builder builderForValue) {
+      copyOnWrite();
+      instance.setRests(index,
+          builderForValue.build());
+      return this;
+    }
+    /**
+     * <pre>
+     * Rest that upstreams asked of the entry.
+     * </pre>
+     *
+     * <code>repeated .cuminshelf.RestingUpstream rests = 6;</code>
+     */
+    public Builder addRests(org.cuminshelf.message.RestingUpstream value) {
+      copyOnWrite();
+      instance.addRests(value);
+      return this;
+    }
+    /**
+     * <pre>
+     * Rest that upstreams asked of the entry.
+     * </pre>
+     *
+     * <code>repeated .cuminshelf.RestingUpstream rests = 6;</code>
+     */
+    public Builder addRests(
+        int index, org.cuminshelf.message.RestingUpstream value) {
+      copyOnWrite();
+      instance.addRests(index, value);
+      return this;
+    }
+    /**
+     * <pre>
+     * Rest that upstreams asked of the entry.
+     * </pre>
+     *
+     * <code>repeated .cuminshelf.RestingUpstream rests = 6;</code>
+     */
+    public Builder addRests(
+        org.cuminshelf.message.RestingUpstream.Builder builderForValue) {
+      copyOnWrite();
+      instance.addRests(builderForValue.build());
+      return this;
+    }
+    /**
+     * <pre>
+     * Rest that upstreams asked of the entry.
+     * </pre>
+     *
+     * <code>repeated .cuminshelf.RestingUpstream rests = 6;</code>
+     */
+    public Builder addRests(
+        int index, org.cuminshelf.message.RestingUpstream.Builder builderForValue) {
+      copyOnWrite();
+      instance.addRests(index,
+          builderForValue.build());
+      return this;
+    }
+    /**
+     * <pre>
+     * Rest that upstreams asked of the entry.
+     * </pre>
+     *
+     * <code>repeated .cuminshelf.RestingUpstream rests = 6;</code>
+     */
+    public Builder addAllRests(
+        java.lang.Iterable<? extends org.cuminshelf.message.RestingUpstream> values) {
+      copyOnWrite();
+      instance.addAllRests(values);
+      return this;
+    }
+    /**
+     * <pre>
+     * Rest that upstreams asked of the entry.
+     * </pre>
+     *
+     * <code>repeated .cuminshelf.RestingUpstream rests = 6;</code>
+     */
+    public Builder clearRests() {
+      copyOnWrite();
+      instance.clearRests();
+      return this;
+    }
+    /**
+     * <pre>
+     * Rest that upstreams asked of the entry.
+     * </pre>
+     *
+     * <code>repeated .cuminshelf.RestingUpstream rests = 6;</code>
+     */
+    public Builder removeRests(int index) {
+      copyOnWrite();
+      instance.removeRests(index);
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:cuminshelf.EntryLoad)
   }
   @java.lang.Override
@@ -1515,10 +1807,12 @@
             org.cuminshelf.message.HeardLimit.class,
             "demands_",
             org.cuminshelf.message.ServiceDemand.class,
+            "rests_",
+            org.cuminshelf.message.RestingUpstream.class,
           };
           java.lang.String info =
-              "\u0000\u0005\u0000\u0000\u0001\u0005\u0005\u0000\u0005\u0000\u0001\u001b\u0002\u001b" +
-              "\u0003\u001b\u0004\u001b\u0005\u001b";
+              "\u0000\u0006\u0000\u0000\u0001\u0006\u0006\u0000\u0006\u0000\u0001\u001b\u0002\u001b" +
+              "\u0003\u001b\u0004\u001b\u0005\u001b\u0006\u001b";
           return newMessageInfo(DEFAULT_INSTANCE, info, objects);
       }
       case GET_DEFAULT_INSTANCE: {
--- a/src/main/java/org/cuminshelf/message/EntryLoadOrBuilder.java
+++ b/src/main/java/org/cuminshelf/message/EntryLoadOrBuilder.java
@@ -127,4 +127,30 @@
    * <code>repeated .cuminshelf.ServiceDemand demands = 5;</code>
    */
   int getDemandsCount();
+
+  /**
+   * <pre>
+   * Rest that upstreams asked of the entry.
+   * </pre>
+   *
+   * <code>repeated .cuminshelf.RestingUpstream rests = 6;</code>
+   */
+  java.util.List<org.cuminshelf.message.RestingUpstream> 
+      getRestsList();
+  /**
+   * <pre>
+   * Rest that upstreams asked of the entry.
+   * </pre>
+   *
+   * <code>repeated .cuminshelf.RestingUpstream rests = 6;</code>
+   */
+  org.cuminshelf.message.RestingUpstream getRests(int index);
+  /**
+   * <pre>
+   * Rest that upstreams asked of the entry.
+   * </pre>
+   *
+   * <code>repeated .cuminshelf.RestingUpstream rests = 6;</code>
+   */
+  int getRestsCount();
 }
--- a/src/main/java/org/cuminshelf/process/DirectEntryProcess.java
+++ b/src/main/java/org/cuminshelf/process/DirectEntryProcess.java
@@ -178,6 +178,11 @@
                 "cuminshelf_limited_upstreams",
                 "Upstreams that state a limit on requests.",
                 core::limitedUpstreams);
+        EntryProcess.gauge(
+                registry,
+                "cuminshelf_resting_upstreams",
+                "Upstreams that asked this entry for rest.",
+                core::restingUpstreams);
         EntryProcess.gauge(registry, "cuminshelf_invariant_breach_count", "Promises found broken.", invariants::count);
     }
 
--- /dev/null
+++ b/src/test/java/org/cuminshelf/direct/RestAskedCallsTest.java
@@ -0,0 +1,124 @@
+package org.cuminshelf.direct;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import net.jqwik.api.Example;
+import org.cuminshelf.message.EntryLoad;
+import org.cuminshelf.message.RestingUpstream;
+import org.cuminshelf.message.Role;
+import org.cuminshelf.routes.RequestKind;
+
+/** Calls at one entry while upstreams refuse requests and ask for rest. */
+class RestAskedCallsTest {
+
+    private static DirectFixture services(String... upstreams) {
+        DirectFixture entry = new DirectFixture(DirectFixture.route(RequestKind.NON_IDEMPOTENT, 1, false)).ready();
+        for (String upstream : upstreams) {
+            entry.upstream(upstream, Role.ROLE_MIXED);
+        }
+        return entry;
+    }
+
+    private static void refuse(DirectFixture.Sent sent, String restMillis) {
+        sent.head(503, "Not-Run", "1", "Rest", restMillis);
+        sent.handler.onComplete();
+    }
+
+    private static long sentTo(DirectFixture entry, String upstream) {
+        return entry.sent.stream().filter(one -> one.upstream.equals(upstream)).count();
+    }
+
+    /** Guards against a rest that is ended by the success of what was sent before. */
+    @Example
+    void aSuccessOfAnEarlierRequestEndsNoRest() {
+        DirectFixture entry = services("u1");
+        entry.ask("earlier");
+        DirectFixture.Sent earlier = entry.last();
+        entry.ask("a");
+        refuse(entry.last(), "3000");
+        earlier.whole(200, "x");
+        DirectFixture.Answer refused = entry.ask("b");
+        assertThat(entry.sent).hasSize(2);
+        assertThat(refused.status).isEqualTo(503);
+        assertThat(Double.parseDouble(refused.headers.get("Retry-After"))).isBetween(3.0, 4.0);
+    }
+
+    /** Guards against all calls at one time for an upstream whose rest is over, but not its need. */
+    @Example
+    void afterARestOneRequestGoesUntilItIsAnswered() {
+        DirectFixture entry = services("u1");
+        entry.ask("a");
+        refuse(entry.last(), "3000");
+        entry.pass(3_001);
+        entry.ask("b");
+        entry.ask("c");
+        assertThat(entry.sent).hasSize(2);
+        entry.last().whole(200, "x");
+        entry.ask("d");
+        entry.ask("e");
+        assertThat(entry.sent).hasSize(4);
+    }
+
+    @Example
+    void aTrialThatShowsNothingIsFollowedByAnother() {
+        DirectFixture entry = services("u1");
+        entry.ask("a");
+        refuse(entry.last(), "1000");
+        entry.pass(1_001);
+        entry.ask("b");
+        entry.pass(260);
+        entry.ask("c");
+        assertThat(entry.sent).hasSize(3);
+    }
+
+    @Example
+    void aShorterRestThatIsAskedForLaterEndsNoLongerOne() {
+        DirectFixture entry = services("u1");
+        entry.ask("a");
+        DirectFixture.Sent first = entry.last();
+        entry.ask("b");
+        refuse(entry.last(), "3000");
+        refuse(first, "500");
+        entry.pass(1_000);
+        entry.ask("c");
+        assertThat(entry.sent).hasSize(2);
+    }
+
+    @Example
+    void whatAnotherEntryWasAskedForIsAReasonToPreferOthersAndNoBan() {
+        DirectFixture entry = services("u1", "u2");
+        entry.tell(EntryLoad.newBuilder()
+                .addRests(RestingUpstream.newBuilder().setUpstream("u1").setLeftUs(1_000_000)));
+        for (int call = 0; call < 5; call++) {
+            entry.ask("a" + call);
+        }
+        assertThat(sentTo(entry, "u1")).isZero();
+        refuse(entry.last(), "3000");
+        entry.ask("b");
+        assertThat(sentTo(entry, "u1")).isEqualTo(1);
+        entry.pass(1_000);
+        entry.ask("c");
+        assertThat(sentTo(entry, "u1")).isEqualTo(2);
+    }
+
+    /** Guards against prompts that are sent to be read to an engine which asked for rest. */
+    @Example
+    void anEngineThatRefusesToReadAPromptIsLeftAlone() {
+        DirectFixture entry = new DirectFixture(DirectFixture.route(RequestKind.STREAM, 2, false))
+                .ready()
+                .upstream("p1", Role.ROLE_PREFILL)
+                .upstream("p2", Role.ROLE_PREFILL)
+                .upstream("d1", Role.ROLE_DECODE);
+        entry.ask("warm", "Tokens", "100");
+        entry.ask("a", "Tokens", "9000");
+        DirectFixture.Sent prompt = entry.last();
+        assertThat(prompt.upstream).startsWith("p");
+        refuse(prompt, "3000");
+        for (int call = 0; call < 5; call++) {
+            entry.pass(200);
+            entry.ask("b" + call, "Tokens", "9000");
+        }
+        assertThat(sentTo(entry, prompt.upstream)).isEqualTo(1);
+        assertThat(entry.core.restingUpstreams()).isEqualTo(1);
+    }
+}
--- a/src/test/java/org/cuminshelf/trial/RestAskedTest.java
+++ b/src/test/java/org/cuminshelf/trial/RestAskedTest.java
@@ -16,7 +16,8 @@
     private static final long START = 8 * SECOND;
     private static final long IN_NEED = 12 * SECOND;
     private static final long RECOVERED = 24 * SECOND;
-    private static final long END = 32 * SECOND;
+    private static final long LAST_CALL = 31 * SECOND;
+    private static final long END = LAST_CALL + 3 * SECOND;
     private static final long REST_MILLIS = 3_000;
     /** Requests a second from all callers together. */
     private static final long CALLS = 60;
@@ -41,7 +42,7 @@
 
         private void ask() {
             calls.add(fleet.ask(fleet.anyEntry(), DirectFleet.RESUMABLE, "call-" + calls.size(), call -> {}));
-            if (fleet.time.now() < END - SECOND) {
+            if (fleet.time.now() < LAST_CALL) {
                 fleet.time.after(SECOND / CALLS, this::ask);
             }
         }
@@ -86,7 +87,7 @@
         for (long seed = 1; seed <= SEEDS; seed++) {
             Day day = new Day(seed, 4, 2, 2).play();
             day.assertLeftAlone();
-            assertThat(day.servedShare(RECOVERED + REST_MILLIS * 1_000_000 + SECOND, END - SECOND))
+            assertThat(day.servedShare(RECOVERED + REST_MILLIS * 1_000_000 + SECOND, LAST_CALL))
                     .isGreaterThan(0.98);
         }
     }
