Send nothing more to an upstream that says in an answer that it leaves

Callers would see streams cut and requests lost at the end of an upstream that leaves without a word to control, or that a control process which missed its word lists anew.

Cause: the word in answers was not read; only heartbeats counted. Mend: backpressure.Leavers keeps the starts that said so, beyond their rows, and tells the other entries; a row of such a start is leaving from the beginning, whatever control says of it, since no start comes back from leaving.

--- a/src/main/java/org/cuminshelf/backpressure/Backpressure.java
+++ b/src/main/java/org/cuminshelf/backpressure/Backpressure.java
@@ -7,6 +7,7 @@
 
     private final RateLimits limits;
     private final Rests rests = Rests.none();
+    private final Leavers leavers = Leavers.none();
 
     private Backpressure(Address self) {
         this.limits = RateLimits.none(self);
@@ -40,6 +41,15 @@
         return rests;
     }
 
+    /**
+     * The upstreams that said that they leave.
+     *
+     * @return the table
+     */
+    public Leavers leavers() {
+        return leavers;
+    }
+
     /**
      * Tells when a request may be sent to an upstream.
      *
@@ -73,6 +83,16 @@
         return rests.next(start) <= now;
     }
 
+    /**
+     * Forgets what is over.
+     *
+     * @param now the time in nanoseconds
+     */
+    public void tick(long now) {
+        rests.tick(now);
+        leavers.tick(now);
+    }
+
     /**
      * Takes note of a request that is sent.
      *
--- a/src/main/java/org/cuminshelf/direct/DemandWatch.java
+++ b/src/main/java/org/cuminshelf/direct/DemandWatch.java
@@ -11,10 +11,12 @@
 final class DemandWatch {
 
     private final Backpressure backpressure;
+    private final UpstreamTable upstreams;
     private final DecisionLog log;
 
-    DemandWatch(Backpressure backpressure, DecisionLog log) {
+    DemandWatch(Backpressure backpressure, UpstreamTable upstreams, DecisionLog log) {
         this.backpressure = backpressure;
+        this.upstreams = upstreams;
         this.log = log;
     }
 
@@ -32,7 +34,7 @@
             return;
         }
         if (facts.demands().leaving()) {
-            log.note("upstream", upstream.id, "outcome", "leaving-stated", "request", request);
+            upstreams.leaves(now, upstream.id, true, request);
         }
         if (facts.demands().limit() instanceof StatedLimit.Unreadable(String text)) {
             log.note("upstream", upstream.id, "outcome", "limit-unreadable", "stated", text, "request", request);
--- a/src/main/java/org/cuminshelf/direct/DirectCore.java
+++ b/src/main/java/org/cuminshelf/direct/DirectCore.java
@@ -64,13 +64,13 @@
         this.protocol = protocol;
         this.log = log;
         long now = clock.getAsLong();
-        this.upstreams = new UpstreamTable(log);
+        this.backpressure = Backpressure.none(self);
+        this.upstreams = new UpstreamTable(backpressure.leavers(), log);
         this.poison = new PoisonSystem(port, upstreams, clock, settings.vm(), log);
         this.usage = new UsageMeter(settings.usageWindowMillis(), log);
         this.control = new ControlFeed(settings, reader, upstreams, poison, usage, now, invariants, log);
         EngineModels models = new EngineModels();
-        this.backpressure = Backpressure.none(self);
-        DemandWatch demandWatch = new DemandWatch(backpressure, log);
+        DemandWatch demandWatch = new DemandWatch(backpressure, upstreams, log);
         Placement placement = new Placement(upstreams, control, models, backpressure, settings.zone());
         this.gossip = new LoadGossip(upstreams, models, backpressure, demandWatch, now);
         this.calls = new CallSystem(
@@ -252,7 +252,7 @@
         if (now >= nextHousekeeping) {
             nextHousekeeping = now + HOUSEKEEPING_EVERY;
             upstreams.tick(now);
-            backpressure.rests().tick(now);
+            backpressure.tick(now);
             byExchange.values().removeIf(call -> call.done);
         }
         gossip.tick(now, out, self, control.entries());
--- a/src/main/java/org/cuminshelf/direct/LoadGossip.java
+++ b/src/main/java/org/cuminshelf/direct/LoadGossip.java
@@ -170,7 +170,8 @@
             load.addRests(RestingUpstream.newBuilder().setUpstream(rest.start()).setLeftUs((long)
                     (rest.leftNanos() / NANOS_PER_MICRO)));
         }
-        return load.getLimitsCount() + load.getDemandsCount() + load.getRestsCount() > 0;
+        load.addAllLeaving(backpressure.leavers().heardHere(now));
+        return load.getLimitsCount() + load.getDemandsCount() + load.getRestsCount() + load.getLeavingCount() > 0;
     }
 
     private static UpstreamLoad underWay(long now, UpstreamRow row) {
@@ -195,6 +196,7 @@
         load.getSentList().forEach(prompt -> onSentElsewhere(now, prompt));
         load.getTakenList().forEach(prompt -> onTakenElsewhere(now, prompt));
         load.getLimitsList().forEach(limit -> onLimitHeardElsewhere(now, entry, limit));
+        load.getLeavingList().forEach(id -> upstreams.leaves(now, id, false, entry.value()));
         load.getRestsList().forEach(rest -> onRestElsewhere(now, rest));
         load.getDemandsList()
                 .forEach(demand -> backpressure
--- a/src/main/java/org/cuminshelf/direct/UpstreamRow.java
+++ b/src/main/java/org/cuminshelf/direct/UpstreamRow.java
@@ -97,12 +97,18 @@
         slots = Math.max(1, beat.getSlots());
         role = beat.getRole();
         changing = beat.getChanging();
-        // An upstream that is leaving does not come back under the same identity.
-        leaving |= beat.getLeaving();
-        announcedEnd |= beat.getLeaving();
+        if (beat.getLeaving()) {
+            leave();
+        }
         return changed;
     }
 
+    /** It said that it leaves; it does not come back under the same identity. */
+    void leave() {
+        leaving = true;
+        announcedEnd = true;
+    }
+
     /** Takes what another entry has under way there. */
     void onLoad(Address entry, UpstreamLoad load, List<PromptQueue.Waiting> waiting) {
         add(load, 1);
--- a/src/main/java/org/cuminshelf/direct/UpstreamTable.java
+++ b/src/main/java/org/cuminshelf/direct/UpstreamTable.java
@@ -10,6 +10,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import org.cuminshelf.backpressure.Leavers;
 import org.cuminshelf.core.Address;
 import org.cuminshelf.core.Core;
 import org.cuminshelf.core.Durations;
@@ -66,9 +67,11 @@
     private final LinkedHashMap<String, Ended> ended = new LinkedHashMap<>();
     private final HeldDirectories directories = HeldDirectories.none();
     private final Map<Address, TakenLoad> loads = new HashMap<>();
+    private final Leavers leavers;
     private final DecisionLog log;
 
-    UpstreamTable(DecisionLog log) {
+    UpstreamTable(Leavers leavers, DecisionLog log) {
+        this.leavers = leavers;
         this.log = log;
     }
 
@@ -160,6 +163,9 @@
             end(now, before, "it started again");
         }
         UpstreamRow row = new UpstreamRow(now, beat);
+        if (leavers.contains(row.id)) {
+            row.leave();
+        }
         rows.put(row.id, row);
         byName.put(row.name, row);
         byService.computeIfAbsent(row.service, key -> new ArrayList<>()).add(row);
@@ -173,6 +179,14 @@
         }
     }
 
+    /** A start said that it leaves, to this entry or to another one; it gets no new work. */
+    void leaves(long now, String id, boolean directly, String source) {
+        if (leavers.add(now, id, directly)) {
+            row(id).ifPresent(UpstreamRow::leave);
+            log.note("upstream", id, "outcome", "leaving-stated", "source", source);
+        }
+    }
+
     /** A start ended; it is never taken in again. */
     void end(long now, UpstreamRow row, String reason) {
         end(now, row.name, row.bornMillis, reason);
--- a/src/main/java/org/cuminshelf/message/EntryLoad.java
+++ b/src/main/java/org/cuminshelf/message/EntryLoad.java
@@ -25,6 +25,7 @@
     limits_ = emptyProtobufList();
     demands_ = emptyProtobufList();
     rests_ = emptyProtobufList();
+    leaving_ = com.google.protobuf.GeneratedMessageLite.emptyProtobufList();
   }
   public static final int UPSTREAMS_FIELD_NUMBER = 1;
   private com.google.protobuf.Internal.ProtobufList<org.cuminshelf.message.UpstreamLoad> upstreams_;
@@ -828,6 +829,137 @@
     rests_.remove(index);
   }
 
+  public static final int LEAVING_FIELD_NUMBER = 7;
+  private com.google.protobuf.Internal.ProtobufList<java.lang.String> leaving_;
+  /**
+   * <pre>
+   * Starts of upstreams that said to the entry that they leave.
+   * </pre>
+   *
+   * <code>repeated string leaving = 7;</code>
+   * @return A list containing the leaving.
+   */
+  @java.lang.Override
+  public java.util.List<java.lang.String> getLeavingList() {
+    return leaving_;
+  }
+  /**
+   * <pre>
+   * Starts of upstreams that said to the entry that they leave.
+   * </pre>
+   *
+   * <code>repeated string leaving = 7;</code>
+   * @return The count of leaving.
+   */
+  @java.lang.Override
+  public int getLeavingCount() {
+    return leaving_.size();
+  }
+  /**
+   * <pre>
+   * Starts of upstreams that said to the entry that they leave.
+   * </pre>
+   *
+   * <code>repeated string leaving = 7;</code>
+   * @param index The index of the element to return.
+   * @return The leaving at the given index.
+   */
+  @java.lang.Override
+  public java.lang.String getLeaving(int index) {
+    return leaving_.get(index);
+  }
+  /**
+   * <pre>
+   * Starts of upstreams that said to the entry that they leave.
+   * </pre>
+   *
+   * <code>repeated string leaving = 7;</code>
+   * @param index The index of the value to return.
+   * @return The bytes of the leaving at the given index.
+   */
+  @java.lang.Override
+  public com.google.protobuf.ByteString
+      getLeavingBytes(int index) {
+    return com.google.protobuf.ByteString.copyFromUtf8(
+        leaving_.get(index));
+  }
+  private void ensureLeavingIsMutable() {
+    com.google.protobuf.Internal.ProtobufList<java.lang.String> tmp =
+        leaving_;  if (!tmp.isModifiable()) {
+      leaving_ =
+          com.google.protobuf.GeneratedMessageLite.mutableCopy(tmp);
+     }
+  }
+  /**
+   * <pre>
+   * Starts of upstreams that said to the entry that they leave.
+   * </pre>
+   *
+   * <code>repeated string leaving = 7;</code>
+   * @param index The index to set the value at.
+   * @param value The leaving to set.
+   */
+  @java.lang.SuppressWarnings("ReturnValueIgnored")
+  private void setLeaving(
+      int index, java.lang.String value) {
+    value.getClass();  // minimal bytecode null check
+    ensureLeavingIsMutable();
+    leaving_.set(index, value);
+  }
+  /**
+   * <pre>
+   * Starts of upstreams that said to the entry that they leave.
+   * </pre>
+   *
+   * <code>repeated string leaving = 7;</code>
+   * @param value The leaving to add.
+   */
+  @java.lang.SuppressWarnings("ReturnValueIgnored")
+  private void addLeaving(
+      java.lang.String value) {
+    value.getClass();  // minimal bytecode null check
+    ensureLeavingIsMutable();
+    leaving_.add(value);
+  }
+  /**
+   * <pre>
+   * Starts of upstreams that said to the entry that they leave.
+   * </pre>
+   *
+   * <code>repeated string leaving = 7;</code>
+   * @param values The leaving to add.
+   */
+  private void addAllLeaving(
+      java.lang.Iterable<java.lang.String> values) {
+    ensureLeavingIsMutable();
+    com.google.protobuf.AbstractMessageLite.addAll(
+        values, leaving_);
+  }
+  /**
+   * <pre>
+   * Starts of upstreams that said to the entry that they leave.
+   * </pre>
+   *
+   * <code>repeated string leaving = 7;</code>
+   */
+  private void clearLeaving() {
+    leaving_ = com.google.protobuf.GeneratedMessageLite.emptyProtobufList();
+  }
+  /**
+   * <pre>
+   * Starts of upstreams that said to the entry that they leave.
+   * </pre>
+   *
+   * <code>repeated string leaving = 7;</code>
+   * @param value The bytes of the leaving to add.
+   */
+  private void addLeavingBytes(
+      com.google.protobuf.ByteString value) {
+    checkByteStringIsUtf8(value);
+    ensureLeavingIsMutable();
+    leaving_.add(value.toStringUtf8());
+  }
+
   public static org.cuminshelf.message.EntryLoad parseFrom(
       java.nio.ByteBuffer data)
       throws com.google.protobuf.InvalidProtocolBufferException {
@@ -1781,6 +1913,134 @@
       return this;
     }
 
+    /**
+     * <pre>
+     * Starts of upstreams that said to the entry that they leave.
+     * </pre>
+     *
+     * <code>repeated string leaving = 7;</code>
+     * @return A list containing the leaving.
+     */
+    @java.lang.Override
+    public java.util.List<java.lang.String>
+        getLeavingList() {
+      return java.util.Collections.unmodifiableList(
+          instance.getLeavingList());
+    }
+    /**
+     * <pre>
+     * Starts of upstreams that said to the entry that they leave.
+     * </pre>
+     *
+     * <code>repeated string leaving = 7;</code>
+     * @return The count of leaving.
+     */
+    @java.lang.Override
+    public int getLeavingCount() {
+      return instance.getLeavingCount();
+    }
+    /**
+     * <pre>
+     * Starts of upstreams that said to the entry that they leave.
+     * </pre>
+     *
+     * <code>repeated string leaving = 7;</code>
+     * @param index The index of the element to return.
+     * @return The leaving at the given index.
+     */
+    @java.lang.Override
+    public java.lang.String getLeaving(int index) {
+      return instance.getLeaving(index);
+    }
+    /**
+     * <pre>
+     * Starts of upstreams that said to the entry that they leave.
+     * </pre>
+     *
+     * <code>repeated string leaving = 7;</code>
+     * @param index The index of the value to return.
+     * @return The bytes of the leaving at the given index.
+     */
+    @java.lang.Override
+    public com.google.protobuf.ByteString
+        getLeavingBytes(int index) {
+      return instance.getLeavingBytes(index);
+    }
+    /**
+     * <pre>
+     * Starts of upstreams that said to the entry that they leave.
+     * </pre>
+     *
+     * <code>repeated string leaving = 7;</code>
+     * @param index The index to set the value at.
+     * @param value The leaving to set.
+     * @return This builder for chaining.
+     */
+    public Builder setLeaving(
+        int index, java.lang.String value) {
+      copyOnWrite();
+      instance.setLeaving(index, value);
+      return this;
+    }
+    /**
+     * <pre>
+     * Starts of upstreams that said to the entry that they leave.
+     * </pre>
+     *
+     * <code>repeated string leaving = 7;</code>
+     * @param value The leaving to add.
+     * @return This builder for chaining.
+     */
+    public Builder addLeaving(
+        java.lang.String value) {
+      copyOnWrite();
+      instance.addLeaving(value);
+      return this;
+    }
+    /**
+     * <pre>
+     * Starts of upstreams that said to the entry that they leave.
+     * </pre>
+     *
+     * <code>repeated string leaving = 7;</code>
+     * @param values The leaving to add.
+     * @return This builder for chaining.
+     */
+    public Builder addAllLeaving(
+        java.lang.Iterable<java.lang.String> values) {
+      copyOnWrite();
+      instance.addAllLeaving(values);
+      return this;
+    }
+    /**
+     * <pre>
+     * Starts of upstreams that said to the entry that they leave.
+     * </pre>
+     *
+     * <code>repeated string leaving = 7;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearLeaving() {
+      copyOnWrite();
+      instance.clearLeaving();
+      return this;
+    }
+    /**
+     * <pre>
+     * Starts of upstreams that said to the entry that they leave.
+     * </pre>
+     *
+     * <code>repeated string leaving = 7;</code>
+     * @param value The bytes of the leaving to add.
+     * @return This builder for chaining.
+     */
+    public Builder addLeavingBytes(
+        com.google.protobuf.ByteString value) {
+      copyOnWrite();
+      instance.addLeavingBytes(value);
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:cuminshelf.EntryLoad)
   }
   @java.lang.Override
@@ -1809,10 +2069,11 @@
             org.cuminshelf.message.ServiceDemand.class,
             "rests_",
             org.cuminshelf.message.RestingUpstream.class,
+            "leaving_",
           };
           java.lang.String info =
-              "\u0000\u0006\u0000\u0000\u0001\u0006\u0006\u0000\u0006\u0000\u0001\u001b\u0002\u001b" +
-              "\u0003\u001b\u0004\u001b\u0005\u001b\u0006\u001b";
+              "\u0000\u0007\u0000\u0000\u0001\u0007\u0007\u0000\u0007\u0000\u0001\u001b\u0002\u001b" +
+              "\u0003\u001b\u0004\u001b\u0005\u001b\u0006\u001b\u0007\u021a";
           return newMessageInfo(DEFAULT_INSTANCE, info, objects);
       }
       case GET_DEFAULT_INSTANCE: {
--- a/src/main/java/org/cuminshelf/message/EntryLoadOrBuilder.java
+++ b/src/main/java/org/cuminshelf/message/EntryLoadOrBuilder.java
@@ -153,4 +153,45 @@
    * <code>repeated .cuminshelf.RestingUpstream rests = 6;</code>
    */
   int getRestsCount();
+
+  /**
+   * <pre>
+   * Starts of upstreams that said to the entry that they leave.
+   * </pre>
+   *
+   * <code>repeated string leaving = 7;</code>
+   * @return A list containing the leaving.
+   */
+  java.util.List<java.lang.String>
+      getLeavingList();
+  /**
+   * <pre>
+   * Starts of upstreams that said to the entry that they leave.
+   * </pre>
+   *
+   * <code>repeated string leaving = 7;</code>
+   * @return The count of leaving.
+   */
+  int getLeavingCount();
+  /**
+   * <pre>
+   * Starts of upstreams that said to the entry that they leave.
+   * </pre>
+   *
+   * <code>repeated string leaving = 7;</code>
+   * @param index The index of the element to return.
+   * @return The leaving at the given index.
+   */
+  java.lang.String getLeaving(int index);
+  /**
+   * <pre>
+   * Starts of upstreams that said to the entry that they leave.
+   * </pre>
+   *
+   * <code>repeated string leaving = 7;</code>
+   * @param index The index of the element to return.
+   * @return The leaving at the given index.
+   */
+  com.google.protobuf.ByteString
+      getLeavingBytes(int index);
 }
--- a/src/test/java/org/cuminshelf/direct/LoadGossipTest.java
+++ b/src/test/java/org/cuminshelf/direct/LoadGossipTest.java
@@ -6,6 +6,7 @@
 import net.jqwik.api.Example;
 import org.cuminshelf.message.EntryLoad;
 import org.cuminshelf.message.Envelope;
+import org.cuminshelf.message.HeardLimit;
 import org.cuminshelf.message.Role;
 import org.cuminshelf.message.SentPrompt;
 import org.cuminshelf.message.Update;
@@ -154,4 +155,44 @@
         entry.ask("r", "Tokens", "6000", "Shared", "5000");
         assertThat(entry.last().request.headers().contains("Parts-From")).isFalse();
     }
+
+    /** Guards against entries that each pay a request to learn what another one was told by an upstream. */
+    @Example
+    void whatUpstreamsAskForIsTold() {
+        DirectFixture entry = new DirectFixture(DirectFixture.route(RequestKind.NON_IDEMPOTENT, 1, false))
+                .ready()
+                .upstream("u1", Role.ROLE_MIXED);
+        entry.entries(DirectFixture.SELF.value(), "10.0.1.2:7000");
+        entry.ask("a");
+        DirectFixture.Sent first = entry.last();
+        entry.ask("b");
+        first.head(503, "Not-Run", "1", "Rest", "3000", "Limit", "2.5");
+        first.handler.onComplete();
+        entry.last().head(200, "Seal", "s", "Leaving", "1");
+        told(entry);
+        entry.pass(150);
+        EntryLoad told = told(entry).getLast();
+        assertThat(told.getLimits(0).getPerSecond()).isEqualTo(2.5);
+        assertThat(told.getDemands(0).getCallsPerSecond()).isPositive();
+        assertThat(told.getRests(0).getLeftUs()).isBetween(2_700_000L, 3_000_000L);
+        assertThat(told.getLeavingList()).containsExactly("u1");
+    }
+
+    @Example
+    void whatAnUpstreamAskedOfAnotherEntryIsTaken() {
+        DirectFixture entry = new DirectFixture(DirectFixture.route(RequestKind.NON_IDEMPOTENT, 1, false))
+                .ready()
+                .upstream("u1", Role.ROLE_MIXED)
+                .upstream("u2", Role.ROLE_MIXED);
+        entry.tell(EntryLoad.newBuilder()
+                .addLimits(HeardLimit.newBuilder().setUpstream("u1").setPerSecond(2))
+                .addLeaving("u2"));
+        assertThat(entry.core.limitedUpstreams()).isEqualTo(1);
+        DirectFixture.Answer refused = entry.ask("a");
+        assertThat(refused.status).isEqualTo(503);
+        assertThat(entry.sent).isEmpty();
+        entry.pass(501);
+        entry.ask("b");
+        assertThat(entry.last().upstream).isEqualTo("u1");
+    }
 }
--- a/src/test/java/org/cuminshelf/direct/UpstreamTableTest.java
+++ b/src/test/java/org/cuminshelf/direct/UpstreamTableTest.java
@@ -4,6 +4,7 @@
 
 import java.util.List;
 import net.jqwik.api.Example;
+import org.cuminshelf.backpressure.Leavers;
 import org.cuminshelf.core.Address;
 import org.cuminshelf.core.Durations;
 import org.cuminshelf.message.EntryLoad;
@@ -16,7 +17,7 @@
 class UpstreamTableTest {
 
     private static final Address CONTROL = Address.of("10.0.0.1:7000");
-    private final UpstreamTable table = new UpstreamTable(DecisionLog.none());
+    private final UpstreamTable table = new UpstreamTable(Leavers.none(), DecisionLog.none());
     private long now = Durations.nanos(1_000);
 
     /*
@@ -60,6 +61,21 @@
         assertThat(table.ofService("s")).hasSize(1);
     }
 
+    /** Guards against new work for an upstream that leaves and is listed anew by a control process that missed it. */
+    @Example
+    void anUpstreamThatSaidInAnAnswerThatItLeavesStaysLeaving() {
+        tell(1, 1, false, beat());
+        UpstreamRow row = table.ofService("s").getFirst();
+        table.leaves(now, row.id, true, "answer");
+        assertThat(row.leaving).isTrue();
+        tell(1, 2, true);
+        now += Durations.nanos(7_000);
+        table.tick(now);
+        assertThat(table.ofService("s")).isEmpty();
+        tell(1, 3, false, beat().toBuilder().setSequence(9).build());
+        assertThat(table.ofService("s").getFirst().leaving).isTrue();
+    }
+
     @Example
     void anUpstreamThatSaidItIsGoneIsNotBroughtBackByALateHeartbeat() {
         tell(1, 1, false, beat());
