Tell the caller of a refused request when the first upstream takes something again

Found by DemandsOnLoopbackTest, which plays limit, rest and leaving against both roles over real sockets: the one upstream of a service refuses a request and asks for 1.2 s of rest, and the caller was told to come back after 0.2 s, to be refused again. Where another upstream is open it is still 0.2 s.

--- a/src/main/java/org/cuminshelf/direct/Admission.java
+++ b/src/main/java/org/cuminshelf/direct/Admission.java
@@ -109,9 +109,19 @@
             return WAIT;
         }
         call.offered.ifPresent(OfferedGeneration::refusedForPlaces);
+        Verdict.NotRun verdict = new Verdict.NotRun(Cause.OVERLOADED, returnMillis(now, call, nextAt));
+        return new Decision.Refuse(verdict, "upstreams-ask-to-wait");
+    }
+
+    private static long returnMillis(long now, CallRow call, long nextAt) {
         long spread = Math.floorMod(call.intent.id().hashCode(), RETURNS_SPREAD_MILLIS);
-        long wait = Math.max(CallerAnswers.RETRY_AFTER_MILLIS, Durations.millis(nextAt - now)) + spread;
-        return new Decision.Refuse(new Verdict.NotRun(Cause.OVERLOADED, wait), "upstreams-ask-to-wait");
+        return Math.max(CallerAnswers.RETRY_AFTER_MILLIS, Durations.millis(nextAt - now)) + spread;
+    }
+
+    /** When the caller of a call that an upstream refused should come back, in milliseconds from now. */
+    long returnAfterRefusal(long now, CallRow call) {
+        OptionalLong next = placement.nextSend(now, call);
+        return next.isPresent() ? returnMillis(now, call, next.getAsLong()) : CallerAnswers.RETRY_AFTER_MILLIS;
     }
 
     private static Decision refuse(CallRow call, Placement.Choice choice, String reason) {
--- a/src/main/java/org/cuminshelf/direct/CallSystem.java
+++ b/src/main/java/org/cuminshelf/direct/CallSystem.java
@@ -263,8 +263,9 @@
             return;
         }
         if (attempt.facts.notExecuted()) {
+            long comeBack = admission.returnAfterRefusal(now, call);
             refusedForNow(now, attempt);
-            failed(now, attempt, new Verdict.NotRun(Cause.OVERLOADED, CallerAnswers.RETRY_AFTER_MILLIS));
+            failed(now, attempt, new Verdict.NotRun(Cause.OVERLOADED, comeBack));
             return;
         }
         boolean repeat = call.isRepeatable()
--- a/src/test/java/org/cuminshelf/direct/RestAskedCallsTest.java
+++ b/src/test/java/org/cuminshelf/direct/RestAskedCallsTest.java
@@ -43,6 +43,18 @@
         assertThat(Double.parseDouble(refused.headers.get("Retry-After"))).isBetween(3.0, 4.0);
     }
 
+    /** Guards against callers who are told to come back to upstreams that all rest. */
+    @Example
+    void theCallerOfARefusedRequestComesBackWhenTheFirstRestEnds() {
+        DirectFixture entry = services("u1", "u2");
+        DirectFixture.Answer first = entry.ask("a");
+        refuse(entry.last(), "3000");
+        assertThat(Double.parseDouble(first.headers.get("Retry-After"))).isEqualTo(0.2);
+        DirectFixture.Answer second = entry.ask("b");
+        refuse(entry.last(), "2000");
+        assertThat(Double.parseDouble(second.headers.get("Retry-After"))).isBetween(2.0, 3.0);
+    }
+
     /** Guards against all calls at one time for an upstream whose rest is over, but not its need. */
     @Example
     void afterARestOneRequestGoesUntilItIsAnswered() {
