--- a/src/test/java/org/cuminshelf/direct/StatedLimitCallsTest.java
+++ b/src/test/java/org/cuminshelf/direct/StatedLimitCallsTest.java
@@ -92,7 +92,7 @@
     /** Guards against prompts that are read in vain, many for one permit of the engine that is to go on. */
     @Example
     void aPromptIsReadApartOnlyWithAPermitForItsHandover() {
-        DirectFixture entry = engines(2);
+        DirectFixture entry = engines(2).teach("p1", Role.ROLE_PREFILL, 5, 1).teach("d1", Role.ROLE_DECODE, 5, 100);
         entry.pass(510);
         entry.ask("a", "Tokens", "9000");
         entry.ask("b", "Tokens", "9000");
