Report usage no faster than the platform states to take calls

Windows that are made up for after an outage, 24 at the most, followed each other at once; a platform that takes fewer answers 429, and each call is priced. The new test failed without the gap.

--- a/src/main/java/org/cuminshelf/control/ControlCore.java
+++ b/src/main/java/org/cuminshelf/control/ControlCore.java
@@ -5,7 +5,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
 import net.openhft.hashing.LongHashFunction;
 import org.apache.commons.rng.UniformRandomProvider;
@@ -127,9 +126,8 @@
             replicas.put(group.group(), replica);
             holder = new DutyHolder(replica, settings.duties().leaseMillis());
             stages = new StageSystem(replica, config.orders(), registry, subscribers, holder);
-            OptionalLong usageLate = settings.duties().usageLateMillis();
-            if (usageLate.isPresent()) {
-                usage = Optional.of(new UsageSystem(replica, config.usage(), holder, usageLate.getAsLong()));
+            if (settings.duties().usageLateMillis().isPresent()) {
+                usage = Optional.of(new UsageSystem(replica, config.usage(), holder, settings.duties()));
             }
             quarantine = new QuarantineSystem(replica, config.quarantine(), poison, directory);
             return;
--- a/src/main/java/org/cuminshelf/control/UsageSystem.java
+++ b/src/main/java/org/cuminshelf/control/UsageSystem.java
@@ -42,6 +42,8 @@
     private static final long TRY_AGAIN = Durations.nanos(500);
     /** Time after which an entry of the log that was not committed is proposed again. */
     private static final long PROPOSED_AGAIN = Durations.nanos(2_000);
+
+    private static final double NANOS_PER_SECOND = Durations.nanos(1_000);
     /** Windows that are made up for after an outage; entries remember no more. */
     private static final long MOST_BEHIND = 24;
 
@@ -49,6 +51,9 @@
     private final SettledUsage settled;
     private final DutyHolder holder;
     private final long patience;
+    /** Nanoseconds between two calls at the least, as the platform states what it takes. */
+    private final long leastGap;
+
     private final UsageTally tally = UsageTally.create();
 
     private long awaited;
@@ -59,13 +64,16 @@
     private long writtenDown;
     private long writtenDownAt;
     private long nextTry = Long.MIN_VALUE;
+    private long reportedAt = Long.MIN_VALUE / 2;
     private boolean underWay;
 
-    UsageSystem(Replica replica, SettledUsage settled, DutyHolder holder, long lateMillis) {
+    UsageSystem(Replica replica, SettledUsage settled, DutyHolder holder, DutySettings duties) {
         this.replica = replica;
         this.settled = settled;
         this.holder = holder;
-        this.patience = (long) (PATIENCE_SHARE * Durations.nanos(lateMillis));
+        this.patience = (long)
+                (PATIENCE_SHARE * Durations.nanos(duties.usageLateMillis().orElseThrow()));
+        this.leastGap = (long) (NANOS_PER_SECOND / duties.callsPerSecond().orElse(Double.POSITIVE_INFINITY));
     }
 
     /** Takes what an entry tells; what it tells again from here on follows from the version in its row. */
@@ -90,7 +98,7 @@
         Optional<UsageWindow> next = settled.next();
         if (next.isPresent() && next.get().getWindow() == acknowledged) {
             writeDown(now, next.get());
-        } else if (next.isPresent() && now >= nextTry) {
+        } else if (next.isPresent() && now >= nextTry && now - reportedAt >= leastGap) {
             report(now, next.get(), out);
         }
     }
@@ -131,6 +139,7 @@
 
     private void report(long now, UsageWindow window, Outbox out) {
         underWay = true;
+        reportedAt = now;
         nextTry = now + TRY_PATIENCE;
         out.send(
                 Address.ORDERS,
--- a/src/main/java/org/cuminshelf/platform/DutyTerms.java
+++ b/src/main/java/org/cuminshelf/platform/DutyTerms.java
@@ -2,6 +2,7 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.OptionalLong;
 import java.util.stream.StreamSupport;
 import org.cuminshelf.control.DutySettings;
@@ -14,8 +15,14 @@
  * @param leaseMillis       time within which two nodes may not take turns ({@code leaseMs} there)
  * @param usageWindowMillis length of the windows of usage; nothing where usage is no duty
  * @param usageLateMillis   time after the end of a window by which its usage is to be reported
+ * @param callsPerSecond    such calls that the platform takes a second from all nodes together ({@code dutyPerS} there)
  */
-record DutyTerms(Optional<Address> platform, long leaseMillis, OptionalLong usageWindowMillis, long usageLateMillis) {
+record DutyTerms(
+        Optional<Address> platform,
+        long leaseMillis,
+        OptionalLong usageWindowMillis,
+        long usageLateMillis,
+        OptionalDouble callsPerSecond) {
 
     private static final String USAGE = "usage_report";
     private static final double MILLIS_PER_SECOND = 1_000;
@@ -36,12 +43,20 @@
                 platform,
                 bounds.path("leaseMs").asLong(DEFAULT_LEASE_MILLIS),
                 counted ? OptionalLong.of((long) (windowSeconds * MILLIS_PER_SECOND)) : OptionalLong.empty(),
-                (long) (bounds.path("usageLateS").asDouble(DEFAULT_LATE_SECONDS) * MILLIS_PER_SECOND));
+                (long) (bounds.path("usageLateS").asDouble(DEFAULT_LATE_SECONDS) * MILLIS_PER_SECOND),
+                callsPerSecond(cloud.path("dutyPerS")));
+    }
+
+    private static OptionalDouble callsPerSecond(JsonNode stated) {
+        double number = stated.asDouble(0);
+        return stated.isNumber() && number > 0 ? OptionalDouble.of(number) : OptionalDouble.empty();
     }
 
     /** The same for control. */
     DutySettings forControl() {
         return new DutySettings(
-                leaseMillis, usageWindowMillis.isPresent() ? OptionalLong.of(usageLateMillis) : OptionalLong.empty());
+                leaseMillis,
+                usageWindowMillis.isPresent() ? OptionalLong.of(usageLateMillis) : OptionalLong.empty(),
+                callsPerSecond);
     }
 }
--- a/src/test/java/org/cuminshelf/control/ControlGroup.java
+++ b/src/test/java/org/cuminshelf/control/ControlGroup.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.OptionalLong;
 import java.util.TreeMap;
 import org.apache.commons.rng.simple.RandomSource;
@@ -61,7 +62,13 @@
 
     /** Processes one of which reports usage, due 10 s after each window; holders may take turns after 3 s. */
     static ControlGroup withUsage() {
-        return new ControlGroup(MembershipPolicy.OPEN, new DutySettings(LEASE_MILLIS, OptionalLong.of(10_000)));
+        return withUsage(OptionalDouble.empty());
+    }
+
+    /** The same, with a platform that takes so many calls a second. */
+    static ControlGroup withUsage(OptionalDouble callsPerSecond) {
+        return new ControlGroup(
+                MembershipPolicy.OPEN, new DutySettings(LEASE_MILLIS, OptionalLong.of(10_000), callsPerSecond));
     }
 
     private ControlGroup(MembershipPolicy policy, DutySettings duties) {
--- a/src/test/java/org/cuminshelf/control/UsageSystemTest.java
+++ b/src/test/java/org/cuminshelf/control/UsageSystemTest.java
@@ -3,6 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.util.List;
+import java.util.OptionalDouble;
 import net.jqwik.api.Example;
 import org.cuminshelf.core.Address;
 import org.cuminshelf.core.Durations;
@@ -121,6 +122,20 @@
         assertThat(control.reports.getFirst().report().getUsage()).isEqualTo(counts(6, 2));
     }
 
+    /** Guards against calls beyond what the platform states to take, when windows are made up for after an outage. */
+    @Example
+    void windowsThatWaitFollowEachOtherNoFasterThanThePlatformTakesCalls() {
+        control = ControlGroup.withUsage(OptionalDouble.of(0.5));
+        tell(5_000, 5, 2, 5, 5);
+        tell(500, 6, 1, 7, 7);
+        ControlGroup.SentReport first = control.reports.getLast();
+        control.reports.clear();
+        acknowledge(first.holder(), 5);
+        control.pass(2_100);
+        assertThat(control.reports).isNotEmpty();
+        assertThat(control.reports.getFirst().at() - first.at()).isGreaterThanOrEqualTo(Durations.nanos(2_000));
+    }
+
     /* The next holder need not report what was acknowledged: that is in the log. */
     @Example
     void whatWasAcknowledgedIsNotReportedByTheNextHolder() {
--- a/src/test/java/org/cuminshelf/platform/BootSettingsTest.java
+++ b/src/test/java/org/cuminshelf/platform/BootSettingsTest.java
@@ -6,6 +6,7 @@
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.OptionalDouble;
 import java.util.OptionalLong;
 import net.jqwik.api.Example;
 import org.cuminshelf.control.DutySettings;
@@ -48,11 +49,13 @@
         String duties = FILE.replace("\"bounds\":{", bounds)
                 .replace(
                         "\"unknown\":{}",
-                        "\"cloud\":{\"address\":\"10.9.0.1:80\",\"duties\":[\"autoscale\",\"usage_report\"]}");
+                        "\"cloud\":{\"address\":\"10.9.0.1:80\",\"dutyPerS\":2.5,"
+                                + "\"duties\":[\"autoscale\",\"usage_report\"]}");
         DutyTerms terms = read(duties).duties();
         assertThat(terms.platform()).hasValue(Address.of("10.9.0.1:80"));
         assertThat(terms.usageWindowMillis()).hasValue(5_000);
-        assertThat(terms.forControl()).isEqualTo(new DutySettings(2_500, OptionalLong.of(10_000)));
+        assertThat(terms.forControl())
+                .isEqualTo(new DutySettings(2_500, OptionalLong.of(10_000), OptionalDouble.of(2.5)));
         assertThat(read(duties.replace("usage_report", "another")).duties().usageWindowMillis())
                 .isEmpty();
         assertThat(read(duties.replace("\"usageWindowS\":5", "\"usageWindowS\":\"x\""))
