Only a success ends the need of an upstream by what it leaves out

An answer without a limit lifts it, and one that asks for no rest ends the trial after a rest. A failure, or an answer to another request, need not say what a success says: neither counts now. Found by removing guards one by one: nothing noticed the answer to an earlier request. Upstreams that nobody asked for rest cost a call nothing more than before.

--- a/src/main/java/org/cuminshelf/backpressure/Rests.java
+++ b/src/main/java/org/cuminshelf/backpressure/Rests.java
@@ -109,6 +109,15 @@
         return known == null ? Long.MIN_VALUE : known.next();
     }
 
+    /**
+     * Tells whether any upstream may have asked another entry for rest that isn't over.
+     *
+     * @return false if none did
+     */
+    public boolean isAnyAskedElsewhere() {
+        return !elsewhere.isEmpty();
+    }
+
     /**
      * Tells whether an upstream asked another entry for rest that isn't over.
      *
@@ -117,7 +126,7 @@
      * @return true if it did
      */
     public boolean isAskedElsewhere(long now, String start) {
-        return !elsewhere.isEmpty() && elsewhere.getOrDefault(start, Long.MIN_VALUE) > now;
+        return elsewhere.getOrDefault(start, Long.MIN_VALUE) > now;
     }
 
     /**
--- a/src/main/java/org/cuminshelf/direct/AttemptSystem.java
+++ b/src/main/java/org/cuminshelf/direct/AttemptSystem.java
@@ -206,7 +206,7 @@
         attempt.facts = protocol.facts(status, headers);
         attempt.lastProgressAt = now;
         String own = attempt.call.intent.id();
-        demandWatch.onHead(now, attempt.upstream, attempt.sentAt, own, attempt.facts);
+        demandWatch.onHead(now, attempt.upstream, attempt.sentAt, own, status, attempt.facts);
         if (attempt.facts.requestId().filter(id -> !id.equals(own)).isPresent()) {
             // An upstream may answer twice, or late: these bytes belong to another request.
             attempt.exchange.cancel();
--- a/src/main/java/org/cuminshelf/direct/CallSystem.java
+++ b/src/main/java/org/cuminshelf/direct/CallSystem.java
@@ -470,7 +470,7 @@
 
         @Override
         public void onHead(int status, HttpFields headers) {
-            demandWatch.onHead(clock.getAsLong(), upstream, sentAt, request, protocol.facts(status, headers));
+            demandWatch.onHead(clock.getAsLong(), upstream, sentAt, request, status, protocol.facts(status, headers));
         }
 
         @Override
--- a/src/main/java/org/cuminshelf/direct/DemandWatch.java
+++ b/src/main/java/org/cuminshelf/direct/DemandWatch.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.OptionalDouble;
 import org.cuminshelf.backpressure.Backpressure;
+import org.cuminshelf.backpressure.Demands;
 import org.cuminshelf.backpressure.RateLimits;
 import org.cuminshelf.backpressure.StatedLimit;
 import org.cuminshelf.core.Address;
@@ -10,6 +11,8 @@
 /** Hears what answers, and other entries, say of what upstreams ask for, and notes what changed. */
 final class DemandWatch {
 
+    private static final int FIRST_FAILURE = 300;
+
     private final Backpressure backpressure;
     private final UpstreamTable upstreams;
     private final DecisionLog log;
@@ -27,35 +30,36 @@
      * @param upstream the upstream to which the request was sent
      * @param sentAt   when the request was sent, in nanoseconds
      * @param request  the request's id
+     * @param status   the status of the answer
      * @param facts    what the head says
      */
-    void onHead(long now, UpstreamRow upstream, long sentAt, String request, AnswerFacts facts) {
+    void onHead(long now, UpstreamRow upstream, long sentAt, String request, int status, AnswerFacts facts) {
         if (facts.isOtherThan(upstream.name)) {
             return;
         }
-        if (facts.demands().leaving()) {
+        Demands demands = facts.demands();
+        if (demands.leaving()) {
             upstreams.leaves(now, upstream.id, true, request);
         }
-        if (facts.demands().limit() instanceof StatedLimit.Unreadable(String text)) {
-            log.note("upstream", upstream.id, "outcome", "limit-unreadable", "stated", text, "request", request);
+        demands.rest().ifPresent(rest -> hearRest(now, upstream, request, rest));
+        // Neither a failure nor the answer to an earlier request shows the end of a need by what it leaves out.
+        boolean conclusive = status < FIRST_FAILURE
+                && facts.requestId().filter(id -> !id.equals(request)).isEmpty();
+        if (conclusive) {
+            backpressure.rests().answered(upstream.id, sentAt);
         }
-        facts.demands().rest().ifPresent(rest -> hearRest(now, upstream, request, rest));
-        boolean another = facts.requestId().filter(id -> !id.equals(request)).isPresent();
-        if (another && facts.demands().limit() instanceof StatedLimit.Unlimited) {
-            // The answer to an earlier request, which may have been written before anything was asked for.
-            return;
+        if (conclusive || !(demands.limit() instanceof StatedLimit.Unlimited)) {
+            hearLimit(now, upstream, sentAt, request, demands.limit());
         }
-        if (facts.demands().rest().isEmpty()) {
-            backpressure.rests().answered(upstream.id, sentAt);
+    }
+
+    private void hearLimit(long now, UpstreamRow upstream, long sentAt, String request, StatedLimit limit) {
+        if (limit instanceof StatedLimit.Unreadable(String text)) {
+            log.note("upstream", upstream.id, "outcome", "limit-unreadable", "stated", text, "request", request);
         }
         backpressure
                 .limits()
-                .heard(
-                        now,
-                        upstream.id,
-                        upstream.service,
-                        sentAt,
-                        facts.demands().limit())
+                .heard(now, upstream.id, upstream.service, sentAt, limit)
                 .ifPresent(change -> note(upstream, change, "request", request));
     }
 
--- a/src/main/java/org/cuminshelf/direct/Placement.java
+++ b/src/main/java/org/cuminshelf/direct/Placement.java
@@ -376,6 +376,9 @@
         List<UpstreamRow> open = upstreams.ofService(call.service).stream()
                 .filter(row -> isOpen(now, row, call))
                 .toList();
+        if (!backpressure.rests().isAnyAskedElsewhere()) {
+            return open;
+        }
         Set<Role> willing = EnumSet.noneOf(Role.class);
         open.stream().filter(row -> !isAskedElsewhere(now, row)).forEach(row -> willing.add(row.role));
         return open.stream()
--- a/src/test/java/org/cuminshelf/direct/StatedLimitCallsTest.java
+++ b/src/test/java/org/cuminshelf/direct/StatedLimitCallsTest.java
@@ -80,6 +80,23 @@
         assertThat(entry.core.limitedUpstreams()).isZero();
     }
 
+    /** Guards against a limit that is lifted by an answer which says nothing of it for another reason. */
+    @Example
+    void neitherAFailureNorTheAnswerToAnotherRequestLiftsALimit() {
+        DirectFixture entry = service();
+        entry.ask("a");
+        answer(entry.last(), "Seal", "s", "Limit", "100");
+        entry.pass(20);
+        entry.ask("b");
+        entry.last().head(500, "Seal", "s");
+        entry.last().handler.onComplete();
+        assertThat(entry.core.limitedUpstreams()).isEqualTo(1);
+        entry.pass(20);
+        entry.ask("c");
+        entry.last().head(200, "Seal", "s", "Id", "another");
+        assertThat(entry.core.limitedUpstreams()).isEqualTo(1);
+    }
+
     /** Guards against a limit of one start that holds for the next one at the address. */
     @Example
     void whatAnotherStartSaysIsNotTakenForTheUpstreams() {
