--- a/src/main/java/org/cuminshelf/direct/Placement.java
+++ b/src/main/java/org/cuminshelf/direct/Placement.java
@@ -431,6 +431,9 @@
      * The engine of which a permit should be kept for the handover of a call: none if one without a limit can do it.
      */
     Optional<UpstreamRow> limitedForHandover(long now, CallRow call) {
+        if (backpressure.limits().inForce() == 0) {
+            return Optional.empty();
+        }
         UpstreamRow best = null;
         for (UpstreamRow row : open(now, call)) {
             if (!row.generates() || !hasPlace(row, call)) {
