--- a/src/test/java/org/cuminshelf/backpressure/RateLimitsTest.java
+++ b/src/test/java/org/cuminshelf/backpressure/RateLimitsTest.java
@@ -6,6 +6,7 @@
 import java.util.OptionalDouble;
 import net.jqwik.api.Example;
 import org.cuminshelf.core.Address;
+import org.cuminshelf.core.Durations;
 
 /** What is known of limits that upstreams state. */
 class RateLimitsTest {
@@ -54,4 +55,27 @@
         assertThat(heard(40, 21, new StatedLimit.Unreadable("x"))).isEmpty();
         assertThat(limits.inForce()).isEqualTo(1);
     }
+
+    private Optional<RateLimits.Change> told(long now, long ageMillis, double perSecond) {
+        long age = Durations.nanos(ageMillis);
+        return limits.told(now, "s", new RateLimits.Heard("u", OptionalDouble.of(perSecond), age));
+    }
+
+    /** Guards against news that were under way while this entry heard the contrary, and count as newer. */
+    @Example
+    void whatThisEntryHeardGoesBeforeNewsOfTheSameMoment() {
+        long heardAt = Durations.nanos(1_000);
+        heard(heardAt, 0, perSecond(5));
+        long sentAt = heardAt + Durations.nanos(100);
+        assertThat(heard(sentAt + Durations.nanos(10), sentAt, NONE)).isPresent();
+        assertThat(told(sentAt + Durations.nanos(40), 20, 5)).isEmpty();
+        assertThat(told(sentAt + Durations.nanos(400), 20, 5)).isPresent();
+    }
+
+    @Example
+    void whatIsToldOfTheEndOfALimitThatIsNotKnownIsNoLimit() {
+        assertThat(limits.told(10, "s", new RateLimits.Heard("u", OptionalDouble.empty(), 0)))
+                .isEmpty();
+        assertThat(limits.admits(10, "u")).isTrue();
+    }
 }
--- a/src/test/java/org/cuminshelf/direct/RestAskedCallsTest.java
+++ b/src/test/java/org/cuminshelf/direct/RestAskedCallsTest.java
@@ -113,15 +113,36 @@
         assertThat(sentTo(entry, "u1")).isEqualTo(2);
     }
 
+    /** Guards against an engine that is taken for broken, as it was full twice when it was to read a prompt. */
+    @Example
+    void anEngineThatRefusesToReadPromptsWithoutAskingForRestIsTriedAgainSoon() {
+        DirectFixture entry = engines("p1");
+        for (int call = 0; call < 3; call++) {
+            entry.ask("a" + call, "Tokens", "9000");
+            DirectFixture.Sent prompt = entry.sent.get(1 + 2 * call);
+            assertThat(prompt.upstream).isEqualTo("p1");
+            prompt.head(503, "Not-Run", "1");
+            prompt.handler.onComplete();
+            entry.last().whole(200, "id: 1\ndata: a\n\n");
+            entry.pass(150);
+        }
+    }
+
+    /** Engines that read prompts, and one that generates and has a stream. */
+    private static DirectFixture engines(String... readers) {
+        DirectFixture entry = new DirectFixture(DirectFixture.route(RequestKind.STREAM, 2, false)).ready();
+        for (String reader : readers) {
+            entry.upstream(reader, Role.ROLE_PREFILL);
+        }
+        entry.upstream("d1", Role.ROLE_DECODE);
+        entry.ask("warm", "Tokens", "100");
+        return entry;
+    }
+
     /** Guards against prompts that are sent to be read to an engine which asked for rest. */
     @Example
     void anEngineThatRefusesToReadAPromptIsLeftAlone() {
-        DirectFixture entry = new DirectFixture(DirectFixture.route(RequestKind.STREAM, 2, false))
-                .ready()
-                .upstream("p1", Role.ROLE_PREFILL)
-                .upstream("p2", Role.ROLE_PREFILL)
-                .upstream("d1", Role.ROLE_DECODE);
-        entry.ask("warm", "Tokens", "100");
+        DirectFixture entry = engines("p1", "p2");
         entry.ask("a", "Tokens", "9000");
         DirectFixture.Sent prompt = entry.last();
         assertThat(prompt.upstream).startsWith("p");
