Where upstreams ask to wait, tell callers the first time at which any takes something

Found by reading: with one upstream at rest and another avoided for a tenth of a second, a call was told to come back after the rest, and a call that had been refused by one upstream counted that one out for its caller's return too. Both now take the soonest of all; a prompt that an engine refuses to read goes the same way as any refusal. The new test told 3 s before, 0.2 to 1.2 now.

--- a/src/main/java/org/cuminshelf/direct/Admission.java
+++ b/src/main/java/org/cuminshelf/direct/Admission.java
@@ -109,19 +109,18 @@
             return WAIT;
         }
         call.offered.ifPresent(OfferedGeneration::refusedForPlaces);
-        Verdict.NotRun verdict = new Verdict.NotRun(Cause.OVERLOADED, returnMillis(now, call, nextAt));
+        Verdict.NotRun verdict = new Verdict.NotRun(Cause.OVERLOADED, returnMillis(now, call));
         return new Decision.Refuse(verdict, "upstreams-ask-to-wait");
     }
 
-    private static long returnMillis(long now, CallRow call, long nextAt) {
+    /** When the caller of a call that is refused should come back, in milliseconds from now. */
+    long returnMillis(long now, CallRow call) {
+        OptionalLong next = placement.nextReturn(now, call);
+        if (next.isEmpty()) {
+            return CallerAnswers.RETRY_AFTER_MILLIS;
+        }
         long spread = Math.floorMod(call.intent.id().hashCode(), RETURNS_SPREAD_MILLIS);
-        return Math.max(CallerAnswers.RETRY_AFTER_MILLIS, Durations.millis(nextAt - now)) + spread;
-    }
-
-    /** When the caller of a call that an upstream refused should come back, in milliseconds from now. */
-    long returnAfterRefusal(long now, CallRow call) {
-        OptionalLong next = placement.nextSend(now, call);
-        return next.isPresent() ? returnMillis(now, call, next.getAsLong()) : CallerAnswers.RETRY_AFTER_MILLIS;
+        return Math.max(CallerAnswers.RETRY_AFTER_MILLIS, Durations.millis(next.getAsLong() - now)) + spread;
     }
 
     private static Decision refuse(CallRow call, Placement.Choice choice, String reason) {
--- a/src/main/java/org/cuminshelf/direct/CallSystem.java
+++ b/src/main/java/org/cuminshelf/direct/CallSystem.java
@@ -263,9 +263,7 @@
             return;
         }
         if (attempt.facts.notExecuted()) {
-            long comeBack = admission.returnAfterRefusal(now, call);
             refusedForNow(now, attempt);
-            failed(now, attempt, new Verdict.NotRun(Cause.OVERLOADED, comeBack));
             return;
         }
         boolean repeat = call.isRepeatable()
@@ -279,7 +277,7 @@
         failed(now, attempt, new Verdict.HasRun(Cause.UPSTREAM_ERROR), !repeat);
     }
 
-    /** It takes nothing at this moment, which is no failure. */
+    /** The upstream takes nothing at this moment, which is no failure. */
     private void refusedForNow(long now, AttemptRow attempt) {
         log.note(
                 "attempt",
@@ -294,7 +292,9 @@
                 Math.round(attempt.estimate.workMillis()),
                 "running",
                 attempt.upstream.running);
+        long comeBack = admission.returnMillis(now, attempt.call);
         attempt.upstream.avoid(now + Durations.nanos(CallerAnswers.RETRY_AFTER_MILLIS) / 2);
+        failed(now, attempt, new Verdict.NotRun(Cause.OVERLOADED, comeBack));
     }
 
     private static boolean isServerError(int status) {
@@ -318,6 +318,7 @@
             upstreams.end(now, attempt.upstream, "another start has its address");
         } else if (attempt.facts.notExecuted()) {
             refusedForNow(now, attempt);
+            return;
         } else {
             attempt.upstream.failed(now);
         }
--- a/src/main/java/org/cuminshelf/direct/Placement.java
+++ b/src/main/java/org/cuminshelf/direct/Placement.java
@@ -8,6 +8,7 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
+import java.util.function.Predicate;
 import net.openhft.hashing.LongHashFunction;
 import org.cuminshelf.backpressure.Backpressure;
 import org.cuminshelf.core.Core;
@@ -391,11 +392,8 @@
     }
 
     private boolean isOpen(long now, UpstreamRow row, CallRow call) {
-        return isServing(now, row, call) && hasPermit(now, row, call);
-    }
-
-    private static boolean isServing(long now, UpstreamRow row, CallRow call) {
-        return !row.leaving && !row.changing && !row.isAvoided(now) && !call.excluded.contains(row.id);
+        boolean serving = !row.leaving && !row.changing && !row.isAvoided(now) && !call.excluded.contains(row.id);
+        return serving && hasPermit(now, row, call);
     }
 
     private boolean hasPermit(long now, UpstreamRow row, CallRow call) {
@@ -409,22 +407,35 @@
     }
 
     /**
-     * When a call may be sent, where all upstreams that could answer it rest, or state limits and have no permit left.
+     * When a call may be sent, where the upstreams that could answer it rest, or state limits and have no permit left.
      *
-     * @return that time in nanoseconds; empty where an upstream is open, or none is there at all
+     * @return that time in nanoseconds; empty where an upstream is open, or none asked to wait
      */
     OptionalLong nextSend(long now, CallRow call) {
+        return nextSend(now, call, row -> !call.excluded.contains(row.id));
+    }
+
+    /** The same for a caller that comes back, whose request may go to any upstream. */
+    OptionalLong nextReturn(long now, CallRow call) {
+        return nextSend(now, call, row -> true);
+    }
+
+    private OptionalLong nextSend(long now, CallRow call, Predicate<UpstreamRow> counts) {
         long next = Core.NEVER;
+        boolean askedToWait = false;
         for (UpstreamRow row : upstreams.ofService(call.service)) {
-            if (!isServing(now, row, call) || !canAnswer(row, call)) {
+            if (row.leaving || row.changing || !canAnswer(row, call) || !counts.test(row)) {
                 continue;
             }
-            if (hasPermit(now, row, call)) {
+            boolean held = !hasPermit(now, row, call);
+            if (!held && !row.isAvoided(now)) {
                 return OptionalLong.empty();
             }
-            next = Math.min(next, backpressure.nextSend(now, row.id));
+            askedToWait |= held;
+            long open = Math.max(row.avoidedUntil(), held ? backpressure.nextSend(now, row.id) : now);
+            next = Math.min(next, open);
         }
-        return next == Core.NEVER ? OptionalLong.empty() : OptionalLong.of(next);
+        return askedToWait ? OptionalLong.of(next) : OptionalLong.empty();
     }
 
     /**
--- a/src/main/java/org/cuminshelf/direct/UpstreamRow.java
+++ b/src/main/java/org/cuminshelf/direct/UpstreamRow.java
@@ -145,6 +145,11 @@
         return now < avoidUntil;
     }
 
+    /** Until when it is avoided, in nanoseconds; in the past if it isn't. */
+    long avoidedUntil() {
+        return avoidUntil;
+    }
+
     void succeeded(long latency) {
         failures = 0;
         avoidUntil = Long.MIN_VALUE;
--- a/src/test/java/org/cuminshelf/direct/RestAskedCallsTest.java
+++ b/src/test/java/org/cuminshelf/direct/RestAskedCallsTest.java
@@ -55,6 +55,21 @@
         assertThat(Double.parseDouble(second.headers.get("Retry-After"))).isBetween(2.0, 3.0);
     }
 
+    /** Guards against a time to come back that waits for a rest, though another upstream was only full for a moment. */
+    @Example
+    void aCallerWaitsForNoRestWhereAnotherUpstreamTakesSomethingSooner() {
+        DirectFixture entry = services("u1", "u2");
+        entry.ask("a");
+        refuse(entry.last(), "3000");
+        entry.ask("b");
+        entry.last().head(503, "Not-Run", "1");
+        entry.last().handler.onComplete();
+        DirectFixture.Answer refused = entry.ask("c");
+        assertThat(refused.status).isEqualTo(503);
+        assertThat(Double.parseDouble(refused.headers.get("Retry-After"))).isBetween(0.2, 1.2);
+        assertThat(entry.sent).hasSize(2);
+    }
+
     /** Guards against all calls at one time for an upstream whose rest is over, but not its need. */
     @Example
     void afterARestOneRequestGoesUntilItIsAnswered() {
