--- a/src/test/java/org/cuminshelf/direct/DirectFixture.java
+++ b/src/test/java/org/cuminshelf/direct/DirectFixture.java
@@ -3,15 +3,13 @@
 import com.google.protobuf.ByteString;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
-import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.function.Consumer;
-import org.cuminshelf.backpressure.Demands;
-import org.cuminshelf.backpressure.StatedLimit;
+import org.cuminshelf.backpressure.DemandHeaders;
 import org.cuminshelf.core.Address;
 import org.cuminshelf.core.Deflated;
 import org.cuminshelf.core.Durations;
@@ -389,16 +387,7 @@
                     headers.contains("Not-Run"),
                     Optional.ofNullable(headers.get("Start")),
                     headers.contains("Seal"),
-                    new Demands(limit(headers), rest(headers), headers.contains("Leaving")));
-        }
-
-        private static Optional<Duration> rest(HttpFields headers) {
-            return Optional.ofNullable(headers.get("Rest")).map(millis -> Duration.ofMillis(Long.parseLong(millis)));
-        }
-
-        private static StatedLimit limit(HttpFields headers) {
-            String stated = headers.get("Limit");
-            return stated == null ? new StatedLimit.Unlimited() : new StatedLimit.PerSecond(Double.parseDouble(stated));
+                    DemandHeaders.read(headers));
         }
 
         @Override
--- a/src/test/java/org/cuminshelf/platform/DemandsOnLoopbackTest.java
+++ b/src/test/java/org/cuminshelf/platform/DemandsOnLoopbackTest.java
@@ -3,7 +3,6 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.io.IOException;
-import java.io.InputStream;
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
@@ -56,7 +55,7 @@
         try {
             while (true) {
                 try (Socket socket = upstream.accept()) {
-                    readHead(socket.getInputStream());
+                    LoopbackPlatform.readHead(socket.getInputStream());
                     arrivals.add(System.nanoTime());
                     socket.getOutputStream().write((head + END).getBytes(StandardCharsets.UTF_8));
                 }
@@ -66,15 +65,6 @@
         }
     }
 
-    private static void readHead(InputStream in) throws IOException {
-        StringBuilder read = new StringBuilder();
-        int next = in.read();
-        while (next >= 0 && read.indexOf("\r\n\r\n") < 0) {
-            read.append((char) next);
-            next = read.indexOf("\r\n\r\n") < 0 ? in.read() : -1;
-        }
-    }
-
     private String ask() throws IOException {
         return platform.call(LoopbackPlatform.CALLERS, ASK, "");
     }
--- a/src/test/java/org/cuminshelf/platform/LoopbackPlatform.java
+++ b/src/test/java/org/cuminshelf/platform/LoopbackPlatform.java
@@ -3,6 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.io.IOException;
+import java.io.InputStream;
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
@@ -83,6 +84,17 @@
         }
     }
 
+    /** Reads the head of a request that a stand-in for an upstream got; empty at the end of the stream. */
+    static String readHead(InputStream in) throws IOException {
+        StringBuilder head = new StringBuilder();
+        int next = in.read();
+        while (next >= 0 && head.indexOf("\r\n\r\n") < 0) {
+            head.append((char) next);
+            next = head.indexOf("\r\n\r\n") < 0 ? in.read() : -1;
+        }
+        return head.toString();
+    }
+
     private BootSettings settings(int messages, int metrics, int listen, int ready) throws IOException {
         String text = "{\"node\":\"n\",\"zone\":\"z\",\"region\":\"r\",\"ip\":\"" + HOST + "\",\"internalPorts\":["
                 + ports.get(messages) + "," + ports.get(metrics) + "],\"seeds\":[],\"bootstrap\":true,\"dataDir\":\""
--- a/src/test/java/org/cuminshelf/platform/OrganisationsOnLoopbackTest.java
+++ b/src/test/java/org/cuminshelf/platform/OrganisationsOnLoopbackTest.java
@@ -4,7 +4,6 @@
 
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
-import java.io.InputStream;
 import java.io.PrintStream;
 import java.net.InetAddress;
 import java.net.ServerSocket;
@@ -59,7 +58,7 @@
         try {
             while (true) {
                 try (Socket socket = upstream.accept()) {
-                    received.add(head(socket.getInputStream()));
+                    received.add(LoopbackPlatform.readHead(socket.getInputStream()));
                     socket.getOutputStream().write(DONE.getBytes(StandardCharsets.UTF_8));
                 }
             }
@@ -68,16 +67,6 @@
         }
     }
 
-    private static String head(InputStream in) throws IOException {
-        StringBuilder head = new StringBuilder();
-        int next = in.read();
-        while (next >= 0 && head.indexOf("\r\n\r\n") < 0) {
-            head.append((char) next);
-            next = head.indexOf("\r\n\r\n") < 0 ? in.read() : -1;
-        }
-        return head.toString();
-    }
-
     private String ask(String key) throws IOException {
         return platform.call(LoopbackPlatform.CALLERS, "GET /a", "", Headers.CALLER_KEY + ": " + key + "\r\n");
     }
--- a/src/test/java/org/cuminshelf/platform/PoisonOnLoopbackTest.java
+++ b/src/test/java/org/cuminshelf/platform/PoisonOnLoopbackTest.java
@@ -3,7 +3,6 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.io.IOException;
-import java.io.InputStream;
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
@@ -69,7 +68,7 @@
         try {
             while (true) {
                 try (Socket socket = listening.accept()) {
-                    String head = head(socket.getInputStream());
+                    String head = LoopbackPlatform.readHead(socket.getInputStream());
                     boolean meant = head.contains(Headers.EXPECTED_START + ": " + identity + "\r\n");
                     if (meant && head.startsWith(POISON) && !mended) {
                         listening.close();
@@ -86,16 +85,6 @@
         }
     }
 
-    private static String head(InputStream in) throws IOException {
-        StringBuilder head = new StringBuilder();
-        int next = in.read();
-        while (next >= 0 && head.indexOf("\r\n\r\n") < 0) {
-            head.append((char) next);
-            next = head.indexOf("\r\n\r\n") < 0 ? in.read() : -1;
-        }
-        return head.toString();
-    }
-
     @Example
     void afterThreeCrashesItIsRefusedAndAnOperatorReleasesIt() throws Exception {
         for (int crash = 1; crash <= CRASHES; crash++) {
--- a/src/test/java/org/cuminshelf/trial/DirectFleet.java
+++ b/src/test/java/org/cuminshelf/trial/DirectFleet.java
@@ -3,7 +3,6 @@
 import com.google.protobuf.ByteString;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
-import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
@@ -13,8 +12,7 @@
 import java.util.function.Consumer;
 import org.apache.commons.rng.UniformRandomProvider;
 import org.apache.commons.rng.simple.RandomSource;
-import org.cuminshelf.backpressure.Demands;
-import org.cuminshelf.backpressure.StatedLimit;
+import org.cuminshelf.backpressure.DemandHeaders;
 import org.cuminshelf.control.ControlCore;
 import org.cuminshelf.control.ControlSettings;
 import org.cuminshelf.core.Address;
@@ -394,16 +392,7 @@
                     headers.contains("Not-Run"),
                     Optional.ofNullable(headers.get("Start")),
                     headers.contains("Seal"),
-                    new Demands(limit(headers), rest(headers), headers.contains("Leaving")));
-        }
-
-        private static Optional<Duration> rest(HttpFields headers) {
-            return Optional.ofNullable(headers.get("Rest")).map(millis -> Duration.ofMillis(Long.parseLong(millis)));
-        }
-
-        private static StatedLimit limit(HttpFields headers) {
-            String stated = headers.get("Limit");
-            return stated == null ? new StatedLimit.Unlimited() : new StatedLimit.PerSecond(Double.parseDouble(stated));
+                    DemandHeaders.read(headers));
         }
 
         @Override
