Sight: how connections and requests of callers end

The invariant a-read-request-ends-once is checked when a connection closes: idle timeout, drain and linger may leave no request open. No decision changes; DirectEntryProcess passes its registry and invariants (the only line outside of the package).

--- a/src/main/java/org/cuminshelf/exchange/CallerConnection.java
+++ b/src/main/java/org/cuminshelf/exchange/CallerConnection.java
@@ -50,6 +50,7 @@
     private final ReentrantLock lock;
     private final HttpParser parser;
     private final WriteQueue writes;
+    private final RequestAccounts accounts;
     private final ByteArrayOutputStream body = new ByteArrayOutputStream(0);
     private Phase phase = Phase.IDLE;
     private long phaseStartNanos = System.nanoTime();
@@ -60,6 +61,10 @@
     private boolean expectsContinue;
     private boolean headersRead;
     private boolean responseBegun;
+    /** Whether the response is to a request that was read completely, not to one that was rejected before. */
+    private boolean requestRead;
+
+    private int responseStatus;
     /** Whether {@link #read()} is on the stack; its loop continues by itself after a response. */
     private boolean insideRead;
 
@@ -74,13 +79,15 @@
         this.listener = listener;
         this.lock = listener.lock();
         this.parser = new HttpParser(this, listener.limits().maxHeaderBytes(), HttpCompliance.RFC9110);
-        this.writes = new WriteQueue(endPoint, lock, failure -> onClosed());
+        this.accounts = new RequestAccounts(listener.connectionLog());
+        this.writes = new WriteQueue(endPoint, lock, failure -> onClosed(CloseReason.WRITE_FAILED));
     }
 
     @Override
     public void onOpen() {
         super.onOpen();
         if (!listener.isAccepting()) {
+            logClose(CloseReason.NOT_ACCEPTING);
             getEndPoint().close();
             return;
         }
@@ -96,7 +103,7 @@
     private void onReadFailed(Throwable failure) {
         lock.lock();
         try {
-            onClosed();
+            onClosed(CloseReason.READ_FAILED);
         } finally {
             lock.unlock();
         }
@@ -108,7 +115,7 @@
         try {
             read();
         } catch (IOException e) {
-            onClosed();
+            onClosed(CloseReason.READ_FAILED);
         } finally {
             lock.unlock();
         }
@@ -121,7 +128,7 @@
                 ByteBuffer buffer = ReadBuffers.clearedBuffer();
                 int count = ReadBuffers.read(getEndPoint(), buffer);
                 if (count < 0) {
-                    onClosed();
+                    onClosed(CloseReason.CLOSED_BY_CALLER);
                     return;
                 }
                 if (count == 0) {
@@ -150,19 +157,37 @@
     }
 
     /** Handles the end of the connection, whichever side closed it. */
-    private void onClosed() {
+    private void onClosed(CloseReason reason) {
         if (phase == Phase.CLOSED) {
             return;
         }
         boolean wasResponding = phase == Phase.RESPONDING;
-        phase = Phase.CLOSED;
-        listener.unregister(this);
-        getEndPoint().close();
+        close(reason);
         if (wasResponding) {
             listener.handler().onDisconnect(this);
         }
     }
 
+    private void close(CloseReason reason) {
+        logClose(reason);
+        accounts.onClosed(reason);
+        phase = Phase.CLOSED;
+        listener.unregister(this);
+        getEndPoint().close();
+    }
+
+    private void logClose(CloseReason reason) {
+        long phaseMillis = (System.nanoTime() - phaseStartNanos) / NANOS_PER_MILLI;
+        long idleLimitMillis = listener.limits().idleTimeoutMillis();
+        String caller = String.valueOf(getEndPoint().getRemoteSocketAddress());
+        listener.connectionLog().onClosed(reason, caller, phaseMillis, idleLimitMillis, accounts);
+    }
+
+    /** Closes the connection because the process stops. */
+    void stop() {
+        onClosed(CloseReason.PROCESS_STOPPED);
+    }
+
     /** Closes the connection if it has been idle or lingering too long, or rejects a request that is too slow. */
     void checkTimeouts(long nowNanos) {
         CallerLimits limits = listener.limits();
@@ -170,7 +195,7 @@
         switch (phase) {
             case IDLE -> {
                 if (phaseMillis > limits.idleTimeoutMillis()) {
-                    onClosed();
+                    onClosed(CloseReason.IDLE_TIMEOUT);
                 }
             }
             case READING -> {
@@ -182,7 +207,7 @@
             }
             case LINGERING -> {
                 if (phaseMillis > LINGER_MILLIS) {
-                    onClosed();
+                    onClosed(CloseReason.LINGER_OVER);
                 }
             }
             case RESPONDING, CLOSED -> {
@@ -194,7 +219,7 @@
     /** Closes the connection if no byte of a next request has been received. */
     void closeIfIdle() {
         if (phase == Phase.IDLE) {
-            onClosed();
+            onClosed(CloseReason.DRAIN);
         }
     }
 
@@ -259,6 +284,8 @@
         }
         phase = Phase.RESPONDING;
         responseBegun = false;
+        requestRead = true;
+        accounts.onRequestRead();
         ReceivedRequest request = new ReceivedRequest(method, target, headers.asImmutable(), body.toByteArray());
         body.reset();
         listener.handler().onRequest(request, this);
@@ -267,7 +294,7 @@
 
     @Override
     public void earlyEOF() {
-        onClosed();
+        onClosed(CloseReason.CLOSED_BY_CALLER);
     }
 
     @Override
@@ -279,6 +306,7 @@
 
     private void reject(int status, String reason) {
         phase = Phase.RESPONDING;
+        requestRead = false;
         closeAfterResponse = true;
         listener.logRejected(status, reason);
         respond(status, HttpFields.EMPTY, ByteBuffer.wrap((reason + "\n").getBytes(StandardCharsets.UTF_8)));
@@ -331,15 +359,14 @@
     @Override
     public void abort() {
         if (phase == Phase.RESPONDING) {
-            phase = Phase.CLOSED;
-            listener.unregister(this);
-            getEndPoint().close();
+            close(CloseReason.ABORTED);
         }
     }
 
     private StringBuilder responseHead(int status, HttpFields fields) {
         StringBuilder head = new StringBuilder(INITIAL_HEAD_BYTES);
         String reason = HttpStatus.getMessage(status);
+        responseStatus = status;
         head.append("HTTP/1.1 ").append(status).append(' ').append(reason).append("\r\n");
         for (HttpField field : fields) {
             head.append(field.getName()).append(": ").append(field.getValue()).append("\r\n");
@@ -357,6 +384,10 @@
 
     private void onResponseWritten() {
         phaseStartNanos = System.nanoTime();
+        if (requestRead) {
+            RequestEnd end = RequestEnd.ofStatus(responseStatus);
+            writes.whenEmpty(() -> accounts.onResponseSent(end));
+        }
         if (closeAfterResponse) {
             phase = Phase.LINGERING;
             earlyBytes = null;
@@ -379,7 +410,7 @@
             }
             read();
         } catch (IOException e) {
-            onClosed();
+            onClosed(CloseReason.READ_FAILED);
         } finally {
             lock.unlock();
         }
--- a/src/main/java/org/cuminshelf/exchange/CallerListener.java
+++ b/src/main/java/org/cuminshelf/exchange/CallerListener.java
@@ -26,19 +26,25 @@
     /** Period of the check for idle and slow connections: an eighth of the shortest usual limit. */
     private static final long TIMEOUT_CHECK_MILLIS = 250;
 
+    /** Maximum wait for the lock at the stop; the process must be gone at the end of its grace period. */
+    private static final long MAX_STOP_WAIT_MILLIS = 100;
+
     private static final int MAX_THREADS = 6;
     private static final int MIN_THREADS = 2;
 
     private final ReentrantLock lock;
     private final CallerHandler handler;
     private final Supplier<CallerLimits> limits;
+    private final CallerConnectionLog connectionLog;
     private final Set<CallerConnection> connections = new HashSet<>();
     private final Server server;
     private final ServerConnector connector;
     private volatile boolean draining;
     private volatile boolean accepting = true;
 
-    private CallerListener(ReentrantLock lock, CallerHandler handler, Supplier<CallerLimits> limits) {
+    private CallerListener(
+            ReentrantLock lock, CallerHandler handler, Supplier<CallerLimits> limits, CallerConnectionLog log) {
+        this.connectionLog = log;
         this.lock = lock;
         this.handler = handler;
         this.limits = limits;
@@ -49,7 +55,7 @@
     }
 
     /**
-     * Starts a listener.
+     * Starts a listener without published counters.
      *
      * @param address address to bind
      * @param lock    lock that is held during every call of the handler
@@ -61,7 +67,28 @@
     public static CallerListener start(
             Address address, ReentrantLock lock, CallerHandler handler, Supplier<CallerLimits> limits)
             throws IOException {
-        CallerListener listener = new CallerListener(lock, handler, limits);
+        return start(address, lock, handler, limits, CallerConnectionLog.unpublished());
+    }
+
+    /**
+     * Starts a listener.
+     *
+     * @param address address to bind
+     * @param lock    lock that is held during every call of the handler
+     * @param handler handles the requests
+     * @param limits  supplies the current limits on requests
+     * @param log     receives how connections and requests end
+     * @return the running listener
+     * @throws IOException if the address can't be bound
+     */
+    public static CallerListener start(
+            Address address,
+            ReentrantLock lock,
+            CallerHandler handler,
+            Supplier<CallerLimits> limits,
+            CallerConnectionLog log)
+            throws IOException {
+        CallerListener listener = new CallerListener(lock, handler, limits, log);
         String value = address.value();
         int colon = value.lastIndexOf(':');
         listener.connector.setHost(value.substring(0, colon));
@@ -113,6 +140,8 @@
 
     @Override
     public void close() {
+        accepting = false;
+        stopConnections();
         try {
             server.stop();
         } catch (Exception e) {
@@ -120,6 +149,23 @@
         }
     }
 
+    private void stopConnections() {
+        try {
+            if (!lock.tryLock(MAX_STOP_WAIT_MILLIS, TimeUnit.MILLISECONDS)) {
+                Logger.warn(LOG + "event=stop-uncounted reason=\"the lock is held\"");
+                return;
+            }
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            return;
+        }
+        try {
+            List.copyOf(connections).forEach(CallerConnection::stop);
+        } finally {
+            lock.unlock();
+        }
+    }
+
     ReentrantLock lock() {
         return lock;
     }
@@ -132,6 +178,10 @@
         return limits.get();
     }
 
+    CallerConnectionLog connectionLog() {
+        return connectionLog;
+    }
+
     boolean isDraining() {
         return draining;
     }
--- a/src/main/java/org/cuminshelf/exchange/WriteQueue.java
+++ b/src/main/java/org/cuminshelf/exchange/WriteQueue.java
@@ -2,7 +2,9 @@
 
 import java.nio.ByteBuffer;
 import java.util.ArrayDeque;
+import java.util.ArrayList;
 import java.util.Deque;
+import java.util.List;
 import java.util.concurrent.locks.ReentrantLock;
 import java.util.function.Consumer;
 import org.eclipse.jetty.io.EndPoint;
@@ -26,9 +28,9 @@
     private final Deque<ByteBuffer> queue = new ArrayDeque<>();
     private final Callback writeCallback =
             Callback.from(Invocable.InvocationType.NON_BLOCKING, this::onWritten, this::onWriteFailed);
+    private final List<Runnable> whenEmpty = new ArrayList<>();
     private long queuedBytes;
     private boolean writing;
-    private Runnable whenEmpty;
 
     WriteQueue(EndPoint endPoint, ReentrantLock lock, Consumer<Throwable> onFailure) {
         this.endPoint = endPoint;
@@ -56,12 +58,12 @@
         return !writing && queue.isEmpty();
     }
 
-    /** Runs an action when all queued bytes were written to the socket. */
+    /** Runs an action when all queued bytes were written to the socket, after those that wait for it already. */
     void whenEmpty(Runnable action) {
         if (isEmpty()) {
             action.run();
         } else {
-            whenEmpty = action;
+            whenEmpty.add(action);
         }
     }
 
@@ -70,11 +72,9 @@
             return;
         }
         if (queue.isEmpty()) {
-            Runnable action = whenEmpty;
-            whenEmpty = null;
-            if (action != null) {
-                action.run();
-            }
+            List<Runnable> actions = List.copyOf(whenEmpty);
+            whenEmpty.clear();
+            actions.forEach(Runnable::run);
             return;
         }
         writing = true;
--- a/src/main/java/org/cuminshelf/process/DirectEntryProcess.java
+++ b/src/main/java/org/cuminshelf/process/DirectEntryProcess.java
@@ -19,6 +19,7 @@
 import org.cuminshelf.direct.RouteTableReader;
 import org.cuminshelf.direct.UpstreamClient;
 import org.cuminshelf.direct.UpstreamProtocol;
+import org.cuminshelf.exchange.CallerConnectionLog;
 import org.cuminshelf.exchange.CallerExchange;
 import org.cuminshelf.exchange.CallerHandler;
 import org.cuminshelf.exchange.CallerLimits;
@@ -148,8 +149,12 @@
 
     private void open(Options options) throws IOException {
         network.listen(common.listen(), this::accept);
-        callerListener =
-                CallerListener.start(options.callerAddress(), lock, new CallerRequestHandler(), core::callerLimits);
+        callerListener = CallerListener.start(
+                options.callerAddress(),
+                lock,
+                new CallerRequestHandler(),
+                core::callerLimits,
+                CallerConnectionLog.register(registry, invariants));
         if (options.readinessAddress().isPresent()) {
             readinessListener = Optional.of(CallerListener.start(
                     options.readinessAddress().get(), lock, new ReadinessHandler(), () -> CallerLimits.DEFAULT));
