One owner of a caller connection's read interest

All paths now lead to awaitBytes, which registers unless the callback is registered already; the interest is level-triggered, so a registration while bytes are left is told at once. Two tests failed before with ReadPendingException, one by the pipelined request, one by two threads that read the same connection; they and CallerConnectionTest pass.

--- a/src/main/java/org/cuminshelf/exchange/CallerConnection.java
+++ b/src/main/java/org/cuminshelf/exchange/CallerConnection.java
@@ -97,7 +97,12 @@
         } finally {
             lock.unlock();
         }
-        fillInterested(readCallback);
+        awaitBytes();
+    }
+
+    /** Waits for bytes, unless it does already: several paths lead here, and Jetty throws at a second wait. */
+    private void awaitBytes() {
+        getEndPoint().tryFillInterested(readCallback);
     }
 
     private void onReadFailed(Throwable failure) {
@@ -132,7 +137,7 @@
                     return;
                 }
                 if (count == 0) {
-                    fillInterested(readCallback);
+                    awaitBytes();
                     return;
                 }
                 parse(buffer);
@@ -424,8 +429,8 @@
         if (earlyBytes != null) {
             // The core may be on the stack and isn't reentrant, so the early request is parsed in a task of its own.
             getExecutor().execute(this::parseEarlyBytes);
-        } else if (!isFillInterested()) {
-            getEndPoint().tryFillInterested(readCallback);
+        } else {
+            awaitBytes();
         }
     }
 }
