An exception of the handler ends its request with 502, and no other connection

Callers saw: end of connection without a byte after a whole request, when the core threw. Jetty's parser called the handler from messageComplete, took its exception for a malformed body and called earlyEOF, which closed the connection as if the caller had; nothing was logged. The handler is now called outside of the parser. Its exception is logged; the request gets 502 with Connection: close, which promises nothing, or its connection is closed if the head was sent; the core is told that the caller left, so that it drops the call. Closing keeps a late response of the core from the next request. Steps of a connection that throw (events, tasks, checks) close that connection alone, and the check of timeouts goes on whatever throws. A body that the parser finds malformed has a reason of its own.

--- a/src/main/java/org/cuminshelf/exchange/CallerConnection.java
+++ b/src/main/java/org/cuminshelf/exchange/CallerConnection.java
@@ -2,6 +2,7 @@
 
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
+import java.net.SocketAddress;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.util.concurrent.Executor;
@@ -18,6 +19,7 @@
 import org.eclipse.jetty.io.EndPoint;
 import org.eclipse.jetty.util.Callback;
 import org.eclipse.jetty.util.thread.Invocable;
+import org.tinylog.Logger;
 
 /**
  * The server side of a caller's HTTP/1.1 connection. It keeps reading while a response is pending, so that a disconnect
@@ -32,6 +34,9 @@
     /** How long a half-closed connection still reads: closing it with unread input would reset an unread response. */
     private static final long LINGER_MILLIS = 1_000;
 
+    private static final String LOG = "exchange: ";
+    private static final byte[] HANDLER_FAILED =
+            "The request may have run: it could not be handled here.\n".getBytes(StandardCharsets.UTF_8);
     private static final byte[] CHUNK_TERMINATOR = {'\r', '\n'};
     private static final byte[] LAST_CHUNK = "0\r\n\r\n".getBytes(StandardCharsets.ISO_8859_1);
     private static final byte[] CONTINUE = "HTTP/1.1 100 Continue\r\n\r\n".getBytes(StandardCharsets.ISO_8859_1);
@@ -51,6 +56,7 @@
     private final HttpParser parser;
     private final WriteQueue writes;
     private final RequestAccounts accounts;
+    private final SocketAddress callerAddress;
     private final ByteArrayOutputStream body = new ByteArrayOutputStream(0);
     private Phase phase = Phase.IDLE;
     private long phaseStartNanos = System.nanoTime();
@@ -68,6 +74,9 @@
     /** Whether {@link #read()} is on the stack; its loop continues by itself after a response. */
     private boolean insideRead;
 
+    /** A request that the parser completed and that the handler has not got yet; or null. */
+    private ReceivedRequest receivedRequest;
+
     /** Bytes of a pipelined request, received before the response to the current one was complete; or null. */
     private ByteBuffer earlyBytes;
 
@@ -79,6 +88,7 @@
         this.listener = listener;
         this.lock = listener.lock();
         this.parser = new HttpParser(this, listener.limits().maxHeaderBytes(), HttpCompliance.RFC9110);
+        this.callerAddress = endPoint.getRemoteSocketAddress();
         this.accounts = new RequestAccounts(listener.connectionLog());
         this.writes = new WriteQueue(endPoint, lock, failure -> onClosed(CloseReason.WRITE_FAILED));
     }
@@ -106,21 +116,29 @@
     }
 
     private void onReadFailed(Throwable failure) {
-        lock.lock();
-        try {
-            onClosed(CloseReason.READ_FAILED);
-        } finally {
-            lock.unlock();
-        }
+        runLocked(() -> onClosed(CloseReason.READ_FAILED));
     }
 
     @Override
     public void onFillable() {
+        runLocked(this::read);
+    }
+
+    /** A step of the connection that reads from its socket. */
+    private interface Step {
+        void run() throws IOException;
+    }
+
+    /** Runs a step under the lock; a step that fails closes this connection and harms no other. */
+    private void runLocked(Step step) {
         lock.lock();
         try {
-            read();
+            step.run();
         } catch (IOException e) {
             onClosed(CloseReason.READ_FAILED);
+        } catch (RuntimeException failure) {
+            Logger.error(failure, LOG + "event=connection-failed phase={}", phase);
+            onClosed(CloseReason.EXCEPTION);
         } finally {
             lock.unlock();
         }
@@ -154,6 +172,7 @@
                 phaseStartNanos = System.nanoTime();
             }
             parser.parseNext(buffer);
+            handleReceivedRequest();
         }
         if (buffer.hasRemaining() && phase == Phase.RESPONDING) {
             // A pipelined request. Its bytes are kept, and reading pauses until the current response is complete.
@@ -161,6 +180,43 @@
         }
     }
 
+    /** Calls the handler outside of the parser, which would take its exceptions for a malformed request. */
+    private void handleReceivedRequest() {
+        if (receivedRequest == null) {
+            return;
+        }
+        ReceivedRequest request = receivedRequest;
+        receivedRequest = null;
+        try {
+            listener.handler().onRequest(request, this);
+        } catch (RuntimeException failure) {
+            onHandlerFailed(failure);
+        }
+    }
+
+    /** Ends a request whose handler failed, in a way that promises nothing about it. */
+    private void onHandlerFailed(RuntimeException failure) {
+        Logger.error(failure, LOG + "event=handler-failed responding={}", phase == Phase.RESPONDING);
+        if (phase != Phase.RESPONDING) {
+            return;
+        }
+        if (responseBegun) {
+            close(CloseReason.EXCEPTION);
+        } else {
+            closeAfterResponse = true;
+            respond(HttpStatus.BAD_GATEWAY_502, HttpFields.EMPTY, ByteBuffer.wrap(HANDLER_FAILED));
+        }
+        notifyDisconnect();
+    }
+
+    private void notifyDisconnect() {
+        try {
+            listener.handler().onDisconnect(this);
+        } catch (RuntimeException failure) {
+            Logger.error(failure, LOG + "event=handler-failed on=disconnect");
+        }
+    }
+
     /** Handles the end of the connection, whichever side closed it. */
     private void onClosed(CloseReason reason) {
         if (phase == Phase.CLOSED) {
@@ -169,7 +225,7 @@
         boolean wasResponding = phase == Phase.RESPONDING;
         close(reason);
         if (wasResponding) {
-            listener.handler().onDisconnect(this);
+            notifyDisconnect();
         }
     }
 
@@ -184,7 +240,7 @@
     private void logClose(CloseReason reason) {
         long phaseMillis = (System.nanoTime() - phaseStartNanos) / NANOS_PER_MILLI;
         long idleLimitMillis = listener.limits().idleTimeoutMillis();
-        String caller = String.valueOf(getEndPoint().getRemoteSocketAddress());
+        String caller = String.valueOf(callerAddress);
         listener.connectionLog().onClosed(reason, caller, phaseMillis, idleLimitMillis, accounts);
     }
 
@@ -194,8 +250,11 @@
     }
 
     /** Closes the connection if it has been idle or lingering too long, or rejects a request that is too slow. */
-    void checkTimeouts(long nowNanos) {
-        CallerLimits limits = listener.limits();
+    void checkTimeouts(long nowNanos, CallerLimits limits) {
+        runLocked(() -> closeIfTooLong(nowNanos, limits));
+    }
+
+    private void closeIfTooLong(long nowNanos, CallerLimits limits) {
         long phaseMillis = (nowNanos - phaseStartNanos) / NANOS_PER_MILLI;
         switch (phase) {
             case IDLE -> {
@@ -291,15 +350,14 @@
         responseBegun = false;
         requestRead = true;
         accounts.onRequestRead();
-        ReceivedRequest request = new ReceivedRequest(method, target, headers.asImmutable(), body.toByteArray());
+        receivedRequest = new ReceivedRequest(method, target, headers.asImmutable(), body.toByteArray());
         body.reset();
-        listener.handler().onRequest(request, this);
         return true;
     }
 
     @Override
     public void earlyEOF() {
-        onClosed(CloseReason.CLOSED_BY_CALLER);
+        onClosed(CloseReason.MALFORMED_BODY);
     }
 
     @Override
@@ -405,20 +463,13 @@
         resumeReading();
     }
 
-    private void parseEarlyBytes() {
-        lock.lock();
-        try {
-            ByteBuffer next = earlyBytes;
-            earlyBytes = null;
-            if (next != null) {
-                parse(next);
-            }
-            read();
-        } catch (IOException e) {
-            onClosed(CloseReason.READ_FAILED);
-        } finally {
-            lock.unlock();
+    private void parseEarlyBytes() throws IOException {
+        ByteBuffer next = earlyBytes;
+        earlyBytes = null;
+        if (next != null) {
+            parse(next);
         }
+        read();
     }
 
     /** Resumes reading after a response, unless {@link #read()} is on the stack and continues by itself. */
@@ -428,7 +479,7 @@
         }
         if (earlyBytes != null) {
             // The core may be on the stack and isn't reentrant, so the early request is parsed in a task of its own.
-            getExecutor().execute(this::parseEarlyBytes);
+            getExecutor().execute(() -> runLocked(this::parseEarlyBytes));
         } else {
             awaitBytes();
         }
--- a/src/main/java/org/cuminshelf/exchange/CallerListener.java
+++ b/src/main/java/org/cuminshelf/exchange/CallerListener.java
@@ -212,7 +212,10 @@
         lock.lock();
         try {
             long nowNanos = System.nanoTime();
-            List.copyOf(connections).forEach(connection -> connection.checkTimeouts(nowNanos));
+            CallerLimits current = limits();
+            List.copyOf(connections).forEach(connection -> connection.checkTimeouts(nowNanos, current));
+        } catch (RuntimeException failure) {
+            Logger.error(failure, LOG + "event=timeout-check-failed");
         } finally {
             lock.unlock();
             scheduleTimeoutCheck();
--- a/src/main/java/org/cuminshelf/exchange/CloseReason.java
+++ b/src/main/java/org/cuminshelf/exchange/CloseReason.java
@@ -12,7 +12,9 @@
     WRITE_FAILED(RequestEnd.CALLER_LEFT),
     READ_FAILED(RequestEnd.CALLER_LEFT),
     CLOSED_BY_CALLER(RequestEnd.CALLER_LEFT),
+    MALFORMED_BODY(null),
     ABORTED(RequestEnd.ABORTED),
+    EXCEPTION(RequestEnd.ABORTED),
     PROCESS_STOPPED(RequestEnd.STOPPED);
 
     private final RequestEnd unansweredEnd;
--- a/src/main/java/org/cuminshelf/exchange/RequestEnd.java
+++ b/src/main/java/org/cuminshelf/exchange/RequestEnd.java
@@ -10,7 +10,7 @@
     REFUSED,
     /** The caller closed its connection, or stopped reading, before the complete response was written. */
     CALLER_LEFT,
-    /** The connection was closed after a part of the response, as the remainder could not be had. */
+    /** The connection was closed as the response, or its remainder after the head, could not be had. */
     ABORTED,
     /** The process stopped at the end of its grace period. */
     STOPPED;
--- a/src/test/java/org/cuminshelf/exchange/CallerConnectionLossTest.java
+++ b/src/test/java/org/cuminshelf/exchange/CallerConnectionLossTest.java
@@ -10,6 +10,7 @@
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
+import java.util.Objects;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.locks.ReentrantLock;
@@ -92,7 +93,7 @@
                 breaches.add(name + ": " + detail.get());
             }
         });
-        listener = CallerListener.start(Address.of("127.0.0.1:0"), lock, current, () -> limits, log);
+        listener = CallerListener.start(Address.of("127.0.0.1:0"), lock, current, () -> Objects.requireNonNull(limits), log);
     }
 
     @AfterProperty
