--- a/src/main/java/org/cuminshelf/exchange/CallerConnection.java
+++ b/src/main/java/org/cuminshelf/exchange/CallerConnection.java
@@ -2,6 +2,7 @@
 
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
+import java.net.SocketAddress;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.util.concurrent.Executor;
@@ -18,6 +19,7 @@
 import org.eclipse.jetty.io.EndPoint;
 import org.eclipse.jetty.util.Callback;
 import org.eclipse.jetty.util.thread.Invocable;
+import org.tinylog.Logger;
 
 /**
  * The server side of a caller's HTTP/1.1 connection. It keeps reading while a response is pending, so that a disconnect
@@ -32,6 +34,9 @@
     /** How long a half-closed connection still reads: closing it with unread input would reset an unread response. */
     private static final long LINGER_MILLIS = 1_000;
 
+    private static final String LOG = "exchange: ";
+    private static final byte[] HANDLER_FAILED =
+            "The request may have run: it could not be handled here.\n".getBytes(StandardCharsets.UTF_8);
     private static final byte[] CHUNK_TERMINATOR = {'\r', '\n'};
     private static final byte[] LAST_CHUNK = "0\r\n\r\n".getBytes(StandardCharsets.ISO_8859_1);
     private static final byte[] CONTINUE = "HTTP/1.1 100 Continue\r\n\r\n".getBytes(StandardCharsets.ISO_8859_1);
@@ -50,6 +55,8 @@
     private final ReentrantLock lock;
     private final HttpParser parser;
     private final WriteQueue writes;
+    private final RequestAccounts accounts;
+    private final SocketAddress callerAddress;
     private final ByteArrayOutputStream body = new ByteArrayOutputStream(0);
     private Phase phase = Phase.IDLE;
     private long phaseStartNanos = System.nanoTime();
@@ -60,9 +67,16 @@
     private boolean expectsContinue;
     private boolean headersRead;
     private boolean responseBegun;
+    /** Whether the response is to a request that was read completely, not to one that was rejected before. */
+    private boolean requestRead;
+
+    private int responseStatus;
     /** Whether {@link #read()} is on the stack; its loop continues by itself after a response. */
     private boolean insideRead;
 
+    /** A request that the parser completed and that the handler has not got yet; or null. */
+    private ReceivedRequest receivedRequest;
+
     /** Bytes of a pipelined request, received before the response to the current one was complete; or null. */
     private ByteBuffer earlyBytes;
 
@@ -74,13 +88,16 @@
         this.listener = listener;
         this.lock = listener.lock();
         this.parser = new HttpParser(this, listener.limits().maxHeaderBytes(), HttpCompliance.RFC9110);
-        this.writes = new WriteQueue(endPoint, lock, failure -> onClosed());
+        this.callerAddress = endPoint.getRemoteSocketAddress();
+        this.accounts = new RequestAccounts(listener.connectionLog());
+        this.writes = new WriteQueue(endPoint, lock, failure -> onClosed(CloseReason.WRITE_FAILED));
     }
 
     @Override
     public void onOpen() {
         super.onOpen();
         if (!listener.isAccepting()) {
+            logClose(CloseReason.NOT_ACCEPTING);
             getEndPoint().close();
             return;
         }
@@ -90,42 +107,60 @@
         } finally {
             lock.unlock();
         }
-        fillInterested(readCallback);
+        awaitBytes();
+    }
+
+    /** Waits for bytes, unless it does already: several paths lead here, and Jetty throws at a second wait. */
+    private void awaitBytes() {
+        getEndPoint().tryFillInterested(readCallback);
     }
 
     private void onReadFailed(Throwable failure) {
-        lock.lock();
-        try {
-            onClosed();
-        } finally {
-            lock.unlock();
-        }
+        runLocked(() -> onClosed(CloseReason.READ_FAILED));
     }
 
     @Override
     public void onFillable() {
+        runLocked(this::read);
+    }
+
+    /** A step of the connection that reads from its socket. */
+    private interface Step {
+        void run() throws IOException;
+    }
+
+    /** Runs a step under the lock; a step that fails closes this connection and harms no other. */
+    private void runLocked(Step step) {
         lock.lock();
         try {
-            read();
+            step.run();
         } catch (IOException e) {
-            onClosed();
+            onClosed(CloseReason.READ_FAILED);
+        } catch (RuntimeException failure) {
+            Logger.error(failure, LOG + "event=connection-failed phase={}", phase);
+            onClosed(CloseReason.EXCEPTION);
         } finally {
             lock.unlock();
         }
     }
 
+    /** Handles all that was received so far: early bytes first, then those that wait in the socket. */
     private void read() throws IOException {
+        if (insideRead) {
+            return;
+        }
         insideRead = true;
         try {
+            parseEarlyBytes();
             while (phase != Phase.CLOSED && earlyBytes == null) {
                 ByteBuffer buffer = ReadBuffers.clearedBuffer();
                 int count = ReadBuffers.read(getEndPoint(), buffer);
                 if (count < 0) {
-                    onClosed();
+                    onClosed(CloseReason.CLOSED_BY_CALLER);
                     return;
                 }
                 if (count == 0) {
-                    fillInterested(readCallback);
+                    awaitBytes();
                     return;
                 }
                 parse(buffer);
@@ -142,6 +177,7 @@
                 phaseStartNanos = System.nanoTime();
             }
             parser.parseNext(buffer);
+            handleReceivedRequest();
         }
         if (buffer.hasRemaining() && phase == Phase.RESPONDING) {
             // A pipelined request. Its bytes are kept, and reading pauses until the current response is complete.
@@ -149,30 +185,84 @@
         }
     }
 
+    /** Calls the handler outside of the parser, which would take its exceptions for a malformed request. */
+    private void handleReceivedRequest() {
+        if (receivedRequest == null) {
+            return;
+        }
+        ReceivedRequest request = receivedRequest;
+        receivedRequest = null;
+        try {
+            listener.handler().onRequest(request, this);
+        } catch (RuntimeException failure) {
+            onHandlerFailed(failure);
+        }
+    }
+
+    /** Ends a request whose handler failed, in a way that promises nothing about it. */
+    private void onHandlerFailed(RuntimeException failure) {
+        Logger.error(failure, LOG + "event=handler-failed responding={}", phase == Phase.RESPONDING);
+        if (phase != Phase.RESPONDING) {
+            return;
+        }
+        if (responseBegun) {
+            close(CloseReason.EXCEPTION);
+        } else {
+            closeAfterResponse = true;
+            respond(HttpStatus.BAD_GATEWAY_502, HttpFields.EMPTY, ByteBuffer.wrap(HANDLER_FAILED));
+        }
+        notifyDisconnect();
+    }
+
+    private void notifyDisconnect() {
+        try {
+            listener.handler().onDisconnect(this);
+        } catch (RuntimeException failure) {
+            Logger.error(failure, LOG + "event=handler-failed on=disconnect");
+        }
+    }
+
     /** Handles the end of the connection, whichever side closed it. */
-    private void onClosed() {
+    private void onClosed(CloseReason reason) {
         if (phase == Phase.CLOSED) {
             return;
         }
         boolean wasResponding = phase == Phase.RESPONDING;
+        close(reason);
+        if (wasResponding) {
+            notifyDisconnect();
+        }
+    }
+
+    private void close(CloseReason reason) {
+        logClose(reason);
+        accounts.onClosed(reason);
         phase = Phase.CLOSED;
         listener.unregister(this);
         getEndPoint().close();
-        if (wasResponding) {
-            listener.handler().onDisconnect(this);
-        }
+    }
+
+    private void logClose(CloseReason reason) {
+        long phaseMillis = (System.nanoTime() - phaseStartNanos) / NANOS_PER_MILLI;
+        long idleLimitMillis = listener.limits().idleTimeoutMillis();
+        String caller = String.valueOf(callerAddress);
+        listener.connectionLog().onClosed(reason, caller, phaseMillis, idleLimitMillis, accounts);
+    }
+
+    /** Closes the connection because the process stops. */
+    void stop() {
+        onClosed(CloseReason.PROCESS_STOPPED);
     }
 
     /** Closes the connection if it has been idle or lingering too long, or rejects a request that is too slow. */
-    void checkTimeouts(long nowNanos) {
-        CallerLimits limits = listener.limits();
-        long phaseMillis = (nowNanos - phaseStartNanos) / NANOS_PER_MILLI;
+    void checkTimeouts(long nowNanos, CallerLimits limits) {
+        runLocked(() -> closeIfTooLong(nowNanos, limits));
+    }
+
+    private void closeIfTooLong(long nowNanos, CallerLimits limits) throws IOException {
+        long phaseMillis = phaseMillis(nowNanos);
         switch (phase) {
-            case IDLE -> {
-                if (phaseMillis > limits.idleTimeoutMillis()) {
-                    onClosed();
-                }
-            }
+            case IDLE -> closeIfIdleTooLong(nowNanos, limits.idleTimeoutMillis());
             case READING -> {
                 if (!headersRead && phaseMillis > limits.headerTimeoutMillis()) {
                     reject(HttpStatus.REQUEST_TIMEOUT_408, "The headers did not come in time.");
@@ -182,7 +272,7 @@
             }
             case LINGERING -> {
                 if (phaseMillis > LINGER_MILLIS) {
-                    onClosed();
+                    onClosed(CloseReason.LINGER_OVER);
                 }
             }
             case RESPONDING, CLOSED -> {
@@ -191,13 +281,36 @@
         }
     }
 
-    /** Closes the connection if no byte of a next request has been received. */
-    void closeIfIdle() {
-        if (phase == Phase.IDLE) {
-            onClosed();
+    private long phaseMillis(long nowNanos) {
+        return (nowNanos - phaseStartNanos) / NANOS_PER_MILLI;
+    }
+
+    private void closeIfIdleTooLong(long nowNanos, long limitMillis) throws IOException {
+        if (isIdleTooLong(nowNanos, limitMillis)) {
+            // A request may wait in the socket, if this process stood still or the lock was held.
+            read();
+            if (isIdleTooLong(nowNanos, limitMillis)) {
+                onClosed(CloseReason.IDLE_TIMEOUT);
+            }
         }
     }
 
+    private boolean isIdleTooLong(long nowNanos, long limitMillis) {
+        return phase == Phase.IDLE && phaseMillis(nowNanos) > limitMillis;
+    }
+
+    /** Closes the connection if no byte of a next request has arrived. */
+    void closeIfIdle() {
+        runLocked(() -> {
+            if (phase == Phase.IDLE) {
+                read();
+            }
+            if (phase == Phase.IDLE) {
+                onClosed(CloseReason.DRAIN);
+            }
+        });
+    }
+
     // ---- events of the parser
 
     @Override
@@ -259,15 +372,16 @@
         }
         phase = Phase.RESPONDING;
         responseBegun = false;
-        ReceivedRequest request = new ReceivedRequest(method, target, headers.asImmutable(), body.toByteArray());
+        requestRead = true;
+        accounts.onRequestRead();
+        receivedRequest = new ReceivedRequest(method, target, headers.asImmutable(), body.toByteArray());
         body.reset();
-        listener.handler().onRequest(request, this);
         return true;
     }
 
     @Override
     public void earlyEOF() {
-        onClosed();
+        onClosed(CloseReason.MALFORMED_BODY);
     }
 
     @Override
@@ -279,6 +393,7 @@
 
     private void reject(int status, String reason) {
         phase = Phase.RESPONDING;
+        requestRead = false;
         closeAfterResponse = true;
         listener.logRejected(status, reason);
         respond(status, HttpFields.EMPTY, ByteBuffer.wrap((reason + "\n").getBytes(StandardCharsets.UTF_8)));
@@ -331,15 +446,14 @@
     @Override
     public void abort() {
         if (phase == Phase.RESPONDING) {
-            phase = Phase.CLOSED;
-            listener.unregister(this);
-            getEndPoint().close();
+            close(CloseReason.ABORTED);
         }
     }
 
     private StringBuilder responseHead(int status, HttpFields fields) {
         StringBuilder head = new StringBuilder(INITIAL_HEAD_BYTES);
         String reason = HttpStatus.getMessage(status);
+        responseStatus = status;
         head.append("HTTP/1.1 ").append(status).append(' ').append(reason).append("\r\n");
         for (HttpField field : fields) {
             head.append(field.getName()).append(": ").append(field.getValue()).append("\r\n");
@@ -357,6 +471,10 @@
 
     private void onResponseWritten() {
         phaseStartNanos = System.nanoTime();
+        if (requestRead) {
+            RequestEnd end = RequestEnd.ofStatus(responseStatus);
+            writes.whenEmpty(() -> accounts.onResponseSent(end));
+        }
         if (closeAfterResponse) {
             phase = Phase.LINGERING;
             earlyBytes = null;
@@ -370,18 +488,10 @@
     }
 
     private void parseEarlyBytes() {
-        lock.lock();
-        try {
-            ByteBuffer next = earlyBytes;
-            earlyBytes = null;
-            if (next != null) {
-                parse(next);
-            }
-            read();
-        } catch (IOException e) {
-            onClosed();
-        } finally {
-            lock.unlock();
+        ByteBuffer next = earlyBytes;
+        earlyBytes = null;
+        if (next != null) {
+            parse(next);
         }
     }
 
@@ -392,9 +502,9 @@
         }
         if (earlyBytes != null) {
             // The core may be on the stack and isn't reentrant, so the early request is parsed in a task of its own.
-            getExecutor().execute(this::parseEarlyBytes);
-        } else if (!isFillInterested()) {
-            getEndPoint().tryFillInterested(readCallback);
+            getExecutor().execute(this::onFillable);
+        } else {
+            awaitBytes();
         }
     }
 }
