Sight: lines of failed calls tell the upstream's condition and why nothing else was tried

A line of a cut stream or a call that may have run told neither whether its upstream was sound nor why the call was not sent on, and an attempt that was kept while silent had no line at all. No decision changes.

--- /dev/null
+++ b/src/main/java/org/cuminshelf/direct/AttemptLog.java
@@ -0,0 +1,97 @@
+package org.cuminshelf.direct;
+
+import org.cuminshelf.core.Core;
+import org.cuminshelf.core.Durations;
+
+/** Logs the outcomes of attempts, and what is known here of an upstream's condition. */
+final class AttemptLog {
+
+    private final DecisionLog log;
+
+    AttemptLog(DecisionLog log) {
+        this.log = log;
+    }
+
+    /** Logs a connection that failed before the response was complete. */
+    void noteBroken(long now, DirectAttempt attempt, boolean requestSent, String reason) {
+        log.note(
+                "attempt",
+                attempt.call.intent.id(),
+                "upstream",
+                attempt.upstream.id,
+                "sent",
+                requestSent,
+                "outcome",
+                "broken",
+                "reason",
+                reason,
+                "ms",
+                Durations.millis(now - attempt.sentAtNanos),
+                "run-ms",
+                attempt.firstEventAtNanos == Core.NEVER ? "none" : Durations.millis(now - attempt.firstEventAtNanos),
+                "fingerprint",
+                requestSent ? attempt.call.fingerprint() : "none");
+    }
+
+    /** Logs an attempt that was cancelled as it made no progress. */
+    void noteSilent(long now, DirectAttempt attempt, long silentNanos) {
+        log.note(
+                "attempt",
+                attempt.call.intent.id(),
+                "upstream",
+                attempt.upstream.id,
+                "outcome",
+                "silent",
+                "quiet-ms",
+                Durations.millis(silentNanos),
+                "upstream-quiet-ms",
+                quietMillis(now, attempt.upstream),
+                "upstream-state",
+                state(now, attempt.upstream),
+                "events",
+                attempt.call.deliveredEvents);
+    }
+
+    /** Logs that an attempt without progress goes on, once for each reason. */
+    void noteKept(long now, DirectAttempt attempt, long silentNanos, String reason) {
+        attempt.call.noRetryReason = reason;
+        if (!attempt.keptReasons.add(reason)) {
+            return;
+        }
+        log.note(
+                "attempt",
+                attempt.call.intent.id(),
+                "upstream",
+                attempt.upstream.id,
+                "outcome",
+                "kept",
+                "reason",
+                reason,
+                "quiet-ms",
+                Durations.millis(silentNanos),
+                "upstream-quiet-ms",
+                quietMillis(now, attempt.upstream),
+                "upstream-state",
+                state(now, attempt.upstream),
+                "attempts",
+                attempt.call.attemptCount,
+                "events",
+                attempt.call.deliveredEvents);
+    }
+
+    /** Returns the milliseconds since an upstream last sent anything to this entry, or {@code never}. */
+    static Object quietMillis(long now, UpstreamInstance upstream) {
+        return upstream.hasResponded() ? Durations.millis(now - upstream.lastResponseAtNanos) : "never";
+    }
+
+    /** Returns an upstream's condition as it is known here. */
+    static String state(long now, UpstreamInstance upstream) {
+        if (upstream.draining) {
+            return "draining";
+        }
+        if (upstream.unlistedSinceNanos != Core.NEVER) {
+            return "unlisted";
+        }
+        return upstream.isAvoided(now) ? "avoided" : "listed";
+    }
+}
--- a/src/main/java/org/cuminshelf/direct/AttemptRunner.java
+++ b/src/main/java/org/cuminshelf/direct/AttemptRunner.java
@@ -45,8 +45,8 @@
         /** Called after an attempt without progress was cancelled. */
         void onTimeout(long now, DirectAttempt attempt);
 
-        /** Whether an attempt without progress may be cancelled in favour of another one. */
-        boolean mayAbandon(long now, DirectAttempt attempt);
+        /** Why an attempt without progress may not be cancelled in favour of another one; empty if it may. */
+        Optional<RetryRefusal> refusalToAbandon(long now, DirectAttempt attempt);
     }
 
     /**
@@ -78,7 +78,7 @@
     private final UpstreamClient client;
     private final CallerResponses responses;
     private final LongSupplier clock;
-    private final DecisionLog log;
+    private final AttemptLog log;
     private final OutcomeListener outcomeListener;
     private final EngineLatencyModels engineModels;
     private final LoadGossip loadGossip;
@@ -101,7 +101,7 @@
         this.client = client;
         this.responses = responses;
         this.clock = clock;
-        this.log = log;
+        this.log = new AttemptLog(log);
         this.engineModels = engineModels;
         this.loadGossip = loadGossip;
         this.backpressureListener = backpressureListener;
@@ -127,6 +127,8 @@
         UpstreamInstance upstream = choice.upstream();
         DirectAttempt attempt = new DirectAttempt(nextAttemptNumber++, call, choice, now);
         call.lastAttempt = attempt;
+        call.sentTo.add(upstream.id);
+        call.noRetryReason = "none";
         attempts.put(attempt.number, attempt);
         upstream.localAttempts++;
         upstream.localMemoryTokens += attempt.memoryTokens();
@@ -325,24 +327,7 @@
     private void onConnectionFailed(long now, DirectAttempt attempt, boolean requestSent, String reason) {
         close(attempt);
         attempt.upstream.recordFailure(now);
-        DirectCall call = attempt.call;
-        log.note(
-                "attempt",
-                call.intent.id(),
-                "upstream",
-                attempt.upstream.id,
-                "sent",
-                requestSent,
-                "outcome",
-                "broken",
-                "reason",
-                reason,
-                "ms",
-                Durations.millis(now - attempt.sentAtNanos),
-                "run-ms",
-                attempt.firstEventAtNanos == Core.NEVER ? "none" : Durations.millis(now - attempt.firstEventAtNanos),
-                "fingerprint",
-                requestSent ? call.fingerprint() : "none");
+        log.noteBroken(now, attempt, requestSent, reason);
         outcomeListener.onConnectionFailed(now, attempt, requestSent);
     }
 
@@ -371,7 +356,9 @@
                     attempt.number, Math.min(attempt.lastProgressAtNanos + timeoutNanos, now + UPSTREAM_SILENCE_NANOS));
             return;
         }
-        if (!outcomeListener.mayAbandon(now, attempt)) {
+        Optional<RetryRefusal> refusal = outcomeListener.refusalToAbandon(now, attempt);
+        if (refusal.isPresent()) {
+            log.noteKept(now, attempt, silentNanos, refusal.get().label());
             progressChecks.set(attempt.number, now + timeoutNanos);
             return;
         }
@@ -383,17 +370,7 @@
             attempt.upstream.recordFailure(now);
         }
         cancel(attempt);
-        log.note(
-                "attempt",
-                call.intent.id(),
-                "upstream",
-                attempt.upstream.id,
-                "outcome",
-                "silent",
-                "quiet-ms",
-                Durations.millis(silentNanos),
-                "events",
-                call.deliveredEvents);
+        log.noteSilent(now, attempt, silentNanos);
         outcomeListener.onTimeout(now, attempt);
     }
 
--- a/src/main/java/org/cuminshelf/direct/CallDispatcher.java
+++ b/src/main/java/org/cuminshelf/direct/CallDispatcher.java
@@ -141,6 +141,7 @@
             }
             case AdmissionControl.Decision.Refuse(Verdict.NotRun verdict, String reason) -> {
                 call.lastFailure = Optional.of(verdict);
+                call.noRetryReason = reason;
                 failCall(now, call, reason);
             }
         }
@@ -238,8 +239,10 @@
         }
 
         @Override
-        public boolean mayAbandon(long now, DirectAttempt attempt) {
-            return (attempt.prefillOnly || attempt.call.isRetryable()) && mayRetry(now, attempt.call);
+        public Optional<RetryRefusal> refusalToAbandon(long now, DirectAttempt attempt) {
+            return attempt.prefillOnly || attempt.call.isRetryable()
+                    ? limitReached(now, attempt.call)
+                    : Optional.of(RetryRefusal.NOT_REPEATABLE);
         }
     }
 
@@ -282,7 +285,7 @@
         }
         boolean retry = call.isRetryable()
                 && isServerError(attempt.status)
-                && mayRetry(now, call)
+                && limitReached(now, call).isEmpty()
                 && retryBudget.tryAcquire(now, call.service, control.entries().size());
         if (!call.responseStarted && attempt.metadata.authentic() && !retry) {
             forwardResponse(now, attempt);
@@ -366,19 +369,39 @@
                 releaseKvCache(call);
             }
         }
-        boolean retrySafe = !call.mayHaveRun || call.isRetryable();
-        if (retrySafe
-                && mayRetry(now, call)
-                && poisonGuard.mayRetry(call)
-                && retryBudget.tryAcquire(now, call.service, control.entries().size())) {
+        Optional<RetryRefusal> refusal = acquireRetry(now, call);
+        if (refusal.isEmpty()) {
             place(now, call);
         } else {
+            call.noRetryReason = refusal.get().label();
             failCall(now, call, verdict.label() + "/" + verdict.cause());
         }
     }
 
-    private boolean mayRetry(long now, DirectCall call) {
-        return call.attemptCount < call.route.maxAttempts() && now + MIN_REMAINING_NANOS < call.deadlineNanos;
+    /** Takes one retry of the service's budget for a call; returns why it may not be retried, or empty. */
+    private Optional<RetryRefusal> acquireRetry(long now, DirectCall call) {
+        if (call.mayHaveRun && !call.isRetryable()) {
+            return Optional.of(RetryRefusal.NOT_REPEATABLE);
+        }
+        Optional<RetryRefusal> limit = limitReached(now, call);
+        if (limit.isPresent()) {
+            return limit;
+        }
+        if (!poisonGuard.mayRetry(call)) {
+            return Optional.of(RetryRefusal.UPSTREAMS_CRASHED);
+        }
+        boolean acquired =
+                retryBudget.tryAcquire(now, call.service, control.entries().size());
+        return acquired ? Optional.empty() : Optional.of(RetryRefusal.RETRY_BUDGET_EMPTY);
+    }
+
+    /** Returns which limit of a call's own forbids another attempt, or empty. */
+    private static Optional<RetryRefusal> limitReached(long now, DirectCall call) {
+        if (call.attemptCount >= call.route.maxAttempts()) {
+            return Optional.of(RetryRefusal.ATTEMPTS_USED_UP);
+        }
+        boolean timeLeft = now + MIN_REMAINING_NANOS < call.deadlineNanos;
+        return timeLeft ? Optional.empty() : Optional.of(RetryRefusal.NO_TIME_LEFT);
     }
 
     /** Sends the final error response and closes the call; does nothing if it is closed already. */
--- a/src/main/java/org/cuminshelf/direct/CallerResponses.java
+++ b/src/main/java/org/cuminshelf/direct/CallerResponses.java
@@ -106,6 +106,11 @@
                     .orElse(DEFAULT_RETRY_AFTER_MILLIS);
             refuse(call.exchange, "The request did not run: " + reason + ".", retryAfterMillis);
         }
+        logFailure(now, call, reason);
+    }
+
+    private void logFailure(long now, DirectCall call, String reason) {
+        DirectAttempt last = call.lastAttempt;
         log.note(
                 "request",
                 call.intent.id(),
@@ -113,20 +118,30 @@
                 call.responseStarted ? "cut" : call.mayHaveRun ? "may-have-run" : "not-run",
                 "reason",
                 reason,
+                "not-retried",
+                call.noRetryReason,
                 "route",
                 call.route.name(),
                 "organisation",
                 call.organisationName(),
                 "config",
                 control.configVersion(),
+                "config-age-ms",
+                control.configAgeMillis(now),
                 "attempts",
                 call.attemptCount,
+                "sent-to",
+                call.sentTo,
                 "events",
                 call.deliveredEvents,
                 "upstream",
-                call.lastAttempt == null ? "none" : call.lastAttempt.upstream.id,
+                last == null ? "none" : last.upstream.id,
                 "quiet-ms",
-                call.lastAttempt == null ? 0 : Durations.millis(now - call.lastAttempt.lastProgressAtNanos),
+                last == null ? 0 : Durations.millis(now - last.lastProgressAtNanos),
+                "upstream-quiet-ms",
+                last == null ? "none" : AttemptLog.quietMillis(now, last.upstream),
+                "upstream-state",
+                last == null ? "none" : AttemptLog.state(now, last.upstream),
                 "tokens",
                 call.promptTokens(),
                 "size",
--- a/src/main/java/org/cuminshelf/direct/ControlSubscription.java
+++ b/src/main/java/org/cuminshelf/direct/ControlSubscription.java
@@ -60,6 +60,12 @@
 
     private long readySinceNanos = Core.NEVER;
     private final Map<String, OfferedWork> offeredWork = new TreeMap<>();
+    /** The version in force at the last tick. */
+    private long configVersionAtTick;
+
+    /** When a tick first found that version in force, in nanoseconds. */
+    private long configSinceNanos;
+
     private long nextSubscribeNanos;
     private long lastVoterUpdateNanos;
 
@@ -79,6 +85,7 @@
         this.usageMeter = usageMeter;
         this.invariants = invariants;
         this.log = log;
+        this.configSinceNanos = now;
         this.nextSubscribeNanos = now;
         this.lastVoterUpdateNanos = now;
         this.seeds = settings.seeds();
@@ -93,6 +100,11 @@
         return configVersion;
     }
 
+    /** Returns how long the installed configuration has been in force here, in milliseconds. */
+    long configAgeMillis(long now) {
+        return configVersionAtTick == configVersion ? Durations.millis(now - configSinceNanos) : 0;
+    }
+
     /** Whether a quorum has confirmed the installed configuration, and there is one. */
     boolean isReady() {
         return ready && configVersion > 0;
@@ -226,6 +238,10 @@
     }
 
     void tick(long now, Outbox out) {
+        if (configVersionAtTick != configVersion) {
+            configVersionAtTick = configVersion;
+            configSinceNanos = now;
+        }
         configSourceSelector
                 .selectSource(now, highestProcessedVersion())
                 .ifPresent(address -> out.send(
--- a/src/main/java/org/cuminshelf/direct/DirectAttempt.java
+++ b/src/main/java/org/cuminshelf/direct/DirectAttempt.java
@@ -1,6 +1,8 @@
 package org.cuminshelf.direct;
 
 import java.io.ByteArrayOutputStream;
+import java.util.HashSet;
+import java.util.Set;
 import org.cuminshelf.core.Core;
 import org.cuminshelf.exchange.UpstreamExchange;
 import org.eclipse.jetty.http.HttpFields;
@@ -37,6 +39,9 @@
 
     long lastProgressAtNanos;
 
+    /** Reasons logged so far for which the attempt went on while silent. */
+    final Set<String> keptReasons = new HashSet<>();
+
     /** When the first event arrived; {@link Core#NEVER} until then. */
     long firstEventAtNanos = Core.NEVER;
 
--- a/src/main/java/org/cuminshelf/direct/DirectCall.java
+++ b/src/main/java/org/cuminshelf/direct/DirectCall.java
@@ -1,6 +1,8 @@
 package org.cuminshelf.direct;
 
+import java.util.ArrayList;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Optional;
 import java.util.OptionalInt;
 import java.util.OptionalLong;
@@ -86,6 +88,12 @@
     /** The engine time that it needs, reported to control for planning, if it is a generation. */
     Optional<OfferedLoad> offeredLoad = Optional.empty();
 
+    /** Ids of the upstreams that it was sent to, in order. */
+    final List<String> sentTo = new ArrayList<>();
+
+    /** Why the last failed or silent attempt was not followed by another; {@code none} if it was. */
+    String noRetryReason = "none";
+
     /** Verdict of the last failed attempt or rejected placement. */
     Optional<Verdict> lastFailure = Optional.empty();
     /** Whether it was counted in the usage of its organisation. */
--- a/src/main/java/org/cuminshelf/direct/UpstreamInstance.java
+++ b/src/main/java/org/cuminshelf/direct/UpstreamInstance.java
@@ -26,6 +26,8 @@
 
     private static final double LATENCY_SMOOTHING_FACTOR = 0.1;
 
+    private static final long NEVER_RESPONDED = Long.MIN_VALUE / 2;
+
     /** Id of this instance. */
     final String id;
     /** Name of the upstream; the same for all of its instances. */
@@ -68,7 +70,7 @@
     final PromptQueue pendingPrompts = PromptQueue.empty();
 
     /** When it last sent any bytes, on any request of this entry. */
-    long lastResponseAtNanos = Long.MIN_VALUE / 2;
+    long lastResponseAtNanos = NEVER_RESPONDED;
 
     private int consecutiveFailures;
     private long avoidUntilNanos = Long.MIN_VALUE;
@@ -141,6 +143,11 @@
         return localMemoryTokens + remoteMemoryTokens;
     }
 
+    /** Whether it has sent anything to this entry. */
+    boolean hasResponded() {
+        return lastResponseAtNanos != NEVER_RESPONDED;
+    }
+
     boolean isAvoided(long now) {
         return now < avoidUntilNanos;
     }
--- a/src/test/java/org/cuminshelf/direct/DirectFixture.java
+++ b/src/test/java/org/cuminshelf/direct/DirectFixture.java
@@ -4,6 +4,7 @@
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -56,6 +57,8 @@
     Reachability reachability = Reachability.LISTENING;
     /** Number of probes so far. */
     int probeCount;
+    /** Lines of the decision log, as {@code kind id name=value ...}. */
+    final List<String> logLines = new ArrayList<>();
 
     DirectFixture(Route... routes) {
         this(Organisations.unrestricted(), routes);
@@ -72,7 +75,7 @@
                 new RecordingClient(),
                 () -> now,
                 Invariants.throwing(),
-                DecisionLog.none());
+                new RecordingLog());
     }
 
     static RouteTable routeTable(long version, Organisations organisations, Route... routes) {
@@ -330,6 +333,29 @@
         }
     }
 
+    /** Returns the lines of the log that contain all the texts. */
+    List<String> linesWith(String... texts) {
+        return logLines.stream()
+                .filter(line -> Arrays.stream(texts).allMatch(line::contains))
+                .toList();
+    }
+
+    private final class RecordingLog implements DecisionLog {
+        @Override
+        public void note(String kind, String id, Object... fields) {
+            StringBuilder line = new StringBuilder(kind + " " + id);
+            for (int index = 0; index + 1 < fields.length; index += 2) {
+                line.append(' ').append(fields[index]).append('=').append(fields[index + 1]);
+            }
+            logLines.add(line.toString());
+        }
+
+        @Override
+        public void noteCompletion(String id, Object... fields) {
+            note("request", id, fields);
+        }
+    }
+
     /** A minimal protocol that uses short header names. */
     private static final class TestProtocol implements UpstreamProtocol {
         @Override
