--- a/src/test/java/org/cuminshelf/direct/DirectFixture.java
+++ b/src/test/java/org/cuminshelf/direct/DirectFixture.java
@@ -64,11 +64,18 @@
         this(Organisations.unrestricted(), routes);
     }
 
+    DirectFixture(RetryLimits retryLimits, Route... routes) {
+        this(retryLimits, Organisations.unrestricted(), routes);
+    }
+
     DirectFixture(Organisations organisations, Route... routes) {
+        this(new RetryLimits(0.2, 100, 10_000), organisations, routes);
+    }
+
+    private DirectFixture(RetryLimits retryLimits, Organisations organisations, Route... routes) {
         this.routeTable = routeTable(7, organisations, routes);
         this.core = DirectCore.start(
-                new DirectSettings(
-                        "r", "z", "vm", List.of(CONTROL), new RetryLimits(0.2, 100, 10_000), OptionalLong.of(5_000)),
+                new DirectSettings("r", "z", "vm", List.of(CONTROL), retryLimits, OptionalLong.of(5_000)),
                 SELF,
                 new TestProtocol(),
                 RouteTableReader.synchronous(document -> Optional.of(routeTable)),
@@ -87,12 +94,21 @@
     static final long PAUSE_MILLIS = 200;
 
     static Route route(RequestKind kind, int attempts, boolean resumable) {
+        return route(kind, attempts, resumable, 1_000);
+    }
+
+    /** A route on which requests may be repeated and wait for 8 s; they must state that as their deadline. */
+    static Route patientRoute(RequestKind kind, int attempts) {
+        return route(kind, attempts, kind == RequestKind.STREAM, 8_000);
+    }
+
+    private static Route route(RequestKind kind, int attempts, boolean resumable, long timeoutMillis) {
         return new Route(
                 "r",
                 "h",
                 "/a/",
                 kind,
-                1_000,
+                timeoutMillis,
                 200,
                 0,
                 List.of(new WeightedService("s", 1)),
@@ -208,6 +224,12 @@
         core.tick(now, out);
     }
 
+    /** Lets time pass in which this process neither ticks nor reads what has arrived; then it ticks once. */
+    void standStill(long millis) {
+        now += Durations.nanos(millis);
+        core.tick(now, out);
+    }
+
     SentRequest lastSent() {
         return sentRequests.getLast();
     }
@@ -370,7 +392,11 @@
                                     new PromptSegment("shared", sharedTokens(headers)),
                                     new PromptSegment(headers.get("Id"), 10))));
             return new CallIntent(
-                    headers.get("Id"), OptionalLong.of(800), shape, number(headers.get("Last")), keys(headers));
+                    headers.get("Id"), deadline(headers), shape, number(headers.get("Last")), keys(headers));
+        }
+
+        private static OptionalLong deadline(HttpFields headers) {
+            return headers.contains("Deadline") ? number(headers.get("Deadline")) : OptionalLong.of(800);
         }
 
         private static int sharedTokens(HttpFields headers) {
--- /dev/null
+++ b/src/test/java/org/cuminshelf/direct/SilentStreamTest.java
@@ -0,0 +1,434 @@
+package org.cuminshelf.direct;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.Consumer;
+import net.jqwik.api.Example;
+import org.cuminshelf.message.CrashedRun;
+import org.cuminshelf.message.Involvement;
+import org.cuminshelf.message.Role;
+import org.cuminshelf.message.Update;
+import org.cuminshelf.message.UpstreamCrash;
+import org.cuminshelf.poison.Fingerprint;
+import org.cuminshelf.routes.RequestKind;
+
+/** Tests resumable streams whose upstreams fall silent, for a while or for good. */
+class SilentStreamTest {
+
+    private static final List<Long> SILENCES_MILLIS = List.of(300L, 700L, 1_000L, 1_900L);
+    private static final RetryLimits NO_RETRIES = new RetryLimits(0, 0, 10_000);
+
+    private static DirectFixture entry(int attempts, String... engines) {
+        return addEngines(new DirectFixture(DirectFixture.patientRoute(RequestKind.STREAM, attempts)), engines);
+    }
+
+    private static DirectFixture addEngines(DirectFixture entry, String... engines) {
+        entry.becomeReady();
+        for (String engine : engines) {
+            entry.addUpstream(engine, Role.ROLE_DECODE);
+        }
+        return entry;
+    }
+
+    private static DirectFixture.CallerResponse sendStream(DirectFixture entry, String id) {
+        return entry.sendRequest(id, "Tokens", "500", "Deadline", "8000");
+    }
+
+    /** Sends a stream whose upstream has delivered its first event. */
+    private static DirectFixture.CallerResponse startStream(DirectFixture entry, String id) {
+        DirectFixture.CallerResponse response = sendStream(entry, id);
+        entry.lastSent().respondSealedHead(200);
+        entry.lastSent().respondBody(event(1));
+        return response;
+    }
+
+    private static String event(int number) {
+        return "id: " + number + "\ndata: e" + number + "\n\n";
+    }
+
+    /** Starts streams until there are so many, 1 ms after each other. */
+    private static List<DirectFixture.CallerResponse> startStreams(DirectFixture entry, int count) {
+        List<DirectFixture.CallerResponse> responses = new ArrayList<>();
+        for (int number = 0; number < count; number++) {
+            responses.add(startStream(entry, "s" + number));
+            entry.advance(1);
+        }
+        assertThat(entry.sentRequests).hasSize(count);
+        return responses;
+    }
+
+    private static void respondFully(DirectFixture.SentRequest sent, int from) {
+        sent.respondSealedHead(200);
+        sent.respondBody(event(from));
+        sent.handler.onComplete();
+    }
+
+    private static void assertCompleteAfter(DirectFixture.CallerResponse response, int events) {
+        StringBuilder expected = new StringBuilder();
+        for (int number = 1; number <= events; number++) {
+            expected.append(event(number));
+        }
+        assertThat(response.body.toString()).isEqualTo(expected.toString());
+        assertThat(response.complete).isTrue();
+        assertThat(response.aborted).isFalse();
+    }
+
+    // ---- nothing else can take the stream: it goes on
+
+    /* Guards against a stream that is ended as its sound upstream paused, though nothing else could continue it. */
+    @Example
+    void aStreamWhoseOnlyEnginePausesBetweenEventsGoesOn() {
+        for (long silenceMillis : SILENCES_MILLIS) {
+            DirectFixture entry = entry(3, "u1");
+            DirectFixture.CallerResponse response = startStream(entry, "a");
+            entry.advance(silenceMillis);
+            assertThat(entry.lastSent().cancelled).isFalse();
+            entry.lastSent().respondBody(event(2));
+            entry.lastSent().handler.onComplete();
+            assertCompleteAfter(response, 2);
+            assertThat(entry.sentRequests).hasSize(1);
+        }
+    }
+
+    /* Guards against the same failure before the head of the response. */
+    @Example
+    void aStreamWhoseOnlyEnginePausesBeforeTheHeadGoesOn() {
+        for (long silenceMillis : SILENCES_MILLIS) {
+            DirectFixture entry = entry(3, "u1");
+            DirectFixture.CallerResponse response = sendStream(entry, "a");
+            entry.advance(silenceMillis);
+            assertThat(entry.lastSent().cancelled).isFalse();
+            respondFully(entry.lastSent(), 1);
+            assertCompleteAfter(response, 1);
+        }
+    }
+
+    /* Guards against the same failure between the last event and the end of the stream. */
+    @Example
+    void aStreamWhoseOnlyEnginePausesBeforeTheEndGoesOn() {
+        for (long silenceMillis : SILENCES_MILLIS) {
+            DirectFixture entry = entry(3, "u1");
+            DirectFixture.CallerResponse response = startStream(entry, "a");
+            entry.lastSent().respondBody(event(2));
+            entry.advance(silenceMillis);
+            entry.lastSent().handler.onComplete();
+            assertCompleteAfter(response, 2);
+        }
+    }
+
+    /* Guards against a mass of new prefills, and of ended streams, when all engines pause at once. */
+    @Example
+    void aPauseOfAllEnginesEndsNoStreamAndStartsNoneAnew() {
+        for (long silenceMillis : SILENCES_MILLIS) {
+            DirectFixture entry = entry(3, "u1", "u2");
+            List<DirectFixture.CallerResponse> responses = startStreams(entry, 12);
+            entry.advance(silenceMillis);
+            assertThat(entry.sentRequests).hasSize(12);
+            for (DirectFixture.SentRequest sent : entry.sentRequests) {
+                assertThat(sent.cancelled).isFalse();
+                sent.respondBody(event(2));
+                sent.handler.onComplete();
+            }
+            responses.forEach(response -> assertCompleteAfter(response, 2));
+        }
+    }
+
+    /* Guards against refused calls after a pause: all engines were avoided, as each stream counted as a failure. */
+    @Example
+    void aPauseOfAllEnginesDoesNotMakeNewCallsRefused() {
+        DirectFixture entry = entry(3, "u1", "u2");
+        startStreams(entry, 8);
+        entry.advance(1_900);
+        DirectFixture.CallerResponse response = sendStream(entry, "new");
+        assertThat(response.status).isZero();
+        assertThat(entry.sentRequests).hasSize(9);
+    }
+
+    /* Guards against a stream that is ended for want of retries though its upstream is sound. */
+    @Example
+    void aSilentStreamGoesOnWithoutRetryBudget() {
+        DirectFixture entry = addEngines(
+                new DirectFixture(NO_RETRIES, DirectFixture.patientRoute(RequestKind.STREAM, 3)), "u1", "u2");
+        DirectFixture.CallerResponse response = startStream(entry, "a");
+        entry.advance(1_900);
+        assertThat(entry.linesWith("attempt a", "outcome=kept", "reason=retry-budget-empty"))
+                .hasSize(1);
+        entry.lastSent().respondBody(event(2));
+        entry.lastSent().handler.onComplete();
+        assertCompleteAfter(response, 2);
+    }
+
+    /* Guards against a stream that is ended as upstreams crashed under copies of its request. */
+    @Example
+    void aSilentStreamGoesOnIfItsRequestIsSuspected() {
+        DirectFixture entry = entry(3, "u1", "u2");
+        DirectFixture.CallerResponse response = startStream(entry, "a");
+        Fingerprint request = Fingerprint.of("POST", "h", "/a/b", "", new byte[0]);
+        for (String crashed : List.of("x1", "x2")) {
+            entry.sendUpdate(Update.newBuilder()
+                    .addCrashes(UpstreamCrash.newBuilder()
+                            .setUpstream(crashed)
+                            .addRuns(CrashedRun.newBuilder()
+                                    .setHigh(request.high())
+                                    .setLow(request.low())
+                                    .setInvolvement(Involvement.JUST_BEGUN))));
+        }
+        entry.advance(1_900);
+        assertThat(entry.sentRequests).hasSize(1);
+        entry.lastSent().respondBody(event(2));
+        entry.lastSent().handler.onComplete();
+        assertCompleteAfter(response, 2);
+    }
+
+    // ---- a replacement is started beside the silent attempt
+
+    /* Guards against callers that leave, 2 s after the last event, as a dark engine is not noticed. */
+    @Example
+    void streamsOfAnEngineThatIsDarkForGoodGoOnElsewhere() {
+        DirectFixture entry = entry(3, "u1", "u2");
+        List<DirectFixture.CallerResponse> responses = startStreams(entry, 6);
+        String dark = entry.sentRequests.getFirst().upstream;
+        for (int round = 0; round < 14; round++) {
+            entry.advance(100);
+            String next = event(round + 2);
+            entry.sentRequests.stream()
+                    .filter(sent -> !sent.upstream.equals(dark) && !sent.cancelled)
+                    .toList()
+                    .forEach(sent -> {
+                        sent.respondSealedHead(200);
+                        sent.respondBody(next);
+                    });
+        }
+        assertThat(responses)
+                .allSatisfy(response -> assertThat(response.body.toString()).contains("data: e15\n"));
+        assertThat(entry.sentRequests)
+                .allSatisfy(sent -> assertThat(sent.cancelled).isEqualTo(sent.upstream.equals(dark)));
+    }
+
+    /* Guards against a stream lost with its connection, which is dead without a reset, while the engine is sound. */
+    @Example
+    void aStreamOnADeadConnectionGoesOnElsewhereThoughItsEngineIsSound() {
+        DirectFixture entry = entry(2, "u1", "u2");
+        DirectFixture.CallerResponse response = startStream(entry, "a");
+        DirectFixture.SentRequest dead = entry.lastSent();
+        sendStream(entry, "b");
+        sendStream(entry, "c");
+        DirectFixture.SentRequest beside = entry.sentRequests.stream()
+                .filter(sent -> sent != dead && sent.upstream.equals(dead.upstream))
+                .findFirst()
+                .orElseThrow();
+        beside.respondSealedHead(200);
+        for (int round = 1; round <= 16; round++) {
+            beside.respondBody(event(round));
+            entry.advance(100);
+            if (round == 14) {
+                assertThat(entry.sentRequests)
+                        .as("a busy engine gets more time")
+                        .hasSize(3);
+            }
+        }
+        assertThat(entry.sentRequests).hasSizeGreaterThanOrEqualTo(4);
+        DirectFixture.SentRequest replacement = entry.sentRequests.get(3);
+        assertThat(replacement.request.headers().get("Last")).isEqualTo("1");
+        respondFully(replacement, 2);
+        assertThat(dead.cancelled).isTrue();
+        assertCompleteAfter(response, 2);
+    }
+
+    /** Returns an entry with a stream on a silent engine whose replacement was just sent to another engine. */
+    private static DirectFixture entryWithReplacement(int attempts, DirectFixture.CallerResponse[] response) {
+        DirectFixture entry = entry(attempts, "u1", "u2");
+        response[0] = startStream(entry, "a");
+        while (entry.sentRequests.size() < 2) {
+            entry.advance(10);
+        }
+        assertThat(entry.sentRequests.get(0).cancelled).isFalse();
+        return entry;
+    }
+
+    /* Guards against events of two runs in one stream. */
+    @Example
+    void theOldAttemptWinsIfItSendsFirst() {
+        DirectFixture.CallerResponse[] response = new DirectFixture.CallerResponse[1];
+        DirectFixture entry = entryWithReplacement(2, response);
+        entry.lastSent().respondSealedHead(200);
+        entry.lastSent().respondBody("id: 2\nda");
+        entry.sentRequests.get(0).respondBody(event(2));
+        assertThat(entry.lastSent().cancelled).isTrue();
+        entry.lastSent().respondBody("ta: other\n\n");
+        entry.advance(400);
+        entry.sentRequests.get(0).respondBody(event(3));
+        entry.sentRequests.get(0).handler.onComplete();
+        assertCompleteAfter(response[0], 3);
+    }
+
+    /* Guards against events of two runs in one stream. */
+    @Example
+    void theReplacementWinsIfItSendsFirst() {
+        DirectFixture.CallerResponse[] response = new DirectFixture.CallerResponse[1];
+        DirectFixture entry = entryWithReplacement(2, response);
+        entry.sentRequests.get(0).respondBody("id: 2\nda");
+        entry.lastSent().respondSealedHead(200);
+        entry.lastSent().respondBody(event(2));
+        assertThat(entry.sentRequests.get(0).cancelled).isTrue();
+        entry.sentRequests.get(0).respondBody("ta: other\n\n");
+        entry.lastSent().respondBody(event(3));
+        entry.lastSent().handler.onComplete();
+        assertCompleteAfter(response[0], 3);
+        assertThat(entry.core.openCalls()).isZero();
+    }
+
+    /* Guards against two engines that work on one stream for longer than the overlap that is allowed. */
+    @Example
+    void theOldAttemptIsCancelledSoonAfterTheReplacementWasSent() {
+        DirectFixture.CallerResponse[] response = new DirectFixture.CallerResponse[1];
+        DirectFixture entry = entryWithReplacement(2, response);
+        entry.advance(200);
+        assertThat(entry.sentRequests.get(0).cancelled).isFalse();
+        entry.advance(100);
+        assertThat(entry.sentRequests.get(0).cancelled).isTrue();
+        assertThat(entry.lastSent().cancelled).isFalse();
+        respondFully(entry.lastSent(), 2);
+        assertCompleteAfter(response[0], 2);
+    }
+
+    /* Guards against a stream that is ended as its replacement is refused while the old attempt could go on. */
+    @Example
+    void theOldAttemptGoesOnIfTheReplacementFails() {
+        List<Consumer<DirectFixture.SentRequest>> failures = List.of(
+                sent -> {
+                    sent.respondHead(503, "Not-Run", "1");
+                    sent.handler.onComplete();
+                },
+                sent -> sent.handler.onFailed(false, "refused"),
+                sent -> sent.handler.onFailed(true, "reset"),
+                sent -> sent.respond(500, "no"));
+        for (Consumer<DirectFixture.SentRequest> failure : failures) {
+            DirectFixture.CallerResponse[] response = new DirectFixture.CallerResponse[1];
+            DirectFixture entry = entryWithReplacement(2, response);
+            failure.accept(entry.lastSent());
+            entry.advance(500);
+            assertThat(entry.sentRequests).hasSize(2);
+            assertThat(entry.sentRequests.get(0).cancelled).isFalse();
+            entry.sentRequests.get(0).respondBody(event(2));
+            entry.sentRequests.get(0).handler.onComplete();
+            assertCompleteAfter(response[0], 2);
+        }
+    }
+
+    /* Guards against a stream that stays with a silent replacement though another engine could take it. */
+    @Example
+    void aReplacementThatFallsSilentIsReplacedToo() {
+        DirectFixture entry = entry(3, "u1", "u2", "u3");
+        DirectFixture.CallerResponse response = startStream(entry, "a");
+        entry.advance(1_150);
+        assertThat(entry.sentRequests).hasSize(2);
+        entry.lastSent().respondSealedHead(200);
+        entry.lastSent().respondBody(event(2));
+        entry.advance(1_150);
+        assertThat(entry.sentRequests).hasSize(3);
+        assertThat(entry.lastSent().upstream).isNotEqualTo(entry.sentRequests.get(1).upstream);
+        respondFully(entry.lastSent(), 3);
+        assertCompleteAfter(response, 3);
+    }
+
+    /* Guards against a stream that is ended as its last attempt falls silent. */
+    @Example
+    void aSilentReplacementGoesOnOnceAttemptsAreUsedUp() {
+        DirectFixture.CallerResponse[] response = new DirectFixture.CallerResponse[1];
+        DirectFixture entry = entryWithReplacement(2, response);
+        entry.advance(1_900);
+        assertThat(entry.lastSent().cancelled).isFalse();
+        respondFully(entry.lastSent(), 2);
+        assertCompleteAfter(response[0], 2);
+    }
+
+    /* Guards against a route whose streams may not be resumed being sent twice. */
+    @Example
+    void aStreamThatMayNotBeResumedIsNeverReplaced() {
+        DirectFixture entry =
+                addEngines(new DirectFixture(DirectFixture.route(RequestKind.STREAM, 3, false)), "u1", "u2");
+        startStream(entry, "a");
+        entry.advance(790);
+        assertThat(entry.sentRequests).hasSize(1);
+        assertThat(entry.lastSent().cancelled).isFalse();
+    }
+
+    // ---- prefill
+
+    /** Returns an entry that has sent a prompt to its only prefill engine. */
+    private static DirectFixture entryWithPrefill(RetryLimits limits, DirectFixture.CallerResponse[] response) {
+        DirectFixture entry = new DirectFixture(limits, DirectFixture.patientRoute(RequestKind.STREAM, 2))
+                .becomeReady()
+                .addUpstream("p", Role.ROLE_PREFILL)
+                .addUpstream("d", Role.ROLE_DECODE);
+        entry.reportPrefillTimes("p", Role.ROLE_PREFILL, 5, 5).reportPrefillTimes("d", Role.ROLE_DECODE, 5, 16);
+        startStream(entry, "warm");
+        response[0] = entry.sendRequest("a", "Tokens", "9000", "Deadline", "8000");
+        assertThat(entry.lastSent().upstream).isEqualTo("p");
+        return entry;
+    }
+
+    @Example
+    void aSilentPrefillIsCancelledWhenItsReplacementIsSent() {
+        DirectFixture.CallerResponse[] response = new DirectFixture.CallerResponse[1];
+        DirectFixture entry = entryWithPrefill(new RetryLimits(0.2, 100, 10_000), response);
+        DirectFixture.SentRequest prefill = entry.lastSent();
+        DirectFixture.SentRequest warm = entry.sentRequests.getFirst();
+        for (int round = 2; entry.sentRequests.size() < 3 && round < 70; round++) {
+            assertThat(prefill.cancelled).isFalse();
+            entry.advance(100);
+            warm.respondBody(event(round));
+        }
+        assertThat(prefill.cancelled).isTrue();
+        assertThat(entry.lastSent().upstream).isEqualTo("d");
+        respondFully(entry.lastSent(), 1);
+        assertCompleteAfter(response[0], 1);
+    }
+
+    /* Guards against a call that is refused as its prefill engine paused and nothing else could take the prompt. */
+    @Example
+    void aSilentPrefillGoesOnIfNothingElseCanTakeThePrompt() {
+        DirectFixture.CallerResponse[] response = new DirectFixture.CallerResponse[1];
+        DirectFixture entry = entryWithPrefill(NO_RETRIES, response);
+        DirectFixture.SentRequest prefill = entry.lastSent();
+        entry.advance(6_000);
+        assertThat(prefill.cancelled).isFalse();
+        prefill.respondHead(200);
+        prefill.respondBody("kv1");
+        prefill.handler.onComplete();
+        assertThat(entry.lastSent().request.headers().get("Cache")).isEqualTo("kv1");
+        respondFully(entry.lastSent(), 1);
+        assertCompleteAfter(response[0], 1);
+    }
+
+    // ---- time in which this process did not look
+
+    /* Guards against sound streams that are cancelled as this process stood still and had not read its sockets. */
+    @Example
+    void timeInWhichTheEntryStoodStillIsNoSilenceOfItsUpstreams() {
+        DirectFixture entry = entry(3, "u1", "u2", "u3");
+        List<DirectFixture.CallerResponse> responses = startStreams(entry, 8);
+        entry.advance(90);
+        entry.standStill(1_200);
+        entry.advance(5);
+        assertThat(entry.sentRequests).hasSize(8);
+        for (DirectFixture.SentRequest sent : entry.sentRequests) {
+            sent.respondBody(event(2));
+            sent.handler.onComplete();
+        }
+        responses.forEach(response -> assertCompleteAfter(response, 2));
+    }
+
+    /* Guards against a dark engine that is never noticed by an entry that has stood still. */
+    @Example
+    void silenceIsNoticedAfterTheEntryStoodStill() {
+        DirectFixture entry = entry(3, "u1", "u2");
+        startStream(entry, "a");
+        entry.standStill(1_200);
+        entry.advance(1_150);
+        assertThat(entry.sentRequests).hasSize(2);
+    }
+}
