A retry after an error response takes one of the retry budget, not two

Callers saw streams that were cut and requests that got 502 although retries of the service were left. The decision on an error response took a retry of the budget, and the common path after a failed attempt took another one; its parameter 'arrived', which should have kept them apart, was not read. Now the attempt is recorded as failed first and one place takes the retry; if there is none, an authentic error response is forwarded as before. HedgedRequestTest.aRetryAfterAnErrorIsChargedOnce failed before: with one retry left, the request was not sent again.

--- a/src/main/java/org/cuminshelf/direct/CallDispatcher.java
+++ b/src/main/java/org/cuminshelf/direct/CallDispatcher.java
@@ -223,8 +223,7 @@
                 onAttemptFailed(
                         now,
                         attempt,
-                        new Verdict.NotRun(Cause.CONNECT_FAILED, CallerResponses.DEFAULT_RETRY_AFTER_MILLIS),
-                        false);
+                        new Verdict.NotRun(Cause.CONNECT_FAILED, CallerResponses.DEFAULT_RETRY_AFTER_MILLIS));
             } else {
                 recordUsageWithoutResponse(attempt);
                 poisonGuard.onAttemptFailed(now, attempt);
@@ -283,15 +282,24 @@
             onOverloadRejection(now, attempt);
             return;
         }
-        boolean retry = call.isRetryable()
-                && isServerError(attempt.status)
-                && limitReached(now, call).isEmpty()
-                && retryBudget.tryAcquire(now, call.service, control.entries().size());
-        if (!call.responseStarted && attempt.metadata.authentic() && !retry) {
+        boolean forwardable = !call.responseStarted && attempt.metadata.authentic();
+        if (forwardable && !(call.isRetryable() && isServerError(attempt.status))) {
             forwardResponse(now, attempt);
             return;
         }
-        onAttemptFailed(now, attempt, new Verdict.HasRun(Cause.UPSTREAM_ERROR), !retry);
+        if (call.closed) {
+            return;
+        }
+        Verdict verdict = new Verdict.HasRun(Cause.UPSTREAM_ERROR);
+        recordFailedAttempt(attempt, verdict);
+        Optional<RetryRefusal> refusal = acquireRetry(now, call);
+        if (refusal.isEmpty()) {
+            place(now, call);
+        } else if (forwardable) {
+            forwardResponse(now, attempt);
+        } else {
+            failCall(now, call, verdict, refusal.get());
+        }
     }
 
     /** Handles a rejection for lack of capacity, which does not count as a failure of the upstream. */
@@ -345,16 +353,24 @@
 
     // ---- retries and failures
 
+    /** Retries a call after a failed attempt if that is safe and allowed, else fails it. */
     private void onAttemptFailed(long now, DirectAttempt attempt, Verdict verdict) {
-        onAttemptFailed(now, attempt, verdict, true);
-    }
-
-    /** Retries a call after a failed attempt if that is safe and allowed, else fails it; {@code arrived} is unused. */
-    private void onAttemptFailed(long now, DirectAttempt attempt, Verdict verdict, boolean arrived) {
         DirectCall call = attempt.call;
         if (call.closed) {
             return;
         }
+        recordFailedAttempt(attempt, verdict);
+        Optional<RetryRefusal> refusal = acquireRetry(now, call);
+        if (refusal.isEmpty()) {
+            place(now, call);
+        } else {
+            failCall(now, call, verdict, refusal.get());
+        }
+    }
+
+    /** Records on a call what the failure of one of its attempts means for later ones. */
+    private void recordFailedAttempt(DirectAttempt attempt, Verdict verdict) {
+        DirectCall call = attempt.call;
         call.excludedUpstreams.add(attempt.upstream.id);
         call.lastFailure = Optional.of(verdict);
         if (!(verdict instanceof Verdict.NotRun)) {
@@ -369,13 +385,6 @@
                 releaseKvCache(call);
             }
         }
-        Optional<RetryRefusal> refusal = acquireRetry(now, call);
-        if (refusal.isEmpty()) {
-            place(now, call);
-        } else {
-            call.noRetryReason = refusal.get().label();
-            failCall(now, call, verdict.label() + "/" + verdict.cause());
-        }
     }
 
     /** Takes one retry of the service's budget for a call; returns why it may not be retried, or empty. */
@@ -404,6 +413,11 @@
         return timeLeft ? Optional.empty() : Optional.of(RetryRefusal.NO_TIME_LEFT);
     }
 
+    private void failCall(long now, DirectCall call, Verdict verdict, RetryRefusal refusal) {
+        call.noRetryReason = refusal.label();
+        failCall(now, call, verdict.label() + "/" + verdict.cause());
+    }
+
     /** Sends the final error response and closes the call; does nothing if it is closed already. */
     private void failCall(long now, DirectCall call, String reason) {
         if (call.closed) {
