Time in which the entry did not look at its connections is no silence of its upstreams

Callers saw streams that were cut after a pause of an entry: the first tick after it came before anything was read, so attempts whose events lay in the sockets passed for silent and were cancelled (timeline, 13.70 s: 8 streams on three engines within 1 ms). Silence is now measured on a clock that stands while the process does not look; each tick and each part of a response is a look, and the core ticks at least every 250 ms, so a longer time between two looks is a pause. SilentStreamTest and HedgedRequestTest.timeInWhichTheEntryStoodStill... failed before: new attempts were sent in that tick. silenceIsNoticedAfterTheEntryStoodStill holds that a dark engine is still found afterwards.

--- a/src/main/java/org/cuminshelf/direct/AttemptRunner.java
+++ b/src/main/java/org/cuminshelf/direct/AttemptRunner.java
@@ -85,6 +85,7 @@
     private final BackpressureListener backpressureListener;
     private final Map<Long, DirectAttempt> attempts = new HashMap<>();
     private final DeadlineQueue<Long> progressChecks = DeadlineQueue.create();
+    private final WatchedClock watchedClock;
     private long nextAttemptNumber = 1;
 
     AttemptRunner(
@@ -106,6 +107,7 @@
         this.loadGossip = loadGossip;
         this.backpressureListener = backpressureListener;
         this.outcomeListener = outcomeListener;
+        this.watchedClock = new WatchedClock(clock.getAsLong());
     }
 
     long nextDue() {
@@ -125,7 +127,7 @@
      */
     void send(long now, DirectCall call, UpstreamSelector.Choice choice) {
         UpstreamInstance upstream = choice.upstream();
-        DirectAttempt attempt = new DirectAttempt(nextAttemptNumber++, call, choice, now);
+        DirectAttempt attempt = new DirectAttempt(nextAttemptNumber++, call, choice, now, watchedClock.look(now));
         call.lastAttempt = attempt;
         call.sentTo.add(upstream.id);
         call.noRetryReason = "none";
@@ -216,7 +218,7 @@
         attempt.status = status;
         attempt.headers = headers;
         attempt.metadata = protocol.readMetadata(status, headers);
-        attempt.lastProgressAtNanos = now;
+        recordProgress(now, attempt);
         String requestId = attempt.call.intent.id();
         backpressureListener.onResponseHead(
                 now, attempt.upstream, attempt.sentAtNanos, requestId, status, attempt.metadata);
@@ -227,9 +229,14 @@
         }
     }
 
+    private void recordProgress(long now, DirectAttempt attempt) {
+        long watchedNow = watchedClock.look(now);
+        attempt.recordProgress(now, watchedNow);
+        attempt.upstream.recordResponse(now, watchedNow);
+    }
+
     private void onBody(long now, DirectAttempt attempt, ByteBuffer bytes) {
-        attempt.lastProgressAtNanos = now;
-        attempt.upstream.lastResponseAtNanos = now;
+        recordProgress(now, attempt);
         DirectCall call = attempt.call;
         if (call.isStream() && !attempt.prefillOnly && attempt.isSuccess()) {
             attempt.eventSplitter.add(bytes);
@@ -334,26 +341,26 @@
     // ---- progress checks
 
     void tick(long now) {
+        long watchedNow = watchedClock.look(now);
         Optional<Long> due = progressChecks.poll(now);
         while (due.isPresent()) {
-            Option.of(attempts.get(due.get())).forEach(attempt -> checkProgress(now, attempt));
+            Option.of(attempts.get(due.get())).forEach(attempt -> checkProgress(now, watchedNow, attempt));
             due = progressChecks.poll(now);
         }
     }
 
     /** Cancels an attempt that made no progress for too long, if another may be sent; else schedules a later check. */
-    private void checkProgress(long now, DirectAttempt attempt) {
+    private void checkProgress(long now, long watchedNow, DirectAttempt attempt) {
         DirectCall call = attempt.call;
         if (attempt.ended || call.closed) {
             return;
         }
-        long silentNanos = now - attempt.lastProgressAtNanos;
-        boolean upstreamSilent = now - attempt.upstream.lastResponseAtNanos >= UPSTREAM_SILENCE_NANOS;
+        long silentNanos = attempt.silentNanos(watchedNow);
+        boolean upstreamSilent = attempt.upstream.silentNanos(watchedNow) >= UPSTREAM_SILENCE_NANOS;
         long stallNanos = upstreamSilent ? UPSTREAM_SILENCE_NANOS : STREAM_STALL_NANOS;
         long timeoutNanos = call.responseStarted ? stallNanos : responseTimeoutNanos(call, attempt);
         if (silentNanos < timeoutNanos) {
-            progressChecks.set(
-                    attempt.number, Math.min(attempt.lastProgressAtNanos + timeoutNanos, now + UPSTREAM_SILENCE_NANOS));
+            progressChecks.set(attempt.number, now + Math.min(timeoutNanos - silentNanos, UPSTREAM_SILENCE_NANOS));
             return;
         }
         Optional<RetryRefusal> refusal = outcomeListener.refusalToAbandon(now, attempt);
@@ -364,7 +371,7 @@
         }
         // Idle connections may be dead without a reset, so none of them is reused.
         client.discardIdleConnections(attempt.upstream.address, attempt.upstream.id);
-        if (now - attempt.upstream.lastResponseAtNanos >= UPSTREAM_SILENCE_NANOS) {
+        if (upstreamSilent) {
             // Only a wholly silent upstream counts as failed: one that sends to others may be busy, and avoiding it
             // would overload the rest.
             attempt.upstream.recordFailure(now);
--- a/src/main/java/org/cuminshelf/direct/DirectAttempt.java
+++ b/src/main/java/org/cuminshelf/direct/DirectAttempt.java
@@ -38,6 +38,8 @@
     boolean promptPending;
 
     long lastProgressAtNanos;
+    /** The same by the {@link WatchedClock}. */
+    private long lastProgressWatchedNanos;
 
     /** Reasons logged so far for which the attempt went on while silent. */
     final Set<String> keptReasons = new HashSet<>();
@@ -45,7 +47,7 @@
     /** When the first event arrived; {@link Core#NEVER} until then. */
     long firstEventAtNanos = Core.NEVER;
 
-    DirectAttempt(long number, DirectCall call, UpstreamSelector.Choice choice, long now) {
+    DirectAttempt(long number, DirectCall call, UpstreamSelector.Choice choice, long now, long watchedNow) {
         this.number = number;
         this.call = call;
         this.upstream = choice.upstream();
@@ -54,7 +56,18 @@
         this.streamsAtSend = upstream.totalAttempts();
         this.usedKvCache = !prefillOnly && call.kvCache.isPresent();
         this.sentAtNanos = now;
-        this.lastProgressAtNanos = now;
+        recordProgress(now, watchedNow);
+    }
+
+    /** Records that it was sent, or that a part of the response arrived. */
+    void recordProgress(long now, long watchedNow) {
+        lastProgressAtNanos = now;
+        lastProgressWatchedNanos = watchedNow;
+    }
+
+    /** Returns for how long nothing arrived while this process looked, in nanoseconds. */
+    long silentNanos(long watchedNow) {
+        return watchedNow - lastProgressWatchedNanos;
     }
 
     /** Tokens that the finished request occupies in the engine's KV memory; 0 if it is not a generation. */
--- a/src/main/java/org/cuminshelf/direct/UpstreamInstance.java
+++ b/src/main/java/org/cuminshelf/direct/UpstreamInstance.java
@@ -71,6 +71,8 @@
 
     /** When it last sent any bytes, on any request of this entry. */
     long lastResponseAtNanos = NEVER_RESPONDED;
+    /** The same by the {@link WatchedClock}. */
+    private long lastResponseWatchedNanos = NEVER_RESPONDED;
 
     private int consecutiveFailures;
     private long avoidUntilNanos = Long.MIN_VALUE;
@@ -143,6 +145,17 @@
         return localMemoryTokens + remoteMemoryTokens;
     }
 
+    /** Records that a part of a response arrived from it. */
+    void recordResponse(long now, long watchedNow) {
+        lastResponseAtNanos = now;
+        lastResponseWatchedNanos = watchedNow;
+    }
+
+    /** Returns for how long it sent nothing on any request while this process looked, in nanoseconds. */
+    long silentNanos(long watchedNow) {
+        return watchedNow - lastResponseWatchedNanos;
+    }
+
     /** Whether it has sent anything to this entry. */
     boolean hasResponded() {
         return lastResponseAtNanos != NEVER_RESPONDED;
