--- a/src/main/java/org/cuminshelf/direct/CallDispatcher.java
+++ b/src/main/java/org/cuminshelf/direct/CallDispatcher.java
@@ -141,6 +141,7 @@
             }
             case AdmissionControl.Decision.Refuse(Verdict.NotRun verdict, String reason) -> {
                 call.lastFailure = Optional.of(verdict);
+                call.noRetryReason = reason;
                 failCall(now, call, reason);
             }
         }
@@ -222,8 +223,7 @@
                 onAttemptFailed(
                         now,
                         attempt,
-                        new Verdict.NotRun(Cause.CONNECT_FAILED, CallerResponses.DEFAULT_RETRY_AFTER_MILLIS),
-                        false);
+                        new Verdict.NotRun(Cause.CONNECT_FAILED, CallerResponses.DEFAULT_RETRY_AFTER_MILLIS));
             } else {
                 recordUsageWithoutResponse(attempt);
                 poisonGuard.onAttemptFailed(now, attempt);
@@ -238,8 +238,10 @@
         }
 
         @Override
-        public boolean mayAbandon(long now, DirectAttempt attempt) {
-            return (attempt.prefillOnly || attempt.call.isRetryable()) && mayRetry(now, attempt.call);
+        public Optional<RetryRefusal> refusalToAbandon(long now, DirectAttempt attempt) {
+            return attempt.prefillOnly || attempt.call.isRetryable()
+                    ? limitReached(now, attempt.call)
+                    : Optional.of(RetryRefusal.NOT_REPEATABLE);
         }
     }
 
@@ -280,15 +282,24 @@
             onOverloadRejection(now, attempt);
             return;
         }
-        boolean retry = call.isRetryable()
-                && isServerError(attempt.status)
-                && mayRetry(now, call)
-                && retryBudget.tryAcquire(now, call.service, control.entries().size());
-        if (!call.responseStarted && attempt.metadata.authentic() && !retry) {
+        boolean forwardable = !call.responseStarted && attempt.metadata.authentic();
+        if (forwardable && !(call.isRetryable() && isServerError(attempt.status))) {
             forwardResponse(now, attempt);
             return;
         }
-        onAttemptFailed(now, attempt, new Verdict.HasRun(Cause.UPSTREAM_ERROR), !retry);
+        if (call.closed) {
+            return;
+        }
+        Verdict verdict = new Verdict.HasRun(Cause.UPSTREAM_ERROR);
+        recordFailedAttempt(attempt, verdict);
+        Optional<RetryRefusal> refusal = acquireRetry(now, call);
+        if (refusal.isEmpty()) {
+            place(now, call);
+        } else if (forwardable) {
+            forwardResponse(now, attempt);
+        } else {
+            failCall(now, call, verdict, refusal.get());
+        }
     }
 
     /** Handles a rejection for lack of capacity, which does not count as a failure of the upstream. */
@@ -342,16 +353,24 @@
 
     // ---- retries and failures
 
+    /** Retries a call after a failed attempt if that is safe and allowed, else fails it. */
     private void onAttemptFailed(long now, DirectAttempt attempt, Verdict verdict) {
-        onAttemptFailed(now, attempt, verdict, true);
-    }
-
-    /** Retries a call after a failed attempt if that is safe and allowed, else fails it; {@code arrived} is unused. */
-    private void onAttemptFailed(long now, DirectAttempt attempt, Verdict verdict, boolean arrived) {
         DirectCall call = attempt.call;
         if (call.closed) {
             return;
         }
+        recordFailedAttempt(attempt, verdict);
+        Optional<RetryRefusal> refusal = acquireRetry(now, call);
+        if (refusal.isEmpty()) {
+            place(now, call);
+        } else {
+            failCall(now, call, verdict, refusal.get());
+        }
+    }
+
+    /** Records on a call what the failure of one of its attempts means for later ones. */
+    private void recordFailedAttempt(DirectAttempt attempt, Verdict verdict) {
+        DirectCall call = attempt.call;
         call.excludedUpstreams.add(attempt.upstream.id);
         call.lastFailure = Optional.of(verdict);
         if (!(verdict instanceof Verdict.NotRun)) {
@@ -366,19 +385,37 @@
                 releaseKvCache(call);
             }
         }
-        boolean retrySafe = !call.mayHaveRun || call.isRetryable();
-        if (retrySafe
-                && mayRetry(now, call)
-                && poisonGuard.mayRetry(call)
-                && retryBudget.tryAcquire(now, call.service, control.entries().size())) {
-            place(now, call);
-        } else {
-            failCall(now, call, verdict.label() + "/" + verdict.cause());
+    }
+
+    /** Takes one retry of the service's budget for a call; returns why it may not be retried, or empty. */
+    private Optional<RetryRefusal> acquireRetry(long now, DirectCall call) {
+        if (call.mayHaveRun && !call.isRetryable()) {
+            return Optional.of(RetryRefusal.NOT_REPEATABLE);
+        }
+        Optional<RetryRefusal> limit = limitReached(now, call);
+        if (limit.isPresent()) {
+            return limit;
+        }
+        if (!poisonGuard.mayRetry(call)) {
+            return Optional.of(RetryRefusal.UPSTREAMS_CRASHED);
+        }
+        boolean acquired =
+                retryBudget.tryAcquire(now, call.service, control.entries().size());
+        return acquired ? Optional.empty() : Optional.of(RetryRefusal.RETRY_BUDGET_EMPTY);
+    }
+
+    /** Returns which limit of a call's own forbids another attempt, or empty. */
+    private static Optional<RetryRefusal> limitReached(long now, DirectCall call) {
+        if (call.attemptCount >= call.route.maxAttempts()) {
+            return Optional.of(RetryRefusal.ATTEMPTS_USED_UP);
         }
+        boolean timeLeft = now + MIN_REMAINING_NANOS < call.deadlineNanos;
+        return timeLeft ? Optional.empty() : Optional.of(RetryRefusal.NO_TIME_LEFT);
     }
 
-    private boolean mayRetry(long now, DirectCall call) {
-        return call.attemptCount < call.route.maxAttempts() && now + MIN_REMAINING_NANOS < call.deadlineNanos;
+    private void failCall(long now, DirectCall call, Verdict verdict, RetryRefusal refusal) {
+        call.noRetryReason = refusal.label();
+        failCall(now, call, verdict.label() + "/" + verdict.cause());
     }
 
     /** Sends the final error response and closes the call; does nothing if it is closed already. */
--- a/src/main/java/org/cuminshelf/direct/DirectAttempt.java
+++ b/src/main/java/org/cuminshelf/direct/DirectAttempt.java
@@ -1,6 +1,8 @@
 package org.cuminshelf.direct;
 
 import java.io.ByteArrayOutputStream;
+import java.util.HashSet;
+import java.util.Set;
 import org.cuminshelf.core.Core;
 import org.cuminshelf.exchange.UpstreamExchange;
 import org.eclipse.jetty.http.HttpFields;
@@ -36,11 +38,16 @@
     boolean promptPending;
 
     long lastProgressAtNanos;
+    /** The same by the {@link WatchedClock}. */
+    private long lastProgressWatchedNanos;
+
+    /** Reasons logged so far for which the attempt went on while silent. */
+    final Set<String> keptReasons = new HashSet<>();
 
     /** When the first event arrived; {@link Core#NEVER} until then. */
     long firstEventAtNanos = Core.NEVER;
 
-    DirectAttempt(long number, DirectCall call, UpstreamSelector.Choice choice, long now) {
+    DirectAttempt(long number, DirectCall call, UpstreamSelector.Choice choice, long now, long watchedNow) {
         this.number = number;
         this.call = call;
         this.upstream = choice.upstream();
@@ -49,7 +56,18 @@
         this.streamsAtSend = upstream.totalAttempts();
         this.usedKvCache = !prefillOnly && call.kvCache.isPresent();
         this.sentAtNanos = now;
-        this.lastProgressAtNanos = now;
+        recordProgress(now, watchedNow);
+    }
+
+    /** Records that it was sent, or that a part of the response arrived. */
+    void recordProgress(long now, long watchedNow) {
+        lastProgressAtNanos = now;
+        lastProgressWatchedNanos = watchedNow;
+    }
+
+    /** Returns for how long nothing arrived while this process looked, in nanoseconds. */
+    long silentNanos(long watchedNow) {
+        return watchedNow - lastProgressWatchedNanos;
     }
 
     /** Tokens that the finished request occupies in the engine's KV memory; 0 if it is not a generation. */
