--- a/src/test/java/org/cuminshelf/direct/DirectFixture.java
+++ b/src/test/java/org/cuminshelf/direct/DirectFixture.java
@@ -158,12 +158,16 @@
 
     /** Sends a caller's request; the header {@code Tokens} makes it a generation with so many prompt tokens. */
     CallerResponse sendRequest(String id, String... headers) {
+        return sendRequestTo("/a/b", id, headers);
+    }
+
+    CallerResponse sendRequestTo(String path, String id, String... headers) {
         HttpFields.Mutable fields = HttpFields.build().put("Host", "h").put("Id", id);
         for (int index = 0; index < headers.length; index += 2) {
             fields.put(headers[index], headers[index + 1]);
         }
         CallerResponse answer = new CallerResponse();
-        core.onRequest(new ReceivedRequest("POST", "/a/b", fields.asImmutable(), new byte[0]), answer);
+        core.onRequest(new ReceivedRequest("POST", path, fields.asImmutable(), new byte[0]), answer);
         return answer;
     }
 
@@ -343,8 +347,9 @@
                             List.of(
                                     new PromptSegment("shared", sharedTokens(headers)),
                                     new PromptSegment(headers.get("Id"), 10))));
-            return new CallIntent(
-                    headers.get("Id"), OptionalLong.of(800), shape, number(headers.get("Last")), keys(headers));
+            OptionalLong deadlineMillis =
+                    OptionalLong.of(number(headers.get("Deadline")).orElse(800));
+            return new CallIntent(headers.get("Id"), deadlineMillis, shape, number(headers.get("Last")), keys(headers));
         }
 
         private static int sharedTokens(HttpFields headers) {
