A call whose attempt broke waits for an upstream as long as its caller waits

What callers saw: a stream aborted within milliseconds of its last event, or a 502, because at the moment at which the connection broke every other upstream was full, avoided for a tenth of a second, resting or changing its role; an engine was free some milliseconds later. With a single upstream, a connection that broke under a sound engine ended its streams.

Cause: only a call that was never sent could enter the admission queue. decideWithoutUpstream() refused all others on the spot, and reportFailure() aborts what has started. "all places are taken" hid that only prefill engines were open.

Why it holds: calls whose refusal would lose work (started, may have run, prompt prefilled) and of which nothing runs wait until an event could no longer reach the caller in time (1.9 s after the last event less the engine's own time; plain calls half of their time, 1.5 s at most; a prefilled prompt its latency target), never past 60 ms before the deadline. Upstreams that failed them are tried again if no other one opens within 100 ms. A pass over the queue now counts failed placements by service, so that calls without an upstream hold back nobody else.

Ruled out: a longer wait of first attempts, whose refusal costs nothing and whose wait was measured before.

--- a/src/main/java/org/cuminshelf/direct/AdmissionControl.java
+++ b/src/main/java/org/cuminshelf/direct/AdmissionControl.java
@@ -27,13 +27,6 @@
         record Refuse(Verdict.NotRun verdict, String reason) implements Decision {}
     }
 
-    /**
-     * Longest time that a caller waits for the first event, or {@link #MAX_FIRST_EVENT_TARGETS} times the latency
-     * target of the route, whichever is longer.
-     */
-    private static final double MAX_FIRST_EVENT_MILLIS = 1_900;
-
-    private static final double MAX_FIRST_EVENT_TARGETS = 3.8;
     /**
      * Prefill backlog of an engine up to which a prompt is queued at the engine rather than here: short compared with
      * the latency targets, and long enough that no engine becomes idle before the next calls are tried.
@@ -50,19 +43,33 @@
     /** Interval over which the retries of calls are spread that were refused because of rate limits or backoffs. */
     private static final int RETRY_SPREAD_MILLIS = 1_000;
 
+    /** Time for which a call waits for upstreams on which no attempt of it has failed. */
+    private static final long MAX_WAIT_FOR_OTHERS_NANOS = Durations.nanos(100);
+
     private static final Decision WAIT = new Decision.Wait();
 
     private final UpstreamSelector selector;
     private final ControlSubscription control;
+    private final PoisonGuard poisonGuard;
     private final AdmissionQueue admissionQueue;
 
-    AdmissionControl(UpstreamSelector selector, ControlSubscription control, AdmissionQueue admissionQueue) {
+    AdmissionControl(
+            UpstreamSelector selector,
+            ControlSubscription control,
+            PoisonGuard poisonGuard,
+            AdmissionQueue admissionQueue) {
         this.selector = selector;
         this.control = control;
+        this.poisonGuard = poisonGuard;
         this.admissionQueue = admissionQueue;
     }
 
     Decision decide(long now, DirectCall call) {
+        if (wouldBeLost(call) && !poisonGuard.mayRetry(call)) {
+            // More upstreams have crashed under its request while it was waiting.
+            Verdict.NotRun verdict = new Verdict.NotRun(Cause.UPSTREAM_ERROR, PoisonGuard.SETTLING_RETRY_AFTER_MILLIS);
+            return new Decision.Refuse(verdict, "upstreams-crashed");
+        }
         Optional<UpstreamSelector.Choice> choice = selector.choose(now, call);
         choice.ifPresent(found -> recordEstimate(call, found));
         return choice.map(found -> decide(now, call, found)).orElseGet(() -> decideWithoutUpstream(now, call));
@@ -87,6 +94,9 @@
     }
 
     private Decision decideWithoutUpstream(long now, DirectCall call) {
+        if (wouldBeLost(call) && queuesForRetry(now, call)) {
+            return WAIT;
+        }
         OptionalLong next = selector.nextSendAt(now, call);
         if (next.isPresent()) {
             return decideLimited(now, call, next.getAsLong());
@@ -106,6 +116,30 @@
         return new Decision.Refuse(verdict, "no-upstream");
     }
 
+    /**
+     * Returns whether a refusal would lose work: an answer that has begun, a request that may have run or a prefilled
+     * prompt, while no attempt of the call is running.
+     */
+    private static boolean wouldBeLost(DirectCall call) {
+        boolean idle = call.lastAttempt != null && call.lastAttempt.ended;
+        return idle && (call.responseStarted || call.mayHaveRun || call.kvCache.isPresent());
+    }
+
+    /**
+     * Returns whether a call waits for an upstream that continues it. Upstreams on which its attempts have failed are
+     * tried again if no other one accepts it soon: a connection breaks under a sound upstream too.
+     */
+    private boolean queuesForRetry(long now, DirectCall call) {
+        OptionalLong otherOpenAt = selector.nextOpenAt(now, call);
+        boolean waitsForOthers = otherOpenAt.isPresent()
+                && otherOpenAt.getAsLong() - now < MAX_WAIT_FOR_OTHERS_NANOS
+                && admissionQueue.waitedNanos(now, call) < MAX_WAIT_FOR_OTHERS_NANOS;
+        if (!waitsForOthers) {
+            call.excludedUpstreams.clear();
+        }
+        return admissionQueue.addForRetry(now, call, selector.nextOpenAt(now, call));
+    }
+
     /**
      * Decides on a call for which every upstream has requested a backoff or has reached its rate limit. It waits if one
      * of them accepts it before its maximum wait ends, and is refused at once otherwise. Retry times are spread, so
@@ -113,7 +147,7 @@
      */
     private Decision decideLimited(long now, DirectCall call, long nextSendAt) {
         boolean isFirstAttempt = call.lastAttempt == null;
-        if ((isFirstAttempt || call.kvCache.isPresent()) && admissionQueue.addUntil(now, call, nextSendAt)) {
+        if (isFirstAttempt && admissionQueue.addUntil(now, call, nextSendAt)) {
             return WAIT;
         }
         call.offeredLoad.ifPresent(OfferedLoad::onRefusedForSlots);
@@ -175,15 +209,10 @@
      * to be still connected.
      */
     private static boolean isAdmittedForFairness(DirectCall call, double firstEventMillis) {
-        return firstEventMillis <= maxFirstEventMillis(call)
+        return firstEventMillis <= CallerTimeouts.maxFirstEventMillis(call)
                 && call.fairnessClaim.filter(SizeFairness.Claim::hasCredit).isPresent();
     }
 
-    /** Returns the milliseconds after which the caller of a stream without an event has disconnected. */
-    private static double maxFirstEventMillis(DirectCall call) {
-        return Math.max(MAX_FIRST_EVENT_MILLIS, MAX_FIRST_EVENT_TARGETS * call.route.targetLatencyMillis());
-    }
-
     /**
      * Returns whether the answer to a generation would be too late to be useful. Guards against a queue in which every
      * answer is late or for a disconnected caller: calls that cannot be served in time are refused at once, so that the
@@ -195,7 +224,7 @@
         }
         double ownMillis = choice.firstEventMillis() - choice.queueMillis();
         double firstEventMillis = Durations.millis(now - call.arrivedAtNanos) + ownMillis;
-        return firstEventMillis > maxFirstEventMillis(call)
+        return firstEventMillis > CallerTimeouts.maxFirstEventMillis(call)
                 || now + Durations.nanos((long) ownMillis) > call.deadlineNanos;
     }
 }
--- a/src/main/java/org/cuminshelf/direct/AdmissionQueue.java
+++ b/src/main/java/org/cuminshelf/direct/AdmissionQueue.java
@@ -5,6 +5,8 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.OptionalLong;
+import java.util.function.Predicate;
 import org.cuminshelf.core.Core;
 import org.cuminshelf.core.Durations;
 
@@ -15,6 +17,9 @@
  * accept. Engines prefill admitted prompts in order of arrival, so a prompt queued there cannot be overtaken by a more
  * urgent one. Here the call that must start soonest is first, and calls that can no longer be in time are last. A slot
  * is released every few milliseconds, so that a short wait avoids most refusals of such a cluster.
+ *
+ * <p>Calls whose attempt has failed and whose refusal would lose work come before all others, and wait as long as their
+ * callers do.
  */
 final class AdmissionQueue {
 
@@ -37,6 +42,15 @@
     private static final long MAX_DISCOVERY_WAIT_NANOS = Durations.nanos(1_500);
     /** Share of a call's time after which it is refused instead, so that its caller has time to retry. */
     private static final double MAX_DISCOVERY_WAIT_SHARE = 0.5;
+    /** Time before its deadline at which a call is not sent any more. */
+    private static final long MIN_REMAINING_NANOS = Durations.nanos(60);
+    /**
+     * Failed placements of first attempts for a service after which a pass over the queue stops: its remaining calls
+     * would find no capacity either.
+     */
+    private static final int MAX_FAILED_FIRST_ATTEMPTS = 3;
+    /** The same for retries. More of them are tried, as each has excluded other upstreams. */
+    private static final int MAX_FAILED_RETRIES = 16;
 
     /**
      * A queued call.
@@ -44,8 +58,31 @@
      * @param call          the call
      * @param latestStartAt when it must be sent to be in time, in nanoseconds
      * @param expiresAt     when its maximum wait ends, in nanoseconds
+     * @param queuedAt      when it was queued, in nanoseconds
+     */
+    private record QueuedCall(DirectCall call, long latestStartAt, long expiresAt, long queuedAt) {
+
+        private boolean isRetry() {
+            return call.lastAttempt != null;
+        }
+
+        private Group group() {
+            return new Group(call.service, isRetry());
+        }
+    }
+
+    /**
+     * Calls that compete for the same capacity.
+     *
+     * @param service their service
+     * @param retries whether they were sent before
      */
-    private record QueuedCall(DirectCall call, long latestStartAt, long expiresAt) {}
+    private record Group(String service, boolean retries) {
+
+        private int maxFailures() {
+            return retries ? MAX_FAILED_RETRIES : MAX_FAILED_FIRST_ATTEMPTS;
+        }
+    }
 
     private final Map<Long, QueuedCall> calls = new HashMap<>();
     private long nextRetryAt = Core.NEVER;
@@ -67,8 +104,7 @@
 
     /**
      * Queues a call until an upstream that requested a backoff or limits its rate accepts requests again, if that is
-     * within the maximum wait of the call. A call whose prompt was prefilled waits longer, as its KV cache would be
-     * lost.
+     * within the maximum wait of the call.
      *
      * @param now        the time in nanoseconds
      * @param call       the call
@@ -76,12 +112,40 @@
      * @return whether it is queued
      */
     boolean addUntil(long now, DirectCall call, long nextSendAt) {
-        double share = call.kvCache.isPresent() ? 1 : MAX_WAIT_TARGET_SHARE;
-        long maxWaitNanos = Durations.nanos((long) (share * call.route.targetLatencyMillis()));
+        long maxWaitNanos = Durations.nanos((long) (MAX_WAIT_TARGET_SHARE * call.route.targetLatencyMillis()));
         boolean inTime = nextSendAt < call.arrivedAtNanos + maxWaitNanos;
         return inTime && add(now, call, call.route.targetLatencyMillis(), maxWaitNanos);
     }
 
+    /**
+     * Queues a call whose attempt has failed until an upstream accepts it, if its caller waits that long.
+     *
+     * @param now        the time in nanoseconds
+     * @param call       the call
+     * @param nextOpenAt when an upstream may accept it, in nanoseconds; empty if none will
+     * @return whether it is queued
+     */
+    boolean addForRetry(long now, DirectCall call, OptionalLong nextOpenAt) {
+        long expiresAt = Math.min(call.deadlineNanos - MIN_REMAINING_NANOS, maxRetryWaitEnd(call));
+        boolean inTime = nextOpenAt.isPresent() && nextOpenAt.getAsLong() < expiresAt;
+        return inTime && put(now, call, expiresAt, expiresAt);
+    }
+
+    /**
+     * Returns when a call must be sent again at the latest, in nanoseconds: an event has to reach the caller before it
+     * disconnects. A prompt that was only prefilled waits for its latency target, as another prefill costs no more.
+     */
+    private static long maxRetryWaitEnd(DirectCall call) {
+        if (!call.isStream()) {
+            return call.arrivedAtNanos + maxDiscoveryWaitNanos(call.deadlineNanos - call.arrivedAtNanos);
+        }
+        if (!call.responseStarted && !call.mayHaveRun) {
+            return call.arrivedAtNanos + Durations.nanos(call.route.targetLatencyMillis());
+        }
+        double ownMillis = call.estimatedFirstEventMillis - call.estimatedQueueMillis + SAFETY_MARGIN_MILLIS;
+        return CallerTimeouts.nextEventDueAt(call) - Durations.nanos((long) ownMillis);
+    }
+
     /**
      * Queues a call until upstreams are discovered.
      *
@@ -103,13 +167,17 @@
     }
 
     private boolean add(long now, DirectCall call, double slackMillis, long maxWaitNanos) {
-        long expiresAt = Math.min(call.deadlineNanos, call.arrivedAtNanos + maxWaitNanos);
+        long latestStartAt = call.arrivedAtNanos + Durations.nanos((long) slackMillis);
+        return put(now, call, latestStartAt, Math.min(call.deadlineNanos, call.arrivedAtNanos + maxWaitNanos));
+    }
+
+    private boolean put(long now, DirectCall call, long latestStartAt, long expiresAt) {
+        QueuedCall previous = calls.remove(call.number);
         if (now >= expiresAt) {
-            calls.remove(call.number);
             return false;
         }
-        long latestStartAt = call.arrivedAtNanos + Durations.nanos((long) slackMillis);
-        calls.put(call.number, new QueuedCall(call, latestStartAt, expiresAt));
+        long queuedAt = previous == null ? now : previous.queuedAt;
+        calls.put(call.number, new QueuedCall(call, latestStartAt, expiresAt, queuedAt));
         nextRetryAt = Math.min(nextRetryAt, now + RETRY_INTERVAL_NANOS);
         return true;
     }
@@ -118,28 +186,53 @@
         calls.remove(call.number);
     }
 
+    /** Returns for how long a call has been in the queue, in nanoseconds; 0 if it is not. */
+    long waitedNanos(long now, DirectCall call) {
+        QueuedCall queued = calls.get(call.number);
+        return queued == null ? 0 : now - queued.queuedAt;
+    }
+
     long nextDue() {
         return calls.isEmpty() ? Core.NEVER : nextRetryAt;
     }
 
     /**
-     * Returns the calls to try now, those that must start soonest first; calls that can no longer be in time are last.
+     * Tries to place the queued calls in order, until too many of a service fail; calls whose maximum wait has ended
+     * are always tried.
+     *
+     * @param now       the time in nanoseconds
+     * @param placement sends, refuses or queues a call again, and returns whether it was sent
      */
-    List<DirectCall> due(long now) {
+    void placeDue(long now, Predicate<DirectCall> placement) {
         if (now < nextDue()) {
-            return List.of();
+            return;
         }
         nextRetryAt = now + RETRY_INTERVAL_NANOS;
+        Map<Group, Integer> failures = new HashMap<>();
+        for (QueuedCall queued : inOrder(now)) {
+            Group group = queued.group();
+            boolean mayFit = failures.getOrDefault(group, 0) < group.maxFailures();
+            if (isWaiting(queued) && (mayFit || now >= queued.expiresAt) && !placement.test(queued.call)) {
+                failures.merge(group, 1, Integer::sum);
+            }
+        }
+    }
+
+    /**
+     * Returns the queued calls: retries first, and of each kind those that must start soonest; calls that can no longer
+     * be in time are last.
+     */
+    private List<QueuedCall> inOrder(long now) {
         List<QueuedCall> ordered = new ArrayList<>(calls.values());
-        ordered.sort(Comparator.comparing((QueuedCall queued) -> queued.latestStartAt < now)
+        ordered.sort(Comparator.comparing((QueuedCall queued) -> !queued.isRetry())
+                .thenComparing(queued -> queued.latestStartAt < now)
                 .thenComparingLong(QueuedCall::latestStartAt)
                 .thenComparingLong(queued -> queued.call.number));
-        return ordered.stream().map(QueuedCall::call).toList();
+        return ordered;
     }
 
-    /** Returns whether the maximum wait of a call has ended, so that it must be sent or refused now. */
-    boolean isExpired(long now, DirectCall call) {
-        QueuedCall queued = calls.get(call.number);
-        return queued == null || now >= queued.expiresAt;
+    /** Returns whether a call is still queued as it was when the pass over the queue began. */
+    private boolean isWaiting(QueuedCall queued) {
+        return calls.get(queued.call.number) == queued;
     }
 }
--- a/src/main/java/org/cuminshelf/direct/CallDispatcher.java
+++ b/src/main/java/org/cuminshelf/direct/CallDispatcher.java
@@ -25,8 +25,6 @@
  */
 final class CallDispatcher {
 
-    /** Failed placements after which a pass over the queue stops: the remaining calls would find no capacity either. */
-    private static final int MAX_FAILED_PLACEMENTS = 3;
     /** Remaining time below which no further attempt is sent. */
     private static final long MIN_REMAINING_NANOS = Durations.nanos(60);
 
@@ -80,7 +78,7 @@
         this.backpressureListener = backpressureListener;
         this.poisonGuard = poisonGuard;
         this.usageMeter = usageMeter;
-        this.admission = new AdmissionControl(selector, control, admissionQueue);
+        this.admission = new AdmissionControl(selector, control, poisonGuard, admissionQueue);
         this.responses = new CallerResponses(control, log);
         this.attemptRunner = new AttemptRunner(
                 protocol,
@@ -146,16 +144,12 @@
         }
     }
 
-    /** Tries to place queued calls, in order, until too many fail; calls whose wait is over are always decided. */
     private void retryWaiting(long now) {
-        int failures = 0;
-        for (DirectCall call : admissionQueue.due(now)) {
-            if (failures < MAX_FAILED_PLACEMENTS || admissionQueue.isExpired(now, call)) {
-                DirectAttempt previous = call.lastAttempt;
-                place(now, call);
-                failures += call.lastAttempt == previous ? 1 : 0;
-            }
-        }
+        admissionQueue.placeDue(now, call -> {
+            DirectAttempt previous = call.lastAttempt;
+            place(now, call);
+            return call.lastAttempt != previous;
+        });
     }
 
     private void sendAttempt(long now, DirectCall call, UpstreamSelector.Choice choice) {
--- a/src/main/java/org/cuminshelf/direct/UpstreamSelector.java
+++ b/src/main/java/org/cuminshelf/direct/UpstreamSelector.java
@@ -125,6 +125,8 @@
     private static final double FULL_MEMORY_PENALTY_REQUESTS = 1_000;
 
     private static final double MICROS_PER_MILLI = 1e3;
+    /** Shortest time until an engine whose role is being changed accepts calls again. */
+    private static final long MIN_ROLE_CHANGE_NANOS = Durations.nanos(200);
 
     private final UpstreamTable upstreams;
     private final ControlSubscription control;
@@ -516,13 +518,32 @@
                 return OptionalLong.empty();
             }
             askedToWait |= limited;
-            long openAt =
-                    Math.max(upstream.avoidedUntilNanos(), limited ? backpressure.nextSendTime(now, upstream.id) : now);
-            next = Math.min(next, openAt);
+            next = Math.min(next, openAt(now, upstream, call));
         }
         return askedToWait ? OptionalLong.of(next) : OptionalLong.empty();
     }
 
+    /** Returns when an upstream accepts a call, as far as known here, in nanoseconds. */
+    private long openAt(long now, UpstreamInstance upstream, DirectCall call) {
+        long permittedAt = hasPermit(now, upstream, call) ? now : backpressure.nextSendTime(now, upstream.id);
+        long changedAt = upstream.roleChanging ? now + MIN_ROLE_CHANGE_NANOS : now;
+        return Math.max(upstream.avoidedUntilNanos(), Math.max(permittedAt, changedAt));
+    }
+
+    /**
+     * Returns when the first upstream that could answer a call may accept it, whether or not it has a free slot then.
+     *
+     * @return the time in nanoseconds, which may have passed; empty if no upstream is left for the call
+     */
+    OptionalLong nextOpenAt(long now, DirectCall call) {
+        return upstreams.instancesOf(call.service).stream()
+                .filter(upstream -> !upstream.draining
+                        && canAnswer(upstream, call)
+                        && !call.excludedUpstreams.contains(upstream.id))
+                .mapToLong(upstream -> openAt(now, upstream, call))
+                .min();
+    }
+
     /**
      * Returns the engine whose permit should be reserved for the handover of a call; empty if an engine without a rate
      * limit can take the handover.
--- a/src/test/java/org/cuminshelf/direct/DirectFixture.java
+++ b/src/test/java/org/cuminshelf/direct/DirectFixture.java
@@ -370,6 +370,7 @@
         @Override
         public UpstreamRequest attemptRequest(ReceivedRequest request, AttemptPlan plan) {
             HttpFields.Mutable fields = HttpFields.build()
+                    .put("Request", request.headers().get("Id"))
                     .put("Expect", plan.upstream())
                     .put("Left", String.valueOf(plan.remainingMillis()))
                     .put("Prefill", String.valueOf(plan.prefillOnly()));
--- a/src/test/java/org/cuminshelf/direct/PoisonGuardTest.java
+++ b/src/test/java/org/cuminshelf/direct/PoisonGuardTest.java
@@ -226,6 +226,30 @@
         assertThat(entry.sentRequests).hasSize(4).allMatch(sent -> sent.upstream.equals("u4"));
     }
 
+    /** Guards against a third crash by a stream that waits for an engine while two others end under it. */
+    @Example
+    void aWaitingStreamIsGivenUpAfterTheSecondCrash() {
+        DirectFixture entry = new DirectFixture(DirectFixture.route(RequestKind.STREAM, 3, true))
+                .becomeReady()
+                .addUpstream("u1", Role.ROLE_DECODE);
+        DirectFixture.CallerResponse response = entry.sendRequest("a", "Tokens", "600");
+        entry.lastSent().respondSealedHead(200);
+        entry.lastSent().respondBody("id: 1\ndata: a\n\n");
+        entry.sendUpdate(Update.newBuilder()
+                .addUpstreams(DirectFixture.heartbeat("u2", Role.ROLE_DECODE).toBuilder()
+                        .setChanging(true)));
+        entry.reachability = Reachability.REFUSED;
+        entry.lastSent().handler.onFailed(true, "reset");
+        entry.advance(20);
+        assertThat(response.aborted).isFalse();
+        entry.sendUpdate(Update.newBuilder()
+                .addCrashes(crash("x"))
+                .addUpstreams(DirectFixture.heartbeat("u2", Role.ROLE_DECODE)));
+        entry.advance(20);
+        assertThat(response.aborted).isTrue();
+        assertThat(entry.sentRequests).hasSize(1);
+    }
+
     @Example
     void aSuspectThatSucceedsIsReportedAsCleared() {
         DirectFixture entry = entry(false);
