Connections that break at one moment count as one failure of their upstream

What callers saw: after a moment in which connections were reset, every engine was avoided for 3 to 6 s, so that streams were cut and new calls refused. Cause: recordFailure() counted each of a dozen attempts that broke together as a failure in a row and doubled the backoff each time. Why it holds: what fails during a backoff was sent before it, so it tells nothing new; the backoff doubles with the first failure after it, as before. The end of that backoff and the time for which an upstream accepts nothing (rejected, crashed) are two fields now; nothing reads the difference yet.

--- a/src/main/java/org/cuminshelf/direct/UpstreamInstance.java
+++ b/src/main/java/org/cuminshelf/direct/UpstreamInstance.java
@@ -71,7 +71,11 @@
     long lastResponseAtNanos = Long.MIN_VALUE / 2;
 
     private int consecutiveFailures;
+    /** End of the backoff after failures. */
+    private long failureBackoffUntilNanos = Long.MIN_VALUE;
+    /** End of the time for which it accepts nothing, as it has rejected a request or crashed. */
     private long avoidUntilNanos = Long.MIN_VALUE;
+
     private double smoothedLatencyNanos;
 
     UpstreamInstance(long now, UpstreamBeat heartbeat) {
@@ -142,16 +146,22 @@
     }
 
     boolean isAvoided(long now) {
-        return now < avoidUntilNanos;
+        return now < avoidedUntilNanos();
+    }
+
+    /** Whether it is avoided only because attempts on it have failed, so that it may be sound. */
+    boolean isOnlySuspected(long now) {
+        return isAvoided(now) && now >= avoidUntilNanos;
     }
 
     /** End of the current backoff in nanoseconds; in the past if there is none. */
     long avoidedUntilNanos() {
-        return avoidUntilNanos;
+        return Math.max(failureBackoffUntilNanos, avoidUntilNanos);
     }
 
     void recordSuccess(long latencyNanos) {
         consecutiveFailures = 0;
+        failureBackoffUntilNanos = Long.MIN_VALUE;
         avoidUntilNanos = Long.MIN_VALUE;
         smoothedLatencyNanos = smoothedLatencyNanos == 0
                 ? latencyNanos
@@ -167,12 +177,18 @@
      * Records a failure. After several in a row the instance is avoided with an exponential backoff, and tried again
      * with the first request after it. Without that, every request sent to an instance that is dead but still listed by
      * control would be lost until its lease ends.
+     *
+     * <p>Failures during a backoff do not lengthen it: they are those of attempts sent before it, which often fail
+     * together. Guards against avoiding an upstream for seconds because all its connections broke at one moment.
      */
     void recordFailure(long now) {
+        if (now < failureBackoffUntilNanos) {
+            return;
+        }
         consecutiveFailures++;
         if (consecutiveFailures >= MIN_FAILURES_BEFORE_BACKOFF) {
             int doublings = Math.min(4, consecutiveFailures - MIN_FAILURES_BEFORE_BACKOFF);
-            avoidUntilNanos = now + Math.min(MAX_BACKOFF_NANOS, INITIAL_BACKOFF_NANOS << doublings);
+            failureBackoffUntilNanos = now + Math.min(MAX_BACKOFF_NANOS, INITIAL_BACKOFF_NANOS << doublings);
         }
     }
 
