--- a/src/main/java/org/cuminshelf/process/DirectEntryProcess.java
+++ b/src/main/java/org/cuminshelf/process/DirectEntryProcess.java
@@ -5,10 +5,7 @@
 import java.nio.ByteBuffer;
 import java.util.List;
 import java.util.Optional;
-import java.util.concurrent.ExecutorService;
-import java.util.concurrent.Executors;
 import java.util.concurrent.TimeUnit;
-import java.util.concurrent.locks.Condition;
 import java.util.concurrent.locks.ReentrantLock;
 import java.util.function.Consumer;
 import java.util.function.Function;
@@ -16,7 +13,6 @@
 import org.cuminshelf.core.Outbox;
 import org.cuminshelf.direct.DirectCore;
 import org.cuminshelf.direct.DirectSettings;
-import org.cuminshelf.direct.RouteTableReader;
 import org.cuminshelf.direct.UpstreamClient;
 import org.cuminshelf.direct.UpstreamProtocol;
 import org.cuminshelf.exchange.CallerExchange;
@@ -55,7 +51,6 @@
 
     private static final long DRAIN_POLL_MILLIS = 20;
     private static final long DRAIN_CONFIRM_MILLIS = 60;
-    private static final long MAX_WAIT_NANOS = TimeUnit.SECONDS.toNanos(1);
     private static final int OK = 200;
     private static final int SERVICE_UNAVAILABLE = 503;
 
@@ -79,23 +74,17 @@
 
     private final CommonSettings common;
     private final ReentrantLock lock = new ReentrantLock();
-    private final Condition dueTimeChanged = lock.newCondition();
     private final TcpNetwork network;
     private final CountingInvariants invariants = CountingInvariants.create();
     private final UpstreamConnections connections;
     private final DirectCore core;
-    private final Function<byte[], Optional<RouteTable>> configParser;
-    private final ExecutorService configExecutor = Executors.newSingleThreadExecutor(
-            Thread.ofPlatform().daemon().name("config").factory());
-    private final Thread ticker = new Thread(this::runTicker, "core");
+    private final LockedCoreRunner runner;
+    private final BackgroundConfigReader configReader;
     private final long incarnation;
     private final PrometheusRegistry registry = new PrometheusRegistry();
     private Optional<MetricsServer> metricsServer = Optional.empty();
     private CallerListener callerListener;
     private Optional<CallerListener> readinessListener = Optional.empty();
-    private long nextWakeUpNanos;
-    private long nextSweepNanos;
-    private volatile boolean running = true;
 
     private final Outbox outbox = new Outbox() {
         @Override
@@ -113,17 +102,18 @@
         this.common = common;
         this.incarnation = System.currentTimeMillis() << 20 | System.nanoTime() & 0xFFFFF;
         this.network = TcpNetwork.open(1, common.meshTls());
-        this.configParser = options.configParser();
+        this.configReader = new BackgroundConfigReader(lock, options.configParser(), this::wakeIfDue);
         this.connections = UpstreamConnections.start(lock);
         this.core = DirectCore.start(
                 options.settings(),
                 common.listen(),
                 options.protocol(),
-                this::readRoutes,
+                configReader,
                 new PooledUpstreamClient(),
                 System::nanoTime,
                 invariants,
                 RateLimitedDecisionLog.create(LOG, DecisionMetrics.register(registry)));
+        this.runner = new LockedCoreRunner(lock, core, outbox, this::sweep);
         registerGauges();
     }
 
@@ -147,14 +137,14 @@
     }
 
     private void open(Options options) throws IOException {
-        network.listen(common.listen(), this::accept);
+        network.listen(common.listen(), runner::accept);
         callerListener =
                 CallerListener.start(options.callerAddress(), lock, new CallerRequestHandler(), core::callerLimits);
         if (options.readinessAddress().isPresent()) {
             readinessListener = Optional.of(CallerListener.start(
                     options.readinessAddress().get(), lock, new ReadinessHandler(), () -> CallerLimits.DEFAULT));
         }
-        ticker.start();
+        runner.start();
         if (options.metricsAddress().isPresent()) {
             metricsServer =
                     Optional.of(MetricsServer.open(options.metricsAddress().get(), registry));
@@ -214,29 +204,6 @@
         }
     }
 
-    private void accept(Envelope message) {
-        lock.lock();
-        try {
-            core.accept(System.nanoTime(), message, outbox);
-            wakeIfDue();
-        } finally {
-            lock.unlock();
-        }
-    }
-
-    private void readRoutes(byte[] deflatedConfig, Consumer<Optional<RouteTable>> callback) {
-        configExecutor.execute(() -> {
-            Optional<RouteTable> routes = RouteTableReader.parse(deflatedConfig, configParser);
-            lock.lock();
-            try {
-                callback.accept(routes);
-                wakeIfDue();
-            } finally {
-                lock.unlock();
-            }
-        });
-    }
-
     private void deliver(Address to, Envelope.Builder message, boolean freshConnection) {
         if (!to.isLocal()) {
             network.send(
@@ -248,30 +215,9 @@
         }
     }
 
-    private void runTicker() {
-        lock.lock();
-        try {
-            while (running) {
-                long now = System.nanoTime();
-                if (now >= core.nextDue()) {
-                    core.tick(now, outbox);
-                }
-                if (now >= nextSweepNanos) {
-                    nextSweepNanos = now + MAX_WAIT_NANOS;
-                    connections.closeStale();
-                    core.accept(now, wallClockMessage(), outbox);
-                }
-                long wait = Math.min(MAX_WAIT_NANOS, core.nextDue() - System.nanoTime());
-                nextWakeUpNanos = System.nanoTime() + wait;
-                if (wait > 0) {
-                    dueTimeChanged.awaitNanos(wait);
-                }
-            }
-        } catch (InterruptedException e) {
-            Thread.currentThread().interrupt();
-        } finally {
-            lock.unlock();
-        }
+    private void sweep() {
+        connections.closeStale();
+        core.accept(System.nanoTime(), wallClockMessage(), outbox);
     }
 
     private static Envelope wallClockMessage() {
@@ -281,11 +227,8 @@
                 .build();
     }
 
-    /** Wakes the ticker thread if the core is now due before the scheduled wake-up. */
     private void wakeIfDue() {
-        if (core.nextDue() < nextWakeUpNanos) {
-            dueTimeChanged.signal();
-        }
+        runner.wakeIfDue();
     }
 
     /** Passes requests of callers to the core. */
@@ -345,7 +288,7 @@
     public boolean stopGracefully() throws InterruptedException {
         long startNanos = System.nanoTime();
         Logger.info(LOG + "event=stop vm={} open={}", common.vm(), core.openCalls());
-        accept(Envelope.newBuilder()
+        runner.accept(Envelope.newBuilder()
                 .setFrom(Address.PROCESS.value())
                 .setStop(Stop.getDefaultInstance())
                 .build());
@@ -372,9 +315,8 @@
 
     @Override
     public void close() {
-        running = false;
-        ticker.interrupt();
-        configExecutor.shutdownNow();
+        runner.close();
+        configReader.close();
         if (callerListener != null) {
             callerListener.close();
         }
