--- a/src/test/java/org/cuminshelf/network/TcpNetworkTest.java
+++ b/src/test/java/org/cuminshelf/network/TcpNetworkTest.java
@@ -114,6 +114,25 @@
         }
     }
 
+    /* Guards against a broken connection between two processes whenever one message can't be processed. */
+    @Example
+    void aMessageThatTheReceiverCannotProcessDoesNotCloseItsConnection() throws Exception {
+        Address address = freeAddress();
+        try (TcpNetwork server = TcpNetwork.open(1, Optional.empty());
+                java.net.Socket socket = new java.net.Socket()) {
+            server.listen(address, message -> {
+                throw new IllegalStateException("a receiver that fails in this test");
+            });
+            socket.connect(TcpNetwork.socketAddress(address));
+            socket.setSoTimeout((int) TimeUnit.SECONDS.toMillis(TIMEOUT_SECONDS));
+            byte[] message = cancel(1).toByteArray();
+            socket.getOutputStream().write(new byte[] {0, 0, 0, (byte) message.length});
+            socket.getOutputStream().write(message);
+            socket.getOutputStream().write(new byte[4]);
+            assertThat(socket.getInputStream().readNBytes(4)).hasSize(4).containsOnly(0);
+        }
+    }
+
     private static Envelope cancel(long number) {
         return Envelope.newBuilder()
                 .setFrom("10.0.0.9:1")
--- /dev/null
+++ b/src/test/java/org/cuminshelf/process/LockedCoreRunnerTest.java
@@ -0,0 +1,59 @@
+package org.cuminshelf.process;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatCode;
+
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.locks.ReentrantLock;
+import net.jqwik.api.Example;
+import net.jqwik.api.lifecycle.AfterProperty;
+import org.cuminshelf.core.RecordingOutbox;
+import org.cuminshelf.message.Envelope;
+
+/** Tests that failures of a core end neither its thread nor the threads that deliver its events. */
+class LockedCoreRunnerTest {
+
+    private final FaultyCore core = new FaultyCore();
+    private final AtomicInteger everySecondRuns = new AtomicInteger();
+    private final LockedCoreRunner runner =
+            new LockedCoreRunner(new ReentrantLock(), core, new RecordingOutbox(), this::everySecond);
+    private volatile boolean everySecondFails;
+
+    private void everySecond() {
+        everySecondRuns.incrementAndGet();
+        if (everySecondFails) {
+            throw new IllegalStateException("an action that fails in this test");
+        }
+    }
+
+    @AfterProperty
+    void close() {
+        runner.close();
+    }
+
+    /* Guards against calls that hang without a deadline, retry or queue after one tick of the core has failed. */
+    @Example
+    void theCoreIsTickedOnAfterATickThatFailed() throws Exception {
+        core.failingTicks.set(1);
+        runner.start();
+        assertThat(core.awaitTicks(3)).isTrue();
+    }
+
+    /* Guards against calls that hang after a check of the upstreams' connections has failed. */
+    @Example
+    void theCoreIsTickedOnAfterAFailedActionOfEverySecond() throws Exception {
+        everySecondFails = true;
+        runner.start();
+        assertThat(core.awaitTicks(3)).isTrue();
+        assertThat(everySecondRuns.get()).isPositive();
+    }
+
+    /* Guards against a broken connection to control whenever the core can't process one of its messages. */
+    @Example
+    void aMessageThatCannotBeProcessedDoesNotFailItsSender() {
+        core.failingMessages.set(1);
+        assertThatCode(() -> runner.accept(Envelope.getDefaultInstance())).doesNotThrowAnyException();
+        runner.accept(Envelope.getDefaultInstance());
+        assertThat(core.messages.get()).isEqualTo(1);
+    }
+}
