--- a/src/test/java/org/cuminshelf/trial/CrashingEngine.java
+++ b/src/test/java/org/cuminshelf/trial/CrashingEngine.java
@@ -3,7 +3,9 @@
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
+import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.TreeSet;
 import java.util.function.Consumer;
@@ -21,7 +23,8 @@
 
 /**
  * An engine that streams answers, ends with all its runs when a poison request begins to run, and is back some seconds
- * later under a new identity at its address.
+ * later under a new identity at its address. It may fall silent and go on where it stopped, and lose connections
+ * without a reset.
  */
 final class CrashingEngine {
 
@@ -34,6 +37,7 @@
     private static final long SHORTEST_PROMPT = Durations.nanos(20);
     private static final long PROMPT_SPREAD = Durations.nanos(80);
     private static final long EVENT_EVERY = Durations.nanos(30);
+    private static final long WHOLE_ANSWER = Durations.nanos(5);
     private static final int FEWEST_EVENTS = 3;
     private static final int EVENTS_SPREAD = 40;
     private static final long SHORTEST_POISONING = Durations.nanos(5);
@@ -47,6 +51,26 @@
         final List<Long> crashes = new ArrayList<>();
         /** When poison requests arrived, and under which id. */
         final List<Arrival> arrivals = new ArrayList<>();
+        /** When each request reached engines, whether or not one began to work on it. */
+        final Map<String, List<Long>> deliveries = new LinkedHashMap<>();
+        /** The runs of each request. */
+        final Map<String, List<RunRecord>> runs = new LinkedHashMap<>();
+
+        private int nextRun = 1;
+
+        private void delivered(String request, long at) {
+            deliveries.computeIfAbsent(request, key -> new ArrayList<>()).add(at);
+        }
+
+        private RunRecord begin(String request, Address entry, long at, long resumeAfter) {
+            RunRecord run = new RunRecord(nextRun++, entry, at, resumeAfter);
+            runs.computeIfAbsent(request, key -> new ArrayList<>()).add(run);
+            return run;
+        }
+
+        List<RunRecord> runsOf(String request) {
+            return runs.getOrDefault(request, List.of());
+        }
 
         /** Requests that arrived after a time; one that several engines had counts once. */
         int requestsAfter(long time) {
@@ -61,29 +85,80 @@
 
     private final class Run implements UpstreamExchange {
         private final UpstreamHandler handler;
+        private final Address entry;
+        private final String request;
         private final boolean poison;
+        private final boolean whole;
         private final int events;
         private final long resumeAfter;
+        private RunRecord record;
         private int made;
         private boolean over;
 
-        private Run(UpstreamHandler handler, boolean poison, int events, long resumeAfter) {
+        private Run(UpstreamHandler handler, Address entry, UpstreamRequest request, int events) {
             this.handler = handler;
-            this.poison = poison;
+            this.entry = entry;
+            this.request = request.headers().get("Id");
+            this.poison = new String(request.body(), StandardCharsets.UTF_8).startsWith(POISON);
+            this.whole = request.target().startsWith(DirectFleet.IDEMPOTENT);
             this.events = events;
-            this.resumeAfter = resumeAfter;
+            this.resumeAfter = Long.parseLong(request.headers().get("Last"));
+        }
+
+        private EngineSilence.Phase phase() {
+            if (record == null) {
+                return EngineSilence.Phase.UNREAD;
+            }
+            if (whole) {
+                return EngineSilence.Phase.WHOLE_ANSWER;
+            }
+            return made == 0 ? EngineSilence.Phase.BEFORE_HEAD : EngineSilence.Phase.BETWEEN_EVENTS;
+        }
+
+        /** Puts a step off to the end of the silences that it falls into. */
+        private boolean isPutOff(Runnable step) {
+            long until = silences.stream()
+                    .filter(silence -> silence.holds(phase(), request))
+                    .mapToLong(EngineSilence::untilNanos)
+                    .max()
+                    .orElse(0);
+            if (until <= time.now()) {
+                return false;
+            }
+            stepsPutOff++;
+            time.at(until, step);
+            return true;
+        }
+
+        private boolean isDead() {
+            return record != null && record.dead;
         }
 
         private void begin() {
-            if (over) {
+            if (over || isPutOff(this::begin)) {
                 return;
             }
             if (poison) {
                 time.after(SHORTEST_POISONING + random.nextLong(POISONING_SPREAD), this::poisonEngine);
                 return;
             }
-            handler.onHead(200, head("Seal", "s"));
-            event();
+            record.prefilled = true;
+            if (!isDead()) {
+                handler.onHead(200, head("Seal", "s"));
+            }
+            if (whole) {
+                time.after(WHOLE_ANSWER, this::answer);
+            } else {
+                event();
+            }
+        }
+
+        private void answer() {
+            if (over || isPutOff(this::answer)) {
+                return;
+            }
+            send("whole " + record.number);
+            complete();
         }
 
         private void poisonEngine() {
@@ -94,25 +169,54 @@
         }
 
         private void event() {
-            if (over) {
+            if (over || made > 0 && isPutOff(this::event)) {
                 return;
             }
             made++;
             long id = resumeAfter + made;
-            handler.onBody(ByteBuffer.wrap(("id: " + id + "\ndata: x\n\n").getBytes(StandardCharsets.UTF_8)));
+            String last = made < events ? "" : " last";
+            send("id: " + id + "\ndata: " + record.number + last + "\n\n");
+            if (over) {
+                return;
+            }
             if (made < events) {
                 time.after(EVENT_EVERY, this::event);
             } else {
-                over = true;
-                runs.remove(this);
+                complete();
+            }
+        }
+
+        private void send(String bytes) {
+            if (!isDead()) {
+                record.sentAt.add(time.now());
+                handler.onBody(ByteBuffer.wrap(bytes.getBytes(StandardCharsets.UTF_8)));
+            }
+        }
+
+        private void complete() {
+            if (over) {
+                return;
+            }
+            record.complete = true;
+            end();
+            if (!isDead()) {
                 handler.onComplete();
             }
         }
 
-        @Override
-        public void cancel() {
+        private void end() {
             over = true;
             runs.remove(this);
+            if (record != null) {
+                record.endedAt = time.now();
+            }
+        }
+
+        @Override
+        public void cancel() {
+            if (!isDead()) {
+                end();
+            }
         }
     }
 
@@ -128,6 +232,10 @@
     private Role role = Role.ROLE_DECODE;
 
     private final List<Run> runs = new ArrayList<>();
+    private final List<EngineSilence> silences = new ArrayList<>();
+    /** Steps of runs that fell into a silence. */
+    int stepsPutOff;
+
     private int starts;
     private long sequence;
     private boolean up;
@@ -208,9 +316,8 @@
     void crash() {
         up = false;
         List<Run> cut = List.copyOf(runs);
-        runs.clear();
         cut.forEach(run -> {
-            run.over = true;
+            run.end();
             time.after(random.nextLong(BREAK_SPREAD), () -> run.handler.onFailed(true, "closed"));
         });
         time.after(SHORTEST_OUTAGE + random.nextLong(OUTAGE_SPREAD), this::start);
@@ -219,23 +326,38 @@
     /** Breaks all connections, without ending. */
     void resetConnections() {
         List<Run> cut = List.copyOf(runs);
-        runs.clear();
         cut.forEach(run -> {
-            run.over = true;
+            run.end();
             time.after(random.nextLong(BREAK_SPREAD), () -> run.handler.onFailed(true, "reset"));
         });
     }
 
+    /** Says nothing for a while to the requests that the silence concerns, and goes on where it stopped. */
+    void fallSilent(EngineSilence silence) {
+        silences.removeIf(earlier -> earlier.untilNanos() <= time.now());
+        silences.add(silence);
+    }
+
+    /** Lets the connection of one running request die without a reset; new connections work. */
+    void killConnection(long lot) {
+        List<Run> living = runs.stream().filter(run -> !run.isDead()).toList();
+        if (!living.isEmpty()) {
+            living.get(Math.floorMod(lot, living.size())).record.dead = true;
+        }
+    }
+
+    /** Sees all connections of an entry closed, as its process ended. */
+    void onEntryGone(Address entry) {
+        List.copyOf(runs).stream().filter(run -> run.entry.equals(entry)).forEach(Run::end);
+    }
+
     void probe(Consumer<Reachability> whenSeen) {
         time.after(HOP, () -> whenSeen.accept(up ? Reachability.LISTENING : Reachability.REFUSED));
     }
 
     UpstreamExchange send(Address entry, String upstream, UpstreamRequest request, UpstreamHandler answers) {
         UpstreamHandler handler = needs.watch(entry, answers);
-        String body = new String(request.body(), StandardCharsets.UTF_8);
-        boolean poison = body.startsWith(POISON);
-        long resumeAfter = Long.parseLong(request.headers().get("Last"));
-        Run run = new Run(handler, poison, FEWEST_EVENTS + random.nextInt(EVENTS_SPREAD), resumeAfter);
+        Run run = new Run(handler, entry, request, FEWEST_EVENTS + random.nextInt(EVENTS_SPREAD));
         time.after(HOP, () -> arrive(entry, upstream, request, run));
         return run;
     }
@@ -251,7 +373,14 @@
     }
 
     private void arrive(Address entry, String upstream, UpstreamRequest request, Run run) {
-        if (run.over) {
+        if (up && !run.over) {
+            records.delivered(run.request, time.now());
+        }
+        read(entry, upstream, request, run);
+    }
+
+    private void read(Address entry, String upstream, UpstreamRequest request, Run run) {
+        if (run.over || up && run.isPutOff(() -> read(entry, upstream, request, run))) {
             return;
         }
         if (up) {
@@ -268,6 +397,7 @@
             if (run.poison) {
                 records.arrivals.add(new Arrival(time.now(), request.headers().get("Id")));
             }
+            run.record = records.begin(run.request, entry, time.now(), run.resumeAfter);
             runs.add(run);
             time.after(SHORTEST_PROMPT + random.nextLong(PROMPT_SPREAD), run::begin);
         }
--- a/src/test/java/org/cuminshelf/trial/DirectFleet.java
+++ b/src/test/java/org/cuminshelf/trial/DirectFleet.java
@@ -55,14 +55,22 @@
 final class DirectFleet {
 
     static final String SERVICE = "s";
-    /** A route whose streams may go on elsewhere, and one whose may not. */
+    /** A route whose streams may go on elsewhere, one whose may not, and one of idempotent requests. */
     static final String RESUMABLE = "/a/";
 
     static final String ONCE = "/b/";
+    static final String IDEMPOTENT = "/c/";
 
     private static final int CONTROL = 3;
     private static final long CONFIG_VERSION = 7;
-    private static final long PATIENCE_MILLIS = 6_000;
+    /** Time that callers give their requests. */
+    static final long PATIENCE_MILLIS = 6_000;
+
+    /** Time from the end of an entry's standstill in which it looks at its timers, before it reads its sockets. */
+    private static final long UNREAD_NANOS = 200_000;
+
+    private static final int USUAL_ATTEMPTS = 2;
+    private static final RetryLimits GENEROUS = new RetryLimits(0.2, 1_000, 10_000);
 
     final VirtualTime time = new VirtualTime();
     final VirtualNetwork network;
@@ -75,24 +83,43 @@
     final UniformRandomProvider random;
     private final List<Address> controlAddresses = new ArrayList<>();
     private final Map<Address, CrashingEngine> byAddress = new HashMap<>();
-    private final RouteTable routes = RouteTable.of(
-            CONFIG_VERSION,
-            List.of(route("a", RESUMABLE, 2, true), route("b", ONCE, 1, false)),
-            Map.of(SERVICE, new RoutedService(SERVICE, 1_000, Optional.empty())),
-            CallerLimits.DEFAULT);
+    /** Configurations by the text of their document. */
+    private final Map<String, RouteTable> configurations = new HashMap<>();
+    /** What reached entries that stand still, and waits in their sockets. */
+    private final Map<Address, List<Runnable>> unread = new HashMap<>();
+
+    private final List<Standstill> standstills = new ArrayList<>();
+    private final Shape shape;
+    private long configVersion = CONFIG_VERSION;
     private int nextRequest;
 
+    /**
+     * Size and limits of a fleet.
+     *
+     * @param entries  entries
+     * @param engines  engines of the one service
+     * @param attempts attempts that a repeatable request may take
+     * @param retries  limits on the retries of the service
+     */
+    record Shape(int entries, int engines, int attempts, RetryLimits retries) {}
+
     DirectFleet(long seed, int entryCount, int engineCount) {
+        this(seed, new Shape(entryCount, engineCount, USUAL_ATTEMPTS, GENEROUS));
+    }
+
+    DirectFleet(long seed, Shape shape) {
+        this.shape = shape;
+        configurations.put(document(CONFIG_VERSION), routes(CONFIG_VERSION, PATIENCE_MILLIS, 0, CallerLimits.DEFAULT));
         random = RandomSource.XO_RO_SHI_RO_128_PP.create(seed);
         network = new VirtualNetwork(time, ownRandom());
         for (int number = 1; number <= CONTROL; number++) {
             controlAddresses.add(Address.of("10.0.0." + number + ":7000"));
         }
         controlAddresses.forEach(this::addControl);
-        for (int number = 1; number <= entryCount; number++) {
+        for (int number = 1; number <= shape.entries(); number++) {
             addEntry(Address.of("10.0.1." + number + ":7000"), number);
         }
-        for (int number = 1; number <= engineCount; number++) {
+        for (int number = 1; number <= shape.engines(); number++) {
             Address address = Address.of("10.9.0." + number + ":8000");
             CrashingEngine engine = new CrashingEngine(address, time, network, ownRandom(), controlAddresses, records);
             engines.add(engine);
@@ -104,13 +131,52 @@
         }
     }
 
-    private static Route route(String name, String prefix, int attempts, boolean resumable) {
+    /** A time in which an entry stood still. */
+    private record Standstill(Address entry, long from, long until) {}
+
+    /** Whether an entry stood still at some time between two. */
+    boolean stoodStill(Address entry, long from, long until) {
+        return standstills.stream()
+                .anyMatch(still -> still.entry.equals(entry) && still.from <= until && still.until >= from);
+    }
+
+    private static String document(long version) {
+        return "routes " + version;
+    }
+
+    private RouteTable routes(long version, long timeoutMillis, int more, CallerLimits limits) {
+        List<Route> routes = new ArrayList<>(List.of(
+                route("a", RESUMABLE, RequestKind.STREAM, timeoutMillis, shape.attempts(), true),
+                route("b", ONCE, RequestKind.STREAM, timeoutMillis, 1, false),
+                route("c", IDEMPOTENT, RequestKind.IDEMPOTENT, timeoutMillis, shape.attempts(), false)));
+        for (int number = 0; number < more; number++) {
+            routes.add(route(
+                    "more-" + number,
+                    "/more/" + number + "/",
+                    RequestKind.STREAM,
+                    timeoutMillis,
+                    shape.attempts(),
+                    true));
+        }
+        RoutedService service = new RoutedService(SERVICE, 1_000, Optional.empty());
+        return RouteTable.of(version, routes, Map.of(SERVICE, service), limits);
+    }
+
+    /** Applies a configuration with another timeout, other limits for callers, and so many routes more. */
+    void reconfigure(long timeoutMillis, int moreRoutes, CallerLimits limits) {
+        configVersion++;
+        configurations.put(document(configVersion), routes(configVersion, timeoutMillis, moreRoutes, limits));
+        configure();
+    }
+
+    private static Route route(
+            String name, String prefix, RequestKind kind, long timeoutMillis, int attempts, boolean resumable) {
         return new Route(
                 name,
                 "h",
                 prefix,
-                RequestKind.STREAM,
-                PATIENCE_MILLIS,
+                kind,
+                timeoutMillis,
                 200,
                 0,
                 List.of(new WeightedService(SERVICE, 1)),
@@ -149,15 +215,15 @@
     }
 
     private void addEntry(Address address, int number) {
-        DirectSettings settings =
-                new DirectSettings("r", "z", "entry-" + number, controlAddresses, new RetryLimits(0.2, 1_000, 10_000));
+        DirectSettings settings = new DirectSettings("r", "z", "entry-" + number, controlAddresses, shape.retries());
         VirtualNode node = node(
                 address,
                 (booted, now) -> DirectCore.start(
                         settings,
                         address,
                         new Protocol(),
-                        RouteTableReader.synchronous(document -> Optional.of(routes)),
+                        RouteTableReader.synchronous(document ->
+                                Optional.ofNullable(configurations.get(new String(document, StandardCharsets.UTF_8)))),
                         new Port(booted),
                         booted::clock,
                         Invariants.throwing(),
@@ -168,9 +234,9 @@
 
     private void configure() {
         ConfigApply apply = ConfigApply.newBuilder()
-                .setDeclaredVersion(CONFIG_VERSION)
-                .setConfig(ByteString.copyFromUtf8("routes"))
-                .setHash("hash")
+                .setDeclaredVersion(configVersion)
+                .setConfig(ByteString.copyFromUtf8(document(configVersion)))
+                .setHash("hash " + configVersion)
                 .build();
         control.getFirst()
                 .deliver(Envelope.newBuilder()
@@ -180,6 +246,11 @@
                         .build());
     }
 
+    /** Attempts that a repeatable request may take. */
+    int attempts() {
+        return shape.attempts();
+    }
+
     /** Lets time pass. */
     void pass(long millis) {
         time.runUntil(time.now() + millis * 1_000_000);
@@ -207,19 +278,48 @@
         time.after(downMillis * 1_000_000, node::startIfDead);
     }
 
+    /** Ends an entry with its connections, and starts it again after a while. */
+    void restartEntry(VirtualNode entry, long downMillis) {
+        restart(entry, downMillis);
+        engines.forEach(engine -> engine.onEntryGone(entry.address()));
+    }
+
+    /** Lets an entry stand still for a while; what reaches it meanwhile is read once it has looked at its timers. */
+    void standStill(VirtualNode entry, long millis) {
+        if (!entry.isAlive() || entry.isPaused()) {
+            return;
+        }
+        unread.put(entry.address(), new ArrayList<>());
+        entry.pause(millis * 1_000_000, false);
+        time.after(
+                millis * 1_000_000 + UNREAD_NANOS,
+                () -> unread.remove(entry.address()).forEach(Runnable::run));
+    }
+
+    /** Hands something to the present start of an entry once it reads its sockets, and has it look at its timers. */
+    private void hand(VirtualNode entry, Runnable input) {
+        long incarnation = entry.incarnation();
+        Runnable read = () -> {
+            if (entry.isAlive() && entry.incarnation() == incarnation) {
+                input.run();
+                wake(entry);
+            }
+        };
+        Optional.ofNullable(unread.get(entry.address())).ifPresentOrElse(waiting -> waiting.add(read), read);
+    }
+
     /** Sends a request to an entry; where that can't take it, the caller is told so. */
     Call ask(VirtualNode entry, String path, String body, Consumer<Call> whenOver) {
-        Call call = new Call("q" + nextRequest++, entry, whenOver);
+        Call call = new Call("q" + nextRequest++, path, entry, whenOver);
         Optional<DirectCore> core = entry.core(DirectCore.class);
-        if (core.isEmpty() || entry.isPaused()) {
-            time.after(1_000_000, call::abort);
+        if (core.isEmpty() || entry.isPaused() && !unread.containsKey(entry.address())) {
+            time.after(1_000_000, call::loseEntry);
             return call;
         }
         HttpFields headers = HttpFields.build().put("Host", "h").put("Id", call.id);
-        core.get()
-                .onRequest(
-                        new ReceivedRequest("POST", path + "x", headers, body.getBytes(StandardCharsets.UTF_8)), call);
-        wake(entry);
+        ReceivedRequest request =
+                new ReceivedRequest("POST", path + "x", headers, body.getBytes(StandardCharsets.UTF_8));
+        hand(entry, () -> core.get().onRequest(request, call));
         return call;
     }
 
@@ -234,8 +334,17 @@
     /** A caller's request and what came of it. */
     final class Call implements CallerExchange {
         final String id;
+        final String path;
         final VirtualNode entry;
         final long askedAt = time.now();
+        /** When an event or the answer last reached the caller. */
+        long heardAt = askedAt;
+
+        /** Whether its entry ended, or was down. */
+        boolean entryLost;
+        /** Whether its caller went away. */
+        boolean left;
+
         private final Consumer<Call> whenOver;
         int status;
         HttpFields headers = HttpFields.EMPTY;
@@ -244,11 +353,33 @@
         boolean complete;
         long overAt;
 
-        private Call(String id, VirtualNode entry, Consumer<Call> whenOver) {
+        private Call(String id, String path, VirtualNode entry, Consumer<Call> whenOver) {
             this.id = id;
+            this.path = path;
             this.entry = entry;
             this.whenOver = whenOver;
-            entry.onKill(this::abort);
+            entry.onKill(this::loseEntry);
+        }
+
+        private void loseEntry() {
+            entryLost |= !over;
+            abort();
+        }
+
+        /** Has the caller go away once it hears nothing for so long. */
+        void leaveAfter(long quietNanos) {
+            time.at(heardAt + quietNanos, () -> {
+                if (over) {
+                    return;
+                }
+                if (time.now() < heardAt + quietNanos) {
+                    leaveAfter(quietNanos);
+                    return;
+                }
+                left = true;
+                end(false);
+                entry.core(DirectCore.class).ifPresent(core -> hand(entry, () -> core.onDisconnect(this)));
+            });
         }
 
         private void end(boolean whole) {
@@ -271,6 +402,9 @@
 
         @Override
         public void respond(int answered, HttpFields fields, ByteBuffer bytes) {
+            if (over) {
+                return;
+            }
             status = answered;
             headers = fields;
             writePart(bytes);
@@ -285,6 +419,10 @@
 
         @Override
         public void writePart(ByteBuffer bytes) {
+            if (over) {
+                return;
+            }
+            heardAt = time.now();
             body.append(StandardCharsets.UTF_8.decode(bytes));
         }
 
@@ -328,8 +466,7 @@
         /** Passes something on to the start of the entry that asked for it, and has the entry look at its timers. */
         private void pass(Runnable answer) {
             if (node.isAlive() && node.incarnation() == incarnation) {
-                answer.run();
-                wake(node);
+                hand(node, answer);
             }
         }
 
@@ -369,8 +506,9 @@
             String id = request.headers().get("Id");
             GenerationShape shape = new GenerationShape(
                     "m", 600, 100, List.of(new PromptSegment("shared", 100), new PromptSegment(id, 500)));
-            return new CallIntent(
-                    id, OptionalLong.of(PATIENCE_MILLIS), Optional.of(shape), OptionalLong.empty(), CALLER);
+            Optional<GenerationShape> generation =
+                    request.path().startsWith(IDEMPOTENT) ? Optional.empty() : Optional.of(shape);
+            return new CallIntent(id, OptionalLong.of(PATIENCE_MILLIS), generation, OptionalLong.empty(), CALLER);
         }
 
         @Override
--- /dev/null
+++ b/src/test/java/org/cuminshelf/trial/RetryWindows.java
@@ -0,0 +1,44 @@
+package org.cuminshelf.trial;
+
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.cuminshelf.core.Durations;
+import org.cuminshelf.direct.RetryLimits;
+
+/** Counts what reached engines beyond the first of each request in sliding windows. */
+final class RetryWindows {
+
+    static final RetryLimits LIMITS = RetryLimits.DEFAULT;
+
+    private RetryWindows() {}
+
+    /** Describes a window with more repeats than the limits allow, if there is one. */
+    static Optional<String> excess(List<DirectFleet.Call> calls, Map<String, List<Long>> deliveries) {
+        List<Long> repeats = new ArrayList<>();
+        deliveries.values().forEach(times -> repeats.addAll(times.subList(1, times.size())));
+        Collections.sort(repeats);
+        long window = Durations.nanos(LIMITS.windowMillis());
+        for (long end : repeats) {
+            long count = repeats.stream()
+                    .filter(at -> at > end - window && at <= end)
+                    .count();
+            long requests = Math.max(
+                    asked(calls, end, window),
+                    Math.max(asked(calls, end - window / 2, window), asked(calls, end - window, window)));
+            double allowed = LIMITS.ratio() * requests + LIMITS.allowance();
+            if (count > allowed) {
+                return Optional.of(count + " repeats up to " + Durations.millis(end) + " ms, allowed " + allowed);
+            }
+        }
+        return Optional.empty();
+    }
+
+    private static long asked(List<DirectFleet.Call> calls, long end, long window) {
+        return calls.stream()
+                .filter(call -> call.askedAt > end - window && call.askedAt <= end)
+                .count();
+    }
+}
