Make before break: a silent attempt goes on until another one has taken over

Callers saw answers of sound upstreams that paused end without their end, or as 502. The cause: an attempt without progress was cancelled first, and only then were the retry budget, crashes under the request and an upstream for it looked for, the old one being excluded by then; and each attempt counted as a failure of its upstream, so that a pause of all engines made new calls refused. Now a replacement is sent beside the silent attempt (hedged request), only if attempts, time, budget and the poison guard allow it and an upstream that is neither in use by the call nor silent takes it at once; else the attempt goes on and is looked at again 100 ms later. The first new event of a stream, or the head of a success, wins, and the others are cancelled; a failure of one ends only that one. A stream's old attempt is cancelled 250 ms after its replacement was sent. A prefill runs nothing and is replaced in the same step. A replacement never uses the KV cache that the old attempt fetches. A wholly silent upstream counts as failed once a second. CallDispatcherTest.anIdempotentRequestMovesAway... asked that the first attempt be cancelled before the second had responded, which is the fault; it now asks that it be open until then and cancelled with the head.

--- a/src/main/java/org/cuminshelf/direct/AttemptLog.java
+++ b/src/main/java/org/cuminshelf/direct/AttemptLog.java
@@ -33,8 +33,8 @@
                 requestSent ? attempt.call.fingerprint() : "none");
     }
 
-    /** Logs an attempt that was cancelled as it made no progress. */
-    void noteSilent(long now, DirectAttempt attempt, long silentNanos) {
+    /** Logs that an attempt makes no progress and another upstream is sent a replacement. */
+    void noteSilent(long now, DirectAttempt attempt, long silentNanos, UpstreamInstance replacement) {
         log.note(
                 "attempt",
                 attempt.call.intent.id(),
@@ -42,6 +42,8 @@
                 attempt.upstream.id,
                 "outcome",
                 "silent",
+                "replacement",
+                replacement.id,
                 "quiet-ms",
                 Durations.millis(silentNanos),
                 "upstream-quiet-ms",
@@ -52,6 +54,23 @@
                 attempt.call.deliveredEvents);
     }
 
+    /** Logs an attempt that was cancelled. */
+    void noteCancelled(long now, DirectAttempt attempt, String reason) {
+        log.note(
+                "attempt",
+                attempt.call.intent.id(),
+                "upstream",
+                attempt.upstream.id,
+                "outcome",
+                "cancelled",
+                "reason",
+                reason,
+                "quiet-ms",
+                Durations.millis(now - attempt.lastProgressAtNanos),
+                "ms",
+                Durations.millis(now - attempt.sentAtNanos));
+    }
+
     /** Logs that an attempt without progress goes on, once for each reason. */
     void noteKept(long now, DirectAttempt attempt, long silentNanos, String reason) {
         attempt.call.noRetryReason = reason;
--- a/src/main/java/org/cuminshelf/direct/AttemptRunner.java
+++ b/src/main/java/org/cuminshelf/direct/AttemptRunner.java
@@ -3,6 +3,7 @@
 import io.vavr.control.Option;
 import java.nio.ByteBuffer;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.function.LongSupplier;
@@ -42,11 +43,17 @@
          */
         void onConnectionFailed(long now, DirectAttempt attempt, boolean requestSent);
 
-        /** Called after an attempt without progress was cancelled. */
-        void onTimeout(long now, DirectAttempt attempt);
+        /**
+         * Called when an attempt has made no progress for too long, and again at intervals while that lasts.
+         *
+         * @param now         the time in nanoseconds
+         * @param attempt     the attempt, which is open
+         * @param silentNanos for how long nothing arrived
+         */
+        void onSilent(long now, DirectAttempt attempt, long silentNanos);
 
-        /** Why an attempt without progress may not be cancelled in favour of another one; empty if it may. */
-        Optional<RetryRefusal> refusalToAbandon(long now, DirectAttempt attempt);
+        /** Called after an attempt of a stream was cancelled in favour of its replacement, which has not responded. */
+        void onSuperseded(long now, DirectAttempt attempt);
     }
 
     /**
@@ -54,8 +61,14 @@
      * requests: that engine may only be busy, and a restart costs a whole prefill. Callers disconnect after 2 s.
      */
     private static final long STREAM_STALL_NANOS = Durations.nanos(1_500);
-    /** The same where the upstream sends nothing on any request. */
-    private static final long UPSTREAM_SILENCE_NANOS = Durations.nanos(600);
+    /** Interval of looking again at a silent attempt. */
+    private static final long SILENT_CHECK_INTERVAL_NANOS = Durations.nanos(100);
+    /** Longest time between two looks at an attempt, as the silence of a whole upstream shortens its timeout. */
+    private static final long MAX_CHECK_INTERVAL_NANOS = Durations.nanos(500);
+    /**
+     * Time for which a silent stream goes on beside its replacement. Two engines may not work on a stream for 400 ms.
+     */
+    private static final long MAX_STREAM_OVERLAP_NANOS = Durations.nanos(250);
     /** Lower bound of the time without a byte after which an idempotent request is sent to another upstream. */
     private static final long MIN_RESPONSE_TIMEOUT_NANOS = Durations.nanos(150);
     /** Multiple of the upstream's smoothed latency that an idempotent request may take before that. */
@@ -93,7 +106,8 @@
             UpstreamClient client,
             CallerResponses responses,
             LongSupplier clock,
-            DecisionLog log,
+            WatchedClock watchedClock,
+            AttemptLog log,
             EngineLatencyModels engineModels,
             LoadGossip loadGossip,
             BackpressureListener backpressureListener,
@@ -102,12 +116,12 @@
         this.client = client;
         this.responses = responses;
         this.clock = clock;
-        this.log = new AttemptLog(log);
+        this.watchedClock = watchedClock;
+        this.log = log;
         this.engineModels = engineModels;
         this.loadGossip = loadGossip;
         this.backpressureListener = backpressureListener;
         this.outcomeListener = outcomeListener;
-        this.watchedClock = new WatchedClock(clock.getAsLong());
     }
 
     long nextDue() {
@@ -124,14 +138,19 @@
      * @param now    the time in nanoseconds
      * @param call   the call
      * @param choice the upstream selected for it
+     * @param kvCache the KV cache from which the upstream continues
+     * @return the attempt, which has ended already if it could not be sent
      */
-    void send(long now, DirectCall call, UpstreamSelector.Choice choice) {
+    DirectAttempt send(long now, DirectCall call, UpstreamSelector.Choice choice, Optional<KvCacheHandle> kvCache) {
         UpstreamInstance upstream = choice.upstream();
-        DirectAttempt attempt = new DirectAttempt(nextAttemptNumber++, call, choice, now, watchedClock.look(now));
+        long watchedNow = watchedClock.look(now);
+        DirectAttempt attempt = new DirectAttempt(nextAttemptNumber++, call, choice, kvCache, now, watchedNow);
         call.lastAttempt = attempt;
         call.sentTo.add(upstream.id);
         call.noRetryReason = "none";
         attempts.put(attempt.number, attempt);
+        call.openAttempts.add(attempt);
+        upstream.recordSent(watchedNow);
         upstream.localAttempts++;
         upstream.localMemoryTokens += attempt.memoryTokens();
         if (attempt.estimate.prefillMillis() > 0) {
@@ -153,12 +172,13 @@
                 Durations.millisLeft(now, call.deadlineNanos),
                 queuePriority(call),
                 attempt.prefillOnly,
-                attempt.prefillOnly ? Optional.empty() : call.kvCache,
+                attempt.prefillOnly ? Optional.empty() : kvCache,
                 choice.prefixSource().map(instance -> instance.address),
                 call.lastEventId);
         UpstreamRequest request = protocol.attemptRequest(call.request, plan);
         progressChecks.set(attempt.number, now + responseTimeoutNanos(call, attempt));
         attempt.exchange = client.send(upstream.address, upstream.id, request, new ResponseHandler(attempt));
+        return attempt;
     }
 
     /** The priority of a call in the engine's queue, derived from that of its organisation or else its route. */
@@ -226,6 +246,10 @@
             // An upstream may respond twice or late, so these bytes belong to another request.
             attempt.exchange.cancel();
             onConnectionFailed(now, attempt, true, "the answer names another request");
+            return;
+        }
+        if (attempt.isSuccess() && !attempt.call.isStream()) {
+            cancelOthers(now, attempt);
         }
     }
 
@@ -261,6 +285,8 @@
                     && call.lastEventId.isPresent()
                     && event.get().id().getAsLong() <= call.lastEventId.getAsLong();
             if (!alreadyDelivered) {
+                // From here on nothing of another attempt is delivered.
+                cancelOthers(now, attempt);
                 responses.startResponse(now, attempt);
                 call.exchange.writePart(ByteBuffer.wrap(event.get().bytes()));
                 if (call.deliveredEvents > 0) {
@@ -272,7 +298,9 @@
             }
             event = attempt.eventSplitter.next();
         }
-        progressChecks.set(attempt.number, now + UPSTREAM_SILENCE_NANOS);
+        if (!attempt.isSuperseded()) {
+            progressChecks.set(attempt.number, now + MAX_CHECK_INTERVAL_NANOS);
+        }
     }
 
     /** Records the first event of an attempt, and feeds its timing to the engine model. */
@@ -315,6 +343,7 @@
         }
         observeEventGap(attempt);
         close(attempt);
+        attempt.upstream.recordCompletion();
         outcomeListener.onCompleted(now, attempt);
     }
 
@@ -349,41 +378,78 @@
         }
     }
 
-    /** Cancels an attempt that made no progress for too long, if another may be sent; else schedules a later check. */
+    /** Reports an attempt that made no progress for too long, and schedules a later check. */
     private void checkProgress(long now, long watchedNow, DirectAttempt attempt) {
         DirectCall call = attempt.call;
         if (attempt.ended || call.closed) {
             return;
         }
+        if (attempt.isSuperseded() && call.isStream()) {
+            cancelFor(now, attempt, "replaced");
+            outcomeListener.onSuperseded(now, attempt);
+            return;
+        }
         long silentNanos = attempt.silentNanos(watchedNow);
-        boolean upstreamSilent = attempt.upstream.silentNanos(watchedNow) >= UPSTREAM_SILENCE_NANOS;
-        long stallNanos = upstreamSilent ? UPSTREAM_SILENCE_NANOS : STREAM_STALL_NANOS;
-        long timeoutNanos = call.responseStarted ? stallNanos : responseTimeoutNanos(call, attempt);
+        long timeoutNanos = timeoutNanos(watchedNow, attempt);
         if (silentNanos < timeoutNanos) {
-            progressChecks.set(attempt.number, now + Math.min(timeoutNanos - silentNanos, UPSTREAM_SILENCE_NANOS));
+            progressChecks.set(attempt.number, now + nextCheckNanos(watchedNow, attempt, timeoutNanos));
             return;
         }
-        Optional<RetryRefusal> refusal = outcomeListener.refusalToAbandon(now, attempt);
-        if (refusal.isPresent()) {
-            log.noteKept(now, attempt, silentNanos, refusal.get().label());
-            progressChecks.set(attempt.number, now + timeoutNanos);
+        progressChecks.set(attempt.number, now + SILENT_CHECK_INTERVAL_NANOS);
+        // Only a wholly silent upstream counts as failed: one that sends to others may be busy, and avoiding it would
+        // overload the rest.
+        attempt.upstream.recordSilence(now, watchedNow);
+        if (call.openAttempts.getLast() == attempt) {
+            outcomeListener.onSilent(now, attempt, silentNanos);
+        }
+    }
+
+    /** Returns the time until an attempt may be found silent, alone or with its whole upstream. */
+    private static long nextCheckNanos(long watchedNow, DirectAttempt attempt, long timeoutNanos) {
+        long ownNanos = attempt.silentNanos(watchedNow);
+        long upstreamNanos = attempt.upstream.silentNanos(watchedNow);
+        long untilSilentNanos = UpstreamInstance.SILENCE_NANOS - Math.min(ownNanos, upstreamNanos);
+        return Math.min(timeoutNanos - ownNanos, Math.max(1, Math.min(untilSilentNanos, MAX_CHECK_INTERVAL_NANOS)));
+    }
+
+    /** Returns the time without progress after which an attempt may be replaced. */
+    private static long timeoutNanos(long watchedNow, DirectAttempt attempt) {
+        if (!attempt.call.responseStarted) {
+            return responseTimeoutNanos(attempt.call, attempt);
+        }
+        return attempt.upstream.isLongSilent(watchedNow) ? UpstreamInstance.SILENCE_NANOS : STREAM_STALL_NANOS;
+    }
+
+    /** Cancels an attempt of a stream soon after its replacement was sent, unless it goes on before. */
+    void limitOverlap(long now, DirectAttempt attempt, DirectAttempt replacement) {
+        attempt.replacement = replacement;
+        if (!attempt.ended && attempt.isSuperseded() && attempt.call.isStream()) {
+            progressChecks.set(attempt.number, now + MAX_STREAM_OVERLAP_NANOS);
+        }
+    }
+
+    /** Cancels the other attempts of a call, as one of them has made progress. */
+    void cancelOthers(long now, DirectAttempt attempt) {
+        if (attempt.call.openAttempts.size() <= 1 && !attempt.ended) {
             return;
         }
-        // Idle connections may be dead without a reset, so none of them is reused.
-        client.discardIdleConnections(attempt.upstream.address, attempt.upstream.id);
-        if (upstreamSilent) {
-            // Only a wholly silent upstream counts as failed: one that sends to others may be busy, and avoiding it
-            // would overload the rest.
-            attempt.upstream.recordFailure(now);
+        for (DirectAttempt other : List.copyOf(attempt.call.openAttempts)) {
+            if (other != attempt) {
+                cancelFor(now, other, "another-answered");
+            }
         }
+    }
+
+    /** Cancels an attempt in favour of another one of its call. */
+    void cancelFor(long now, DirectAttempt attempt, String reason) {
         cancel(attempt);
-        log.noteSilent(now, attempt, silentNanos);
-        outcomeListener.onTimeout(now, attempt);
+        log.noteCancelled(now, attempt, reason);
     }
 
     /** Closes an attempt and cancels its exchange, so that the upstream stops working on it. */
     void cancel(DirectAttempt attempt) {
         close(attempt);
+        attempt.call.mayHaveRun |= !attempt.prefillOnly;
         if (attempt.exchange != null) {
             attempt.exchange.cancel();
         }
@@ -395,6 +461,7 @@
         }
         attempt.ended = true;
         attempts.remove(attempt.number);
+        attempt.call.openAttempts.remove(attempt);
         progressChecks.clear(attempt.number);
         attempt.upstream.localAttempts--;
         attempt.upstream.localMemoryTokens -= attempt.memoryTokens();
--- a/src/main/java/org/cuminshelf/direct/CallDispatcher.java
+++ b/src/main/java/org/cuminshelf/direct/CallDispatcher.java
@@ -1,7 +1,6 @@
 package org.cuminshelf.direct;
 
 import io.vavr.control.Option;
-import java.nio.ByteBuffer;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -12,11 +11,9 @@
 import org.cuminshelf.core.DeadlineQueue;
 import org.cuminshelf.core.Durations;
 import org.cuminshelf.core.Invariants;
-import org.cuminshelf.exchange.UpstreamHandler;
 import org.cuminshelf.message.Cause;
 import org.cuminshelf.poison.Fingerprint;
 import org.cuminshelf.verdict.Verdict;
-import org.eclipse.jetty.http.HttpFields;
 
 /**
  * Dispatches calls to upstreams until each has exactly one final response, and decides after each failed attempt
@@ -27,20 +24,15 @@
 
     /** Failed placements after which a pass over the queue stops: the remaining calls would find no capacity either. */
     private static final int MAX_FAILED_PLACEMENTS = 3;
-    /** Remaining time below which no further attempt is sent. */
-    private static final long MIN_REMAINING_NANOS = Durations.nanos(60);
 
     private final UpstreamProtocol protocol;
     private final UpstreamClient client;
     private final UpstreamTable upstreams;
     private final UpstreamSelector selector;
     private final ControlSubscription control;
-    private final ServiceRetryBudget retryBudget;
-    private final LongSupplier clock;
     private final Invariants invariants;
     private final DecisionLog log;
     private final Backpressure backpressure;
-    private final BackpressureListener backpressureListener;
     private final PoisonGuard poisonGuard;
     private final UsageMeter usageMeter;
     private final CallerResponses responses;
@@ -50,6 +42,10 @@
     private final AdmissionQueue admissionQueue = new AdmissionQueue();
     private final AdmissionControl admission;
     private final SizeFairness sizeFairness = new SizeFairness();
+    private final RetryPolicy retryPolicy;
+    private final ReplacementPlanner replacementPlanner;
+    private final KvCacheReleaser kvCacheReleaser;
+    private final AttemptLog attemptLog;
 
     CallDispatcher(
             UpstreamProtocol protocol,
@@ -72,22 +68,26 @@
         this.upstreams = upstreams;
         this.selector = selector;
         this.control = control;
-        this.retryBudget = retryBudget;
-        this.clock = clock;
         this.invariants = invariants;
         this.log = log;
         this.backpressure = backpressure;
-        this.backpressureListener = backpressureListener;
         this.poisonGuard = poisonGuard;
         this.usageMeter = usageMeter;
         this.admission = new AdmissionControl(selector, control, admissionQueue);
         this.responses = new CallerResponses(control, log);
+        this.attemptLog = new AttemptLog(log);
+        this.retryPolicy = new RetryPolicy(poisonGuard, retryBudget, control);
+        WatchedClock watchedClock = new WatchedClock(clock.getAsLong());
+        this.replacementPlanner = new ReplacementPlanner(
+                retryPolicy, admission, admissionQueue, new SilentUpstreams(upstreams, watchedClock));
+        this.kvCacheReleaser = new KvCacheReleaser(protocol, client, upstreams, clock, backpressureListener);
         this.attemptRunner = new AttemptRunner(
                 protocol,
                 client,
                 responses,
                 clock,
-                log,
+                watchedClock,
+                attemptLog,
                 engineModels,
                 loadGossip,
                 backpressureListener,
@@ -119,7 +119,7 @@
         }
         openCalls.put(call.number, call);
         callDeadlines.set(call.number, call.deadlineNanos);
-        retryBudget.onRequest(now, call.service);
+        retryPolicy.onCall(now, call);
         backpressure.limits().onCall(now, call.service);
         call.intent.generation().ifPresent(shape -> {
             call.fairnessClaim =
@@ -135,7 +135,8 @@
 
     private void place(long now, DirectCall call) {
         switch (admission.decide(now, call)) {
-            case AdmissionControl.Decision.Send(UpstreamSelector.Choice choice) -> sendAttempt(now, call, choice);
+            case AdmissionControl.Decision.Send(UpstreamSelector.Choice choice) ->
+                sendAttempt(now, call, choice, call.kvCache);
             case AdmissionControl.Decision.Wait() -> {
                 // The call is in the queue; retryWaiting() decides on it again.
             }
@@ -159,7 +160,8 @@
         }
     }
 
-    private void sendAttempt(long now, DirectCall call, UpstreamSelector.Choice choice) {
+    private DirectAttempt sendAttempt(
+            long now, DirectCall call, UpstreamSelector.Choice choice, Optional<KvCacheHandle> kvCache) {
         invariants.check(
                 call.isRetryable() || !call.mayHaveRun,
                 "at-most-once",
@@ -169,10 +171,11 @@
         call.offeredLoad.ifPresent(work -> work.onSent(choice));
         selector.onSent(now, choice);
         releasePermit(call);
-        attemptRunner.send(now, call, choice);
+        DirectAttempt attempt = attemptRunner.send(now, call, choice, kvCache);
         if (choice.prefillOnly()) {
             reservePermit(now, call);
         }
+        return attempt;
     }
 
     /**
@@ -232,17 +235,46 @@
         }
 
         @Override
-        public void onTimeout(long now, DirectAttempt attempt) {
-            recordUsageWithoutResponse(attempt);
-            onAttemptFailed(now, attempt, verdictWithoutResponse(attempt, Cause.UPSTREAM_SILENT));
+        public void onSilent(long now, DirectAttempt attempt, long silentNanos) {
+            if (attempt.prefillOnly || attempt.call.isRetryable()) {
+                discardIdleConnections(attempt);
+            }
+            switch (replacementPlanner.decide(now, attempt)) {
+                case ReplacementPlanner.Decision.Keep(String reason) ->
+                    attemptLog.noteKept(now, attempt, silentNanos, reason);
+                case ReplacementPlanner.Decision.Send(UpstreamSelector.Choice choice) -> {
+                    attemptLog.noteSilent(now, attempt, silentNanos, choice.upstream());
+                    replace(now, attempt, choice);
+                }
+            }
         }
 
         @Override
-        public Optional<RetryRefusal> refusalToAbandon(long now, DirectAttempt attempt) {
-            return attempt.prefillOnly || attempt.call.isRetryable()
-                    ? limitReached(now, attempt.call)
-                    : Optional.of(RetryRefusal.NOT_REPEATABLE);
+        public void onSuperseded(long now, DirectAttempt attempt) {
+            attempt.call.mayHaveRun = true;
+            if (attempt.usedKvCache) {
+                kvCacheReleaser.release(attempt.call);
+            }
+        }
+    }
+
+    /** Discards idle connections, which may be dead without a reset like that of a silent attempt; once for each. */
+    private void discardIdleConnections(DirectAttempt attempt) {
+        if (!attempt.foundSilent) {
+            attempt.foundSilent = true;
+            client.discardIdleConnections(attempt.upstream.address, attempt.upstream.id);
+        }
+    }
+
+    /** Sends a replacement beside a silent attempt. A prefill runs nothing, so it is replaced at once. */
+    private void replace(long now, DirectAttempt attempt, UpstreamSelector.Choice choice) {
+        DirectCall call = attempt.call;
+        if (attempt.prefillOnly) {
+            attemptRunner.cancelFor(now, attempt, "replaced");
+            call.singleEngineOnly = true;
         }
+        DirectAttempt replacement = sendAttempt(now, call, choice, Optional.empty());
+        attemptRunner.limitOverlap(now, attempt, replacement);
     }
 
     /** Counts a non-streaming call as run, as it most likely was; a stream would have produced an event. */
@@ -260,9 +292,12 @@
     }
 
     private void forwardResponse(long now, DirectAttempt attempt) {
+        attemptRunner.cancelOthers(now, attempt);
         responses.forwardResponse(now, attempt);
-        // The engine that responded has fetched the KV cache.
-        attempt.call.kvCache = Optional.empty();
+        if (attempt.usedKvCache) {
+            // The engine that responded has fetched the KV cache.
+            attempt.call.kvCache = Optional.empty();
+        }
         attempt.call.fairnessClaim.ifPresent(claim -> claim.onEnded(attempt.isSuccess()));
         if (attempt.isSuccess()) {
             poisonGuard.onSuccess(now, attempt.call);
@@ -292,7 +327,10 @@
         }
         Verdict verdict = new Verdict.HasRun(Cause.UPSTREAM_ERROR);
         recordFailedAttempt(attempt, verdict);
-        Optional<RetryRefusal> refusal = acquireRetry(now, call);
+        if (call.hasOpenAttempt()) {
+            return;
+        }
+        Optional<RetryRefusal> refusal = retryPolicy.acquire(now, call);
         if (refusal.isEmpty()) {
             place(now, call);
         } else if (forwardable) {
@@ -353,14 +391,20 @@
 
     // ---- retries and failures
 
-    /** Retries a call after a failed attempt if that is safe and allowed, else fails it. */
+    /**
+     * Retries a call after a failed attempt if that is safe and allowed, else fails it. While another attempt of it is
+     * open, that one decides.
+     */
     private void onAttemptFailed(long now, DirectAttempt attempt, Verdict verdict) {
         DirectCall call = attempt.call;
         if (call.closed) {
             return;
         }
         recordFailedAttempt(attempt, verdict);
-        Optional<RetryRefusal> refusal = acquireRetry(now, call);
+        if (call.hasOpenAttempt()) {
+            return;
+        }
+        Optional<RetryRefusal> refusal = retryPolicy.acquire(now, call);
         if (refusal.isEmpty()) {
             place(now, call);
         } else {
@@ -371,6 +415,7 @@
     /** Records on a call what the failure of one of its attempts means for later ones. */
     private void recordFailedAttempt(DirectAttempt attempt, Verdict verdict) {
         DirectCall call = attempt.call;
+        call.lastAttempt = attempt;
         call.excludedUpstreams.add(attempt.upstream.id);
         call.lastFailure = Optional.of(verdict);
         if (!(verdict instanceof Verdict.NotRun)) {
@@ -378,41 +423,15 @@
         }
         if (attempt.prefillOnly) {
             call.singleEngineOnly = true;
-        } else if (call.kvCache.isPresent()) {
+        } else if (attempt.usedKvCache && call.kvCache.isPresent()) {
             // After a rejection the KV cache may still be there, so one more engine is tried with it.
             call.failedHandovers++;
             if (!(verdict instanceof Verdict.NotRun) || call.failedHandovers > 1) {
-                releaseKvCache(call);
+                kvCacheReleaser.release(call);
             }
         }
     }
 
-    /** Takes one retry of the service's budget for a call; returns why it may not be retried, or empty. */
-    private Optional<RetryRefusal> acquireRetry(long now, DirectCall call) {
-        if (call.mayHaveRun && !call.isRetryable()) {
-            return Optional.of(RetryRefusal.NOT_REPEATABLE);
-        }
-        Optional<RetryRefusal> limit = limitReached(now, call);
-        if (limit.isPresent()) {
-            return limit;
-        }
-        if (!poisonGuard.mayRetry(call)) {
-            return Optional.of(RetryRefusal.UPSTREAMS_CRASHED);
-        }
-        boolean acquired =
-                retryBudget.tryAcquire(now, call.service, control.entries().size());
-        return acquired ? Optional.empty() : Optional.of(RetryRefusal.RETRY_BUDGET_EMPTY);
-    }
-
-    /** Returns which limit of a call's own forbids another attempt, or empty. */
-    private static Optional<RetryRefusal> limitReached(long now, DirectCall call) {
-        if (call.attemptCount >= call.route.maxAttempts()) {
-            return Optional.of(RetryRefusal.ATTEMPTS_USED_UP);
-        }
-        boolean timeLeft = now + MIN_REMAINING_NANOS < call.deadlineNanos;
-        return timeLeft ? Optional.empty() : Optional.of(RetryRefusal.NO_TIME_LEFT);
-    }
-
     private void failCall(long now, DirectCall call, Verdict verdict, RetryRefusal refusal) {
         call.noRetryReason = refusal.label();
         failCall(now, call, verdict.label() + "/" + verdict.cause());
@@ -459,9 +478,7 @@
     }
 
     private void cancel(long now, DirectCall call, String reason) {
-        DirectAttempt attempt = call.lastAttempt;
-        if (attempt != null && !attempt.ended) {
-            call.mayHaveRun |= !attempt.prefillOnly;
+        for (DirectAttempt attempt : List.copyOf(call.openAttempts)) {
             recordUsageWithoutResponse(attempt);
             attemptRunner.cancel(attempt);
         }
@@ -472,13 +489,11 @@
         if (call.closed) {
             return;
         }
-        DirectAttempt attempt = call.lastAttempt;
-        boolean running = attempt != null && !attempt.ended;
-        if (running) {
+        for (DirectAttempt attempt : List.copyOf(call.openAttempts)) {
             recordUsageWithoutResponse(attempt);
-        }
-        if (running && (call.isStream() || call.isRetryable())) {
-            attemptRunner.cancel(attempt);
+            if (call.isStream() || call.isRetryable()) {
+                attemptRunner.cancel(attempt);
+            }
         }
         responses.logDisconnect(now, call);
         close(call);
@@ -490,65 +505,7 @@
         openCalls.remove(call.number);
         callDeadlines.clear(call.number);
         releasePermit(call);
-        releaseKvCache(call);
-    }
-
-    /** Asks the engine to release a KV cache that will not be used, as it fills memory there until it expires. */
-    private void releaseKvCache(DirectCall call) {
-        if (call.kvCache.isEmpty()) {
-            return;
-        }
-        KvCacheHandle handle = call.kvCache.get();
-        call.kvCache = Optional.empty();
-        long now = clock.getAsLong();
-        upstreams.instances().stream()
-                .filter(instance -> instance.address.equals(handle.engine()))
-                .findFirst()
-                .ifPresent(instance -> client.send(
-                        instance.address,
-                        instance.id,
-                        protocol.releaseRequest(handle),
-                        new ReleaseResponseHandler(instance, call.intent.id(), now)));
-    }
-
-    /** Handles the response to a KV cache release. The outcome does not matter, as the cache expires anyway. */
-    private final class ReleaseResponseHandler implements UpstreamHandler {
-
-        private final UpstreamInstance upstream;
-        private final String requestId;
-        private final long sentAtNanos;
-
-        private ReleaseResponseHandler(UpstreamInstance upstream, String requestId, long sentAtNanos) {
-            this.upstream = upstream;
-            this.requestId = requestId;
-            this.sentAtNanos = sentAtNanos;
-        }
-
-        @Override
-        public void onHead(int status, HttpFields headers) {
-            backpressureListener.onResponseHead(
-                    clock.getAsLong(),
-                    upstream,
-                    sentAtNanos,
-                    requestId,
-                    status,
-                    protocol.readMetadata(status, headers));
-        }
-
-        @Override
-        public void onBody(ByteBuffer bytes) {
-            // The body of the response is not used.
-        }
-
-        @Override
-        public void onComplete() {
-            // Nothing to do: the head has been processed.
-        }
-
-        @Override
-        public void onFailed(boolean requestSent, String reason) {
-            // The cache expires without a release.
-        }
+        kvCacheReleaser.release(call);
     }
 
     /** Whether no call or attempt is open and nothing is scheduled; for tests that check for leaks. */
--- a/src/main/java/org/cuminshelf/direct/DirectAttempt.java
+++ b/src/main/java/org/cuminshelf/direct/DirectAttempt.java
@@ -2,6 +2,7 @@
 
 import java.io.ByteArrayOutputStream;
 import java.util.HashSet;
+import java.util.Optional;
 import java.util.Set;
 import org.cuminshelf.core.Core;
 import org.cuminshelf.exchange.UpstreamExchange;
@@ -41,20 +42,32 @@
     /** The same by the {@link WatchedClock}. */
     private long lastProgressWatchedNanos;
 
+    /** Whether it has made no progress for too long. */
+    boolean foundSilent;
+
     /** Reasons logged so far for which the attempt went on while silent. */
     final Set<String> keptReasons = new HashSet<>();
 
     /** When the first event arrived; {@link Core#NEVER} until then. */
     long firstEventAtNanos = Core.NEVER;
 
-    DirectAttempt(long number, DirectCall call, UpstreamSelector.Choice choice, long now, long watchedNow) {
+    /** The attempt that was sent beside this one as it was silent; {@code null} if there is none. */
+    DirectAttempt replacement;
+
+    DirectAttempt(
+            long number,
+            DirectCall call,
+            UpstreamSelector.Choice choice,
+            Optional<KvCacheHandle> kvCache,
+            long now,
+            long watchedNow) {
         this.number = number;
         this.call = call;
         this.upstream = choice.upstream();
         this.prefillOnly = choice.prefillOnly();
         this.estimate = choice.estimate();
         this.streamsAtSend = upstream.totalAttempts();
-        this.usedKvCache = !prefillOnly && call.kvCache.isPresent();
+        this.usedKvCache = !prefillOnly && kvCache.isPresent();
         this.sentAtNanos = now;
         recordProgress(now, watchedNow);
     }
@@ -78,6 +91,11 @@
                 .orElse(0);
     }
 
+    /** Whether a replacement is open that takes over if this attempt does not go on soon. */
+    boolean isSuperseded() {
+        return replacement != null && !replacement.ended;
+    }
+
     boolean hasHead() {
         return metadata != null;
     }
--- a/src/main/java/org/cuminshelf/direct/DirectCall.java
+++ b/src/main/java/org/cuminshelf/direct/DirectCall.java
@@ -43,6 +43,9 @@
     /** Attempts so far, without prefills; the route limits them. */
     int attemptCount;
 
+    /** The attempts that have not ended, in the order in which they were sent: more than one if a request is hedged. */
+    final List<DirectAttempt> openAttempts = new ArrayList<>();
+
     /** The latest attempt, running or ended; {@code null} before the first. */
     DirectAttempt lastAttempt;
     /** The KV cache of its prompt at the engine that prefilled it, until another engine has fetched it. */
@@ -169,6 +172,10 @@
         return intent.generation().map(GenerationShape::promptTokens).orElse(0);
     }
 
+    boolean hasOpenAttempt() {
+        return !openAttempts.isEmpty();
+    }
+
     /** Whether it may be cancelled or run again without harm. */
     boolean isRetryable() {
         return route.isRepeatable();
--- /dev/null
+++ b/src/main/java/org/cuminshelf/direct/ReplacementPlanner.java
@@ -0,0 +1,99 @@
+package org.cuminshelf.direct;
+
+import java.util.HashSet;
+import java.util.Optional;
+import java.util.Set;
+import org.cuminshelf.verdict.Verdict;
+
+/**
+ * Decides whether a silent attempt gets a replacement, which is sent while the attempt goes on (a hedged request).
+ *
+ * <p>Guards against answers that are ended by a belief about their upstream: a sound upstream may pause, so that a
+ * silent attempt is given up only for another one that is certain.
+ */
+final class ReplacementPlanner {
+
+    /** The outcome of the decision on a silent attempt. */
+    sealed interface Decision {
+
+        /** The replacement is sent to the selected upstream. */
+        record Send(UpstreamSelector.Choice choice) implements Decision {}
+
+        /**
+         * The attempt goes on alone.
+         *
+         * @param reason the reason, for the log
+         */
+        record Keep(String reason) implements Decision {}
+    }
+
+    private final RetryPolicy retryPolicy;
+    private final AdmissionControl admission;
+    private final AdmissionQueue admissionQueue;
+    private final SilentUpstreams silentUpstreams;
+
+    ReplacementPlanner(
+            RetryPolicy retryPolicy,
+            AdmissionControl admission,
+            AdmissionQueue admissionQueue,
+            SilentUpstreams silentUpstreams) {
+        this.retryPolicy = retryPolicy;
+        this.admission = admission;
+        this.admissionQueue = admissionQueue;
+        this.silentUpstreams = silentUpstreams;
+    }
+
+    /** Decides on a silent attempt; takes a retry of the budget if the replacement is sent. */
+    Decision decide(long now, DirectAttempt attempt) {
+        DirectCall call = attempt.call;
+        if (!attempt.prefillOnly && !call.isRetryable()) {
+            return new Decision.Keep(RetryRefusal.NOT_REPEATABLE.label());
+        }
+        Optional<RetryRefusal> refusal = retryPolicy.refusal(now, call);
+        if (refusal.isPresent()) {
+            return new Decision.Keep(refusal.get().label());
+        }
+        Decision decision = place(now, call);
+        if (decision instanceof Decision.Send) {
+            retryPolicy.acquire(now, call);
+        }
+        return decision;
+    }
+
+    /** Selects an upstream that neither runs an attempt of the call nor is silent itself, and prefills anew there. */
+    private Decision place(long now, DirectCall call) {
+        Set<String> silent = silentUpstreams.of(now, call.service);
+        Set<String> unsuitable = new HashSet<>(silent);
+        call.openAttempts.forEach(open -> unsuitable.add(open.upstream.id));
+        unsuitable.removeAll(call.excludedUpstreams);
+        boolean singleEngineOnly = call.singleEngineOnly;
+        Optional<KvCacheHandle> kvCache = call.kvCache;
+        call.excludedUpstreams.addAll(unsuitable);
+        call.singleEngineOnly = true;
+        call.kvCache = Optional.empty();
+        try {
+            return toDecision(call, admission.decide(now, call), silent);
+        } finally {
+            call.excludedUpstreams.removeAll(unsuitable);
+            call.singleEngineOnly = singleEngineOnly;
+            call.kvCache = kvCache;
+        }
+    }
+
+    private Decision toDecision(DirectCall call, AdmissionControl.Decision decision, Set<String> silent) {
+        return switch (decision) {
+            case AdmissionControl.Decision.Send(UpstreamSelector.Choice choice) -> new Decision.Send(choice);
+            case AdmissionControl.Decision.Wait() -> {
+                admissionQueue.remove(call);
+                yield new Decision.Keep("queue");
+            }
+            case AdmissionControl.Decision.Refuse(Verdict.NotRun verdict, String reason) ->
+                new Decision.Keep(otherIsSilent(call, silent) ? "other-upstreams-silent" : reason);
+        };
+    }
+
+    private static boolean otherIsSilent(DirectCall call, Set<String> silent) {
+        return silent.stream()
+                .anyMatch(id -> call.openAttempts.stream().noneMatch(open -> open.upstream.id.equals(id)));
+    }
+}
--- a/src/main/java/org/cuminshelf/direct/ServiceRetryBudget.java
+++ b/src/main/java/org/cuminshelf/direct/ServiceRetryBudget.java
@@ -48,7 +48,16 @@
      * @param entries number of entries among which the allowance is divided
      */
     boolean tryAcquire(long now, String service, int entries) {
-        long[] currentSlice = currentSlice(now, service);
+        boolean available = isAvailable(now, service, entries);
+        if (available) {
+            currentSlice(now, service)[2]++;
+        }
+        return available;
+    }
+
+    /** Returns whether one more retry may be sent, without counting it. */
+    boolean isAvailable(long now, String service, int entries) {
+        currentSlice(now, service);
         long retries = 0;
         long requests = 0;
         for (long[] slice : slices.get(service)) {
@@ -56,11 +65,7 @@
             requests += slice[1];
         }
         double limit = USED_SHARE * (ratio * requests + allowance / Math.max(1, entries));
-        if (retries + 1 > limit) {
-            return false;
-        }
-        currentSlice[2]++;
-        return true;
+        return retries + 1 <= limit;
     }
 
     private long[] currentSlice(long now, String service) {
--- a/src/main/java/org/cuminshelf/direct/UpstreamInstance.java
+++ b/src/main/java/org/cuminshelf/direct/UpstreamInstance.java
@@ -24,6 +24,11 @@
     /** Failures in a row after which an instance is avoided, as single failures are normal. */
     private static final int MIN_FAILURES_BEFORE_BACKOFF = 2;
 
+    /** Time without a byte on any request after which streams move to another engine; callers disconnect after 2 s. */
+    static final long SILENCE_NANOS = Durations.nanos(1_000);
+    /** The same after which it gets no replacements and, while others serve, no new calls. */
+    private static final long SUSPECT_SILENCE_NANOS = Durations.nanos(600);
+
     private static final double LATENCY_SMOOTHING_FACTOR = 0.1;
 
     private static final long NEVER_RESPONDED = Long.MIN_VALUE / 2;
@@ -71,8 +76,15 @@
 
     /** When it last sent any bytes, on any request of this entry. */
     long lastResponseAtNanos = NEVER_RESPONDED;
-    /** The same by the {@link WatchedClock}. */
-    private long lastResponseWatchedNanos = NEVER_RESPONDED;
+    /**
+     * Since when requests have waited there without a byte on any of them, by the {@link WatchedClock};
+     * {@link Core#NEVER} if none waits.
+     */
+    private long awaitedSinceWatchedNanos = Core.NEVER;
+
+    private long lastSentWatchedNanos;
+    /** When its silence was last counted as a failure; {@link Core#NEVER} if it was not since its last response. */
+    private long silenceCountedAtNanos = Core.NEVER;
 
     private int consecutiveFailures;
     private long avoidUntilNanos = Long.MIN_VALUE;
@@ -145,15 +157,52 @@
         return localMemoryTokens + remoteMemoryTokens;
     }
 
+    /** Records that a request is sent to it. */
+    void recordSent(long watchedNow) {
+        boolean abandoned = localAttempts == 0 && watchedNow - lastSentWatchedNanos > SILENCE_NANOS;
+        if (awaitedSinceWatchedNanos == Core.NEVER || abandoned) {
+            awaitedSinceWatchedNanos = watchedNow;
+        }
+        lastSentWatchedNanos = watchedNow;
+    }
+
     /** Records that a part of a response arrived from it. */
     void recordResponse(long now, long watchedNow) {
         lastResponseAtNanos = now;
-        lastResponseWatchedNanos = watchedNow;
+        awaitedSinceWatchedNanos = localAttempts > 0 ? watchedNow : Core.NEVER;
+        silenceCountedAtNanos = Core.NEVER;
+    }
+
+    /** Records that a response is complete; if no request waits there any more, it owes nothing. */
+    void recordCompletion() {
+        if (localAttempts == 0) {
+            awaitedSinceWatchedNanos = Core.NEVER;
+        }
     }
 
-    /** Returns for how long it sent nothing on any request while this process looked, in nanoseconds. */
+    /** Returns for how long it sent nothing although requests waited there, in nanoseconds of watched time. */
     long silentNanos(long watchedNow) {
-        return watchedNow - lastResponseWatchedNanos;
+        return awaitedSinceWatchedNanos == Core.NEVER ? 0 : watchedNow - awaitedSinceWatchedNanos;
+    }
+
+    /** Whether requests wait or waited there until now, without a byte for so long that it should not get more. */
+    boolean isSilent(long watchedNow) {
+        boolean awaited = localAttempts > 0 || watchedNow - lastSentWatchedNanos <= SILENCE_NANOS;
+        return awaited && silentNanos(watchedNow) >= SUSPECT_SILENCE_NANOS;
+    }
+
+    /** Whether it is silent for so long that its streams are moved. */
+    boolean isLongSilent(long watchedNow) {
+        return silentNanos(watchedNow) >= SILENCE_NANOS;
+    }
+
+    /** Counts its silence as one failure, however many attempts wait there, and again if it lasts as long once more. */
+    void recordSilence(long now, long watchedNow) {
+        boolean counted = silenceCountedAtNanos != Core.NEVER && watchedNow - silenceCountedAtNanos < SILENCE_NANOS;
+        if (isLongSilent(watchedNow) && !counted) {
+            silenceCountedAtNanos = watchedNow;
+            recordFailure(now);
+        }
     }
 
     /** Whether it has sent anything to this entry. */
@@ -161,6 +210,11 @@
         return lastResponseAtNanos != NEVER_RESPONDED;
     }
 
+    /** Whether it may get new work as far as its own state goes. */
+    boolean isServing(long now) {
+        return !draining && !roleChanging && !isAvoided(now);
+    }
+
     boolean isAvoided(long now) {
         return now < avoidUntilNanos;
     }
--- a/src/test/java/org/cuminshelf/direct/CallDispatcherTest.java
+++ b/src/test/java/org/cuminshelf/direct/CallDispatcherTest.java
@@ -180,7 +180,10 @@
         entry.sendRequest("a");
         entry.advance(300);
         assertThat(entry.sentRequests).hasSize(2);
+        assertThat(entry.sentRequests.get(0).cancelled).isFalse();
+        entry.sentRequests.get(1).respondSealedHead(200);
         assertThat(entry.sentRequests.get(0).cancelled).isTrue();
+        assertThat(entry.sentRequests.get(1).cancelled).isFalse();
     }
 
     @Example
--- a/src/test/java/org/cuminshelf/direct/HedgedRequestTest.java
+++ b/src/test/java/org/cuminshelf/direct/HedgedRequestTest.java
@@ -31,6 +31,7 @@
     /** Returns an entry whose request was sent to a second upstream as the first did not respond. */
     private static DirectFixture entryWithHedge(DirectFixture.CallerResponse[] response) {
         DirectFixture entry = entry(2, "u1", "u2");
+        entry.setEntries(DirectFixture.SELF.value(), "10.0.1.2:7000");
         response[0] = send(entry);
         entry.advance(200);
         assertThat(entry.sentRequests).hasSize(2);
@@ -148,22 +149,17 @@
         for (BiConsumer<DirectFixture, DirectFixture.CallerResponse> end : ends) {
             DirectFixture.CallerResponse[] response = new DirectFixture.CallerResponse[1];
             DirectFixture entry = entryWithHedge(response);
+            assertThat(reportedLoad(entry)).isEqualTo(2);
             end.accept(entry, response[0]);
-            entry.advance(1);
+            entry.advance(300);
             assertThat(entry.sentRequests).hasSize(2).allMatch(sent -> sent.cancelled);
             assertThat(entry.core.openCalls()).isZero();
             assertThat(reportedLoad(entry)).isZero();
         }
     }
 
-    /** Returns the running attempts that the entry reports to other entries. */
+    /** Returns the running attempts that the entry last reported to the other entry. */
     private static int reportedLoad(DirectFixture entry) {
-        entry.setEntries(DirectFixture.SELF.value(), "10.0.1.2:7000");
-        entry.sendRequest("other", "Deadline", "100");
-        entry.out.take(message -> message.hasEntryLoad());
-        entry.advance(20);
-        entry.lastSent().respond(200, "x");
-        entry.advance(200);
         return entry.out.take(message -> message.hasEntryLoad()).getLast().getEntryLoad().getUpstreamsList().stream()
                 .mapToInt(upstream -> upstream.getRunning())
                 .sum();
--- a/src/test/java/org/cuminshelf/direct/SilentStreamTest.java
+++ b/src/test/java/org/cuminshelf/direct/SilentStreamTest.java
@@ -215,13 +215,12 @@
         DirectFixture.SentRequest dead = entry.lastSent();
         sendStream(entry, "b");
         sendStream(entry, "c");
-        DirectFixture.SentRequest beside = entry.sentRequests.stream()
-                .filter(sent -> sent != dead && sent.upstream.equals(dead.upstream))
-                .findFirst()
-                .orElseThrow();
-        beside.respondSealedHead(200);
+        List<DirectFixture.SentRequest> sound = List.copyOf(entry.sentRequests.subList(1, 3));
+        assertThat(sound).anyMatch(sent -> sent.upstream.equals(dead.upstream));
+        sound.forEach(sent -> sent.respondSealedHead(200));
         for (int round = 1; round <= 16; round++) {
-            beside.respondBody(event(round));
+            String next = event(round);
+            sound.forEach(sent -> sent.respondBody(next));
             entry.advance(100);
             if (round == 14) {
                 assertThat(entry.sentRequests)
@@ -229,7 +228,7 @@
                         .hasSize(3);
             }
         }
-        assertThat(entry.sentRequests).hasSizeGreaterThanOrEqualTo(4);
+        assertThat(entry.sentRequests).hasSize(4);
         DirectFixture.SentRequest replacement = entry.sentRequests.get(3);
         assertThat(replacement.request.headers().get("Last")).isEqualTo("1");
         respondFully(replacement, 2);
@@ -394,7 +393,10 @@
         DirectFixture.CallerResponse[] response = new DirectFixture.CallerResponse[1];
         DirectFixture entry = entryWithPrefill(NO_RETRIES, response);
         DirectFixture.SentRequest prefill = entry.lastSent();
-        entry.advance(6_000);
+        for (int round = 2; round < 62; round++) {
+            entry.advance(100);
+            entry.sentRequests.getFirst().respondBody(event(round));
+        }
         assertThat(prefill.cancelled).isFalse();
         prefill.respondHead(200);
         prefill.respondBody("kv1");
