A lowered idle limit holds from the next idle time on; responses tell callers the limit

Callers met closes by a limit that they could not know: the limit in force was applied to idle times that had begun under a longer one, so one change of the configuration closed many connections in one tick, in the moment in which their callers reused them. A connection now keeps the limit of its last response's head, or a higher one in force since.

Responses say Keep-Alive: timeout=N (and Connection: keep-alive, which RFC 9110 asks for beside it), so that a caller need not know the configuration. N is four fifths of the limit in whole seconds, rounded down: callers reuse a connection up to four fifths anyway, and a caller that goes by N to the full never meets the close. Where four fifths are less than a second there is no header: timeout=0 would forbid reuse that is sound, and a longer one would be untrue; such callers go by the configuration as before. With Connection: close there is none.

A raised limit still holds at once, and a silent connection is closed at its limit (tests).

--- a/src/main/java/org/cuminshelf/exchange/CallerConnection.java
+++ b/src/main/java/org/cuminshelf/exchange/CallerConnection.java
@@ -41,6 +41,11 @@
     private static final byte[] LAST_CHUNK = "0\r\n\r\n".getBytes(StandardCharsets.ISO_8859_1);
     private static final byte[] CONTINUE = "HTTP/1.1 100 Continue\r\n\r\n".getBytes(StandardCharsets.ISO_8859_1);
     private static final long NANOS_PER_MILLI = 1_000_000;
+    private static final long MILLIS_PER_SECOND = 1_000;
+    /** Part of the idle limit for which callers are told to reuse a connection. */
+    private static final int REUSE_PERCENT = 80;
+
+    private static final int PERCENT = 100;
     private static final int INITIAL_HEAD_BYTES = 512;
 
     private enum Phase {
@@ -80,6 +85,9 @@
     /** Bytes of a pipelined request, received before the response to the current one was complete; or null. */
     private ByteBuffer earlyBytes;
 
+    /** The idle limit that the caller may count on: the one last told, or a higher one in force since. */
+    private long idleLimitMillis;
+
     private final Callback readCallback =
             Callback.from(Invocable.InvocationType.NON_BLOCKING, this::onFillable, this::onReadFailed);
 
@@ -88,6 +96,7 @@
         this.listener = listener;
         this.lock = listener.lock();
         this.parser = new HttpParser(this, listener.limits().maxHeaderBytes(), HttpCompliance.RFC9110);
+        this.idleLimitMillis = listener.limits().idleTimeoutMillis();
         this.callerAddress = endPoint.getRemoteSocketAddress();
         this.accounts = new RequestAccounts(listener.connectionLog());
         this.writes = new WriteQueue(endPoint, lock, failure -> onClosed(CloseReason.WRITE_FAILED));
@@ -244,7 +253,6 @@
 
     private void logClose(CloseReason reason) {
         long phaseMillis = (System.nanoTime() - phaseStartNanos) / NANOS_PER_MILLI;
-        long idleLimitMillis = listener.limits().idleTimeoutMillis();
         String caller = String.valueOf(callerAddress);
         listener.connectionLog().onClosed(reason, caller, phaseMillis, idleLimitMillis, accounts);
     }
@@ -261,12 +269,13 @@
 
     private void closeIfTooLong(long nowNanos, CallerLimits limits) throws IOException {
         long phaseMillis = phaseMillis(nowNanos);
+        idleLimitMillis = Math.max(idleLimitMillis, limits.idleTimeoutMillis());
         switch (phase) {
-            case IDLE -> closeIfIdleTooLong(nowNanos, limits.idleTimeoutMillis());
+            case IDLE -> closeIfIdleTooLong(nowNanos);
             case READING -> {
                 if (!headersRead && phaseMillis > limits.headerTimeoutMillis()) {
                     reject(HttpStatus.REQUEST_TIMEOUT_408, "The headers did not come in time.");
-                } else if (phaseMillis > limits.headerTimeoutMillis() + limits.idleTimeoutMillis()) {
+                } else if (phaseMillis > limits.headerTimeoutMillis() + idleLimitMillis) {
                     reject(HttpStatus.REQUEST_TIMEOUT_408, "The body did not come in time.");
                 }
             }
@@ -285,18 +294,18 @@
         return (nowNanos - phaseStartNanos) / NANOS_PER_MILLI;
     }
 
-    private void closeIfIdleTooLong(long nowNanos, long limitMillis) throws IOException {
-        if (isIdleTooLong(nowNanos, limitMillis)) {
+    private void closeIfIdleTooLong(long nowNanos) throws IOException {
+        if (isIdleTooLong(nowNanos)) {
             // A request may wait in the socket, if this process stood still or the lock was held.
             read();
-            if (isIdleTooLong(nowNanos, limitMillis)) {
+            if (isIdleTooLong(nowNanos)) {
                 onClosed(CloseReason.IDLE_TIMEOUT);
             }
         }
     }
 
-    private boolean isIdleTooLong(long nowNanos, long limitMillis) {
-        return phase == Phase.IDLE && phaseMillis(nowNanos) > limitMillis;
+    private boolean isIdleTooLong(long nowNanos) {
+        return phase == Phase.IDLE && phaseMillis(nowNanos) > idleLimitMillis;
     }
 
     /** Closes the connection if no byte of a next request has arrived. */
@@ -459,12 +468,25 @@
             head.append(field.getName()).append(": ").append(field.getValue()).append("\r\n");
         }
         closeAfterResponse |= listener.isDraining();
+        idleLimitMillis = listener.limits().idleTimeoutMillis();
         if (closeAfterResponse) {
             head.append("Connection: close\r\n");
+        } else {
+            appendKeepAlive(head);
         }
         return head;
     }
 
+    /** Tells the caller how long it may reuse the connection, less than it is kept, so that both never meet. */
+    private void appendKeepAlive(StringBuilder head) {
+        long seconds = idleLimitMillis * REUSE_PERCENT / PERCENT / MILLIS_PER_SECOND;
+        if (seconds > 0) {
+            head.append("Connection: keep-alive\r\nKeep-Alive: timeout=")
+                    .append(seconds)
+                    .append("\r\n");
+        }
+    }
+
     private static ByteBuffer encodeHead(StringBuilder head) {
         return ByteBuffer.wrap(head.append("\r\n").toString().getBytes(StandardCharsets.ISO_8859_1));
     }
