Read the socket of a slow caller before rejecting its request

Callers saw 408 for a request whose remainder waited in the socket, after a pause of the process or while the lock was held. The check of timeouts now reads first and judges again. If bytes came but not all, the request is read on until the next check, once: a body larger than the buffers of the socket goes on only when there is room. The time is bounded by one period of the check, so that a trickling caller is still rejected (test). Whether the headers were read is reset with the first byte of a request; it was left over from the request before.

--- a/src/main/java/org/cuminshelf/exchange/CallerConnection.java
+++ b/src/main/java/org/cuminshelf/exchange/CallerConnection.java
@@ -5,6 +5,7 @@
 import java.net.SocketAddress;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
+import java.util.Optional;
 import java.util.concurrent.Executor;
 import java.util.concurrent.locks.ReentrantLock;
 import org.eclipse.jetty.http.HttpCompliance;
@@ -71,6 +72,10 @@
     private boolean closeAfterResponse;
     private boolean expectsContinue;
     private boolean headersRead;
+    /** Whether a slow request was read on once, as bytes of it had come when it was judged. */
+    private boolean gotMoreTime;
+
+    private long receivedBytes;
     private boolean responseBegun;
     /** Whether the response is to a request that was read completely, not to one that was rejected before. */
     private boolean requestRead;
@@ -172,6 +177,7 @@
                     awaitBytes();
                     return;
                 }
+                receivedBytes += count;
                 parse(buffer);
             }
         } finally {
@@ -184,6 +190,8 @@
             if (phase == Phase.IDLE) {
                 phase = Phase.READING;
                 phaseStartNanos = System.nanoTime();
+                headersRead = false;
+                gotMoreTime = false;
             }
             parser.parseNext(buffer);
             handleReceivedRequest();
@@ -268,19 +276,12 @@
     }
 
     private void closeIfTooLong(long nowNanos, CallerLimits limits) throws IOException {
-        long phaseMillis = phaseMillis(nowNanos);
         idleLimitMillis = Math.max(idleLimitMillis, limits.idleTimeoutMillis());
         switch (phase) {
             case IDLE -> closeIfIdleTooLong(nowNanos);
-            case READING -> {
-                if (!headersRead && phaseMillis > limits.headerTimeoutMillis()) {
-                    reject(HttpStatus.REQUEST_TIMEOUT_408, "The headers did not come in time.");
-                } else if (phaseMillis > limits.headerTimeoutMillis() + idleLimitMillis) {
-                    reject(HttpStatus.REQUEST_TIMEOUT_408, "The body did not come in time.");
-                }
-            }
+            case READING -> rejectIfTooSlow(nowNanos, limits);
             case LINGERING -> {
-                if (phaseMillis > LINGER_MILLIS) {
+                if (phaseMillis(nowNanos) > LINGER_MILLIS) {
                     onClosed(CloseReason.LINGER_OVER);
                 }
             }
@@ -308,6 +309,38 @@
         return phase == Phase.IDLE && phaseMillis(nowNanos) > idleLimitMillis;
     }
 
+    private void rejectIfTooSlow(long nowNanos, CallerLimits limits) throws IOException {
+        if (slowPart(nowNanos, limits).isEmpty()) {
+            return;
+        }
+        // The remainder may wait in the socket, if this process stood still or the lock was held.
+        long receivedBefore = receivedBytes;
+        read();
+        Optional<String> slowPart = slowPart(nowNanos, limits);
+        if (slowPart.isEmpty()) {
+            return;
+        }
+        if (receivedBytes > receivedBefore && !gotMoreTime) {
+            // The caller's system sends the next bytes only now that there is room for them.
+            gotMoreTime = true;
+            return;
+        }
+        reject(HttpStatus.REQUEST_TIMEOUT_408, slowPart.get() + " did not come in time.");
+    }
+
+    /** The part of the request that took too long, if any. */
+    private Optional<String> slowPart(long nowNanos, CallerLimits limits) {
+        long phaseMillis = phaseMillis(nowNanos);
+        if (phase != Phase.READING) {
+            return Optional.empty();
+        }
+        if (!headersRead && phaseMillis > limits.headerTimeoutMillis()) {
+            return Optional.of("The headers");
+        }
+        boolean bodyIsSlow = phaseMillis > limits.headerTimeoutMillis() + idleLimitMillis;
+        return bodyIsSlow ? Optional.of("The body") : Optional.empty();
+    }
+
     /** Closes the connection if no byte of a next request has arrived. */
     void closeIfIdle() {
         runLocked(() -> {
--- a/src/test/java/org/cuminshelf/exchange/CallerConnectionLossTest.java
+++ b/src/test/java/org/cuminshelf/exchange/CallerConnectionLossTest.java
@@ -333,6 +333,20 @@
         }
     }
 
+    /* A body whose remainder did not fit into the socket was rejected while its caller was sending it. */
+    @Example
+    void aBodyThatGoesOnAfterAPauseIsNotTooSlow() throws Exception {
+        limits = withIdleTimeout(300);
+        try (Socket socket = connect()) {
+            send(socket, "POST /c HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n\r\nx");
+            Thread.sleep(100);
+            whileCheckWaits(900, () -> send(socket, "y"));
+            Thread.sleep(50);
+            send(socket, "z");
+            assertThat(readUntil(socket, "/c")).startsWith("HTTP/1.1 200");
+        }
+    }
+
     @Example
     void headersThatTrickleAreRejectedInTheEnd() throws Exception {
         try (Socket socket = connect()) {
