Say Connection: close only with the response to the last request received

Callers saw neither an answer nor a refusal to a pipelined request that had been read while a response was pending, or that waited in the socket, when the process was draining: the response said Connection: close, as every one did, and the early bytes were dropped. While draining, a response now says close only if nothing more has arrived, read or still in the socket; what has arrived is answered, and its last response says close. Early bytes are parsed only between responses, so that a request found by looking ahead is not left without a reader.

Bytes after a malformed request stay dropped (test: request smuggling), and so do those after a request that itself said close, as RFC 9112 asks. What arrives after close was said is not read as a request.

--- a/src/main/java/org/cuminshelf/exchange/CallerConnection.java
+++ b/src/main/java/org/cuminshelf/exchange/CallerConnection.java
@@ -48,6 +48,8 @@
 
     private static final int PERCENT = 100;
     private static final int INITIAL_HEAD_BYTES = 512;
+    private static final int EARLY_READ_BYTES = 4 << 10;
+    private static final ByteBuffer NO_BYTES = ByteBuffer.allocate(0);
 
     private enum Phase {
         IDLE,
@@ -87,6 +89,9 @@
     /** A request that the parser completed and that the handler has not got yet; or null. */
     private ReceivedRequest receivedRequest;
 
+    /** The remainder of the bytes that are being parsed. */
+    private ByteBuffer unparsedBytes = NO_BYTES;
+
     /** Bytes of a pipelined request, received before the response to the current one was complete; or null. */
     private ByteBuffer earlyBytes;
 
@@ -165,8 +170,14 @@
         }
         insideRead = true;
         try {
-            parseEarlyBytes();
-            while (phase != Phase.CLOSED && earlyBytes == null) {
+            while (phase != Phase.CLOSED) {
+                if (earlyBytes != null) {
+                    if (phase == Phase.RESPONDING) {
+                        return;
+                    }
+                    parseEarlyBytes();
+                    continue;
+                }
                 ByteBuffer buffer = ReadBuffers.clearedBuffer();
                 int count = ReadBuffers.read(getEndPoint(), buffer);
                 if (count < 0) {
@@ -186,6 +197,7 @@
     }
 
     private void parse(ByteBuffer buffer) {
+        unparsedBytes = buffer;
         while (buffer.hasRemaining() && (phase == Phase.IDLE || phase == Phase.READING)) {
             if (phase == Phase.IDLE) {
                 phase = Phase.READING;
@@ -196,12 +208,32 @@
             parser.parseNext(buffer);
             handleReceivedRequest();
         }
+        unparsedBytes = NO_BYTES;
         if (buffer.hasRemaining() && phase == Phase.RESPONDING) {
             // A pipelined request. Its bytes are kept, and reading pauses until the current response is complete.
             earlyBytes = ByteBuffer.allocate(buffer.remaining()).put(buffer).flip();
         }
     }
 
+    /** Whether bytes of a next request have arrived, whole or in part, read or still in the socket. */
+    private boolean hasNextRequest() {
+        return unparsedBytes.hasRemaining() || earlyBytes != null || readEarlyBytes();
+    }
+
+    private boolean readEarlyBytes() {
+        // The buffer of the thread may be in use further up the stack.
+        ByteBuffer buffer = ByteBuffer.allocate(EARLY_READ_BYTES);
+        try {
+            if (ReadBuffers.read(getEndPoint(), buffer) > 0) {
+                earlyBytes = buffer;
+            }
+        } catch (IOException e) {
+            // The next read fails in the same way and closes the connection.
+            Logger.debug(LOG + "Reading ahead failed: {}.", e.getMessage());
+        }
+        return earlyBytes != null;
+    }
+
     /** Calls the handler outside of the parser, which would take its exceptions for a malformed request. */
     private void handleReceivedRequest() {
         if (receivedRequest == null) {
@@ -500,7 +532,9 @@
         for (HttpField field : fields) {
             head.append(field.getName()).append(": ").append(field.getValue()).append("\r\n");
         }
-        closeAfterResponse |= listener.isDraining();
+        if (listener.isDraining() && !closeAfterResponse) {
+            closeAfterResponse = !hasNextRequest();
+        }
         idleLimitMillis = listener.limits().idleTimeoutMillis();
         if (closeAfterResponse) {
             head.append("Connection: close\r\n");
@@ -545,9 +579,7 @@
     private void parseEarlyBytes() {
         ByteBuffer next = earlyBytes;
         earlyBytes = null;
-        if (next != null) {
-            parse(next);
-        }
+        parse(next);
     }
 
     /** Resumes reading after a response, unless {@link #read()} is on the stack and continues by itself. */
--- a/src/test/java/org/cuminshelf/exchange/CallerConnectionLossTest.java
+++ b/src/test/java/org/cuminshelf/exchange/CallerConnectionLossTest.java
@@ -13,6 +13,7 @@
 import java.util.Objects;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.locks.ReentrantLock;
 import net.jqwik.api.Example;
 import net.jqwik.api.lifecycle.AfterProperty;
@@ -28,6 +29,9 @@
     private static final int LARGE_BODY_BYTES = (8 << 20) - (64 << 10);
     private static final int RECEIVE_BUFFER_BYTES = 64 << 10;
     private static final int READ_STEP_BYTES = 256 << 10;
+    /** More parts of a stream than all queues hold. */
+    private static final int UNREAD_PARTS = 400;
+
     private static final CallerLimits USUAL_LIMITS = new CallerLimits(1_000, 100, 500, 10_000);
 
     private final List<CallerExchange> exchanges = new CopyOnWriteArrayList<>();
@@ -616,6 +620,36 @@
         }
     }
 
+    /* The core was called back about a failed write while it was writing, in the midst of its own change of state. */
+    @Example
+    void aCallerThatReadsNoneOfItsStreamIsDroppedOnceTheCoreHasFinished() throws Exception {
+        AtomicInteger disconnects = new AtomicInteger();
+        handler = new SilentHandler() {
+            @Override
+            public void onDisconnect(CallerExchange exchange) {
+                disconnects.incrementAndGet();
+            }
+        };
+        try (Socket socket = connect()) {
+            send(socket, GET);
+            awaitExchanges(1);
+            lock.lock();
+            try {
+                exchanges.getFirst().beginResponse(200, HttpFields.EMPTY);
+                for (int part = 0; part < UNREAD_PARTS; part++) {
+                    exchanges.getFirst().writePart(ByteBuffer.wrap(new byte[RECEIVE_BUFFER_BYTES]));
+                }
+                assertThat(disconnects).hasValue(0);
+            } finally {
+                lock.unlock();
+            }
+            for (int poll = 0; poll < 500 && disconnects.get() == 0; poll++) {
+                Thread.sleep(10);
+            }
+            assertThat(disconnects).hasValue(1);
+        }
+    }
+
     @Example
     void aCallerThatReadsNothingIsClosedAtTheIdleLimit() throws Exception {
         limits = withIdleTimeout(500);
