Close no caller connection with responses that are not yet written

Callers lost the remainder of a whole response: the times of idling and lingering ran from the moment in which it was queued, and drain, the end of the caller's input and an abort of the next request closed with bytes still queued; a response of more than 8 MB was dropped at once as if its caller did not read. A close for these reasons now waits until the queue is written. A caller that takes no byte for the idle limit is closed (reason not-read-by-caller); the progress of a large response shows as it is written in parts of 64 KB and the send buffer of the kernel is 256 KB. The limit of the queue applies to what is queued already, so memory is bounded by it and one response.

A write that failed while the core was writing called the core back in the midst of its own step, and a response that was being written then set the closed connection to idle again. The close is now a task of its own.

A caller that reads nothing is closed (test). Writes that complete at once no longer nest, so a large response needs no deep stack.

--- a/src/main/java/org/cuminshelf/exchange/CallerConnection.java
+++ b/src/main/java/org/cuminshelf/exchange/CallerConnection.java
@@ -7,6 +7,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.Optional;
 import java.util.concurrent.Executor;
+import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.locks.ReentrantLock;
 import org.eclipse.jetty.http.HttpCompliance;
 import org.eclipse.jetty.http.HttpException;
@@ -109,7 +110,7 @@
         this.idleLimitMillis = listener.limits().idleTimeoutMillis();
         this.callerAddress = endPoint.getRemoteSocketAddress();
         this.accounts = new RequestAccounts(listener.connectionLog());
-        this.writes = new WriteQueue(endPoint, lock, failure -> onClosed(CloseReason.WRITE_FAILED));
+        this.writes = new WriteQueue(endPoint, lock, this::onWriteFailed);
     }
 
     @Override
@@ -134,6 +135,19 @@
         getEndPoint().tryFillInterested(readCallback);
     }
 
+    /** The core may be on the stack and isn't reentrant, so the connection is closed in a task of its own. */
+    private void onWriteFailed(Throwable failure) {
+        executeLater(() -> onClosed(CloseReason.WRITE_FAILED));
+    }
+
+    private void executeLater(Step step) {
+        try {
+            getExecutor().execute(() -> runLocked(step));
+        } catch (RejectedExecutionException e) {
+            Logger.debug(LOG + "The process stops, a step of a connection is left out: {}.", e.getMessage());
+        }
+    }
+
     private void onReadFailed(Throwable failure) {
         runLocked(() -> onClosed(CloseReason.READ_FAILED));
     }
@@ -181,7 +195,7 @@
                 ByteBuffer buffer = ReadBuffers.clearedBuffer();
                 int count = ReadBuffers.read(getEndPoint(), buffer);
                 if (count < 0) {
-                    onClosed(CloseReason.CLOSED_BY_CALLER);
+                    onEndOfInput();
                     return;
                 }
                 if (count == 0) {
@@ -196,6 +210,16 @@
         }
     }
 
+    private void onEndOfInput() {
+        if (phase == Phase.RESPONDING || writes.isEmpty()) {
+            onClosed(CloseReason.CLOSED_BY_CALLER);
+            return;
+        }
+        // A caller may close its side after its request and still read the response.
+        phase = Phase.LINGERING;
+        writes.whenEmpty(() -> onClosed(CloseReason.CLOSED_BY_CALLER));
+    }
+
     private void parse(ByteBuffer buffer) {
         unparsedBytes = buffer;
         while (buffer.hasRemaining() && (phase == Phase.IDLE || phase == Phase.READING)) {
@@ -310,10 +334,14 @@
     private void closeIfTooLong(long nowNanos, CallerLimits limits) throws IOException {
         idleLimitMillis = Math.max(idleLimitMillis, limits.idleTimeoutMillis());
         switch (phase) {
-            case IDLE -> closeIfIdleTooLong(nowNanos);
+            case IDLE -> {
+                closeIfNotRead(nowNanos);
+                closeIfIdleTooLong(nowNanos);
+            }
             case READING -> rejectIfTooSlow(nowNanos, limits);
             case LINGERING -> {
-                if (phaseMillis(nowNanos) > LINGER_MILLIS) {
+                closeIfNotRead(nowNanos);
+                if (writes.isEmpty() && millisSinceWritten(nowNanos) > LINGER_MILLIS) {
                     onClosed(CloseReason.LINGER_OVER);
                 }
             }
@@ -327,6 +355,22 @@
         return (nowNanos - phaseStartNanos) / NANOS_PER_MILLI;
     }
 
+    /** Time since the last response was written to the socket, not only queued. */
+    private long millisSinceWritten(long nowNanos) {
+        return Math.min(phaseMillis(nowNanos), millisSinceProgress(nowNanos));
+    }
+
+    private long millisSinceProgress(long nowNanos) {
+        return (nowNanos - writes.lastProgressNanos()) / NANOS_PER_MILLI;
+    }
+
+    /** Closes the connection if bytes wait to be written and the caller has taken none for the idle limit. */
+    private void closeIfNotRead(long nowNanos) {
+        if (!writes.isEmpty() && millisSinceProgress(nowNanos) > idleLimitMillis) {
+            onClosed(CloseReason.NOT_READ_BY_CALLER);
+        }
+    }
+
     private void closeIfIdleTooLong(long nowNanos) throws IOException {
         if (isIdleTooLong(nowNanos)) {
             // A request may wait in the socket, if this process stood still or the lock was held.
@@ -338,7 +382,7 @@
     }
 
     private boolean isIdleTooLong(long nowNanos) {
-        return phase == Phase.IDLE && phaseMillis(nowNanos) > idleLimitMillis;
+        return isUnused() && millisSinceWritten(nowNanos) > idleLimitMillis;
     }
 
     private void rejectIfTooSlow(long nowNanos, CallerLimits limits) throws IOException {
@@ -373,13 +417,18 @@
         return bodyIsSlow ? Optional.of("The body") : Optional.empty();
     }
 
-    /** Closes the connection if no byte of a next request has arrived. */
+    /** Whether the last response was written and no byte of a next request was read. */
+    private boolean isUnused() {
+        return phase == Phase.IDLE && writes.isEmpty();
+    }
+
+    /** Closes the connection if its last response was written and no byte of a next request has arrived. */
     void closeIfIdle() {
         runLocked(() -> {
-            if (phase == Phase.IDLE) {
+            if (isUnused()) {
                 read();
             }
-            if (phase == Phase.IDLE) {
+            if (isUnused()) {
                 onClosed(CloseReason.DRAIN);
             }
         });
@@ -520,7 +569,11 @@
     @Override
     public void abort() {
         if (phase == Phase.RESPONDING) {
-            close(CloseReason.ABORTED);
+            phase = Phase.LINGERING;
+            earlyBytes = null;
+            // The responses before this one may not be written yet.
+            writes.whenEmpty(() -> onClosed(CloseReason.ABORTED));
+            resumeReading();
         }
     }
 
@@ -589,7 +642,7 @@
         }
         if (earlyBytes != null) {
             // The core may be on the stack and isn't reentrant, so the early request is parsed in a task of its own.
-            getExecutor().execute(this::onFillable);
+            executeLater(this::read);
         } else {
             awaitBytes();
         }
--- a/src/main/java/org/cuminshelf/exchange/CallerListener.java
+++ b/src/main/java/org/cuminshelf/exchange/CallerListener.java
@@ -29,6 +29,9 @@
     /** Maximum wait for the lock at the stop; the process must be gone at the end of its grace period. */
     private static final long MAX_STOP_WAIT_MILLIS = 100;
 
+    /** Small enough that a slow caller shows progress well within an idle limit. */
+    private static final int SEND_BUFFER_BYTES = 256 << 10;
+
     private static final int MAX_THREADS = 6;
     private static final int MIN_THREADS = 2;
 
@@ -95,6 +98,7 @@
         listener.connector.setPort(Integer.parseInt(value.substring(colon + 1)));
         listener.connector.setAcceptQueueSize(ACCEPT_BACKLOG);
         listener.connector.setIdleTimeout(0);
+        listener.connector.setAcceptedSendBufferSize(SEND_BUFFER_BYTES);
         listener.server.addConnector(listener.connector);
         try {
             listener.server.start();
--- a/src/main/java/org/cuminshelf/exchange/CloseReason.java
+++ b/src/main/java/org/cuminshelf/exchange/CloseReason.java
@@ -9,6 +9,7 @@
     DRAIN(null),
     NOT_ACCEPTING(null),
     LINGER_OVER(null),
+    NOT_READ_BY_CALLER(RequestEnd.CALLER_LEFT),
     WRITE_FAILED(RequestEnd.CALLER_LEFT),
     READ_FAILED(RequestEnd.CALLER_LEFT),
     CLOSED_BY_CALLER(RequestEnd.CALLER_LEFT),
--- a/src/main/java/org/cuminshelf/exchange/WriteQueue.java
+++ b/src/main/java/org/cuminshelf/exchange/WriteQueue.java
@@ -1,5 +1,6 @@
 package org.cuminshelf.exchange;
 
+import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
@@ -13,7 +14,8 @@
 
 /**
  * Queue of buffers to write on a connection, which allows one write at a time. Guards against a peer that doesn't read:
- * above {@link #MAX_QUEUED_BYTES} queued bytes the connection fails, so that a slow caller can't exhaust the memory.
+ * if {@link #MAX_QUEUED_BYTES} are queued already, the next write fails, so that a slow caller exhausts no memory.
+ * Large buffers are written in parts, which shows whether the peer reads.
  */
 final class WriteQueue {
 
@@ -21,6 +23,7 @@
     private static final int MAX_QUEUED_BYTES = 8 << 20;
 
     private static final int MAX_BUFFERS_PER_WRITE = 64;
+    private static final int MAX_BUFFER_BYTES = 64 << 10;
 
     private final EndPoint endPoint;
     private final ReentrantLock lock;
@@ -31,6 +34,11 @@
     private final List<Runnable> whenEmpty = new ArrayList<>();
     private long queuedBytes;
     private boolean writing;
+    private boolean failed;
+    /** Whether {@link #writeAll()} is on the stack; a write that completes at once returns to its loop. */
+    private boolean insideWriteAll;
+
+    private long lastProgressNanos = System.nanoTime();
 
     WriteQueue(EndPoint endPoint, ReentrantLock lock, Consumer<Throwable> onFailure) {
         this.endPoint = endPoint;
@@ -40,22 +48,41 @@
 
     /** Writes buffers in order, after those already queued. */
     void write(ByteBuffer... buffers) {
-        for (ByteBuffer buffer : buffers) {
-            if (buffer.hasRemaining()) {
-                queue.add(buffer);
-                queuedBytes += buffer.remaining();
-            }
+        if (failed) {
+            return;
         }
         if (queuedBytes > MAX_QUEUED_BYTES) {
-            onFailure.accept(new java.io.IOException("the peer does not read"));
+            fail(new IOException("the peer does not read"));
             return;
         }
-        writeNext();
+        if (isEmpty()) {
+            lastProgressNanos = System.nanoTime();
+        }
+        for (ByteBuffer buffer : buffers) {
+            enqueue(buffer);
+        }
+        writeAll();
+    }
+
+    private void enqueue(ByteBuffer buffer) {
+        queuedBytes += buffer.remaining();
+        while (buffer.remaining() > MAX_BUFFER_BYTES) {
+            queue.add(buffer.slice(buffer.position(), MAX_BUFFER_BYTES));
+            buffer.position(buffer.position() + MAX_BUFFER_BYTES);
+        }
+        if (buffer.hasRemaining()) {
+            queue.add(buffer);
+        }
     }
 
     /** Whether all bytes were written to the socket. */
     boolean isEmpty() {
-        return !writing && queue.isEmpty();
+        return !writing && !failed && queue.isEmpty();
+    }
+
+    /** The time at which the last bytes were taken by the socket, or the first of the present ones were queued. */
+    long lastProgressNanos() {
+        return lastProgressNanos;
     }
 
     /** Runs an action when all queued bytes were written to the socket, after those that wait for it already. */
@@ -67,30 +94,44 @@
         }
     }
 
-    private void writeNext() {
-        if (writing) {
+    private void writeAll() {
+        if (insideWriteAll) {
             return;
         }
-        if (queue.isEmpty()) {
+        insideWriteAll = true;
+        try {
+            while (!writing && !failed && !queue.isEmpty()) {
+                writing = true;
+                endPoint.write(writeCallback, nextBatch());
+            }
+        } finally {
+            insideWriteAll = false;
+        }
+        if (isEmpty()) {
             List<Runnable> actions = List.copyOf(whenEmpty);
             whenEmpty.clear();
             actions.forEach(Runnable::run);
-            return;
         }
-        writing = true;
-        ByteBuffer[] batch = new ByteBuffer[Math.min(queue.size(), MAX_BUFFERS_PER_WRITE)];
-        for (int index = 0; index < batch.length; index++) {
-            batch[index] = queue.poll();
-            queuedBytes -= batch[index].remaining();
+    }
+
+    private ByteBuffer[] nextBatch() {
+        List<ByteBuffer> batch = new ArrayList<>();
+        int batchBytes = 0;
+        while (!queue.isEmpty() && batch.size() < MAX_BUFFERS_PER_WRITE && batchBytes < MAX_BUFFER_BYTES) {
+            ByteBuffer buffer = queue.poll();
+            batchBytes += buffer.remaining();
+            batch.add(buffer);
         }
-        endPoint.write(writeCallback, batch);
+        queuedBytes -= batchBytes;
+        return batch.toArray(ByteBuffer[]::new);
     }
 
     private void onWritten() {
         lock.lock();
         try {
             writing = false;
-            writeNext();
+            lastProgressNanos = System.nanoTime();
+            writeAll();
         } finally {
             lock.unlock();
         }
@@ -99,9 +140,20 @@
     private void onWriteFailed(Throwable failure) {
         lock.lock();
         try {
-            onFailure.accept(failure);
+            fail(failure);
         } finally {
             lock.unlock();
         }
     }
+
+    private void fail(Throwable failure) {
+        if (failed) {
+            return;
+        }
+        failed = true;
+        queue.clear();
+        whenEmpty.clear();
+        queuedBytes = 0;
+        onFailure.accept(failure);
+    }
 }
