--- a/src/main/java/org/cuminshelf/exchange/CallerConnection.java
+++ b/src/main/java/org/cuminshelf/exchange/CallerConnection.java
@@ -5,7 +5,9 @@
 import java.net.SocketAddress;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
+import java.util.Optional;
 import java.util.concurrent.Executor;
+import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.locks.ReentrantLock;
 import org.eclipse.jetty.http.HttpCompliance;
 import org.eclipse.jetty.http.HttpException;
@@ -41,7 +43,14 @@
     private static final byte[] LAST_CHUNK = "0\r\n\r\n".getBytes(StandardCharsets.ISO_8859_1);
     private static final byte[] CONTINUE = "HTTP/1.1 100 Continue\r\n\r\n".getBytes(StandardCharsets.ISO_8859_1);
     private static final long NANOS_PER_MILLI = 1_000_000;
+    private static final long MILLIS_PER_SECOND = 1_000;
+    /** Part of the idle limit for which callers are told to reuse a connection. */
+    private static final int REUSE_PERCENT = 80;
+
+    private static final int PERCENT = 100;
     private static final int INITIAL_HEAD_BYTES = 512;
+    private static final int EARLY_READ_BYTES = 4 << 10;
+    private static final ByteBuffer NO_BYTES = ByteBuffer.allocate(0);
 
     private enum Phase {
         IDLE,
@@ -66,6 +75,10 @@
     private boolean closeAfterResponse;
     private boolean expectsContinue;
     private boolean headersRead;
+    /** Whether a slow request was read on once, as bytes of it had come when it was judged. */
+    private boolean gotMoreTime;
+
+    private long receivedBytes;
     private boolean responseBegun;
     /** Whether the response is to a request that was read completely, not to one that was rejected before. */
     private boolean requestRead;
@@ -77,9 +90,15 @@
     /** A request that the parser completed and that the handler has not got yet; or null. */
     private ReceivedRequest receivedRequest;
 
+    /** The remainder of the bytes that are being parsed. */
+    private ByteBuffer unparsedBytes = NO_BYTES;
+
     /** Bytes of a pipelined request, received before the response to the current one was complete; or null. */
     private ByteBuffer earlyBytes;
 
+    /** The idle limit that the caller may count on: the one last told, or a higher one in force since. */
+    private long idleLimitMillis;
+
     private final Callback readCallback =
             Callback.from(Invocable.InvocationType.NON_BLOCKING, this::onFillable, this::onReadFailed);
 
@@ -88,9 +107,10 @@
         this.listener = listener;
         this.lock = listener.lock();
         this.parser = new HttpParser(this, listener.limits().maxHeaderBytes(), HttpCompliance.RFC9110);
+        this.idleLimitMillis = listener.limits().idleTimeoutMillis();
         this.callerAddress = endPoint.getRemoteSocketAddress();
         this.accounts = new RequestAccounts(listener.connectionLog());
-        this.writes = new WriteQueue(endPoint, lock, failure -> onClosed(CloseReason.WRITE_FAILED));
+        this.writes = new WriteQueue(endPoint, lock, this::onWriteFailed);
     }
 
     @Override
@@ -115,6 +135,19 @@
         getEndPoint().tryFillInterested(readCallback);
     }
 
+    /** The core may be on the stack and isn't reentrant, so the connection is closed in a task of its own. */
+    private void onWriteFailed(Throwable failure) {
+        executeLater(() -> onClosed(CloseReason.WRITE_FAILED));
+    }
+
+    private void executeLater(Step step) {
+        try {
+            getExecutor().execute(() -> runLocked(step));
+        } catch (RejectedExecutionException e) {
+            Logger.debug(LOG + "The process stops, a step of a connection is left out: {}.", e.getMessage());
+        }
+    }
+
     private void onReadFailed(Throwable failure) {
         runLocked(() -> onClosed(CloseReason.READ_FAILED));
     }
@@ -151,18 +184,25 @@
         }
         insideRead = true;
         try {
-            parseEarlyBytes();
-            while (phase != Phase.CLOSED && earlyBytes == null) {
+            while (phase != Phase.CLOSED) {
+                if (earlyBytes != null) {
+                    if (phase == Phase.RESPONDING) {
+                        return;
+                    }
+                    parseEarlyBytes();
+                    continue;
+                }
                 ByteBuffer buffer = ReadBuffers.clearedBuffer();
                 int count = ReadBuffers.read(getEndPoint(), buffer);
                 if (count < 0) {
-                    onClosed(CloseReason.CLOSED_BY_CALLER);
+                    onEndOfInput();
                     return;
                 }
                 if (count == 0) {
                     awaitBytes();
                     return;
                 }
+                receivedBytes += count;
                 parse(buffer);
             }
         } finally {
@@ -170,21 +210,54 @@
         }
     }
 
+    private void onEndOfInput() {
+        if (phase == Phase.RESPONDING || writes.isEmpty()) {
+            onClosed(CloseReason.CLOSED_BY_CALLER);
+            return;
+        }
+        // A caller may close its side after its request and still read the response.
+        phase = Phase.LINGERING;
+        writes.whenEmpty(() -> onClosed(CloseReason.CLOSED_BY_CALLER));
+    }
+
     private void parse(ByteBuffer buffer) {
+        unparsedBytes = buffer;
         while (buffer.hasRemaining() && (phase == Phase.IDLE || phase == Phase.READING)) {
             if (phase == Phase.IDLE) {
                 phase = Phase.READING;
                 phaseStartNanos = System.nanoTime();
+                headersRead = false;
+                gotMoreTime = false;
             }
             parser.parseNext(buffer);
             handleReceivedRequest();
         }
+        unparsedBytes = NO_BYTES;
         if (buffer.hasRemaining() && phase == Phase.RESPONDING) {
             // A pipelined request. Its bytes are kept, and reading pauses until the current response is complete.
             earlyBytes = ByteBuffer.allocate(buffer.remaining()).put(buffer).flip();
         }
     }
 
+    /** Whether bytes of a next request have arrived, whole or in part, read or still in the socket. */
+    private boolean hasNextRequest() {
+        return unparsedBytes.hasRemaining() || earlyBytes != null || readEarlyBytes();
+    }
+
+    private boolean readEarlyBytes() {
+        // The buffer of the thread may be in use further up the stack.
+        ByteBuffer buffer = ByteBuffer.allocate(EARLY_READ_BYTES);
+        try {
+            if (ReadBuffers.read(getEndPoint(), buffer) > 0) {
+                earlyBytes = buffer;
+            }
+        } catch (IOException e) {
+            // The next read fails in the same way and closes the connection.
+            Logger.debug(LOG + "Reading ahead failed: {}.", e.getMessage());
+        }
+        return earlyBytes != null;
+    }
+
     /** Calls the handler outside of the parser, which would take its exceptions for a malformed request. */
     private void handleReceivedRequest() {
         if (receivedRequest == null) {
@@ -244,7 +317,6 @@
 
     private void logClose(CloseReason reason) {
         long phaseMillis = (System.nanoTime() - phaseStartNanos) / NANOS_PER_MILLI;
-        long idleLimitMillis = listener.limits().idleTimeoutMillis();
         String caller = String.valueOf(callerAddress);
         listener.connectionLog().onClosed(reason, caller, phaseMillis, idleLimitMillis, accounts);
     }
@@ -260,18 +332,16 @@
     }
 
     private void closeIfTooLong(long nowNanos, CallerLimits limits) throws IOException {
-        long phaseMillis = phaseMillis(nowNanos);
+        idleLimitMillis = Math.max(idleLimitMillis, limits.idleTimeoutMillis());
         switch (phase) {
-            case IDLE -> closeIfIdleTooLong(nowNanos, limits.idleTimeoutMillis());
-            case READING -> {
-                if (!headersRead && phaseMillis > limits.headerTimeoutMillis()) {
-                    reject(HttpStatus.REQUEST_TIMEOUT_408, "The headers did not come in time.");
-                } else if (phaseMillis > limits.headerTimeoutMillis() + limits.idleTimeoutMillis()) {
-                    reject(HttpStatus.REQUEST_TIMEOUT_408, "The body did not come in time.");
-                }
+            case IDLE -> {
+                closeIfNotRead(nowNanos);
+                closeIfIdleTooLong(nowNanos);
             }
+            case READING -> rejectIfTooSlow(nowNanos, limits);
             case LINGERING -> {
-                if (phaseMillis > LINGER_MILLIS) {
+                closeIfNotRead(nowNanos);
+                if (writes.isEmpty() && millisSinceWritten(nowNanos) > LINGER_MILLIS) {
                     onClosed(CloseReason.LINGER_OVER);
                 }
             }
@@ -285,27 +355,80 @@
         return (nowNanos - phaseStartNanos) / NANOS_PER_MILLI;
     }
 
-    private void closeIfIdleTooLong(long nowNanos, long limitMillis) throws IOException {
-        if (isIdleTooLong(nowNanos, limitMillis)) {
+    /** Time since the last response was written to the socket, not only queued. */
+    private long millisSinceWritten(long nowNanos) {
+        return Math.min(phaseMillis(nowNanos), millisSinceProgress(nowNanos));
+    }
+
+    private long millisSinceProgress(long nowNanos) {
+        return (nowNanos - writes.lastProgressNanos()) / NANOS_PER_MILLI;
+    }
+
+    /** Closes the connection if bytes wait to be written and the caller has taken none for the idle limit. */
+    private void closeIfNotRead(long nowNanos) {
+        if (!writes.isEmpty() && millisSinceProgress(nowNanos) > idleLimitMillis) {
+            onClosed(CloseReason.NOT_READ_BY_CALLER);
+        }
+    }
+
+    private void closeIfIdleTooLong(long nowNanos) throws IOException {
+        if (isIdleTooLong(nowNanos)) {
             // A request may wait in the socket, if this process stood still or the lock was held.
             read();
-            if (isIdleTooLong(nowNanos, limitMillis)) {
+            if (isIdleTooLong(nowNanos)) {
                 onClosed(CloseReason.IDLE_TIMEOUT);
             }
         }
     }
 
-    private boolean isIdleTooLong(long nowNanos, long limitMillis) {
-        return phase == Phase.IDLE && phaseMillis(nowNanos) > limitMillis;
+    private boolean isIdleTooLong(long nowNanos) {
+        return isUnused() && millisSinceWritten(nowNanos) > idleLimitMillis;
     }
 
-    /** Closes the connection if no byte of a next request has arrived. */
+    private void rejectIfTooSlow(long nowNanos, CallerLimits limits) throws IOException {
+        if (slowPart(nowNanos, limits).isEmpty()) {
+            return;
+        }
+        // The remainder may wait in the socket, if this process stood still or the lock was held.
+        long receivedBefore = receivedBytes;
+        read();
+        Optional<String> slowPart = slowPart(nowNanos, limits);
+        if (slowPart.isEmpty()) {
+            return;
+        }
+        if (receivedBytes > receivedBefore && !gotMoreTime) {
+            // The caller's system sends the next bytes only now that there is room for them.
+            gotMoreTime = true;
+            return;
+        }
+        reject(HttpStatus.REQUEST_TIMEOUT_408, slowPart.get() + " did not come in time.");
+    }
+
+    /** The part of the request that took too long, if any. */
+    private Optional<String> slowPart(long nowNanos, CallerLimits limits) {
+        long phaseMillis = phaseMillis(nowNanos);
+        if (phase != Phase.READING) {
+            return Optional.empty();
+        }
+        if (!headersRead && phaseMillis > limits.headerTimeoutMillis()) {
+            return Optional.of("The headers");
+        }
+        boolean bodyIsSlow = phaseMillis > limits.headerTimeoutMillis() + idleLimitMillis;
+        return bodyIsSlow ? Optional.of("The body") : Optional.empty();
+    }
+
+    /** Whether the last response was written and no byte of a next request was read. */
+    private boolean isUnused() {
+        return phase == Phase.IDLE && writes.isEmpty();
+    }
+
+    /** Closes the connection if its last response was written and no byte of a next request has arrived. */
     void closeIfIdle() {
         runLocked(() -> {
-            if (phase == Phase.IDLE) {
+            if (isUnused()) {
                 read();
             }
-            if (phase == Phase.IDLE) {
+            if (isUnused()) {
                 onClosed(CloseReason.DRAIN);
             }
         });
@@ -446,7 +569,11 @@
     @Override
     public void abort() {
         if (phase == Phase.RESPONDING) {
-            close(CloseReason.ABORTED);
+            phase = Phase.LINGERING;
+            earlyBytes = null;
+            // The responses before this one may not be written yet.
+            writes.whenEmpty(() -> onClosed(CloseReason.ABORTED));
+            resumeReading();
         }
     }
 
@@ -458,13 +585,28 @@
         for (HttpField field : fields) {
             head.append(field.getName()).append(": ").append(field.getValue()).append("\r\n");
         }
-        closeAfterResponse |= listener.isDraining();
+        if (listener.isDraining() && !closeAfterResponse) {
+            closeAfterResponse = !hasNextRequest();
+        }
+        idleLimitMillis = listener.limits().idleTimeoutMillis();
         if (closeAfterResponse) {
             head.append("Connection: close\r\n");
+        } else {
+            appendKeepAlive(head);
         }
         return head;
     }
 
+    /** Tells the caller how long it may reuse the connection, less than it is kept, so that both never meet. */
+    private void appendKeepAlive(StringBuilder head) {
+        long seconds = idleLimitMillis * REUSE_PERCENT / PERCENT / MILLIS_PER_SECOND;
+        if (seconds > 0) {
+            head.append("Connection: keep-alive\r\nKeep-Alive: timeout=")
+                    .append(seconds)
+                    .append("\r\n");
+        }
+    }
+
     private static ByteBuffer encodeHead(StringBuilder head) {
         return ByteBuffer.wrap(head.append("\r\n").toString().getBytes(StandardCharsets.ISO_8859_1));
     }
@@ -490,9 +632,7 @@
     private void parseEarlyBytes() {
         ByteBuffer next = earlyBytes;
         earlyBytes = null;
-        if (next != null) {
-            parse(next);
-        }
+        parse(next);
     }
 
     /** Resumes reading after a response, unless {@link #read()} is on the stack and continues by itself. */
@@ -502,7 +642,7 @@
         }
         if (earlyBytes != null) {
             // The core may be on the stack and isn't reentrant, so the early request is parsed in a task of its own.
-            getExecutor().execute(this::onFillable);
+            executeLater(this::read);
         } else {
             awaitBytes();
         }
--- a/src/test/java/org/cuminshelf/exchange/CallerConnectionLossTest.java
+++ b/src/test/java/org/cuminshelf/exchange/CallerConnectionLossTest.java
@@ -13,6 +13,7 @@
 import java.util.Objects;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.locks.ReentrantLock;
 import net.jqwik.api.Example;
 import net.jqwik.api.lifecycle.AfterProperty;
@@ -28,6 +29,9 @@
     private static final int LARGE_BODY_BYTES = (8 << 20) - (64 << 10);
     private static final int RECEIVE_BUFFER_BYTES = 64 << 10;
     private static final int READ_STEP_BYTES = 256 << 10;
+    /** More parts of a stream than all queues hold. */
+    private static final int UNREAD_PARTS = 400;
+
     private static final CallerLimits USUAL_LIMITS = new CallerLimits(1_000, 100, 500, 10_000);
 
     private final List<CallerExchange> exchanges = new CopyOnWriteArrayList<>();
@@ -333,6 +337,20 @@
         }
     }
 
+    /* A body whose remainder did not fit into the socket was rejected while its caller was sending it. */
+    @Example
+    void aBodyThatGoesOnAfterAPauseIsNotTooSlow() throws Exception {
+        limits = withIdleTimeout(300);
+        try (Socket socket = connect()) {
+            send(socket, "POST /c HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n\r\nx");
+            Thread.sleep(100);
+            whileCheckWaits(900, () -> send(socket, "y"));
+            Thread.sleep(50);
+            send(socket, "z");
+            assertThat(readUntil(socket, "/c")).startsWith("HTTP/1.1 200");
+        }
+    }
+
     @Example
     void headersThatTrickleAreRejectedInTheEnd() throws Exception {
         try (Socket socket = connect()) {
@@ -602,6 +620,36 @@
         }
     }
 
+    /* The core was called back about a failed write while it was writing, in the midst of its own change of state. */
+    @Example
+    void aCallerThatReadsNoneOfItsStreamIsDroppedOnceTheCoreHasFinished() throws Exception {
+        AtomicInteger disconnects = new AtomicInteger();
+        handler = new SilentHandler() {
+            @Override
+            public void onDisconnect(CallerExchange exchange) {
+                disconnects.incrementAndGet();
+            }
+        };
+        try (Socket socket = connect()) {
+            send(socket, GET);
+            awaitExchanges(1);
+            lock.lock();
+            try {
+                exchanges.getFirst().beginResponse(200, HttpFields.EMPTY);
+                for (int part = 0; part < UNREAD_PARTS; part++) {
+                    exchanges.getFirst().writePart(ByteBuffer.wrap(new byte[RECEIVE_BUFFER_BYTES]));
+                }
+                assertThat(disconnects).hasValue(0);
+            } finally {
+                lock.unlock();
+            }
+            for (int poll = 0; poll < 500 && disconnects.get() == 0; poll++) {
+                Thread.sleep(10);
+            }
+            assertThat(disconnects).hasValue(1);
+        }
+    }
+
     @Example
     void aCallerThatReadsNothingIsClosedAtTheIdleLimit() throws Exception {
         limits = withIdleTimeout(500);
