An upstream that is avoided after failures is used rather than a repeatable call refused

What callers saw: no-upstream, or all places are taken, for calls whose only upstreams were sound and merely avoided, for 0.4 s and more after two failures in a row (silence, broken connections). Cause: isOpen() treats the backoff after failures like a crash or a rejection.

Why it holds: an avoided upstream is taken only if no other can answer, for calls that may run again, if it has sent a byte within 2 s, and never if it has rejected a request, crashed, asked for rest, is leaving or has failed this very call. A call that may not run again is still refused, as a refusal is safe to send again and a run on a failing upstream is not. Ruled out: no backoff at all, as an upstream that is gone would take a call from every entry until its lease ends.

--- a/src/main/java/org/cuminshelf/direct/UpstreamSelector.java
+++ b/src/main/java/org/cuminshelf/direct/UpstreamSelector.java
@@ -125,6 +125,8 @@
     private static final double FULL_MEMORY_PENALTY_REQUESTS = 1_000;
 
     private static final double MICROS_PER_MILLI = 1e3;
+    /** Time without any byte after which an upstream that is avoided after failures no longer passes for sound. */
+    private static final long MAX_SOUND_SILENCE_NANOS = Durations.nanos(2_000);
     /** Shortest time until an engine whose role is being changed accepts calls again. */
     private static final long MIN_ROLE_CHANGE_NANOS = Durations.nanos(200);
 
@@ -161,7 +163,7 @@
 
     /** Returns whether any upstream is available for a call, whether or not it has a free slot. */
     boolean hasOpenUpstream(long now, DirectCall call) {
-        return upstreams.instancesOf(call.service).stream().anyMatch(upstream -> isOpen(now, upstream, call));
+        return !openUpstreams(now, call).isEmpty();
     }
 
     /**
@@ -448,12 +450,17 @@
 
     /**
      * Returns the upstreams that accept a call now. An upstream that requested a backoff from another entry is included
-     * only if all upstreams of its role did.
+     * only if all upstreams of its role did, and one that is avoided after failures only if no other can answer.
      */
     private List<UpstreamInstance> openUpstreams(long now, DirectCall call) {
         List<UpstreamInstance> open = upstreams.instancesOf(call.service).stream()
                 .filter(upstream -> isOpen(now, upstream, call))
                 .toList();
+        if (open.stream().noneMatch(upstream -> canAnswer(upstream, call))) {
+            open = upstreams.instancesOf(call.service).stream()
+                    .filter(upstream -> isOpen(now, upstream, call) || isLastResort(now, upstream, call))
+                    .toList();
+        }
         if (!backpressure.backoffs().hasRemoteBackoffs()) {
             return open;
         }
@@ -471,13 +478,26 @@
     }
 
     private boolean isOpen(long now, UpstreamInstance upstream, DirectCall call) {
-        boolean serving = !upstream.draining
-                && !upstream.roleChanging
-                && !upstream.isAvoided(now)
-                && !call.excludedUpstreams.contains(upstream.id);
+        return !upstream.isAvoided(now) && isServing(now, upstream, call);
+    }
+
+    private boolean isServing(long now, UpstreamInstance upstream, DirectCall call) {
+        boolean serving = !upstream.draining && !upstream.roleChanging && !call.excludedUpstreams.contains(upstream.id);
         return serving && hasPermit(now, upstream, call);
     }
 
+    /**
+     * Returns whether a call is sent to an upstream that is avoided after failures, rather than be refused: the call
+     * may run again, and the upstream has sent something lately. All upstreams of a service may be silent for a moment
+     * and go on.
+     */
+    private boolean isLastResort(long now, UpstreamInstance upstream, DirectCall call) {
+        return call.isRetryable()
+                && upstream.isOnlySuspected(now)
+                && now - upstream.lastResponseAtNanos < MAX_SOUND_SILENCE_NANOS
+                && isServing(now, upstream, call);
+    }
+
     private boolean hasPermit(long now, UpstreamInstance upstream, DirectCall call) {
         boolean kept = call.reservedPermit.filter(upstream.id::equals).isPresent();
         return kept ? backpressure.maySendWithReservedPermit(now, upstream.id) : backpressure.maySend(now, upstream.id);
