Tests: three bounds of a waiting retry that no test noticed

With each guard of the waiting retry removed once, no test failed for three: the groups of the queue by service (the test's engine was free again, so that nothing waited), the last moments before the deadline, and the half of a plain call's time. The first test now lets 30 ms pass, so that calls do wait; two tests are new.

--- a/src/test/java/org/cuminshelf/direct/RetryPlacementTest.java
+++ b/src/test/java/org/cuminshelf/direct/RetryPlacementTest.java
@@ -300,6 +300,39 @@
         assertThat(response.aborted).isTrue();
     }
 
+    /** Guards against a stream that is held until its engines could only be reached in the last moments of its time. */
+    @Example
+    void aStartedStreamIsGivenUpAtOnceIfEveryEngineRestsUntilItsDeadline() {
+        DirectFixture entry = entryWithDecodeEngines("d1");
+        DirectFixture.CallerResponse response = entry.sendRequest("a", "Tokens", "20", "Deadline", "320");
+        entry.lastSent().respondSealedHead(200);
+        entry.lastSent().respondBody(EVENT_1);
+        entry.addUpstream("d2", Role.ROLE_DECODE);
+        DirectFixture.SentRequest resting = sendStreamTo(entry, "d2");
+        resting.respondHead(503, "Not-Run", "1", "Rest", "300");
+        resting.handler.onComplete();
+        entry.reachability = Reachability.REFUSED;
+        entry.sentRequests.getFirst().handler.onFailed(true, "reset");
+        assertThat(response.aborted).isTrue();
+    }
+
+    /** Guards against a caller that is told too late to send its request again. */
+    @Example
+    void anIdempotentRequestIsGivenUpAfterHalfOfItsTime() {
+        DirectFixture entry = entry(RequestKind.IDEMPOTENT);
+        entry.addUpstream("u1", Role.ROLE_MIXED);
+        DirectFixture.CallerResponse response = entry.sendRequest("a", "Deadline", "1000");
+        entry.sendUpdate(Update.newBuilder()
+                .addUpstreams(DirectFixture.heartbeat("u2", Role.ROLE_MIXED).toBuilder()
+                        .setChanging(true)));
+        entry.reachability = Reachability.REFUSED;
+        entry.lastSent().handler.onFailed(true, "reset");
+        entry.advance(200);
+        assertThat(response.status).isZero();
+        entry.advance(350);
+        assertThat(response.status).isEqualTo(502);
+    }
+
     /** Guards against new calls that are refused because calls of another service ahead of them find no engine. */
     @Example
     void callsThatWaitForOneServiceDoNotHoldBackThoseOfAnother() {
@@ -319,6 +352,7 @@
         List<DirectFixture.SentRequest> streams = List.copyOf(entry.sentRequests);
         entry.addUpstream("d2", Role.ROLE_DECODE);
         reject(sendStreamTo(entry, "d2"));
+        entry.advance(30);
         entry.sendUpdate(Update.newBuilder()
                 .addUpstreams(DirectFixture.heartbeat("t1", Role.ROLE_DECODE).toBuilder()
                         .setService("t")
