--- a/src/test/java/org/cuminshelf/entry/AttemptSystemTest.java
+++ b/src/test/java/org/cuminshelf/entry/AttemptSystemTest.java
@@ -61,7 +61,7 @@
     @Example
     void anUpstreamWithoutAnOutstandingRequestIsNotSilent() {
         entry.openSession(EntryFixture.ENGINE, EntryFixture.INCARNATION, 100);
-        entry.advanceMillis(4_000);
+        entry.pauseMillis(4_000);
         entry.generate(4);
         assertThat(entry.dispatches()).hasSize(1);
     }
--- a/src/test/java/org/cuminshelf/entry/EntryFixture.java
+++ b/src/test/java/org/cuminshelf/entry/EntryFixture.java
@@ -27,6 +27,7 @@
     /** First incarnation of all sidecars. */
     static final long INCARNATION = 11;
 
+    private static final long TICK_INTERVAL_NANOS = Durations.nanos(100);
     private static final String CONFIG = "{\"models\":{\"m\":{}},\"services\":{\"s\":{}},"
             + "\"organisations\":{\"limited\":{\"requests-per-second\":1,\"burst\":1}}}";
 
@@ -80,15 +81,30 @@
 
     /** Opens a session for the given incarnation of the entry; that of this entry is 1. */
     void openSessionFor(long entryIncarnation, Address sidecar, long incarnation, long session) {
+        openSession(entryIncarnation, sidecar, incarnation, session, 8);
+    }
+
+    /** Opens a session with a sidecar whose upstream has a number of slots. */
+    void openSession(long entryIncarnation, Address sidecar, long incarnation, long session, int slots) {
         SessionOpened opened = SessionOpened.newBuilder()
                 .setEntryIncarnation(entryIncarnation)
                 .setSession(session)
-                .setLoad(LoadReport.newBuilder().setSlots(8))
+                .setLoad(LoadReport.newBuilder().setSlots(slots))
                 .build();
         deliver(sidecar, incarnation, Envelope.newBuilder().setSessionOpened(opened));
     }
 
+    /** Lets time pass with ticks as frequent as those of a process. */
     void advanceMillis(long millis) {
+        long end = now + Durations.nanos(millis);
+        while (now < end) {
+            now = Math.min(end, now + TICK_INTERVAL_NANOS);
+            core.tick(now, out);
+        }
+    }
+
+    /** Lets time pass in which the process neither ticks nor reads what has arrived; then it ticks once. */
+    void pauseMillis(long millis) {
         now += Durations.nanos(millis);
         core.tick(now, out);
     }
