Entry: an exception in the core ends neither its thread nor the connection to control

Callers saw: nothing at all. After one exception in a tick the thread "core" was gone, without a log line of ours; from then on no deadline, retry, queue or configuration was seen to and every call that needed one hung. An exception in a message closed the connection to control, with one line at level debug.

Mend: LockedCoreRunner logs each failure with its stack (event=core-failure), counts it (cuminshelf_core_failures) and runs on; after a failed tick it pauses 50 ms, whatever events come in, and the readiness check fails until a tick succeeds. The process does not end: that would cut every open call, and an input that fails everywhere would end all entries at once; the load balancer moves new callers away instead.

--- a/src/main/java/org/cuminshelf/process/DirectEntryProcess.java
+++ b/src/main/java/org/cuminshelf/process/DirectEntryProcess.java
@@ -185,6 +185,11 @@
                 "cuminshelf_resting_upstreams",
                 "Upstreams that requested backoff from this entry.",
                 core::upstreamsInBackoff);
+        EntryProcess.registerGauge(
+                registry,
+                "cuminshelf_core_failures",
+                "Messages and ticks that the core failed to process; report any value above 0 as a bug.",
+                runner::failures);
         EntryProcess.registerGauge(
                 registry, "cuminshelf_invariant_breach_count", "Invariant violations detected.", invariants::count);
     }
@@ -249,7 +254,10 @@
     private final class ReadinessHandler implements CallerHandler {
         @Override
         public void onRequest(ReceivedRequest request, CallerExchange exchange) {
-            exchange.respond(core.isReady() ? OK : SERVICE_UNAVAILABLE, HttpFields.EMPTY, ByteBuffer.allocate(0));
+            exchange.respond(
+                    core.isReady() && runner.isHealthy() ? OK : SERVICE_UNAVAILABLE,
+                    HttpFields.EMPTY,
+                    ByteBuffer.allocate(0));
         }
 
         @Override
--- a/src/main/java/org/cuminshelf/process/LockedCoreRunner.java
+++ b/src/main/java/org/cuminshelf/process/LockedCoreRunner.java
@@ -1,19 +1,28 @@
 package org.cuminshelf.process;
 
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
 import java.util.concurrent.locks.Condition;
 import java.util.concurrent.locks.ReentrantLock;
 import org.cuminshelf.core.Core;
 import org.cuminshelf.core.Outbox;
 import org.cuminshelf.message.Envelope;
+import org.tinylog.Logger;
 
 /**
  * Runs a core under a lock that it shares with the threads that deliver its events: passes messages to it, and ticks it
  * on a thread of its own when it is due.
+ *
+ * <p>Guards against calls that hang because an exception has ended the thread. A failure is logged and counted and the
+ * core runs on: ending the process would cut every open call, and an input that fails in all entries would end them all
+ * at once.
  */
 final class LockedCoreRunner implements AutoCloseable {
 
+    private static final String LOG = "entry: ";
     private static final long MAX_WAIT_NANOS = TimeUnit.SECONDS.toNanos(1);
+    /** Wait after a failed tick, so that a core that fails every time takes neither the lock nor the log for itself. */
+    private static final long FAILURE_PAUSE_NANOS = TimeUnit.MILLISECONDS.toNanos(50);
 
     private final ReentrantLock lock;
     private final Condition dueTimeChanged;
@@ -23,7 +32,9 @@
     private final Thread thread = new Thread(this::run, "core");
     private long nextWakeUpNanos;
     private long nextEverySecondNanos = System.nanoTime();
+    private final AtomicLong failures = new AtomicLong();
     private volatile boolean running = true;
+    private volatile boolean healthy = true;
 
     /**
      * Creates a runner, which is idle until {@link #start()}.
@@ -52,6 +63,8 @@
         try {
             core.accept(System.nanoTime(), message, outbox);
             wakeIfDue();
+        } catch (RuntimeException | StackOverflowError e) {
+            countAndLog(e, "message-" + message.getBodyCase());
         } finally {
             lock.unlock();
         }
@@ -64,6 +77,16 @@
         }
     }
 
+    /** Returns whether the last tick of the core succeeded. */
+    boolean isHealthy() {
+        return healthy;
+    }
+
+    /** Returns the number of messages, ticks and actions that failed. */
+    long failures() {
+        return failures.get();
+    }
+
     @Override
     public void close() {
         running = false;
@@ -74,7 +97,7 @@
         lock.lock();
         try {
             while (running) {
-                step();
+                healthy = tryStep();
                 awaitNextDue();
             }
         } catch (InterruptedException e) {
@@ -84,20 +107,40 @@
         }
     }
 
-    private void step() {
+    /** Runs what is due; returns whether the core is sound. */
+    private boolean tryStep() {
         long now = System.nanoTime();
+        if (now >= nextEverySecondNanos) {
+            nextEverySecondNanos = now + MAX_WAIT_NANOS;
+            tryRun("action", everySecondAction);
+        }
+        return tryRun("tick", () -> tickIfDue(now));
+    }
+
+    private void tickIfDue(long now) {
         if (now >= core.nextDue()) {
             core.tick(now, outbox);
         }
-        if (now >= nextEverySecondNanos) {
-            nextEverySecondNanos = now + MAX_WAIT_NANOS;
-            everySecondAction.run();
+    }
+
+    private boolean tryRun(String part, Runnable action) {
+        try {
+            action.run();
+            return true;
+        } catch (RuntimeException | StackOverflowError e) {
+            countAndLog(e, part);
+            return false;
         }
     }
 
+    private void countAndLog(Throwable failure, String part) {
+        failures.incrementAndGet();
+        Logger.error(failure, LOG + "event=core-failure part={}", part);
+    }
+
     private void awaitNextDue() throws InterruptedException {
-        long wait = Math.min(MAX_WAIT_NANOS, core.nextDue() - System.nanoTime());
-        nextWakeUpNanos = System.nanoTime() + wait;
+        long wait = healthy ? Math.min(MAX_WAIT_NANOS, core.nextDue() - System.nanoTime()) : FAILURE_PAUSE_NANOS;
+        nextWakeUpNanos = healthy ? System.nanoTime() + wait : Long.MIN_VALUE;
         if (wait > 0) {
             dueTimeChanged.awaitNanos(wait);
         }
--- a/src/test/java/org/cuminshelf/process/LockedCoreRunnerTest.java
+++ b/src/test/java/org/cuminshelf/process/LockedCoreRunnerTest.java
@@ -3,6 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.assertj.core.api.Assertions.assertThatCode;
 
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.locks.ReentrantLock;
 import net.jqwik.api.Example;
@@ -39,6 +40,40 @@
         assertThat(core.awaitTicks(3)).isTrue();
     }
 
+    /* Guards against an entry that takes new calls although it can't see to their deadlines. */
+    @Example
+    void theRunnerIsUnhealthyUntilATickSucceeds() throws Exception {
+        core.failingTicks.set(Integer.MAX_VALUE);
+        runner.start();
+        awaitHealthy(false);
+        core.failingTicks.set(0);
+        assertThat(core.awaitTicks(1)).isTrue();
+        awaitHealthy(true);
+        assertThat(runner.failures()).isPositive();
+    }
+
+    /* Guards against a core that fails in each tick and keeps the lock and the processor busy. */
+    @Example
+    void aCoreThatFailsEveryTimeIsTickedAtIntervals() throws Exception {
+        core.failingTicks.set(Integer.MAX_VALUE);
+        long startNanos = System.nanoTime();
+        runner.start();
+        for (int message = 0; message < 400; message++) {
+            runner.accept(Envelope.getDefaultInstance());
+            Thread.sleep(1);
+        }
+        long failures = runner.failures();
+        long elapsedMillis = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - startNanos);
+        assertThat(failures).isBetween(1L, 1 + elapsedMillis / 40);
+    }
+
+    private void awaitHealthy(boolean expected) throws InterruptedException {
+        for (int poll = 0; poll < 1_000 && runner.isHealthy() != expected; poll++) {
+            Thread.sleep(5);
+        }
+        assertThat(runner.isHealthy()).isEqualTo(expected);
+    }
+
     /* Guards against calls that hang after a check of the upstreams' connections has failed. */
     @Example
     void theCoreIsTickedOnAfterAFailedActionOfEverySecond() throws Exception {
