--- a/src/main/java/org/cuminshelf/trial/CheckReport.java
+++ b/src/main/java/org/cuminshelf/trial/CheckReport.java
@@ -12,6 +12,7 @@
  * @param messages       messages between processes
  * @param calls          calls made
  * @param whole          calls answered in full
+ * @param lost           calls that ended in time with neither an answer nor a refusal, while their entry lived
  * @param configurations configurations accepted
  * @param orders         orders obeyed by engines
  * @param faults         faults injected, by kind
@@ -23,6 +24,7 @@
         long messages,
         long calls,
         long whole,
+        long lost,
         long configurations,
         long orders,
         Map<Fault, Long> faults) {
@@ -43,6 +45,7 @@
                 messages + other.messages,
                 calls + other.calls,
                 whole + other.whole,
+                lost + other.lost,
                 configurations + other.configurations,
                 orders + other.orders,
                 sum);
@@ -52,8 +55,8 @@
     public String toString() {
         double hours = virtualNanos / 3.6e12;
         return String.format(
-                "%.2f virtual hours, %d events, %d messages, %d calls (%d whole), %d configurations, %d orders, faults"
-                        + " %s",
-                hours, events, messages, calls, whole, configurations, orders, new TreeMap<>(faults));
+                "%.2f virtual hours, %d events, %d messages, %d calls (%d whole, %d lost), %d configurations, %d"
+                        + " orders, faults %s",
+                hours, events, messages, calls, whole, lost, configurations, orders, new TreeMap<>(faults));
     }
 }
--- a/src/main/java/org/cuminshelf/trial/CheckRun.java
+++ b/src/main/java/org/cuminshelf/trial/CheckRun.java
@@ -1,6 +1,7 @@
 package org.cuminshelf.trial;
 
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import org.apache.commons.rng.UniformRandomProvider;
 import org.apache.commons.rng.simple.RandomSource;
@@ -27,14 +28,14 @@
     private final FaultPlan faults;
     private final Map<Address, Long> highestInForce = new HashMap<>();
 
-    private CheckRun(long seed) {
+    private CheckRun(long seed, List<Fault> kinds) {
         this.seed = seed;
         UniformRandomProvider random = RandomSource.XO_RO_SHI_RO_128_PP.create(seed);
         this.network = new VirtualNetwork(time, split(random));
         this.fleet = new VirtualFleet(time, network, split(random), invariants);
         this.callers = new VirtualCallers(time, split(random), invariants, fleet.entries, fleet.registry);
         this.operators = new VirtualOperators(time, split(random), invariants, fleet.control, fleet.engineAddresses());
-        this.faults = new FaultPlan(time, network, fleet, split(random));
+        this.faults = new FaultPlan(time, network, fleet, split(random), kinds);
         time.after(WATCH_EVERY, this::watch);
     }
 
@@ -47,7 +48,12 @@
      * @throws org.cuminshelf.core.InvariantViolation at the first promise that does not hold
      */
     public static CheckReport run(long seed, long seconds) {
-        CheckRun run = new CheckRun(seed);
+        return run(seed, seconds, List.of(Fault.values()));
+    }
+
+    /** Runs a seed with faults of some kinds only. */
+    static CheckReport run(long seed, long seconds, List<Fault> kinds) {
+        CheckRun run = new CheckRun(seed, kinds);
         run.time.runUntil(Durations.nanos(seconds * 1_000));
         run.calmDown();
         return run.report();
@@ -136,6 +142,7 @@
                 network.messages(),
                 callers.calls(),
                 callers.whole(),
+                callers.lost(),
                 operators.accepted(),
                 orders,
                 faults.injected());
--- a/src/main/java/org/cuminshelf/trial/Fault.java
+++ b/src/main/java/org/cuminshelf/trial/Fault.java
@@ -21,5 +21,7 @@
     /** A sync fails. */
     FAIL_SYNC,
     /** An engine crashes, possibly in the middle of a change. */
-    CRASH_ENGINE
+    CRASH_ENGINE,
+    /** A sound engine or service sends nothing for a while, to all requests or to some, and goes on. */
+    SILENT_UPSTREAM
 }
--- a/src/main/java/org/cuminshelf/trial/FaultPlan.java
+++ b/src/main/java/org/cuminshelf/trial/FaultPlan.java
@@ -23,19 +23,30 @@
     private static final long LONGEST_PARTITION = Durations.nanos(12_000);
     private static final long LONGEST_WEATHER = Durations.nanos(5_000);
 
+    private static final long SHORTEST_SILENCE = Durations.nanos(300);
+    private static final long SILENCE_SPREAD = Durations.nanos(1_700);
+    private static final int PARTIAL_SILENCE_ONE_IN = 3;
+
     private final VirtualTime time;
     private final VirtualNetwork network;
     private final VirtualFleet fleet;
     private final UniformRandomProvider random;
+    private final List<Fault> kinds;
     private final Map<Fault, Long> injected = new EnumMap<>(Fault.class);
     private boolean stopped;
     private long networkChange;
 
-    FaultPlan(VirtualTime time, VirtualNetwork network, VirtualFleet fleet, UniformRandomProvider random) {
+    FaultPlan(
+            VirtualTime time,
+            VirtualNetwork network,
+            VirtualFleet fleet,
+            UniformRandomProvider random,
+            List<Fault> kinds) {
         this.time = time;
         this.network = network;
         this.fleet = fleet;
         this.random = random;
+        this.kinds = kinds;
         time.after(Durations.nanos(5_000), this::next);
     }
 
@@ -55,8 +66,7 @@
         if (stopped) {
             return;
         }
-        Fault[] kinds = Fault.values();
-        Fault fault = kinds[random.nextInt(kinds.length)];
+        Fault fault = kinds.get(random.nextInt(kinds.size()));
         if (inject(fault)) {
             injected.merge(fault, 1L, Long::sum);
         }
@@ -76,6 +86,7 @@
             case LOSE_DISK -> loseDisk();
             case FAIL_SYNC -> failSync();
             case CRASH_ENGINE -> crashEngine();
+            case SILENT_UPSTREAM -> silenceUpstreams();
         };
     }
 
@@ -201,4 +212,17 @@
         fleet.engines.get(addresses.get(random.nextInt(addresses.size()))).crash(random.nextLong(LONGEST_OUTAGE));
         return true;
     }
+
+    /** Silences one upstream of a kind, or several, or all. */
+    private boolean silenceUpstreams() {
+        List<UpstreamLink> links = random.nextBoolean() ? fleet.engineLinks() : fleet.serviceLinks();
+        int first = random.nextInt(links.size());
+        int count = 1 + random.nextInt(links.size());
+        long duration = SHORTEST_SILENCE + random.nextLong(SILENCE_SPREAD);
+        boolean someAttempts = random.nextInt(PARTIAL_SILENCE_ONE_IN) == 0;
+        for (int number = 0; number < count; number++) {
+            links.get((first + number) % links.size()).fallSilent(duration, someAttempts);
+        }
+        return true;
+    }
 }
--- a/src/main/java/org/cuminshelf/trial/VirtualCallers.java
+++ b/src/main/java/org/cuminshelf/trial/VirtualCallers.java
@@ -14,6 +14,7 @@
 import org.cuminshelf.message.AnswerPart;
 import org.cuminshelf.message.CallArrived;
 import org.cuminshelf.message.CallGone;
+import org.cuminshelf.message.Cause;
 import org.cuminshelf.message.Envelope;
 import org.cuminshelf.message.Exchange;
 import org.cuminshelf.message.Generation;
@@ -36,15 +37,17 @@
         private final long incarnation;
         private final CallArrived request;
         private final int resends;
+        private final long deadline;
         private final List<String> tokens = new ArrayList<>();
         private ByteString body = ByteString.EMPTY;
 
-        private Call(VirtualNode entry, CallArrived request, int resends) {
+        private Call(VirtualNode entry, CallArrived request, int resends, long now) {
             this.id = request.getCall();
             this.entry = entry;
             this.incarnation = entry.incarnation();
             this.request = request;
             this.resends = resends;
+            this.deadline = now + Durations.nanos(request.getDeadlineMs());
         }
 
         private String name() {
@@ -68,6 +71,7 @@
     private long nextTitle = 1;
     private long whole;
     private long broken;
+    private long lost;
     private boolean stopped;
 
     VirtualCallers(
@@ -100,6 +104,14 @@
         return broken;
     }
 
+    /**
+     * Calls that ended with neither an answer nor a refusal while their entry lived and their time was not up, other
+     * than those whose service broke off. A resend is refused while the first request with its key runs.
+     */
+    long lost() {
+        return lost;
+    }
+
     Map<Ran, Long> verdicts() {
         return verdicts;
     }
@@ -170,7 +182,7 @@
                     Header.newBuilder().setName(VirtualService.CALL_HEADER).setValue("call-" + id));
             request.setExchange(exchange);
         }
-        Call call = new Call(entry, request.build(), resends);
+        Call call = new Call(entry, request.build(), resends, time.now());
         open.put(id, call);
         entry.deliverLocal(
                 call.incarnation, Address.CALLERS, Envelope.newBuilder().setCallArrived(call.request));
@@ -246,6 +258,10 @@
         if (end.getRan() == Ran.NOT_RUN) {
             toldNotRun.add(call);
             checkNotRun(call);
+        } else if (end.getCause() != Cause.KEY_IN_PROGRESS
+                && time.now() < call.deadline
+                && !registry.isBroken(call.title())) {
+            lost++;
         }
         maybeResend(call);
     }
--- a/src/main/java/org/cuminshelf/trial/VirtualEngine.java
+++ b/src/main/java/org/cuminshelf/trial/VirtualEngine.java
@@ -6,7 +6,6 @@
 import java.util.Set;
 import java.util.TreeMap;
 import org.apache.commons.rng.UniformRandomProvider;
-import org.cuminshelf.core.Address;
 import org.cuminshelf.core.Core;
 import org.cuminshelf.core.Durations;
 import org.cuminshelf.core.Invariants;
@@ -43,6 +42,7 @@
     private final UniformRandomProvider random;
     private final Invariants invariants;
     private final VirtualNode sidecar;
+    private final UpstreamLink link;
     private final boolean checksFence;
     private final Map<Long, Connection> connections = new TreeMap<>();
     private final Set<Connection> cancelled = new HashSet<>();
@@ -63,6 +63,7 @@
         this.random = random;
         this.invariants = invariants;
         this.sidecar = sidecar;
+        this.link = new UpstreamLink(time, sidecar);
         this.checksFence = checksFence;
         this.model = newModel();
         time.after(random.nextLong(STATE_EVERY), this::publishState);
@@ -86,12 +87,17 @@
         return ordersAccepted;
     }
 
+    UpstreamLink link() {
+        return link;
+    }
+
     /** Loses everything in the engine for a while. */
     void crash(long duration) {
         if (crashed) {
             return;
         }
         crashed = true;
+        link.reset();
         wake++;
         Map<Long, Connection> broken = new TreeMap<>(connections);
         connections.clear();
@@ -199,7 +205,7 @@
                 .setAccepted(accepted)
                 .setCause(cause)
                 .build();
-        toSidecar(incarnation, Envelope.newBuilder().setOrderApplied(applied));
+        link.send(incarnation, UpstreamLink.NO_ATTEMPT, Envelope.newBuilder().setOrderApplied(applied));
     }
 
     private void publishState() {
@@ -209,8 +215,9 @@
 
     private void sendState(long token) {
         UpstreamState state = crashed ? UpstreamState.getDefaultInstance() : model.state(time.now());
-        toSidecar(
+        link.send(
                 sidecar.incarnation(),
+                UpstreamLink.NO_ATTEMPT,
                 Envelope.newBuilder().setUpstreamState(state.toBuilder().setToken(token)));
     }
 
@@ -242,7 +249,10 @@
                 .setAttempt(connection.attempt)
                 .addAllTokens(tokens)
                 .build();
-        toSidecar(connection.sidecarIncarnation, Envelope.newBuilder().setUpstreamPart(part));
+        link.send(
+                connection.sidecarIncarnation,
+                connection.attempt,
+                Envelope.newBuilder().setUpstreamPart(part));
     }
 
     @Override
@@ -261,10 +271,9 @@
                 .setCause(cause)
                 .setFinishReason(finishReason)
                 .build();
-        toSidecar(connection.sidecarIncarnation, Envelope.newBuilder().setUpstreamEnd(end));
-    }
-
-    private void toSidecar(long incarnation, Envelope.Builder message) {
-        time.after(SHORTEST_WRITE, () -> sidecar.deliverLocal(incarnation, Address.UPSTREAM, message));
+        link.send(
+                connection.sidecarIncarnation,
+                connection.attempt,
+                Envelope.newBuilder().setUpstreamEnd(end));
     }
 }
--- a/src/main/java/org/cuminshelf/trial/VirtualFleet.java
+++ b/src/main/java/org/cuminshelf/trial/VirtualFleet.java
@@ -34,6 +34,7 @@
     final List<VirtualNode> sidecars = new ArrayList<>();
     final Map<Address, VirtualDisk> disks = new HashMap<>();
     final Map<Address, VirtualEngine> engines = new HashMap<>();
+    private final List<UpstreamLink> serviceLinks = new ArrayList<>();
     final VirtualService.Registry registry = new VirtualService.Registry();
     private final VirtualTime time;
     private final VirtualNetwork network;
@@ -72,6 +73,16 @@
         return List.copyOf(new java.util.TreeSet<>(engines.keySet()));
     }
 
+    List<UpstreamLink> engineLinks() {
+        return engineAddresses().stream()
+                .map(address -> engines.get(address).link())
+                .toList();
+    }
+
+    List<UpstreamLink> serviceLinks() {
+        return serviceLinks;
+    }
+
     private VirtualNode node(Address address, VirtualNode.Boot boot) {
         double rate = 1 + (random.nextDouble() * 2 - 1) * CLOCK_DRIFT;
         VirtualNode node = new VirtualNode(address, time, network, boot, rate);
@@ -147,6 +158,7 @@
                 (booted, now) -> SidecarCore.start(settings, booted.incarnation(), now, ownRandom(), invariants));
         VirtualService service = new VirtualService(time, ownRandom(), node, registry);
         node.port(Address.UPSTREAM, service::handle);
+        serviceLinks.add(service.link());
         sidecars.add(node);
         node.start();
     }
--- a/src/main/java/org/cuminshelf/trial/VirtualService.java
+++ b/src/main/java/org/cuminshelf/trial/VirtualService.java
@@ -2,9 +2,10 @@
 
 import com.google.protobuf.ByteString;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.Map;
+import java.util.Set;
 import org.apache.commons.rng.UniformRandomProvider;
-import org.cuminshelf.core.Address;
 import org.cuminshelf.core.Durations;
 import org.cuminshelf.message.Cause;
 import org.cuminshelf.message.Envelope;
@@ -35,6 +36,7 @@
         private final Map<String, Integer> runsByCall = new HashMap<>();
         private final Map<String, Integer> runsByTitle = new HashMap<>();
         private final Map<String, Long> numbers = new HashMap<>();
+        private final Set<String> brokenTitles = new HashSet<>();
         private long nextNumber = 1;
 
         int runsOfCall(String call) {
@@ -49,6 +51,11 @@
             return numbers.getOrDefault(title, 0L);
         }
 
+        /** Whether a service broke off a run of a title, so that no caller can be told its number. */
+        boolean isBroken(String title) {
+            return brokenTitles.contains(title);
+        }
+
         private long run(String call, String title) {
             runsByCall.merge(call, 1, Integer::sum);
             runsByTitle.merge(title, 1, Integer::sum);
@@ -61,16 +68,22 @@
     private final VirtualTime time;
     private final UniformRandomProvider random;
     private final VirtualNode sidecar;
+    private final UpstreamLink link;
     private final Registry registry;
 
     VirtualService(VirtualTime time, UniformRandomProvider random, VirtualNode sidecar, Registry registry) {
         this.time = time;
         this.random = random;
         this.sidecar = sidecar;
+        this.link = new UpstreamLink(time, sidecar);
         this.registry = registry;
         time.after(random.nextLong(STATE_EVERY), this::publishState);
     }
 
+    UpstreamLink link() {
+        return link;
+    }
+
     void handle(Envelope message) {
         if (message.hasStartUpstream()) {
             long incarnation = message.getIncarnation();
@@ -97,6 +110,7 @@
                 .orElse("");
         long number = registry.run(call, exchange.getBody().toStringUtf8());
         if (luck == 1) {
+            registry.brokenTitles.add(exchange.getBody().toStringUtf8());
             end(incarnation, start.getAttempt(), Ran.MAY_HAVE_RUN, Cause.CONNECTION_BROKEN);
             return;
         }
@@ -112,10 +126,8 @@
                 .setAttempt(attempt)
                 .setBody(ByteString.copyFromUtf8(Long.toString(number)))
                 .build();
-        sidecar.deliverLocal(
-                incarnation, Address.UPSTREAM, Envelope.newBuilder().setUpstreamHead(head));
-        sidecar.deliverLocal(
-                incarnation, Address.UPSTREAM, Envelope.newBuilder().setUpstreamPart(part));
+        link.send(incarnation, attempt, Envelope.newBuilder().setUpstreamHead(head));
+        link.send(incarnation, attempt, Envelope.newBuilder().setUpstreamPart(part));
         end(incarnation, attempt, Ran.RAN, Cause.CAUSE_NONE);
     }
 
@@ -125,14 +137,15 @@
                 .setRan(ran)
                 .setCause(cause)
                 .build();
-        sidecar.deliverLocal(
-                incarnation, Address.UPSTREAM, Envelope.newBuilder().setUpstreamEnd(end));
+        link.send(incarnation, attempt, Envelope.newBuilder().setUpstreamEnd(end));
     }
 
     private void publishState() {
         UpstreamState state = UpstreamState.newBuilder().setReachable(true).build();
-        sidecar.deliverLocal(
-                sidecar.incarnation(), Address.UPSTREAM, Envelope.newBuilder().setUpstreamState(state));
+        link.send(
+                sidecar.incarnation(),
+                UpstreamLink.NO_ATTEMPT,
+                Envelope.newBuilder().setUpstreamState(state));
         time.after(STATE_EVERY, this::publishState);
     }
 }
