An entry with sidecars replaces a silent attempt only by one that it can dispatch at once

What callers saw: after 2.5 s without a message of its sidecar, or 8 s without a token, a generation was cancelled first. Then came the questions whether an attempt, the retry budget and an engine were left; if one was not, the call ended as "may have run" or waited for an engine until its deadline, and the tokens that its sound engine sent were dropped.

Cause: probe() -> abandon() cancels, canRetry() and the router are asked afterwards. Evidence: four tests of SilentSidecarAttemptTest failed (a Cancel was sent, a later token not delivered); they pass. A fifth is new.

Why it holds: the other engine is chosen, the budget taken and the slot reserved before the old attempt is cancelled, in one step, so that several silent attempts never count on the same slot. Otherwise the attempt is kept and probed as before, and tried again before waiting calls are routed whenever capacity may have changed, so that a stream on a dead engine does not stand behind new calls. Ruled out: EntryCore.expire(), onRestart(), onRefused() and onEnded() end nothing that is running.

--- a/src/main/java/org/cuminshelf/entry/AttemptSystem.java
+++ b/src/main/java/org/cuminshelf/entry/AttemptSystem.java
@@ -1,8 +1,11 @@
 package org.cuminshelf.entry;
 
 import com.google.protobuf.ByteString;
+import java.util.Iterator;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import org.cuminshelf.core.Address;
 import org.cuminshelf.core.Durations;
 import org.cuminshelf.core.Outbox;
@@ -48,11 +51,16 @@
 
     private final EntryState state;
     private final AnswerSystem answers;
+    private final Router router;
+    /** Silent attempts that could not be replaced so far. */
+    private final Set<AttemptRow.Key> silentAttempts = new LinkedHashSet<>();
+
     private ClaimSystem claims;
 
-    AttemptSystem(EntryState state, AnswerSystem answers) {
+    AttemptSystem(EntryState state, AnswerSystem answers, Router router) {
         this.state = state;
         this.answers = answers;
+        this.router = router;
     }
 
     /** Sets the claim system; must be called before the first message. The two systems refer to each other. */
@@ -301,6 +309,18 @@
             }
             due = state.probeTimers.poll(now);
         }
+        if (state.routingDue) {
+            replaceSilent(now, out);
+        }
+    }
+
+    /** Replaces silent attempts before waiting calls are routed, as long as another upstream has room for them. */
+    private void replaceSilent(long now, Outbox out) {
+        silentAttempts.removeIf(key -> !state.attempts.containsKey(key) || !isSilent(now, state.attempts.get(key)));
+        Iterator<AttemptRow.Key> keys = silentAttempts.iterator();
+        while (keys.hasNext() && replace(now, state.attempts.get(keys.next()), out)) {
+            keys.remove();
+        }
     }
 
     private void probe(long now, AttemptRow attempt, Outbox out) {
@@ -310,16 +330,27 @@
             state.probeTimers.set(attempt.key, probeDueNanos);
             return;
         }
-        boolean stalled = now - attempt.lastProgressAtNanos > STALL_TIMEOUT_NANOS;
-        boolean sidecarSilent = now - attempt.lastMessageAtNanos > SIDECAR_SILENCE_TIMEOUT_NANOS;
-        if (call.isGeneration() && (stalled || sidecarSilent)) {
-            abandon(now, attempt, stalled ? Cause.UPSTREAM_ERROR : Cause.UPSTREAM_SILENT, out);
-            return;
+        if (isSilent(now, attempt)) {
+            if (replace(now, attempt, out)) {
+                return;
+            }
+            silentAttempts.add(attempt.key);
         }
         sendRevoke(now, attempt, out);
         state.probeTimers.set(attempt.key, now + PROBE_INTERVAL_NANOS);
     }
 
+    /** Returns whether a generation makes no progress, so that it is continued elsewhere if possible. */
+    private static boolean isSilent(long now, AttemptRow attempt) {
+        boolean sidecarSilent = now - attempt.lastMessageAtNanos > SIDECAR_SILENCE_TIMEOUT_NANOS;
+        return attempt.call.isGeneration() && (sidecarSilent || isStalled(now, attempt));
+    }
+
+    /** Returns whether no token has arrived for long although the sidecar may answer. */
+    private static boolean isStalled(long now, AttemptRow attempt) {
+        return now - attempt.lastProgressAtNanos > STALL_TIMEOUT_NANOS;
+    }
+
     /**
      * Requests that the sidecar revoke the attempt if it did not run, or else send the answer from the first missing
      * token or byte on.
@@ -335,13 +366,30 @@
         out.sendOnNewConnection(attempt.key.upstream(), Envelope.newBuilder().setRevoke(revoke));
     }
 
-    private void abandon(long now, AttemptRow attempt, Cause cause, Outbox out) {
+    /**
+     * Replaces a silent attempt of a generation by one on another engine, if that is possible at once; otherwise the
+     * attempt is kept, as its sidecar may be sound.
+     *
+     * @return whether it was replaced
+     */
+    private boolean replace(long now, AttemptRow attempt, Outbox out) {
+        CallRow call = attempt.call;
+        if (call.attemptCount >= MAX_ATTEMPTS) {
+            return false;
+        }
+        Optional<Router.Choice> choice = router.chooseForRestart(now, call, attempt.key.upstream());
+        if (choice.isEmpty() || !state.retryBudget.tryTake(call.target())) {
+            return false;
+        }
         cancel(attempt, out);
         release(attempt);
-        attempt.call.excludedUpstreams.add(attempt.key.upstream());
-        attempt.call.kvCacheSource = "";
+        call.excludedUpstreams.add(attempt.key.upstream());
+        call.kvCacheSource = "";
+        call.lastCause = isStalled(now, attempt) ? Cause.UPSTREAM_ERROR : Cause.UPSTREAM_SILENT;
+        call.mayHaveRun = true;
         state.upstreams.row(attempt.key.upstream()).ifPresent(row -> state.upstreams.onFailure(now, row));
-        onAttemptFailed(now, attempt.call, Ran.MAY_HAVE_RUN, cause, 0, out);
+        dispatch(now, reserve(call, choice.get()), out);
+        return true;
     }
 
     /** Requests that the sidecar stop the attempt; no answer is awaited. */
--- a/src/main/java/org/cuminshelf/entry/EntryCore.java
+++ b/src/main/java/org/cuminshelf/entry/EntryCore.java
@@ -37,7 +37,7 @@
         this.ownIncarnation = incarnation;
         Router router = new Router(state);
         this.answers = new AnswerSystem(state);
-        this.attempts = new AttemptSystem(state, answers);
+        this.attempts = new AttemptSystem(state, answers, router);
         this.claims = new ClaimSystem(state, answers, attempts, incarnation);
         this.attempts.setClaimSystem(claims);
         this.admission = new AdmissionSystem(state, answers, router);
--- a/src/main/java/org/cuminshelf/entry/Router.java
+++ b/src/main/java/org/cuminshelf/entry/Router.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.Optional;
 import org.cuminshelf.config.ModelConfig;
+import org.cuminshelf.core.Address;
 import org.cuminshelf.core.Durations;
 import org.cuminshelf.message.Generation;
 import org.cuminshelf.message.Role;
@@ -69,6 +70,22 @@
         };
     }
 
+    /**
+     * Returns the best upstream to which a call could move from its current one without the KV cache that it has there;
+     * empty if there is none. The call is not changed.
+     */
+    Optional<Choice> chooseForRestart(long now, CallRow call, Address current) {
+        boolean added = call.excludedUpstreams.add(current);
+        String kvCacheSource = call.kvCacheSource;
+        call.kvCacheSource = "";
+        Optional<Choice> choice = choose(now, call);
+        call.kvCacheSource = kvCacheSource;
+        if (added) {
+            call.excludedUpstreams.remove(current);
+        }
+        return choice;
+    }
+
     private Optional<Choice> earliestAnswer(long now, CallRow call, List<UpstreamRow> subset, boolean disaggregated) {
         Choice best = null;
         for (UpstreamRow row : subset) {
--- a/src/test/java/org/cuminshelf/entry/SilentSidecarAttemptTest.java
+++ b/src/test/java/org/cuminshelf/entry/SilentSidecarAttemptTest.java
@@ -8,7 +8,9 @@
 import org.cuminshelf.message.Cause;
 import org.cuminshelf.message.Chunk;
 import org.cuminshelf.message.Dispatch;
+import org.cuminshelf.message.Ended;
 import org.cuminshelf.message.Envelope;
+import org.cuminshelf.message.Ran;
 import org.cuminshelf.message.Refused;
 
 /** Tests the attempts of an entry while a sidecar is silent that may be sound. */
@@ -139,6 +141,30 @@
         assertDelivered(stream, 1, " b");
     }
 
+    /** Guards against a slot that goes to a new call while a stream on a silent engine needs one. */
+    @Example
+    void aSilentStreamComesBeforeNewCalls() {
+        entry.openSession(1, EntryFixture.ENGINE, EntryFixture.INCARNATION, SESSION, 1);
+        startStream();
+        addOtherEngine(1);
+        entry.generate(8);
+        Dispatch other = entry.dispatches().getFirst();
+        assertThat(other.getSession()).isEqualTo(OTHER_SESSION);
+        sentDuringSilence(1);
+        entry.generate(8);
+        entry.deliver(
+                EntryFixture.OTHER_ENGINE,
+                EntryFixture.INCARNATION,
+                Envelope.newBuilder()
+                        .setEnded(Ended.newBuilder()
+                                .setSession(OTHER_SESSION)
+                                .setNumber(other.getNumber())
+                                .setRan(Ran.RAN)));
+        assertThat(entry.dispatches())
+                .hasSize(1)
+                .allMatch(dispatch -> dispatch.getGeneration().getHeldList().contains(" a"));
+    }
+
     /** Guards against streams that are cancelled by the first tick after a pause of the entry itself. */
     @Example
     void aPauseOfTheEntryIsNoSilenceOfItsSidecars() {
