Failing tests: pauses of an entry or of control are taken for silence of the others

On the code as it is, the first tick after 3 s in which an entry stood still cancels its streams at sidecars and holds back new calls, and that of a control process after 6 s marks all upstreams as lapsed or gone, though what they sent waits in the sockets.

--- a/src/test/java/org/cuminshelf/control/DirectUpstreamRegistryTest.java
+++ b/src/test/java/org/cuminshelf/control/DirectUpstreamRegistryTest.java
@@ -55,6 +55,26 @@
         assertThat(isChanging()).isFalse();
     }
 
+    /** Guards against upstreams that all lapse in the first tick after a pause of control. */
+    @Example
+    void aPauseOfControlEndsNoLease() {
+        sendHeartbeat(Role.ROLE_DECODE, 1_000);
+        advance(250);
+        advance(6_000);
+        assertThat(registry.serving()).hasSize(1);
+    }
+
+    @Example
+    void anUpstreamThatStaysSilentAfterAPauseOfControlLapses() {
+        sendHeartbeat(Role.ROLE_DECODE, 1_000);
+        advance(250);
+        advance(6_000);
+        for (int quarter = 0; quarter < 21; quarter++) {
+            advance(250);
+        }
+        assertThat(registry.serving()).isEmpty();
+    }
+
     private void sendHeartbeat(Role role, long bornMillis) {
         UpstreamBeat heartbeat = UpstreamBeat.newBuilder()
                 .setName("u")
--- a/src/test/java/org/cuminshelf/entry/SilentSidecarAttemptTest.java
+++ b/src/test/java/org/cuminshelf/entry/SilentSidecarAttemptTest.java
@@ -178,6 +178,17 @@
         assertDelivered(stream, 1, " b");
     }
 
+    /** Guards against new calls that wait after a pause of the entry because its sidecars pass for silent. */
+    @Example
+    void aPauseOfTheEntryDoesNotHoldBackNewCalls() {
+        entry.openSession(EntryFixture.ENGINE, EntryFixture.INCARNATION, SESSION);
+        // By then a heartbeat to the engine is unanswered.
+        entry.advanceMillis(1_200);
+        entry.pauseMillis(SILENCE_MILLIS);
+        entry.generate(8);
+        assertThat(entry.dispatches()).hasSize(1);
+    }
+
     /** Has a generation refused until its last attempt, and returns that one. */
     private Dispatch exhaustAttempts() {
         entry.generate(8);
