--- a/src/test/java/org/cuminshelf/direct/DirectFixture.java
+++ b/src/test/java/org/cuminshelf/direct/DirectFixture.java
@@ -422,6 +422,7 @@
         public UpstreamRequest attemptRequest(ReceivedRequest request, AttemptPlan plan) {
             HttpFields.Mutable fields = HttpFields.build()
                     .put("Expect", plan.upstream())
+                    .put("Request", request.headers().get("Id"))
                     .put("Left", String.valueOf(plan.remainingMillis()))
                     .put("Prefill", String.valueOf(plan.prefillOnly()));
             plan.organisation().ifPresent(name -> fields.put("Organisation", name));
