--- a/src/test/java/org/cuminshelf/direct/SilentStreamTest.java
+++ b/src/test/java/org/cuminshelf/direct/SilentStreamTest.java
@@ -355,6 +355,40 @@
         assertThat(entry.lastSent().cancelled).isFalse();
     }
 
+    // ---- new calls
+
+    /* Guards against new calls that wait for their first event at a dark engine while another one serves. */
+    @Example
+    void newCallsAvoidAnEngineThatIsSilentWhileAnotherServes() {
+        DirectFixture entry = entry(3, "u1", "u2");
+        startStreams(entry, 5);
+        long onFirst = entry.sentRequests.stream()
+                .filter(sent -> sent.upstream.equals("u1"))
+                .count();
+        String dark = onFirst <= 2 ? "u1" : "u2";
+        for (int round = 2; round < 9; round++) {
+            String next = event(round);
+            entry.advance(100);
+            entry.sentRequests.stream()
+                    .filter(sent -> !sent.upstream.equals(dark))
+                    .forEach(sent -> sent.respondBody(next));
+        }
+        for (int number = 0; number < 2; number++) {
+            sendStream(entry, "new" + number);
+            assertThat(entry.lastSent().upstream).isNotEqualTo(dark);
+        }
+    }
+
+    /* Guards against refused calls as the only engine of its role is silent. */
+    @Example
+    void theOnlyEngineOfItsRoleGetsNewCallsThoughItIsSilent() {
+        DirectFixture entry = entry(3, "u1").addUpstream("p", Role.ROLE_PREFILL);
+        startStream(entry, "a");
+        entry.advance(700);
+        sendStream(entry, "new");
+        assertThat(entry.sentRequests).hasSize(2);
+    }
+
     // ---- prefill
 
     /** Returns an entry that has sent a prompt to its only prefill engine. */
