New calls avoid a silent engine while another of its role serves

Callers of new streams waited in vain at an engine that was dark. Their upstream is now chosen among those that are not silent (600 ms without a byte although requests wait there) if one of the same role accepts the call; the only engine of its role still gets calls, so that a pause of all engines refuses nothing.

--- a/src/main/java/org/cuminshelf/direct/CallDispatcher.java
+++ b/src/main/java/org/cuminshelf/direct/CallDispatcher.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.function.LongSupplier;
 import org.cuminshelf.backpressure.Backpressure;
 import org.cuminshelf.core.Core;
@@ -43,6 +44,7 @@
     private final AdmissionControl admission;
     private final SizeFairness sizeFairness = new SizeFairness();
     private final RetryPolicy retryPolicy;
+    private final SilentUpstreams silentUpstreams;
     private final ReplacementPlanner replacementPlanner;
     private final KvCacheReleaser kvCacheReleaser;
     private final AttemptLog attemptLog;
@@ -78,8 +80,8 @@
         this.attemptLog = new AttemptLog(log);
         this.retryPolicy = new RetryPolicy(poisonGuard, retryBudget, control);
         WatchedClock watchedClock = new WatchedClock(clock.getAsLong());
-        this.replacementPlanner = new ReplacementPlanner(
-                retryPolicy, admission, admissionQueue, new SilentUpstreams(upstreams, watchedClock));
+        this.silentUpstreams = new SilentUpstreams(upstreams, selector, watchedClock);
+        this.replacementPlanner = new ReplacementPlanner(retryPolicy, admission, admissionQueue, silentUpstreams);
         this.kvCacheReleaser = new KvCacheReleaser(protocol, client, upstreams, clock, backpressureListener);
         this.attemptRunner = new AttemptRunner(
                 protocol,
@@ -134,7 +136,7 @@
     }
 
     private void place(long now, DirectCall call) {
-        switch (admission.decide(now, call)) {
+        switch (decide(now, call)) {
             case AdmissionControl.Decision.Send(UpstreamSelector.Choice choice) ->
                 sendAttempt(now, call, choice, call.kvCache);
             case AdmissionControl.Decision.Wait() -> {
@@ -148,6 +150,16 @@
         }
     }
 
+    /** Decides on a call, without silent upstreams if possible; a call that was sent before may need one of them. */
+    private AdmissionControl.Decision decide(long now, DirectCall call) {
+        Set<String> silent = silentUpstreams.dispensable(now, call);
+        call.excludedUpstreams.addAll(silent);
+        AdmissionControl.Decision decision = admission.decide(now, call);
+        call.excludedUpstreams.removeAll(silent);
+        boolean refused = decision instanceof AdmissionControl.Decision.Refuse;
+        return refused && call.lastAttempt != null && !silent.isEmpty() ? admission.decide(now, call) : decision;
+    }
+
     /** Tries to place queued calls, in order, until too many fail; calls whose wait is over are always decided. */
     private void retryWaiting(long now) {
         int failures = 0;
--- a/src/main/java/org/cuminshelf/direct/SilentUpstreams.java
+++ b/src/main/java/org/cuminshelf/direct/SilentUpstreams.java
@@ -1,17 +1,20 @@
 package org.cuminshelf.direct;
 
+import java.util.EnumSet;
 import java.util.HashSet;
-import java.util.List;
 import java.util.Set;
+import org.cuminshelf.message.Role;
 
 /** Tells which upstreams have sent nothing for a while although requests of this entry wait there. */
 final class SilentUpstreams {
 
     private final UpstreamTable upstreams;
+    private final UpstreamSelector selector;
     private final WatchedClock watchedClock;
 
-    SilentUpstreams(UpstreamTable upstreams, WatchedClock watchedClock) {
+    SilentUpstreams(UpstreamTable upstreams, UpstreamSelector selector, WatchedClock watchedClock) {
         this.upstreams = upstreams;
+        this.selector = selector;
         this.watchedClock = watchedClock;
     }
 
@@ -27,17 +30,20 @@
         return silent;
     }
 
-    /** Returns those beside which another upstream of the same role serves that is not silent. */
-    Set<String> replaceable(long now, String service) {
+    /** Returns those that a call can do without: another upstream of the same role may take it and is not silent. */
+    Set<String> dispensable(long now, DirectCall call) {
+        String service = call.service;
         Set<String> silent = of(now, service);
+        silent.removeAll(call.excludedUpstreams);
         if (silent.isEmpty()) {
             return silent;
         }
-        List<UpstreamInstance> sound = upstreams.instancesOf(service).stream()
-                .filter(upstream -> !silent.contains(upstream.id) && upstream.isServing(now))
-                .toList();
+        Set<Role> soundRoles = EnumSet.noneOf(Role.class);
         upstreams.instancesOf(service).stream()
-                .filter(upstream -> sound.stream().noneMatch(other -> other.role == upstream.role))
+                .filter(upstream -> !silent.contains(upstream.id) && selector.isOpen(now, upstream, call))
+                .forEach(upstream -> soundRoles.add(upstream.role));
+        upstreams.instancesOf(service).stream()
+                .filter(upstream -> !soundRoles.contains(upstream.role))
                 .forEach(upstream -> silent.remove(upstream.id));
         return silent;
     }
--- a/src/main/java/org/cuminshelf/direct/UpstreamInstance.java
+++ b/src/main/java/org/cuminshelf/direct/UpstreamInstance.java
@@ -210,11 +210,6 @@
         return lastResponseAtNanos != NEVER_RESPONDED;
     }
 
-    /** Whether it may get new work as far as its own state goes. */
-    boolean isServing(long now) {
-        return !draining && !roleChanging && !isAvoided(now);
-    }
-
     boolean isAvoided(long now) {
         return now < avoidUntilNanos;
     }
--- a/src/main/java/org/cuminshelf/direct/UpstreamSelector.java
+++ b/src/main/java/org/cuminshelf/direct/UpstreamSelector.java
@@ -468,7 +468,8 @@
         return backpressure.backoffs().isBackedOffRemotely(now, upstream.id);
     }
 
-    private boolean isOpen(long now, UpstreamInstance upstream, DirectCall call) {
+    /** Returns whether an upstream accepts a call now, whether or not it has a free slot. */
+    boolean isOpen(long now, UpstreamInstance upstream, DirectCall call) {
         boolean serving = !upstream.draining
                 && !upstream.roleChanging
                 && !upstream.isAvoided(now)
--- a/src/test/java/org/cuminshelf/direct/SilentStreamTest.java
+++ b/src/test/java/org/cuminshelf/direct/SilentStreamTest.java
@@ -389,6 +389,28 @@
         assertThat(entry.sentRequests).hasSize(2);
     }
 
+    /* Guards against a call that fails for want of a slot at sound engines while a silent one has slots. */
+    @Example
+    void aCallWhoseAttemptFailedIsSentToASilentEngineIfNoOtherHasASlot() {
+        DirectFixture entry = entry(3, "u1", "u2");
+        startStreams(entry, 12);
+        entry.addUpstream("u3", Role.ROLE_DECODE);
+        DirectFixture.SentRequest finished = entry.sentRequests.getFirst();
+        finished.respondBody(event(2));
+        finished.handler.onComplete();
+        for (int round = 2; round < 9; round++) {
+            String next = event(round);
+            entry.advance(100);
+            entry.sentRequests.stream()
+                    .filter(sent -> !sent.upstream.equals(finished.upstream))
+                    .forEach(sent -> sent.respondBody(next));
+        }
+        sendStream(entry, "a");
+        assertThat(entry.lastSent().upstream).isEqualTo("u3");
+        entry.lastSent().handler.onFailed(true, "reset");
+        assertThat(entry.lastSent().upstream).isEqualTo(finished.upstream);
+    }
+
     // ---- prefill
 
     /** Returns an entry that has sent a prompt to its only prefill engine. */
