Network: a message that can't be processed does not close its connection

An exception of the receiver closed the connection, with a line at level debug; messages behind it were lost. Now it is logged with its stack and the connection stays. Test of TcpNetworkTest: end of stream before, the echo after.

--- a/src/main/java/org/cuminshelf/network/TcpNetwork.java
+++ b/src/main/java/org/cuminshelf/network/TcpNetwork.java
@@ -179,7 +179,16 @@
             }
             traffic.recordReceived(message.getSerializedSize() + LENGTH_BYTES);
             if (!Address.of(message.getFrom()).isLocal()) {
+                deliver(message);
+            }
+        }
+
+        private void deliver(Envelope message) {
+            try {
                 receiver.accept(message);
+            } catch (RuntimeException | StackOverflowError e) {
+                // The connection is sound: closing it would lose the messages that follow.
+                Logger.error(e, LOG + "Failed to process a message of kind {}.", message.getBodyCase());
             }
         }
 
