Entry: a configuration that makes the parser fail is reported as unreadable

Callers saw old routes for good: after an exception of the parser no result came, ConfigSourceSelector stayed at 'parsing' and no configuration was fetched any more; no line of ours told it. Now the failure is logged with its stack and the version passes for unreadable, so the next one is fetched.

--- a/src/main/java/org/cuminshelf/process/BackgroundConfigReader.java
+++ b/src/main/java/org/cuminshelf/process/BackgroundConfigReader.java
@@ -8,10 +8,18 @@
 import java.util.function.Function;
 import org.cuminshelf.direct.RouteTableReader;
 import org.cuminshelf.routes.RouteTable;
+import org.tinylog.Logger;
 
-/** Parses configurations on a thread of its own, and reports each result under the lock of the core. */
+/**
+ * Parses configurations on a thread of its own, and reports each result under the lock of the core.
+ *
+ * <p>Guards against an entry that fetches no configuration any more because one made the parser fail: each read reports
+ * a result, so the next version can be fetched.
+ */
 final class BackgroundConfigReader implements RouteTableReader, AutoCloseable {
 
+    private static final String LOG = "entry: ";
+
     private final ReentrantLock lock;
     private final Function<byte[], Optional<RouteTable>> parser;
     private final Runnable afterRead;
@@ -33,7 +41,16 @@
 
     @Override
     public void read(byte[] deflated, Consumer<Optional<RouteTable>> onRead) {
-        executor.execute(() -> report(RouteTableReader.parse(deflated, parser), onRead));
+        executor.execute(() -> report(parse(deflated), onRead));
+    }
+
+    private Optional<RouteTable> parse(byte[] deflated) {
+        try {
+            return RouteTableReader.parse(deflated, parser);
+        } catch (RuntimeException | StackOverflowError e) {
+            Logger.error(e, LOG + "event=config state=unreadable reason=\"the parser failed\"");
+            return Optional.empty();
+        }
     }
 
     private void report(Optional<RouteTable> routes, Consumer<Optional<RouteTable>> onRead) {
@@ -41,6 +58,8 @@
         try {
             onRead.accept(routes);
             afterRead.run();
+        } catch (RuntimeException | StackOverflowError e) {
+            Logger.error(e, LOG + "event=core-failure part=config");
         } finally {
             lock.unlock();
         }
