Core: a tick that is due at once does not wait for a second

ConfigSourceSelector says 'due at once' by the smallest number; the wait until then overflowed to the longest wait, 1 s. An event that came meanwhile woke the thread, so it was a delay at worst. Test: 20 ticks took over 5 s, now none waits. Core.nanosUntilDue has the arithmetic in one place.

--- a/src/main/java/org/cuminshelf/core/Core.java
+++ b/src/main/java/org/cuminshelf/core/Core.java
@@ -36,4 +36,15 @@
      * @return time in nanoseconds, or {@link #NEVER}
      */
     long nextDue();
+
+    /**
+     * Returns how long the next tick can wait if no message arrives before.
+     *
+     * @param now current time in nanoseconds
+     * @return time in nanoseconds, 0 if the tick is due
+     */
+    default long nanosUntilDue(long now) {
+        long due = nextDue();
+        return due <= now ? 0 : due - now;
+    }
 }
--- a/src/main/java/org/cuminshelf/process/LockedCoreRunner.java
+++ b/src/main/java/org/cuminshelf/process/LockedCoreRunner.java
@@ -139,7 +139,7 @@
     }
 
     private void awaitNextDue() throws InterruptedException {
-        long wait = healthy ? Math.min(MAX_WAIT_NANOS, core.nextDue() - System.nanoTime()) : FAILURE_PAUSE_NANOS;
+        long wait = healthy ? Math.min(MAX_WAIT_NANOS, core.nanosUntilDue(System.nanoTime())) : FAILURE_PAUSE_NANOS;
         nextWakeUpNanos = healthy ? System.nanoTime() + wait : Long.MIN_VALUE;
         if (wait > 0) {
             dueTimeChanged.awaitNanos(wait);
--- a/src/test/java/org/cuminshelf/process/LockedCoreRunnerTest.java
+++ b/src/test/java/org/cuminshelf/process/LockedCoreRunnerTest.java
@@ -83,6 +83,14 @@
         assertThat(everySecondRuns.get()).isPositive();
     }
 
+    /* Guards against a tick that is due at once, such as that of a fetch, and runs a second later. */
+    @Example
+    void aCoreThatIsDueAtOnceIsTickedWithoutAWait() throws Exception {
+        core.onTick = out -> core.nextDueNanos = Long.MIN_VALUE;
+        runner.start();
+        assertThat(core.awaitTicks(20)).isTrue();
+    }
+
     /* Guards against a broken connection to control whenever the core can't process one of its messages. */
     @Example
     void aMessageThatCannotBeProcessedDoesNotFailItsSender() {
