Processes with a core of their own: failures around the core end neither its thread nor its tick

A failed action of every second or a full disk under the trace ended the thread: the process lived on and every call hung. A local port that failed, such as a response that can't be written, broke off the tick that sent to it. Each is now logged and the core runs on, without a trace once that can't be written. The wait until a tick that is due at once takes Core.nanosUntilDue.

--- a/src/main/java/org/cuminshelf/process/CoreRunner.java
+++ b/src/main/java/org/cuminshelf/process/CoreRunner.java
@@ -45,7 +45,7 @@
     private final Map<Address, Consumer<Envelope>> portHandlers = new HashMap<>();
     private final LinkedBlockingQueue<Envelope> inputs = new LinkedBlockingQueue<>();
     private final CountDownLatch stopped = new CountDownLatch(1);
-    private final Optional<TraceFile> trace;
+    private Optional<TraceFile> trace;
     private final Thread thread;
     private volatile boolean running = true;
     private Runnable everySecondAction = () -> {};
@@ -172,13 +172,11 @@
             }
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
-        } catch (IOException e) {
-            Logger.error(LOG + "Failed to write the trace file of {}; its core stops: {}.", name, e.getMessage());
         }
     }
 
     private void pollInputs(List<Envelope> batch) throws InterruptedException {
-        long wait = Math.min(MAX_WAIT_NANOS, core.nextDue() - System.nanoTime());
+        long wait = Math.min(MAX_WAIT_NANOS, core.nanosUntilDue(System.nanoTime()));
         Envelope first = wait > 0 ? inputs.poll(wait, TimeUnit.NANOSECONDS) : inputs.poll();
         if (first != null) {
             batch.add(first);
@@ -207,47 +205,67 @@
         long now = System.nanoTime();
         if (now - lastEverySecondNanos >= NANOS_PER_SECOND) {
             lastEverySecondNanos = now;
-            everySecondAction.run();
+            try {
+                everySecondAction.run();
+            } catch (RuntimeException | StackOverflowError e) {
+                Logger.error(e, LOG + "{} failed in the action of every second.", name);
+            }
         }
     }
 
-    private void step(List<Envelope> batch) throws IOException {
+    private void step(List<Envelope> batch) {
         long now = System.nanoTime();
         for (Envelope input : batch) {
             record(now, Optional.of(input));
             try {
                 core.accept(now, input, outbox);
-            } catch (RuntimeException e) {
+            } catch (RuntimeException | StackOverflowError e) {
                 Logger.error(e, LOG + "{} failed to process a message of kind {}.", name, input.getBodyCase());
             }
         }
         record(now, Optional.empty());
         try {
             core.tick(now, outbox);
-        } catch (RuntimeException e) {
+        } catch (RuntimeException | StackOverflowError e) {
             Logger.error(e, LOG + "{} failed in a tick.", name);
         }
     }
 
-    private void record(long now, Optional<Envelope> input) throws IOException {
+    /** Records an input; the core runs on without a trace once that cannot be written. */
+    private void record(long now, Optional<Envelope> input) {
         if (trace.isEmpty()) {
             return;
         }
         TraceRecord.Builder record = TraceRecord.newBuilder().setNowNanos(now);
         input.ifPresent(record::setInput);
-        trace.get().append(record.build());
+        try {
+            trace.get().append(record.build());
+        } catch (IOException e) {
+            Logger.error(LOG + "Failed to write the trace file of {}; it records no more: {}.", name, e.getMessage());
+            trace = Optional.empty();
+        }
     }
 
     private void dispatch(Address to, Envelope.Builder message, boolean freshConnection) {
         Envelope outgoing =
                 message.setFrom(self.value()).setIncarnation(incarnation).build();
         if (to.isLocal()) {
-            Consumer<Envelope> handler = portHandlers.get(to);
-            if (handler != null) {
-                handler.accept(outgoing);
-            }
+            deliver(to, outgoing);
             return;
         }
         network.send(to, outgoing, freshConnection);
     }
+
+    /** Passes a message to a local port, whose failure must not break off the tick that sent it. */
+    private void deliver(Address port, Envelope message) {
+        Consumer<Envelope> handler = portHandlers.get(port);
+        if (handler == null) {
+            return;
+        }
+        try {
+            handler.accept(message);
+        } catch (RuntimeException | StackOverflowError e) {
+            Logger.error(e, LOG + "{} failed to deliver a message of kind {}.", name, message.getBodyCase());
+        }
+    }
 }
--- a/src/test/java/org/cuminshelf/process/CoreRunnerTest.java
+++ b/src/test/java/org/cuminshelf/process/CoreRunnerTest.java
@@ -56,6 +56,16 @@
         }
     }
 
+    /* Guards against a tick that is due at once, such as that of a fetch, and runs a second later. */
+    @Example
+    void aCoreThatIsDueAtOnceIsTickedWithoutAWait() throws Exception {
+        core.onTick = out -> core.nextDueNanos = Long.MIN_VALUE;
+        try (CoreRunner runner = runner(Optional.empty())) {
+            runner.start();
+            assertThat(core.awaitTicks(20)).isTrue();
+        }
+    }
+
     /* Guards against calls that hang because the disk with the trace of the core's inputs is full. */
     @Example
     void theCoreRunsOnWithoutATraceOnceTheTraceCannotBeWritten() throws Exception {
