Pauses of an entry with sidecars or of control are no silence of the others

What callers saw: an entry that stood still for some seconds cancelled its streams at sidecars in its first tick and held back new calls; a control process that stood still told entries that all upstreams had lapsed, so that an entry that has the list from it alone refused calls, and planned roles without engines.

Cause: leases and silence are the time since the last message was read; after a pause the messages wait in the sockets, but the tick comes first. Ruled out: reading the sockets before the tick, as messages come from other threads and nothing tells that all have been handed over. Deadlines of calls and orders are left alone: they pass for the other side too.

--- a/src/main/java/org/cuminshelf/control/DirectUpstreamRegistry.java
+++ b/src/main/java/org/cuminshelf/control/DirectUpstreamRegistry.java
@@ -9,6 +9,7 @@
 import org.cuminshelf.core.Address;
 import org.cuminshelf.core.Durations;
 import org.cuminshelf.core.Outbox;
+import org.cuminshelf.core.PauseDetector;
 import org.cuminshelf.message.Envelope;
 import org.cuminshelf.message.Role;
 import org.cuminshelf.message.Update;
@@ -41,6 +42,8 @@
     /** Time for which a deleted or lapsed upstream is kept; delayed heartbeats arrive within seconds. */
     private static final long ENDED_RETENTION_NANOS = Durations.nanos(60_000);
 
+    private static final long MAX_TICK_INTERVAL_NANOS = Durations.nanos(1_000);
+
     /** One run of an upstream, from its start to its end. */
     private static final class Incarnation {
         private UpstreamBeat heartbeat;
@@ -66,6 +69,7 @@
     }
 
     private final SidecarDirectory directory;
+    private final PauseDetector pauses = PauseDetector.create(MAX_TICK_INTERVAL_NANOS);
     private final Map<String, Incarnations> incarnationsByName = new TreeMap<>();
     private final Map<String, PendingChange> pendingChanges = new TreeMap<>();
 
@@ -239,6 +243,13 @@
     }
 
     void tick(long now) {
+        long pauseNanos = pauses.onTick(now);
+        if (pauseNanos > 0) {
+            // Heartbeats that arrived meanwhile have not been read yet.
+            incarnations()
+                    .forEach(incarnation ->
+                            incarnation.lastReceivedAt = Math.min(now, incarnation.lastReceivedAt + pauseNanos));
+        }
         pendingChanges.entrySet().removeIf(change -> now > change.getValue().expiresAt);
         incarnations().forEach(incarnation -> tick(now, incarnation));
         incarnationsByName
--- a/src/main/java/org/cuminshelf/control/SidecarDirectory.java
+++ b/src/main/java/org/cuminshelf/control/SidecarDirectory.java
@@ -8,6 +8,7 @@
 import org.cuminshelf.core.Address;
 import org.cuminshelf.core.Core;
 import org.cuminshelf.core.Durations;
+import org.cuminshelf.core.PauseDetector;
 import org.cuminshelf.message.Announce;
 import org.cuminshelf.message.LoadReport;
 import org.cuminshelf.message.Member;
@@ -22,6 +23,8 @@
 
     /** Time without an announcement after which an upstream is marked as gone. */
     private static final long LEASE_NANOS = Durations.nanos(4_000);
+
+    private static final long MAX_TICK_INTERVAL_NANOS = Durations.nanos(1_000);
     /** Time since the last announcement after which an upstream is removed. */
     private static final long GONE_RETENTION_NANOS = Durations.nanos(120_000);
 
@@ -34,6 +37,7 @@
         boolean checksFence;
     }
 
+    private final PauseDetector pauses = PauseDetector.create(MAX_TICK_INTERVAL_NANOS);
     private final long incarnation;
     private final Map<Address, AnnouncedUpstream> upstreamsByAddress = new TreeMap<>();
     private long version = 1;
@@ -106,6 +110,14 @@
 
     /** Marks upstreams with silent sidecars as gone, and removes them after the retention time. */
     void tick(long now) {
+        long pauseNanos = pauses.onTick(now);
+        if (pauseNanos > 0) {
+            // Announcements that arrived meanwhile have not been read yet.
+            upstreamsByAddress
+                    .values()
+                    .forEach(upstream ->
+                            upstream.lastAnnouncedAt = Math.min(now, upstream.lastAnnouncedAt + pauseNanos));
+        }
         Iterator<Map.Entry<Address, AnnouncedUpstream>> upstreams =
                 upstreamsByAddress.entrySet().iterator();
         while (upstreams.hasNext()) {
--- a/src/main/java/org/cuminshelf/entry/AttemptSystem.java
+++ b/src/main/java/org/cuminshelf/entry/AttemptSystem.java
@@ -299,6 +299,14 @@
         state.routingDue = true;
     }
 
+    /** Leaves a pause of this process out of the silence of all attempts. */
+    void discountPause(long now, long pauseNanos) {
+        for (AttemptRow attempt : state.attempts.values()) {
+            attempt.lastMessageAtNanos = Math.min(now, attempt.lastMessageAtNanos + pauseNanos);
+            attempt.lastProgressAtNanos = Math.min(now, attempt.lastProgressAtNanos + pauseNanos);
+        }
+    }
+
     /** Probes the attempts from which no message has arrived for some time. */
     void tick(long now, Outbox out) {
         Optional<AttemptRow.Key> due = state.probeTimers.poll(now);
--- a/src/main/java/org/cuminshelf/entry/EntryCore.java
+++ b/src/main/java/org/cuminshelf/entry/EntryCore.java
@@ -3,8 +3,10 @@
 import java.util.Optional;
 import org.cuminshelf.core.Address;
 import org.cuminshelf.core.Core;
+import org.cuminshelf.core.Durations;
 import org.cuminshelf.core.Invariants;
 import org.cuminshelf.core.Outbox;
+import org.cuminshelf.core.PauseDetector;
 import org.cuminshelf.message.CallGone;
 import org.cuminshelf.message.Cause;
 import org.cuminshelf.message.Envelope;
@@ -19,6 +21,8 @@
  */
 public final class EntryCore implements Core {
 
+    /** Longest time between two ticks while sessions are open, with a margin for a busy VM. */
+    private static final long MAX_TICK_INTERVAL_NANOS = Durations.nanos(600);
     /** Time after which a caller may retry a call whose deadline passed. */
     private static final int DEADLINE_RETRY_AFTER_MILLIS = 500;
 
@@ -29,6 +33,7 @@
     private final ClaimSystem claims;
     private final AdmissionSystem admission;
     private final RoutingSystem routing;
+    private final PauseDetector pauses = PauseDetector.create(MAX_TICK_INTERVAL_NANOS);
     private volatile boolean leaving;
     private boolean stopReported;
 
@@ -87,6 +92,7 @@
 
     @Override
     public void tick(long now, Outbox out) {
+        discountPause(now);
         state.config.tick(now, out);
         state.upstreams.tick(now, out);
         claims.tick(now, out);
@@ -100,6 +106,15 @@
         }
     }
 
+    /** Guards against sound sidecars that the first tick after a pause of this process takes for silent. */
+    private void discountPause(long now) {
+        long pauseNanos = pauses.onTick(now);
+        if (pauseNanos > 0) {
+            attempts.discountPause(now, pauseNanos);
+            state.upstreams.discountPause(now, pauseNanos);
+        }
+    }
+
     @Override
     public long nextDue() {
         long due = Math.min(state.config.nextDue(), state.upstreams.nextDue());
--- a/src/main/java/org/cuminshelf/entry/UpstreamDirectory.java
+++ b/src/main/java/org/cuminshelf/entry/UpstreamDirectory.java
@@ -165,6 +165,13 @@
         return row.unansweredSinceNanos != 0 && now - row.unansweredSinceNanos > SILENCE_TIMEOUT_NANOS;
     }
 
+    /** Leaves a pause of this process out of the silence of all sidecars. */
+    void discountPause(long now, long pauseNanos) {
+        rows.values().stream()
+                .filter(row -> row.unansweredSinceNanos != 0)
+                .forEach(row -> row.unansweredSinceNanos = Math.min(now, row.unansweredSinceNanos + pauseNanos));
+    }
+
     void tick(long now, Outbox out) {
         rebuildSubsetsIfOutdated();
         if (now < nextHeartbeatNanos) {
