--- a/src/main/java/org/cuminshelf/direct/CallDispatcher.java
+++ b/src/main/java/org/cuminshelf/direct/CallDispatcher.java
@@ -153,8 +153,8 @@
         call.excludedUpstreams.addAll(silent);
         AdmissionControl.Decision decision = admission.decide(now, call);
         call.excludedUpstreams.removeAll(silent);
-        boolean refused = decision instanceof AdmissionControl.Decision.Refuse;
-        return refused && call.lastAttempt != null && !silent.isEmpty() ? admission.decide(now, call) : decision;
+        boolean sent = decision instanceof AdmissionControl.Decision.Send;
+        return !sent && call.lastAttempt != null && !silent.isEmpty() ? admission.decide(now, call) : decision;
     }
 
     private void retryWaiting(long now) {
--- a/src/main/java/org/cuminshelf/direct/ReplacementPlanner.java
+++ b/src/main/java/org/cuminshelf/direct/ReplacementPlanner.java
@@ -53,7 +53,7 @@
         if (refusal.isPresent()) {
             return new Decision.Keep(refusal.get().label());
         }
-        Decision decision = place(now, call);
+        Decision decision = place(now, attempt);
         if (decision instanceof Decision.Send) {
             retryPolicy.acquire(now, call);
         }
@@ -61,9 +61,14 @@
     }
 
     /** Selects an upstream that neither runs an attempt of the call nor is silent itself, and prefills anew there. */
-    private Decision place(long now, DirectCall call) {
+    private Decision place(long now, DirectAttempt attempt) {
+        DirectCall call = attempt.call;
         Set<String> silent = silentUpstreams.of(now, call.service);
         Set<String> unsuitable = new HashSet<>(silent);
+        if (otherIsSilent(call, silent)) {
+            // Several fall silent for a common cause, so those that nothing was received from since may be silent too.
+            unsuitable.addAll(silentUpstreams.unheardSince(attempt.lastProgressAtNanos, call.service));
+        }
         call.openAttempts.forEach(open -> unsuitable.add(open.upstream.id));
         unsuitable.removeAll(call.excludedUpstreams);
         boolean singleEngineOnly = call.singleEngineOnly;
--- a/src/main/java/org/cuminshelf/direct/SilentUpstreams.java
+++ b/src/main/java/org/cuminshelf/direct/SilentUpstreams.java
@@ -3,6 +3,7 @@
 import java.util.EnumSet;
 import java.util.HashSet;
 import java.util.Set;
+import java.util.stream.Collectors;
 import org.cuminshelf.message.Role;
 
 /** Tells which upstreams have sent nothing for a while although requests of this entry wait there. */
@@ -30,6 +31,14 @@
         return silent;
     }
 
+    /** Returns the ids of the upstreams of a service that have sent nothing to this entry since a time in nanoseconds. */
+    Set<String> unheardSince(long sinceNanos, String service) {
+        return upstreams.instancesOf(service).stream()
+                .filter(upstream -> upstream.lastResponseAtNanos <= sinceNanos)
+                .map(upstream -> upstream.id)
+                .collect(Collectors.toSet());
+    }
+
     /** Returns those that a call can do without: another upstream of the same role may take it and is not silent. */
     Set<String> dispensable(long now, DirectCall call) {
         String service = call.service;
