--- a/src/test/java/org/cuminshelf/direct/HedgedRequestTest.java
+++ b/src/test/java/org/cuminshelf/direct/HedgedRequestTest.java
@@ -165,6 +165,31 @@
                 .sum();
     }
 
+    /* Guards against attempts in quick succession: only the silence of the last one calls for another. */
+    @Example
+    void anotherHedgeIsSentOnlyOnceTheLastOneIsSilent() {
+        DirectFixture entry = entry(3, "u1", "u2", "u3");
+        send(entry);
+        entry.advance(290);
+        assertThat(entry.sentRequests).hasSize(2);
+        entry.advance(20);
+        assertThat(entry.sentRequests).hasSize(3);
+    }
+
+    /* Guards against an upstream that has answered all its requests and passes for silent. */
+    @Example
+    void anUpstreamThatOwesNothingIsNotSilent() {
+        DirectFixture entry = entry(1, "u1", "u2");
+        send(entry);
+        entry.advance(100);
+        String answered = entry.lastSent().upstream;
+        entry.lastSent().respond(200, "x");
+        entry.advance(750);
+        send(entry);
+        send(entry);
+        assertThat(entry.sentRequests.subList(1, 3)).anyMatch(sent -> sent.upstream.equals(answered));
+    }
+
     @Example
     void aNonIdempotentRequestIsNeverHedged() {
         DirectFixture entry = new DirectFixture(DirectFixture.route(RequestKind.NON_IDEMPOTENT, 2, false))
--- a/src/test/java/org/cuminshelf/direct/SilentStreamTest.java
+++ b/src/test/java/org/cuminshelf/direct/SilentStreamTest.java
@@ -293,6 +293,19 @@
         assertCompleteAfter(response[0], 2);
     }
 
+    /* Guards against an overlap without a limit as a part of an event arrives from the old attempt. */
+    @Example
+    void aPartOfAnEventDoesNotProlongTheOldAttempt() {
+        DirectFixture.CallerResponse[] response = new DirectFixture.CallerResponse[1];
+        DirectFixture entry = entryWithReplacement(2, response);
+        entry.advance(100);
+        entry.sentRequests.get(0).respondBody("id: 2\nda");
+        entry.advance(200);
+        assertThat(entry.sentRequests.get(0).cancelled).isTrue();
+        respondFully(entry.lastSent(), 2);
+        assertCompleteAfter(response[0], 2);
+    }
+
     /* Guards against a stream that is ended as its replacement is refused while the old attempt could go on. */
     @Example
     void theOldAttemptGoesOnIfTheReplacementFails() {
@@ -462,6 +475,41 @@
         assertCompleteAfter(response[0], 1);
     }
 
+    /* Guards against a KV cache that is fetched by two engines, or released while one of them fetches it. */
+    @Example
+    void aReplacementDoesNotUseTheKvCacheThatTheOldAttemptFetches() {
+        for (boolean replacementWins : List.of(true, false)) {
+            DirectFixture entry = new DirectFixture(DirectFixture.patientRoute(RequestKind.STREAM, 2))
+                    .becomeReady()
+                    .addUpstream("p", Role.ROLE_PREFILL)
+                    .addUpstream("d1", Role.ROLE_DECODE)
+                    .addUpstream("d2", Role.ROLE_DECODE)
+                    .reportPrefillTimes("p", Role.ROLE_PREFILL, 5, 5)
+                    .reportPrefillTimes("d1", Role.ROLE_DECODE, 5, 16);
+            List<DirectFixture.CallerResponse> warm = new ArrayList<>();
+            warm.add(startStream(entry, "w1"));
+            warm.add(startStream(entry, "w2"));
+            DirectFixture.CallerResponse response = entry.sendRequest("a", "Tokens", "9000", "Deadline", "8000");
+            entry.lastSent().respondHead(200);
+            entry.lastSent().respondBody("kv1");
+            entry.lastSent().handler.onComplete();
+            DirectFixture.SentRequest old = entry.lastSent();
+            assertThat(old.request.headers().get("Cache")).isEqualTo("kv1");
+            old.respondSealedHead(200);
+            old.respondBody(event(1));
+            for (int round = 2; entry.sentRequests.size() < 5 && round < 20; round++) {
+                String next = event(round);
+                entry.advance(100);
+                entry.sentRequests.subList(0, 2).forEach(sent -> sent.respondBody(next));
+            }
+            DirectFixture.SentRequest replacement = entry.lastSent();
+            assertThat(replacement.request.headers().contains("Cache")).isFalse();
+            respondFully(replacementWins ? replacement : old, 2);
+            assertCompleteAfter(response, 2);
+            assertThat(entry.lastSent().request.method()).isEqualTo(replacementWins ? "DELETE" : "POST");
+        }
+    }
+
     // ---- time in which this process did not look
 
     /* Guards against sound streams that are cancelled as this process stood still and had not read its sockets. */
