--- a/src/test/java/org/cuminshelf/direct/CallDispatcherTest.java
+++ b/src/test/java/org/cuminshelf/direct/CallDispatcherTest.java
@@ -1,11 +1,15 @@
 package org.cuminshelf.direct;
 
 import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatIllegalStateException;
 
+import java.nio.ByteBuffer;
 import net.jqwik.api.Example;
+import org.cuminshelf.exchange.ReceivedRequest;
 import org.cuminshelf.message.Role;
 import org.cuminshelf.message.Update;
 import org.cuminshelf.routes.RequestKind;
+import org.eclipse.jetty.http.HttpFields;
 
 /** Tests dispatch, retries and responses of calls at an entry that connects to upstreams directly. */
 class CallDispatcherTest {
@@ -269,6 +273,24 @@
         assertThat(entry.core.openCalls()).isZero();
     }
 
+    /** Guards against startup requests that get no answer because the connection of one before them fails. */
+    @Example
+    void aFailingStartupRequestDoesNotLoseThoseBehindIt() {
+        DirectFixture entry = new DirectFixture(DirectFixture.route(RequestKind.IDEMPOTENT, 1, false));
+        DirectFixture.CallerResponse failing = new DirectFixture.CallerResponse() {
+            @Override
+            public void respond(int status, HttpFields headers, ByteBuffer body) {
+                throw new IllegalStateException("the connection is closed");
+            }
+        };
+        HttpFields unknownHost = HttpFields.build().put("Host", "other").put("Id", "a");
+        entry.core.onRequest(new ReceivedRequest("POST", "/a/b", unknownHost, new byte[0]), failing);
+        DirectFixture.CallerResponse behind = entry.sendRequest("b", "Host", "other");
+        assertThatIllegalStateException().isThrownBy(entry::becomeReady);
+        entry.advance(10);
+        assertThat(behind.status).isEqualTo(404);
+    }
+
     @Example
     void aHostOrPathWithoutARouteIsNotFound() {
         DirectFixture entry = entryWithServices(RequestKind.IDEMPOTENT, 1);
--- a/src/test/java/org/cuminshelf/direct/DirectFixture.java
+++ b/src/test/java/org/cuminshelf/direct/DirectFixture.java
@@ -214,7 +214,7 @@
     }
 
     /** Records the response to a caller. */
-    static final class CallerResponse implements CallerExchange {
+    static class CallerResponse implements CallerExchange {
         int status;
         HttpFields headers = HttpFields.EMPTY;
         final StringBuilder body = new StringBuilder();
