A startup request that fails doesn't lose those behind it

What callers saw: neither an answer nor a refusal, beside the first configuration of a starting entry. Cause: all waiting requests were taken out of the queue, and an exception in one of them (a closed connection, a bug) ended the loop over the rest. Why it holds: each is taken out on its own; the process goes on after an exception, and its next tick goes on with the queue. Not mended here: the request that fails itself, whose handler belongs to the connection. StartupRequestQueueTest polls four requests and then none where it drained four: as strict.

--- a/src/main/java/org/cuminshelf/direct/DirectCore.java
+++ b/src/main/java/org/cuminshelf/direct/DirectCore.java
@@ -206,10 +206,11 @@
     }
 
     private void startEarlyRequests(long now) {
-        if (control.isReady()) {
+        // Each is taken out on its own, as a failure in one must not lose those behind it.
+        while (control.isReady() && earlyRequests.size() > 0) {
             earlyRequests
-                    .drain()
-                    .forEach(request ->
+                    .poll()
+                    .ifPresent(request ->
                             start(request.arrivedAt(), request.request(), request.exchange(), request.intent()));
         }
         Optional<StartupRequestQueue.PendingRequest> overdue = earlyRequests.pollExpired(now);
--- a/src/main/java/org/cuminshelf/direct/StartupRequestQueue.java
+++ b/src/main/java/org/cuminshelf/direct/StartupRequestQueue.java
@@ -1,8 +1,6 @@
 package org.cuminshelf.direct;
 
-import java.util.ArrayList;
 import java.util.LinkedHashMap;
-import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import org.cuminshelf.core.Core;
@@ -57,12 +55,11 @@
         return removed != null;
     }
 
-    /** Removes and returns all requests, in order of arrival. */
-    List<PendingRequest> drain() {
-        List<PendingRequest> all = new ArrayList<>(requests.values());
-        requests.clear();
-        bodyBytes = 0;
-        return all;
+    /** Removes and returns the oldest request. */
+    Optional<PendingRequest> poll() {
+        Optional<PendingRequest> oldest = requests.values().stream().findFirst();
+        oldest.ifPresent(pending -> remove(pending.exchange));
+        return oldest;
     }
 
     /** Removes and returns a request that has waited too long. */
--- a/src/test/java/org/cuminshelf/direct/StartupRequestQueueTest.java
+++ b/src/test/java/org/cuminshelf/direct/StartupRequestQueueTest.java
@@ -32,7 +32,10 @@
         assertThat(add(new DirectFixture.CallerResponse(), large)).isFalse();
         assertThat(queue.remove(first)).isTrue();
         assertThat(add(new DirectFixture.CallerResponse(), large)).isTrue();
-        assertThat(queue.drain()).hasSize(4);
+        for (int index = 0; index < 4; index++) {
+            assertThat(queue.poll()).isPresent();
+        }
+        assertThat(queue.poll()).isEmpty();
         assertThat(add(new DirectFixture.CallerResponse(), large)).isTrue();
     }
 
