Tests of the guards whose removal no test noticed

Removing each guard once showed seven that no test noticed: a slow request read on more than once, the idle time from the written response, the linger while bytes wait, the small send buffer, a step that throws, the core told of each request at the stop, and the reset of the headers' state. Each has a test now; the test of slow reading is slower.

--- a/src/test/java/org/cuminshelf/exchange/CallerConnectionLossTest.java
+++ b/src/test/java/org/cuminshelf/exchange/CallerConnectionLossTest.java
@@ -29,6 +29,7 @@
     private static final int LARGE_BODY_BYTES = (8 << 20) - (64 << 10);
     private static final int RECEIVE_BUFFER_BYTES = 64 << 10;
     private static final int READ_STEP_BYTES = 256 << 10;
+    private static final int SLOW_READ_STEPS = 16;
     /** More parts of a stream than all queues hold. */
     private static final int UNREAD_PARTS = 400;
 
@@ -164,15 +165,18 @@
         void run() throws Exception;
     }
 
+    /** Reads to the end, with pauses between the first steps. */
     private static long readSlowly(Socket socket, long pauseMillis) throws Exception {
         InputStream input = socket.getInputStream();
         long total = 0;
         try {
-            byte[] step = input.readNBytes(READ_STEP_BYTES);
-            while (step.length > 0) {
-                total += step.length;
-                Thread.sleep(pauseMillis);
-                step = input.readNBytes(READ_STEP_BYTES);
+            byte[] bytes = input.readNBytes(READ_STEP_BYTES);
+            for (int step = 0; bytes.length > 0; step++) {
+                total += bytes.length;
+                if (step < SLOW_READ_STEPS) {
+                    Thread.sleep(pauseMillis);
+                }
+                bytes = input.readNBytes(READ_STEP_BYTES);
             }
         } catch (IOException closed) {
             return total;
@@ -351,6 +355,29 @@
         }
     }
 
+    @Example
+    void aSlowRequestIsReadOnOnlyOnce() throws Exception {
+        try (Socket socket = connect()) {
+            send(socket, "GET /c HTTP/1.1\r\nX: ");
+            Thread.sleep(100);
+            whileCheckWaits(600, () -> send(socket, "y"));
+            assertThat(socket.getInputStream().available()).isZero();
+            whileCheckWaits(0, () -> send(socket, "y"));
+            assertThat(readUntil(socket, "time.\n")).startsWith("HTTP/1.1 408");
+        }
+    }
+
+    /* The slow start of a next request passed for a body, which has a longer limit. */
+    @Example
+    void headersOfANextRequestThatAreTooSlowAreRejected() throws Exception {
+        try (Socket socket = connect()) {
+            send(socket, GET);
+            readUntil(socket, "/a");
+            send(socket, "GET /c HT");
+            assertThat(readUntil(socket, "time.\n")).startsWith("HTTP/1.1 408");
+        }
+    }
+
     @Example
     void headersThatTrickleAreRejectedInTheEnd() throws Exception {
         try (Socket socket = connect()) {
@@ -531,6 +558,27 @@
         }
     }
 
+    /* A fault of the core at the stop of the process left the other requests without an end. */
+    @Example
+    void theCoreIsToldOfEachOpenRequestAtTheStop() throws Exception {
+        AtomicInteger disconnects = new AtomicInteger();
+        handler = new SilentHandler() {
+            @Override
+            public void onDisconnect(CallerExchange exchange) {
+                disconnects.incrementAndGet();
+                throw new IllegalStateException("a fault of the core");
+            }
+        };
+        try (Socket first = connect();
+                Socket second = connect()) {
+            send(first, GET);
+            send(second, GET);
+            awaitExchanges(2);
+            listener.close();
+            assertThat(disconnects).hasValue(2);
+        }
+    }
+
     // ---- unsent responses
 
     /* The idle time began when a response was queued, so that a slow caller lost the remainder of it. */
@@ -540,7 +588,26 @@
         handler = new LargeBodyHandler(LARGE_BODY_BYTES);
         try (Socket socket = connect()) {
             send(socket, GET);
-            assertThat(readSlowly(socket, 120)).isGreaterThan(LARGE_BODY_BYTES);
+            assertThat(readSlowly(socket, 250)).isGreaterThan(LARGE_BODY_BYTES);
+        }
+    }
+
+    /* The idle time of a caller that read slowly was over before it had read its response. */
+    @Example
+    void theIdleTimeBeginsOnceTheResponseIsWritten() throws Exception {
+        limits = withIdleTimeout(1_000);
+        handler = new LargeBodyHandler(LARGE_BODY_BYTES);
+        try (Socket socket = connect()) {
+            send(socket, GET);
+            awaitExchanges(1);
+            handler = new EchoHandler();
+            for (int read = 0; read < LARGE_BODY_BYTES; read += READ_STEP_BYTES) {
+                Thread.sleep(50);
+                socket.getInputStream().readNBytes(Math.min(READ_STEP_BYTES, LARGE_BODY_BYTES - read));
+            }
+            Thread.sleep(400);
+            send(socket, GET_NEXT);
+            assertThat(readUntil(socket, "/b")).endsWith("/b");
         }
     }
 
@@ -550,6 +617,7 @@
         handler = new LargeBodyHandler(LARGE_BODY_BYTES);
         try (Socket socket = connect()) {
             send(socket, GET);
+            Thread.sleep(1_600);
             assertThat(readSlowly(socket, 150)).isGreaterThan(LARGE_BODY_BYTES);
         }
     }
--- a/src/test/java/org/cuminshelf/exchange/CallerConnectionReadTest.java
+++ b/src/test/java/org/cuminshelf/exchange/CallerConnectionReadTest.java
@@ -114,4 +114,14 @@
         assertThat(exchanges).hasSize(1);
         assertThat(connection.isFillInterested()).isTrue();
     }
+
+    /* A fault in one connection ended the check of all others. */
+    @Example
+    void aStepThatThrowsClosesItsConnectionAlone() {
+        ChannelEndPoint endPoint = new ChannelEndPoint();
+        CallerConnection connection = new CallerConnection(listener, endPoint, tasks::add);
+        endPoint.setConnection(connection);
+        connection.checkTimeouts(System.nanoTime(), null);
+        assertThat(endPoint.isOpen()).isFalse();
+    }
 }
