--- a/src/test/java/org/cuminshelf/trial/AnswerAudit.java
+++ b/src/test/java/org/cuminshelf/trial/AnswerAudit.java
@@ -63,7 +63,7 @@
     static AnswerAudit of(DirectFleet fleet, List<DirectFleet.Call> calls) {
         AnswerAudit audit = new AnswerAudit(fleet, calls);
         calls.forEach(audit::inspect);
-        RetryWindows.excess(calls, fleet.records.deliveries)
+        RetryWindows.excess(fleet.shape(), calls, fleet.records.deliveries)
                 .ifPresent(excess -> audit.findings.add(new Finding(Loss.OVER_BUDGET, "all", excess)));
         return audit;
     }
@@ -189,7 +189,9 @@
     AnswerAudit expectStreamsToBeResumed() {
         for (DirectFleet.Call call : calls) {
             boolean begun = call.status == OK && call.path.equals(DirectFleet.RESUMABLE);
-            if (begun && call.left && fleet.records.runsOf(call.id).size() < fleet.attempts()) {
+            if (begun
+                    && call.left
+                    && fleet.records.runsOf(call.id).size() < fleet.shape().attempts()) {
                 add(Loss.NOT_RESUMED, call, "caller left");
             }
         }
--- a/src/test/java/org/cuminshelf/trial/CrashingEngine.java
+++ b/src/test/java/org/cuminshelf/trial/CrashingEngine.java
@@ -221,6 +221,7 @@
     }
 
     private final Address address;
+    private final String service;
     private final VirtualTime time;
     private final VirtualNetwork network;
     private final UniformRandomProvider random;
@@ -242,12 +243,14 @@
 
     CrashingEngine(
             Address address,
+            String service,
             VirtualTime time,
             VirtualNetwork network,
             UniformRandomProvider random,
             List<Address> control,
             Records records) {
         this.address = address;
+        this.service = service;
         this.time = time;
         this.network = network;
         this.random = random;
@@ -293,7 +296,7 @@
         UpstreamBeat beat = UpstreamBeat.newBuilder()
                 .setId(identity())
                 .setName(identity())
-                .setService(DirectFleet.SERVICE)
+                .setService(service)
                 .setAddress(address.value())
                 .setZone("z")
                 .setSequence(++sequence)
--- a/src/test/java/org/cuminshelf/trial/DirectFleet.java
+++ b/src/test/java/org/cuminshelf/trial/DirectFleet.java
@@ -55,6 +55,9 @@
 final class DirectFleet {
 
     static final String SERVICE = "s";
+    /** The second service of fleets that have two. */
+    static final String OTHER_SERVICE = "t";
+
     /** A route whose streams may go on elsewhere, one whose may not, and one of idempotent requests. */
     static final String RESUMABLE = "/a/";
 
@@ -97,19 +100,21 @@
      * Size and limits of a fleet.
      *
      * @param entries  entries
-     * @param engines  engines of the one service
+     * @param engines  engines of all services
+     * @param services one or two, to which all routes lead with equal weights at first
      * @param attempts attempts that a repeatable request may take
      * @param retries  limits on the retries of the service
      */
-    record Shape(int entries, int engines, int attempts, RetryLimits retries) {}
+    record Shape(int entries, int engines, int services, int attempts, RetryLimits retries) {}
 
     DirectFleet(long seed, int entryCount, int engineCount) {
-        this(seed, new Shape(entryCount, engineCount, USUAL_ATTEMPTS, GENEROUS));
+        this(seed, new Shape(entryCount, engineCount, 1, USUAL_ATTEMPTS, GENEROUS));
     }
 
     DirectFleet(long seed, Shape shape) {
         this.shape = shape;
-        configurations.put(document(CONFIG_VERSION), routes(CONFIG_VERSION, PATIENCE_MILLIS, 0, CallerLimits.DEFAULT));
+        configurations.put(
+                document(CONFIG_VERSION), routes(CONFIG_VERSION, PATIENCE_MILLIS, 1, 0, CallerLimits.DEFAULT));
         random = RandomSource.XO_RO_SHI_RO_128_PP.create(seed);
         network = new VirtualNetwork(time, ownRandom());
         for (int number = 1; number <= CONTROL; number++) {
@@ -121,7 +126,9 @@
         }
         for (int number = 1; number <= shape.engines(); number++) {
             Address address = Address.of("10.9.0." + number + ":8000");
-            CrashingEngine engine = new CrashingEngine(address, time, network, ownRandom(), controlAddresses, records);
+            String service = number % shape.services() == 0 ? SERVICE : OTHER_SERVICE;
+            CrashingEngine engine =
+                    new CrashingEngine(address, service, time, network, ownRandom(), controlAddresses, records);
             engines.add(engine);
             byAddress.put(address, engine);
             time.after(random.nextLong(1_000_000_000L), engine::start);
@@ -144,46 +151,45 @@
         return "routes " + version;
     }
 
-    private RouteTable routes(long version, long timeoutMillis, int more, CallerLimits limits) {
+    private RouteTable routes(long version, long timeoutMillis, int weight, int more, CallerLimits limits) {
+        List<WeightedService> services = services(weight);
         List<Route> routes = new ArrayList<>(List.of(
-                route("a", RESUMABLE, RequestKind.STREAM, timeoutMillis, shape.attempts(), true),
-                route("b", ONCE, RequestKind.STREAM, timeoutMillis, 1, false),
-                route("c", IDEMPOTENT, RequestKind.IDEMPOTENT, timeoutMillis, shape.attempts(), false)));
+                route("a", RESUMABLE, RequestKind.STREAM, timeoutMillis, services, shape.attempts(), true),
+                route("b", ONCE, RequestKind.STREAM, timeoutMillis, services, 1, false),
+                route("c", IDEMPOTENT, RequestKind.IDEMPOTENT, timeoutMillis, services, shape.attempts(), false)));
         for (int number = 0; number < more; number++) {
-            routes.add(route(
-                    "more-" + number,
-                    "/more/" + number + "/",
-                    RequestKind.STREAM,
-                    timeoutMillis,
-                    shape.attempts(),
-                    true));
+            String name = "more-" + number;
+            routes.add(
+                    route(name, "/" + name + "/", RequestKind.STREAM, timeoutMillis, services, shape.attempts(), true));
         }
-        RoutedService service = new RoutedService(SERVICE, 1_000, Optional.empty());
-        return RouteTable.of(version, routes, Map.of(SERVICE, service), limits);
+        Map<String, RoutedService> all = new HashMap<>();
+        services.forEach(
+                service -> all.put(service.service(), new RoutedService(service.service(), 1_000, Optional.empty())));
+        return RouteTable.of(version, routes, all, limits);
+    }
+
+    /** The services of all routes; a weight is that of the first where there are two. */
+    private List<WeightedService> services(int weight) {
+        WeightedService first = new WeightedService(SERVICE, weight);
+        return shape.services() == 1 ? List.of(first) : List.of(first, new WeightedService(OTHER_SERVICE, 1));
     }
 
-    /** Applies a configuration with another timeout, other limits for callers, and so many routes more. */
-    void reconfigure(long timeoutMillis, int moreRoutes, CallerLimits limits) {
+    /** Applies a configuration with another timeout, weight and limits for callers, and so many routes more. */
+    void reconfigure(long timeoutMillis, int weight, int moreRoutes, CallerLimits limits) {
         configVersion++;
-        configurations.put(document(configVersion), routes(configVersion, timeoutMillis, moreRoutes, limits));
+        configurations.put(document(configVersion), routes(configVersion, timeoutMillis, weight, moreRoutes, limits));
         configure();
     }
 
     private static Route route(
-            String name, String prefix, RequestKind kind, long timeoutMillis, int attempts, boolean resumable) {
-        return new Route(
-                name,
-                "h",
-                prefix,
-                kind,
-                timeoutMillis,
-                200,
-                0,
-                List.of(new WeightedService(SERVICE, 1)),
-                attempts,
-                resumable,
-                200,
-                false);
+            String name,
+            String prefix,
+            RequestKind kind,
+            long timeoutMillis,
+            List<WeightedService> services,
+            int attempts,
+            boolean resumable) {
+        return new Route(name, "h", prefix, kind, timeoutMillis, 200, 0, services, attempts, resumable, 200, false);
     }
 
     private UniformRandomProvider ownRandom() {
@@ -246,9 +252,8 @@
                         .build());
     }
 
-    /** Attempts that a repeatable request may take. */
-    int attempts() {
-        return shape.attempts();
+    Shape shape() {
+        return shape;
     }
 
     /** Lets time pass. */
--- a/src/test/java/org/cuminshelf/trial/SilentDay.java
+++ b/src/test/java/org/cuminshelf/trial/SilentDay.java
@@ -7,6 +7,7 @@
 import org.apache.commons.rng.UniformRandomProvider;
 import org.apache.commons.rng.simple.RandomSource;
 import org.cuminshelf.core.Durations;
+import org.cuminshelf.direct.RetryLimits;
 import org.cuminshelf.exchange.CallerLimits;
 
 /** Steady traffic of each kind of request, and engines that fall silent and go on, from one seed. */
@@ -21,6 +22,8 @@
     private static final int ENTRIES = 4;
     private static final int MANY_ENGINES = 4;
     private static final int FEWEST_ATTEMPTS = 2;
+    private static final RetryLimits FEW_RETRIES = new RetryLimits(0.02, 4, 10_000);
+    private static final int HIGHEST_WEIGHT = 9;
     private static final long TRAFFIC_FROM = 8 * SECOND;
     private static final long DISTURBED_FROM = 10 * SECOND;
     private static final long DISTURBED_UNTIL = 30 * SECOND;
@@ -38,9 +41,8 @@
     private final long shortestSilenceMillis;
     private final long longestSilenceMillis;
 
-    private SilentDay(long seed, int engines, long shortestSilenceMillis, long longestSilenceMillis) {
-        int attempts = FEWEST_ATTEMPTS + (int) (seed % 2);
-        fleet = new DirectFleet(seed, new DirectFleet.Shape(ENTRIES, engines, attempts, RetryWindows.LIMITS));
+    private SilentDay(long seed, DirectFleet.Shape shape, long shortestSilenceMillis, long longestSilenceMillis) {
+        fleet = new DirectFleet(seed, shape);
         schedule = RandomSource.XO_RO_SHI_RO_128_PP.create(~seed);
         this.shortestSilenceMillis = shortestSilenceMillis;
         this.longestSilenceMillis = longestSilenceMillis;
@@ -48,15 +50,36 @@
         fleet.time.at(TRAFFIC_FROM, this::ask);
     }
 
+    private static DirectFleet.Shape shape(long seed, int engines, int services, RetryLimits retries) {
+        return new DirectFleet.Shape(ENTRIES, engines, services, FEWEST_ATTEMPTS + (int) (seed % 2), retries);
+    }
+
+    private static int engines(long seed) {
+        return 2 + (int) (seed % (MANY_ENGINES - 1));
+    }
+
     /** A day with two to four engines. */
     static SilentDay of(long seed, long shortestSilenceMillis, long longestSilenceMillis) {
-        int engines = 2 + (int) (seed % (MANY_ENGINES - 1));
-        return new SilentDay(seed, engines, shortestSilenceMillis, longestSilenceMillis);
+        DirectFleet.Shape shape = shape(seed, engines(seed), 1, RetryLimits.DEFAULT);
+        return new SilentDay(seed, shape, shortestSilenceMillis, longestSilenceMillis);
     }
 
     /** A day with one engine, so that nothing can be sent elsewhere. */
     static SilentDay ofOneEngine(long seed, long shortestSilenceMillis, long longestSilenceMillis) {
-        return new SilentDay(seed, 1, shortestSilenceMillis, longestSilenceMillis);
+        DirectFleet.Shape shape = shape(seed, 1, 1, RetryLimits.DEFAULT);
+        return new SilentDay(seed, shape, shortestSilenceMillis, longestSilenceMillis);
+    }
+
+    /** A day with two services of two engines each. */
+    static SilentDay ofTwoServices(long seed, long shortestSilenceMillis, long longestSilenceMillis) {
+        DirectFleet.Shape shape = shape(seed, MANY_ENGINES, 2, RetryLimits.DEFAULT);
+        return new SilentDay(seed, shape, shortestSilenceMillis, longestSilenceMillis);
+    }
+
+    /** A day on which the service allows far fewer retries than a silence of all engines would take. */
+    static SilentDay ofFewRetries(long seed, long shortestSilenceMillis, long longestSilenceMillis) {
+        DirectFleet.Shape shape = shape(seed, engines(seed), 1, FEW_RETRIES);
+        return new SilentDay(seed, shape, shortestSilenceMillis, longestSilenceMillis);
     }
 
     private void ask() {
@@ -131,14 +154,14 @@
         fleet.engines.get(schedule.nextInt(fleet.engines.size())).killConnection(schedule.nextInt(Integer.MAX_VALUE));
     }
 
-    /** Changes the timeout of all routes, the limits for callers, or the number of routes. */
+    /** Changes the timeout and the weights of all routes, the limits for callers, or the number of routes. */
     void reconfigure() {
         long timeout = schedule.nextBoolean() ? DirectFleet.PATIENCE_MILLIS : AnswerAudit.SHORTEST_TIMEOUT_MILLIS;
         int routes = schedule.nextBoolean() ? 0 : 400;
         CallerLimits usual = CallerLimits.DEFAULT;
         CallerLimits limits = new CallerLimits(
                 usual.maxHeaderBytes(), usual.maxBodyBytes(), usual.headerTimeoutMillis(), between(1_000, 30_000));
-        fleet.reconfigure(timeout, routes, limits);
+        fleet.reconfigure(timeout, (int) between(1, HIGHEST_WEIGHT), routes, limits);
     }
 
     void disturbEntry() {
@@ -173,7 +196,8 @@
         long repeats = fleet.records.deliveries.values().stream()
                 .mapToLong(times -> times.size() - 1)
                 .sum();
-        return fleet.engines.size() + " engines, " + fleet.attempts() + " attempts, calls " + calls.size() + ", served "
+        return fleet.engines.size() + " engines, " + fleet.shape().attempts() + " attempts, calls " + calls.size()
+                + ", served "
                 + served() + ", refused " + refused + ", left by callers " + left + ", entry lost " + entryLost
                 + ", repeats " + repeats + ", steps put off " + stepsPutOff();
     }
--- a/src/test/java/org/cuminshelf/trial/SilentUpstreamTest.java
+++ b/src/test/java/org/cuminshelf/trial/SilentUpstreamTest.java
@@ -116,10 +116,22 @@
     /** Guards against calls that are ended while a configuration comes in force. */
     @Example
     void noCallIsLostThroughSilenceBesideChangesOfTheConfiguration() {
-        assertNothingLost("beside changes of the configuration", day -> {
-            silenceAgain(day, SilentDay::silenceSomehow);
-            day.again(500, 2_000, SilentDay::reconfigure);
-        });
+        assertNothingLost(
+                "beside changes of the configuration",
+                seed -> SilentDay.ofTwoServices(seed, SHORTEST_MILLIS, SHORT_MILLIS),
+                day -> {
+                    silenceAgain(day, SilentDay::silenceSomehow);
+                    day.again(500, 2_000, SilentDay::reconfigure);
+                });
+    }
+
+    /** Guards against calls that are ended because no retry is left, and against more retries than are allowed. */
+    @Example
+    void noCallIsLostWhereTheServiceAllowsFewRetries() {
+        assertNothingLost(
+                "few retries",
+                seed -> SilentDay.ofFewRetries(seed, SHORTEST_MILLIS, SHORT_MILLIS),
+                day -> silenceAgain(day, SilentDay::silenceAll));
     }
 
     /** Guards against streams that are taken for silent because their entry did not read its sockets. */
