--- a/src/main/java/org/cuminshelf/direct/SilentUpstreams.java
+++ b/src/main/java/org/cuminshelf/direct/SilentUpstreams.java
@@ -31,7 +31,7 @@
         return silent;
     }
 
-    /** Returns the ids of the upstreams of a service that have sent nothing to this entry since a time in nanoseconds. */
+    /** Returns the ids of the upstreams of a service from which nothing was received since a time in nanoseconds. */
     Set<String> unheardSince(long sinceNanos, String service) {
         return upstreams.instancesOf(service).stream()
                 .filter(upstream -> upstream.lastResponseAtNanos <= sinceNanos)
