Caller connection tests that keep their verdict beside load

The test of a request that is read on only once uses given times in place of the socket's; as it was, it passed without its guard too.

--- a/src/test/java/org/cuminshelf/exchange/CallerConnectionReadTest.java
+++ b/src/test/java/org/cuminshelf/exchange/CallerConnectionReadTest.java
@@ -12,6 +12,7 @@
 import java.util.ArrayList;
 import java.util.Deque;
 import java.util.List;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.locks.ReentrantLock;
 import net.jqwik.api.Example;
 import net.jqwik.api.lifecycle.AfterProperty;
@@ -124,4 +125,21 @@
         connection.checkTimeouts(System.nanoTime(), null);
         assertThat(endPoint.isOpen()).isFalse();
     }
+
+    /* A trickling caller could have held its connection for ever. */
+    @Example
+    void aSlowRequestIsReadOnOnlyOnce() throws IOException {
+        ChannelEndPoint endPoint = new ChannelEndPoint();
+        CallerConnection connection = new CallerConnection(listener, endPoint, tasks::add);
+        endPoint.setConnection(connection);
+        send("GET /a HT");
+        connection.onFillable();
+        long tooLateNanos = System.nanoTime() + TimeUnit.MINUTES.toNanos(1);
+        send("TP/1.1\r\n");
+        connection.checkTimeouts(tooLateNanos, CallerLimits.DEFAULT);
+        assertThat(endPoint.getOutputString()).isEmpty();
+        send("Host: h\r\n");
+        connection.checkTimeouts(tooLateNanos, CallerLimits.DEFAULT);
+        assertThat(endPoint.getOutputString()).startsWith("HTTP/1.1 408");
+    }
 }
