Tests that what may not be repeated is never hedged wait long enough; a client error ends both attempts

Removing the check for repeatable requests and the cancelling of the other attempt in forwardResponse went unnoticed: the two tests waited 790 ms, but such requests are looked at after 1,500 ms. They now wait 7,900 ms of 8,000 and fail without the check.

--- a/src/test/java/org/cuminshelf/direct/DirectFixture.java
+++ b/src/test/java/org/cuminshelf/direct/DirectFixture.java
@@ -102,7 +102,7 @@
         return route(kind, attempts, kind == RequestKind.STREAM, 8_000);
     }
 
-    private static Route route(RequestKind kind, int attempts, boolean resumable, long timeoutMillis) {
+    static Route route(RequestKind kind, int attempts, boolean resumable, long timeoutMillis) {
         return new Route(
                 "r",
                 "h",
--- a/src/test/java/org/cuminshelf/direct/HedgedRequestTest.java
+++ b/src/test/java/org/cuminshelf/direct/HedgedRequestTest.java
@@ -190,14 +190,25 @@
         assertThat(entry.sentRequests.subList(1, 3)).anyMatch(sent -> sent.upstream.equals(answered));
     }
 
+    /* Guards against two attempts of a request after one of them was answered by an error of the caller. */
+    @Example
+    void aClientErrorOfOneUpstreamEndsBothAttempts() {
+        DirectFixture.CallerResponse[] response = new DirectFixture.CallerResponse[1];
+        DirectFixture entry = entryWithHedge(response);
+        entry.sentRequests.get(1).respond(404, "no");
+        assertThat(response[0].status).isEqualTo(404);
+        assertThat(entry.sentRequests.get(0).cancelled).isTrue();
+    }
+
+    /* Guards against a request that runs twice although it may not. */
     @Example
     void aNonIdempotentRequestIsNeverHedged() {
-        DirectFixture entry = new DirectFixture(DirectFixture.route(RequestKind.NON_IDEMPOTENT, 2, false))
+        DirectFixture entry = new DirectFixture(DirectFixture.patientRoute(RequestKind.NON_IDEMPOTENT, 2))
                 .becomeReady()
                 .addUpstream("u1", Role.ROLE_MIXED)
                 .addUpstream("u2", Role.ROLE_MIXED);
-        entry.sendRequest("a");
-        entry.advance(790);
+        send(entry);
+        entry.advance(7_900);
         assertThat(entry.sentRequests).hasSize(1);
         assertThat(entry.lastSent().cancelled).isFalse();
     }
--- a/src/test/java/org/cuminshelf/direct/SilentStreamTest.java
+++ b/src/test/java/org/cuminshelf/direct/SilentStreamTest.java
@@ -361,9 +361,9 @@
     @Example
     void aStreamThatMayNotBeResumedIsNeverReplaced() {
         DirectFixture entry =
-                addEngines(new DirectFixture(DirectFixture.route(RequestKind.STREAM, 3, false)), "u1", "u2");
+                addEngines(new DirectFixture(DirectFixture.route(RequestKind.STREAM, 3, false, 8_000)), "u1", "u2");
         startStream(entry, "a");
-        entry.advance(790);
+        entry.advance(7_900);
         assertThat(entry.sentRequests).hasSize(1);
         assertThat(entry.lastSent().cancelled).isFalse();
     }
