Entry: a stop waits for requests half read and responses half sent, and answers what it can't finish

Callers saw: a request half read 2.7 s after the request to stop was cut although the grace period was 8 s, and a call open at its end got no answer. Cause: stopGracefully looked at open calls only and then closed every connection. Now it waits for connections that are reading, responding or lingering too; at the end of the grace period what is half read is refused (503 with Retry-After), and each open call ends as at its deadline (503, 502 or a cut stream). event=stopped tells the open calls and unfinished connections.

--- a/src/main/java/org/cuminshelf/direct/CallDispatcher.java
+++ b/src/main/java/org/cuminshelf/direct/CallDispatcher.java
@@ -405,6 +405,11 @@
         retryWaiting(now);
     }
 
+    /** Ends all calls at once, each with its final response. */
+    void cancelAll(long now, String reason) {
+        List.copyOf(openCalls.values()).forEach(call -> cancel(now, call, reason));
+    }
+
     /** Cancels all open calls of a request that was quarantined, whether they are queued or running. */
     private void cancelQuarantined(long now, Fingerprint request) {
         List<DirectCall> matching = openCalls.values().stream()
--- a/src/main/java/org/cuminshelf/direct/DirectCore.java
+++ b/src/main/java/org/cuminshelf/direct/DirectCore.java
@@ -230,6 +230,14 @@
         }
     }
 
+    /** Ends all calls with their final response, because the grace period of this process is over. */
+    public void endOpenCalls() {
+        earlyRequests
+                .drain()
+                .forEach(request -> callDispatcher.responses().refuseNotReady(request.exchange(), request.intent()));
+        callDispatcher.cancelAll(clock.getAsLong(), "this process stops");
+    }
+
     // ---- messages and time
 
     @Override
--- a/src/main/java/org/cuminshelf/exchange/CallerConnection.java
+++ b/src/main/java/org/cuminshelf/exchange/CallerConnection.java
@@ -37,6 +37,8 @@
     private static final byte[] CONTINUE = "HTTP/1.1 100 Continue\r\n\r\n".getBytes(StandardCharsets.ISO_8859_1);
     private static final long NANOS_PER_MILLI = 1_000_000;
     private static final int INITIAL_HEAD_BYTES = 512;
+    private static final String STOPPING_REASON = "The request did not run: this process stops.";
+    private static final String STOPPING_RETRY_AFTER_SECONDS = "0.2";
 
     private enum Phase {
         IDLE,
@@ -198,6 +200,25 @@
         }
     }
 
+    /** Whether a request is not read completely, or a response may not have reached the caller completely. */
+    boolean isUnfinished() {
+        return phase != Phase.IDLE || !writes.isEmpty();
+    }
+
+    /** Refuses a request that is not read completely, because the process stops. */
+    void refuseIfReading() {
+        if (phase != Phase.READING) {
+            return;
+        }
+        phase = Phase.RESPONDING;
+        closeAfterResponse = true;
+        listener.logRejected(HttpStatus.SERVICE_UNAVAILABLE_503, STOPPING_REASON);
+        respond(
+                HttpStatus.SERVICE_UNAVAILABLE_503,
+                HttpFields.build().put(HttpHeader.RETRY_AFTER, STOPPING_RETRY_AFTER_SECONDS),
+                ByteBuffer.wrap(STOPPING_REASON.getBytes(StandardCharsets.UTF_8)));
+    }
+
     // ---- events of the parser
 
     @Override
--- a/src/main/java/org/cuminshelf/exchange/CallerListener.java
+++ b/src/main/java/org/cuminshelf/exchange/CallerListener.java
@@ -111,6 +111,32 @@
         }
     }
 
+    /**
+     * Counts the connections with a request that is not read completely, or a response that the caller may not have
+     * received completely.
+     *
+     * @return their number
+     */
+    public int unfinishedConnections() {
+        lock.lock();
+        try {
+            return (int)
+                    connections.stream().filter(CallerConnection::isUnfinished).count();
+        } finally {
+            lock.unlock();
+        }
+    }
+
+    /** Refuses the requests that are not read completely, because the process stops. */
+    public void refuseUnreadRequests() {
+        lock.lock();
+        try {
+            List.copyOf(connections).forEach(CallerConnection::refuseIfReading);
+        } finally {
+            lock.unlock();
+        }
+    }
+
     @Override
     public void close() {
         try {
--- a/src/main/java/org/cuminshelf/process/DirectEntryProcess.java
+++ b/src/main/java/org/cuminshelf/process/DirectEntryProcess.java
@@ -48,6 +48,8 @@
     private static final long READINESS_DRAIN_MILLIS = 2_600;
     /** Part of the grace period that is reserved for closing, whether or not all calls have ended. */
     private static final long SHUTDOWN_RESERVE_MILLIS = 400;
+    /** Part of the reserve that is left when the final responses were sent. */
+    private static final long CLOSE_RESERVE_MILLIS = 150;
 
     private static final long DRAIN_POLL_MILLIS = 20;
     private static final long DRAIN_CONFIRM_MILLIS = 60;
@@ -290,7 +292,9 @@
 
     /**
      * Stops without cutting off a request: reports that it isn't ready, accepts connections only until the load
-     * balancer has noticed, asks callers with each answer to reconnect elsewhere, and closes once no call is open.
+     * balancer has noticed, asks callers with each answer to reconnect elsewhere, and closes once no call is open and
+     * no connection has a request half read or a response half sent. What is not finished when the grace period ends
+     * gets its final response then.
      */
     @Override
     public boolean stopGracefully() throws InterruptedException {
@@ -306,17 +310,49 @@
         }
         // A request on a connection accepted from now on might not complete within the remaining time.
         callerListener.stopAccepting();
+        long endNanos = startNanos + TimeUnit.MILLISECONDS.toNanos(common.graceMillis());
+        boolean finished = awaitFinished(endNanos - TimeUnit.MILLISECONDS.toNanos(SHUTDOWN_RESERVE_MILLIS));
+        Logger.info(
+                LOG + "event=stopped vm={} finished={} open={} unfinished-connections={} ms={}",
+                common.vm(),
+                finished,
+                core.openCalls(),
+                callerListener.unfinishedConnections(),
+                millisSince(startNanos));
+        if (!finished) {
+            endOpenCalls();
+            awaitFinished(endNanos - TimeUnit.MILLISECONDS.toNanos(CLOSE_RESERVE_MILLIS));
+        }
+        close();
+        return finished;
+    }
+
+    /** Waits until no call is open, no request is half read and no response is half sent; returns whether so. */
+    private boolean awaitFinished(long endNanos) throws InterruptedException {
         boolean finished = false;
-        while (!finished && millisSince(startNanos) < common.graceMillis() - SHUTDOWN_RESERVE_MILLIS) {
+        while (!finished && System.nanoTime() < endNanos) {
             callerListener.closeIdleConnections();
-            Thread.sleep(core.openCalls() > 0 ? DRAIN_POLL_MILLIS : DRAIN_CONFIRM_MILLIS);
-            finished = core.openCalls() == 0;
+            Thread.sleep(isFinished() ? DRAIN_CONFIRM_MILLIS : DRAIN_POLL_MILLIS);
+            finished = isFinished();
         }
-        Logger.info(LOG + "event=stopped vm={} finished={} ms={}", common.vm(), finished, millisSince(startNanos));
-        close();
         return finished;
     }
 
+    private boolean isFinished() {
+        return core.openCalls() == 0 && callerListener.unfinishedConnections() == 0;
+    }
+
+    /** Gives every request that can't be finished its final response before its connection is closed. */
+    private void endOpenCalls() {
+        callerListener.refuseUnreadRequests();
+        lock.lock();
+        try {
+            core.endOpenCalls();
+        } finally {
+            lock.unlock();
+        }
+    }
+
     private static long millisSince(long startNanos) {
         return TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - startNanos);
     }
