--- a/src/main/java/org/cuminshelf/direct/DirectCore.java
+++ b/src/main/java/org/cuminshelf/direct/DirectCore.java
@@ -231,6 +231,18 @@
         }
     }
 
+    /** Ends all calls with their final response, because the grace period of this process is over. */
+    public void endOpenCalls() {
+        Optional<StartupRequestQueue.PendingRequest> waiting = earlyRequests.poll();
+        while (waiting.isPresent()) {
+            callDispatcher
+                    .responses()
+                    .refuseNotReady(waiting.get().exchange(), waiting.get().intent());
+            waiting = earlyRequests.poll();
+        }
+        callDispatcher.cancelAll(clock.getAsLong(), "this process stops");
+    }
+
     // ---- messages and time
 
     @Override
--- a/src/main/java/org/cuminshelf/exchange/CallerConnection.java
+++ b/src/main/java/org/cuminshelf/exchange/CallerConnection.java
@@ -51,6 +51,8 @@
     private static final int INITIAL_HEAD_BYTES = 512;
     private static final int EARLY_READ_BYTES = 4 << 10;
     private static final ByteBuffer NO_BYTES = ByteBuffer.allocate(0);
+    private static final String STOPPING_REASON = "The request did not run: this process stops.";
+    private static final String STOPPING_RETRY_AFTER_SECONDS = "0.2";
 
     private enum Phase {
         IDLE,
@@ -434,6 +436,26 @@
         });
     }
 
+    /** Whether a request is not read completely, or a response may not have reached the caller completely. */
+    boolean isUnfinished() {
+        return phase != Phase.IDLE || !writes.isEmpty();
+    }
+
+    /** Refuses a request that is not read completely, because the process stops. */
+    void refuseIfReading() {
+        if (phase != Phase.READING) {
+            return;
+        }
+        phase = Phase.RESPONDING;
+        requestRead = false;
+        closeAfterResponse = true;
+        listener.logRejected(HttpStatus.SERVICE_UNAVAILABLE_503, STOPPING_REASON);
+        respond(
+                HttpStatus.SERVICE_UNAVAILABLE_503,
+                HttpFields.build().put(HttpHeader.RETRY_AFTER, STOPPING_RETRY_AFTER_SECONDS),
+                ByteBuffer.wrap(STOPPING_REASON.getBytes(StandardCharsets.UTF_8)));
+    }
+
     // ---- events of the parser
 
     @Override
