Caller connections: a drain does not close a connection whose response is not written whole

A response sent before the drain to a caller that reads slowly was cut at 2.8 of 7 MB. closeIfIdle now asks the write queue.

--- a/src/main/java/org/cuminshelf/exchange/CallerConnection.java
+++ b/src/main/java/org/cuminshelf/exchange/CallerConnection.java
@@ -193,9 +193,9 @@
         }
     }
 
-    /** Closes the connection if no byte of a next request has been received. */
+    /** Closes the connection if its responses are written and no byte of a next request has been received. */
     void closeIfIdle() {
-        if (phase == Phase.IDLE) {
+        if (phase == Phase.IDLE && writes.isEmpty()) {
             onClosed();
         }
     }
