A hedged request stays open until the other response is whole

Callers got 502: the head of one response ended the other attempt, and then its connection broke before the body. Responses to plain requests are forwarded whole, so nothing asks for the earlier end.

--- a/src/main/java/org/cuminshelf/direct/AttemptRunner.java
+++ b/src/main/java/org/cuminshelf/direct/AttemptRunner.java
@@ -246,10 +246,6 @@
             // An upstream may respond twice or late, so these bytes belong to another request.
             attempt.exchange.cancel();
             onConnectionFailed(now, attempt, true, "the answer names another request");
-            return;
-        }
-        if (attempt.isSuccess() && !attempt.call.isStream()) {
-            cancelOthers(now, attempt);
         }
     }
 
--- a/src/test/java/org/cuminshelf/direct/CallDispatcherTest.java
+++ b/src/test/java/org/cuminshelf/direct/CallDispatcherTest.java
@@ -186,6 +186,9 @@
         assertThat(entry.sentRequests).hasSize(2);
         assertThat(entry.sentRequests.get(0).cancelled).isFalse();
         entry.sentRequests.get(1).respondSealedHead(200);
+        assertThat(entry.sentRequests.get(0).cancelled).isFalse();
+        entry.sentRequests.get(1).respondBody("x");
+        entry.sentRequests.get(1).handler.onComplete();
         assertThat(entry.sentRequests.get(0).cancelled).isTrue();
         assertThat(entry.sentRequests.get(1).cancelled).isFalse();
     }
--- a/src/test/java/org/cuminshelf/direct/HedgedRequestTest.java
+++ b/src/test/java/org/cuminshelf/direct/HedgedRequestTest.java
@@ -68,10 +68,11 @@
         DirectFixture.CallerResponse[] response = new DirectFixture.CallerResponse[1];
         DirectFixture entry = entryWithHedge(response);
         entry.sentRequests.get(0).respondSealedHead(200);
-        assertThat(entry.sentRequests.get(1).cancelled).isTrue();
-        entry.sentRequests.get(1).respond(200, "second");
+        assertThat(entry.sentRequests.get(1).cancelled).isFalse();
         entry.sentRequests.get(0).respondBody("first");
         entry.sentRequests.get(0).handler.onComplete();
+        assertThat(entry.sentRequests.get(1).cancelled).isTrue();
+        entry.sentRequests.get(1).respond(200, "second");
         assertThat(response[0].body.toString()).isEqualTo("first");
     }
 
