A silent upstream is only a second choice, and slow plain upstreams are never taken for silent

Now a call takes a silent engine rather than be refused. Callers of a plain service with a latency above 600 ms all went to the one upstream that had answered last (30 of 30): silence says nothing there, so it counts for streams only.

--- a/src/main/java/org/cuminshelf/direct/CallDispatcher.java
+++ b/src/main/java/org/cuminshelf/direct/CallDispatcher.java
@@ -147,14 +147,21 @@
         }
     }
 
-    /** Decides on a call, without silent upstreams if possible; a call that was sent before may need one of them. */
+    /**
+     * Decides on a call, without silent upstreams if possible. A new call takes one rather than be refused, and a call
+     * that was sent before rather than wait.
+     */
     private AdmissionControl.Decision decide(long now, DirectCall call) {
         Set<String> silent = silentUpstreams.dispensable(now, call);
         call.excludedUpstreams.addAll(silent);
         AdmissionControl.Decision decision = admission.decide(now, call);
         call.excludedUpstreams.removeAll(silent);
-        boolean sent = decision instanceof AdmissionControl.Decision.Send;
-        return !sent && call.lastAttempt != null && !silent.isEmpty() ? admission.decide(now, call) : decision;
+        boolean decidedAgain = switch (decision) {
+            case AdmissionControl.Decision.Send send -> false;
+            case AdmissionControl.Decision.Wait wait -> call.lastAttempt != null;
+            case AdmissionControl.Decision.Refuse refuse -> true;
+        };
+        return decidedAgain && !silent.isEmpty() ? admission.decide(now, call) : decision;
     }
 
     private void retryWaiting(long now) {
--- a/src/main/java/org/cuminshelf/direct/SilentUpstreams.java
+++ b/src/main/java/org/cuminshelf/direct/SilentUpstreams.java
@@ -39,8 +39,14 @@
                 .collect(Collectors.toSet());
     }
 
-    /** Returns those that a call can do without: another upstream of the same role may take it and is not silent. */
+    /**
+     * Returns those that a call can do without: another upstream of the same role may take it and is not silent. Plain
+     * requests may take long without a byte, so that their upstreams are never taken for silent.
+     */
     Set<String> dispensable(long now, DirectCall call) {
+        if (!call.isStream()) {
+            return Set.of();
+        }
         String service = call.service;
         Set<String> silent = of(now, service);
         silent.removeAll(call.excludedUpstreams);
