Connections that an upstream refuses cost no retry budget, and are tried ten times a second at most

A call whose only upstream accepted no connection tried it every 10 ms and took one of the service's retries each time: after 0.4 s its stream was cut, and so were those of other calls, with sound engines at hand (43 sends). What was not sent arrived nowhere, so the budget gets it back; a call has eight of these, then they count.

--- a/src/main/java/org/cuminshelf/direct/AdmissionControl.java
+++ b/src/main/java/org/cuminshelf/direct/AdmissionControl.java
@@ -130,6 +130,10 @@
      * tried again if no other one accepts it soon: a connection breaks under a sound upstream too.
      */
     private boolean queuesForRetry(long now, DirectCall call) {
+        long retryAt = call.lastAttempt.sentAtNanos + MAX_WAIT_FOR_OTHERS_NANOS;
+        if (call.unsentAttempts > 0 && now < retryAt) {
+            return admissionQueue.addForRetry(now, call, OptionalLong.of(retryAt));
+        }
         OptionalLong otherOpenAt = selector.nextOpenAt(now, call);
         boolean waitsForOthers = otherOpenAt.isPresent()
                 && otherOpenAt.getAsLong() - now < MAX_WAIT_FOR_OTHERS_NANOS
--- a/src/main/java/org/cuminshelf/direct/CallDispatcher.java
+++ b/src/main/java/org/cuminshelf/direct/CallDispatcher.java
@@ -23,6 +23,9 @@
  */
 final class CallDispatcher {
 
+    /** Attempts of a call that may fail to connect without being counted. */
+    private static final int MAX_UNSENT_ATTEMPTS = 8;
+
     private final UpstreamProtocol protocol;
     private final UpstreamClient client;
     private final UpstreamTable upstreams;
@@ -233,8 +236,7 @@
         @Override
         public void onConnectionFailed(long now, DirectAttempt attempt, boolean requestSent) {
             if (!requestSent) {
-                // The request never left this process: it does not count as an attempt.
-                attempt.call.attemptCount -= attempt.prefillOnly ? 0 : 1;
+                forgetUnsentAttempt(now, attempt);
                 onAttemptFailed(
                         now,
                         attempt,
@@ -289,6 +291,19 @@
         attemptRunner.limitOverlap(now, attempt, replacement);
     }
 
+    /** Returns what an attempt has used up whose request never left this process; a call may have a few of them. */
+    private void forgetUnsentAttempt(long now, DirectAttempt attempt) {
+        DirectCall call = attempt.call;
+        call.unsentAttempts++;
+        if (call.unsentAttempts > MAX_UNSENT_ATTEMPTS) {
+            return;
+        }
+        call.attemptCount -= attempt.prefillOnly ? 0 : 1;
+        if (call.sentTo.size() > 1) {
+            retryPolicy.giveBack(now, call);
+        }
+    }
+
     /** Counts a non-streaming call as run, as it most likely was; a stream would have produced an event. */
     private void recordUsageWithoutResponse(DirectAttempt attempt) {
         if (!attempt.call.isStream()) {
--- a/src/main/java/org/cuminshelf/direct/DirectCall.java
+++ b/src/main/java/org/cuminshelf/direct/DirectCall.java
@@ -46,6 +46,9 @@
     /** The attempts that have not ended, in the order in which they were sent: more than one if a request is hedged. */
     final List<DirectAttempt> openAttempts = new ArrayList<>();
 
+    /** Attempts that failed before their request was sent. */
+    int unsentAttempts;
+
     /** The latest attempt, running or ended; {@code null} before the first. */
     DirectAttempt lastAttempt;
     /** The KV cache of its prompt at the engine that prefilled it, until another engine has fetched it. */
--- a/src/main/java/org/cuminshelf/direct/RetryPolicy.java
+++ b/src/main/java/org/cuminshelf/direct/RetryPolicy.java
@@ -51,4 +51,9 @@
         }
         return refusal;
     }
+
+    /** Returns one retry to the budget, as it never reached an upstream. */
+    void giveBack(long now, DirectCall call) {
+        budget.giveBack(now, call.service);
+    }
 }
--- a/src/main/java/org/cuminshelf/direct/ServiceRetryBudget.java
+++ b/src/main/java/org/cuminshelf/direct/ServiceRetryBudget.java
@@ -3,6 +3,7 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.HashMap;
+import java.util.Iterator;
 import java.util.Map;
 import org.cuminshelf.core.Durations;
 
@@ -68,6 +69,19 @@
         return retries + 1 <= limit;
     }
 
+    /** Returns a retry that was counted lately, as it was not sent. */
+    void giveBack(long now, String service) {
+        currentSlice(now, service);
+        Iterator<long[]> newestFirst = slices.get(service).descendingIterator();
+        while (newestFirst.hasNext()) {
+            long[] slice = newestFirst.next();
+            if (slice[2] > 0) {
+                slice[2]--;
+                return;
+            }
+        }
+    }
+
     private long[] currentSlice(long now, String service) {
         long number = Math.floorDiv(now, sliceNanos);
         Deque<long[]> serviceSlices = slices.computeIfAbsent(service, key -> new ArrayDeque<>());
