A replacement needs a free slot, and one that is rejected does not use up the attempts of a begun stream

The attempt before is ended 250 ms after its replacement was sent, as two engines may not work on one stream for longer. If the replacement was rejected after that, a stream on a route with two attempts was cut as attempts-used-up. A rejection says that nothing ran, so it is no attempt; the retry budget still bounds it.

--- a/src/main/java/org/cuminshelf/direct/CallDispatcher.java
+++ b/src/main/java/org/cuminshelf/direct/CallDispatcher.java
@@ -382,6 +382,10 @@
                 Math.round(attempt.estimate.prefillMillis()),
                 "running",
                 attempt.upstream.localAttempts);
+        if (attempt.call.responseStarted) {
+            // The rejected attempt ran nothing, and the one before may have been given up for it.
+            attempt.call.attemptCount--;
+        }
         long retryAfterMillis = admission.retryAfterMillis(now, attempt.call);
         attempt.upstream.avoid(now + Durations.nanos(CallerResponses.DEFAULT_RETRY_AFTER_MILLIS) / 2);
         onAttemptFailed(now, attempt, new Verdict.NotRun(Cause.OVERLOADED, retryAfterMillis));
--- a/src/main/java/org/cuminshelf/direct/ReplacementPlanner.java
+++ b/src/main/java/org/cuminshelf/direct/ReplacementPlanner.java
@@ -87,7 +87,8 @@
 
     private Decision toDecision(DirectCall call, AdmissionControl.Decision decision, Set<String> silent) {
         return switch (decision) {
-            case AdmissionControl.Decision.Send(UpstreamSelector.Choice choice) -> new Decision.Send(choice);
+            case AdmissionControl.Decision.Send(UpstreamSelector.Choice choice) ->
+                hasFreeSlot(choice.upstream()) ? new Decision.Send(choice) : new Decision.Keep("slots-in-use");
             case AdmissionControl.Decision.Wait() -> {
                 admissionQueue.remove(call);
                 yield new Decision.Keep("queue");
@@ -97,6 +98,10 @@
         };
     }
 
+    private static boolean hasFreeSlot(UpstreamInstance upstream) {
+        return upstream.totalAttempts() < upstream.slots;
+    }
+
     private static boolean otherIsSilent(DirectCall call, Set<String> silent) {
         return silent.stream()
                 .anyMatch(id -> call.openAttempts.stream().noneMatch(open -> open.upstream.id.equals(id)));
