A call whose wait is over is sent to an upstream on which it failed before, if that one is open

Callers got 502 in the moment of a connection's break later than 1.5 s after their request, with a sound only upstream: the upstreams that had failed were let in again, but none was chosen.

--- a/src/main/java/org/cuminshelf/direct/AdmissionControl.java
+++ b/src/main/java/org/cuminshelf/direct/AdmissionControl.java
@@ -94,8 +94,15 @@
     }
 
     private Decision decideWithoutUpstream(long now, DirectCall call) {
-        if (wouldBeLost(call) && queuesForRetry(now, call)) {
-            return WAIT;
+        if (wouldBeLost(call)) {
+            if (queuesForRetry(now, call)) {
+                return WAIT;
+            }
+            // Its wait is over, and the upstreams on which it has failed may be tried again now.
+            Optional<UpstreamSelector.Choice> again = selector.choose(now, call);
+            if (again.isPresent()) {
+                return new Decision.Send(again.get());
+            }
         }
         OptionalLong next = selector.nextSendAt(now, call);
         if (next.isPresent()) {
