RetryBoundsTest: the sound upstream of a late break has answered before

Without it nothing tells that upstream from one that never answered, which is rightly no last resort. The test fails without the mend of all the same (seen).

--- a/src/test/java/org/cuminshelf/direct/RetryBoundsTest.java
+++ b/src/test/java/org/cuminshelf/direct/RetryBoundsTest.java
@@ -130,10 +130,12 @@
     @Example
     void aConnectionThatBreaksLateIsMadeUpForAtTheOnlyUpstream() {
         DirectFixture entry = idempotent(3, "u1");
+        entry.sendRequest("before", "Deadline", "8000");
+        entry.lastSent().respond(200, "x");
         entry.sendRequest("a", "Deadline", "8000");
         entry.advance(1_600);
         entry.lastSent().handler.onFailed(true, "reset");
-        assertThat(entry.sentRequests).hasSize(2);
+        assertThat(entry.sentRequests).hasSize(3);
     }
 
     /** Guards against a hedge that is given up for a response of which only the head has arrived. */
