One notion of a pause: WatchedClock uses PauseDetector, and a late tick is no pause

With 300 ms as the bound, a busy process whose ticks come 310 ms apart counted no time at all, so a dead engine's stream was never moved (seen by the review). The bound is half a second, well under the second after which a stream moves. timeBetweenLateLooksCounts failed before.

--- a/src/main/java/org/cuminshelf/direct/WatchedClock.java
+++ b/src/main/java/org/cuminshelf/direct/WatchedClock.java
@@ -1,6 +1,7 @@
 package org.cuminshelf.direct;
 
 import org.cuminshelf.core.Durations;
+import org.cuminshelf.core.PauseDetector;
 
 /**
  * A clock for the silence of others, which stands while this process does not look at its connections: while it is
@@ -10,14 +11,14 @@
  */
 final class WatchedClock {
 
-    /** Time between two looks above which this process stood still; it looks at least every 250 ms. */
-    private static final long MAX_LOOK_INTERVAL_NANOS = Durations.nanos(300);
+    /** Time between two looks above which this process stood still; it looks every 250 ms, and late if it is busy. */
+    private static final long MAX_LOOK_INTERVAL_NANOS = Durations.nanos(500);
 
-    private long lastLookNanos;
+    private final PauseDetector pauses = PauseDetector.create(MAX_LOOK_INTERVAL_NANOS);
     private long pausedNanos;
 
     WatchedClock(long now) {
-        this.lastLookNanos = now;
+        pauses.onTick(now);
     }
 
     /**
@@ -27,11 +28,7 @@
      * @return the time without all pauses so far, in nanoseconds
      */
     long look(long now) {
-        long sinceLook = now - lastLookNanos;
-        if (sinceLook > MAX_LOOK_INTERVAL_NANOS) {
-            pausedNanos += sinceLook;
-        }
-        lastLookNanos = now;
+        pausedNanos += pauses.onTick(now);
         return now - pausedNanos;
     }
 }
--- a/src/test/java/org/cuminshelf/direct/WatchedClockTest.java
+++ b/src/test/java/org/cuminshelf/direct/WatchedClockTest.java
@@ -19,6 +19,18 @@
         assertThat(clock.look(now)).isEqualTo(Durations.nanos(2_000));
     }
 
+    /** Guards against dead upstreams that a busy process never notices, because it takes each late tick for a pause. */
+    @Example
+    void timeBetweenLateLooksCounts() {
+        WatchedClock clock = new WatchedClock(0);
+        long now = 0;
+        while (now < Durations.nanos(2_000)) {
+            now += Durations.nanos(400);
+            clock.look(now);
+        }
+        assertThat(clock.look(now)).isEqualTo(Durations.nanos(2_000));
+    }
+
     @Example
     void aPauseDoesNotCountAndTimeAfterItDoes() {
         WatchedClock clock = new WatchedClock(0);
