direct: names a newcomer expects for silent upstreams, replacements and backoff

avoidable, withoutResponseSince, hasOpenReplacement, onReplaced, isInFailureBackoff in place of dispensable, unheardSince, isSuperseded, onSuperseded, isOnlySuspected.

--- a/src/main/java/org/cuminshelf/direct/AttemptRunner.java
+++ b/src/main/java/org/cuminshelf/direct/AttemptRunner.java
@@ -53,7 +53,7 @@
         void onSilent(long now, DirectAttempt attempt, long silentNanos);
 
         /** Called after an attempt of a stream was cancelled in favour of its replacement, which has not responded. */
-        void onSuperseded(long now, DirectAttempt attempt);
+        void onReplaced(long now, DirectAttempt attempt);
     }
 
     /**
@@ -294,7 +294,7 @@
             }
             event = attempt.eventSplitter.next();
         }
-        if (!attempt.isSuperseded()) {
+        if (!attempt.hasOpenReplacement()) {
             progressChecks.set(attempt.number, now + MAX_CHECK_INTERVAL_NANOS);
         }
     }
@@ -380,9 +380,9 @@
         if (attempt.ended || call.closed) {
             return;
         }
-        if (attempt.isSuperseded() && call.isStream()) {
+        if (attempt.hasOpenReplacement() && call.isStream()) {
             cancelFor(now, attempt, "replaced");
-            outcomeListener.onSuperseded(now, attempt);
+            outcomeListener.onReplaced(now, attempt);
             return;
         }
         long silentNanos = attempt.silentNanos(watchedNow);
@@ -419,7 +419,7 @@
     /** Cancels an attempt of a stream soon after its replacement was sent, unless it goes on before. */
     void limitOverlap(long now, DirectAttempt attempt, DirectAttempt replacement) {
         attempt.replacement = replacement;
-        if (!attempt.ended && attempt.isSuperseded() && attempt.call.isStream()) {
+        if (!attempt.ended && attempt.hasOpenReplacement() && attempt.call.isStream()) {
             progressChecks.set(attempt.number, now + MAX_STREAM_OVERLAP_NANOS);
         }
     }
--- a/src/main/java/org/cuminshelf/direct/CallDispatcher.java
+++ b/src/main/java/org/cuminshelf/direct/CallDispatcher.java
@@ -155,7 +155,7 @@
      * that was sent before rather than wait.
      */
     private AdmissionControl.Decision decide(long now, DirectCall call) {
-        Set<String> silent = silentUpstreams.dispensable(now, call);
+        Set<String> silent = silentUpstreams.avoidable(now, call);
         call.excludedUpstreams.addAll(silent);
         AdmissionControl.Decision decision = admission.decide(now, call);
         call.excludedUpstreams.removeAll(silent);
@@ -264,7 +264,7 @@
         }
 
         @Override
-        public void onSuperseded(long now, DirectAttempt attempt) {
+        public void onReplaced(long now, DirectAttempt attempt) {
             attempt.call.mayHaveRun = true;
             if (attempt.usedKvCache) {
                 kvCacheReleaser.release(attempt.call);
--- a/src/main/java/org/cuminshelf/direct/DirectAttempt.java
+++ b/src/main/java/org/cuminshelf/direct/DirectAttempt.java
@@ -92,7 +92,7 @@
     }
 
     /** Whether a replacement is open that takes over if this attempt does not go on soon. */
-    boolean isSuperseded() {
+    boolean hasOpenReplacement() {
         return replacement != null && !replacement.ended;
     }
 
--- a/src/main/java/org/cuminshelf/direct/ReplacementPlanner.java
+++ b/src/main/java/org/cuminshelf/direct/ReplacementPlanner.java
@@ -67,7 +67,7 @@
         Set<String> unsuitable = new HashSet<>(silent);
         if (otherIsSilent(call, silent)) {
             // Several fall silent for a common cause, so those that nothing was received from since may be silent too.
-            unsuitable.addAll(silentUpstreams.unheardSince(attempt.lastProgressAtNanos, call.service));
+            unsuitable.addAll(silentUpstreams.withoutResponseSince(attempt.lastProgressAtNanos, call.service));
         }
         call.openAttempts.forEach(open -> unsuitable.add(open.upstream.id));
         unsuitable.removeAll(call.excludedUpstreams);
--- a/src/main/java/org/cuminshelf/direct/SilentUpstreams.java
+++ b/src/main/java/org/cuminshelf/direct/SilentUpstreams.java
@@ -32,7 +32,7 @@
     }
 
     /** Returns the ids of the upstreams of a service from which nothing was received since a time in nanoseconds. */
-    Set<String> unheardSince(long sinceNanos, String service) {
+    Set<String> withoutResponseSince(long sinceNanos, String service) {
         return upstreams.instancesOf(service).stream()
                 .filter(upstream -> upstream.lastResponseAtNanos <= sinceNanos)
                 .map(upstream -> upstream.id)
@@ -43,7 +43,7 @@
      * Returns those that a call can do without: another upstream of the same role may take it and is not silent. Plain
      * requests may take long without a byte, so that their upstreams are never taken for silent.
      */
-    Set<String> dispensable(long now, DirectCall call) {
+    Set<String> avoidable(long now, DirectCall call) {
         if (!call.isStream()) {
             return Set.of();
         }
--- a/src/main/java/org/cuminshelf/direct/UpstreamInstance.java
+++ b/src/main/java/org/cuminshelf/direct/UpstreamInstance.java
@@ -219,7 +219,7 @@
     }
 
     /** Whether it is avoided only because attempts on it have failed, so that it may be sound. */
-    boolean isOnlySuspected(long now) {
+    boolean isInFailureBackoff(long now) {
         return isAvoided(now) && now >= avoidUntilNanos;
     }
 
--- a/src/main/java/org/cuminshelf/direct/UpstreamSelector.java
+++ b/src/main/java/org/cuminshelf/direct/UpstreamSelector.java
@@ -495,7 +495,7 @@
     private boolean isLastResort(long now, UpstreamInstance upstream, DirectCall call) {
         return call.isRetryable()
                 && !call.hasOpenAttempt()
-                && upstream.isOnlySuspected(now)
+                && upstream.isInFailureBackoff(now)
                 && now - upstream.lastResponseAtNanos < MAX_SOUND_SILENCE_NANOS
                 && isServing(now, upstream, call);
     }
