--- a/src/test/java/org/cuminshelf/trial/SilentUpstreamTest.java
+++ b/src/test/java/org/cuminshelf/trial/SilentUpstreamTest.java
@@ -23,6 +23,7 @@
     private static final int LONGEST_MILLIS = 2_000;
     private static final int FEWEST_STEPS_PUT_OFF = 100;
     private static final int PRINTED_FINDINGS = 3;
+    private static final long[] SEEDS_WITH_FEW_WAITING_REQUESTS = {11, 13, 32, 39, 47};
 
     /** Silences of at most a second, after which every caller that still waits must be answered. */
     private static void assertNothingLost(String what, Consumer<SilentDay> disturbances) {
@@ -163,6 +164,17 @@
                 day -> day.audit().expectEachPromptOnce());
     }
 
+    /** Guards against the same where an entry has requests at one engine only and can't tell that all are silent. */
+    @Example
+    void silenceOfAllEnginesMakesNoPromptBePrefilledAgainWhereFewRequestsWait() {
+        for (long seed : SEEDS_WITH_FEW_WAITING_REQUESTS) {
+            SilentDay day = SilentDay.of(seed, SHORTEST_MILLIS, LONGEST_MILLIS);
+            day.again(3_000, 4_000, SilentDay::silenceAll);
+            AnswerAudit audit = day.run().audit().expectEachPromptOnce();
+            assertThat(audit.findings()).as("seed %d", seed).isEmpty();
+        }
+    }
+
     /**
      * Guards against a mend of the above that waits for ever. Only streams that have begun are asserted: a caller who
      * has heard nothing yet can't tell a dead connection from a long prompt.
