--- a/src/main/java/org/cuminshelf/direct/AttemptLog.java
+++ b/src/main/java/org/cuminshelf/direct/AttemptLog.java
@@ -33,6 +33,27 @@
                 requestSent ? attempt.call.fingerprint() : "none");
     }
 
+    /** Logs a stream whose response ended, as far as its framing tells, in the middle of an event. */
+    void noteUnfinishedEvent(long now, DirectAttempt attempt) {
+        log.note(
+                "attempt",
+                attempt.call.intent.id(),
+                "upstream",
+                attempt.upstream.id,
+                "outcome",
+                "ended-inside-event",
+                "framing",
+                attempt.framing(),
+                "pending-bytes",
+                attempt.eventSplitter.pendingBytes(),
+                "events",
+                attempt.call.deliveredEvents,
+                "resumable",
+                attempt.call.isRetryable(),
+                "ms",
+                Durations.millis(now - attempt.sentAtNanos));
+    }
+
     /** Logs that an attempt makes no progress and another upstream is sent a replacement. */
     void noteSilent(long now, DirectAttempt attempt, long silentNanos, UpstreamInstance replacement) {
         log.note(
--- a/src/main/java/org/cuminshelf/direct/AttemptRunner.java
+++ b/src/main/java/org/cuminshelf/direct/AttemptRunner.java
@@ -340,6 +340,9 @@
         observeEventGap(attempt);
         close(attempt);
         attempt.upstream.recordCompletion();
+        if (attempt.isInsideEvent()) {
+            log.noteUnfinishedEvent(now, attempt);
+        }
         outcomeListener.onCompleted(now, attempt);
     }
 
--- a/src/main/java/org/cuminshelf/direct/CallerResponses.java
+++ b/src/main/java/org/cuminshelf/direct/CallerResponses.java
@@ -77,6 +77,8 @@
                 call.prefillMillis,
                 "way",
                 attempt.usedKvCache ? "split" : "whole",
+                "framing",
+                attempt.framing(),
                 "pause-ms",
                 Durations.millis(call.longestGapNanos),
                 "first-ms",
--- a/src/main/java/org/cuminshelf/direct/DirectAttempt.java
+++ b/src/main/java/org/cuminshelf/direct/DirectAttempt.java
@@ -7,6 +7,7 @@
 import org.cuminshelf.core.Core;
 import org.cuminshelf.exchange.UpstreamExchange;
 import org.eclipse.jetty.http.HttpFields;
+import org.eclipse.jetty.http.HttpHeader;
 
 /** One attempt to run a call, or only its prefill, on an upstream. Times are monotonic nanoseconds. */
 final class DirectAttempt {
@@ -100,6 +101,19 @@
         return metadata != null;
     }
 
+    /** Whether the response is a stream of events of which the last one has begun but is not complete. */
+    boolean isInsideEvent() {
+        return call.isStream() && !prefillOnly && isSuccess() && eventSplitter.pendingBytes() > 0;
+    }
+
+    /** How the response states its length, for the log. */
+    String framing() {
+        if (headers.contains(HttpHeader.TRANSFER_ENCODING)) {
+            return "chunks";
+        }
+        return headers.contains(HttpHeader.CONTENT_LENGTH) ? "length" : "none";
+    }
+
     /** Whether the head of the response reports success and is authentic. */
     boolean isSuccess() {
         int firstNonSuccessStatus = 300;
--- a/src/main/java/org/cuminshelf/direct/EventSplitter.java
+++ b/src/main/java/org/cuminshelf/direct/EventSplitter.java
@@ -54,6 +54,11 @@
         return Optional.empty();
     }
 
+    /** Returns the number of bytes after the last complete event. */
+    int pendingBytes() {
+        return size;
+    }
+
     /** Returns the bytes after the last complete event. */
     byte[] remainder() {
         return Arrays.copyOf(buffer, size);
