--- a/src/test/java/org/cuminshelf/platform/LoopbackPlatform.java
+++ b/src/test/java/org/cuminshelf/platform/LoopbackPlatform.java
@@ -31,10 +31,17 @@
 
     private final List<Integer> ports = new ArrayList<>();
     private final Path folder;
+    private final String bounds;
     private final ServingProcess control;
     final DirectEntryProcess entry;
 
     LoopbackPlatform(String config) throws Exception {
+        this(config, "{}");
+    }
+
+    /** Starts both processes with limits of the platform, as a JSON object. */
+    LoopbackPlatform(String config, String bounds) throws Exception {
+        this.bounds = bounds;
         folder = Files.createTempDirectory("loopback-platform");
         reserveFreePorts(7);
         control = PlatformCommand.startControl(settings(0, 1, CONTROL, CONTROL));
@@ -99,7 +106,8 @@
         String text = "{\"node\":\"n\",\"zone\":\"z\",\"region\":\"r\",\"ip\":\"" + HOST + "\",\"internalPorts\":["
                 + ports.get(messages) + "," + ports.get(metrics) + "],\"seeds\":[],\"bootstrap\":true,\"dataDir\":\""
                 + folder + "\",\"listen\":{\"front\":\"" + HOST + ":" + ports.get(listen) + "\",\"control\":\"" + HOST
-                + ":" + ports.get(listen) + "\",\"ready\":\"" + HOST + ":" + ports.get(ready) + "\"},\"bounds\":{}}";
+                + ":" + ports.get(listen) + "\",\"ready\":\"" + HOST + ":" + ports.get(ready) + "\"},\"bounds\":"
+                + bounds + "}";
         Path file = Files.writeString(folder.resolve("boot-" + messages + ".json"), text);
         return BootSettings.read(file).withSeedPort(ports.get(0));
     }
