A stream that ends inside an event has been broken off, whatever its framing says

Callers saw: status 200, the upstream's seal, the last chunk, and a stream without its last events. Cause: UpstreamConnection calls a response without a stated length complete when its connection is closed, and forwardResponse wrote what was left of an event and the last chunk; nobody asked whether the stream ended between two events. Class: the end of the transport taken for the end of what it carries. Ruled out: a reset taken for a close (no cut by reset was passed on, before or after). Mend: DirectAttempt.isBrokenOff is asked at the end of each response. Such an end goes the way of a broken connection: resumed elsewhere after the last whole event where the route allows it, aborted or 502 where not, never repeated or called not run there, and seen as a possible crash by PoisonGuard. A stream without any event whose end is only that of its connection is broken too; a body of a stated other type goes by its framing. Holds as no byte of an unfinished event reaches the caller before. What remains: a close between two events.

--- a/src/main/java/org/cuminshelf/direct/AttemptRunner.java
+++ b/src/main/java/org/cuminshelf/direct/AttemptRunner.java
@@ -334,15 +334,17 @@
     }
 
     private void onComplete(long now, DirectAttempt attempt) {
+        if (attempt.isBrokenOff()) {
+            log.noteUnfinishedEvent(now, attempt);
+            onConnectionFailed(now, attempt, true, "the stream ended before its end");
+            return;
+        }
         if (attempt.prefillOnly && attempt.promptPending && attempt.status == HTTP_OK) {
             onPromptProcessed(now, attempt);
         }
         observeEventGap(attempt);
         close(attempt);
         attempt.upstream.recordCompletion();
-        if (attempt.isInsideEvent()) {
-            log.noteUnfinishedEvent(now, attempt);
-        }
         outcomeListener.onCompleted(now, attempt);
     }
 
--- a/src/main/java/org/cuminshelf/direct/DirectAttempt.java
+++ b/src/main/java/org/cuminshelf/direct/DirectAttempt.java
@@ -2,6 +2,7 @@
 
 import java.io.ByteArrayOutputStream;
 import java.util.HashSet;
+import java.util.Locale;
 import java.util.Optional;
 import java.util.Set;
 import org.cuminshelf.core.Core;
@@ -12,6 +13,9 @@
 /** One attempt to run a call, or only its prefill, on an upstream. Times are monotonic nanoseconds. */
 final class DirectAttempt {
 
+    private static final String EVENT_STREAM_TYPE = "text/event-stream";
+    private static final String UNFRAMED = "none";
+
     final long number;
     final DirectCall call;
     final UpstreamInstance upstream;
@@ -101,9 +105,25 @@
         return metadata != null;
     }
 
-    /** Whether the response is a stream of events of which the last one has begun but is not complete. */
-    boolean isInsideEvent() {
-        return call.isStream() && !prefillOnly && isSuccess() && eventSplitter.pendingBytes() > 0;
+    /**
+     * Whether a response whose end was received is a stream that its upstream broke off: it ends inside an event, or it
+     * has no event and only the end of its connection says that it is whole. A close of the connection between two
+     * events looks like the end of a stream without a stated length.
+     */
+    boolean isBrokenOff() {
+        if (!isEventStream()) {
+            return false;
+        }
+        boolean withoutEvent = firstEventAtNanos == Core.NEVER && framing().equals(UNFRAMED);
+        return withoutEvent || eventSplitter.pendingBytes() > 0;
+    }
+
+    /** Whether the response is a successful stream of events; one that states no type is taken for such a stream. */
+    private boolean isEventStream() {
+        boolean otherType = Optional.ofNullable(headers.get(HttpHeader.CONTENT_TYPE))
+                .filter(type -> !type.toLowerCase(Locale.ROOT).startsWith(EVENT_STREAM_TYPE))
+                .isPresent();
+        return call.isStream() && !prefillOnly && isSuccess() && !otherType;
     }
 
     /** How the response states its length, for the log. */
@@ -111,7 +131,7 @@
         if (headers.contains(HttpHeader.TRANSFER_ENCODING)) {
             return "chunks";
         }
-        return headers.contains(HttpHeader.CONTENT_LENGTH) ? "length" : "none";
+        return headers.contains(HttpHeader.CONTENT_LENGTH) ? "length" : UNFRAMED;
     }
 
     /** Whether the head of the response reports success and is authentic. */
--- a/src/test/java/org/cuminshelf/platform/CutAnswersOnLoopbackTest.java
+++ b/src/test/java/org/cuminshelf/platform/CutAnswersOnLoopbackTest.java
@@ -38,6 +38,8 @@
     private static final String STREAM = String.join("", EVENTS);
     private static final String MANY_RETRIES = "{\"retryBudgetRatio\":1.0,\"retrySlack\":10000,\"retryWindowS\":10}";
     private static final int UPSTREAMS = 3;
+    /** Ids are of one length, as upstreams echo them and offsets count from the first byte. */
+    private static final int FIRST_REQUEST = 100_000;
 
     /** How an answer states its length. */
     private enum Framing {
@@ -162,7 +164,7 @@
 
     private Answer ask(String path) throws IOException {
         String request = "POST " + path + " HTTP/1.1\r\nHost: h\r\nConnection: close\r\n" + PlatformHeaders.REQUEST_ID
-                + ": q" + nextRequest++ + "\r\nContent-Length: 0\r\n\r\n";
+                + ": " + (FIRST_REQUEST + nextRequest++) + "\r\nContent-Length: 0\r\n\r\n";
         StringBuilder text = new StringBuilder();
         try (Socket socket = new Socket(LoopbackPlatform.HOST, platform.port(LoopbackPlatform.CALLERS))) {
             socket.setSoTimeout(8_000);
@@ -201,7 +203,7 @@
     }
 
     private boolean endsBetweenEvents() {
-        String answer = answer("X-Cuminshelf-Request-Id: q0\r\n");
+        String answer = answer("X-Cuminshelf-Request-Id: " + FIRST_REQUEST + "\r\n");
         int bodyStart = answer.indexOf("\r\n\r\n") + 4;
         int end = bodyStart;
         boolean between = false;
@@ -216,9 +218,9 @@
     private void cutEverywhere(String path, boolean goesOn) throws IOException {
         for (Framing each : Framing.values()) {
             framing = each;
-            // Ids of requests differ in length, which moves the offsets by a few bytes.
-            int length = answer("X-Cuminshelf-Request-Id: q0000\r\n").length();
-            for (int at = 0; at < length - 4; at += STEP) {
+            int length =
+                    answer("X-Cuminshelf-Request-Id: " + FIRST_REQUEST + "\r\n").length();
+            for (int at = 0; at < length; at += STEP) {
                 for (End way : End.values()) {
                     offset = at;
                     end = way;
