Failing test: an answer without a stated length passes for whole though its upstream has crashed

A close between two events, or at any byte of a plain answer, looks like the end of a whole answer. The engines of the fixtures state chunks now, as their streams did in all but the header.

--- a/src/test/java/org/cuminshelf/direct/BrokenStreamTest.java
+++ b/src/test/java/org/cuminshelf/direct/BrokenStreamTest.java
@@ -5,7 +5,9 @@
 import java.util.ArrayList;
 import java.util.List;
 import net.jqwik.api.Example;
+import org.cuminshelf.exchange.Reachability;
 import org.cuminshelf.message.Role;
+import org.cuminshelf.message.Update;
 import org.cuminshelf.routes.RequestKind;
 
 /** Guards against streams that their upstream broke off and that reach their callers as complete. */
@@ -161,4 +163,75 @@
         assertThat(response.complete).isTrue();
         assertThat(response.body.toString()).isEqualTo("{\"a\":\"b\"}");
     }
+
+    private static DirectFixture plainEntry(RequestKind kind) {
+        return new DirectFixture(DirectFixture.route(kind, 2, false))
+                .becomeReady()
+                .addUpstream("u1", Role.ROLE_MIXED)
+                .addUpstream("u2", Role.ROLE_MIXED);
+    }
+
+    /** Guards against a stream whose upstream crashed between two events and closed its connection in order. */
+    @Example
+    void aStreamThatEndsWithItsConnectionAndItsUpstreamIsBroken() {
+        DirectFixture entry = entry(false);
+        entry.reachability = Reachability.REFUSED;
+        DirectFixture.CallerResponse response = entry.sendRequest("a", "Tokens", "100");
+        respondUpTo(entry, UNFRAMED, EVENTS.get(0), EVENTS.get(0).length());
+        assertThat(response.complete).isFalse();
+        assertThat(response.aborted).isTrue();
+        assertThat(entry.sentRequests).hasSize(1);
+    }
+
+    /** Guards against the same on a route whose streams may go on at another upstream. */
+    @Example
+    void aResumableStreamThatEndsWithItsConnectionAndItsUpstreamGoesOnElsewhere() {
+        DirectFixture entry = entry(true);
+        entry.reachability = Reachability.REFUSED;
+        DirectFixture.CallerResponse response = entry.sendRequest("a", "Tokens", "100");
+        respondUpTo(entry, UNFRAMED, EVENTS.get(0), EVENTS.get(0).length());
+        assertThat(entry.sentRequests).hasSize(2);
+        assertThat(entry.lastSent().request.headers().get("Last")).isEqualTo("1");
+        String rest = EVENTS.get(1) + EVENTS.get(2);
+        respondUpTo(entry, CHUNKED, rest, rest.length());
+        assertThat(response.complete).isTrue();
+        assertThat(response.body.toString()).isEqualTo(String.join("", EVENTS));
+    }
+
+    /** Guards against a plain answer without a stated length that is cut by a crash. */
+    @Example
+    void aPlainAnswerThatEndsWithItsConnectionAndItsUpstreamIsBroken() {
+        DirectFixture entry = plainEntry(RequestKind.NON_IDEMPOTENT);
+        entry.reachability = Reachability.REFUSED;
+        DirectFixture.CallerResponse response = entry.sendRequest("a");
+        respondUpTo(entry, UNFRAMED, "hel", 3);
+        assertThat(response.status).isEqualTo(502);
+        assertThat(entry.sentRequests).hasSize(1);
+    }
+
+    @Example
+    void anAnswerThatEndsWithItsConnectionIsWholeIfItsUpstreamListens() {
+        DirectFixture entry = plainEntry(RequestKind.NON_IDEMPOTENT);
+        DirectFixture.CallerResponse response = entry.sendRequest("a");
+        respondUpTo(entry, UNFRAMED, "hello", 5);
+        assertThat(response.status).isEqualTo(200);
+        assertThat(response.body.toString()).isEqualTo("hello");
+    }
+
+    /** Guards against whole answers being taken for broken as their upstream leaves after the last one. */
+    @Example
+    void anAnswerThatEndsWithItsConnectionIsWholeIfItsUpstreamHadSaidThatItLeaves() {
+        DirectFixture entry = plainEntry(RequestKind.NON_IDEMPOTENT);
+        DirectFixture.CallerResponse response = entry.sendRequest("a");
+        String upstream = entry.lastSent().upstream;
+        entry.sendUpdate(Update.newBuilder()
+                .setDirectoryIncarnation(1)
+                .setDirectoryVersion(9)
+                .addUpstreams(DirectFixture.heartbeat(upstream, Role.ROLE_MIXED).toBuilder()
+                        .setSequence(2)
+                        .setLeaving(true)));
+        entry.reachability = Reachability.REFUSED;
+        respondUpTo(entry, UNFRAMED, "hello", 5);
+        assertThat(response.status).isEqualTo(200);
+    }
 }
--- a/src/test/java/org/cuminshelf/direct/DirectFixture.java
+++ b/src/test/java/org/cuminshelf/direct/DirectFixture.java
@@ -45,7 +45,7 @@
 
     static final Address CONTROL = Address.of("10.0.0.1:7000");
     static final Address SELF = Address.of("10.0.1.1:7000");
-    private static final HttpFields SEALED = HttpFields.build().put("Seal", "s");
+    private static final HttpFields SEALED = HttpFields.build().put("Seal", "s").put("Transfer-Encoding", "chunked");
 
     long now = Durations.nanos(10_000);
     final RecordingOutbox out = new RecordingOutbox();
--- a/src/test/java/org/cuminshelf/trial/CrashingEngine.java
+++ b/src/test/java/org/cuminshelf/trial/CrashingEngine.java
@@ -260,7 +260,7 @@
     }
 
     private HttpFields.Mutable head(String name, String value) {
-        HttpFields.Mutable head = HttpFields.build().put(name, value);
+        HttpFields.Mutable head = HttpFields.build().put(name, value).put("Transfer-Encoding", "chunked");
         needs.describe(head);
         return head;
     }
