An answer that ends with its connection counts as whole only while its upstream listens

Callers would have seen a stream without its last events, or a plain answer without its last bytes, as complete, if the crash of the upstream closed its connection in order between two events. Cause: the same class; a close says nothing of what it carried. Mend: the entry opens a connection to the upstream, as the crash detector does; refused means that the process has ended, and the answer goes the way of a broken one. An upstream that had said that it leaves is believed, as it may end after its last answer. Not known from this: an upstream that lives and closes one connection between two events.

--- a/src/main/java/org/cuminshelf/direct/AttemptRunner.java
+++ b/src/main/java/org/cuminshelf/direct/AttemptRunner.java
@@ -13,6 +13,7 @@
 import org.cuminshelf.engines.EngineLatencyModel;
 import org.cuminshelf.engines.PromptQueue;
 import org.cuminshelf.engines.PromptSample;
+import org.cuminshelf.exchange.Reachability;
 import org.cuminshelf.exchange.UpstreamHandler;
 import org.cuminshelf.exchange.UpstreamRequest;
 import org.cuminshelf.organisations.Organisation;
@@ -222,7 +223,7 @@
         @Override
         public void onComplete() {
             if (!attempt.ended) {
-                AttemptRunner.this.onComplete(clock.getAsLong(), attempt);
+                AttemptRunner.this.onEnd(clock.getAsLong(), attempt);
             }
         }
 
@@ -333,12 +334,34 @@
         return nanos / NANOS_PER_MILLI;
     }
 
-    private void onComplete(long now, DirectAttempt attempt) {
+    /** Handles the end of a response, as far as its framing tells. */
+    private void onEnd(long now, DirectAttempt attempt) {
         if (attempt.isBrokenOff()) {
             log.noteUnfinishedEvent(now, attempt);
             onConnectionFailed(now, attempt, true, "the stream ended before its end");
             return;
         }
+        if (attempt.endsWithConnection() && !attempt.upstream.shutdownAnnounced) {
+            // A crash closes the connection in the same way, so the upstream is asked whether it still listens.
+            client.probe(attempt.upstream.address, attempt.upstream.id, result -> onEndProbed(attempt, result));
+            return;
+        }
+        onComplete(now, attempt);
+    }
+
+    private void onEndProbed(DirectAttempt attempt, Reachability reachability) {
+        if (attempt.ended) {
+            return;
+        }
+        long now = clock.getAsLong();
+        if (reachability == Reachability.REFUSED && !attempt.upstream.shutdownAnnounced) {
+            onConnectionFailed(now, attempt, true, "the upstream ended with the connection");
+            return;
+        }
+        onComplete(now, attempt);
+    }
+
+    private void onComplete(long now, DirectAttempt attempt) {
         if (attempt.prefillOnly && attempt.promptPending && attempt.status == HTTP_OK) {
             onPromptProcessed(now, attempt);
         }
--- a/src/main/java/org/cuminshelf/direct/DirectAttempt.java
+++ b/src/main/java/org/cuminshelf/direct/DirectAttempt.java
@@ -9,6 +9,8 @@
 import org.cuminshelf.exchange.UpstreamExchange;
 import org.eclipse.jetty.http.HttpFields;
 import org.eclipse.jetty.http.HttpHeader;
+import org.eclipse.jetty.http.HttpMethod;
+import org.eclipse.jetty.http.HttpStatus;
 
 /** One attempt to run a call, or only its prefill, on an upstream. Times are monotonic nanoseconds. */
 final class DirectAttempt {
@@ -107,8 +109,7 @@
 
     /**
      * Whether a response whose end was received is a stream that its upstream broke off: it ends inside an event, or it
-     * has no event and only the end of its connection says that it is whole. A close of the connection between two
-     * events looks like the end of a stream without a stated length.
+     * has no event and only the end of its connection says that it is whole.
      */
     boolean isBrokenOff() {
         if (!isEventStream()) {
@@ -123,7 +124,17 @@
         boolean otherType = Optional.ofNullable(headers.get(HttpHeader.CONTENT_TYPE))
                 .filter(type -> !type.toLowerCase(Locale.ROOT).startsWith(EVENT_STREAM_TYPE))
                 .isPresent();
-        return call.isStream() && !prefillOnly && isSuccess() && !otherType;
+        return call.isStream() && !prefillOnly && isSuccess() && hasBody() && !otherType;
+    }
+
+    /** Whether the response has a body; one without ends with its head. */
+    private boolean hasBody() {
+        return status != HttpStatus.NO_CONTENT_204 && !HttpMethod.HEAD.is(call.request.method());
+    }
+
+    /** Whether only the end of its connection says that a successful response is whole. */
+    boolean endsWithConnection() {
+        return !prefillOnly && isSuccess() && hasBody() && framing().equals(UNFRAMED);
     }
 
     /** How the response states its length, for the log. */
--- a/src/test/java/org/cuminshelf/direct/BrokenStreamTest.java
+++ b/src/test/java/org/cuminshelf/direct/BrokenStreamTest.java
@@ -234,4 +234,14 @@
         respondUpTo(entry, UNFRAMED, "hello", 5);
         assertThat(response.status).isEqualTo(200);
     }
+
+    @Example
+    void anAnswerWithoutABodyIsWholeWhateverBecomesOfItsUpstream() {
+        DirectFixture entry = plainEntry(RequestKind.NON_IDEMPOTENT);
+        entry.reachability = Reachability.REFUSED;
+        DirectFixture.CallerResponse response = entry.sendRequest("a");
+        entry.lastSent().respondHead(204, UNFRAMED);
+        entry.lastSent().handler.onComplete();
+        assertThat(response.status).isEqualTo(204);
+    }
 }
