Callers of HTTP/1.0 receive streams without chunks, and an aborted one ends by a reset

Callers saw chunk sizes in the body, and an aborted stream that ended like a whole one. Mend: without chunks the end of the connection is the end of the response, so the connection is set to end by a reset from the head on, also if the process is killed, and set back once the stream is whole. A caller of HTTP/1.1 that asks for a close was served well before.

--- a/src/main/java/org/cuminshelf/exchange/CallerConnection.java
+++ b/src/main/java/org/cuminshelf/exchange/CallerConnection.java
@@ -75,6 +75,9 @@
     private String target;
     private HttpFields.Mutable headers = HttpFields.build();
     private boolean closeAfterResponse;
+    /** Whether the caller knows chunks; if not, a response of unknown length ends with the connection. */
+    private boolean knowsChunks;
+
     private boolean expectsContinue;
     private boolean headersRead;
     /** Whether a slow request was read on once, as bytes of it had come when it was judged. */
@@ -467,6 +470,7 @@
         headersRead = false;
         expectsContinue = false;
         closeAfterResponse = version != HttpVersion.HTTP_1_1;
+        knowsChunks = version == HttpVersion.HTTP_1_1;
     }
 
     @Override
@@ -566,7 +570,14 @@
             return;
         }
         responseBegun = true;
-        writes.write(encodeHead(responseHead(status, fields).append("Transfer-Encoding: chunked\r\n")));
+        StringBuilder head = responseHead(status, fields);
+        if (knowsChunks) {
+            head.append("Transfer-Encoding: chunked\r\n");
+        } else {
+            // The response ends with the connection, so that only a reset tells an aborted one from a whole one.
+            CloseBehaviour.reset(getEndPoint());
+        }
+        writes.write(encodeHead(head));
     }
 
     @Override
@@ -574,6 +585,10 @@
         if (phase != Phase.RESPONDING || !responseBegun || !bytes.hasRemaining()) {
             return;
         }
+        if (!knowsChunks) {
+            writes.write(copy(bytes));
+            return;
+        }
         byte[] size = (Integer.toHexString(bytes.remaining()) + "\r\n").getBytes(StandardCharsets.ISO_8859_1);
         ByteBuffer chunk = ByteBuffer.allocate(size.length + bytes.remaining() + CHUNK_TERMINATOR.length);
         chunk.put(size).put(bytes).put(CHUNK_TERMINATOR).flip();
@@ -582,10 +597,19 @@
 
     @Override
     public void endResponse() {
-        if (phase == Phase.RESPONDING && responseBegun) {
+        if (phase != Phase.RESPONDING || !responseBegun) {
+            return;
+        }
+        if (knowsChunks) {
             writes.write(ByteBuffer.wrap(LAST_CHUNK));
-            onResponseWritten();
+        } else {
+            writes.whenEmpty(() -> CloseBehaviour.orderly(getEndPoint()));
         }
+        onResponseWritten();
+    }
+
+    private static ByteBuffer copy(ByteBuffer bytes) {
+        return ByteBuffer.allocate(bytes.remaining()).put(bytes).flip();
     }
 
     @Override
--- a/src/main/java/org/cuminshelf/exchange/UpstreamConnection.java
+++ b/src/main/java/org/cuminshelf/exchange/UpstreamConnection.java
@@ -1,9 +1,7 @@
 package org.cuminshelf.exchange;
 
 import java.io.IOException;
-import java.net.StandardSocketOptions;
 import java.nio.ByteBuffer;
-import java.nio.channels.SocketChannel;
 import java.util.concurrent.Executor;
 import java.util.concurrent.locks.ReentrantLock;
 import org.eclipse.jetty.http.HttpCompliance;
@@ -18,7 +16,6 @@
 import org.eclipse.jetty.util.BufferUtil;
 import org.eclipse.jetty.util.Callback;
 import org.eclipse.jetty.util.thread.Invocable;
-import org.tinylog.Logger;
 
 /**
  * A connection to an upstream that carries one request at a time.
@@ -114,15 +111,7 @@
 
     /** Makes the close a reset, which discards the bytes in the send buffer instead of delivering them later. */
     void resetOnClose() {
-        if (getEndPoint().getTransport() instanceof SocketChannel channel) {
-            try {
-                channel.setOption(StandardSocketOptions.SO_LINGER, 0);
-            } catch (IOException alreadyClosed) {
-                Logger.debug(
-                        "exchange: The connection was closed before it could be reset: {}.",
-                        alreadyClosed.getMessage());
-            }
-        }
+        CloseBehaviour.reset(getEndPoint());
     }
 
     /** Closes the connection without notifying the handler. */
