Product with sidecars: a reset is a failure of the exchange, not the end of its answer

Callers would have seen a cut answer as whole: Jetty's end point reports a reset like an orderly close, and ServiceUpstream calls an answer without a stated length RAN and whole at either. The sidecar's client now reads the channel itself, where a reset is an exception (as exchange.ReadBuffers does at direct entries). EngineUpstream asks for a finish reason and was safe. Evidence: ServiceUpstreamTest red before, green after; StandaloneTest and ProcessFailureTest green. Not closed here: an orderly close by a crashed plain service.

--- a/src/main/java/org/cuminshelf/upstream/UpstreamHttpClient.java
+++ b/src/main/java/org/cuminshelf/upstream/UpstreamHttpClient.java
@@ -29,7 +29,7 @@
     static HttpClient start(int maxConnections) throws IOException {
         QueuedThreadPool threads = new QueuedThreadPool(MAX_THREADS, 2);
         threads.setName("upstream");
-        ClientConnector connector = new ClientConnector();
+        ClientConnector connector = new ResetAwareConnector();
         connector.setSelectors(1);
         connector.setExecutor(threads);
         connector.setIdleTimeout(java.time.Duration.ofMillis(IDLE_TIMEOUT_MILLIS));
