--- a/src/main/java/org/cuminshelf/direct/DirectAttempt.java
+++ b/src/main/java/org/cuminshelf/direct/DirectAttempt.java
@@ -115,7 +115,10 @@
         if (!isEventStream()) {
             return false;
         }
-        boolean withoutEvent = firstEventAtNanos == Core.NEVER && framing().equals(UNFRAMED);
+        // A stream that is resumed after its last event has no further one.
+        boolean withoutEvent = firstEventAtNanos == Core.NEVER
+                && call.lastEventId.isEmpty()
+                && framing().equals(UNFRAMED);
         return withoutEvent || eventSplitter.pendingBytes() > 0;
     }
 
--- a/src/test/java/org/cuminshelf/direct/BrokenStreamTest.java
+++ b/src/test/java/org/cuminshelf/direct/BrokenStreamTest.java
@@ -244,4 +244,14 @@
         entry.lastSent().handler.onComplete();
         assertThat(response.status).isEqualTo(204);
     }
+
+    /** Guards against a stream that is resumed after its last event being taken for broken, again and again. */
+    @Example
+    void aStreamThatIsResumedAfterItsLastEventIsWholeWithoutAnother() {
+        DirectFixture entry = entry(true);
+        DirectFixture.CallerResponse response = entry.sendRequest("a", "Tokens", "100", "Last", "3");
+        respondUpTo(entry, UNFRAMED, "", 0);
+        assertThat(response.complete).isTrue();
+        assertThat(response.status).isEqualTo(200);
+    }
 }
--- a/src/test/java/org/cuminshelf/trial/CrashingEngine.java
+++ b/src/test/java/org/cuminshelf/trial/CrashingEngine.java
@@ -148,6 +148,8 @@
             }
             if (whole) {
                 time.after(WHOLE_ANSWER, this::answer);
+            } else if (records.runsOf(request).stream().anyMatch(run -> run.lastSent)) {
+                complete();
             } else {
                 event();
             }
@@ -175,6 +177,7 @@
             made++;
             long id = resumeAfter + made;
             String last = made < events ? "" : " last";
+            record.lastSent |= made == events && !isDead();
             send("id: " + id + "\ndata: " + record.number + last + "\n\n");
             if (over) {
                 return;
@@ -204,6 +207,20 @@
             }
         }
 
+        /** Ends the response as a crash does: by a reset, or by an orderly close, at most a part of an event later. */
+        private void breakOff(boolean inOrder) {
+            if (!inOrder || whole || made == 0) {
+                handler.onFailed(true, "closed");
+                return;
+            }
+            String event = "id: " + (resumeAfter + made + 1) + "\ndata: " + record.number + "\n\n";
+            String part = event.substring(0, random.nextInt(event.length()));
+            if (!part.isEmpty()) {
+                handler.onBody(ByteBuffer.wrap(part.getBytes(StandardCharsets.UTF_8)));
+            }
+            handler.onComplete();
+        }
+
         private void end() {
             over = true;
             runs.remove(this);
@@ -237,6 +254,9 @@
     /** Steps of runs that fell into a silence. */
     int stepsPutOff;
 
+    /** Whether its answers state no length, and a crash closes their connections in order. */
+    boolean closesInOrder;
+
     private int starts;
     private long sequence;
     private boolean up;
@@ -260,7 +280,10 @@
     }
 
     private HttpFields.Mutable head(String name, String value) {
-        HttpFields.Mutable head = HttpFields.build().put(name, value).put("Transfer-Encoding", "chunked");
+        HttpFields.Mutable head = HttpFields.build().put(name, value);
+        if (!closesInOrder) {
+            head.put("Transfer-Encoding", "chunked");
+        }
         needs.describe(head);
         return head;
     }
@@ -321,7 +344,7 @@
         List<Run> cut = List.copyOf(runs);
         cut.forEach(run -> {
             run.end();
-            time.after(random.nextLong(BREAK_SPREAD), () -> run.handler.onFailed(true, "closed"));
+            time.after(random.nextLong(BREAK_SPREAD), () -> run.breakOff(closesInOrder));
         });
         time.after(SHORTEST_OUTAGE + random.nextLong(OUTAGE_SPREAD), this::start);
     }
--- a/src/test/java/org/cuminshelf/trial/RunRecord.java
+++ b/src/test/java/org/cuminshelf/trial/RunRecord.java
@@ -19,6 +19,9 @@
 
     boolean prefilled;
     boolean complete;
+    /** Whether it sent the last event of its stream, after which no later run sends another. */
+    boolean lastSent;
+
     /** Whether its connection died without a reset, so that neither side learns of the other. */
     boolean dead;
 
--- a/src/test/java/org/cuminshelf/trial/SilentDay.java
+++ b/src/test/java/org/cuminshelf/trial/SilentDay.java
@@ -64,6 +64,11 @@
         return new SilentDay(seed, shape, shortestSilenceMillis, longestSilenceMillis);
     }
 
+    /** A day with four engines that are never silent. */
+    static SilentDay ofFourEngines(long seed) {
+        return new SilentDay(seed, shape(seed, MANY_ENGINES, 1, RetryLimits.DEFAULT), 0, 0);
+    }
+
     /** A day with one engine, so that nothing can be sent elsewhere. */
     static SilentDay ofOneEngine(long seed, long shortestSilenceMillis, long longestSilenceMillis) {
         DirectFleet.Shape shape = shape(seed, 1, 1, RetryLimits.DEFAULT);
@@ -137,6 +142,15 @@
         fleet.engines.getFirst().fallSilent(new EngineSilence(until, EngineSilence.Scope.EVERYTHING));
     }
 
+    /** One engine crashes, if enough are up. */
+    void crashOne() {
+        List<CrashingEngine> up =
+                fleet.engines.stream().filter(CrashingEngine::isUp).toList();
+        if (up.size() > 1) {
+            up.get(schedule.nextInt(up.size())).crash();
+        }
+    }
+
     void silenceAll() {
         silence(fleet.engines.size(), EngineSilence.Scope.EVERYTHING);
     }
