--- a/src/main/java/org/cuminshelf/direct/AttemptLog.java
+++ b/src/main/java/org/cuminshelf/direct/AttemptLog.java
@@ -19,6 +19,8 @@
                 attempt.call.intent.id(),
                 "upstream",
                 attempt.upstream.id,
+                "version",
+                attempt.upstream.version,
                 "sent",
                 requestSent,
                 "outcome",
@@ -54,6 +56,35 @@
                 Durations.millis(now - attempt.sentAtNanos));
     }
 
+    /** Logs that a stream of which the caller has a part goes on with an attempt, and at which software version. */
+    void noteContinuation(long now, DirectAttempt attempt) {
+        DirectCall call = attempt.call;
+        String version = attempt.upstream.version;
+        log.note(
+                "attempt",
+                call.intent.id(),
+                "upstream",
+                attempt.upstream.id,
+                "outcome",
+                call.origin
+                        .map(origin -> origin.version().equals(version) ? "continued" : "continued-at-other-version")
+                        .orElse("continued-from-unknown-version"),
+                "version",
+                version,
+                "began-at",
+                call.origin.map(StreamOrigin::version).orElse("unknown"),
+                "known-by",
+                call.origin.map(origin -> origin.source().label()).orElse("none"),
+                "age-ms",
+                call.origin
+                        .<Object>map(origin -> Durations.millis(now - origin.sinceNanos()))
+                        .orElse("none"),
+                "resumes",
+                call.intent.resumedRequest().orElse("none"),
+                "after-event",
+                call.lastEventId.getAsLong());
+    }
+
     /** Logs that an attempt makes no progress and another upstream is sent a replacement. */
     void noteSilent(long now, DirectAttempt attempt, long silentNanos, UpstreamInstance replacement) {
         log.note(
--- a/src/main/java/org/cuminshelf/direct/AttemptRunner.java
+++ b/src/main/java/org/cuminshelf/direct/AttemptRunner.java
@@ -167,6 +167,9 @@
         if (!attempt.prefillOnly) {
             call.attemptCount++;
         }
+        if (call.lastEventId.isPresent()) {
+            log.noteContinuation(now, attempt);
+        }
         AttemptPlan plan = new AttemptPlan(
                 upstream.name,
                 call.organisation.map(Organisation::name),
@@ -285,6 +288,7 @@
                 // From here on nothing of another attempt is delivered.
                 cancelOthers(now, attempt);
                 responses.startResponse(now, attempt);
+                recordOrigin(now, attempt);
                 call.exchange.writePart(ByteBuffer.wrap(event.get().bytes()));
                 if (call.deliveredEvents > 0) {
                     call.longestGapNanos = Math.max(call.longestGapNanos, now - call.lastEventAtNanos);
@@ -300,6 +304,13 @@
         }
     }
 
+    private static void recordOrigin(long now, DirectAttempt attempt) {
+        if (attempt.call.origin.isEmpty()) {
+            attempt.call.origin =
+                    Optional.of(new StreamOrigin(attempt.upstream.version, StreamOrigin.Source.DELIVERED, now));
+        }
+    }
+
     /** Records the first event of an attempt, and feeds its timing to the engine model. */
     private void onFirstEvent(long now, DirectAttempt attempt) {
         if (attempt.firstEventAtNanos == Core.NEVER) {
--- a/src/main/java/org/cuminshelf/direct/CallIntent.java
+++ b/src/main/java/org/cuminshelf/direct/CallIntent.java
@@ -11,6 +11,7 @@
  * @param deadlineMillis milliseconds until the caller stops waiting; empty if it states none
  * @param generation     the shape of the generation, if the request is one
  * @param resumeAfter    the last event that the caller has received, if it resumes a stream
+ * @param resumedRequest id of the request that brought the first event of that stream, if the caller names it
  * @param keys           the caller's keys in the request
  */
 public record CallIntent(
@@ -18,4 +19,5 @@
         OptionalLong deadlineMillis,
         Optional<GenerationShape> generation,
         OptionalLong resumeAfter,
+        Optional<String> resumedRequest,
         RequestApiKeys keys) {}
--- a/src/main/java/org/cuminshelf/direct/CallerResponses.java
+++ b/src/main/java/org/cuminshelf/direct/CallerResponses.java
@@ -63,6 +63,8 @@
                 call.organisationName(),
                 "upstream",
                 attempt.upstream.id,
+                "version",
+                attempt.upstream.version,
                 "attempts",
                 call.attemptCount,
                 "events",
--- a/src/main/java/org/cuminshelf/direct/DirectCall.java
+++ b/src/main/java/org/cuminshelf/direct/DirectCall.java
@@ -72,6 +72,9 @@
     /** Id of the last event sent to the caller, or that the caller stated to have. */
     OptionalLong lastEventId;
 
+    /** The software version that began the stream, once it is known. */
+    Optional<StreamOrigin> origin = Optional.empty();
+
     /** Number of events sent to the caller. */
     int deliveredEvents;
     /** Estimated milliseconds to the first event when the first attempt was placed. */
--- a/src/main/java/org/cuminshelf/direct/UpstreamInstance.java
+++ b/src/main/java/org/cuminshelf/direct/UpstreamInstance.java
@@ -44,6 +44,9 @@
 
     final Address address;
     final String service;
+    /** Version of its software; empty if it states none. */
+    final String version;
+
     final String zone;
     final PrefixCacheTracker promptCache = new PrefixCacheTracker();
     /** Control processes whose directories list it. */
@@ -101,6 +104,7 @@
         this.startedAtMillis = heartbeat.getBornMs();
         this.address = Address.of(heartbeat.getAddress());
         this.service = heartbeat.getService();
+        this.version = heartbeat.getVersion();
         this.zone = heartbeat.getZone();
     }
 
--- a/src/main/java/org/cuminshelf/direct/UpstreamTable.java
+++ b/src/main/java/org/cuminshelf/direct/UpstreamTable.java
@@ -141,6 +141,8 @@
                     instance.draining ? "leaving" : "serving",
                     "service",
                     instance.service,
+                    "version",
+                    instance.version,
                     "role",
                     instance.role,
                     "address",
--- a/src/main/java/org/cuminshelf/message/UpstreamBeat.java
+++ b/src/main/java/org/cuminshelf/message/UpstreamBeat.java
@@ -26,6 +26,7 @@
     zone_ = "";
     models_ = com.google.protobuf.GeneratedMessageLite.emptyProtobufList();
     name_ = "";
+    version_ = "";
   }
   public static final int ID_FIELD_NUMBER = 1;
   private java.lang.String id_;
@@ -801,6 +802,74 @@
     bornMs_ = 0L;
   }
 
+  public static final int VERSION_FIELD_NUMBER = 18;
+  private java.lang.String version_;
+  /**
+   * <pre>
+   * Version of the upstream's software; the same for the whole life of an instance.
+   * </pre>
+   *
+   * <code>string version = 18;</code>
+   * @return The version.
+   */
+  @java.lang.Override
+  public java.lang.String getVersion() {
+    return version_;
+  }
+  /**
+   * <pre>
+   * Version of the upstream's software; the same for the whole life of an instance.
+   * </pre>
+   *
+   * <code>string version = 18;</code>
+   * @return The bytes for version.
+   */
+  @java.lang.Override
+  public com.google.protobuf.ByteString
+      getVersionBytes() {
+    return com.google.protobuf.ByteString.copyFromUtf8(version_);
+  }
+  /**
+   * <pre>
+   * Version of the upstream's software; the same for the whole life of an instance.
+   * </pre>
+   *
+   * <code>string version = 18;</code>
+   * @param value The version to set.
+   */
+  @java.lang.SuppressWarnings("ReturnValueIgnored")
+  private void setVersion(
+      java.lang.String value) {
+    value.getClass();  // minimal bytecode null check
+
+    version_ = value;
+  }
+  /**
+   * <pre>
+   * Version of the upstream's software; the same for the whole life of an instance.
+   * </pre>
+   *
+   * <code>string version = 18;</code>
+   */
+  private void clearVersion() {
+
+    version_ = getDefaultInstance().getVersion();
+  }
+  /**
+   * <pre>
+   * Version of the upstream's software; the same for the whole life of an instance.
+   * </pre>
+   *
+   * <code>string version = 18;</code>
+   * @param value The bytes for version to set.
+   */
+  private void setVersionBytes(
+      com.google.protobuf.ByteString value) {
+    checkByteStringIsUtf8(value);
+    version_ = value.toStringUtf8();
+
+  }
+
   public static org.cuminshelf.message.UpstreamBeat parseFrom(
       java.nio.ByteBuffer data)
       throws com.google.protobuf.InvalidProtocolBufferException {
@@ -1703,6 +1772,75 @@
       return this;
     }
 
+    /**
+     * <pre>
+     * Version of the upstream's software; the same for the whole life of an instance.
+     * </pre>
+     *
+     * <code>string version = 18;</code>
+     * @return The version.
+     */
+    @java.lang.Override
+    public java.lang.String getVersion() {
+      return instance.getVersion();
+    }
+    /**
+     * <pre>
+     * Version of the upstream's software; the same for the whole life of an instance.
+     * </pre>
+     *
+     * <code>string version = 18;</code>
+     * @return The bytes for version.
+     */
+    @java.lang.Override
+    public com.google.protobuf.ByteString
+        getVersionBytes() {
+      return instance.getVersionBytes();
+    }
+    /**
+     * <pre>
+     * Version of the upstream's software; the same for the whole life of an instance.
+     * </pre>
+     *
+     * <code>string version = 18;</code>
+     * @param value The version to set.
+     * @return This builder for chaining.
+     */
+    public Builder setVersion(
+        java.lang.String value) {
+      copyOnWrite();
+      instance.setVersion(value);
+      return this;
+    }
+    /**
+     * <pre>
+     * Version of the upstream's software; the same for the whole life of an instance.
+     * </pre>
+     *
+     * <code>string version = 18;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearVersion() {
+      copyOnWrite();
+      instance.clearVersion();
+      return this;
+    }
+    /**
+     * <pre>
+     * Version of the upstream's software; the same for the whole life of an instance.
+     * </pre>
+     *
+     * <code>string version = 18;</code>
+     * @param value The bytes for version to set.
+     * @return This builder for chaining.
+     */
+    public Builder setVersionBytes(
+        com.google.protobuf.ByteString value) {
+      copyOnWrite();
+      instance.setVersionBytes(value);
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:cuminshelf.UpstreamBeat)
   }
   @java.lang.Override
@@ -1736,11 +1874,13 @@
             "changing_",
             "name_",
             "bornMs_",
+            "version_",
           };
           java.lang.String info =
-              "\u0000\u0011\u0000\u0000\u0001\u0011\u0011\u0000\u0001\u0000\u0001\u0208\u0002\u0208" +
+              "\u0000\u0012\u0000\u0000\u0001\u0012\u0012\u0000\u0001\u0000\u0001\u0208\u0002\u0208" +
               "\u0003\u0208\u0004\u0208\u0005\u0003\u0006\u0007\u0007\u0007\b\u0007\t\u000b\n\f" +
-              "\u000b\u021a\f\u000b\r\u0003\u000e\u0007\u000f\u0007\u0010\u0208\u0011\u0003";
+              "\u000b\u021a\f\u000b\r\u0003\u000e\u0007\u000f\u0007\u0010\u0208\u0011\u0003\u0012" +
+              "\u0208";
           return newMessageInfo(DEFAULT_INSTANCE, info, objects);
       }
       case GET_DEFAULT_INSTANCE: {
--- a/src/main/java/org/cuminshelf/message/UpstreamBeatOrBuilder.java
+++ b/src/main/java/org/cuminshelf/message/UpstreamBeatOrBuilder.java
@@ -213,4 +213,24 @@
    * @return The bornMs.
    */
   long getBornMs();
+
+  /**
+   * <pre>
+   * Version of the upstream's software; the same for the whole life of an instance.
+   * </pre>
+   *
+   * <code>string version = 18;</code>
+   * @return The version.
+   */
+  java.lang.String getVersion();
+  /**
+   * <pre>
+   * Version of the upstream's software; the same for the whole life of an instance.
+   * </pre>
+   *
+   * <code>string version = 18;</code>
+   * @return The bytes for version.
+   */
+  com.google.protobuf.ByteString
+      getVersionBytes();
 }
--- a/src/main/java/org/cuminshelf/platform/HeartbeatParser.java
+++ b/src/main/java/org/cuminshelf/platform/HeartbeatParser.java
@@ -69,6 +69,9 @@
         if (root.has("born") && !isNonNegativeLong(root.path("born"))) {
             return Optional.of("'born' must be a whole number");
         }
+        if (root.has("version") && !root.path("version").isTextual()) {
+            return Optional.of("'version' must be a text");
+        }
         if (!isHostAndPort(root.path("address").textValue())) {
             return Optional.of("'address' must be an IP address and a port");
         }
@@ -108,7 +111,8 @@
                 .setLeaving(STATE_DRAINING.equals(root.path("state").textValue()))
                 .setSlots(Math.max(1, root.path("slots").intValue()))
                 .setColdMs(root.path("coldLeftMs").asInt(0))
-                .setRole(role(root.path("stage").asText("")));
+                .setRole(role(root.path("stage").asText("")))
+                .setVersion(root.path("version").asText(""));
         root.path("models").forEach(model -> beat.addModels(model.path("name").asText("")));
         return beat.build();
     }
--- a/src/main/java/org/cuminshelf/platform/PlatformHeaders.java
+++ b/src/main/java/org/cuminshelf/platform/PlatformHeaders.java
@@ -19,6 +19,8 @@
     static final String LENGTH_HINT = "X-Cuminshelf-Length-Hint";
     /** Id of the last event of a stream that the caller received; the stream resumes after it. */
     static final String LAST_EVENT_ID = "Last-Event-Id";
+    /** Id of the caller's request that brought the first event of the stream that it resumes. */
+    static final String RESUMES = "Resumes";
     /** API key of the caller's organisation, in deployments with keys; never forwarded to upstreams. */
     static final String API_KEY = "X-Cuminshelf-Credential";
     /** Name of the organisation for which the upstream runs the request. */
--- a/src/main/java/org/cuminshelf/platform/PlatformProtocol.java
+++ b/src/main/java/org/cuminshelf/platform/PlatformProtocol.java
@@ -60,6 +60,7 @@
                 longValue(headers, PlatformHeaders.DEADLINE),
                 generationShape(headers),
                 longValue(headers, PlatformHeaders.LAST_EVENT_ID),
+                Optional.ofNullable(headers.get(PlatformHeaders.RESUMES)).filter(id -> !id.isBlank()),
                 apiKeys(headers));
     }
 
--- a/src/test/java/org/cuminshelf/direct/DirectFixture.java
+++ b/src/test/java/org/cuminshelf/direct/DirectFixture.java
@@ -396,7 +396,12 @@
                                     new PromptSegment("shared", sharedTokens(headers)),
                                     new PromptSegment(headers.get("Id"), 10))));
             return new CallIntent(
-                    headers.get("Id"), deadline(headers), shape, number(headers.get("Last")), keys(headers));
+                    headers.get("Id"),
+                    deadline(headers),
+                    shape,
+                    number(headers.get("Last")),
+                    Optional.ofNullable(headers.get("Resumes")),
+                    keys(headers));
         }
 
         private static OptionalLong deadline(HttpFields headers) {
--- a/src/test/java/org/cuminshelf/direct/StartupRequestQueueTest.java
+++ b/src/test/java/org/cuminshelf/direct/StartupRequestQueueTest.java
@@ -13,8 +13,13 @@
 /** Tests the requests that wait for a starting entry. */
 class StartupRequestQueueTest {
 
-    private static final CallIntent INTENT =
-            new CallIntent("id", OptionalLong.of(8_000), Optional.empty(), OptionalLong.empty(), RequestApiKeys.none());
+    private static final CallIntent INTENT = new CallIntent(
+            "id",
+            OptionalLong.of(8_000),
+            Optional.empty(),
+            OptionalLong.empty(),
+            Optional.empty(),
+            RequestApiKeys.none());
     private final StartupRequestQueue queue = new StartupRequestQueue();
 
     /*
--- a/src/test/java/org/cuminshelf/trial/DirectFleet.java
+++ b/src/test/java/org/cuminshelf/trial/DirectFleet.java
@@ -513,7 +513,8 @@
                     "m", 600, 100, List.of(new PromptSegment("shared", 100), new PromptSegment(id, 500)));
             Optional<GenerationShape> generation =
                     request.path().startsWith(IDEMPOTENT) ? Optional.empty() : Optional.of(shape);
-            return new CallIntent(id, OptionalLong.of(PATIENCE_MILLIS), generation, OptionalLong.empty(), CALLER);
+            return new CallIntent(
+                    id, OptionalLong.of(PATIENCE_MILLIS), generation, OptionalLong.empty(), Optional.empty(), CALLER);
         }
 
         @Override
