--- /dev/null
+++ b/src/test/java/org/cuminshelf/direct/StreamVersionTest.java
@@ -0,0 +1,168 @@
+package org.cuminshelf.direct;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import net.jqwik.api.Example;
+import org.cuminshelf.message.Role;
+import org.cuminshelf.message.Update;
+import org.cuminshelf.routes.RequestKind;
+
+/** Guards against streams that go on at another software version than the one that began them. */
+class StreamVersionTest {
+
+    private static final String EVENT_1 = "id: 1\ndata: a\n\n";
+    private int directoryVersion = 100;
+
+    private DirectFixture entry() {
+        return new DirectFixture(DirectFixture.route(RequestKind.STREAM, 3, true)).becomeReady();
+    }
+
+    private void add(DirectFixture entry, String id, Role role, String version) {
+        entry.sendUpdate(Update.newBuilder()
+                .setDirectoryIncarnation(1)
+                .setDirectoryVersion(++directoryVersion)
+                .addUpstreams(DirectFixture.heartbeat(id, role).toBuilder().setVersion(version)));
+    }
+
+    private static void breakAfterFirstEvent(DirectFixture entry) {
+        entry.lastSent().respondSealedHead(200);
+        entry.lastSent().respondBody(EVENT_1);
+        entry.lastSent().handler.onFailed(true, "reset");
+    }
+
+    /** Guards against a retry at another version after the connection broke. */
+    @Example
+    void aBrokenStreamGoesOnAtItsVersionOnly() {
+        for (int round = 0; round < 10; round++) {
+            DirectFixture entry = entry();
+            add(entry, "u1", Role.ROLE_DECODE, "v1.1");
+            DirectFixture.CallerResponse response = entry.sendRequest("a" + round, "Tokens", "100");
+            add(entry, "u2", Role.ROLE_DECODE, "v1.2");
+            add(entry, "u3", Role.ROLE_DECODE, "v1.1");
+            add(entry, "u4", Role.ROLE_DECODE, "v1.2");
+            breakAfterFirstEvent(entry);
+            assertThat(entry.lastSent().upstream).isEqualTo("u3");
+            entry.lastSent().respond(200, "id: 2\ndata: b\n\n");
+            assertThat(response.complete).isTrue();
+        }
+    }
+
+    /** Guards against the same where no upstream of the version is left: its caller is told at once. */
+    @Example
+    void aBrokenStreamWhoseVersionIsGoneIsAborted() {
+        DirectFixture entry = entry();
+        add(entry, "u1", Role.ROLE_DECODE, "v1.1");
+        DirectFixture.CallerResponse response = entry.sendRequest("a", "Tokens", "100");
+        add(entry, "u2", Role.ROLE_DECODE, "v1.2");
+        entry.lastSent().respondSealedHead(200);
+        entry.lastSent().respondBody(EVENT_1);
+        entry.sendUpdate(Update.newBuilder()
+                .setDirectoryIncarnation(1)
+                .setDirectoryVersion(++directoryVersion)
+                .addUpstreams(DirectFixture.heartbeat("u1", Role.ROLE_DECODE).toBuilder()
+                        .setVersion("v1.1")
+                        .setDeleted(true)));
+        entry.lastSent().handler.onFailed(true, "reset");
+        entry.advance(50);
+        assertThat(entry.sentRequests).hasSize(1);
+        assertThat(response.aborted).isTrue();
+    }
+
+    /** Guards against a replacement of a silent attempt at another version. */
+    @Example
+    void aSilentStreamIsReplacedAtItsVersionOnly() {
+        DirectFixture entry = entry();
+        add(entry, "u1", Role.ROLE_DECODE, "v1.1");
+        entry.sendRequest("a", "Tokens", "100", "Deadline", "8000");
+        entry.lastSent().respondSealedHead(200);
+        entry.lastSent().respondBody(EVENT_1);
+        add(entry, "u2", Role.ROLE_DECODE, "v1.2");
+        entry.advance(950);
+        assertThat(entry.sentRequests).hasSize(1);
+    }
+
+    /** Guards against KV caches that one version wrote and another one reads. */
+    @Example
+    void aPrefilledPromptIsHandedOverAtItsVersionOnly() {
+        DirectFixture entry = entry();
+        add(entry, "p1", Role.ROLE_PREFILL, "v1.1");
+        add(entry, "d1", Role.ROLE_DECODE, "v1.1");
+        add(entry, "d2", Role.ROLE_DECODE, "v1.2");
+        for (int number = 0; number < 4; number++) {
+            entry.sendRequest("a" + number, "Tokens", "6000");
+            DirectFixture.SentRequest first = entry.lastSent();
+            if (first.upstream.equals("p1")) {
+                first.respond(200, "handle" + number);
+                assertThat(entry.lastSent().upstream).isEqualTo("d1");
+            }
+        }
+    }
+
+    /** Guards against a prompt that is prefilled for nothing, as no engine of that version generates. */
+    @Example
+    void aPromptIsNotPrefilledAtAVersionThatCannotGenerate() {
+        DirectFixture entry = entry();
+        add(entry, "p1", Role.ROLE_PREFILL, "v1.1");
+        add(entry, "d2", Role.ROLE_DECODE, "v1.2");
+        entry.sendRequest("a", "Tokens", "6000");
+        assertThat(entry.lastSent().upstream).isEqualTo("d2");
+        assertThat(entry.lastSent().request.headers().get("Prefill")).isEqualTo("false");
+    }
+
+    /** Guards against a prefilled prompt that waits for a version whose engines have gone. */
+    @Example
+    void aPrefilledPromptWhoseVersionIsGoneIsPrefilledAnew() {
+        DirectFixture entry = entry();
+        add(entry, "p1", Role.ROLE_PREFILL, "v1.1");
+        add(entry, "d1", Role.ROLE_DECODE, "v1.1");
+        entry.sendRequest("a", "Tokens", "6000");
+        assertThat(entry.lastSent().upstream).isEqualTo("p1");
+        add(entry, "d2", Role.ROLE_DECODE, "v1.2");
+        entry.sendUpdate(Update.newBuilder()
+                .setDirectoryIncarnation(1)
+                .setDirectoryVersion(++directoryVersion)
+                .addUpstreams(DirectFixture.heartbeat("d1", Role.ROLE_DECODE).toBuilder()
+                        .setVersion("v1.1")
+                        .setDeleted(true)));
+        entry.lastSent().respond(200, "handle");
+        DirectFixture.SentRequest generation = entry.sentRequests.stream()
+                .filter(sent -> sent.upstream.equals("d2"))
+                .findFirst()
+                .orElseThrow();
+        assertThat(generation.request.headers().get("Cache")).isNull();
+    }
+
+    /** Guards against a stream taken up at an entry that does not know its version, while there are two. */
+    @Example
+    void aResumptionOfAnUnknownStreamIsRefusedAsNotRunWhileThereAreTwoVersions() {
+        DirectFixture entry = entry();
+        add(entry, "u1", Role.ROLE_DECODE, "v1.1");
+        add(entry, "u2", Role.ROLE_DECODE, "v1.2");
+        DirectFixture.CallerResponse response =
+                entry.sendRequest("b", "Tokens", "100", "Last", "4", "Resumes", "elsewhere");
+        entry.advance(300);
+        assertThat(entry.sentRequests).isEmpty();
+        assertThat(response.status).isEqualTo(503);
+        assertThat(response.headers.get("Retry-After")).isNotNull();
+    }
+
+    /** Guards against a stream taken up at the entry that began it, and against the id of the latest try as its key. */
+    @Example
+    void aResumptionGoesOnAtTheVersionThatBeganTheStreamOnItsThirdTryToo() {
+        DirectFixture entry = entry();
+        add(entry, "u1", Role.ROLE_DECODE, "v1.1");
+        DirectFixture.CallerResponse first = entry.sendRequest("a", "Tokens", "100");
+        entry.lastSent().respondSealedHead(200);
+        entry.lastSent().respondBody(EVENT_1);
+        entry.core.onDisconnect(first);
+        add(entry, "u2", Role.ROLE_DECODE, "v1.2");
+        add(entry, "u3", Role.ROLE_DECODE, "v1.1");
+        for (String request : new String[] {"b", "c"}) {
+            DirectFixture.CallerResponse again =
+                    entry.sendRequest(request, "Tokens", "100", "Last", "1", "Resumes", "a");
+            assertThat(entry.lastSent().upstream).isIn("u1", "u3");
+            entry.lastSent().respondSealedHead(200);
+            entry.core.onDisconnect(again);
+        }
+    }
+}
--- a/src/test/java/org/cuminshelf/trial/CrashingEngine.java
+++ b/src/test/java/org/cuminshelf/trial/CrashingEngine.java
@@ -62,8 +62,8 @@
             deliveries.computeIfAbsent(request, key -> new ArrayList<>()).add(at);
         }
 
-        private RunRecord begin(String request, Address entry, long at, long resumeAfter) {
-            RunRecord run = new RunRecord(nextRun++, entry, at, resumeAfter);
+        private RunRecord begin(String request, Address entry, long at, long resumeAfter, String version) {
+            RunRecord run = new RunRecord(nextRun++, entry, at, resumeAfter, version);
             runs.computeIfAbsent(request, key -> new ArrayList<>()).add(run);
             return run;
         }
@@ -248,6 +248,10 @@
     final NeedyUpstream needs;
 
     private Role role = Role.ROLE_DECODE;
+    /** Version of the software of its present start, and of the starts after it. */
+    private String version = "";
+
+    private String nextVersion = "";
 
     private final List<Run> runs = new ArrayList<>();
     private final List<EngineSilence> silences = new ArrayList<>();
@@ -297,12 +301,22 @@
         role = Role.ROLE_MIXED;
     }
 
+    /** Runs a version of its software, from its next start on. */
+    void useVersion(String next) {
+        nextVersion = next;
+    }
+
+    String version() {
+        return version;
+    }
+
     boolean isUp() {
         return up;
     }
 
     void start() {
         starts++;
+        version = nextVersion;
         sequence = 0;
         up = true;
         beat(starts);
@@ -325,6 +339,7 @@
                 .setSequence(++sequence)
                 .setSlots(64)
                 .setRole(role)
+                .setVersion(version)
                 .build();
         Address to = control.get(random.nextInt(control.size()));
         network.send(
@@ -423,7 +438,7 @@
             if (run.poison) {
                 records.arrivals.add(new Arrival(time.now(), request.headers().get("Id")));
             }
-            run.record = records.begin(run.request, entry, time.now(), run.resumeAfter);
+            run.record = records.begin(run.request, entry, time.now(), run.resumeAfter, version);
             runs.add(run);
             time.after(SHORTEST_PROMPT + random.nextLong(PROMPT_SPREAD), run::begin);
         }
--- a/src/test/java/org/cuminshelf/trial/DirectFleet.java
+++ b/src/test/java/org/cuminshelf/trial/DirectFleet.java
@@ -315,13 +315,26 @@
 
     /** Sends a request to an entry; where that can't take it, the caller is told so. */
     Call ask(VirtualNode entry, String path, String body, Consumer<Call> whenOver) {
+        return ask(entry, path, body, HttpFields.EMPTY, whenOver);
+    }
+
+    /** Asks for the rest of a stream: what follows an event, of the stream that a request began. */
+    Call resume(VirtualNode entry, String path, String began, long lastEvent, Consumer<Call> whenOver) {
+        HttpFields headers =
+                HttpFields.build().put("Last", String.valueOf(lastEvent)).put("Resumes", began);
+        return ask(entry, path, "", headers, whenOver);
+    }
+
+    private Call ask(
+            VirtualNode entry, String path, String body, HttpFields additionalHeaders, Consumer<Call> whenOver) {
         Call call = new Call("q" + nextRequest++, path, entry, whenOver);
         Optional<DirectCore> core = entry.core(DirectCore.class);
         if (core.isEmpty() || entry.isPaused() && !unread.containsKey(entry.address())) {
             time.after(1_000_000, call::loseEntry);
             return call;
         }
-        HttpFields headers = HttpFields.build().put("Host", "h").put("Id", call.id);
+        HttpFields headers =
+                HttpFields.build(additionalHeaders).put("Host", "h").put("Id", call.id);
         ReceivedRequest request =
                 new ReceivedRequest("POST", path + "x", headers, body.getBytes(StandardCharsets.UTF_8));
         hand(entry, () -> core.get().onRequest(request, call));
@@ -381,10 +394,17 @@
                     leaveAfter(quietNanos);
                     return;
                 }
+                leave();
+            });
+        }
+
+        /** Has the caller go away now. */
+        void leave() {
+            if (!over) {
                 left = true;
                 end(false);
                 entry.core(DirectCore.class).ifPresent(core -> hand(entry, () -> core.onDisconnect(this)));
-            });
+            }
         }
 
         private void end(boolean whole) {
@@ -514,7 +534,17 @@
             Optional<GenerationShape> generation =
                     request.path().startsWith(IDEMPOTENT) ? Optional.empty() : Optional.of(shape);
             return new CallIntent(
-                    id, OptionalLong.of(PATIENCE_MILLIS), generation, OptionalLong.empty(), Optional.empty(), CALLER);
+                    id,
+                    OptionalLong.of(PATIENCE_MILLIS),
+                    generation,
+                    lastEvent(request),
+                    Optional.ofNullable(request.headers().get("Resumes")),
+                    CALLER);
+        }
+
+        private static OptionalLong lastEvent(ReceivedRequest request) {
+            String last = request.headers().get("Last");
+            return last == null ? OptionalLong.empty() : OptionalLong.of(Long.parseLong(last));
         }
 
         @Override
--- a/src/test/java/org/cuminshelf/trial/RunRecord.java
+++ b/src/test/java/org/cuminshelf/trial/RunRecord.java
@@ -14,6 +14,8 @@
     final long beganAt;
     /** The event after which it was asked to go on; 0 for a run from the start. */
     final long resumeAfter;
+    /** Version of the engine's software. */
+    final String version;
     /** When it sent events, or its whole answer. */
     final List<Long> sentAt = new ArrayList<>();
 
@@ -27,11 +29,12 @@
 
     long endedAt = Core.NEVER;
 
-    RunRecord(int number, Address entry, long beganAt, long resumeAfter) {
+    RunRecord(int number, Address entry, long beganAt, long resumeAfter, String version) {
         this.number = number;
         this.entry = entry;
         this.beganAt = beganAt;
         this.resumeAfter = resumeAfter;
+        this.version = version;
     }
 
     /**
--- /dev/null
+++ b/src/test/java/org/cuminshelf/trial/VersionDay.java
@@ -0,0 +1,219 @@
+package org.cuminshelf.trial;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Set;
+import java.util.TreeSet;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+import org.apache.commons.rng.UniformRandomProvider;
+import org.apache.commons.rng.simple.RandomSource;
+import org.cuminshelf.core.Durations;
+import org.cuminshelf.direct.RetryLimits;
+
+/** Streams before engines of two software versions, whose callers take them up again elsewhere, from one seed. */
+final class VersionDay {
+
+    /** Something that happens again and again. */
+    interface Disturbance {
+        void happen(VersionDay day);
+    }
+
+    static final String OLD = "v1.1";
+    static final String NEW = "v1.2";
+    private static final int ENTRIES = 5;
+    private static final int ENGINES = 6;
+    private static final int ATTEMPTS = 3;
+    private static final RetryLimits MANY_RETRIES = new RetryLimits(1, 10_000, 10_000);
+    private static final long SECOND = Durations.nanos(1_000);
+    private static final long TRAFFIC_FROM = 8 * SECOND;
+    private static final long DISTURBED_FROM = 10 * SECOND;
+    private static final long DISTURBED_UNTIL = 30 * SECOND;
+    private static final long TRAFFIC_UNTIL = 32 * SECOND;
+    private static final long END = 42 * SECOND;
+    private static final long STREAM_EVERY = SECOND / 40;
+    private static final int MAX_TRIES = 4;
+    private static final long PATIENCE = 2 * SECOND;
+    private static final Pattern EVENT = Pattern.compile("id: (\\d+)\ndata: (\\d+)( last)?\n\n");
+
+    final DirectFleet fleet;
+    final List<Stream> streams = new ArrayList<>();
+    private final UniformRandomProvider schedule;
+    private int leavePercent;
+    private int resumptions;
+    private int resumptionsBegun;
+
+    VersionDay(long seed, int newEngines) {
+        fleet = new DirectFleet(seed, new DirectFleet.Shape(ENTRIES, ENGINES, 1, ATTEMPTS, MANY_RETRIES));
+        schedule = RandomSource.XO_RO_SHI_RO_128_PP.create(~seed);
+        for (int index = 0; index < ENGINES; index++) {
+            fleet.engines.get(index).mixed();
+            fleet.engines.get(index).useVersion(index < newEngines ? NEW : OLD);
+        }
+        fleet.time.at(TRAFFIC_FROM, this::begin);
+    }
+
+    private void begin() {
+        if (fleet.time.now() < TRAFFIC_UNTIL) {
+            streams.add(new Stream());
+            fleet.time.after(STREAM_EVERY, this::begin);
+        }
+    }
+
+    /** Lets callers leave so many of a hundred streams after some events, to take them up at another entry. */
+    VersionDay letCallersLeave(int percent) {
+        leavePercent = percent;
+        return this;
+    }
+
+    VersionDay again(long shortestGapMillis, long longestGapMillis, Disturbance disturbance) {
+        fleet.time.at(DISTURBED_FROM, () -> repeat(shortestGapMillis, longestGapMillis, disturbance));
+        return this;
+    }
+
+    private void repeat(long shortestGapMillis, long longestGapMillis, Disturbance disturbance) {
+        if (fleet.time.now() >= DISTURBED_UNTIL) {
+            return;
+        }
+        disturbance.happen(this);
+        long gap = shortestGapMillis + schedule.nextLong(longestGapMillis - shortestGapMillis + 1);
+        fleet.time.after(Durations.nanos(gap), () -> repeat(shortestGapMillis, longestGapMillis, disturbance));
+    }
+
+    VersionDay run() {
+        fleet.time.runUntil(END);
+        return this;
+    }
+
+    // ---- what may happen
+
+    void crashEngine() {
+        List<CrashingEngine> up =
+                fleet.engines.stream().filter(CrashingEngine::isUp).toList();
+        if (up.size() > 3) {
+            up.get(schedule.nextInt(up.size())).crash();
+        }
+    }
+
+    void resetConnections() {
+        fleet.engines.get(schedule.nextInt(ENGINES)).resetConnections();
+    }
+
+    /** An engine crashes and comes back under another version. */
+    void exchangeEngine() {
+        CrashingEngine engine = fleet.engines.get(schedule.nextInt(ENGINES));
+        if (engine.isUp()) {
+            engine.useVersion(engine.version().equals(OLD) ? NEW : OLD);
+            engine.crash();
+        }
+    }
+
+    void killEntry() {
+        VirtualNode entry = fleet.entries.get(schedule.nextInt(ENTRIES));
+        if (entry.isAlive()) {
+            fleet.restartEntry(entry, 500 + schedule.nextLong(1_500));
+        }
+    }
+
+    /** Cuts an entry off from control and from all other entries, for a while. */
+    void cutOffEntry() {
+        VirtualNode entry = fleet.entries.get(schedule.nextInt(ENTRIES));
+        fleet.all().stream().filter(node -> node != entry).forEach(node -> {
+            fleet.network.cut(entry.address(), node.address());
+            fleet.network.cut(node.address(), entry.address());
+        });
+        fleet.time.after(Durations.nanos(500 + schedule.nextLong(2_000)), fleet.network::heal);
+    }
+
+    // ---- what came of it
+
+    /** A stream that a caller wants, over all of its tries. */
+    final class Stream {
+        final List<DirectFleet.Call> tries = new ArrayList<>();
+        private String began = "";
+        private long lastEvent;
+        private boolean whole;
+
+        private Stream() {
+            start(fleet.anyEntry());
+        }
+
+        private void start(VirtualNode entry) {
+            DirectFleet.Call call = fleet.ask(entry, DirectFleet.RESUMABLE, "", this::onOver);
+            follow(call);
+        }
+
+        private void follow(DirectFleet.Call call) {
+            tries.add(call);
+            call.leaveAfter(PATIENCE);
+            if (schedule.nextInt(100) < leavePercent) {
+                fleet.time.after(Durations.nanos(150 + schedule.nextLong(400)), () -> {
+                    if (!call.body.isEmpty()) {
+                        call.leave();
+                    }
+                });
+            }
+        }
+
+        private void onOver(DirectFleet.Call call) {
+            boolean resumes = !began.isEmpty();
+            boolean begun = false;
+            Matcher events = EVENT.matcher(call.status == 200 ? call.body : "");
+            while (events.find()) {
+                begun = true;
+                began = began.isEmpty() ? call.id : began;
+                lastEvent = Long.parseLong(events.group(1));
+                whole |= events.group(3) != null;
+            }
+            resumptions += resumes ? 1 : 0;
+            resumptionsBegun += resumes && begun ? 1 : 0;
+            if (!whole && !began.isEmpty() && tries.size() < MAX_TRIES) {
+                fleet.time.after(Durations.nanos(20 + schedule.nextLong(300)), () -> takeUp(call.entry));
+            }
+        }
+
+        private void takeUp(VirtualNode last) {
+            List<VirtualNode> others = fleet.entries.stream()
+                    .filter(entry -> entry != last && entry.isAlive())
+                    .toList();
+            VirtualNode entry = others.get(schedule.nextInt(others.size()));
+            follow(fleet.resume(entry, DirectFleet.RESUMABLE, began, lastEvent, this::onOver));
+        }
+
+        /** The software versions whose events it holds. */
+        Set<String> versions() {
+            Set<String> versions = new TreeSet<>();
+            for (DirectFleet.Call call : tries) {
+                Matcher events = EVENT.matcher(call.status == 200 ? call.body : "");
+                while (events.find()) {
+                    int run = Integer.parseInt(events.group(2));
+                    fleet.records.runsOf(call.id).stream()
+                            .filter(record -> record.number == run)
+                            .forEach(record -> versions.add(record.version));
+                }
+            }
+            return versions;
+        }
+    }
+
+    List<Stream> mixed() {
+        return streams.stream().filter(stream -> stream.versions().size() > 1).toList();
+    }
+
+    /** The share of the streams taken up again that go on, over the share of new streams that begin. */
+    double shareGoingOn() {
+        long begun = streams.stream().filter(stream -> !stream.began.isEmpty()).count();
+        double shareBegun = (double) begun / streams.size();
+        return resumptions == 0 ? 1 : (double) resumptionsBegun / resumptions / shareBegun;
+    }
+
+    int resumptions() {
+        return resumptions;
+    }
+
+    String summary() {
+        long whole = streams.stream().filter(stream -> stream.whole).count();
+        return "streams " + streams.size() + ", whole " + whole + ", taken up " + resumptions + ", of these go on "
+                + resumptionsBegun + ", mixed " + mixed().size();
+    }
+}
