An entry continues a stream, and hands a prompt over, only at the software version that began it

Callers saw streams with events of two software versions: after a crash, reset or silence the entry took any upstream of the service, and a KV cache went from one version to another. Cause: nothing between the status report and UpstreamSelector knew a version. Mend: each start of an upstream has its version; a call accepts upstreams of the version that delivered its first event, or, before that, of the engine that holds its KV cache, in one place (UpstreamSelector.isServing) that retries, replacements, handovers and waiting calls all pass; an invariant checks each send. Shared parts are fetched within a version. A prompt is prefilled apart only where its version also generates, and anew if that version has gone meanwhile.

--- a/src/main/java/org/cuminshelf/direct/AdmissionControl.java
+++ b/src/main/java/org/cuminshelf/direct/AdmissionControl.java
@@ -40,6 +40,9 @@
      */
     private static final long NO_SLOT_RETRY_AFTER_MILLIS = 1_000;
 
+    /** The same if no upstream of the stream's software version serves; one that restarts is back in some seconds. */
+    private static final long NO_VERSION_RETRY_AFTER_MILLIS = 1_000;
+
     /** Interval over which the retries of calls are spread that were refused because of rate limits or backoffs. */
     private static final int RETRY_SPREAD_MILLIS = 1_000;
 
@@ -119,6 +122,10 @@
             Verdict.NotRun verdict = new Verdict.NotRun(Cause.OVERLOADED, NO_SLOT_RETRY_AFTER_MILLIS);
             return new Decision.Refuse(verdict, "all places are taken");
         }
+        if (call.origin.isPresent()) {
+            Verdict.NotRun verdict = new Verdict.NotRun(Cause.NO_UPSTREAM, NO_VERSION_RETRY_AFTER_MILLIS);
+            return new Decision.Refuse(verdict, "no-upstream-of-version");
+        }
         Verdict.NotRun verdict = new Verdict.NotRun(Cause.NO_UPSTREAM, CallerResponses.DEFAULT_RETRY_AFTER_MILLIS);
         return new Decision.Refuse(verdict, "no-upstream");
     }
--- a/src/main/java/org/cuminshelf/direct/CallDispatcher.java
+++ b/src/main/java/org/cuminshelf/direct/CallDispatcher.java
@@ -136,6 +136,10 @@
     }
 
     private void place(long now, DirectCall call) {
+        if (call.kvCache.isPresent() && !selector.hasEngineForKvCache(call)) {
+            kvCacheReleaser.release(call);
+            call.singleEngineOnly = true;
+        }
         switch (decide(now, call)) {
             case AdmissionControl.Decision.Send(UpstreamSelector.Choice choice) ->
                 sendAttempt(now, call, choice, call.kvCache);
@@ -181,6 +185,10 @@
                 call.isRetryable() || !call.mayHaveRun,
                 "at-most-once",
                 () -> "request " + call.intent.id() + " is not retryable but is sent again after it may have run");
+        invariants.check(
+                call.acceptsVersion(choice.upstream().version),
+                "one-version-a-stream",
+                () -> "request " + call.intent.id() + " goes on at version " + choice.upstream().version);
         admissionQueue.remove(call);
         call.fairnessClaim.ifPresent(SizeFairness.Claim::onSent);
         call.offeredLoad.ifPresent(work -> work.onSent(choice));
@@ -404,7 +412,8 @@
         if (handle.isPresent()) {
             attempt.upstream.recordSuccess(now - attempt.sentAtNanos);
             call.prefillMillis = Durations.millis(now - attempt.sentAtNanos);
-            call.kvCache = Optional.of(new KvCacheHandle(attempt.upstream.address, handle.get()));
+            call.kvCache =
+                    Optional.of(new KvCacheHandle(attempt.upstream.address, handle.get(), attempt.upstream.version));
             place(now, call);
             return;
         }
--- a/src/main/java/org/cuminshelf/direct/DirectCall.java
+++ b/src/main/java/org/cuminshelf/direct/DirectCall.java
@@ -173,6 +173,17 @@
         return route.kind() == RequestKind.STREAM;
     }
 
+    /**
+     * Whether an upstream of a software version may go on with it: what two versions write, events or KV caches, does
+     * not fit together.
+     */
+    boolean acceptsVersion(String version) {
+        return origin.map(StreamOrigin::version)
+                .or(() -> kvCache.map(KvCacheHandle::version))
+                .map(version::equals)
+                .orElse(true);
+    }
+
     /** Tokens of its prompt; 0 if it is not a generation. */
     int promptTokens() {
         return intent.generation().map(GenerationShape::promptTokens).orElse(0);
--- a/src/main/java/org/cuminshelf/direct/KvCacheHandle.java
+++ b/src/main/java/org/cuminshelf/direct/KvCacheHandle.java
@@ -7,5 +7,6 @@
  *
  * @param engine address of the engine that retains it
  * @param handle its identifier at that engine
+ * @param version version of that engine's software, which alone can read it
  */
-public record KvCacheHandle(Address engine, String handle) {}
+public record KvCacheHandle(Address engine, String handle, String version) {}
--- a/src/main/java/org/cuminshelf/direct/UpstreamSelector.java
+++ b/src/main/java/org/cuminshelf/direct/UpstreamSelector.java
@@ -9,6 +9,7 @@
 import java.util.OptionalLong;
 import java.util.Set;
 import java.util.function.Predicate;
+import java.util.stream.Collectors;
 import net.openhft.hashing.LongHashFunction;
 import org.cuminshelf.backpressure.Backpressure;
 import org.cuminshelf.core.Core;
@@ -312,24 +313,25 @@
     private Optional<Choice> chooseForPrompt(long now, DirectCall call, GenerationShape shape) {
         List<UpstreamInstance> open = openUpstreams(now, call);
         boolean maySplit = call.lastEventId.isEmpty() && !call.singleEngineOnly;
-        boolean hasPrefillEngines = maySplit && open.stream().anyMatch(upstream -> !upstream.generatesTokens());
-        boolean hasDecodeSlot =
-                open.stream().anyMatch(upstream -> upstream.generatesTokens() && hasFreeSlot(upstream, call));
+        Set<String> handoverVersions = maySplit ? versionsWithDecodeSlot(open, call) : Set.of();
+        boolean hasPrefillEngines = open.stream()
+                .anyMatch(upstream -> !upstream.generatesTokens() && handoverVersions.contains(upstream.version));
         EngineLatencyModel model = models.of(call.service);
         long cacheCapacityTokens = prefixCacheTokens(call);
         open.forEach(upstream -> upstream.promptCache.setCapacityTokens(cacheCapacityTokens));
         Choice best = null;
         double lowestCost = Double.MAX_VALUE;
-        SharedPrefixLocations shared = SharedPrefixLocations.of(shape, open, now);
+        PrefixLocationsByVersion locations = PrefixLocationsByVersion.of(shape, open, now);
         Map<Role, Double> unreportedMillis = unreportedMillisByRole(now, call.service, open);
         long callHash = LongHashFunction.xx3().hashChars(call.intent.id());
         for (UpstreamInstance upstream : open) {
+            SharedPrefixLocations shared = locations.readableBy(upstream);
             double unreportedHere =
                     unreportedMillis.get(upstream.role) * UnreportedWork.randomFactor(upstream.id, callHash);
             Choice choice = estimate(now, upstream, model, shape, shared, unreportedHere);
             boolean fits = upstream.generatesTokens()
                     ? canPrefillBesideStreams(choice, call, model, hasPrefillEngines)
-                    : maySplit && hasDecodeSlot;
+                    : handoverVersions.contains(upstream.version);
             double cost = fits ? cost(now, choice, call, model, shape, shared) : Double.MAX_VALUE;
             if (cost < lowestCost) {
                 best = choice;
@@ -342,6 +344,21 @@
         return Optional.ofNullable(best).map(choice -> withNetValue(now, choice, call, model, shape));
     }
 
+    /** Returns the software versions of which an engine can take over a prompt that another one has prefilled. */
+    private Set<String> versionsWithDecodeSlot(List<UpstreamInstance> open, DirectCall call) {
+        return open.stream()
+                .filter(upstream -> upstream.generatesTokens() && hasFreeSlot(upstream, call))
+                .map(upstream -> upstream.version)
+                .collect(Collectors.toSet());
+    }
+
+    /** Returns whether an engine is left that can generate from the KV cache of a call, now or later. */
+    boolean hasEngineForKvCache(DirectCall call) {
+        return upstreams.instancesOf(call.service).stream()
+                .anyMatch(upstream ->
+                        upstream.generatesTokens() && !upstream.draining && call.acceptsVersion(upstream.version));
+    }
+
     private Choice withNetValue(
             long now, Choice choice, DirectCall call, EngineLatencyModel model, GenerationShape shape) {
         double expectedValue =
@@ -484,7 +501,7 @@
 
     private boolean isServing(long now, UpstreamInstance upstream, DirectCall call) {
         boolean serving = !upstream.draining && !upstream.roleChanging && !call.excludedUpstreams.contains(upstream.id);
-        return serving && hasPermit(now, upstream, call);
+        return serving && call.acceptsVersion(upstream.version) && hasPermit(now, upstream, call);
     }
 
     /**
@@ -531,6 +548,7 @@
         for (UpstreamInstance upstream : upstreams.instancesOf(call.service)) {
             if (upstream.draining
                     || upstream.roleChanging
+                    || !call.acceptsVersion(upstream.version)
                     || !canAnswer(upstream, call)
                     || !isCandidate.test(upstream)) {
                 continue;
@@ -561,6 +579,7 @@
         return upstreams.instancesOf(call.service).stream()
                 .filter(upstream -> !upstream.draining
                         && canAnswer(upstream, call)
+                        && call.acceptsVersion(upstream.version)
                         && !call.excludedUpstreams.contains(upstream.id))
                 .mapToLong(upstream -> openAt(now, upstream, call))
                 .min();
--- a/src/test/java/org/cuminshelf/platform/PlatformProtocolTest.java
+++ b/src/test/java/org/cuminshelf/platform/PlatformProtocolTest.java
@@ -164,7 +164,7 @@
 
     @Example
     void aKvCacheIsIdentifiedByItsEngineAndHandle() {
-        KvCacheHandle cache = new KvCacheHandle(Address.of("10.0.0.1:80"), "k");
+        KvCacheHandle cache = new KvCacheHandle(Address.of("10.0.0.1:80"), "k", "v1");
         assertThat(protocol.attemptRequest(request(), plan(false, Optional.of(cache)))
                         .headers()
                         .get(PlatformHeaders.KV_CACHE_SOURCE))
