--- a/src/main/java/org/cuminshelf/control/SubscriberTable.java
+++ b/src/main/java/org/cuminshelf/control/SubscriberTable.java
@@ -24,6 +24,7 @@
         long directoryVersion;
         long directoryIncarnation;
         boolean wantsDirectory;
+        String zone = "";
         /** Whether the subscriber fetches configuration bodies with a separate request. */
         boolean fetchesConfig;
         /** Hash of the list of entry addresses that the subscriber holds. */
@@ -63,6 +64,7 @@
         subscriber.directoryVersion = subscribe.getDirectoryVersion();
         subscriber.directoryIncarnation = subscribe.getDirectoryIncarnation();
         subscriber.wantsDirectory = subscribe.getWantsDirectory();
+        subscriber.zone = subscribe.getZone();
         subscriber.fetchesConfig = subscribe.getFetchesConfig();
         subscriber.entriesHash = subscribe.getEntriesHash();
         // If the request builds on changes that only a previous incarnation of this process received, the version
@@ -118,6 +120,14 @@
                 .toList();
     }
 
+    /** The availability zones of the entries, in the order of their addresses. */
+    List<String> entryZones() {
+        return subscribers.values().stream()
+                .filter(subscriber -> subscriber.wantsDirectory)
+                .map(subscriber -> subscriber.zone)
+                .toList();
+    }
+
     void tick(long now) {
         subscribers.values().removeIf(subscriber -> now - subscriber.lastReceivedAt > LEASE_NANOS);
     }
--- a/src/main/java/org/cuminshelf/control/UpdatePublisher.java
+++ b/src/main/java/org/cuminshelf/control/UpdatePublisher.java
@@ -28,11 +28,15 @@
      * The list of entries that is sent to every entry.
      *
      * @param addresses the addresses, sorted
-     * @param hash      hash of the addresses, compared with that of the subscriber's list
+     * @param zones     their availability zones, in the same order
+     * @param hash      hash of both, compared with that of the subscriber's list
      */
-    private record EntryList(List<String> addresses, long hash) {
-        private static EntryList of(List<String> addresses) {
-            return new EntryList(addresses, LongHashFunction.xx3().hashChars(String.join(",", addresses)));
+    private record EntryList(List<String> addresses, List<String> zones, long hash) {
+        private static EntryList of(SubscriberTable subscribers) {
+            List<String> addresses = subscribers.entryAddresses();
+            List<String> zones = subscribers.entryZones();
+            String all = String.join(",", addresses) + ';' + String.join(",", zones);
+            return new EntryList(addresses, zones, LongHashFunction.xx3().hashChars(all));
         }
     }
 
@@ -43,6 +47,8 @@
     private final DirectUpstreamRegistry registry;
     private final SubscriberTable subscribers;
     private final PoisonRegistry poison;
+    private final long startedNanos;
+    private long lastTickNanos;
     private long nextBroadcast;
     private long broadcastConfigVersion;
     private long broadcastDirectoryVersion;
@@ -64,6 +70,8 @@
         this.subscribers = subscribers;
         this.poison = poison;
         this.nextBroadcast = now;
+        this.startedNanos = now;
+        this.lastTickNanos = now;
     }
 
     /** Sends an entry the body of the configuration if it is newer than the version the entry holds. */
@@ -78,7 +86,7 @@
 
     /** Sends one subscriber what it lacks; {@code confirmed} states that a quorum confirmed the config version. */
     void send(SubscriberTable.Subscriber subscriber, boolean confirmed, Outbox out) {
-        send(subscriber, confirmed, EntryList.of(subscribers.entryAddresses()), out);
+        send(subscriber, confirmed, EntryList.of(subscribers), out);
     }
 
     private void send(SubscriberTable.Subscriber subscriber, boolean confirmed, EntryList entries, Outbox out) {
@@ -100,7 +108,9 @@
                     .memberAddresses()
                     .forEach(member -> update.addControl(member.value()));
         }
-        update.setAskedAtNs(subscriber.requestClockNanos)
+        long now = Math.max(subscriber.lastReceivedAt, lastTickNanos);
+        update.setWatchedMs(Durations.millis(now - startedNanos))
+                .setAskedAtNs(subscriber.requestClockNanos)
                 .setTakenAtUs(subscriber.receivedAtUnixMicros)
                 .setUsageHeard(subscriber.receivedUsageVersion)
                 .setUsageSettled(config.usage().lastWindow());
@@ -116,7 +126,7 @@
         addPoison(complete ? 0 : subscriber.directoryVersion, update);
         update.setPoisonHeard(subscriber.receivedPoisonVersion).setEntriesHash(entries.hash);
         if (subscriber.entriesHash != entries.hash) {
-            update.addAllEntryAddresses(entries.addresses);
+            update.addAllEntryAddresses(entries.addresses).addAllEntryZones(entries.zones);
         }
     }
 
@@ -138,7 +148,8 @@
         boolean configChanged = broadcastConfigVersion != config.version();
         broadcastConfigVersion = config.version();
         broadcastDirectoryVersion = directory.urgentVersion();
-        EntryList entries = EntryList.of(subscribers.entryAddresses());
+        lastTickNanos = now;
+        EntryList entries = EntryList.of(subscribers);
         for (SubscriberTable.Subscriber subscriber : subscribers.all()) {
             if (configChanged || subscriber.wantsDirectory) {
                 send(subscriber, false, entries, out);
--- a/src/main/java/org/cuminshelf/direct/AttemptRunner.java
+++ b/src/main/java/org/cuminshelf/direct/AttemptRunner.java
@@ -32,6 +32,9 @@
         /** Called when the first event of an attempt's stream arrives. */
         void onFirstEvent(long now, DirectAttempt attempt);
 
+        /** Called when the first event of an attempt's stream is delivered to its caller. */
+        void onDelivered(long now, DirectAttempt attempt);
+
         /** Called when a response is complete, whatever its status. */
         void onCompleted(long now, DirectAttempt attempt);
 
@@ -288,7 +291,11 @@
                 // From here on nothing of another attempt is delivered.
                 cancelOthers(now, attempt);
                 responses.startResponse(now, attempt);
-                recordOrigin(now, attempt);
+                if (!attempt.delivered) {
+                    attempt.delivered = true;
+                    recordOrigin(now, attempt);
+                    outcomeListener.onDelivered(now, attempt);
+                }
                 call.exchange.writePart(ByteBuffer.wrap(event.get().bytes()));
                 if (call.deliveredEvents > 0) {
                     call.longestGapNanos = Math.max(call.longestGapNanos, now - call.lastEventAtNanos);
--- a/src/main/java/org/cuminshelf/direct/CallDispatcher.java
+++ b/src/main/java/org/cuminshelf/direct/CallDispatcher.java
@@ -36,6 +36,7 @@
     private final Backpressure backpressure;
     private final PoisonGuard poisonGuard;
     private final UsageMeter usageMeter;
+    private final StreamRecords streamRecords;
     private final CallerResponses responses;
     private final AttemptRunner attemptRunner;
     private final Map<Long, DirectCall> openCalls = new HashMap<>();
@@ -64,7 +65,8 @@
             Backpressure backpressure,
             BackpressureListener backpressureListener,
             PoisonGuard poisonGuard,
-            UsageMeter usageMeter) {
+            UsageMeter usageMeter,
+            StreamRecords streamRecords) {
         this.protocol = protocol;
         this.client = client;
         this.upstreams = upstreams;
@@ -75,6 +77,7 @@
         this.backpressure = backpressure;
         this.poisonGuard = poisonGuard;
         this.usageMeter = usageMeter;
+        this.streamRecords = streamRecords;
         this.admission = new AdmissionControl(selector, control, poisonGuard, admissionQueue);
         this.responses = new CallerResponses(control, log);
         this.attemptLog = new AttemptLog(log);
@@ -225,6 +228,14 @@
             usageMeter.recordStart(attempt.call, now);
         }
 
+        @Override
+        public void onDelivered(long now, DirectAttempt attempt) {
+            DirectCall call = attempt.call;
+            if (call.isRetryable()) {
+                call.origin.ifPresent(origin -> streamRecords.onBegun(now, call.intent.stream(), call.service, origin));
+            }
+        }
+
         @Override
         public void onCompleted(long now, DirectAttempt attempt) {
             if (!attempt.prefillOnly && !attempt.metadata.notExecuted()) {
--- a/src/main/java/org/cuminshelf/direct/CallIntent.java
+++ b/src/main/java/org/cuminshelf/direct/CallIntent.java
@@ -20,4 +20,14 @@
         Optional<GenerationShape> generation,
         OptionalLong resumeAfter,
         Optional<String> resumedRequest,
-        RequestApiKeys keys) {}
+        RequestApiKeys keys) {
+
+    /**
+     * Returns the id that a stream has over all tries of its caller: that of the request that brought its first event.
+     *
+     * @return the id
+     */
+    String stream() {
+        return resumedRequest.orElse(id);
+    }
+}
--- a/src/main/java/org/cuminshelf/direct/CallerResponses.java
+++ b/src/main/java/org/cuminshelf/direct/CallerResponses.java
@@ -17,6 +17,9 @@
     /** Retry-After of a rejection with no better estimate; long enough for an upstream slot to become free. */
     static final long DEFAULT_RETRY_AFTER_MILLIS = 200;
 
+    /** The same for a stream of unknown version: by then another entry may answer, or one version be left. */
+    private static final long UNKNOWN_VERSION_RETRY_AFTER_MILLIS = 500;
+
     private static final int BAD_GATEWAY = 502;
     private static final int UNAVAILABLE = 503;
     private static final int GATEWAY_TIMEOUT = 504;
@@ -182,6 +185,14 @@
         refuse(exchange, "This process has no confirmed configuration yet.", DEFAULT_RETRY_AFTER_MILLIS);
     }
 
+    /** Refuses a stream that its caller takes up again, as the software version that began it is not known here. */
+    void refuseUnknownVersion(CallerExchange exchange) {
+        refuse(
+                exchange,
+                "The stream did not go on: it is not known which software version began it.",
+                UNKNOWN_VERSION_RETRY_AFTER_MILLIS);
+    }
+
     /** Refuses a request, with Retry-After, whose route or key may be defined in a newer configuration. */
     void refuseOutdated(CallerExchange exchange) {
         refuse(
--- a/src/main/java/org/cuminshelf/direct/ControlSubscription.java
+++ b/src/main/java/org/cuminshelf/direct/ControlSubscription.java
@@ -49,6 +49,12 @@
     private final Set<Address> controlProcesses = new TreeSet<>();
     private List<Address> seeds;
     private List<Address> entries = List.of();
+    private StreamRecordHolders recordHolders = StreamRecordHolders.among(Map.of());
+    /** When each control process last sent an update, in nanoseconds. */
+    private final Map<Address, Long> lastUpdateNanos = new TreeMap<>();
+    /** Since when a control process that this entry heard has listened to upstreams; {@link Core#NEVER} if none. */
+    private long watchedSinceNanos = Core.NEVER;
+
     private long entriesHash;
     private volatile RouteTable routes = RouteTable.empty();
     private volatile long configVersion;
@@ -157,7 +163,10 @@
         if (!update.getEntryAddressesList().isEmpty()) {
             entries = update.getEntryAddressesList().stream().map(Address::of).toList();
             entriesHash = update.getEntriesHash();
+            recordHolders = StreamRecordHolders.among(zonesByEntry(update));
         }
+        lastUpdateNanos.put(from, now);
+        watchedSinceNanos = Math.min(watchedSinceNanos, now - Durations.nanos(update.getWatchedMs()));
         lastVoterUpdateNanos = update.getVoter() ? now : lastVoterUpdateNanos;
         configSourceSelector.onVersionAnnounced(now, from, update.getConfigVersion());
         if (update.getConfirmed()) {
@@ -169,6 +178,37 @@
         usageMeter.onUpdate(now, from, update);
     }
 
+    private static Map<Address, String> zonesByEntry(Update update) {
+        Map<Address, String> zones = new TreeMap<>();
+        for (int index = 0; index < update.getEntryAddressesCount(); index++) {
+            String zone = index < update.getEntryZonesCount() ? update.getEntryZones(index) : "";
+            zones.put(Address.of(update.getEntryAddresses(index)), zone);
+        }
+        return zones;
+    }
+
+    /** Returns which entries keep the records of streams. */
+    StreamRecordHolders recordHolders() {
+        return recordHolders;
+    }
+
+    /** Returns the number of control processes that are a majority of all. */
+    int majority() {
+        return controlProcesses.size() / 2 + 1;
+    }
+
+    /**
+     * Whether this entry knows of each upstream that may have served since a time in nanoseconds: it hears a majority
+     * of the control processes, and one of them has listened to the upstreams for so long.
+     */
+    boolean knowsUpstreamsSince(long now, long sinceNanos) {
+        long heard = controlProcesses.stream()
+                .filter(process ->
+                        now - lastUpdateNanos.getOrDefault(process, Long.MIN_VALUE / 2) <= MAX_CONTROL_SILENCE_NANOS)
+                .count();
+        return heard >= majority() && watchedSinceNanos <= sinceNanos;
+    }
+
     private void updateReadiness(long now) {
         if (!ready && confirmedVersion >= 0 && confirmedVersion <= configVersion) {
             ready = true;
@@ -265,6 +305,7 @@
                     .setWantsDirectory(true)
                     .setFetchesConfig(true)
                     .setEntriesHash(entriesHash)
+                    .setZone(settings.zone())
                     .addAllOffered(offeredWork.values());
             poisonGuard.addChanges(address, subscribe);
             usageMeter.addReport(now, address, subscribe);
--- a/src/main/java/org/cuminshelf/direct/DirectAttempt.java
+++ b/src/main/java/org/cuminshelf/direct/DirectAttempt.java
@@ -58,6 +58,9 @@
     /** When the first event arrived; {@link Core#NEVER} until then. */
     long firstEventAtNanos = Core.NEVER;
 
+    /** Whether an event of it was delivered to the caller. */
+    boolean delivered;
+
     /** The attempt that was sent beside this one as it was silent; {@code null} if there is none. */
     DirectAttempt replacement;
 
--- a/src/main/java/org/cuminshelf/direct/DirectCore.java
+++ b/src/main/java/org/cuminshelf/direct/DirectCore.java
@@ -20,6 +20,7 @@
 import org.cuminshelf.message.Stopped;
 import org.cuminshelf.organisations.AccessDecision;
 import org.cuminshelf.organisations.Organisation;
+import org.cuminshelf.routes.RequestKind;
 import org.cuminshelf.routes.Route;
 
 /**
@@ -45,6 +46,8 @@
     private final ControlSubscription control;
     private final CallDispatcher callDispatcher;
     private final LoadGossip loadGossip;
+    private final StreamRecords streamRecords;
+    private final StreamResumptions resumptions;
     private final Backpressure backpressure;
     private final StartupRequestQueue earlyRequests = new StartupRequestQueue();
     private final Map<CallerExchange, DirectCall> callsByExchange = new HashMap<>();
@@ -78,6 +81,9 @@
         UpstreamSelector selector =
                 new UpstreamSelector(upstreams, control, engineModels, backpressure, settings.zone());
         this.loadGossip = new LoadGossip(upstreams, engineModels, backpressure, backpressureListener, now);
+        this.streamRecords = new StreamRecords(self, control);
+        this.resumptions =
+                new StreamResumptions(self, streamRecords, upstreams, control, new ResumptionListener(), log);
         this.callDispatcher = new CallDispatcher(
                 protocol,
                 new ThrottledUpstreamClient(client, backpressure, clock),
@@ -93,7 +99,8 @@
                 backpressure,
                 backpressureListener,
                 poisonGuard,
-                usageMeter);
+                usageMeter,
+                streamRecords);
         this.nextHousekeepingNanos = now;
     }
 
@@ -189,7 +196,55 @@
             CallIntent intent,
             Route route,
             Optional<Organisation> organisation) {
-        String service = route.chooseService(LongHashFunction.xx3().hashChars(intent.id()));
+        // All tries of a stream are of the service that began it.
+        String service = route.chooseService(LongHashFunction.xx3().hashChars(intent.stream()));
+        if (route.kind() == RequestKind.STREAM
+                && route.isRepeatable()
+                && intent.resumeAfter().isPresent()) {
+            resumptions.add(
+                    clock.getAsLong(),
+                    new ResumedStream(request, exchange, intent, route, organisation, arrivedAtNanos, service));
+            return;
+        }
+        startCall(arrivedAtNanos, request, exchange, intent, route, organisation, service, Optional.empty());
+    }
+
+    private final class ResumptionListener implements StreamResumptions.Listener {
+
+        @Override
+        public void onOriginKnown(long now, ResumedStream stream, String service, StreamOrigin origin) {
+            if (stream.route.services().stream()
+                    .noneMatch(weighted -> weighted.service().equals(service))) {
+                // The route has been moved to other services, which did not begin the stream.
+                onOriginUnknown(now, stream);
+                return;
+            }
+            startCall(
+                    stream.arrivedAtNanos,
+                    stream.request,
+                    stream.exchange,
+                    stream.intent,
+                    stream.route,
+                    stream.organisation,
+                    service,
+                    Optional.of(origin));
+        }
+
+        @Override
+        public void onOriginUnknown(long now, ResumedStream stream) {
+            callDispatcher.responses().refuseUnknownVersion(stream.exchange);
+        }
+    }
+
+    private void startCall(
+            long arrivedAtNanos,
+            ReceivedRequest request,
+            CallerExchange exchange,
+            CallIntent intent,
+            Route route,
+            Optional<Organisation> organisation,
+            String service,
+            Optional<StreamOrigin> origin) {
         long timeoutMillis = Math.min(intent.deadlineMillis().orElse(DEFAULT_DEADLINE_MILLIS), route.timeoutMillis());
         DirectCall call = new DirectCall(
                 nextCallNumber++,
@@ -201,6 +256,7 @@
                 organisation,
                 arrivedAtNanos,
                 arrivedAtNanos + Durations.nanos(timeoutMillis));
+        call.origin = origin;
         callsByExchange.put(exchange, call);
         callDispatcher.start(clock.getAsLong(), call);
     }
@@ -225,6 +281,7 @@
     @Override
     public void onDisconnect(CallerExchange exchange) {
         earlyRequests.remove(exchange);
+        resumptions.onDisconnect(exchange);
         DirectCall call = callsByExchange.remove(exchange);
         if (call != null) {
             callDispatcher.onCallerDisconnected(clock.getAsLong(), call);
@@ -240,6 +297,7 @@
                     .refuseNotReady(waiting.get().exchange(), waiting.get().intent());
             waiting = earlyRequests.poll();
         }
+        resumptions.refuseAll(clock.getAsLong());
         callDispatcher.cancelAll(clock.getAsLong(), "this process stops");
     }
 
@@ -258,6 +316,11 @@
                 startEarlyRequests(now);
             }
             case ENTRY_LOAD -> loadGossip.onLoad(now, from, input.getEntryLoad());
+            case STREAM_RECORDS ->
+                input.getStreamRecords().getRecordsList().forEach(record -> streamRecords.onRecord(now, record));
+            case STREAM_QUERY ->
+                out.send(from, Envelope.newBuilder().setStreamAnswer(resumptions.answer(now, input.getStreamQuery())));
+            case STREAM_ANSWER -> resumptions.onAnswer(now, from, input.getStreamAnswer());
             case WALL_CLOCK -> usageMeter.onWallClock(now, input.getWallClock().getEpochMs());
             case STOP -> draining = true;
             default -> {
@@ -270,12 +333,15 @@
     public void tick(long now, Outbox out) {
         control.tick(now, out);
         backpressure.limits().tick(now, control.entries());
+        streamRecords.tick(now, out);
+        resumptions.tick(now, out);
         callDispatcher.tick(now);
         startEarlyRequests(now);
         if (now >= nextHousekeepingNanos) {
             nextHousekeepingNanos = now + HOUSEKEEPING_INTERVAL_NANOS;
             upstreams.tick(now);
             backpressure.tick(now);
+            streamRecords.expire(now);
             callsByExchange.values().removeIf(call -> call.closed);
         }
         loadGossip.tick(now, out, self, control.entries());
@@ -290,6 +356,7 @@
         long due = Math.min(
                 Math.min(control.nextDue(), callDispatcher.nextDue()),
                 Math.min(earlyRequests.nextDue(), nextHousekeepingNanos));
+        due = Math.min(due, Math.min(streamRecords.nextDue(), resumptions.nextDue()));
         return Math.min(due, loadGossip.nextDue(callDispatcher.openCalls() > 0));
     }
 
@@ -373,6 +440,6 @@
      * @return their number
      */
     public int openCalls() {
-        return callDispatcher.openCalls() + earlyRequests.size();
+        return callDispatcher.openCalls() + earlyRequests.size() + resumptions.size();
     }
 }
--- /dev/null
+++ b/src/main/java/org/cuminshelf/direct/ResumedStream.java
@@ -0,0 +1,69 @@
+package org.cuminshelf.direct;
+
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeSet;
+import org.cuminshelf.core.Address;
+import org.cuminshelf.exchange.CallerExchange;
+import org.cuminshelf.exchange.ReceivedRequest;
+import org.cuminshelf.organisations.Organisation;
+import org.cuminshelf.routes.Route;
+
+/** A stream that its caller takes up again, until it is known which software version began it. */
+final class ResumedStream {
+
+    final ReceivedRequest request;
+    final CallerExchange exchange;
+    final CallIntent intent;
+    final Route route;
+    final Optional<Organisation> organisation;
+    final long arrivedAtNanos;
+    /** The service that the route chooses for it. */
+    final String service;
+
+    /** The entries that were asked for its record and have not answered. */
+    final Set<Address> unanswered = new HashSet<>();
+    /** The versions that may have begun it, as far as this entry and those that answered know. */
+    final Set<String> candidates = new TreeSet<>();
+
+    int answers;
+    /** Whether one of them knows all versions that may have begun it. */
+    boolean candidatesComplete;
+
+    ResumedStream(
+            ReceivedRequest request,
+            CallerExchange exchange,
+            CallIntent intent,
+            Route route,
+            Optional<Organisation> organisation,
+            long arrivedAtNanos,
+            String service) {
+        this.request = request;
+        this.exchange = exchange;
+        this.intent = intent;
+        this.route = route;
+        this.organisation = organisation;
+        this.arrivedAtNanos = arrivedAtNanos;
+        this.service = service;
+    }
+
+    /** The id under which its record is kept: that of the request that brought its first event. */
+    String stream() {
+        return intent.stream();
+    }
+
+    /** Adds versions that may have begun it. */
+    void addCandidates(Iterable<String> versions, boolean complete) {
+        versions.forEach(candidates::add);
+        candidatesComplete |= complete;
+    }
+
+    /** The version that alone can have begun it, if that is certain. */
+    Optional<String> onlyCandidate() {
+        return candidatesComplete && candidates.size() == 1
+                ? Optional.of(List.copyOf(candidates).getFirst())
+                : Optional.empty();
+    }
+}
--- /dev/null
+++ b/src/main/java/org/cuminshelf/direct/StreamResumptions.java
@@ -0,0 +1,223 @@
+package org.cuminshelf.direct;
+
+import io.vavr.control.Option;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.cuminshelf.core.Address;
+import org.cuminshelf.core.DeadlineQueue;
+import org.cuminshelf.core.Durations;
+import org.cuminshelf.core.Outbox;
+import org.cuminshelf.exchange.CallerExchange;
+import org.cuminshelf.message.Envelope;
+import org.cuminshelf.message.StreamAnswer;
+import org.cuminshelf.message.StreamQuery;
+import org.cuminshelf.message.StreamRecord;
+
+/**
+ * Finds out which software version began a stream that its caller takes up again: by a record, here or at the entries
+ * that keep it, or as no other version can have begun it. A stream whose version stays unknown is refused.
+ *
+ * <p>Guards against streams that hold events of two versions. While upstreams of one version serve, the entries asked
+ * agree on that, and nothing depends on records.
+ */
+final class StreamResumptions {
+
+    /** Receives the outcome of each resumption. */
+    interface Listener {
+
+        /** The version is known. */
+        void onOriginKnown(long now, ResumedStream stream, String service, StreamOrigin origin);
+
+        /** The version can't be known now; the stream has not been sent anywhere. */
+        void onOriginUnknown(long now, ResumedStream stream);
+    }
+
+    /** Time for which the entries that keep a record may take to answer: several round trips between regions. */
+    private static final long MAX_WAIT_NANOS = Durations.nanos(150);
+    /** Multiple of a route's timeout within which its callers have taken a stream up again. */
+    private static final int RESUMED_WITHIN_TIMEOUTS = 2;
+
+    private final Address self;
+    private final StreamRecords records;
+    private final UpstreamTable upstreams;
+    private final ControlSubscription control;
+    private final Listener listener;
+    private final DecisionLog log;
+    private final Map<Long, ResumedStream> waiting = new HashMap<>();
+    private final Map<Long, StreamQuery> unsent = new HashMap<>();
+    private final DeadlineQueue<Long> deadlines = DeadlineQueue.create();
+    private long nextNumber = 1;
+
+    StreamResumptions(
+            Address self,
+            StreamRecords records,
+            UpstreamTable upstreams,
+            ControlSubscription control,
+            Listener listener,
+            DecisionLog log) {
+        this.self = self;
+        this.records = records;
+        this.upstreams = upstreams;
+        this.control = control;
+        this.listener = listener;
+        this.log = log;
+    }
+
+    int size() {
+        return waiting.size();
+    }
+
+    /** Starts to find out the version of a stream; the listener is told at once if it is known here. */
+    void add(long now, ResumedStream stream) {
+        Optional<StreamRecords.Entry> own = records.find(stream.stream());
+        if (own.isPresent()) {
+            onRecord(now, stream, own.get());
+            return;
+        }
+        long windowNanos = windowNanos(stream);
+        stream.addCandidates(
+                upstreams.versionsSince(now - windowNanos, stream.service),
+                control.knowsUpstreamsSince(now, now - windowNanos));
+        control.recordHolders().of(stream.stream()).stream()
+                .filter(holder -> !holder.equals(self))
+                .forEach(stream.unanswered::add);
+        if (stream.unanswered.isEmpty()) {
+            decideWithoutRecord(now, stream);
+            return;
+        }
+        long number = nextNumber++;
+        waiting.put(number, stream);
+        deadlines.set(number, now + MAX_WAIT_NANOS);
+        unsent.put(
+                number,
+                StreamQuery.newBuilder()
+                        .setNumber(number)
+                        .setStream(stream.stream())
+                        .setService(stream.service)
+                        .setWindowMs(Durations.millis(windowNanos))
+                        .build());
+    }
+
+    private static long windowNanos(ResumedStream stream) {
+        return Math.min(
+                StreamRecords.RETENTION_NANOS, Durations.nanos(RESUMED_WITHIN_TIMEOUTS * stream.route.timeoutMillis()));
+    }
+
+    // ---- messages
+
+    /** Answers another entry that asks for a record. */
+    StreamAnswer answer(long now, StreamQuery query) {
+        long sinceNanos = now - Durations.nanos(query.getWindowMs());
+        StreamAnswer.Builder answer = StreamAnswer.newBuilder()
+                .setNumber(query.getNumber())
+                .addAllVersions(upstreams.versionsSince(sinceNanos, query.getService()))
+                .setComplete(control.knowsUpstreamsSince(now, sinceNanos));
+        records.message(now, query.getStream()).ifPresent(answer::setRecord);
+        return answer.build();
+    }
+
+    /** Handles the answer of an entry that was asked. */
+    void onAnswer(long now, Address from, StreamAnswer answer) {
+        ResumedStream stream = waiting.get(answer.getNumber());
+        if (stream == null || !stream.unanswered.remove(from)) {
+            return;
+        }
+        stream.answers++;
+        stream.addCandidates(answer.getVersionsList(), answer.getComplete());
+        if (answer.hasRecord()) {
+            remove(answer.getNumber());
+            StreamRecord record = answer.getRecord();
+            records.onRecord(now, record);
+            records.find(stream.stream()).ifPresent(entry -> onRecord(now, stream, entry));
+        } else if (stream.unanswered.isEmpty() || stream.onlyCandidate().isPresent()) {
+            remove(answer.getNumber());
+            decideWithoutRecord(now, stream);
+        }
+    }
+
+    private void remove(long number) {
+        waiting.remove(number);
+        unsent.remove(number);
+        deadlines.clear(number);
+    }
+
+    // ---- outcomes
+
+    private void onRecord(long now, ResumedStream stream, StreamRecords.Entry entry) {
+        StreamOrigin origin = new StreamOrigin(entry.version(), StreamOrigin.Source.RECORD, entry.sinceNanos());
+        note(now, stream, origin.source().label(), origin.version(), Durations.millis(now - entry.sinceNanos()));
+        listener.onOriginKnown(now, stream, entry.service(), origin);
+    }
+
+    private void decideWithoutRecord(long now, ResumedStream stream) {
+        Optional<String> only = stream.onlyCandidate();
+        if (only.isEmpty()) {
+            note(now, stream, "unknown", "unknown", "none");
+            listener.onOriginUnknown(now, stream);
+            return;
+        }
+        StreamOrigin origin = new StreamOrigin(only.get(), StreamOrigin.Source.ONLY_VERSION, now);
+        note(now, stream, origin.source().label(), origin.version(), "none");
+        listener.onOriginKnown(now, stream, stream.service, origin);
+    }
+
+    private void note(long now, ResumedStream stream, String outcome, String version, Object ageMillis) {
+        log.note(
+                "resumption",
+                stream.intent.id(),
+                "outcome",
+                outcome,
+                "resumes",
+                stream.stream(),
+                "version",
+                version,
+                "age-ms",
+                ageMillis,
+                "candidates",
+                stream.candidates,
+                "complete",
+                stream.candidatesComplete,
+                "answers",
+                stream.answers,
+                "unanswered",
+                stream.unanswered.size(),
+                "wait-ms",
+                Durations.millis(now - stream.arrivedAtNanos));
+    }
+
+    // ---- callers and time
+
+    /** Drops the resumption of a caller that has disconnected. */
+    void onDisconnect(CallerExchange exchange) {
+        List<Long> numbers = waiting.entrySet().stream()
+                .filter(entry -> entry.getValue().exchange == exchange)
+                .map(Map.Entry::getKey)
+                .toList();
+        numbers.forEach(this::remove);
+    }
+
+    /** Refuses all that wait, as this process stops. */
+    void refuseAll(long now) {
+        List<ResumedStream> streams = List.copyOf(waiting.values());
+        List.copyOf(waiting.keySet()).forEach(this::remove);
+        streams.forEach(stream -> listener.onOriginUnknown(now, stream));
+    }
+
+    long nextDue() {
+        return unsent.isEmpty() ? deadlines.next() : Long.MIN_VALUE;
+    }
+
+    void tick(long now, Outbox out) {
+        unsent.forEach((number, query) -> waiting.get(number)
+                .unanswered
+                .forEach(holder -> out.send(holder, Envelope.newBuilder().setStreamQuery(query))));
+        unsent.clear();
+        Optional<Long> due = deadlines.poll(now);
+        while (due.isPresent()) {
+            Option.of(waiting.remove(due.get())).forEach(stream -> decideWithoutRecord(now, stream));
+            due = deadlines.poll(now);
+        }
+    }
+}
--- a/src/main/java/org/cuminshelf/direct/UpstreamTable.java
+++ b/src/main/java/org/cuminshelf/direct/UpstreamTable.java
@@ -69,6 +69,7 @@
     private final LinkedHashMap<String, EndedInstances> endedByName = new LinkedHashMap<>();
     private final DirectoryVersions directoryVersions = DirectoryVersions.none();
     private final Map<Address, ReportedLoad> loadByEntry = new HashMap<>();
+    private final VersionHistory versionHistory = new VersionHistory();
     private final LeavingUpstreams leavingUpstreams;
     private final DecisionLog log;
 
@@ -109,6 +110,10 @@
     }
 
     private void applyHeartbeat(long now, Address control, UpstreamBeat heartbeat) {
+        if (!heartbeat.getService().isEmpty()) {
+            // Control also tells of upstreams that have ended lately.
+            versionHistory.onSeen(now, heartbeat.getService(), heartbeat.getVersion());
+        }
         if (heartbeat.getDeleted()) {
             Optional.ofNullable(newestByName.get(heartbeat.getName()))
                     .filter(instance -> instance.startedAtMillis <= heartbeat.getBornMs())
@@ -212,6 +217,13 @@
         }
     }
 
+    /** Returns the software versions of a service of which an upstream may have served since a time in nanoseconds. */
+    Set<String> versionsSince(long sinceNanos, String service) {
+        Set<String> versions = versionHistory.since(sinceNanos, service);
+        instancesOf(service).forEach(instance -> versions.add(instance.version));
+        return versions;
+    }
+
     private void remove(UpstreamInstance instance) {
         instances.remove(instance.id);
         newestByName.remove(instance.name, instance);
@@ -253,6 +265,8 @@
         while (oldest.hasNext() && now - oldest.next().endedAtNanos > ENDED_RETENTION_NANOS) {
             oldest.remove();
         }
+        instances.values().forEach(instance -> versionHistory.onSeen(now, instance.service, instance.version));
+        versionHistory.forgetBefore(now - ENDED_RETENTION_NANOS);
         loadByEntry.entrySet().removeIf(entry -> {
             boolean outdated = now - entry.getValue().receivedAtNanos > LOAD_RETENTION_NANOS;
             if (outdated) {
--- a/src/main/java/org/cuminshelf/message/Envelope.java
+++ b/src/main/java/org/cuminshelf/message/Envelope.java
@@ -58,6 +58,9 @@
     ENTRY_LOAD(61),
     CONFIG_FETCH(63),
     CONFIG_BODY(64),
+    STREAM_RECORDS(68),
+    STREAM_QUERY(69),
+    STREAM_ANSWER(59),
     SEND_DIRECT_ORDER(62),
     SEND_USAGE_REPORT(65),
     GIVE_UP_USAGE_REPORT(66),
@@ -129,6 +132,9 @@
         case 61: return ENTRY_LOAD;
         case 63: return CONFIG_FETCH;
         case 64: return CONFIG_BODY;
+        case 68: return STREAM_RECORDS;
+        case 69: return STREAM_QUERY;
+        case 59: return STREAM_ANSWER;
         case 62: return SEND_DIRECT_ORDER;
         case 65: return SEND_USAGE_REPORT;
         case 66: return GIVE_UP_USAGE_REPORT;
@@ -2080,6 +2086,162 @@
     }
   }
 
+  public static final int STREAM_RECORDS_FIELD_NUMBER = 68;
+  /**
+   * <code>.cuminshelf.StreamRecordBatch stream_records = 68;</code>
+   */
+  @java.lang.Override
+  public boolean hasStreamRecords() {
+    return bodyCase_ == 68;
+  }
+  /**
+   * <code>.cuminshelf.StreamRecordBatch stream_records = 68;</code>
+   */
+  @java.lang.Override
+  public org.cuminshelf.message.StreamRecordBatch getStreamRecords() {
+    if (bodyCase_ == 68) {
+       return (org.cuminshelf.message.StreamRecordBatch) body_;
+    }
+    return org.cuminshelf.message.StreamRecordBatch.getDefaultInstance();
+  }
+  /**
+   * <code>.cuminshelf.StreamRecordBatch stream_records = 68;</code>
+   */
+  @java.lang.SuppressWarnings("ReturnValueIgnored")
+  private void setStreamRecords(org.cuminshelf.message.StreamRecordBatch value) {
+    value.getClass();  // minimal bytecode null check
+    body_ = value;
+    bodyCase_ = 68;
+  }
+  /**
+   * <code>.cuminshelf.StreamRecordBatch stream_records = 68;</code>
+   */
+  @java.lang.SuppressWarnings("ReturnValueIgnored")
+  private void mergeStreamRecords(org.cuminshelf.message.StreamRecordBatch value) {
+    value.getClass();  // minimal bytecode null check
+    if (bodyCase_ == 68 &&
+        body_ != org.cuminshelf.message.StreamRecordBatch.getDefaultInstance()) {
+      body_ = org.cuminshelf.message.StreamRecordBatch.newBuilder((org.cuminshelf.message.StreamRecordBatch) body_)
+          .mergeFrom(value).buildPartial();
+    } else {
+      body_ = value;
+    }
+    bodyCase_ = 68;
+  }
+  /**
+   * <code>.cuminshelf.StreamRecordBatch stream_records = 68;</code>
+   */
+  private void clearStreamRecords() {
+    if (bodyCase_ == 68) {
+      bodyCase_ = 0;
+      body_ = null;
+    }
+  }
+
+  public static final int STREAM_QUERY_FIELD_NUMBER = 69;
+  /**
+   * <code>.cuminshelf.StreamQuery stream_query = 69;</code>
+   */
+  @java.lang.Override
+  public boolean hasStreamQuery() {
+    return bodyCase_ == 69;
+  }
+  /**
+   * <code>.cuminshelf.StreamQuery stream_query = 69;</code>
+   */
+  @java.lang.Override
+  public org.cuminshelf.message.StreamQuery getStreamQuery() {
+    if (bodyCase_ == 69) {
+       return (org.cuminshelf.message.StreamQuery) body_;
+    }
+    return org.cuminshelf.message.StreamQuery.getDefaultInstance();
+  }
+  /**
+   * <code>.cuminshelf.StreamQuery stream_query = 69;</code>
+   */
+  @java.lang.SuppressWarnings("ReturnValueIgnored")
+  private void setStreamQuery(org.cuminshelf.message.StreamQuery value) {
+    value.getClass();  // minimal bytecode null check
+    body_ = value;
+    bodyCase_ = 69;
+  }
+  /**
+   * <code>.cuminshelf.StreamQuery stream_query = 69;</code>
+   */
+  @java.lang.SuppressWarnings("ReturnValueIgnored")
+  private void mergeStreamQuery(org.cuminshelf.message.StreamQuery value) {
+    value.getClass();  // minimal bytecode null check
+    if (bodyCase_ == 69 &&
+        body_ != org.cuminshelf.message.StreamQuery.getDefaultInstance()) {
+      body_ = org.cuminshelf.message.StreamQuery.newBuilder((org.cuminshelf.message.StreamQuery) body_)
+          .mergeFrom(value).buildPartial();
+    } else {
+      body_ = value;
+    }
+    bodyCase_ = 69;
+  }
+  /**
+   * <code>.cuminshelf.StreamQuery stream_query = 69;</code>
+   */
+  private void clearStreamQuery() {
+    if (bodyCase_ == 69) {
+      bodyCase_ = 0;
+      body_ = null;
+    }
+  }
+
+  public static final int STREAM_ANSWER_FIELD_NUMBER = 59;
+  /**
+   * <code>.cuminshelf.StreamAnswer stream_answer = 59;</code>
+   */
+  @java.lang.Override
+  public boolean hasStreamAnswer() {
+    return bodyCase_ == 59;
+  }
+  /**
+   * <code>.cuminshelf.StreamAnswer stream_answer = 59;</code>
+   */
+  @java.lang.Override
+  public org.cuminshelf.message.StreamAnswer getStreamAnswer() {
+    if (bodyCase_ == 59) {
+       return (org.cuminshelf.message.StreamAnswer) body_;
+    }
+    return org.cuminshelf.message.StreamAnswer.getDefaultInstance();
+  }
+  /**
+   * <code>.cuminshelf.StreamAnswer stream_answer = 59;</code>
+   */
+  @java.lang.SuppressWarnings("ReturnValueIgnored")
+  private void setStreamAnswer(org.cuminshelf.message.StreamAnswer value) {
+    value.getClass();  // minimal bytecode null check
+    body_ = value;
+    bodyCase_ = 59;
+  }
+  /**
+   * <code>.cuminshelf.StreamAnswer stream_answer = 59;</code>
+   */
+  @java.lang.SuppressWarnings("ReturnValueIgnored")
+  private void mergeStreamAnswer(org.cuminshelf.message.StreamAnswer value) {
+    value.getClass();  // minimal bytecode null check
+    if (bodyCase_ == 59 &&
+        body_ != org.cuminshelf.message.StreamAnswer.getDefaultInstance()) {
+      body_ = org.cuminshelf.message.StreamAnswer.newBuilder((org.cuminshelf.message.StreamAnswer) body_)
+          .mergeFrom(value).buildPartial();
+    } else {
+      body_ = value;
+    }
+    bodyCase_ = 59;
+  }
+  /**
+   * <code>.cuminshelf.StreamAnswer stream_answer = 59;</code>
+   */
+  private void clearStreamAnswer() {
+    if (bodyCase_ == 59) {
+      bodyCase_ = 0;
+      body_ = null;
+    }
+  }
+
   public static final int SEND_DIRECT_ORDER_FIELD_NUMBER = 62;
   /**
    * <pre>
@@ -5304,6 +5466,150 @@
       return this;
     }
 
+    /**
+     * <code>.cuminshelf.StreamRecordBatch stream_records = 68;</code>
+     */
+    @java.lang.Override
+    public boolean hasStreamRecords() {
+      return instance.hasStreamRecords();
+    }
+    /**
+     * <code>.cuminshelf.StreamRecordBatch stream_records = 68;</code>
+     */
+    @java.lang.Override
+    public org.cuminshelf.message.StreamRecordBatch getStreamRecords() {
+      return instance.getStreamRecords();
+    }
+    /**
+     * <code>.cuminshelf.StreamRecordBatch stream_records = 68;</code>
+     */
+    public Builder setStreamRecords(org.cuminshelf.message.StreamRecordBatch value) {
+      copyOnWrite();
+      instance.setStreamRecords(value);
+      return this;
+    }
+    /**
+     * <code>.cuminshelf.StreamRecordBatch stream_records = 68;</code>
+     */
+    public Builder setStreamRecords(
+        org.cuminshelf.message.StreamRecordBatch.Builder builderForValue) {
+      copyOnWrite();
+      instance.setStreamRecords(builderForValue.build());
+      return this;
+    }
+    /**
+     * <code>.cuminshelf.StreamRecordBatch stream_records = 68;</code>
+     */
+    public Builder mergeStreamRecords(org.cuminshelf.message.StreamRecordBatch value) {
+      copyOnWrite();
+      instance.mergeStreamRecords(value);
+      return this;
+    }
+    /**
+     * <code>.cuminshelf.StreamRecordBatch stream_records = 68;</code>
+     */
+    public Builder clearStreamRecords() {
+      copyOnWrite();
+      instance.clearStreamRecords();
+      return this;
+    }
+
+    /**
+     * <code>.cuminshelf.StreamQuery stream_query = 69;</code>
+     */
+    @java.lang.Override
+    public boolean hasStreamQuery() {
+      return instance.hasStreamQuery();
+    }
+    /**
+     * <code>.cuminshelf.StreamQuery stream_query = 69;</code>
+     */
+    @java.lang.Override
+    public org.cuminshelf.message.StreamQuery getStreamQuery() {
+      return instance.getStreamQuery();
+    }
+    /**
+     * <code>.cuminshelf.StreamQuery stream_query = 69;</code>
+     */
+    public Builder setStreamQuery(org.cuminshelf.message.StreamQuery value) {
+      copyOnWrite();
+      instance.setStreamQuery(value);
+      return this;
+    }
+    /**
+     * <code>.cuminshelf.StreamQuery stream_query = 69;</code>
+     */
+    public Builder setStreamQuery(
+        org.cuminshelf.message.StreamQuery.Builder builderForValue) {
+      copyOnWrite();
+      instance.setStreamQuery(builderForValue.build());
+      return this;
+    }
+    /**
+     * <code>.cuminshelf.StreamQuery stream_query = 69;</code>
+     */
+    public Builder mergeStreamQuery(org.cuminshelf.message.StreamQuery value) {
+      copyOnWrite();
+      instance.mergeStreamQuery(value);
+      return this;
+    }
+    /**
+     * <code>.cuminshelf.StreamQuery stream_query = 69;</code>
+     */
+    public Builder clearStreamQuery() {
+      copyOnWrite();
+      instance.clearStreamQuery();
+      return this;
+    }
+
+    /**
+     * <code>.cuminshelf.StreamAnswer stream_answer = 59;</code>
+     */
+    @java.lang.Override
+    public boolean hasStreamAnswer() {
+      return instance.hasStreamAnswer();
+    }
+    /**
+     * <code>.cuminshelf.StreamAnswer stream_answer = 59;</code>
+     */
+    @java.lang.Override
+    public org.cuminshelf.message.StreamAnswer getStreamAnswer() {
+      return instance.getStreamAnswer();
+    }
+    /**
+     * <code>.cuminshelf.StreamAnswer stream_answer = 59;</code>
+     */
+    public Builder setStreamAnswer(org.cuminshelf.message.StreamAnswer value) {
+      copyOnWrite();
+      instance.setStreamAnswer(value);
+      return this;
+    }
+    /**
+     * <code>.cuminshelf.StreamAnswer stream_answer = 59;</code>
+     */
+    public Builder setStreamAnswer(
+        org.cuminshelf.message.StreamAnswer.Builder builderForValue) {
+      copyOnWrite();
+      instance.setStreamAnswer(builderForValue.build());
+      return this;
+    }
+    /**
+     * <code>.cuminshelf.StreamAnswer stream_answer = 59;</code>
+     */
+    public Builder mergeStreamAnswer(org.cuminshelf.message.StreamAnswer value) {
+      copyOnWrite();
+      instance.mergeStreamAnswer(value);
+      return this;
+    }
+    /**
+     * <code>.cuminshelf.StreamAnswer stream_answer = 59;</code>
+     */
+    public Builder clearStreamAnswer() {
+      copyOnWrite();
+      instance.clearStreamAnswer();
+      return this;
+    }
+
     /**
      * <pre>
      * Local: orders port of a control process.
@@ -6601,6 +6907,7 @@
             org.cuminshelf.message.SnapshotPart.class,
             org.cuminshelf.message.SnapshotAnswer.class,
             org.cuminshelf.message.JoinRequest.class,
+            org.cuminshelf.message.StreamAnswer.class,
             org.cuminshelf.message.UpstreamBeat.class,
             org.cuminshelf.message.EntryLoad.class,
             org.cuminshelf.message.DirectOrder.class,
@@ -6609,6 +6916,8 @@
             org.cuminshelf.message.UsageReport.class,
             org.cuminshelf.message.UsageGiveUp.class,
             org.cuminshelf.message.UsageReported.class,
+            org.cuminshelf.message.StreamRecordBatch.class,
+            org.cuminshelf.message.StreamQuery.class,
             org.cuminshelf.message.CallArrived.class,
             org.cuminshelf.message.CallGone.class,
             org.cuminshelf.message.AnswerHead.class,
@@ -6630,14 +6939,14 @@
             org.cuminshelf.message.WallClock.class,
           };
           java.lang.String info =
-              "\u0000:\u0001\u0000\u0001a:\u0000\u0000\u0000\u0001\u0208\u0002\u0003\n<\u0000\u000b" +
+              "\u0000=\u0001\u0000\u0001a=\u0000\u0000\u0000\u0001\u0208\u0002\u0003\n<\u0000\u000b" +
               "<\u0000\f<\u0000\r<\u0000\u000e<\u0000\u000f<\u0000\u0010<\u0000\u0011<\u0000\u0012" +
               "<\u0000\u0013<\u0000\u0014<\u0000\u001e<\u0000\u001f<\u0000 <\u0000!<\u0000\"<\u0000" +
               "#<\u0000$<\u0000%<\u0000&<\u00002<\u00003<\u00004<\u00005<\u00006<\u00007<\u0000" +
-              "8<\u00009<\u0000:<\u0000<<\u0000=<\u0000><\u0000?<\u0000@<\u0000A<\u0000B<\u0000" +
-              "C<\u0000F<\u0000G<\u0000H<\u0000I<\u0000J<\u0000P<\u0000Q<\u0000R<\u0000S<\u0000" +
-              "T<\u0000U<\u0000V<\u0000W<\u0000X<\u0000Z<\u0000[<\u0000_<\u0000`<\u0000a<\u0000" +
-              "";
+              "8<\u00009<\u0000:<\u0000;<\u0000<<\u0000=<\u0000><\u0000?<\u0000@<\u0000A<\u0000" +
+              "B<\u0000C<\u0000D<\u0000E<\u0000F<\u0000G<\u0000H<\u0000I<\u0000J<\u0000P<\u0000" +
+              "Q<\u0000R<\u0000S<\u0000T<\u0000U<\u0000V<\u0000W<\u0000X<\u0000Z<\u0000[<\u0000" +
+              "_<\u0000`<\u0000a<\u0000";
           return newMessageInfo(DEFAULT_INSTANCE, info, objects);
       }
       case GET_DEFAULT_INSTANCE: {
--- a/src/main/java/org/cuminshelf/message/EnvelopeOrBuilder.java
+++ b/src/main/java/org/cuminshelf/message/EnvelopeOrBuilder.java
@@ -437,6 +437,39 @@
    */
   org.cuminshelf.message.ConfigBody getConfigBody();
 
+  /**
+   * <code>.cuminshelf.StreamRecordBatch stream_records = 68;</code>
+   * @return Whether the streamRecords field is set.
+   */
+  boolean hasStreamRecords();
+  /**
+   * <code>.cuminshelf.StreamRecordBatch stream_records = 68;</code>
+   * @return The streamRecords.
+   */
+  org.cuminshelf.message.StreamRecordBatch getStreamRecords();
+
+  /**
+   * <code>.cuminshelf.StreamQuery stream_query = 69;</code>
+   * @return Whether the streamQuery field is set.
+   */
+  boolean hasStreamQuery();
+  /**
+   * <code>.cuminshelf.StreamQuery stream_query = 69;</code>
+   * @return The streamQuery.
+   */
+  org.cuminshelf.message.StreamQuery getStreamQuery();
+
+  /**
+   * <code>.cuminshelf.StreamAnswer stream_answer = 59;</code>
+   * @return Whether the streamAnswer field is set.
+   */
+  boolean hasStreamAnswer();
+  /**
+   * <code>.cuminshelf.StreamAnswer stream_answer = 59;</code>
+   * @return The streamAnswer.
+   */
+  org.cuminshelf.message.StreamAnswer getStreamAnswer();
+
   /**
    * <pre>
    * Local: orders port of a control process.
--- a/src/main/java/org/cuminshelf/message/Subscribe.java
+++ b/src/main/java/org/cuminshelf/message/Subscribe.java
@@ -25,6 +25,7 @@
     crashes_ = emptyProtobufList();
     quarantined_ = emptyProtobufList();
     usage_ = emptyProtobufList();
+    zone_ = "";
   }
   public static final int CONFIG_VERSION_FIELD_NUMBER = 1;
   private long configVersion_;
@@ -976,6 +977,74 @@
     usageUntil_ = 0L;
   }
 
+  public static final int ZONE_FIELD_NUMBER = 20;
+  private java.lang.String zone_;
+  /**
+   * <pre>
+   * Availability zone of the sender.
+   * </pre>
+   *
+   * <code>string zone = 20;</code>
+   * @return The zone.
+   */
+  @java.lang.Override
+  public java.lang.String getZone() {
+    return zone_;
+  }
+  /**
+   * <pre>
+   * Availability zone of the sender.
+   * </pre>
+   *
+   * <code>string zone = 20;</code>
+   * @return The bytes for zone.
+   */
+  @java.lang.Override
+  public com.google.protobuf.ByteString
+      getZoneBytes() {
+    return com.google.protobuf.ByteString.copyFromUtf8(zone_);
+  }
+  /**
+   * <pre>
+   * Availability zone of the sender.
+   * </pre>
+   *
+   * <code>string zone = 20;</code>
+   * @param value The zone to set.
+   */
+  @java.lang.SuppressWarnings("ReturnValueIgnored")
+  private void setZone(
+      java.lang.String value) {
+    value.getClass();  // minimal bytecode null check
+
+    zone_ = value;
+  }
+  /**
+   * <pre>
+   * Availability zone of the sender.
+   * </pre>
+   *
+   * <code>string zone = 20;</code>
+   */
+  private void clearZone() {
+
+    zone_ = getDefaultInstance().getZone();
+  }
+  /**
+   * <pre>
+   * Availability zone of the sender.
+   * </pre>
+   *
+   * <code>string zone = 20;</code>
+   * @param value The bytes for zone to set.
+   */
+  private void setZoneBytes(
+      com.google.protobuf.ByteString value) {
+    checkByteStringIsUtf8(value);
+    zone_ = value.toStringUtf8();
+
+  }
+
   public static org.cuminshelf.message.Subscribe parseFrom(
       java.nio.ByteBuffer data)
       throws com.google.protobuf.InvalidProtocolBufferException {
@@ -2079,6 +2148,75 @@
       return this;
     }
 
+    /**
+     * <pre>
+     * Availability zone of the sender.
+     * </pre>
+     *
+     * <code>string zone = 20;</code>
+     * @return The zone.
+     */
+    @java.lang.Override
+    public java.lang.String getZone() {
+      return instance.getZone();
+    }
+    /**
+     * <pre>
+     * Availability zone of the sender.
+     * </pre>
+     *
+     * <code>string zone = 20;</code>
+     * @return The bytes for zone.
+     */
+    @java.lang.Override
+    public com.google.protobuf.ByteString
+        getZoneBytes() {
+      return instance.getZoneBytes();
+    }
+    /**
+     * <pre>
+     * Availability zone of the sender.
+     * </pre>
+     *
+     * <code>string zone = 20;</code>
+     * @param value The zone to set.
+     * @return This builder for chaining.
+     */
+    public Builder setZone(
+        java.lang.String value) {
+      copyOnWrite();
+      instance.setZone(value);
+      return this;
+    }
+    /**
+     * <pre>
+     * Availability zone of the sender.
+     * </pre>
+     *
+     * <code>string zone = 20;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearZone() {
+      copyOnWrite();
+      instance.clearZone();
+      return this;
+    }
+    /**
+     * <pre>
+     * Availability zone of the sender.
+     * </pre>
+     *
+     * <code>string zone = 20;</code>
+     * @param value The bytes for zone to set.
+     * @return This builder for chaining.
+     */
+    public Builder setZoneBytes(
+        com.google.protobuf.ByteString value) {
+      copyOnWrite();
+      instance.setZoneBytes(value);
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:cuminshelf.Subscribe)
   }
   @java.lang.Override
@@ -2118,12 +2256,13 @@
             "usage_",
             org.cuminshelf.message.UsageWindow.class,
             "usageUntil_",
+            "zone_",
           };
           java.lang.String info =
-              "\u0000\u0013\u0000\u0000\u0001\u0013\u0013\u0000\u0004\u0000\u0001\u0003\u0002\u0003" +
+              "\u0000\u0014\u0000\u0000\u0001\u0014\u0014\u0000\u0004\u0000\u0001\u0003\u0002\u0003" +
               "\u0003\u0003\u0004\u0007\u0005\u0208\u0006\u0208\u0007\u0007\b\u001b\t\u0007\n\u0003" +
               "\u000b\u0003\f\u0003\r\u001b\u000e\u001b\u000f\u0010\u0010\u0003\u0011\u0003\u0012" +
-              "\u001b\u0013\u0003";
+              "\u001b\u0013\u0003\u0014\u0208";
           return newMessageInfo(DEFAULT_INSTANCE, info, objects);
       }
       case GET_DEFAULT_INSTANCE: {
--- a/src/main/java/org/cuminshelf/message/SubscribeOrBuilder.java
+++ b/src/main/java/org/cuminshelf/message/SubscribeOrBuilder.java
@@ -207,4 +207,24 @@
    * @return The usageUntil.
    */
   long getUsageUntil();
+
+  /**
+   * <pre>
+   * Availability zone of the sender.
+   * </pre>
+   *
+   * <code>string zone = 20;</code>
+   * @return The zone.
+   */
+  java.lang.String getZone();
+  /**
+   * <pre>
+   * Availability zone of the sender.
+   * </pre>
+   *
+   * <code>string zone = 20;</code>
+   * @return The bytes for zone.
+   */
+  com.google.protobuf.ByteString
+      getZoneBytes();
 }
--- a/src/main/java/org/cuminshelf/message/Update.java
+++ b/src/main/java/org/cuminshelf/message/Update.java
@@ -24,6 +24,7 @@
     upstreams_ = emptyProtobufList();
     crashes_ = emptyProtobufList();
     quarantined_ = emptyProtobufList();
+    entryZones_ = com.google.protobuf.GeneratedMessageLite.emptyProtobufList();
   }
   public static final int CONFIG_VERSION_FIELD_NUMBER = 1;
   private long configVersion_;
@@ -1466,6 +1467,175 @@
     usageSettled_ = 0L;
   }
 
+  public static final int ENTRY_ZONES_FIELD_NUMBER = 24;
+  private com.google.protobuf.Internal.ProtobufList<java.lang.String> entryZones_;
+  /**
+   * <pre>
+   * Availability zones of the entries in entry_addresses, in the same order.
+   * </pre>
+   *
+   * <code>repeated string entry_zones = 24;</code>
+   * @return A list containing the entryZones.
+   */
+  @java.lang.Override
+  public java.util.List<java.lang.String> getEntryZonesList() {
+    return entryZones_;
+  }
+  /**
+   * <pre>
+   * Availability zones of the entries in entry_addresses, in the same order.
+   * </pre>
+   *
+   * <code>repeated string entry_zones = 24;</code>
+   * @return The count of entryZones.
+   */
+  @java.lang.Override
+  public int getEntryZonesCount() {
+    return entryZones_.size();
+  }
+  /**
+   * <pre>
+   * Availability zones of the entries in entry_addresses, in the same order.
+   * </pre>
+   *
+   * <code>repeated string entry_zones = 24;</code>
+   * @param index The index of the element to return.
+   * @return The entryZones at the given index.
+   */
+  @java.lang.Override
+  public java.lang.String getEntryZones(int index) {
+    return entryZones_.get(index);
+  }
+  /**
+   * <pre>
+   * Availability zones of the entries in entry_addresses, in the same order.
+   * </pre>
+   *
+   * <code>repeated string entry_zones = 24;</code>
+   * @param index The index of the value to return.
+   * @return The bytes of the entryZones at the given index.
+   */
+  @java.lang.Override
+  public com.google.protobuf.ByteString
+      getEntryZonesBytes(int index) {
+    return com.google.protobuf.ByteString.copyFromUtf8(
+        entryZones_.get(index));
+  }
+  private void ensureEntryZonesIsMutable() {
+    com.google.protobuf.Internal.ProtobufList<java.lang.String> tmp =
+        entryZones_;  if (!tmp.isModifiable()) {
+      entryZones_ =
+          com.google.protobuf.GeneratedMessageLite.mutableCopy(tmp);
+     }
+  }
+  /**
+   * <pre>
+   * Availability zones of the entries in entry_addresses, in the same order.
+   * </pre>
+   *
+   * <code>repeated string entry_zones = 24;</code>
+   * @param index The index to set the value at.
+   * @param value The entryZones to set.
+   */
+  @java.lang.SuppressWarnings("ReturnValueIgnored")
+  private void setEntryZones(
+      int index, java.lang.String value) {
+    value.getClass();  // minimal bytecode null check
+    ensureEntryZonesIsMutable();
+    entryZones_.set(index, value);
+  }
+  /**
+   * <pre>
+   * Availability zones of the entries in entry_addresses, in the same order.
+   * </pre>
+   *
+   * <code>repeated string entry_zones = 24;</code>
+   * @param value The entryZones to add.
+   */
+  @java.lang.SuppressWarnings("ReturnValueIgnored")
+  private void addEntryZones(
+      java.lang.String value) {
+    value.getClass();  // minimal bytecode null check
+    ensureEntryZonesIsMutable();
+    entryZones_.add(value);
+  }
+  /**
+   * <pre>
+   * Availability zones of the entries in entry_addresses, in the same order.
+   * </pre>
+   *
+   * <code>repeated string entry_zones = 24;</code>
+   * @param values The entryZones to add.
+   */
+  private void addAllEntryZones(
+      java.lang.Iterable<java.lang.String> values) {
+    ensureEntryZonesIsMutable();
+    com.google.protobuf.AbstractMessageLite.addAll(
+        values, entryZones_);
+  }
+  /**
+   * <pre>
+   * Availability zones of the entries in entry_addresses, in the same order.
+   * </pre>
+   *
+   * <code>repeated string entry_zones = 24;</code>
+   */
+  private void clearEntryZones() {
+    entryZones_ = com.google.protobuf.GeneratedMessageLite.emptyProtobufList();
+  }
+  /**
+   * <pre>
+   * Availability zones of the entries in entry_addresses, in the same order.
+   * </pre>
+   *
+   * <code>repeated string entry_zones = 24;</code>
+   * @param value The bytes of the entryZones to add.
+   */
+  private void addEntryZonesBytes(
+      com.google.protobuf.ByteString value) {
+    checkByteStringIsUtf8(value);
+    ensureEntryZonesIsMutable();
+    entryZones_.add(value.toStringUtf8());
+  }
+
+  public static final int WATCHED_MS_FIELD_NUMBER = 25;
+  private long watchedMs_;
+  /**
+   * <pre>
+   * Time in milliseconds for which the sender has received the heartbeats of upstreams, without a gap.
+   * </pre>
+   *
+   * <code>uint64 watched_ms = 25;</code>
+   * @return The watchedMs.
+   */
+  @java.lang.Override
+  public long getWatchedMs() {
+    return watchedMs_;
+  }
+  /**
+   * <pre>
+   * Time in milliseconds for which the sender has received the heartbeats of upstreams, without a gap.
+   * </pre>
+   *
+   * <code>uint64 watched_ms = 25;</code>
+   * @param value The watchedMs to set.
+   */
+  private void setWatchedMs(long value) {
+    
+    watchedMs_ = value;
+  }
+  /**
+   * <pre>
+   * Time in milliseconds for which the sender has received the heartbeats of upstreams, without a gap.
+   * </pre>
+   *
+   * <code>uint64 watched_ms = 25;</code>
+   */
+  private void clearWatchedMs() {
+
+    watchedMs_ = 0L;
+  }
+
   public static org.cuminshelf.message.Update parseFrom(
       java.nio.ByteBuffer data)
       throws com.google.protobuf.InvalidProtocolBufferException {
@@ -3065,6 +3235,174 @@
       return this;
     }
 
+    /**
+     * <pre>
+     * Availability zones of the entries in entry_addresses, in the same order.
+     * </pre>
+     *
+     * <code>repeated string entry_zones = 24;</code>
+     * @return A list containing the entryZones.
+     */
+    @java.lang.Override
+    public java.util.List<java.lang.String>
+        getEntryZonesList() {
+      return java.util.Collections.unmodifiableList(
+          instance.getEntryZonesList());
+    }
+    /**
+     * <pre>
+     * Availability zones of the entries in entry_addresses, in the same order.
+     * </pre>
+     *
+     * <code>repeated string entry_zones = 24;</code>
+     * @return The count of entryZones.
+     */
+    @java.lang.Override
+    public int getEntryZonesCount() {
+      return instance.getEntryZonesCount();
+    }
+    /**
+     * <pre>
+     * Availability zones of the entries in entry_addresses, in the same order.
+     * </pre>
+     *
+     * <code>repeated string entry_zones = 24;</code>
+     * @param index The index of the element to return.
+     * @return The entryZones at the given index.
+     */
+    @java.lang.Override
+    public java.lang.String getEntryZones(int index) {
+      return instance.getEntryZones(index);
+    }
+    /**
+     * <pre>
+     * Availability zones of the entries in entry_addresses, in the same order.
+     * </pre>
+     *
+     * <code>repeated string entry_zones = 24;</code>
+     * @param index The index of the value to return.
+     * @return The bytes of the entryZones at the given index.
+     */
+    @java.lang.Override
+    public com.google.protobuf.ByteString
+        getEntryZonesBytes(int index) {
+      return instance.getEntryZonesBytes(index);
+    }
+    /**
+     * <pre>
+     * Availability zones of the entries in entry_addresses, in the same order.
+     * </pre>
+     *
+     * <code>repeated string entry_zones = 24;</code>
+     * @param index The index to set the value at.
+     * @param value The entryZones to set.
+     * @return This builder for chaining.
+     */
+    public Builder setEntryZones(
+        int index, java.lang.String value) {
+      copyOnWrite();
+      instance.setEntryZones(index, value);
+      return this;
+    }
+    /**
+     * <pre>
+     * Availability zones of the entries in entry_addresses, in the same order.
+     * </pre>
+     *
+     * <code>repeated string entry_zones = 24;</code>
+     * @param value The entryZones to add.
+     * @return This builder for chaining.
+     */
+    public Builder addEntryZones(
+        java.lang.String value) {
+      copyOnWrite();
+      instance.addEntryZones(value);
+      return this;
+    }
+    /**
+     * <pre>
+     * Availability zones of the entries in entry_addresses, in the same order.
+     * </pre>
+     *
+     * <code>repeated string entry_zones = 24;</code>
+     * @param values The entryZones to add.
+     * @return This builder for chaining.
+     */
+    public Builder addAllEntryZones(
+        java.lang.Iterable<java.lang.String> values) {
+      copyOnWrite();
+      instance.addAllEntryZones(values);
+      return this;
+    }
+    /**
+     * <pre>
+     * Availability zones of the entries in entry_addresses, in the same order.
+     * </pre>
+     *
+     * <code>repeated string entry_zones = 24;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearEntryZones() {
+      copyOnWrite();
+      instance.clearEntryZones();
+      return this;
+    }
+    /**
+     * <pre>
+     * Availability zones of the entries in entry_addresses, in the same order.
+     * </pre>
+     *
+     * <code>repeated string entry_zones = 24;</code>
+     * @param value The bytes of the entryZones to add.
+     * @return This builder for chaining.
+     */
+    public Builder addEntryZonesBytes(
+        com.google.protobuf.ByteString value) {
+      copyOnWrite();
+      instance.addEntryZonesBytes(value);
+      return this;
+    }
+
+    /**
+     * <pre>
+     * Time in milliseconds for which the sender has received the heartbeats of upstreams, without a gap.
+     * </pre>
+     *
+     * <code>uint64 watched_ms = 25;</code>
+     * @return The watchedMs.
+     */
+    @java.lang.Override
+    public long getWatchedMs() {
+      return instance.getWatchedMs();
+    }
+    /**
+     * <pre>
+     * Time in milliseconds for which the sender has received the heartbeats of upstreams, without a gap.
+     * </pre>
+     *
+     * <code>uint64 watched_ms = 25;</code>
+     * @param value The watchedMs to set.
+     * @return This builder for chaining.
+     */
+    public Builder setWatchedMs(long value) {
+      copyOnWrite();
+      instance.setWatchedMs(value);
+      return this;
+    }
+    /**
+     * <pre>
+     * Time in milliseconds for which the sender has received the heartbeats of upstreams, without a gap.
+     * </pre>
+     *
+     * <code>uint64 watched_ms = 25;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearWatchedMs() {
+      copyOnWrite();
+      instance.clearWatchedMs();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:cuminshelf.Update)
   }
   @java.lang.Override
@@ -3109,12 +3447,15 @@
             "takenAtUs_",
             "usageHeard_",
             "usageSettled_",
+            "entryZones_",
+            "watchedMs_",
           };
           java.lang.String info =
-              "\u0000\u0017\u0000\u0000\u0001\u0017\u0017\u0000\u0007\u0000\u0001\u0003\u0002\n" +
-              "\u0003\u0003\u0004\u0003\u0005\u001b\u0006\u0007\u0007\u0007\b\u0208\t\u001b\n\u000b" +
-              "\u000b\u0007\f\u021a\r\u021a\u000e\u001b\u000f\u0003\u0010\u0003\u0011\u0003\u0012" +
-              "\u001b\u0013\u001b\u0014\u0010\u0015\u0003\u0016\u0003\u0017\u0003";
+              "\u0000\u0019\u0000\u0000\u0001\u0019\u0019\u0000\b\u0000\u0001\u0003\u0002\n\u0003" +
+              "\u0003\u0004\u0003\u0005\u001b\u0006\u0007\u0007\u0007\b\u0208\t\u001b\n\u000b\u000b" +
+              "\u0007\f\u021a\r\u021a\u000e\u001b\u000f\u0003\u0010\u0003\u0011\u0003\u0012\u001b" +
+              "\u0013\u001b\u0014\u0010\u0015\u0003\u0016\u0003\u0017\u0003\u0018\u021a\u0019\u0003" +
+              "";
           return newMessageInfo(DEFAULT_INSTANCE, info, objects);
       }
       case GET_DEFAULT_INSTANCE: {
--- a/src/main/java/org/cuminshelf/message/UpdateOrBuilder.java
+++ b/src/main/java/org/cuminshelf/message/UpdateOrBuilder.java
@@ -340,4 +340,55 @@
    * @return The usageSettled.
    */
   long getUsageSettled();
+
+  /**
+   * <pre>
+   * Availability zones of the entries in entry_addresses, in the same order.
+   * </pre>
+   *
+   * <code>repeated string entry_zones = 24;</code>
+   * @return A list containing the entryZones.
+   */
+  java.util.List<java.lang.String>
+      getEntryZonesList();
+  /**
+   * <pre>
+   * Availability zones of the entries in entry_addresses, in the same order.
+   * </pre>
+   *
+   * <code>repeated string entry_zones = 24;</code>
+   * @return The count of entryZones.
+   */
+  int getEntryZonesCount();
+  /**
+   * <pre>
+   * Availability zones of the entries in entry_addresses, in the same order.
+   * </pre>
+   *
+   * <code>repeated string entry_zones = 24;</code>
+   * @param index The index of the element to return.
+   * @return The entryZones at the given index.
+   */
+  java.lang.String getEntryZones(int index);
+  /**
+   * <pre>
+   * Availability zones of the entries in entry_addresses, in the same order.
+   * </pre>
+   *
+   * <code>repeated string entry_zones = 24;</code>
+   * @param index The index of the element to return.
+   * @return The entryZones at the given index.
+   */
+  com.google.protobuf.ByteString
+      getEntryZonesBytes(int index);
+
+  /**
+   * <pre>
+   * Time in milliseconds for which the sender has received the heartbeats of upstreams, without a gap.
+   * </pre>
+   *
+   * <code>uint64 watched_ms = 25;</code>
+   * @return The watchedMs.
+   */
+  long getWatchedMs();
 }
