--- /dev/null
+++ b/src/test/java/org/cuminshelf/direct/StreamResumptionsTest.java
@@ -0,0 +1,250 @@
+package org.cuminshelf.direct;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.ArrayList;
+import java.util.List;
+import net.jqwik.api.Example;
+import org.cuminshelf.core.Address;
+import org.cuminshelf.core.RecordingOutbox;
+import org.cuminshelf.message.Envelope;
+import org.cuminshelf.message.Role;
+import org.cuminshelf.message.StreamAnswer;
+import org.cuminshelf.message.StreamQuery;
+import org.cuminshelf.message.StreamRecord;
+import org.cuminshelf.message.StreamRecordBatch;
+import org.cuminshelf.message.Update;
+import org.cuminshelf.routes.RequestKind;
+
+/** Tests how an entry learns which software version began a stream that its caller takes up again there. */
+class StreamResumptionsTest {
+
+    private static final String[] OTHERS = {"10.0.1.2:7000", "10.0.1.3:7000", "10.0.1.4:7000"};
+    private static final String OLD = "v1.1";
+    private static final String NEW = "v1.2";
+    private static final long LONGEST_WAIT_MILLIS = 150;
+
+    private final DirectFixture entry =
+            new DirectFixture(DirectFixture.route(RequestKind.STREAM, 3, true)).becomeReady();
+    private final List<RecordingOutbox.Sent> sent = new ArrayList<>();
+    private int directoryVersion = 100;
+
+    StreamResumptionsTest() {
+        entry.setEntries(OTHERS);
+    }
+
+    private void add(String id, String version) {
+        entry.sendUpdate(Update.newBuilder()
+                .setDirectoryIncarnation(1)
+                .setDirectoryVersion(++directoryVersion)
+                .setWatchedMs(60_000)
+                .addUpstreams(DirectFixture.heartbeat(id, Role.ROLE_DECODE).toBuilder()
+                        .setVersion(version)));
+    }
+
+    private DirectFixture.CallerResponse resume() {
+        DirectFixture.CallerResponse response =
+                entry.sendRequest("b", "Tokens", "100", "Last", "4", "Resumes", "a", "Deadline", "5000");
+        entry.core.tick(entry.now, entry.out);
+        return response;
+    }
+
+    /** All messages that the entry has sent. */
+    private List<RecordingOutbox.Sent> sent() {
+        sent.addAll(entry.out.takeSent());
+        return sent;
+    }
+
+    private List<StreamQuery> queries() {
+        return sent().stream()
+                .map(RecordingOutbox.Sent::message)
+                .filter(Envelope::hasStreamQuery)
+                .map(Envelope::getStreamQuery)
+                .toList();
+    }
+
+    private void answer(String from, StreamAnswer.Builder answer) {
+        accept(
+                from,
+                Envelope.newBuilder()
+                        .setStreamAnswer(answer.setNumber(queries().getFirst().getNumber())));
+    }
+
+    private void accept(String from, Envelope.Builder message) {
+        entry.core.accept(entry.now, message.setFrom(from).build(), entry.out);
+    }
+
+    private static StreamRecord record(String version) {
+        return StreamRecord.newBuilder()
+                .setStream("a")
+                .setService("s")
+                .setVersion(version)
+                .setAgeMs(700)
+                .build();
+    }
+
+    @Example
+    void theEntriesThatKeepTheRecordAreAskedOnce() {
+        add("u1", OLD);
+        add("u2", NEW);
+        resume();
+        assertThat(queries())
+                .hasSize(OTHERS.length)
+                .allMatch(query -> query.getStream().equals("a"));
+        assertThat(entry.sentRequests).isEmpty();
+    }
+
+    @Example
+    void aRecordOfAnyOfThemDecides() {
+        add("u1", OLD);
+        add("u2", NEW);
+        resume();
+        answer(OTHERS[0], StreamAnswer.newBuilder().addVersions(OLD).addVersions(NEW));
+        assertThat(entry.sentRequests).isEmpty();
+        answer(OTHERS[1], StreamAnswer.newBuilder().setRecord(record(NEW)));
+        assertThat(entry.lastSent().upstream).isEqualTo("u2");
+        assertThat(entry.linesWith("resumption b", "outcome=record", "version=v1.2", "resumes=a", "age-ms=700"))
+                .hasSize(1);
+    }
+
+    @Example
+    void aRecordThatWasSentHereDecidesWithoutAQuestion() {
+        add("u1", OLD);
+        add("u2", NEW);
+        accept(
+                OTHERS[0],
+                Envelope.newBuilder()
+                        .setStreamRecords(StreamRecordBatch.newBuilder().addRecords(record(OLD))));
+        resume();
+        assertThat(queries()).isEmpty();
+        assertThat(entry.lastSent().upstream).isEqualTo("u1");
+    }
+
+    /** Guards against the guess that only one version serves, at an entry that has not heard of another one. */
+    @Example
+    void aVersionThatOnlyAnotherEntryKnowsMakesTheStreamBeRefused() {
+        add("u1", OLD);
+        DirectFixture.CallerResponse response = resume();
+        for (String other : OTHERS) {
+            answer(
+                    other,
+                    StreamAnswer.newBuilder().addVersions(OLD).addVersions(NEW).setComplete(true));
+        }
+        assertThat(entry.sentRequests).isEmpty();
+        assertThat(response.status).isEqualTo(503);
+        assertThat(response.headers.get("Retry-After")).isEqualTo("0.5");
+    }
+
+    @Example
+    void agreementOnOneVersionLetsTheStreamGoOn() {
+        add("u1", OLD);
+        resume();
+        answer(OTHERS[0], StreamAnswer.newBuilder().addVersions(OLD).setComplete(true));
+        assertThat(entry.lastSent().upstream).isEqualTo("u1");
+        assertThat(entry.linesWith("resumption b", "outcome=only-version")).hasSize(1);
+    }
+
+    @Example
+    void withoutAnyAnswerOneVersionIsBelievedWhereControlIsHeard() {
+        add("u1", OLD);
+        resume();
+        entry.sendUpdate(Update.newBuilder().setVoter(true).setWatchedMs(60_000));
+        entry.advance(LONGEST_WAIT_MILLIS);
+        assertThat(entry.lastSent().upstream).isEqualTo("u1");
+    }
+
+    /** Guards against the same guess at an entry that is cut off from everyone. */
+    @Example
+    void anEntryThatHearsNobodyRefusesWhatItDoesNotKnow() {
+        add("u1", OLD);
+        entry.advance(3_000);
+        DirectFixture.CallerResponse response = resume();
+        entry.advance(LONGEST_WAIT_MILLIS);
+        assertThat(entry.sentRequests).isEmpty();
+        assertThat(response.status).isEqualTo(503);
+    }
+
+    /** Guards against a version being forgotten whose last upstream has just gone. */
+    @Example
+    void aVersionWhoseUpstreamsHaveJustGoneStillCounts() {
+        add("u1", OLD);
+        add("u2", NEW);
+        entry.sendUpdate(Update.newBuilder()
+                .setDirectoryIncarnation(1)
+                .setDirectoryVersion(++directoryVersion)
+                .addUpstreams(DirectFixture.heartbeat("u1", Role.ROLE_DECODE).toBuilder()
+                        .setVersion(OLD)
+                        .setDeleted(true)));
+        DirectFixture.CallerResponse response = resume();
+        for (String other : OTHERS) {
+            answer(other, StreamAnswer.newBuilder().addVersions(NEW).setComplete(true));
+        }
+        assertThat(response.status).isEqualTo(503);
+        assertThat(entry.sentRequests).isEmpty();
+    }
+
+    @Example
+    void theFirstEventOfAStreamIsRecordedAtTheOthers() {
+        add("u1", OLD);
+        entry.sendRequest("a", "Tokens", "100");
+        entry.lastSent().respondSealedHead(200);
+        entry.lastSent().respondBody("id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
+        entry.advance(10);
+        List<StreamRecord> records = sent().stream()
+                .map(RecordingOutbox.Sent::message)
+                .filter(Envelope::hasStreamRecords)
+                .flatMap(message -> message.getStreamRecords().getRecordsList().stream())
+                .toList();
+        assertThat(records)
+                .hasSize(OTHERS.length)
+                .allMatch(record -> record.getVersion().equals(OLD));
+    }
+
+    @Example
+    void aCallerThatLeavesWhileItsStreamIsLookedUpLeavesNothingBehind() {
+        add("u1", OLD);
+        add("u2", NEW);
+        DirectFixture.CallerResponse response = resume();
+        assertThat(entry.core.openCalls()).isEqualTo(1);
+        entry.core.onDisconnect(response);
+        assertThat(entry.core.openCalls()).isZero();
+    }
+
+    @Example
+    void aProcessThatStopsRefusesTheStreamsThatItLooksUp() {
+        add("u1", OLD);
+        add("u2", NEW);
+        DirectFixture.CallerResponse response = resume();
+        entry.core.endOpenCalls();
+        assertThat(response.status).isEqualTo(503);
+        assertThat(entry.core.openCalls()).isZero();
+    }
+
+    @Example
+    void anotherEntryIsToldTheRecordAndTheKnownVersions() {
+        add("u1", OLD);
+        add("u2", NEW);
+        accept(
+                OTHERS[0],
+                Envelope.newBuilder()
+                        .setStreamRecords(StreamRecordBatch.newBuilder().addRecords(record(OLD))));
+        accept(
+                OTHERS[1],
+                Envelope.newBuilder()
+                        .setStreamQuery(StreamQuery.newBuilder()
+                                .setNumber(9)
+                                .setStream("a")
+                                .setService("s")
+                                .setWindowMs(10_000)));
+        StreamAnswer answer = sent().stream()
+                .filter(message -> message.to().equals(Address.of(OTHERS[1])))
+                .map(RecordingOutbox.Sent::message)
+                .filter(Envelope::hasStreamAnswer)
+                .map(Envelope::getStreamAnswer)
+                .findFirst()
+                .orElseThrow();
+        assertThat(answer.getRecord().getVersion()).isEqualTo(OLD);
+        assertThat(answer.getVersionsList()).containsExactly(OLD, NEW);
+        assertThat(answer.getComplete()).isTrue();
+    }
+}
