The last engine of a software version that generates changes its role last

Callers would have seen streams that nobody may continue: roles are planned by service, and the planner took the first of the idle engines, whatever its version. It is shown with the next highest load now, so that it is taken only if no other can change. Evidence: DirectRoleControllerTest, the new method red before (the order went to the only engine of v1.2), green after with the other 66 tests of control and planning.

--- a/src/main/java/org/cuminshelf/control/DirectRoleController.java
+++ b/src/main/java/org/cuminshelf/control/DirectRoleController.java
@@ -68,6 +68,9 @@
         }
     }
 
+    /** Streams with which an engine is shown that should change its role last. */
+    private static final int LAST_CHOICE_STREAMS = Integer.MAX_VALUE - 1;
+
     /** The last committed order of an engine. */
     private static final class CommittedOrder {
         private final DirectOrder order;
@@ -166,11 +169,13 @@
      */
     private void plan(long now, boolean mayDecide) {
         Map<String, List<EngineSnapshot>> byService = new TreeMap<>();
-        for (UpstreamBeat heartbeat : registry.serving()) {
+        List<UpstreamBeat> serving = registry.serving();
+        Set<String> lastGenerators = lastGenerators(serving);
+        for (UpstreamBeat heartbeat : serving) {
             if (heartbeat.getRole() != Role.ROLE_MIXED) {
                 byService
                         .computeIfAbsent(heartbeat.getService(), key -> new ArrayList<>())
-                        .add(engineView(now, heartbeat));
+                        .add(engineView(now, heartbeat, lastGenerators.contains(heartbeat.getName())));
             }
         }
         byService.forEach((service, engines) -> {
@@ -223,14 +228,26 @@
 
     /**
      * Describes an engine for the planner. An engine that is changing is shown in its new role, as otherwise each
-     * change would wait for the previous one. An engine within its order cooldown is shown with the highest load, so
-     * that the planner selects it last.
+     * change would wait for the previous one. An engine within its order cooldown is shown with the highest load, which
+     * the planner does not select, and the last generator of a version with the next highest, which it selects last.
      */
-    private EngineSnapshot engineView(long now, UpstreamBeat heartbeat) {
+    private EngineSnapshot engineView(long now, UpstreamBeat heartbeat, boolean lastGenerator) {
         CommittedOrder previous = lastOrders.get(heartbeat.getName());
         boolean recentlyOrdered = previous != null && now - previous.committedAt <= ORDER_COOLDOWN_NANOS;
         Role role = heartbeat.getChanging() && previous != null ? previous.order.getRole() : heartbeat.getRole();
-        return new EngineSnapshot(heartbeat.getName(), role, false, recentlyOrdered ? Integer.MAX_VALUE : 0);
+        int load = lastGenerator ? LAST_CHOICE_STREAMS : 0;
+        return new EngineSnapshot(heartbeat.getName(), role, false, recentlyOrdered ? Integer.MAX_VALUE : load);
+    }
+
+    /** Returns the engines that alone generate for their software version of a service. */
+    private static Set<String> lastGenerators(List<UpstreamBeat> serving) {
+        Map<String, List<UpstreamBeat>> generators = serving.stream()
+                .filter(heartbeat -> heartbeat.getRole() == Role.ROLE_DECODE)
+                .collect(Collectors.groupingBy(heartbeat -> heartbeat.getService() + '@' + heartbeat.getVersion()));
+        return generators.values().stream()
+                .filter(engines -> engines.size() == 1)
+                .map(engines -> engines.getFirst().getName())
+                .collect(Collectors.toSet());
     }
 
     /** Number of requests that one engine of a service can run concurrently. */
--- a/src/test/java/org/cuminshelf/control/DirectRoleControllerTest.java
+++ b/src/test/java/org/cuminshelf/control/DirectRoleControllerTest.java
@@ -31,6 +31,9 @@
 
     private final ControlClusterFixture control = new ControlClusterFixture();
     private final Map<String, Role> engines = new LinkedHashMap<>();
+    /** Software versions of engines that do not run the usual one. */
+    private final Map<String, String> versions = new LinkedHashMap<>();
+
     /** Offered work in multiples of the capacity of one engine. */
     private double offeredPrefillEngines = 2.5;
 
@@ -105,6 +108,18 @@
         assertThat(control.orders).hasSize(1);
     }
 
+    /** Guards against streams that nobody may continue, as the last engine of their version changes its role. */
+    @Example
+    void theLastEngineOfAVersionThatGeneratesKeepsItsRoleWhileAnotherCanChange() {
+        versions.put("e3", "v1.2");
+        offeredPrefillEngines = 3.4;
+        offeredDecodeEngines = 0.6;
+        advance(40_000);
+        assertThat(control.orders).isNotEmpty();
+        assertThat(control.orders.getFirst().order().getRole()).isEqualTo(Role.ROLE_PREFILL);
+        assertThat(control.orders.getFirst().order().getUpstream()).isNotEqualTo("e3");
+    }
+
     /** Lets engines announce that they leave, and returns the time in nanoseconds. */
     private long leave(String... names) {
         for (String name : names) {
@@ -152,6 +167,7 @@
                         .setAddress("10.9.0.1:80")
                         .setSlots(64)
                         .setRole(role)
+                        .setVersion(versions.getOrDefault(name, "v1.1"))
                         .setSequence(sequence)
                         .setLeaving(leaving));
     }
