New streams go to a new software version once a majority of control processes lists its upstreams

A partition could have let an entry begin streams at a version that no entry on the other side has heard of, and these would take theirs for the only one: two streams of two versions. With this, whoever hears a majority has heard of each version at which a stream was begun by one who hears a majority. Where no other upstream can answer, none is left out. Evidence: StreamVersionTest, the new method red before (four of five streams at the new version), green after.

--- a/src/main/java/org/cuminshelf/direct/UpstreamSelector.java
+++ b/src/main/java/org/cuminshelf/direct/UpstreamSelector.java
@@ -478,6 +478,7 @@
                     .filter(upstream -> isOpen(now, upstream, call) || isLastResort(now, upstream, call))
                     .toList();
         }
+        open = withoutUnconfirmed(open, call);
         if (!backpressure.backoffs().hasRemoteBackoffs()) {
             return open;
         }
@@ -490,6 +491,27 @@
                 .toList();
     }
 
+    /**
+     * Leaves out upstreams that a minority of control processes lists, while there are several software versions and
+     * others can answer. Guards against streams begun, behind a partition, at a version that entries on its other side
+     * have not heard of: they would take theirs for the only one.
+     */
+    private List<UpstreamInstance> withoutUnconfirmed(List<UpstreamInstance> open, DirectCall call) {
+        boolean beginsResumableStream = call.isStream() && call.isRetryable() && call.origin.isEmpty();
+        if (!beginsResumableStream || open.isEmpty() || haveOneVersion(open)) {
+            return open;
+        }
+        List<UpstreamInstance> confirmed = open.stream()
+                .filter(upstream -> upstream.listedBy.size() >= control.majority())
+                .toList();
+        return confirmed.stream().anyMatch(upstream -> canAnswer(upstream, call)) ? confirmed : open;
+    }
+
+    private static boolean haveOneVersion(List<UpstreamInstance> upstreams) {
+        String version = upstreams.getFirst().version;
+        return upstreams.stream().allMatch(upstream -> upstream.version.equals(version));
+    }
+
     private boolean isAskedElsewhere(long now, UpstreamInstance upstream) {
         return backpressure.backoffs().isBackedOffRemotely(now, upstream.id);
     }
--- a/src/test/java/org/cuminshelf/direct/StreamVersionTest.java
+++ b/src/test/java/org/cuminshelf/direct/StreamVersionTest.java
@@ -2,7 +2,10 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.util.ArrayList;
+import java.util.List;
 import net.jqwik.api.Example;
+import org.cuminshelf.message.Envelope;
 import org.cuminshelf.message.Role;
 import org.cuminshelf.message.Update;
 import org.cuminshelf.routes.RequestKind;
@@ -11,6 +14,7 @@
 class StreamVersionTest {
 
     private static final String EVENT_1 = "id: 1\ndata: a\n\n";
+    private static final List<String> CONTROL = List.of("10.0.0.1:7000", "10.0.0.2:7000", "10.0.0.3:7000");
     private int directoryVersion = 100;
 
     private DirectFixture entry() {
@@ -165,4 +169,49 @@
             entry.core.onDisconnect(again);
         }
     }
+
+    /** Guards against streams of a version that the entries on the other side of a partition have not heard of. */
+    @Example
+    void newStreamsGoToANewVersionOnceAMajorityOfControlListsIt() {
+        DirectFixture entry = entry();
+        entry.sendUpdate(Update.newBuilder().addAllControl(CONTROL));
+        for (String process : CONTROL) {
+            list(entry, process, "u1", "v1.1");
+        }
+        list(entry, CONTROL.getFirst(), "u2", "v1.2");
+        assertThat(upstreamsOfFiveStreams(entry, "a")).containsOnly("u1");
+        list(entry, CONTROL.getLast(), "u2", "v1.2");
+        assertThat(upstreamsOfFiveStreams(entry, "b")).contains("u2");
+    }
+
+    private static List<String> upstreamsOfFiveStreams(DirectFixture entry, String prefix) {
+        List<String> used = new ArrayList<>();
+        for (int number = 0; number < 5; number++) {
+            entry.sendRequest(prefix + number, "Tokens", "4000", "Shared", "0");
+            used.add(entry.lastSent().upstream);
+        }
+        return used;
+    }
+
+    /** Guards against refusals where no control process but one is heard. */
+    @Example
+    void newStreamsGoToANewVersionIfThereIsNoOther() {
+        DirectFixture entry = entry();
+        entry.sendUpdate(Update.newBuilder().addAllControl(CONTROL));
+        list(entry, CONTROL.getFirst(), "u2", "v1.2");
+        entry.sendRequest("a", "Tokens", "100");
+        assertThat(entry.lastSent().upstream).isEqualTo("u2");
+    }
+
+    private void list(DirectFixture entry, String process, String id, String version) {
+        Update.Builder update = Update.newBuilder()
+                .setDirectoryIncarnation(1)
+                .setDirectoryVersion(++directoryVersion)
+                .addUpstreams(DirectFixture.heartbeat(id, Role.ROLE_DECODE).toBuilder()
+                        .setVersion(version));
+        entry.core.accept(
+                entry.now,
+                Envelope.newBuilder().setFrom(process).setUpdate(update).build(),
+                entry.out);
+    }
 }
