--- a/src/test/java/org/cuminshelf/direct/StreamVersionTest.java
+++ b/src/test/java/org/cuminshelf/direct/StreamVersionTest.java
@@ -5,9 +5,11 @@
 import java.util.ArrayList;
 import java.util.List;
 import net.jqwik.api.Example;
+import org.cuminshelf.message.EntryLoad;
 import org.cuminshelf.message.Envelope;
 import org.cuminshelf.message.Role;
 import org.cuminshelf.message.Update;
+import org.cuminshelf.message.UpstreamLoad;
 import org.cuminshelf.routes.RequestKind;
 
 /** Guards against streams that go on at another software version than the one that began them. */
@@ -92,13 +94,35 @@
         add(entry, "p1", Role.ROLE_PREFILL, "v1.1");
         add(entry, "d1", Role.ROLE_DECODE, "v1.1");
         add(entry, "d2", Role.ROLE_DECODE, "v1.2");
+        entry.reportPrefillTimes("p1", Role.ROLE_PREFILL, 2, 10);
+        entry.reportPrefillTimes("d1", Role.ROLE_DECODE, 2, 400);
+        entry.reportPrefillTimes("d2", Role.ROLE_DECODE, 2, 400);
         for (int number = 0; number < 4; number++) {
             entry.sendRequest("a" + number, "Tokens", "6000");
-            DirectFixture.SentRequest first = entry.lastSent();
-            if (first.upstream.equals("p1")) {
-                first.respond(200, "handle" + number);
-                assertThat(entry.lastSent().upstream).isEqualTo("d1");
-            }
+            assertThat(entry.lastSent().upstream).isEqualTo("p1");
+            entry.lastSent().respond(200, "handle" + number);
+            assertThat(entry.lastSent().upstream).isEqualTo("d1");
+            assertThat(entry.lastSent().request.headers().get("Cache")).isEqualTo("handle" + number);
+        }
+    }
+
+    /** Guards against shared parts of a prompt that are fetched from an engine of another version. */
+    @Example
+    void sharedPartsAreFetchedFromTheSameVersionOnly() {
+        for (String version : new String[] {"v1.1", "v1.2"}) {
+            DirectFixture entry = entry();
+            add(entry, "u1", Role.ROLE_DECODE, "v1.1");
+            entry.sendRequest("a", "Tokens", "6000", "Shared", "5000");
+            entry.lastSent().respond(200, EVENT_1);
+            entry.advance(2_000);
+            add(entry, "u2", Role.ROLE_DECODE, version);
+            entry.reportLoad(EntryLoad.newBuilder()
+                    .addUpstreams(UpstreamLoad.newBuilder().setId("u1").setRunning(6)));
+            entry.sendRequest("b", "Tokens", "6000", "Shared", "5000");
+            assertThat(entry.lastSent().upstream).isEqualTo("u2");
+            assertThat(entry.lastSent().request.headers().contains("Parts-From"))
+                    .as("fetched at %s", version)
+                    .isEqualTo(version.equals("v1.1"));
         }
     }
 
