--- a/src/main/java/org/cuminshelf/direct/ControlSubscription.java
+++ b/src/main/java/org/cuminshelf/direct/ControlSubscription.java
@@ -38,6 +38,9 @@
     /** Time without a voter's update, three subscribe intervals, after which a configuration may have been missed. */
     private static final long MAX_CONTROL_SILENCE_NANOS = Durations.nanos(1_500);
 
+    /** Time without any update after which ended upstreams may have been missed: control forgets them after 60 s. */
+    private static final long MAX_GAP_NANOS = Durations.nanos(50_000);
+
     private final DirectSettings settings;
     private final RouteTableReader routeTableReader;
     private final ConfigSourceSelector configSourceSelector = new ConfigSourceSelector();
@@ -159,12 +162,17 @@
         if (!update.getControlList().isEmpty()) {
             controlProcesses.clear();
             update.getControlList().forEach(address -> controlProcesses.add(Address.of(address)));
+            lastUpdateNanos.keySet().retainAll(controlProcesses);
         }
         if (!update.getEntryAddressesList().isEmpty()) {
             entries = update.getEntryAddressesList().stream().map(Address::of).toList();
             entriesHash = update.getEntriesHash();
             recordHolders = StreamRecordHolders.among(zonesByEntry(update));
         }
+        if (lastUpdateNanos.values().stream().noneMatch(last -> now - last <= MAX_GAP_NANOS)) {
+            // What ended meanwhile may not be told any more.
+            watchedSinceNanos = Core.NEVER;
+        }
         lastUpdateNanos.put(from, now);
         watchedSinceNanos = Math.min(watchedSinceNanos, now - Durations.nanos(update.getWatchedMs()));
         lastVoterUpdateNanos = update.getVoter() ? now : lastVoterUpdateNanos;
--- a/src/main/java/org/cuminshelf/direct/PrefixLocationsByVersion.java
+++ b/src/main/java/org/cuminshelf/direct/PrefixLocationsByVersion.java
@@ -14,6 +14,12 @@
     private final Map<String, SharedPrefixLocations> byVersion = new HashMap<>();
 
     private PrefixLocationsByVersion(GenerationShape shape, List<UpstreamInstance> engines, long now) {
+        if (UpstreamInstance.haveOneVersion(engines)) {
+            engines.stream()
+                    .findFirst()
+                    .ifPresent(engine -> byVersion.put(engine.version, SharedPrefixLocations.of(shape, engines, now)));
+            return;
+        }
         Map<String, List<UpstreamInstance>> enginesByVersion = new HashMap<>();
         engines.forEach(engine -> enginesByVersion
                 .computeIfAbsent(engine.version, key -> new ArrayList<>())
--- a/src/main/java/org/cuminshelf/direct/UpstreamInstance.java
+++ b/src/main/java/org/cuminshelf/direct/UpstreamInstance.java
@@ -108,6 +108,16 @@
         this.zone = heartbeat.getZone();
     }
 
+    /** Returns whether all of some instances run the same software version. */
+    static boolean haveOneVersion(List<UpstreamInstance> instances) {
+        for (UpstreamInstance instance : instances) {
+            if (!instance.version.equals(instances.getFirst().version)) {
+                return false;
+            }
+        }
+        return true;
+    }
+
     /** Applies a heartbeat unless it is older than the last one. Returns whether the state changed. */
     boolean applyHeartbeat(UpstreamBeat heartbeat) {
         if (heartbeat.getSequence() < heartbeatSequence) {
--- a/src/main/java/org/cuminshelf/direct/UpstreamSelector.java
+++ b/src/main/java/org/cuminshelf/direct/UpstreamSelector.java
@@ -498,7 +498,7 @@
      */
     private List<UpstreamInstance> withoutUnconfirmed(List<UpstreamInstance> open, DirectCall call) {
         boolean beginsResumableStream = call.isStream() && call.isRetryable() && call.origin.isEmpty();
-        if (!beginsResumableStream || open.isEmpty() || haveOneVersion(open)) {
+        if (!beginsResumableStream || UpstreamInstance.haveOneVersion(open)) {
             return open;
         }
         List<UpstreamInstance> confirmed = open.stream()
@@ -507,11 +507,6 @@
         return confirmed.stream().anyMatch(upstream -> canAnswer(upstream, call)) ? confirmed : open;
     }
 
-    private static boolean haveOneVersion(List<UpstreamInstance> upstreams) {
-        String version = upstreams.getFirst().version;
-        return upstreams.stream().allMatch(upstream -> upstream.version.equals(version));
-    }
-
     private boolean isAskedElsewhere(long now, UpstreamInstance upstream) {
         return backpressure.backoffs().isBackedOffRemotely(now, upstream.id);
     }
--- a/src/test/java/org/cuminshelf/direct/StreamVersionTest.java
+++ b/src/test/java/org/cuminshelf/direct/StreamVersionTest.java
@@ -90,19 +90,20 @@
     /** Guards against KV caches that one version wrote and another one reads. */
     @Example
     void aPrefilledPromptIsHandedOverAtItsVersionOnly() {
-        DirectFixture entry = entry();
-        add(entry, "p1", Role.ROLE_PREFILL, "v1.1");
-        add(entry, "d1", Role.ROLE_DECODE, "v1.1");
-        add(entry, "d2", Role.ROLE_DECODE, "v1.2");
-        entry.reportPrefillTimes("p1", Role.ROLE_PREFILL, 2, 10);
-        entry.reportPrefillTimes("d1", Role.ROLE_DECODE, 2, 400);
-        entry.reportPrefillTimes("d2", Role.ROLE_DECODE, 2, 400);
-        for (int number = 0; number < 4; number++) {
-            entry.sendRequest("a" + number, "Tokens", "6000");
+        // One of the two is the home engine of the prompt, which is preferred to the other.
+        for (String expected : new String[] {"d1", "d2"}) {
+            DirectFixture entry = entry();
+            add(entry, "p1", Role.ROLE_PREFILL, "v1.1");
+            for (String engine : new String[] {"d1", "d2"}) {
+                add(entry, engine, Role.ROLE_DECODE, engine.equals(expected) ? "v1.1" : "v1.2");
+                entry.reportPrefillTimes(engine, Role.ROLE_DECODE, 2, 400);
+            }
+            entry.reportPrefillTimes("p1", Role.ROLE_PREFILL, 2, 10);
+            entry.sendRequest("a", "Tokens", "6000");
             assertThat(entry.lastSent().upstream).isEqualTo("p1");
-            entry.lastSent().respond(200, "handle" + number);
-            assertThat(entry.lastSent().upstream).isEqualTo("d1");
-            assertThat(entry.lastSent().request.headers().get("Cache")).isEqualTo("handle" + number);
+            entry.lastSent().respond(200, "handle");
+            assertThat(entry.lastSent().upstream).isEqualTo(expected);
+            assertThat(entry.lastSent().request.headers().get("Cache")).isEqualTo("handle");
         }
     }
 
