Test over real sockets: streams taken up at another entry, after the first has stopped too

Two entries, one control process, four upstreams of two versions: second and third tries go on at the version of the first; an unknown stream is refused.

--- a/src/test/java/org/cuminshelf/platform/LoopbackPlatform.java
+++ b/src/test/java/org/cuminshelf/platform/LoopbackPlatform.java
@@ -13,6 +13,7 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.List;
+import java.util.Optional;
 import java.util.stream.Stream;
 import org.cuminshelf.process.DirectEntryProcess;
 import org.cuminshelf.process.ServingProcess;
@@ -34,6 +35,8 @@
     private final String bounds;
     private final ServingProcess control;
     final DirectEntryProcess entry;
+    private Optional<DirectEntryProcess> otherEntry = Optional.empty();
+    private int otherCallers;
 
     LoopbackPlatform(String config) throws Exception {
         this(config, "{}");
@@ -53,13 +56,33 @@
         return ports.get(index);
     }
 
+    /** Starts another entry, which stops with the rest. */
+    DirectEntryProcess startAnotherEntry() throws Exception {
+        int first = ports.size();
+        reserveFreePorts(4);
+        otherEntry = Optional.of(PlatformCommand.startEntry(settings(first, first + 1, first + 2, first + 3)));
+        otherCallers = first + 2;
+        retryUntil(first + 3, "GET /", "", "200");
+        return otherEntry.get();
+    }
+
+    /** The port for callers of the other entry. */
+    int otherCallersPort() {
+        return ports.get(otherCallers);
+    }
+
     /** Sends a heartbeat of a new upstream of the service {@code s}. */
     void sendHeartbeat(String id, int port) throws Exception {
+        sendHeartbeat(id, port, "v1");
+    }
+
+    /** Sends a heartbeat of a new upstream that runs a version of its software. */
+    void sendHeartbeat(String id, int port, String version) throws Exception {
         retryUntil(
                 CONTROL,
                 "PUT /cuminshelf/instances/" + id,
-                "{\"service\":\"s\",\"address\":\"" + HOST + ":" + port
-                        + "\",\"zone\":\"z\",\"slots\":4,\"state\":\"ready\",\"sequence\":1,\"born\":1}",
+                "{\"service\":\"s\",\"address\":\"" + HOST + ":" + port + "\",\"zone\":\"z\",\"slots\":4,\"version\":\""
+                        + version + "\",\"state\":\"ready\",\"sequence\":1,\"born\":1}",
                 "200");
     }
 
@@ -129,6 +152,7 @@
         if (!entryStopped) {
             entry.close();
         }
+        otherEntry.ifPresent(DirectEntryProcess::close);
         control.close();
         try (Stream<Path> files = Files.walk(folder)) {
             for (Path file : files.sorted(Comparator.reverseOrder()).toList()) {
