Streams whose lines end with CR alone are split into events like others

Since a stream that ends inside an event counts as broken, a whole stream with such line ends would have been broken off: its callers saw it before, in one piece at its end. Line ends of events are LF, CR LF or CR; a CR at the end of what has come is undecided until the next byte or the end of the stream, where it ends a line only if the line before it ended with CR alone, so that CR LF cut between the two is still inside an event.

--- a/src/main/java/org/cuminshelf/direct/AttemptRunner.java
+++ b/src/main/java/org/cuminshelf/direct/AttemptRunner.java
@@ -283,27 +283,7 @@
         DirectCall call = attempt.call;
         Optional<EventSplitter.Event> event = attempt.eventSplitter.next();
         while (event.isPresent() && !call.closed) {
-            onFirstEvent(now, attempt);
-            boolean alreadyDelivered = event.get().id().isPresent()
-                    && call.lastEventId.isPresent()
-                    && event.get().id().getAsLong() <= call.lastEventId.getAsLong();
-            if (!alreadyDelivered) {
-                // From here on nothing of another attempt is delivered.
-                cancelOthers(now, attempt);
-                responses.startResponse(now, attempt);
-                if (!attempt.delivered) {
-                    attempt.delivered = true;
-                    recordOrigin(now, attempt);
-                    outcomeListener.onDelivered(now, attempt);
-                }
-                call.exchange.writePart(ByteBuffer.wrap(event.get().bytes()));
-                if (call.deliveredEvents > 0) {
-                    call.longestGapNanos = Math.max(call.longestGapNanos, now - call.lastEventAtNanos);
-                }
-                call.lastEventAtNanos = now;
-                call.deliveredEvents++;
-                call.lastEventId = event.get().id().isPresent() ? event.get().id() : call.lastEventId;
-            }
+            forwardEvent(now, attempt, event.get());
             event = attempt.eventSplitter.next();
         }
         if (!attempt.hasOpenReplacement()) {
@@ -311,6 +291,32 @@
         }
     }
 
+    private void forwardEvent(long now, DirectAttempt attempt, EventSplitter.Event event) {
+        DirectCall call = attempt.call;
+        onFirstEvent(now, attempt);
+        boolean alreadyDelivered = event.id().isPresent()
+                && call.lastEventId.isPresent()
+                && event.id().getAsLong() <= call.lastEventId.getAsLong();
+        if (alreadyDelivered) {
+            return;
+        }
+        // From here on nothing of another attempt is delivered.
+        cancelOthers(now, attempt);
+        responses.startResponse(now, attempt);
+        if (!attempt.delivered) {
+            attempt.delivered = true;
+            recordOrigin(now, attempt);
+            outcomeListener.onDelivered(now, attempt);
+        }
+        call.exchange.writePart(ByteBuffer.wrap(event.bytes()));
+        if (call.deliveredEvents > 0) {
+            call.longestGapNanos = Math.max(call.longestGapNanos, now - call.lastEventAtNanos);
+        }
+        call.lastEventAtNanos = now;
+        call.deliveredEvents++;
+        call.lastEventId = event.id().isPresent() ? event.id() : call.lastEventId;
+    }
+
     private static void recordOrigin(long now, DirectAttempt attempt) {
         if (attempt.call.origin.isEmpty()) {
             attempt.call.origin =
@@ -354,6 +360,7 @@
 
     /** Handles the end of a response, as far as its framing tells. */
     private void onEnd(long now, DirectAttempt attempt) {
+        attempt.eventSplitter.last().ifPresent(event -> forwardEvent(now, attempt, event));
         if (attempt.isBrokenOff()) {
             log.noteUnfinishedEvent(now, attempt);
             onConnectionFailed(now, attempt, true, "the stream ended before its end");
--- a/src/main/java/org/cuminshelf/direct/EventSplitter.java
+++ b/src/main/java/org/cuminshelf/direct/EventSplitter.java
@@ -7,15 +7,16 @@
 import java.util.OptionalLong;
 
 /**
- * Splits a byte stream into complete server-sent events, each terminated by an empty line. Only complete events may be
- * forwarded: if an upstream fails in the middle of an event, a forwarded fragment would be joined with the first event
- * of the upstream that resumes the stream.
+ * Splits a byte stream into complete server-sent events, each terminated by an empty line. Lines end with LF, CR LF or
+ * CR. Only complete events may be forwarded: if an upstream fails in the middle of an event, a forwarded fragment would
+ * be joined with the first event of the upstream that resumes the stream.
  */
 final class EventSplitter {
 
     private static final int INITIAL_CAPACITY_BYTES = 512;
     private static final byte LINE_FEED = '\n';
     private static final byte CARRIAGE_RETURN = '\r';
+    private static final int UNDECIDED = -1;
 
     /**
      * A complete event.
@@ -41,19 +42,42 @@
     /** Removes and returns the next complete event, or empty if there is none. */
     Optional<Event> next() {
         int lineStart = 0;
-        for (int at = 0; at < size; at++) {
-            if (buffer[at] != LINE_FEED) {
-                continue;
+        int at = 0;
+        while (at < size) {
+            int lineEnd = lineEndLength(at);
+            if (lineEnd == UNDECIDED) {
+                return Optional.empty();
             }
-            boolean emptyLine = at == lineStart || at == lineStart + 1 && buffer[lineStart] == CARRIAGE_RETURN;
-            if (emptyLine) {
-                return Optional.of(removeEvent(at + 1));
+            if (lineEnd > 0 && at == lineStart) {
+                return Optional.of(removeEvent(at + lineEnd));
             }
-            lineStart = at + 1;
+            at += Math.max(1, lineEnd);
+            lineStart = lineEnd > 0 ? at : lineStart;
         }
         return Optional.empty();
     }
 
+    /** Removes and returns the last event of a stream that has ended, if only its end tells that it is complete. */
+    Optional<Event> last() {
+        boolean endsWithEmptyLine =
+                size >= 2 && buffer[size - 1] == CARRIAGE_RETURN && buffer[size - 2] == CARRIAGE_RETURN;
+        return endsWithEmptyLine ? Optional.of(removeEvent(size)) : Optional.empty();
+    }
+
+    /** Returns the length of the line end at a position: 0 if there is none; a line feed may follow the last byte. */
+    private int lineEndLength(int at) {
+        if (buffer[at] == LINE_FEED) {
+            return 1;
+        }
+        if (buffer[at] != CARRIAGE_RETURN) {
+            return 0;
+        }
+        if (at + 1 == size) {
+            return UNDECIDED;
+        }
+        return buffer[at + 1] == LINE_FEED ? 2 : 1;
+    }
+
     /** Returns the number of bytes after the last complete event. */
     int pendingBytes() {
         return size;
@@ -73,7 +97,7 @@
 
     private static OptionalLong parseId(byte[] event) {
         String text = new String(event, StandardCharsets.ISO_8859_1);
-        for (String line : text.split("\n")) {
+        for (String line : text.split("[\r\n]")) {
             if (line.startsWith("id:")) {
                 try {
                     return OptionalLong.of(
--- a/src/test/java/org/cuminshelf/direct/BrokenStreamTest.java
+++ b/src/test/java/org/cuminshelf/direct/BrokenStreamTest.java
@@ -28,9 +28,11 @@
     }
 
     private static List<List<String>> streams() {
-        return List.of(
-                EVENTS,
-                EVENTS.stream().map(event -> event.replace("\n", "\r\n")).toList());
+        return List.of(EVENTS, withLineEnd("\r\n"), withLineEnd("\r"));
+    }
+
+    private static List<String> withLineEnd(String lineEnd) {
+        return EVENTS.stream().map(event -> event.replace("\n", lineEnd)).toList();
     }
 
     /** Returns the offsets at which a stream of events would end inside an event. */
--- a/src/test/java/org/cuminshelf/direct/EventSplitterTest.java
+++ b/src/test/java/org/cuminshelf/direct/EventSplitterTest.java
@@ -11,7 +11,8 @@
 /** Tests the splitting of a byte stream into complete events. */
 class EventSplitterTest {
 
-    private static final String STREAM = "id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\nid: 3\ndata: c\n\nid: 4\nda";
+    private static final String STREAM =
+            "id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\nid: 3\rdata: c\r\rid: 4\ndata: d\n\nid: 5\nda";
 
     @Property(seed = "41", tries = 100)
     void eventsDoNotDependOnHowTheBytesAreChunked(@ForAll @IntRange(min = 1, max = 20) int chunkSize) {
@@ -28,7 +29,7 @@
                 event = splitter.next();
             }
         }
-        assertThat(count).isEqualTo(3);
+        assertThat(count).isEqualTo(4);
         assertThat(events.toString() + new String(splitter.remainder(), StandardCharsets.UTF_8))
                 .isEqualTo(STREAM);
     }
