--- a/src/main/java/org/cuminshelf/direct/StreamRecords.java
+++ b/src/main/java/org/cuminshelf/direct/StreamRecords.java
@@ -41,12 +41,12 @@
      * @param sinceNanos time of its first event
      * @param keptNanos  time at which it was last recorded here
      */
-    record Entry(String service, String version, long sinceNanos, long keptNanos) {}
+    record BegunStream(String service, String version, long sinceNanos, long keptNanos) {}
 
     private final Address self;
     private final ControlSubscription control;
     /** By stream, the least recently recorded first. */
-    private final LinkedHashMap<String, Entry> entries = new LinkedHashMap<>();
+    private final LinkedHashMap<String, BegunStream> streams = new LinkedHashMap<>();
 
     private final Map<Address, List<String>> unsent = new HashMap<>();
     private long nextSendNanos = Core.NEVER;
@@ -58,7 +58,7 @@
 
     /** Records a stream whose first event was delivered, here and at the entries that keep its record. */
     void onBegun(long now, String stream, String service, StreamOrigin origin) {
-        put(stream, new Entry(service, origin.version(), origin.sinceNanos(), now));
+        put(stream, new BegunStream(service, origin.version(), origin.sinceNanos(), now));
         for (Address holder : control.recordHolders().of(stream)) {
             if (!holder.equals(self)) {
                 unsent.computeIfAbsent(holder, key -> new ArrayList<>()).add(stream);
@@ -70,30 +70,30 @@
     /** Keeps a record that another entry has sent. */
     void onRecord(long now, StreamRecord received) {
         long since = now - Durations.nanos(received.getAgeMs());
-        put(received.getStream(), new Entry(received.getService(), received.getVersion(), since, now));
+        put(received.getStream(), new BegunStream(received.getService(), received.getVersion(), since, now));
     }
 
-    private void put(String stream, Entry entry) {
+    private void put(String stream, BegunStream begun) {
         // Removed first, so that the oldest stay in front.
-        entries.remove(stream);
-        entries.put(stream, entry);
-        if (entries.size() > MAX_RECORDS) {
-            entries.remove(entries.firstEntry().getKey());
+        streams.remove(stream);
+        streams.put(stream, begun);
+        if (streams.size() > MAX_RECORDS) {
+            streams.remove(streams.firstEntry().getKey());
         }
     }
 
-    Optional<Entry> find(String stream) {
-        return Optional.ofNullable(entries.get(stream));
+    Optional<BegunStream> find(String stream) {
+        return Optional.ofNullable(streams.get(stream));
     }
 
     /** Returns the record of a stream as a message, if there is one. */
-    Optional<StreamRecord> message(long now, String stream) {
+    Optional<StreamRecord> toMessage(long now, String stream) {
         return find(stream)
-                .map(entry -> StreamRecord.newBuilder()
+                .map(begun -> StreamRecord.newBuilder()
                         .setStream(stream)
-                        .setService(entry.service)
-                        .setVersion(entry.version)
-                        .setAgeMs((int) Durations.millis(now - entry.sinceNanos))
+                        .setService(begun.service)
+                        .setVersion(begun.version)
+                        .setAgeMs((int) Durations.millis(now - begun.sinceNanos))
                         .build());
     }
 
@@ -106,22 +106,22 @@
             return;
         }
         nextSendNanos = Core.NEVER;
-        unsent.forEach((holder, streams) -> send(now, holder, streams, out));
+        unsent.forEach((holder, ids) -> send(now, holder, ids, out));
         unsent.clear();
     }
 
-    private void send(long now, Address holder, List<String> streams, Outbox out) {
-        for (int from = 0; from < streams.size(); from += MAX_RECORDS_PER_MESSAGE) {
-            List<String> part = streams.subList(from, Math.min(streams.size(), from + MAX_RECORDS_PER_MESSAGE));
+    private void send(long now, Address holder, List<String> ids, Outbox out) {
+        for (int from = 0; from < ids.size(); from += MAX_RECORDS_PER_MESSAGE) {
+            List<String> part = ids.subList(from, Math.min(ids.size(), from + MAX_RECORDS_PER_MESSAGE));
             StreamRecordBatch.Builder message = StreamRecordBatch.newBuilder();
-            part.forEach(stream -> message(now, stream).ifPresent(message::addRecords));
+            part.forEach(stream -> toMessage(now, stream).ifPresent(message::addRecords));
             out.send(holder, Envelope.newBuilder().setStreamRecords(message));
         }
     }
 
     /** Removes records that are too old. */
     void expire(long now) {
-        Iterator<Entry> oldest = entries.values().iterator();
+        Iterator<BegunStream> oldest = streams.values().iterator();
         while (oldest.hasNext() && now - oldest.next().keptNanos > RETENTION_NANOS) {
             oldest.remove();
         }
--- a/src/main/java/org/cuminshelf/direct/StreamResumptions.java
+++ b/src/main/java/org/cuminshelf/direct/StreamResumptions.java
@@ -71,7 +71,7 @@
 
     /** Starts to find out the version of a stream; the listener is told at once if it is known here. */
     void add(long now, ResumedStream stream) {
-        Optional<StreamRecords.Entry> own = records.find(stream.stream());
+        Optional<StreamRecords.BegunStream> own = records.find(stream.stream());
         if (own.isPresent()) {
             onRecord(now, stream, own.get());
             return;
@@ -114,7 +114,7 @@
                 .setNumber(query.getNumber())
                 .addAllVersions(upstreams.versionsSince(sinceNanos, query.getService()))
                 .setComplete(control.knowsUpstreamsSince(now, sinceNanos));
-        records.message(now, query.getStream()).ifPresent(answer::setRecord);
+        records.toMessage(now, query.getStream()).ifPresent(answer::setRecord);
         return answer.build();
     }
 
@@ -130,7 +130,7 @@
             remove(answer.getNumber());
             StreamRecord record = answer.getRecord();
             records.onRecord(now, record);
-            records.find(stream.stream()).ifPresent(entry -> onRecord(now, stream, entry));
+            records.find(stream.stream()).ifPresent(begun -> onRecord(now, stream, begun));
         } else if (stream.unanswered.isEmpty() || stream.onlyCandidate().isPresent()) {
             remove(answer.getNumber());
             decideWithoutRecord(now, stream);
@@ -145,10 +145,10 @@
 
     // ---- outcomes
 
-    private void onRecord(long now, ResumedStream stream, StreamRecords.Entry entry) {
-        StreamOrigin origin = new StreamOrigin(entry.version(), StreamOrigin.Source.RECORD, entry.sinceNanos());
-        note(now, stream, origin.source().label(), origin.version(), Durations.millis(now - entry.sinceNanos()));
-        listener.onOriginKnown(now, stream, entry.service(), origin);
+    private void onRecord(long now, ResumedStream stream, StreamRecords.BegunStream begun) {
+        StreamOrigin origin = new StreamOrigin(begun.version(), StreamOrigin.Source.RECORD, begun.sinceNanos());
+        note(now, stream, origin.source().label(), origin.version(), Durations.millis(now - begun.sinceNanos()));
+        listener.onOriginKnown(now, stream, begun.service(), origin);
     }
 
     private void decideWithoutRecord(long now, ResumedStream stream) {
