Sight of prompts' segments: broken attempts and answers name those that other requests may share

Nothing that is decided changes. With it the log tells the hypotheses of the incident apart: a segment that is at every crash and in no answer that ended well, or only such as other answers end well with. A test guards the two lines.

--- a/src/main/java/org/cuminshelf/direct/AttemptLog.java
+++ b/src/main/java/org/cuminshelf/direct/AttemptLog.java
@@ -32,7 +32,11 @@
                 "run-ms",
                 attempt.firstEventAtNanos == Core.NEVER ? "none" : Durations.millis(now - attempt.firstEventAtNanos),
                 "fingerprint",
-                requestSent ? attempt.call.fingerprint() : "none");
+                requestSent ? attempt.call.fingerprint() : "none",
+                "route",
+                attempt.call.route.name(),
+                "segments",
+                attempt.call.sharedSegmentsForLog());
     }
 
     /** Logs a stream whose response ended, as far as its framing tells, in the middle of an event. */
--- a/src/main/java/org/cuminshelf/direct/CallerResponses.java
+++ b/src/main/java/org/cuminshelf/direct/CallerResponses.java
@@ -74,6 +74,8 @@
                 call.deliveredEvents,
                 "tokens",
                 call.promptTokens(),
+                "segments",
+                call.sharedSegmentsForLog(),
                 "expected-ms",
                 Math.round(call.estimatedFirstEventMillis),
                 "wait-ms",
--- a/src/main/java/org/cuminshelf/direct/DirectCall.java
+++ b/src/main/java/org/cuminshelf/direct/DirectCall.java
@@ -7,6 +7,7 @@
 import java.util.OptionalInt;
 import java.util.OptionalLong;
 import java.util.Set;
+import java.util.stream.Collectors;
 import org.cuminshelf.exchange.CallerExchange;
 import org.cuminshelf.exchange.ReceivedRequest;
 import org.cuminshelf.organisations.ApiKeyDigest;
@@ -23,6 +24,9 @@
  */
 final class DirectCall {
 
+    /** Segments of a prompt that a line of the log names; prompts may have any number. */
+    private static final int MAX_LOGGED_SEGMENTS = 6;
+
     /** Identifies the call within this process; unlike the request id it is unique. */
     final long number;
 
@@ -189,6 +193,16 @@
         return intent.generation().map(GenerationShape::promptTokens).orElse(0);
     }
 
+    /** Ids of the first segments of its prompt that other requests may share, for the log; {@code none} without any. */
+    String sharedSegmentsForLog() {
+        String ids = intent.generation().stream()
+                .flatMap(shape -> shape.sharedSegments().stream())
+                .limit(MAX_LOGGED_SEGMENTS)
+                .map(PromptSegment::id)
+                .collect(Collectors.joining(","));
+        return ids.isEmpty() ? "none" : ids;
+    }
+
     boolean hasOpenAttempt() {
         return !openAttempts.isEmpty();
     }
--- a/src/test/java/org/cuminshelf/direct/FailureLinesTest.java
+++ b/src/test/java/org/cuminshelf/direct/FailureLinesTest.java
@@ -54,4 +54,20 @@
         entry.advance(60);
         assertThat(entry.linesWith("attempt a", "outcome=kept")).hasSize(1);
     }
+
+    /* Guards against crashes of which no line tells what their requests had in common with answers that ended well. */
+    @Example
+    void theLinesOfABrokenAttemptAndOfAnAnswerNameTheSegmentsThatOthersMayShare() {
+        DirectFixture entry = new DirectFixture(DirectFixture.route(RequestKind.STREAM, 1, false))
+                .becomeReady()
+                .addUpstream("u1", Role.ROLE_DECODE);
+        entry.sendRequest("a", "Tokens", "500");
+        entry.lastSent().respond(200, EVENT_1);
+        entry.sendRequest("b", "Tokens", "500");
+        entry.lastSent().handler.onFailed(true, "reset");
+        assertThat(entry.linesWith("request a", "outcome=200", "segments=shared "))
+                .hasSize(1);
+        assertThat(entry.linesWith("attempt b", "outcome=broken", "route=r", "segments=shared"))
+                .hasSize(1);
+    }
 }
