Failing tests: requests that share a segment of their prompts crash one engine after the other

The cores of three entries and three control processes in virtual time, eight engines (or three) that end 5 to 120 ms after a request with the segment begins and are back 2.5 to 3.5 s later under a new name; 40 sound requests a second share caller, routes and all other segments, 6 a second have the segment, no two alike. Three more hold and must go on to: nothing is quarantined where engines crash by chance, all together four times while every request has the same first segment, or in turn.

--- a/src/test/java/org/cuminshelf/trial/CrashingEngine.java
+++ b/src/test/java/org/cuminshelf/trial/CrashingEngine.java
@@ -3,12 +3,16 @@
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.TreeSet;
 import java.util.function.Consumer;
+import java.util.function.IntConsumer;
 import org.apache.commons.rng.UniformRandomProvider;
 import org.cuminshelf.core.Address;
 import org.cuminshelf.core.Durations;
@@ -49,6 +53,12 @@
     static final class Records {
         /** When each start was ended by a poison request. */
         final List<Long> crashes = new ArrayList<>();
+        /** Segments of prompts under which engines crash, whatever else a request holds. */
+        final Set<String> poisonSegments = new HashSet<>();
+        /** When each start was ended by a request with a poison segment, for each of these. */
+        private final Map<String, List<Long>> crashesBySegment = new HashMap<>();
+
+        private final List<IntConsumer> crashListeners = new ArrayList<>();
         /** When poison requests arrived, and under which id. */
         final List<Arrival> arrivals = new ArrayList<>();
         /** When each request reached engines, whether or not one began to work on it. */
@@ -68,6 +78,28 @@
             return run;
         }
 
+        /** Calls a listener with the number of the crash after each crash under a poison request or segment. */
+        void afterCrash(IntConsumer listener) {
+            crashListeners.add(listener);
+        }
+
+        private void crashed(long at, String segment) {
+            crashes.add(at);
+            crashesBySegment.computeIfAbsent(segment, key -> new ArrayList<>()).add(at);
+            List.copyOf(crashListeners).forEach(listener -> listener.accept(crashes.size()));
+        }
+
+        List<Long> crashesUnder(String segment) {
+            return crashesBySegment.getOrDefault(segment, List.of());
+        }
+
+        /** The poison segment of a request, if it has one. */
+        private Optional<String> poisonSegment(UpstreamRequest request) {
+            return DirectFleet.segments(request.headers()).stream()
+                    .filter(poisonSegments::contains)
+                    .findFirst();
+        }
+
         List<RunRecord> runsOf(String request) {
             return runs.getOrDefault(request, List.of());
         }
@@ -80,14 +112,15 @@
         }
     }
 
-    /** A poison request that an engine got. */
-    record Arrival(long at, String request) {}
+    /** A request that an engine got and that is poison, or has a segment which is; that segment, or an empty text. */
+    record Arrival(long at, String request, String segment) {}
 
     private final class Run implements UpstreamExchange {
         private final UpstreamHandler handler;
         private final Address entry;
         private final String request;
         private final boolean poison;
+        private final Optional<String> poisonSegment;
         private final boolean whole;
         private final int events;
         private final long resumeAfter;
@@ -100,6 +133,7 @@
             this.entry = entry;
             this.request = request.headers().get("Id");
             this.poison = new String(request.body(), StandardCharsets.UTF_8).startsWith(POISON);
+            this.poisonSegment = records.poisonSegment(request);
             this.whole = request.target().startsWith(DirectFleet.IDEMPOTENT);
             this.events = events;
             this.resumeAfter = Long.parseLong(request.headers().get("Last"));
@@ -138,7 +172,11 @@
             if (over || isPutOff(this::begin)) {
                 return;
             }
-            if (poison) {
+            if (poisonSegment.isPresent() && random.nextBoolean()) {
+                handler.onHead(200, head("Seal", "s"));
+                sendEvent();
+            }
+            if (poison || poisonSegment.isPresent()) {
                 time.after(SHORTEST_POISONING + random.nextLong(POISONING_SPREAD), this::poisonEngine);
                 return;
             }
@@ -165,7 +203,7 @@
 
         private void poisonEngine() {
             if (!over) {
-                records.crashes.add(time.now());
+                records.crashed(time.now(), poisonSegment.orElse(""));
                 crash();
             }
         }
@@ -174,11 +212,7 @@
             if (over || made > 0 && isPutOff(this::event)) {
                 return;
             }
-            made++;
-            long id = resumeAfter + made;
-            String last = made < events ? "" : " last";
-            record.lastSent |= made == events && !isDead();
-            send("id: " + id + "\ndata: " + record.number + last + "\n\n");
+            sendEvent();
             if (over) {
                 return;
             }
@@ -189,6 +223,14 @@
             }
         }
 
+        private void sendEvent() {
+            made++;
+            long id = resumeAfter + made;
+            String last = made < events ? "" : " last";
+            record.lastSent |= made == events && !isDead();
+            send("id: " + id + "\ndata: " + record.number + last + "\n\n");
+        }
+
         private void send(String bytes) {
             if (!isDead()) {
                 record.sentAt.add(time.now());
@@ -435,8 +477,9 @@
             run.handler.onHead(421, HttpFields.build().put("Not-Run", "1").put("Start", identity()));
             run.handler.onComplete();
         } else if (!refused(entry, run)) {
-            if (run.poison) {
-                records.arrivals.add(new Arrival(time.now(), request.headers().get("Id")));
+            if (run.poison || run.poisonSegment.isPresent()) {
+                records.arrivals.add(
+                        new Arrival(time.now(), request.headers().get("Id"), run.poisonSegment.orElse("")));
             }
             run.record = records.begin(run.request, entry, time.now(), run.resumeAfter, version);
             runs.add(run);
--- a/src/test/java/org/cuminshelf/trial/DirectFleet.java
+++ b/src/test/java/org/cuminshelf/trial/DirectFleet.java
@@ -64,6 +64,8 @@
     static final String ONCE = "/b/";
     static final String IDEMPOTENT = "/c/";
 
+    private static final String SEGMENTS = "Segments";
+
     private static final int CONTROL = 3;
     private static final long CONFIG_VERSION = 7;
     /** Time that callers give their requests. */
@@ -318,6 +320,18 @@
         return ask(entry, path, body, HttpFields.EMPTY, whenOver);
     }
 
+    /** Sends a request whose prompt has segments in front of its own. */
+    Call ask(VirtualNode entry, String path, String body, List<String> segments, Consumer<Call> whenOver) {
+        HttpFields headers = HttpFields.build().put(SEGMENTS, String.join(",", segments));
+        return ask(entry, path, body, headers, whenOver);
+    }
+
+    /** The segments of a prompt in front of the request's own. */
+    static List<String> segments(HttpFields headers) {
+        String segments = headers.get(SEGMENTS);
+        return segments == null ? List.of("shared") : List.of(segments.split(","));
+    }
+
     /** Asks for the rest of a stream: what follows an event, of the stream that a request began. */
     Call resume(VirtualNode entry, String path, String began, long lastEvent, Consumer<Call> whenOver) {
         HttpFields headers =
@@ -421,6 +435,11 @@
             return status == 503 && body.toString().contains("crashed");
         }
 
+        /** Whether it was refused for what upstreams met before, for good. */
+        boolean isQuarantined() {
+            return isRefusedAsPoison() && body.toString().contains("quarantine");
+        }
+
         boolean isServed() {
             return complete && status == 200;
         }
@@ -529,8 +548,7 @@
         @Override
         public CallIntent readIntent(ReceivedRequest request) {
             String id = request.headers().get("Id");
-            GenerationShape shape = new GenerationShape(
-                    "m", 600, 100, List.of(new PromptSegment("shared", 100), new PromptSegment(id, 500)));
+            GenerationShape shape = new GenerationShape("m", 600, 100, promptSegments(request.headers(), id));
             Optional<GenerationShape> generation =
                     request.path().startsWith(IDEMPOTENT) ? Optional.empty() : Optional.of(shape);
             return new CallIntent(
@@ -542,6 +560,13 @@
                     CALLER);
         }
 
+        private static List<PromptSegment> promptSegments(HttpFields headers, String id) {
+            List<PromptSegment> segments = new ArrayList<>();
+            segments(headers).forEach(segment -> segments.add(new PromptSegment(segment, 100)));
+            segments.add(new PromptSegment(id, 500));
+            return segments;
+        }
+
         private static OptionalLong lastEvent(ReceivedRequest request) {
             String last = request.headers().get("Last");
             return last == null ? OptionalLong.empty() : OptionalLong.of(Long.parseLong(last));
@@ -551,7 +576,8 @@
         public UpstreamRequest attemptRequest(ReceivedRequest request, AttemptPlan plan) {
             HttpFields headers = HttpFields.build()
                     .put("Id", request.headers().get("Id"))
-                    .put("Last", String.valueOf(plan.resumeAfter().orElse(0)));
+                    .put("Last", String.valueOf(plan.resumeAfter().orElse(0)))
+                    .put(SEGMENTS, String.join(",", segments(request.headers())));
             return new UpstreamRequest(request.method(), request.target(), headers, request.body());
         }
 
