--- a/src/main/java/org/cuminshelf/direct/AdmissionControl.java
+++ b/src/main/java/org/cuminshelf/direct/AdmissionControl.java
@@ -4,6 +4,7 @@
 import java.util.OptionalLong;
 import org.cuminshelf.core.Durations;
 import org.cuminshelf.message.Cause;
+import org.cuminshelf.poison.HoldBack;
 import org.cuminshelf.verdict.Verdict;
 
 /** Decides whether a call is sent to an upstream now, waits in the admission queue or is refused. */
@@ -73,6 +74,28 @@
             Verdict.NotRun verdict = new Verdict.NotRun(Cause.UPSTREAM_ERROR, PoisonGuard.SETTLING_RETRY_AFTER_MILLIS);
             return new Decision.Refuse(verdict, "upstreams-crashed");
         }
+        Optional<Decision> heldBack = poisonGuard.holdBack(now, call).flatMap(holdBack -> decide(now, call, holdBack));
+        return heldBack.orElseGet(() -> decideOnCapacity(now, call));
+    }
+
+    /**
+     * Decides on a call with an attribute that may be what crashes upstreams. While it is not known what else was at
+     * the latest crash, a call that would be lost waits, and others go on.
+     */
+    private Optional<Decision> decide(long now, DirectCall call, HoldBack holdBack) {
+        if (now < holdBack.fromNanos()) {
+            boolean waits =
+                    wouldBeLost(call) && admissionQueue.addForRetry(now, call, OptionalLong.of(holdBack.fromNanos()));
+            return waits ? Optional.of(WAIT) : Optional.empty();
+        }
+        long remainingMillis = Durations.millis(Math.max(0, holdBack.untilNanos() - now));
+        long retryAfterMillis = Math.max(PoisonGuard.SETTLING_RETRY_AFTER_MILLIS, remainingMillis);
+        Verdict.NotRun verdict = new Verdict.NotRun(Cause.UPSTREAM_ERROR, retryAfterMillis);
+        return Optional.of(new Decision.Refuse(
+                verdict, "upstreams-crashed under " + holdBack.attribute().description()));
+    }
+
+    private Decision decideOnCapacity(long now, DirectCall call) {
         Optional<UpstreamSelector.Choice> choice = selector.choose(now, call);
         choice.ifPresent(found -> recordEstimate(call, found));
         return choice.map(found -> decide(now, call, found)).orElseGet(() -> decideWithoutUpstream(now, call));
--- /dev/null
+++ b/src/main/java/org/cuminshelf/direct/AttributeTrials.java
@@ -0,0 +1,131 @@
+package org.cuminshelf.direct;
+
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.OptionalLong;
+import net.openhft.hashing.LongHashFunction;
+import org.cuminshelf.core.Address;
+import org.cuminshelf.core.Durations;
+import org.cuminshelf.message.QuarantinedRequest;
+import org.cuminshelf.poison.Fingerprint;
+import org.cuminshelf.poison.HoldBack;
+import org.cuminshelf.poison.Quarantine;
+
+/**
+ * Lets one request with a suspected or quarantined attribute through from time to time, like a half-open circuit
+ * breaker.
+ *
+ * <p>Failures it guards against: of the requests that were held back, many are sent at one time, and each crashes
+ * another upstream. Or an attribute that many requests share was quarantined by mistake, and all of them are
+ * refused until an operator notices. A trial that succeeds ends the quarantine. One that fails crashes an upstream, so
+ * the time between trials grows with each, and of all entries one makes the trial.
+ */
+final class AttributeTrials {
+
+    private static final long FIRST_TRIAL_AFTER_NANOS = Durations.nanos(30_000);
+    private static final int INTERVAL_GROWTH = 4;
+    /** Failed trials after which the interval, then 34 hours, grows no more. */
+    private static final int MAX_GROWTH_STEPS = 6;
+
+    /**
+     * When the next trial of an attribute is due.
+     *
+     * @param generation   generation of its quarantine
+     * @param failedTrials trials that failed before
+     * @param dueNanos     when the trial is due
+     */
+    private record Schedule(int generation, int failedTrials, long dueNanos) {
+
+        private boolean isOf(QuarantinedRequest row) {
+            return generation == row.getGeneration() && failedTrials == row.getFailedTrials();
+        }
+    }
+
+    /** Time between the first trials of two entries, in which the news of a crash reaches the second. */
+    private static final long TRIAL_SPACING_NANOS = Durations.nanos(250);
+    /** Entries whose first trials are spaced; the others follow with the last of these. */
+    private static final int MAX_SPACED_ENTRIES = 4;
+    /** Time between two trials of one entry, so that a crash is not put down to both. */
+    private static final long TRIAL_INTERVAL_NANOS = Durations.nanos(500);
+
+    private final Address self;
+    /** When this entry last let a request with a suspected attribute through. */
+    private OptionalLong lastTrialNanos = OptionalLong.empty();
+
+    private final Map<Fingerprint, Schedule> schedules = new HashMap<>();
+    private List<Address> entries = List.of();
+
+    AttributeTrials(Address self) {
+        this.self = self;
+    }
+
+    void onEntries(List<Address> addresses) {
+        entries = addresses;
+    }
+
+    /** Returns whether a request with a suspected attribute may be let through, as the time of its hold is over. */
+    boolean isDue(long now, HoldBack holdBack) {
+        Fingerprint attribute = holdBack.attribute().fingerprint();
+        long from = holdBack.untilNanos() + TRIAL_SPACING_NANOS * Math.min(rank(attribute), MAX_SPACED_ENTRIES);
+        boolean free = lastTrialNanos.isEmpty() || now - lastTrialNanos.getAsLong() >= TRIAL_INTERVAL_NANOS;
+        return now >= from && free;
+    }
+
+    /** Records that a request with a suspected attribute is let through. */
+    void onStarted(long now) {
+        lastTrialNanos = OptionalLong.of(now);
+    }
+
+    /** Returns how many entries make a trial of a suspected attribute before this one, by rendezvous hashing. */
+    private int rank(Fingerprint attribute) {
+        long own = hash(attribute + " ", self);
+        return (int) entries.stream()
+                .filter(entry -> hash(attribute + " ", entry) > own)
+                .count();
+    }
+
+    private static long hash(String trial, Address entry) {
+        return LongHashFunction.xx3().hashChars(trial + entry.value());
+    }
+
+    /** Returns whether a request with a quarantined attribute is let through now; the next one then has to wait. */
+    boolean tryStart(long now, QuarantinedRequest row) {
+        if (now < dueNanos(now, row) || !owner(row).equals(self)) {
+            return false;
+        }
+        schedules.put(Quarantine.fingerprint(row), scheduleFrom(now, row));
+        return true;
+    }
+
+    /** Returns when the next trial is due, in nanoseconds; it may be overdue. */
+    long dueNanos(long now, QuarantinedRequest row) {
+        Fingerprint attribute = Quarantine.fingerprint(row);
+        Schedule known = schedules.get(attribute);
+        if (known == null || !known.isOf(row)) {
+            known = scheduleFrom(now, row);
+            schedules.put(attribute, known);
+        }
+        return known.dueNanos;
+    }
+
+    /** Drops what is not quarantined any more. */
+    void retain(Quarantine quarantine) {
+        schedules.keySet().removeIf(attribute -> !quarantine.isQuarantined(attribute));
+    }
+
+    private static Schedule scheduleFrom(long now, QuarantinedRequest row) {
+        int steps = Math.min(row.getFailedTrials(), MAX_GROWTH_STEPS);
+        long interval = FIRST_TRIAL_AFTER_NANOS * (long) Math.pow(INTERVAL_GROWTH, steps);
+        return new Schedule(row.getGeneration(), row.getFailedTrials(), now + interval);
+    }
+
+    /** Selects the entry that makes the next trial, by rendezvous hashing. */
+    private Address owner(QuarantinedRequest row) {
+        String trial = Quarantine.fingerprint(row) + " " + row.getFailedTrials() + " ";
+        return entries.stream()
+                .max(Comparator.comparingLong(entry -> LongHashFunction.xx3().hashChars(trial + entry.value())))
+                .orElse(self);
+    }
+}
--- a/src/main/java/org/cuminshelf/direct/CallDispatcher.java
+++ b/src/main/java/org/cuminshelf/direct/CallDispatcher.java
@@ -13,7 +13,7 @@
 import org.cuminshelf.core.Durations;
 import org.cuminshelf.core.Invariants;
 import org.cuminshelf.message.Cause;
-import org.cuminshelf.poison.Fingerprint;
+import org.cuminshelf.poison.RequestAttribute;
 import org.cuminshelf.verdict.Verdict;
 
 /**
@@ -508,7 +508,7 @@
         }
         attemptRunner.tick(now);
         poisonGuard.tick(now);
-        poisonGuard.takeQuarantined().forEach(request -> cancelQuarantined(now, request));
+        poisonGuard.takeQuarantined().forEach(attribute -> cancelQuarantined(now, attribute));
         retryWaiting(now);
     }
 
@@ -517,18 +517,29 @@
         List.copyOf(openCalls.values()).forEach(call -> cancel(now, call, reason));
     }
 
-    /** Cancels all open calls of a request that was quarantined, whether they are queued or running. */
-    private void cancelQuarantined(long now, Fingerprint request) {
+    /**
+     * Cancels all open calls of a request that was quarantined, or with an attribute that was, whether they are queued,
+     * being prefilled or running. Calls with a poison attribute that have run for a while go on: an upstream crashes as
+     * it begins to run such a request, so they show that the attribute is harmless.
+     */
+    private void cancelQuarantined(long now, RequestAttribute attribute) {
         List<DirectCall> matching = openCalls.values().stream()
-                .filter(call -> call.fingerprint().equals(request))
+                .filter(call -> call.attributes().contains(attribute))
+                .filter(call -> !attribute.isShared() || !isUnderWay(now, call))
                 .toList();
+        long retryAfterMillis = poisonGuard.retryAfterMillis(now, attribute);
         for (DirectCall call : matching) {
-            call.lastFailure =
-                    Optional.of(new Verdict.NotRun(Cause.UPSTREAM_ERROR, PoisonGuard.QUARANTINED_RETRY_AFTER_MILLIS));
+            call.lastFailure = Optional.of(new Verdict.NotRun(Cause.UPSTREAM_ERROR, retryAfterMillis));
             cancel(now, call, "quarantined");
         }
     }
 
+    private static boolean isUnderWay(long now, DirectCall call) {
+        return call.openAttempts.stream()
+                .anyMatch(attempt -> attempt.firstEventAtNanos != Core.NEVER
+                        && now - attempt.firstEventAtNanos >= CrashDetector.JUST_BEGUN_NANOS);
+    }
+
     private void onDeadline(long now, DirectCall call) {
         cancel(now, call, "the time is up");
     }
--- a/src/main/java/org/cuminshelf/direct/CallerResponses.java
+++ b/src/main/java/org/cuminshelf/direct/CallerResponses.java
@@ -4,6 +4,7 @@
 import java.nio.charset.StandardCharsets;
 import org.cuminshelf.core.Durations;
 import org.cuminshelf.exchange.CallerExchange;
+import org.cuminshelf.poison.RequestAttribute;
 import org.cuminshelf.verdict.Verdict;
 import org.eclipse.jetty.http.HttpFields;
 import org.eclipse.jetty.http.HttpHeader;
@@ -208,16 +209,26 @@
      * mistake is not lost: a client error would make callers give up for good, even once the request is released.
      */
     void refuse(DirectCall call, PoisonGuard.Refusal refusal) {
+        RequestAttribute attribute = refusal.attribute();
+        String cause = attribute.isShared()
+                ? "upstreams crashed when they ran requests with " + attribute.description()
+                : "upstreams crashed when they ran it before";
+        boolean quarantined = switch (refusal) {
+            case PoisonGuard.Refusal.Quarantined decided -> true;
+            case PoisonGuard.Refusal.Settling undecided -> false;
+        };
         refuse(
                 call.exchange,
-                "The request did not run: upstreams crashed when they ran it before. Quote " + call.fingerprint()
-                        + " to the operators.",
+                "The request did not run" + (quarantined ? " and is in quarantine: " : ": ") + cause + ". Quote "
+                        + attribute.fingerprint() + " to the operators.",
                 refusal.retryAfterMillis());
         log.note(
                 "request",
                 call.intent.id(),
                 "outcome",
-                refusal.outcome(),
+                quarantined ? "quarantined" : "upstreams-crashed",
+                "cause",
+                attribute.description(),
                 "route",
                 call.route.name(),
                 "organisation",
--- a/src/main/java/org/cuminshelf/direct/CrashDetector.java
+++ b/src/main/java/org/cuminshelf/direct/CrashDetector.java
@@ -11,7 +11,6 @@
 import org.cuminshelf.core.Durations;
 import org.cuminshelf.exchange.Reachability;
 import org.cuminshelf.message.Involvement;
-import org.cuminshelf.poison.Fingerprint;
 
 /**
  * Distinguishes crashes of upstream instances from other connection failures.
@@ -31,35 +30,32 @@
     /** Receives confirmed crashes. */
     interface Listener {
         /**
-         * Called for each request that was running on a crashed instance.
+         * Called for each request that was running on a crashed instance, and for each attribute of such requests;
+         * again when more is known of one.
          *
-         * @param now         the time in nanoseconds
-         * @param upstream    id of the instance
-         * @param request     the request
-         * @param involvement whether the request had just begun to run
+         * @param now      the time in nanoseconds
+         * @param upstream id of the instance
+         * @param presence the request or attribute, and how it was there
          */
-        void onCrash(long now, String upstream, Fingerprint request, Involvement involvement);
+        void onCrash(long now, String upstream, FailedRuns.Presence presence);
     }
 
     /**
      * Time after its first event for which a run counts as just begun. Poison requests crash an upstream as they begin
      * to run, within some 120 ms; the value is more than twice that, as events arrive late.
      */
-    private static final long JUST_BEGUN_NANOS = Durations.nanos(300);
+    static final long JUST_BEGUN_NANOS = Durations.nanos(300);
     /** Time for which a crash may be confirmed; restarted upstreams have sent a heartbeat within some 4 s. */
     private static final long RETENTION_NANOS = Durations.nanos(10_000);
     /** Time for which an accepted probe also clears attempts that fail after it. */
     private static final long LISTENING_VALIDITY_NANOS = Durations.nanos(200);
     /** Upper bound of suspected instances; the oldest is dropped for a new one. */
     private static final int MAX_SUSPECTS = 256;
-    /** Upper bound of requests per suspected instance; a crash report carries as many. */
-    private static final int MAX_REQUESTS_PER_SUSPECT = 128;
-
     /** An instance that may have crashed, and the requests that failed there. */
     private static final class Suspect {
         private final UpstreamInstance upstream;
         private final long sinceNanos;
-        private final Map<Fingerprint, Involvement> involvements = new LinkedHashMap<>();
+        private final FailedRuns failedRuns = new FailedRuns();
         private Optional<Reachability> reachability = Optional.empty();
         private long probedAtNanos = Core.NEVER;
 
@@ -69,14 +65,22 @@
         }
     }
 
+    /**
+     * A confirmed crash.
+     *
+     * @param sinceNanos when it was confirmed
+     * @param failedRuns the requests that failed there
+     */
+    private record Crash(long sinceNanos, FailedRuns failedRuns) {}
+
     private final UpstreamClient client;
     private final UpstreamTable upstreams;
     private final LongSupplier clock;
     private final DecisionLog log;
     private final Listener listener;
     private final Map<String, Suspect> suspects = new LinkedHashMap<>();
-    /** Ids of crashed instances, and when each crash was confirmed. */
-    private final Map<String, Long> crashedSinceNanos = new HashMap<>();
+    /** Crashed instances by id. */
+    private final Map<String, Crash> crashes = new HashMap<>();
 
     CrashDetector(
             UpstreamClient client, UpstreamTable upstreams, LongSupplier clock, DecisionLog log, Listener listener) {
@@ -93,17 +97,19 @@
         if (upstream.shutdownAnnounced) {
             return;
         }
-        Fingerprint request = attempt.call.fingerprint();
-        if (crashedSinceNanos.containsKey(upstream.id)) {
-            listener.onCrash(now, upstream.id, request, involvement(now, attempt));
+        Crash crash = crashes.get(upstream.id);
+        if (crash != null) {
+            crash.failedRuns
+                    .add(attempt.call, involvement(now, attempt))
+                    .forEach(presence -> listener.onCrash(now, upstream.id, presence));
             return;
         }
         Suspect known = suspects.get(upstream.id);
         boolean probeNeeded =
                 known == null || isListening(known) && now - known.probedAtNanos > LISTENING_VALIDITY_NANOS;
         Suspect suspect = probeNeeded ? addSuspect(now, upstream) : known;
-        if (!isListening(suspect) && suspect.involvements.size() < MAX_REQUESTS_PER_SUSPECT) {
-            suspect.involvements.merge(request, involvement(now, attempt), CrashDetector::stronger);
+        if (!isListening(suspect)) {
+            suspect.failedRuns.add(attempt.call, involvement(now, attempt));
         }
         if (probeNeeded) {
             client.probe(
@@ -119,10 +125,6 @@
         return justBegun ? Involvement.JUST_BEGUN : Involvement.UNDER_WAY;
     }
 
-    private static Involvement stronger(Involvement one, Involvement other) {
-        return one.getNumber() >= other.getNumber() ? one : other;
-    }
-
     private static boolean isListening(Suspect suspect) {
         return suspect.reachability
                 .filter(reachability -> reachability == Reachability.LISTENING)
@@ -147,8 +149,9 @@
                 confirmCrash(now, suspect, "connection refused");
             }
             case LISTENING -> {
-                log.note("upstream", suspect.upstream.id, "outcome", "reset", "runs", suspect.involvements.size());
-                suspect.involvements.clear();
+                log.note(
+                        "upstream", suspect.upstream.id, "outcome", "reset", "runs", suspect.failedRuns.requestCount());
+                suspect.failedRuns.clear();
             }
             case UNKNOWN -> checkForSuccessor(now, suspect);
         }
@@ -171,7 +174,7 @@
         if (suspect.upstream.shutdownAnnounced) {
             return;
         }
-        crashedSinceNanos.put(suspect.upstream.id, now);
+        crashes.put(suspect.upstream.id, new Crash(now, suspect.failedRuns));
         log.note(
                 "upstream",
                 suspect.upstream.id,
@@ -180,9 +183,8 @@
                 "sign",
                 sign,
                 "runs",
-                suspect.involvements.size());
-        suspect.involvements.forEach(
-                (request, involvement) -> listener.onCrash(now, suspect.upstream.id, request, involvement));
+                suspect.failedRuns.requestCount());
+        suspect.failedRuns.presences().forEach(presence -> listener.onCrash(now, suspect.upstream.id, presence));
     }
 
     /** Checks all suspects after the upstream table has changed. */
@@ -206,6 +208,6 @@
                 }
             }
         }
-        crashedSinceNanos.values().removeIf(since -> now - since > RETENTION_NANOS);
+        crashes.values().removeIf(crash -> now - crash.sinceNanos > RETENTION_NANOS);
     }
 }
--- a/src/main/java/org/cuminshelf/direct/DirectCall.java
+++ b/src/main/java/org/cuminshelf/direct/DirectCall.java
@@ -8,11 +8,14 @@
 import java.util.OptionalLong;
 import java.util.Set;
 import java.util.stream.Collectors;
+import java.util.stream.Stream;
 import org.cuminshelf.exchange.CallerExchange;
 import org.cuminshelf.exchange.ReceivedRequest;
+import org.cuminshelf.message.AttributeKind;
 import org.cuminshelf.organisations.ApiKeyDigest;
 import org.cuminshelf.organisations.Organisation;
 import org.cuminshelf.poison.Fingerprint;
+import org.cuminshelf.poison.RequestAttribute;
 import org.cuminshelf.routes.RequestKind;
 import org.cuminshelf.routes.Route;
 import org.cuminshelf.verdict.Verdict;
@@ -26,6 +29,8 @@
 
     /** Segments of a prompt that a line of the log names; prompts may have any number. */
     private static final int MAX_LOGGED_SEGMENTS = 6;
+    /** Segments of a prompt, from its start, under which crashes are counted; prompts may have any number. */
+    private static final int MAX_COUNTED_SEGMENTS = 16;
 
     /** Identifies the call within this process; unlike the request id it is unique. */
     final long number;
@@ -115,7 +120,14 @@
     /** Whether its final response was sent or its caller has disconnected. */
     boolean closed;
 
+    /** Whether it was let through to show whether a quarantined attribute of it still crashes upstreams. */
+    boolean quarantineTrial;
+
+    /** Whether it was let through, although requests with an attribute of it are held back, to show what they do. */
+    boolean heldBackTrial;
+
     private Fingerprint fingerprint;
+    private List<RequestAttribute> sharedAttributes;
 
     DirectCall(
             long number,
@@ -149,6 +161,48 @@
         return fingerprint;
     }
 
+    /**
+     * The attributes that it shares with other requests of its service and that may be what crashes upstreams; computed
+     * on first use, as few calls need them.
+     */
+    List<RequestAttribute> sharedAttributes() {
+        if (sharedAttributes == null) {
+            sharedAttributes = intent.generation()
+                    .map(this::generationAttributes)
+                    .orElseGet(Stream::empty)
+                    .collect(Collectors.toCollection(ArrayList::new));
+            if (!callerIdentity().isEmpty()) {
+                sharedAttributes.add(attribute(AttributeKind.CALLER, callerIdentity()));
+            }
+            sharedAttributes.add(attribute(AttributeKind.ROUTE, route.name()));
+        }
+        return sharedAttributes;
+    }
+
+    private Stream<RequestAttribute> generationAttributes(GenerationShape shape) {
+        Stream<RequestAttribute> segments = shape.sharedSegments().stream()
+                .limit(MAX_COUNTED_SEGMENTS)
+                .map(segment -> shape.model().isEmpty() ? segment.id() : segment.id() + " of model " + shape.model())
+                .distinct()
+                .map(name -> attribute(AttributeKind.PROMPT_SEGMENT, name));
+        Stream<RequestAttribute> model = Stream.of(shape.model())
+                .filter(name -> !name.isEmpty())
+                .map(name -> attribute(AttributeKind.MODEL, name));
+        return Stream.concat(segments, model);
+    }
+
+    private RequestAttribute attribute(AttributeKind kind, String name) {
+        return RequestAttribute.shared(kind, service, name);
+    }
+
+    /** The request itself and the attributes that it shares with others. */
+    List<RequestAttribute> attributes() {
+        List<RequestAttribute> attributes = new ArrayList<>();
+        attributes.add(RequestAttribute.request(fingerprint()));
+        attributes.addAll(sharedAttributes());
+        return attributes;
+    }
+
     /** The organisation's name for the log, or {@code none}. */
     String organisationName() {
         return organisation.map(Organisation::name).orElse("none");
--- a/src/main/java/org/cuminshelf/direct/DirectCore.java
+++ b/src/main/java/org/cuminshelf/direct/DirectCore.java
@@ -72,7 +72,7 @@
         long now = clock.getAsLong();
         this.backpressure = Backpressure.create(self);
         this.upstreams = new UpstreamTable(backpressure.leavingUpstreams(), log);
-        this.poisonGuard = new PoisonGuard(client, upstreams, clock, settings.vm(), log);
+        this.poisonGuard = new PoisonGuard(client, upstreams, clock, self, settings.vm(), log);
         this.usageMeter = new UsageMeter(settings.usageWindowMillis(), log);
         this.control = new ControlSubscription(
                 settings, routeTableReader, upstreams, poisonGuard, usageMeter, now, invariants, log);
--- a/src/main/java/org/cuminshelf/direct/PoisonGuard.java
+++ b/src/main/java/org/cuminshelf/direct/PoisonGuard.java
@@ -1,6 +1,7 @@
 package org.cuminshelf.direct;
 
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -9,27 +10,28 @@
 import org.cuminshelf.core.Address;
 import org.cuminshelf.core.Core;
 import org.cuminshelf.core.Durations;
-import org.cuminshelf.message.Involvement;
 import org.cuminshelf.message.QuarantinedRequest;
 import org.cuminshelf.message.Subscribe;
 import org.cuminshelf.message.Update;
 import org.cuminshelf.message.UpstreamCrash;
 import org.cuminshelf.poison.ChangeSequence;
-import org.cuminshelf.poison.Fingerprint;
+import org.cuminshelf.poison.HoldBack;
 import org.cuminshelf.poison.PoisonRegistry;
-import org.cuminshelf.poison.Quarantine;
+import org.cuminshelf.poison.RequestAttribute;
 
 /**
- * Detects poison requests, which crash the upstreams that run them, together with the other entries, and refuses them.
+ * Detects poison requests, which crash the upstreams that run them, together with the other entries, and refuses them:
+ * single requests that return, and all requests with a shared attribute, such as a segment of their prompts.
  *
- * <p>Failure it guards against: a caller retries a poison request under another id and at another entry, and it is
- * placed like any other. One such request ended sixteen engines, each with 5 to 55 streams of other callers.
+ * <p>Failure it guards against: a caller retries a poison request under another id and at another entry, or sends other
+ * requests with the same poison attribute, and they are placed like any other. One such request ended sixteen engines,
+ * each with 5 to 55 streams of other callers, and requests with one such segment ended 23.
  *
  * <p>Entries report crashes to all control processes, which distribute them to all entries. So the number of messages
  * grows only linearly with the number of entries, and an entry that was restarted or is cut off from another one has
  * the same information. All entries draw the same conclusion from the same crashes; the first to do so publishes it.
  *
- * <p>A request costs one comparison while no crash is known, otherwise a hash of its body.
+ * <p>A request costs one comparison while no crash is known, otherwise a hash of its body and of each attribute.
  */
 final class PoisonGuard {
 
@@ -54,19 +56,38 @@
     /** Interval of counting requests for the metrics, which other threads read. */
     private static final long COUNT_INTERVAL_NANOS = Durations.nanos(1_000);
 
-    /**
-     * Why a call is refused.
-     *
-     * @param outcome          the outcome for the log
-     * @param retryAfterMillis when the caller may retry, in milliseconds from now
-     */
-    record Refusal(String outcome, long retryAfterMillis) {}
+    /** Why a call is refused. */
+    sealed interface Refusal {
+
+        /**
+         * Upstreams crashed when they ran the request, or requests with an attribute of it.
+         *
+         * @param attribute        the attribute, or the whole request
+         * @param retryAfterMillis when the caller may retry, in milliseconds from now
+         */
+        record Quarantined(RequestAttribute attribute, long retryAfterMillis) implements Refusal {}
+
+        /**
+         * Upstreams crashed when they ran the request, and it is being decided whether it is the cause.
+         *
+         * @param attribute        the whole request
+         * @param retryAfterMillis when the caller may retry, in milliseconds from now
+         */
+        record Settling(RequestAttribute attribute, long retryAfterMillis) implements Refusal {}
+
+        /** Returns the attribute, or the whole request, under which upstreams crashed. */
+        RequestAttribute attribute();
+
+        /** Returns when the caller may retry, in milliseconds from now. */
+        long retryAfterMillis();
+    }
 
     private final PoisonRegistry registry = new PoisonRegistry();
     private final UpstreamTable upstreams;
     private final CrashDetector crashDetector;
     private final String vm;
     private final DecisionLog log;
+    private final AttributeTrials trials;
     /** The highest local change number that each control process has acknowledged. */
     private final Map<Address, Long> acknowledgedChanges = new HashMap<>();
 
@@ -78,9 +99,16 @@
     private volatile long suspectCount;
     private volatile long quarantinedCount;
 
-    PoisonGuard(UpstreamClient client, UpstreamTable upstreams, LongSupplier clock, String vm, DecisionLog log) {
+    PoisonGuard(
+            UpstreamClient client,
+            UpstreamTable upstreams,
+            LongSupplier clock,
+            Address self,
+            String vm,
+            DecisionLog log) {
         this.upstreams = upstreams;
         this.crashDetector = new CrashDetector(client, upstreams, clock, log, this::onCrash);
+        this.trials = new AttributeTrials(self);
         this.vm = vm;
         this.log = log;
     }
@@ -97,15 +125,71 @@
         if (registry.isEmpty()) {
             return Optional.empty();
         }
-        if (registry.isQuarantined(call.fingerprint())) {
-            return Optional.of(new Refusal("quarantined", QUARANTINED_RETRY_AFTER_MILLIS));
+        for (RequestAttribute attribute : call.attributes()) {
+            if (registry.isQuarantined(attribute.fingerprint()) && !startsTrial(now, call, attribute)) {
+                return Optional.of(new Refusal.Quarantined(attribute, retryAfterMillis(now, attribute)));
+            }
         }
         if (registry.isSettling(now, call.fingerprint())) {
-            return Optional.of(new Refusal("upstreams-crashed", SETTLING_RETRY_AFTER_MILLIS));
+            RequestAttribute request = RequestAttribute.request(call.fingerprint());
+            return Optional.of(new Refusal.Settling(request, SETTLING_RETRY_AFTER_MILLIS));
         }
         return Optional.empty();
     }
 
+    private boolean startsTrial(long now, DirectCall call, RequestAttribute attribute) {
+        if (!attribute.isShared()) {
+            return false;
+        }
+        boolean started = registry.quarantine()
+                .row(attribute.fingerprint())
+                .filter(row -> trials.tryStart(now, row))
+                .isPresent();
+        if (started) {
+            call.quarantineTrial = true;
+            note(attribute, "trial", "request", call.intent.id());
+        }
+        return started;
+    }
+
+    /** Returns when a caller may retry whose request is quarantined, or has a quarantined attribute. */
+    long retryAfterMillis(long now, RequestAttribute attribute) {
+        long untilTrial = registry.quarantine()
+                .row(attribute.fingerprint())
+                .filter(row -> attribute.isShared())
+                .map(row -> Durations.millis(trials.dueNanos(now, row) - now))
+                .orElse(QUARANTINED_RETRY_AFTER_MILLIS);
+        return Math.clamp(untilTrial, SETTLING_RETRY_AFTER_MILLIS, QUARANTINED_RETRY_AFTER_MILLIS);
+    }
+
+    /**
+     * Returns for how long a call is held back because of a shared attribute, or empty. One request at a time is let
+     * through once that is over, to show whether the attribute crashes upstreams.
+     */
+    Optional<HoldBack> holdBack(long now, DirectCall call) {
+        if (registry.isEmpty() || call.heldBackTrial) {
+            return Optional.empty();
+        }
+        List<HoldBack> holds = call.sharedAttributes().stream()
+                .map(attribute -> registry.holdBack(now, attribute.fingerprint()))
+                .flatMap(Optional::stream)
+                .filter(hold -> hold.repeated() || now < hold.untilNanos())
+                .toList();
+        if (!holds.isEmpty() && holds.stream().allMatch(hold -> trials.isDue(now, hold))) {
+            startTrial(now, call, holds);
+            return Optional.empty();
+        }
+        return holds.stream().max(Comparator.comparingLong(HoldBack::untilNanos));
+    }
+
+    private void startTrial(long now, DirectCall call, List<HoldBack> holds) {
+        call.heldBackTrial = true;
+        trials.onStarted(now);
+        for (HoldBack hold : holds) {
+            note(hold.attribute(), "held-back-trial", "request", call.intent.id());
+        }
+    }
+
     /** Records the failed connection of an attempt that had been sent. */
     void onAttemptFailed(long now, DirectAttempt attempt) {
         crashDetector.onAttemptFailed(now, attempt);
@@ -117,41 +201,58 @@
      */
     boolean mayRetry(DirectCall call) {
         return registry.isEmpty()
-                || registry.crashedUpstreams(call.fingerprint()).size() < MAX_CRASHES_PER_CALL;
+                || !call.quarantineTrial
+                        && registry.crashedUpstreams(call.fingerprint()).size() < MAX_CRASHES_PER_CALL;
     }
 
-    /** Records a success, which clears the request of suspicion. */
+    /** Records a success, which clears the request and its attributes of suspicion. */
     void onSuccess(long now, DirectCall call) {
         if (registry.isEmpty()) {
             return;
         }
-        int crashes = registry.crashedUpstreams(call.fingerprint()).size();
-        if (registry.onSuccess(now, call.fingerprint(), vm, localChanges) && crashes >= MAX_CRASHES_PER_CALL) {
-            log.note("poison", call.fingerprint().toString(), "outcome", "cleared", "crashes", crashes);
+        for (RequestAttribute attribute : call.attributes()) {
+            int crashes = registry.crashedUpstreams(attribute.fingerprint()).size();
+            if (registry.onSuccess(now, attribute.fingerprint(), vm, localChanges) && crashes >= MAX_CRASHES_PER_CALL) {
+                note(attribute, "cleared", "crashes", crashes);
+            }
         }
+        registry.countAnswer(call.service);
     }
 
-    private void onCrash(long now, String upstream, Fingerprint request, Involvement involvement) {
+    private void onCrash(long now, String upstream, FailedRuns.Presence presence) {
         avoidInstance(now, upstream);
-        if (!registry.onCrash(now, upstream, request, involvement, localChanges)) {
+        RequestAttribute attribute = presence.attribute();
+        boolean changed =
+                registry.onCrash(now, upstream, attribute, presence.involvement(), presence.requests(), localChanges);
+        if (!changed) {
             return;
         }
-        int crashes = registry.crashedUpstreams(request).size();
+        int crashes = registry.crashedUpstreams(attribute.fingerprint()).size();
         if (crashes >= MAX_CRASHES_PER_CALL) {
-            log.note(
-                    "poison",
-                    request.toString(),
-                    "outcome",
+            note(
+                    attribute,
                     "suspect",
                     "crashes",
                     crashes,
                     "upstream",
                     upstream,
                     "involvement",
-                    involvement);
+                    presence.involvement(),
+                    "requests",
+                    presence.requests());
         }
     }
 
+    /** Logs a decision on a request or attribute. */
+    private void note(RequestAttribute attribute, String outcome, Object... fields) {
+        List<Object> all = new ArrayList<>(List.of("outcome", outcome));
+        if (attribute.isShared()) {
+            all.addAll(List.of("of", attribute.description()));
+        }
+        all.addAll(List.of(fields));
+        log.note("poison", attribute.fingerprint().toString(), all.toArray());
+    }
+
     private void avoidInstance(long now, String upstream) {
         upstreams.instance(upstream).ifPresent(instance -> instance.avoid(now + CRASHED_AVOIDANCE_NANOS));
     }
@@ -160,6 +261,10 @@
 
     void onUpdate(long now, Address control, Update update) {
         acknowledgedChanges.put(control, update.getPoisonHeard());
+        if (update.getEntryAddressesCount() > 0) {
+            trials.onEntries(
+                    update.getEntryAddressesList().stream().map(Address::of).toList());
+        }
         update.getCrashesList().stream()
                 .map(UpstreamCrash::getUpstream)
                 .filter(upstream -> !registry.hasCrashed(upstream))
@@ -204,6 +309,7 @@
             nextCountNanos = now + COUNT_INTERVAL_NANOS;
             suspectCount = registry.suspectCount();
             quarantinedCount = registry.quarantine().quarantinedCount();
+            trials.retain(registry.quarantine());
         }
     }
 
@@ -212,16 +318,15 @@
     }
 
     /**
-     * Returns the requests quarantined since the previous call, whose open calls must be cancelled; logs all changes.
+     * Returns the requests and attributes quarantined since the previous call, whose open calls must be cancelled; logs
+     * all changes.
      */
-    List<Fingerprint> takeQuarantined() {
-        List<Fingerprint> newlyQuarantined = new ArrayList<>();
+    List<RequestAttribute> takeQuarantined() {
+        List<RequestAttribute> newlyQuarantined = new ArrayList<>();
         for (QuarantinedRequest change : registry.takeChangedRows()) {
-            Fingerprint request = Quarantine.fingerprint(change);
-            log.note(
-                    "poison",
-                    request.toString(),
-                    "outcome",
+            RequestAttribute attribute = RequestAttribute.of(change);
+            note(
+                    attribute,
                     change.getReleased() ? "released" : "quarantined",
                     "generation",
                     change.getGeneration(),
@@ -234,7 +339,7 @@
                     "reason",
                     change.getReason());
             if (!change.getReleased()) {
-                newlyQuarantined.add(request);
+                newlyQuarantined.add(attribute);
             }
         }
         return newlyQuarantined;
--- a/src/main/java/org/cuminshelf/http/QuarantineJson.java
+++ b/src/main/java/org/cuminshelf/http/QuarantineJson.java
@@ -6,6 +6,7 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.vavr.control.Either;
 import java.io.IOException;
+import java.util.Locale;
 import java.util.Optional;
 import org.cuminshelf.message.AdminAnswer;
 import org.cuminshelf.message.AdminRequest;
@@ -14,8 +15,9 @@
 import org.cuminshelf.message.QuarantinedRequest;
 import org.cuminshelf.poison.Fingerprint;
 import org.cuminshelf.poison.Quarantine;
+import org.cuminshelf.poison.RequestAttribute;
 
-/** JSON of the administration endpoints for quarantined poison requests: parses requests and encodes responses. */
+/** JSON of the administration endpoints for the quarantine: parses requests and encodes responses. */
 public final class QuarantineJson {
 
     /** Path of the endpoint that lists the quarantine, relative to the prefix of the interface. */
@@ -87,10 +89,13 @@
     private static ObjectNode requestNode(QuarantinedRequest row) {
         ObjectNode node = JSON.createObjectNode()
                 .put("fingerprint", Quarantine.fingerprint(row).toString())
+                .put("kind", row.getKind().name().toLowerCase(Locale.ROOT))
+                .put("description", RequestAttribute.of(row).description())
                 .put("state", row.getReleased() ? "released" : "quarantined")
                 .put("times", row.getGeneration())
                 .put("found_by", row.getFoundBy())
-                .put("found_ms", row.getFoundMs());
+                .put("found_ms", row.getFoundMs())
+                .put("failed_trials", row.getFailedTrials());
         ArrayNode upstreams = node.putArray("crashed_upstreams");
         row.getUpstreamsList().forEach(upstreams::add);
         if (row.getReleased()) {
--- a/src/main/java/org/cuminshelf/message/CrashedRun.java
+++ b/src/main/java/org/cuminshelf/message/CrashedRun.java
@@ -6,6 +6,10 @@
 package org.cuminshelf.message;
 
 /**
+ * <pre>
+ * A request, or an attribute of requests, that was at a crash.
+ * </pre>
+ *
  * Protobuf type {@code cuminshelf.CrashedRun}
  */
 @com.google.protobuf.Generated
@@ -15,12 +19,14 @@
     // @@protoc_insertion_point(message_implements:cuminshelf.CrashedRun)
     CrashedRunOrBuilder {
   private CrashedRun() {
+    name_ = "";
+    service_ = "";
   }
   public static final int HIGH_FIELD_NUMBER = 1;
   private long high_;
   /**
    * <pre>
-   * Fingerprint of the request: the upper and lower 64 bits.
+   * Fingerprint of the request or attribute: the upper and lower 64 bits.
    * </pre>
    *
    * <code>fixed64 high = 1;</code>
@@ -32,7 +38,7 @@
   }
   /**
    * <pre>
-   * Fingerprint of the request: the upper and lower 64 bits.
+   * Fingerprint of the request or attribute: the upper and lower 64 bits.
    * </pre>
    *
    * <code>fixed64 high = 1;</code>
@@ -44,7 +50,7 @@
   }
   /**
    * <pre>
-   * Fingerprint of the request: the upper and lower 64 bits.
+   * Fingerprint of the request or attribute: the upper and lower 64 bits.
    * </pre>
    *
    * <code>fixed64 high = 1;</code>
@@ -83,6 +89,10 @@
   public static final int INVOLVEMENT_FIELD_NUMBER = 3;
   private int involvement_;
   /**
+   * <pre>
+   * Of several requests with the attribute, that of the one which had run for the shortest time.
+   * </pre>
+   *
    * <code>.cuminshelf.Involvement involvement = 3;</code>
    * @return The enum numeric value on the wire for involvement.
    */
@@ -91,6 +101,10 @@
     return involvement_;
   }
   /**
+   * <pre>
+   * Of several requests with the attribute, that of the one which had run for the shortest time.
+   * </pre>
+   *
    * <code>.cuminshelf.Involvement involvement = 3;</code>
    * @return The involvement.
    */
@@ -100,6 +114,10 @@
     return result == null ? org.cuminshelf.message.Involvement.UNRECOGNIZED : result;
   }
   /**
+   * <pre>
+   * Of several requests with the attribute, that of the one which had run for the shortest time.
+   * </pre>
+   *
    * <code>.cuminshelf.Involvement involvement = 3;</code>
    * @param value The enum numeric value on the wire for involvement to set.
    * @throws IllegalArgumentException if UNRECOGNIZED is provided.
@@ -108,6 +126,10 @@
       involvement_ = value;
   }
   /**
+   * <pre>
+   * Of several requests with the attribute, that of the one which had run for the shortest time.
+   * </pre>
+   *
    * <code>.cuminshelf.Involvement involvement = 3;</code>
    * @param value The involvement to set.
    */
@@ -116,6 +138,10 @@
 
   }
   /**
+   * <pre>
+   * Of several requests with the attribute, that of the one which had run for the shortest time.
+   * </pre>
+   *
    * <code>.cuminshelf.Involvement involvement = 3;</code>
    */
   private void clearInvolvement() {
@@ -123,6 +149,203 @@
     involvement_ = 0;
   }
 
+  public static final int KIND_FIELD_NUMBER = 4;
+  private int kind_;
+  /**
+   * <code>.cuminshelf.AttributeKind kind = 4;</code>
+   * @return The enum numeric value on the wire for kind.
+   */
+  @java.lang.Override
+  public int getKindValue() {
+    return kind_;
+  }
+  /**
+   * <code>.cuminshelf.AttributeKind kind = 4;</code>
+   * @return The kind.
+   */
+  @java.lang.Override
+  public org.cuminshelf.message.AttributeKind getKind() {
+    org.cuminshelf.message.AttributeKind result = org.cuminshelf.message.AttributeKind.forNumber(kind_);
+    return result == null ? org.cuminshelf.message.AttributeKind.UNRECOGNIZED : result;
+  }
+  /**
+   * <code>.cuminshelf.AttributeKind kind = 4;</code>
+   * @param value The enum numeric value on the wire for kind to set.
+   * @throws IllegalArgumentException if UNRECOGNIZED is provided.
+   */
+  private void setKindValue(int value) {
+      kind_ = value;
+  }
+  /**
+   * <code>.cuminshelf.AttributeKind kind = 4;</code>
+   * @param value The kind to set.
+   */
+  private void setKind(org.cuminshelf.message.AttributeKind value) {
+    kind_ = value.getNumber();
+
+  }
+  /**
+   * <code>.cuminshelf.AttributeKind kind = 4;</code>
+   */
+  private void clearKind() {
+
+    kind_ = 0;
+  }
+
+  public static final int NAME_FIELD_NUMBER = 5;
+  private java.lang.String name_;
+  /**
+   * <pre>
+   * The attribute as an operator reads it, and the service whose requests have it; empty for a whole request.
+   * </pre>
+   *
+   * <code>string name = 5;</code>
+   * @return The name.
+   */
+  @java.lang.Override
+  public java.lang.String getName() {
+    return name_;
+  }
+  /**
+   * <pre>
+   * The attribute as an operator reads it, and the service whose requests have it; empty for a whole request.
+   * </pre>
+   *
+   * <code>string name = 5;</code>
+   * @return The bytes for name.
+   */
+  @java.lang.Override
+  public com.google.protobuf.ByteString
+      getNameBytes() {
+    return com.google.protobuf.ByteString.copyFromUtf8(name_);
+  }
+  /**
+   * <pre>
+   * The attribute as an operator reads it, and the service whose requests have it; empty for a whole request.
+   * </pre>
+   *
+   * <code>string name = 5;</code>
+   * @param value The name to set.
+   */
+  @java.lang.SuppressWarnings("ReturnValueIgnored")
+  private void setName(
+      java.lang.String value) {
+    value.getClass();  // minimal bytecode null check
+
+    name_ = value;
+  }
+  /**
+   * <pre>
+   * The attribute as an operator reads it, and the service whose requests have it; empty for a whole request.
+   * </pre>
+   *
+   * <code>string name = 5;</code>
+   */
+  private void clearName() {
+
+    name_ = getDefaultInstance().getName();
+  }
+  /**
+   * <pre>
+   * The attribute as an operator reads it, and the service whose requests have it; empty for a whole request.
+   * </pre>
+   *
+   * <code>string name = 5;</code>
+   * @param value The bytes for name to set.
+   */
+  private void setNameBytes(
+      com.google.protobuf.ByteString value) {
+    checkByteStringIsUtf8(value);
+    name_ = value.toStringUtf8();
+
+  }
+
+  public static final int SERVICE_FIELD_NUMBER = 7;
+  private java.lang.String service_;
+  /**
+   * <code>string service = 7;</code>
+   * @return The service.
+   */
+  @java.lang.Override
+  public java.lang.String getService() {
+    return service_;
+  }
+  /**
+   * <code>string service = 7;</code>
+   * @return The bytes for service.
+   */
+  @java.lang.Override
+  public com.google.protobuf.ByteString
+      getServiceBytes() {
+    return com.google.protobuf.ByteString.copyFromUtf8(service_);
+  }
+  /**
+   * <code>string service = 7;</code>
+   * @param value The service to set.
+   */
+  @java.lang.SuppressWarnings("ReturnValueIgnored")
+  private void setService(
+      java.lang.String value) {
+    value.getClass();  // minimal bytecode null check
+
+    service_ = value;
+  }
+  /**
+   * <code>string service = 7;</code>
+   */
+  private void clearService() {
+
+    service_ = getDefaultInstance().getService();
+  }
+  /**
+   * <code>string service = 7;</code>
+   * @param value The bytes for service to set.
+   */
+  private void setServiceBytes(
+      com.google.protobuf.ByteString value) {
+    checkByteStringIsUtf8(value);
+    service_ = value.toStringUtf8();
+
+  }
+
+  public static final int REQUESTS_FIELD_NUMBER = 6;
+  private int requests_;
+  /**
+   * <pre>
+   * Requests with the attribute that the reporting entry had there; 0 counts as 1. The highest report applies.
+   * </pre>
+   *
+   * <code>uint32 requests = 6;</code>
+   * @return The requests.
+   */
+  @java.lang.Override
+  public int getRequests() {
+    return requests_;
+  }
+  /**
+   * <pre>
+   * Requests with the attribute that the reporting entry had there; 0 counts as 1. The highest report applies.
+   * </pre>
+   *
+   * <code>uint32 requests = 6;</code>
+   * @param value The requests to set.
+   */
+  private void setRequests(int value) {
+    
+    requests_ = value;
+  }
+  /**
+   * <pre>
+   * Requests with the attribute that the reporting entry had there; 0 counts as 1. The highest report applies.
+   * </pre>
+   *
+   * <code>uint32 requests = 6;</code>
+   */
+  private void clearRequests() {
+
+    requests_ = 0;
+  }
+
   public static org.cuminshelf.message.CrashedRun parseFrom(
       java.nio.ByteBuffer data)
       throws com.google.protobuf.InvalidProtocolBufferException {
@@ -207,6 +430,10 @@
   }
 
   /**
+   * <pre>
+   * A request, or an attribute of requests, that was at a crash.
+   * </pre>
+   *
    * Protobuf type {@code cuminshelf.CrashedRun}
    */
   public static final class Builder extends
@@ -222,7 +449,7 @@
 
     /**
      * <pre>
-     * Fingerprint of the request: the upper and lower 64 bits.
+     * Fingerprint of the request or attribute: the upper and lower 64 bits.
      * </pre>
      *
      * <code>fixed64 high = 1;</code>
@@ -234,7 +461,7 @@
     }
     /**
      * <pre>
-     * Fingerprint of the request: the upper and lower 64 bits.
+     * Fingerprint of the request or attribute: the upper and lower 64 bits.
      * </pre>
      *
      * <code>fixed64 high = 1;</code>
@@ -248,7 +475,7 @@
     }
     /**
      * <pre>
-     * Fingerprint of the request: the upper and lower 64 bits.
+     * Fingerprint of the request or attribute: the upper and lower 64 bits.
      * </pre>
      *
      * <code>fixed64 high = 1;</code>
@@ -289,6 +516,10 @@
     }
 
     /**
+     * <pre>
+     * Of several requests with the attribute, that of the one which had run for the shortest time.
+     * </pre>
+     *
      * <code>.cuminshelf.Involvement involvement = 3;</code>
      * @return The enum numeric value on the wire for involvement.
      */
@@ -297,6 +528,10 @@
       return instance.getInvolvementValue();
     }
     /**
+     * <pre>
+     * Of several requests with the attribute, that of the one which had run for the shortest time.
+     * </pre>
+     *
      * <code>.cuminshelf.Involvement involvement = 3;</code>
      * @param value The involvement to set.
      * @return This builder for chaining.
@@ -307,6 +542,10 @@
       return this;
     }
     /**
+     * <pre>
+     * Of several requests with the attribute, that of the one which had run for the shortest time.
+     * </pre>
+     *
      * <code>.cuminshelf.Involvement involvement = 3;</code>
      * @return The involvement.
      */
@@ -315,6 +554,10 @@
       return instance.getInvolvement();
     }
     /**
+     * <pre>
+     * Of several requests with the attribute, that of the one which had run for the shortest time.
+     * </pre>
+     *
      * <code>.cuminshelf.Involvement involvement = 3;</code>
      * @param value The enum numeric value on the wire for involvement to set.
      * @throws IllegalArgumentException if UNRECOGNIZED is provided.
@@ -326,6 +569,10 @@
       return this;
     }
     /**
+     * <pre>
+     * Of several requests with the attribute, that of the one which had run for the shortest time.
+     * </pre>
+     *
      * <code>.cuminshelf.Involvement involvement = 3;</code>
      * @return This builder for chaining.
      */
@@ -335,6 +582,211 @@
       return this;
     }
 
+    /**
+     * <code>.cuminshelf.AttributeKind kind = 4;</code>
+     * @return The enum numeric value on the wire for kind.
+     */
+    @java.lang.Override
+    public int getKindValue() {
+      return instance.getKindValue();
+    }
+    /**
+     * <code>.cuminshelf.AttributeKind kind = 4;</code>
+     * @param value The kind to set.
+     * @return This builder for chaining.
+     */
+    public Builder setKindValue(int value) {
+      copyOnWrite();
+      instance.setKindValue(value);
+      return this;
+    }
+    /**
+     * <code>.cuminshelf.AttributeKind kind = 4;</code>
+     * @return The kind.
+     */
+    @java.lang.Override
+    public org.cuminshelf.message.AttributeKind getKind() {
+      return instance.getKind();
+    }
+    /**
+     * <code>.cuminshelf.AttributeKind kind = 4;</code>
+     * @param value The enum numeric value on the wire for kind to set.
+     * @throws IllegalArgumentException if UNRECOGNIZED is provided.
+     * @return This builder for chaining.
+     */
+    public Builder setKind(org.cuminshelf.message.AttributeKind value) {
+      copyOnWrite();
+      instance.setKind(value);
+      return this;
+    }
+    /**
+     * <code>.cuminshelf.AttributeKind kind = 4;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearKind() {
+      copyOnWrite();
+      instance.clearKind();
+      return this;
+    }
+
+    /**
+     * <pre>
+     * The attribute as an operator reads it, and the service whose requests have it; empty for a whole request.
+     * </pre>
+     *
+     * <code>string name = 5;</code>
+     * @return The name.
+     */
+    @java.lang.Override
+    public java.lang.String getName() {
+      return instance.getName();
+    }
+    /**
+     * <pre>
+     * The attribute as an operator reads it, and the service whose requests have it; empty for a whole request.
+     * </pre>
+     *
+     * <code>string name = 5;</code>
+     * @return The bytes for name.
+     */
+    @java.lang.Override
+    public com.google.protobuf.ByteString
+        getNameBytes() {
+      return instance.getNameBytes();
+    }
+    /**
+     * <pre>
+     * The attribute as an operator reads it, and the service whose requests have it; empty for a whole request.
+     * </pre>
+     *
+     * <code>string name = 5;</code>
+     * @param value The name to set.
+     * @return This builder for chaining.
+     */
+    public Builder setName(
+        java.lang.String value) {
+      copyOnWrite();
+      instance.setName(value);
+      return this;
+    }
+    /**
+     * <pre>
+     * The attribute as an operator reads it, and the service whose requests have it; empty for a whole request.
+     * </pre>
+     *
+     * <code>string name = 5;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearName() {
+      copyOnWrite();
+      instance.clearName();
+      return this;
+    }
+    /**
+     * <pre>
+     * The attribute as an operator reads it, and the service whose requests have it; empty for a whole request.
+     * </pre>
+     *
+     * <code>string name = 5;</code>
+     * @param value The bytes for name to set.
+     * @return This builder for chaining.
+     */
+    public Builder setNameBytes(
+        com.google.protobuf.ByteString value) {
+      copyOnWrite();
+      instance.setNameBytes(value);
+      return this;
+    }
+
+    /**
+     * <code>string service = 7;</code>
+     * @return The service.
+     */
+    @java.lang.Override
+    public java.lang.String getService() {
+      return instance.getService();
+    }
+    /**
+     * <code>string service = 7;</code>
+     * @return The bytes for service.
+     */
+    @java.lang.Override
+    public com.google.protobuf.ByteString
+        getServiceBytes() {
+      return instance.getServiceBytes();
+    }
+    /**
+     * <code>string service = 7;</code>
+     * @param value The service to set.
+     * @return This builder for chaining.
+     */
+    public Builder setService(
+        java.lang.String value) {
+      copyOnWrite();
+      instance.setService(value);
+      return this;
+    }
+    /**
+     * <code>string service = 7;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearService() {
+      copyOnWrite();
+      instance.clearService();
+      return this;
+    }
+    /**
+     * <code>string service = 7;</code>
+     * @param value The bytes for service to set.
+     * @return This builder for chaining.
+     */
+    public Builder setServiceBytes(
+        com.google.protobuf.ByteString value) {
+      copyOnWrite();
+      instance.setServiceBytes(value);
+      return this;
+    }
+
+    /**
+     * <pre>
+     * Requests with the attribute that the reporting entry had there; 0 counts as 1. The highest report applies.
+     * </pre>
+     *
+     * <code>uint32 requests = 6;</code>
+     * @return The requests.
+     */
+    @java.lang.Override
+    public int getRequests() {
+      return instance.getRequests();
+    }
+    /**
+     * <pre>
+     * Requests with the attribute that the reporting entry had there; 0 counts as 1. The highest report applies.
+     * </pre>
+     *
+     * <code>uint32 requests = 6;</code>
+     * @param value The requests to set.
+     * @return This builder for chaining.
+     */
+    public Builder setRequests(int value) {
+      copyOnWrite();
+      instance.setRequests(value);
+      return this;
+    }
+    /**
+     * <pre>
+     * Requests with the attribute that the reporting entry had there; 0 counts as 1. The highest report applies.
+     * </pre>
+     *
+     * <code>uint32 requests = 6;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearRequests() {
+      copyOnWrite();
+      instance.clearRequests();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:cuminshelf.CrashedRun)
   }
   @java.lang.Override
@@ -354,10 +806,14 @@
             "high_",
             "low_",
             "involvement_",
+            "kind_",
+            "name_",
+            "requests_",
+            "service_",
           };
           java.lang.String info =
-              "\u0000\u0003\u0000\u0000\u0001\u0003\u0003\u0000\u0000\u0000\u0001\u0005\u0002\u0005" +
-              "\u0003\f";
+              "\u0000\u0007\u0000\u0000\u0001\u0007\u0007\u0000\u0000\u0000\u0001\u0005\u0002\u0005" +
+              "\u0003\f\u0004\f\u0005\u0208\u0006\u000b\u0007\u0208";
           return newMessageInfo(DEFAULT_INSTANCE, info, objects);
       }
       case GET_DEFAULT_INSTANCE: {
--- a/src/main/java/org/cuminshelf/message/CrashedRunOrBuilder.java
+++ b/src/main/java/org/cuminshelf/message/CrashedRunOrBuilder.java
@@ -12,7 +12,7 @@
 
   /**
    * <pre>
-   * Fingerprint of the request: the upper and lower 64 bits.
+   * Fingerprint of the request or attribute: the upper and lower 64 bits.
    * </pre>
    *
    * <code>fixed64 high = 1;</code>
@@ -27,13 +27,74 @@
   long getLow();
 
   /**
+   * <pre>
+   * Of several requests with the attribute, that of the one which had run for the shortest time.
+   * </pre>
+   *
    * <code>.cuminshelf.Involvement involvement = 3;</code>
    * @return The enum numeric value on the wire for involvement.
    */
   int getInvolvementValue();
   /**
+   * <pre>
+   * Of several requests with the attribute, that of the one which had run for the shortest time.
+   * </pre>
+   *
    * <code>.cuminshelf.Involvement involvement = 3;</code>
    * @return The involvement.
    */
   org.cuminshelf.message.Involvement getInvolvement();
+
+  /**
+   * <code>.cuminshelf.AttributeKind kind = 4;</code>
+   * @return The enum numeric value on the wire for kind.
+   */
+  int getKindValue();
+  /**
+   * <code>.cuminshelf.AttributeKind kind = 4;</code>
+   * @return The kind.
+   */
+  org.cuminshelf.message.AttributeKind getKind();
+
+  /**
+   * <pre>
+   * The attribute as an operator reads it, and the service whose requests have it; empty for a whole request.
+   * </pre>
+   *
+   * <code>string name = 5;</code>
+   * @return The name.
+   */
+  java.lang.String getName();
+  /**
+   * <pre>
+   * The attribute as an operator reads it, and the service whose requests have it; empty for a whole request.
+   * </pre>
+   *
+   * <code>string name = 5;</code>
+   * @return The bytes for name.
+   */
+  com.google.protobuf.ByteString
+      getNameBytes();
+
+  /**
+   * <code>string service = 7;</code>
+   * @return The service.
+   */
+  java.lang.String getService();
+  /**
+   * <code>string service = 7;</code>
+   * @return The bytes for service.
+   */
+  com.google.protobuf.ByteString
+      getServiceBytes();
+
+  /**
+   * <pre>
+   * Requests with the attribute that the reporting entry had there; 0 counts as 1. The highest report applies.
+   * </pre>
+   *
+   * <code>uint32 requests = 6;</code>
+   * @return The requests.
+   */
+  int getRequests();
 }
--- a/src/main/java/org/cuminshelf/message/QuarantinedRequest.java
+++ b/src/main/java/org/cuminshelf/message/QuarantinedRequest.java
@@ -23,6 +23,8 @@
     foundBy_ = "";
     releasedBy_ = "";
     reason_ = "";
+    name_ = "";
+    service_ = "";
   }
   public static final int HIGH_FIELD_NUMBER = 1;
   private long high_;
@@ -487,6 +489,223 @@
     releasedMs_ = 0L;
   }
 
+  public static final int KIND_FIELD_NUMBER = 11;
+  private int kind_;
+  /**
+   * <pre>
+   * What is refused: one request, or all requests with an attribute.
+   * </pre>
+   *
+   * <code>.cuminshelf.AttributeKind kind = 11;</code>
+   * @return The enum numeric value on the wire for kind.
+   */
+  @java.lang.Override
+  public int getKindValue() {
+    return kind_;
+  }
+  /**
+   * <pre>
+   * What is refused: one request, or all requests with an attribute.
+   * </pre>
+   *
+   * <code>.cuminshelf.AttributeKind kind = 11;</code>
+   * @return The kind.
+   */
+  @java.lang.Override
+  public org.cuminshelf.message.AttributeKind getKind() {
+    org.cuminshelf.message.AttributeKind result = org.cuminshelf.message.AttributeKind.forNumber(kind_);
+    return result == null ? org.cuminshelf.message.AttributeKind.UNRECOGNIZED : result;
+  }
+  /**
+   * <pre>
+   * What is refused: one request, or all requests with an attribute.
+   * </pre>
+   *
+   * <code>.cuminshelf.AttributeKind kind = 11;</code>
+   * @param value The enum numeric value on the wire for kind to set.
+   * @throws IllegalArgumentException if UNRECOGNIZED is provided.
+   */
+  private void setKindValue(int value) {
+      kind_ = value;
+  }
+  /**
+   * <pre>
+   * What is refused: one request, or all requests with an attribute.
+   * </pre>
+   *
+   * <code>.cuminshelf.AttributeKind kind = 11;</code>
+   * @param value The kind to set.
+   */
+  private void setKind(org.cuminshelf.message.AttributeKind value) {
+    kind_ = value.getNumber();
+
+  }
+  /**
+   * <pre>
+   * What is refused: one request, or all requests with an attribute.
+   * </pre>
+   *
+   * <code>.cuminshelf.AttributeKind kind = 11;</code>
+   */
+  private void clearKind() {
+
+    kind_ = 0;
+  }
+
+  public static final int NAME_FIELD_NUMBER = 12;
+  private java.lang.String name_;
+  /**
+   * <pre>
+   * The attribute as an operator reads it, and the service whose requests have it; empty for a whole request.
+   * </pre>
+   *
+   * <code>string name = 12;</code>
+   * @return The name.
+   */
+  @java.lang.Override
+  public java.lang.String getName() {
+    return name_;
+  }
+  /**
+   * <pre>
+   * The attribute as an operator reads it, and the service whose requests have it; empty for a whole request.
+   * </pre>
+   *
+   * <code>string name = 12;</code>
+   * @return The bytes for name.
+   */
+  @java.lang.Override
+  public com.google.protobuf.ByteString
+      getNameBytes() {
+    return com.google.protobuf.ByteString.copyFromUtf8(name_);
+  }
+  /**
+   * <pre>
+   * The attribute as an operator reads it, and the service whose requests have it; empty for a whole request.
+   * </pre>
+   *
+   * <code>string name = 12;</code>
+   * @param value The name to set.
+   */
+  @java.lang.SuppressWarnings("ReturnValueIgnored")
+  private void setName(
+      java.lang.String value) {
+    value.getClass();  // minimal bytecode null check
+
+    name_ = value;
+  }
+  /**
+   * <pre>
+   * The attribute as an operator reads it, and the service whose requests have it; empty for a whole request.
+   * </pre>
+   *
+   * <code>string name = 12;</code>
+   */
+  private void clearName() {
+
+    name_ = getDefaultInstance().getName();
+  }
+  /**
+   * <pre>
+   * The attribute as an operator reads it, and the service whose requests have it; empty for a whole request.
+   * </pre>
+   *
+   * <code>string name = 12;</code>
+   * @param value The bytes for name to set.
+   */
+  private void setNameBytes(
+      com.google.protobuf.ByteString value) {
+    checkByteStringIsUtf8(value);
+    name_ = value.toStringUtf8();
+
+  }
+
+  public static final int SERVICE_FIELD_NUMBER = 14;
+  private java.lang.String service_;
+  /**
+   * <code>string service = 14;</code>
+   * @return The service.
+   */
+  @java.lang.Override
+  public java.lang.String getService() {
+    return service_;
+  }
+  /**
+   * <code>string service = 14;</code>
+   * @return The bytes for service.
+   */
+  @java.lang.Override
+  public com.google.protobuf.ByteString
+      getServiceBytes() {
+    return com.google.protobuf.ByteString.copyFromUtf8(service_);
+  }
+  /**
+   * <code>string service = 14;</code>
+   * @param value The service to set.
+   */
+  @java.lang.SuppressWarnings("ReturnValueIgnored")
+  private void setService(
+      java.lang.String value) {
+    value.getClass();  // minimal bytecode null check
+
+    service_ = value;
+  }
+  /**
+   * <code>string service = 14;</code>
+   */
+  private void clearService() {
+
+    service_ = getDefaultInstance().getService();
+  }
+  /**
+   * <code>string service = 14;</code>
+   * @param value The bytes for service to set.
+   */
+  private void setServiceBytes(
+      com.google.protobuf.ByteString value) {
+    checkByteStringIsUtf8(value);
+    service_ = value.toStringUtf8();
+
+  }
+
+  public static final int FAILED_TRIALS_FIELD_NUMBER = 13;
+  private int failedTrials_;
+  /**
+   * <pre>
+   * Crashes under requests with the attribute since it was quarantined, in trials or of requests on their way.
+   * </pre>
+   *
+   * <code>uint32 failed_trials = 13;</code>
+   * @return The failedTrials.
+   */
+  @java.lang.Override
+  public int getFailedTrials() {
+    return failedTrials_;
+  }
+  /**
+   * <pre>
+   * Crashes under requests with the attribute since it was quarantined, in trials or of requests on their way.
+   * </pre>
+   *
+   * <code>uint32 failed_trials = 13;</code>
+   * @param value The failedTrials to set.
+   */
+  private void setFailedTrials(int value) {
+    
+    failedTrials_ = value;
+  }
+  /**
+   * <pre>
+   * Crashes under requests with the attribute since it was quarantined, in trials or of requests on their way.
+   * </pre>
+   *
+   * <code>uint32 failed_trials = 13;</code>
+   */
+  private void clearFailedTrials() {
+
+    failedTrials_ = 0;
+  }
+
   public static org.cuminshelf.message.QuarantinedRequest parseFrom(
       java.nio.ByteBuffer data)
       throws com.google.protobuf.InvalidProtocolBufferException {
@@ -1063,6 +1282,231 @@
       return this;
     }
 
+    /**
+     * <pre>
+     * What is refused: one request, or all requests with an attribute.
+     * </pre>
+     *
+     * <code>.cuminshelf.AttributeKind kind = 11;</code>
+     * @return The enum numeric value on the wire for kind.
+     */
+    @java.lang.Override
+    public int getKindValue() {
+      return instance.getKindValue();
+    }
+    /**
+     * <pre>
+     * What is refused: one request, or all requests with an attribute.
+     * </pre>
+     *
+     * <code>.cuminshelf.AttributeKind kind = 11;</code>
+     * @param value The kind to set.
+     * @return This builder for chaining.
+     */
+    public Builder setKindValue(int value) {
+      copyOnWrite();
+      instance.setKindValue(value);
+      return this;
+    }
+    /**
+     * <pre>
+     * What is refused: one request, or all requests with an attribute.
+     * </pre>
+     *
+     * <code>.cuminshelf.AttributeKind kind = 11;</code>
+     * @return The kind.
+     */
+    @java.lang.Override
+    public org.cuminshelf.message.AttributeKind getKind() {
+      return instance.getKind();
+    }
+    /**
+     * <pre>
+     * What is refused: one request, or all requests with an attribute.
+     * </pre>
+     *
+     * <code>.cuminshelf.AttributeKind kind = 11;</code>
+     * @param value The enum numeric value on the wire for kind to set.
+     * @throws IllegalArgumentException if UNRECOGNIZED is provided.
+     * @return This builder for chaining.
+     */
+    public Builder setKind(org.cuminshelf.message.AttributeKind value) {
+      copyOnWrite();
+      instance.setKind(value);
+      return this;
+    }
+    /**
+     * <pre>
+     * What is refused: one request, or all requests with an attribute.
+     * </pre>
+     *
+     * <code>.cuminshelf.AttributeKind kind = 11;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearKind() {
+      copyOnWrite();
+      instance.clearKind();
+      return this;
+    }
+
+    /**
+     * <pre>
+     * The attribute as an operator reads it, and the service whose requests have it; empty for a whole request.
+     * </pre>
+     *
+     * <code>string name = 12;</code>
+     * @return The name.
+     */
+    @java.lang.Override
+    public java.lang.String getName() {
+      return instance.getName();
+    }
+    /**
+     * <pre>
+     * The attribute as an operator reads it, and the service whose requests have it; empty for a whole request.
+     * </pre>
+     *
+     * <code>string name = 12;</code>
+     * @return The bytes for name.
+     */
+    @java.lang.Override
+    public com.google.protobuf.ByteString
+        getNameBytes() {
+      return instance.getNameBytes();
+    }
+    /**
+     * <pre>
+     * The attribute as an operator reads it, and the service whose requests have it; empty for a whole request.
+     * </pre>
+     *
+     * <code>string name = 12;</code>
+     * @param value The name to set.
+     * @return This builder for chaining.
+     */
+    public Builder setName(
+        java.lang.String value) {
+      copyOnWrite();
+      instance.setName(value);
+      return this;
+    }
+    /**
+     * <pre>
+     * The attribute as an operator reads it, and the service whose requests have it; empty for a whole request.
+     * </pre>
+     *
+     * <code>string name = 12;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearName() {
+      copyOnWrite();
+      instance.clearName();
+      return this;
+    }
+    /**
+     * <pre>
+     * The attribute as an operator reads it, and the service whose requests have it; empty for a whole request.
+     * </pre>
+     *
+     * <code>string name = 12;</code>
+     * @param value The bytes for name to set.
+     * @return This builder for chaining.
+     */
+    public Builder setNameBytes(
+        com.google.protobuf.ByteString value) {
+      copyOnWrite();
+      instance.setNameBytes(value);
+      return this;
+    }
+
+    /**
+     * <code>string service = 14;</code>
+     * @return The service.
+     */
+    @java.lang.Override
+    public java.lang.String getService() {
+      return instance.getService();
+    }
+    /**
+     * <code>string service = 14;</code>
+     * @return The bytes for service.
+     */
+    @java.lang.Override
+    public com.google.protobuf.ByteString
+        getServiceBytes() {
+      return instance.getServiceBytes();
+    }
+    /**
+     * <code>string service = 14;</code>
+     * @param value The service to set.
+     * @return This builder for chaining.
+     */
+    public Builder setService(
+        java.lang.String value) {
+      copyOnWrite();
+      instance.setService(value);
+      return this;
+    }
+    /**
+     * <code>string service = 14;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearService() {
+      copyOnWrite();
+      instance.clearService();
+      return this;
+    }
+    /**
+     * <code>string service = 14;</code>
+     * @param value The bytes for service to set.
+     * @return This builder for chaining.
+     */
+    public Builder setServiceBytes(
+        com.google.protobuf.ByteString value) {
+      copyOnWrite();
+      instance.setServiceBytes(value);
+      return this;
+    }
+
+    /**
+     * <pre>
+     * Crashes under requests with the attribute since it was quarantined, in trials or of requests on their way.
+     * </pre>
+     *
+     * <code>uint32 failed_trials = 13;</code>
+     * @return The failedTrials.
+     */
+    @java.lang.Override
+    public int getFailedTrials() {
+      return instance.getFailedTrials();
+    }
+    /**
+     * <pre>
+     * Crashes under requests with the attribute since it was quarantined, in trials or of requests on their way.
+     * </pre>
+     *
+     * <code>uint32 failed_trials = 13;</code>
+     * @param value The failedTrials to set.
+     * @return This builder for chaining.
+     */
+    public Builder setFailedTrials(int value) {
+      copyOnWrite();
+      instance.setFailedTrials(value);
+      return this;
+    }
+    /**
+     * <pre>
+     * Crashes under requests with the attribute since it was quarantined, in trials or of requests on their way.
+     * </pre>
+     *
+     * <code>uint32 failed_trials = 13;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearFailedTrials() {
+      copyOnWrite();
+      instance.clearFailedTrials();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:cuminshelf.QuarantinedRequest)
   }
   @java.lang.Override
@@ -1089,10 +1533,15 @@
             "releasedBy_",
             "reason_",
             "releasedMs_",
+            "kind_",
+            "name_",
+            "failedTrials_",
+            "service_",
           };
           java.lang.String info =
-              "\u0000\n\u0000\u0000\u0001\n\n\u0000\u0001\u0000\u0001\u0005\u0002\u0005\u0003\u000b" +
-              "\u0004\u0007\u0005\u021a\u0006\u0208\u0007\u0003\b\u0208\t\u0208\n\u0003";
+              "\u0000\u000e\u0000\u0000\u0001\u000e\u000e\u0000\u0001\u0000\u0001\u0005\u0002\u0005" +
+              "\u0003\u000b\u0004\u0007\u0005\u021a\u0006\u0208\u0007\u0003\b\u0208\t\u0208\n\u0003" +
+              "\u000b\f\f\u0208\r\u000b\u000e\u0208";
           return newMessageInfo(DEFAULT_INSTANCE, info, objects);
       }
       case GET_DEFAULT_INSTANCE: {
--- a/src/main/java/org/cuminshelf/message/QuarantinedRequestOrBuilder.java
+++ b/src/main/java/org/cuminshelf/message/QuarantinedRequestOrBuilder.java
@@ -134,4 +134,65 @@
    * @return The releasedMs.
    */
   long getReleasedMs();
+
+  /**
+   * <pre>
+   * What is refused: one request, or all requests with an attribute.
+   * </pre>
+   *
+   * <code>.cuminshelf.AttributeKind kind = 11;</code>
+   * @return The enum numeric value on the wire for kind.
+   */
+  int getKindValue();
+  /**
+   * <pre>
+   * What is refused: one request, or all requests with an attribute.
+   * </pre>
+   *
+   * <code>.cuminshelf.AttributeKind kind = 11;</code>
+   * @return The kind.
+   */
+  org.cuminshelf.message.AttributeKind getKind();
+
+  /**
+   * <pre>
+   * The attribute as an operator reads it, and the service whose requests have it; empty for a whole request.
+   * </pre>
+   *
+   * <code>string name = 12;</code>
+   * @return The name.
+   */
+  java.lang.String getName();
+  /**
+   * <pre>
+   * The attribute as an operator reads it, and the service whose requests have it; empty for a whole request.
+   * </pre>
+   *
+   * <code>string name = 12;</code>
+   * @return The bytes for name.
+   */
+  com.google.protobuf.ByteString
+      getNameBytes();
+
+  /**
+   * <code>string service = 14;</code>
+   * @return The service.
+   */
+  java.lang.String getService();
+  /**
+   * <code>string service = 14;</code>
+   * @return The bytes for service.
+   */
+  com.google.protobuf.ByteString
+      getServiceBytes();
+
+  /**
+   * <pre>
+   * Crashes under requests with the attribute since it was quarantined, in trials or of requests on their way.
+   * </pre>
+   *
+   * <code>uint32 failed_trials = 13;</code>
+   * @return The failedTrials.
+   */
+  int getFailedTrials();
 }
--- a/src/main/java/org/cuminshelf/poison/Fingerprint.java
+++ b/src/main/java/org/cuminshelf/poison/Fingerprint.java
@@ -6,9 +6,10 @@
 import net.openhft.hashing.LongTupleHashFunction;
 
 /**
- * Identifies equal requests: a 128-bit hash of method, host, path with query, caller and body. The request id that a
- * caller sends is not included, as it differs each time. Two different requests have the same fingerprint by chance
- * only once in some 10^38 pairs, so that no request is refused in place of another.
+ * Identifies equal requests, or an attribute that several requests share. That of a request is a 128-bit hash of
+ * method, host, path with query, caller and body. The request id that a caller sends is not included, as it differs
+ * each time. Two different requests have the same fingerprint by chance only once in some 10^38 pairs, so that no
+ * request is refused in place of another.
  *
  * @param high the upper 64 bits
  * @param low  the lower 64 bits
@@ -39,6 +40,17 @@
         return new Fingerprint(both[1], both[0]);
     }
 
+    /**
+     * Creates the fingerprint of a text.
+     *
+     * @param text the text
+     * @return the fingerprint
+     */
+    static Fingerprint of(String text) {
+        long[] hash = HASH.hashBytes(text.getBytes(StandardCharsets.UTF_8));
+        return new Fingerprint(hash[1], hash[0]);
+    }
+
     /**
      * Parses the format of {@link #toString()}.
      *
--- a/src/main/java/org/cuminshelf/poison/PoisonRegistry.java
+++ b/src/main/java/org/cuminshelf/poison/PoisonRegistry.java
@@ -2,14 +2,15 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import org.cuminshelf.message.CrashedRun;
 import org.cuminshelf.message.Involvement;
 import org.cuminshelf.message.QuarantinedRequest;
 import org.cuminshelf.message.UpstreamCrash;
 
 /**
- * What one process knows about poison requests: the crashes and the quarantine. Each entry and control process has a
- * registry and sends the changes to the others.
+ * What one process knows about poison requests and attributes: the crashes and the quarantine. Each entry and control
+ * process has a registry and sends the changes to the others.
  */
 public final class PoisonRegistry {
 
@@ -40,43 +41,77 @@
     }
 
     /**
-     * Records that a request was at an upstream instance that crashed.
+     * Records that requests with an attribute were at an upstream instance that crashed.
      *
      * @param now         the time in nanoseconds
      * @param upstream    identity of the upstream instance
-     * @param request     the request
-     * @param involvement how long it had been running
+     * @param attribute   the attribute, or one whole request
+     * @param involvement how long they had been running; the shortest time of several
+     * @param requests    requests with the attribute and that involvement
      * @param sequence    numbers the change
      * @return whether this changed the registry
      */
     public boolean onCrash(
-            long now, String upstream, Fingerprint request, Involvement involvement, ChangeSequence sequence) {
-        Involvement counted = quarantine.isReleasedAfterCrash(request, upstream) ? Involvement.CLEARED : involvement;
-        boolean changed = crashes.recordRun(now, upstream, request, counted, sequence);
-        if (changed && quarantine.isQuarantined(request)) {
-            crashes.updateExplained(request, quarantine::isQuarantined);
+            long now,
+            String upstream,
+            RequestAttribute attribute,
+            Involvement involvement,
+            int requests,
+            ChangeSequence sequence) {
+        Fingerprint fingerprint = attribute.fingerprint();
+        Involvement counted =
+                quarantine.isReleasedAfterCrash(fingerprint, upstream) ? Involvement.CLEARED : involvement;
+        boolean changed = crashes.recordRun(now, upstream, attribute, counted, requests, sequence);
+        if (changed && quarantine.isQuarantined(fingerprint)) {
+            crashes.updateExplained(fingerprint, quarantine::isQuarantined);
+            if (attribute.isShared() && counted == Involvement.JUST_BEGUN) {
+                quarantine.failedTrialRow(fingerprint, upstream).ifPresent(row -> merge(now, row, sequence));
+            }
         }
         return changed;
     }
 
     /**
-     * Records that a request succeeded, so that it caused no crash. A quarantined request is released.
+     * Records that a request succeeded, so that neither it nor an attribute of it caused a crash. What is quarantined
+     * of these is released.
      *
-     * @param now      the time in nanoseconds
-     * @param request  the request
-     * @param author   identity of the process that observed it
-     * @param sequence numbers the change
+     * @param now        the time in nanoseconds
+     * @param attributes the whole request and its shared attributes
+     * @param author     identity of the process that observed it
+     * @param sequence   numbers the changes
+     * @return those of which this changed the registry
+     */
+    public List<RequestAttribute> onSuccess(
+            long now, List<RequestAttribute> attributes, String author, ChangeSequence sequence) {
+        return attributes.stream()
+                .filter(attribute -> onSuccess(now, attribute.fingerprint(), author, sequence))
+                .toList();
+    }
+
+    /**
+     * Records that requests with an attribute, or one whole request, succeeded. If it is quarantined, it is released.
+     *
+     * @param now         the time in nanoseconds
+     * @param fingerprint the fingerprint of the request or attribute
+     * @param author      identity of the process that observed it
+     * @param sequence    numbers the change
      * @return whether this changed the registry
      */
-    public boolean onSuccess(long now, Fingerprint request, String author, ChangeSequence sequence) {
+    public boolean onSuccess(long now, Fingerprint fingerprint, String author, ChangeSequence sequence) {
         boolean released = quarantine
-                .releaseRow(request, author, "it ended well", 0)
+                .releaseRow(fingerprint, author, "it ended well", 0)
                 .filter(row -> merge(now, row, sequence))
                 .isPresent();
-        if (crashes.points(request) == 0) {
-            return released;
-        }
-        return crashes.clear(now, request, sequence) || released;
+        return crashes.clear(now, fingerprint, sequence) || released;
+    }
+
+    /**
+     * Counts an answer that ended well, after its request and attributes were cleared.
+     *
+     * @param service the service that gave it
+     */
+    public void countAnswer(String service) {
+        crashes.causeFinder().countAnswer(service);
     }
 
     /**
@@ -87,8 +122,11 @@
      * @param sequence numbers the changes
      */
     public void quarantinePoison(long now, String foundBy, ChangeSequence sequence) {
-        for (Fingerprint request : crashes.findPoison(now, quarantine::isQuarantined)) {
-            merge(now, quarantine.quarantineRow(request, crashes.crashedUpstreams(request), foundBy), sequence);
+        for (Fingerprint fingerprint : crashes.findPoison(now, quarantine::isQuarantined)) {
+            crashes.suspect(fingerprint).ifPresent(suspect -> {
+                List<String> upstreams = crashes.crashedUpstreams(fingerprint);
+                merge(now, quarantine.quarantineRow(suspect.attribute, upstreams, foundBy), sequence);
+            });
         }
     }
 
@@ -105,8 +143,13 @@
         rows.forEach(row -> merge(now, row, sequence));
         for (UpstreamCrash crash : remoteCrashes) {
             for (CrashedRun run : crash.getRunsList()) {
-                Fingerprint request = new Fingerprint(run.getHigh(), run.getLow());
-                onCrash(now, crash.getUpstream(), request, run.getInvolvement(), sequence);
+                onCrash(
+                        now,
+                        crash.getUpstream(),
+                        RequestAttribute.of(run),
+                        run.getInvolvement(),
+                        Math.max(1, run.getRequests()),
+                        sequence);
             }
         }
     }
@@ -156,6 +199,17 @@
         return quarantine.isQuarantined(request);
     }
 
+    /**
+     * Returns for how long requests with a shared attribute are held back, as it may have caused crashes.
+     *
+     * @param now         the time in nanoseconds
+     * @param fingerprint the fingerprint of the attribute
+     * @return the time, which may be over, or empty if the attribute is not suspected
+     */
+    public Optional<HoldBack> holdBack(long now, Fingerprint fingerprint) {
+        return crashes.causeFinder().holdBack(now, fingerprint);
+    }
+
     /**
      * Checks whether a request has enough crashes to be poison while other requests at these crashes may not be
      * reported yet.
@@ -212,6 +266,6 @@
      * @return the time in nanoseconds
      */
     public long nextDue() {
-        return crashes.nextDue();
+        return crashes.causeFinder().nextDue();
     }
 }
--- a/src/main/java/org/cuminshelf/poison/Quarantine.java
+++ b/src/main/java/org/cuminshelf/poison/Quarantine.java
@@ -9,11 +9,11 @@
 import org.cuminshelf.message.QuarantinedRequest;
 
 /**
- * The requests that are refused as poison, and those that were and have been released.
+ * The requests and shared attributes that are refused as poison, and those that were and have been released.
  *
- * <p>Of several rows of one request the latest is kept: the one with the higher generation, and of one generation the
- * release. So rows merge in any order. Only a release ends a quarantine: an occasional trial would crash an upstream
- * each time.
+ * <p>Of several rows of one request or attribute the latest is kept: the one with the higher generation, of one
+ * generation the release, and else the one with more failed trials. So rows merge in any order. Only a release ends a
+ * quarantine. That of a whole request is never tried: refusing one request costs little, and a trial an upstream.
  */
 public final class Quarantine {
 
@@ -26,6 +26,7 @@
     private static final Comparator<QuarantinedRequest> BY_RECENCY = Comparator.comparingInt(
                     QuarantinedRequest::getGeneration)
             .thenComparing(QuarantinedRequest::getReleased)
+            .thenComparingInt(QuarantinedRequest::getFailedTrials)
             .thenComparingLong(QuarantinedRequest::getFoundMs);
 
     private record Row(QuarantinedRequest request, long changeNumber) {}
@@ -110,24 +111,52 @@
     /**
      * Creates the row that quarantines a request, or quarantines it again after a release.
      *
-     * @param request   its fingerprint
+     * @param attribute the request, or the attribute that requests share
      * @param upstreams identities of the upstream instances that crashed under it
      * @param foundBy   identity of the process that found it
      * @return the row
      */
-    public QuarantinedRequest quarantineRow(Fingerprint request, List<String> upstreams, String foundBy) {
-        int generation = Optional.ofNullable(rows.get(request))
-                .map(row -> row.request.getGeneration())
-                .orElse(0);
+    public QuarantinedRequest quarantineRow(RequestAttribute attribute, List<String> upstreams, String foundBy) {
+        Fingerprint fingerprint = attribute.fingerprint();
+        int generation = row(fingerprint).map(QuarantinedRequest::getGeneration).orElse(0);
         return QuarantinedRequest.newBuilder()
-                .setHigh(request.high())
-                .setLow(request.low())
+                .setHigh(fingerprint.high())
+                .setLow(fingerprint.low())
+                .setKind(attribute.kind())
+                .setService(attribute.service())
+                .setName(attribute.name())
                 .setGeneration(generation + 1)
                 .addAllUpstreams(upstreams)
                 .setFoundBy(foundBy)
                 .build();
     }
 
+    /**
+     * Creates the row of a quarantined attribute under which another upstream instance crashed.
+     *
+     * @param attribute its fingerprint
+     * @param upstream  identity of the upstream instance
+     * @return the row, or empty if it is not quarantined or that crash is in its row
+     */
+    Optional<QuarantinedRequest> failedTrialRow(Fingerprint attribute, String upstream) {
+        return row(attribute)
+                .filter(row -> !row.getReleased() && !row.getUpstreamsList().contains(upstream))
+                .map(row -> row.toBuilder()
+                        .addUpstreams(upstream)
+                        .setFailedTrials(row.getFailedTrials() + 1)
+                        .build());
+    }
+
+    /**
+     * Returns the row of a request or attribute.
+     *
+     * @param fingerprint its fingerprint
+     * @return the row, released or not, or empty if it never was quarantined
+     */
+    public Optional<QuarantinedRequest> row(Fingerprint fingerprint) {
+        return Optional.ofNullable(rows.get(fingerprint)).map(Row::request);
+    }
+
     /**
      * Creates the row that releases a request.
      *
--- a/src/main/java/org/cuminshelf/tools/QuarantineCommand.java
+++ b/src/main/java/org/cuminshelf/tools/QuarantineCommand.java
@@ -15,6 +15,7 @@
 
     private static final ObjectMapper JSON = new ObjectMapper();
     private static final String RELEASE = "release";
+    private static final String WHOLE_REQUEST = "request";
     private static final int HTTP_OK = 200;
     private static final int HTTP_SERVICE_UNAVAILABLE = 503;
 
@@ -90,6 +91,12 @@
                 request.path("crashed_upstreams").size(),
                 request.path("found_by").asText(),
                 Instant.ofEpochMilli(request.path("found_ms").asLong()));
+        if (!request.path("kind").asText().equals(WHOLE_REQUEST)) {
+            System.out.printf(
+                    "    all requests with %s; failed trials: %d%n",
+                    request.path("description").asText(),
+                    request.path("failed_trials").asInt());
+        }
         if (request.has("reason")) {
             System.out.printf(
                     "    released by %s: %s%n",
--- a/src/test/java/org/cuminshelf/direct/PoisonGuardTest.java
+++ b/src/test/java/org/cuminshelf/direct/PoisonGuardTest.java
@@ -4,7 +4,10 @@
 
 import java.util.List;
 import net.jqwik.api.Example;
+import org.cuminshelf.core.Address;
+import org.cuminshelf.core.Durations;
 import org.cuminshelf.exchange.Reachability;
+import org.cuminshelf.message.AttributeKind;
 import org.cuminshelf.message.CrashedRun;
 import org.cuminshelf.message.Involvement;
 import org.cuminshelf.message.QuarantinedRequest;
@@ -13,6 +16,7 @@
 import org.cuminshelf.message.Update;
 import org.cuminshelf.message.UpstreamCrash;
 import org.cuminshelf.poison.Fingerprint;
+import org.cuminshelf.poison.RequestAttribute;
 import org.cuminshelf.routes.RequestKind;
 
 /** Tests how an entry handles requests that crash upstreams. */
@@ -52,6 +56,156 @@
                 .build();
     }
 
+    private static final RequestAttribute SEGMENT =
+            RequestAttribute.shared(AttributeKind.PROMPT_SEGMENT, "s", "shared of model m");
+
+    private static UpstreamCrash crash(String upstream, RequestAttribute attribute) {
+        return crash(upstream, attribute, Involvement.JUST_BEGUN);
+    }
+
+    private static UpstreamCrash crash(String upstream, RequestAttribute attribute, Involvement involvement) {
+        return UpstreamCrash.newBuilder()
+                .setUpstream(upstream)
+                .addRuns(CrashedRun.newBuilder()
+                        .setHigh(attribute.fingerprint().high())
+                        .setLow(attribute.fingerprint().low())
+                        .setKind(attribute.kind())
+                        .setService(attribute.service())
+                        .setName(attribute.name())
+                        .setRequests(1)
+                        .setInvolvement(involvement))
+                .build();
+    }
+
+    private static QuarantinedRequest quarantinedSegment() {
+        return QuarantinedRequest.newBuilder()
+                .setHigh(SEGMENT.fingerprint().high())
+                .setLow(SEGMENT.fingerprint().low())
+                .setKind(SEGMENT.kind())
+                .setService(SEGMENT.service())
+                .setName(SEGMENT.name())
+                .setGeneration(1)
+                .addAllUpstreams(List.of("a", "b", "c"))
+                .build();
+    }
+
+    @Example
+    void aRequestWithAQuarantinedSegmentIsRefusedWithTheSegmentsName() {
+        DirectFixture entry = entry(true);
+        entry.sendUpdate(Update.newBuilder().addQuarantined(quarantinedSegment()));
+        DirectFixture.CallerResponse response = entry.sendRequest("a", "Tokens", "600");
+        assertThat(entry.sentRequests).isEmpty();
+        assertThat(response.status).isEqualTo(503);
+        assertThat(response.headers.get("Retry-After"))
+                .as("until the next trial")
+                .isEqualTo("30.0");
+        assertThat(response.body.toString())
+                .contains(
+                        "prompt segment shared of model m of service s",
+                        SEGMENT.fingerprint().toString());
+        entry.sendRequest("b");
+        assertThat(entry.sentRequests).as("a request without the segment").hasSize(1);
+    }
+
+    /** Guards against a crash by a request that was being prefilled when its segment was quarantined. */
+    @Example
+    void aPromptThatIsBeingPrefilledIsNotHandedOverOnceItsSegmentIsQuarantined() {
+        DirectFixture entry = new DirectFixture(DirectFixture.route(RequestKind.STREAM, 2, true))
+                .becomeReady()
+                .addUpstream("p", Role.ROLE_PREFILL)
+                .addUpstream("d", Role.ROLE_DECODE);
+        DirectFixture.CallerResponse response = entry.sendRequest("a", "Tokens", "5000");
+        DirectFixture.SentRequest prefill = entry.lastSent();
+        assertThat(prefill.upstream).isEqualTo("p");
+        entry.sendUpdate(Update.newBuilder().addQuarantined(quarantinedSegment()));
+        entry.advance(1);
+        assertThat(prefill.cancelled).isTrue();
+        prefill.respond(200, "{\"handle\":\"h\"}");
+        assertThat(entry.sentRequests).hasSize(1);
+        assertThat(response.status).isEqualTo(503);
+    }
+
+    @Example
+    void aStreamThatHasRunForAWhileGoesOnAndReleasesItsQuarantinedSegment() {
+        DirectFixture entry = entry(false);
+        DirectFixture.CallerResponse response = entry.sendRequest("a", "Tokens", "600");
+        entry.lastSent().respondSealedHead(200);
+        entry.lastSent().respondBody("id: 1\ndata: a\n\n");
+        entry.advance(400);
+        entry.sendUpdate(Update.newBuilder().addQuarantined(quarantinedSegment()));
+        entry.advance(1);
+        assertThat(entry.lastSent().cancelled).isFalse();
+        entry.lastSent().handler.onComplete();
+        assertThat(response.complete).isTrue();
+        entry.advance(1_500);
+        assertThat(entry.core.quarantinedRequests()).isZero();
+    }
+
+    /** Guards against a segment that was quarantined by mistake and is refused until an operator notices. */
+    @Example
+    void oneRequestIsLetThroughAfterAWhileAndItsSuccessReleasesTheSegment() {
+        DirectFixture entry = entry(false);
+        entry.sendUpdate(Update.newBuilder().addQuarantined(quarantinedSegment()));
+        entry.sendRequest("a", "Tokens", "600");
+        assertThat(entry.sentRequests).isEmpty();
+        entry.advance(30_000);
+        entry.sendRequest("b", "Tokens", "600");
+        entry.sendRequest("c", "Tokens", "600");
+        assertThat(entry.sentRequests).as("one trial at a time").hasSize(1);
+        entry.lastSent().respond(200, "id: 1\ndata: a\n\n");
+        entry.sendRequest("d", "Tokens", "600");
+        assertThat(entry.sentRequests).hasSize(2);
+    }
+
+    /** Guards against as many crashes as there are entries, each of which tries the same segment. */
+    @Example
+    void onlyOneOfAllEntriesLetsARequestThrough() {
+        int trials = 0;
+        List<String> addresses = List.of("10.0.1.1:7000", "10.0.1.2:7000", "10.0.1.3:7000", "10.0.1.4:7000");
+        for (String self : addresses) {
+            AttributeTrials entry = new AttributeTrials(Address.of(self));
+            entry.onEntries(addresses.stream().map(Address::of).toList());
+            entry.dueNanos(0, quarantinedSegment());
+            trials += entry.tryStart(Durations.nanos(31_000), quarantinedSegment()) ? 1 : 0;
+        }
+        assertThat(trials).isEqualTo(1);
+    }
+
+    @Example
+    void aTrialThatCrashesAnUpstreamDelaysTheNextOne() {
+        AttributeTrials trials = new AttributeTrials(DirectFixture.SELF);
+        QuarantinedRequest failed =
+                quarantinedSegment().toBuilder().setFailedTrials(1).build();
+        assertThat(trials.dueNanos(0, quarantinedSegment())).isEqualTo(Durations.nanos(30_000));
+        assertThat(trials.dueNanos(0, failed)).isEqualTo(Durations.nanos(120_000));
+    }
+
+    /**
+     * Guards against a further crash by each of the requests that arrive while it is not known whether their segment
+     * is the cause.
+     */
+    @Example
+    void requestsWithASuspectedSegmentAreHeldBackAndThenSentOneAtATime() {
+        DirectFixture entry = entry(false);
+        RequestAttribute other = RequestAttribute.shared(AttributeKind.PROMPT_SEGMENT, "s", "other");
+        entry.sendUpdate(Update.newBuilder().addCrashes(crash("a", SEGMENT)));
+        entry.advance(400);
+        entry.sendUpdate(
+                Update.newBuilder().addCrashes(crash("b", SEGMENT)).addCrashes(crash("b", other, Involvement.CLEARED)));
+        entry.advance(100);
+        DirectFixture.CallerResponse held = entry.sendRequest("a", "Tokens", "600");
+        assertThat(entry.sentRequests).isEmpty();
+        assertThat(held.status).isEqualTo(503);
+        assertThat(held.headers.get("Retry-After")).isEqualTo("0.5");
+        entry.advance(300);
+        entry.sendRequest("b", "Tokens", "600");
+        entry.sendRequest("c", "Tokens", "600");
+        assertThat(entry.sentRequests).hasSize(1);
+        entry.lastSent().respond(200, "id: 1\ndata: a\n\n");
+        entry.sendRequest("d", "Tokens", "600");
+        assertThat(entry.sentRequests).as("the success clears the segment").hasSize(2);
+    }
+
     /** Returns the messages with crashes that the entry sent to control since the previous call, and within 20 ms. */
     private static List<Subscribe> reportedCrashes(DirectFixture entry) {
         entry.advance(20);
