A request that tests an attribute is not retried after a crash

Cause: a request that is let through to show whether its segment crashes upstreams was retried like any other, and the hold is not asked again for it. Its first crash is the answer that it was sent for. Both kinds of tests, of suspected and of quarantined attributes, are now one flag of the call, and neither is retried.

--- a/src/main/java/org/cuminshelf/direct/DirectCall.java
+++ b/src/main/java/org/cuminshelf/direct/DirectCall.java
@@ -120,11 +120,11 @@
     /** Whether its final response was sent or its caller has disconnected. */
     boolean closed;
 
-    /** Whether it was let through to show whether a quarantined attribute of it still crashes upstreams. */
-    boolean quarantineTrial;
-
-    /** Whether it was let through, although requests with an attribute of it are held back, to show what they do. */
-    boolean heldBackTrial;
+    /**
+     * Whether it was let through, although an attribute of it is suspected or quarantined, to show whether upstreams
+     * crash for it; such a call is not retried.
+     */
+    boolean attributeTrial;
 
     private Fingerprint fingerprint;
     private List<RequestAttribute> sharedAttributes;
--- a/src/main/java/org/cuminshelf/direct/PoisonGuard.java
+++ b/src/main/java/org/cuminshelf/direct/PoisonGuard.java
@@ -146,7 +146,7 @@
                 .filter(row -> trials.tryStart(now, row))
                 .isPresent();
         if (started) {
-            call.quarantineTrial = true;
+            call.attributeTrial = true;
             note(attribute, "trial", "request", call.intent.id());
         }
         return started;
@@ -167,7 +167,7 @@
      * through once that is over, to show whether the attribute crashes upstreams.
      */
     Optional<HoldBack> holdBack(long now, DirectCall call) {
-        if (registry.isEmpty() || call.heldBackTrial) {
+        if (registry.isEmpty() || call.attributeTrial) {
             return Optional.empty();
         }
         List<HoldBack> holds = call.sharedAttributes().stream()
@@ -183,7 +183,7 @@
     }
 
     private void startTrial(long now, DirectCall call, List<HoldBack> holds) {
-        call.heldBackTrial = true;
+        call.attributeTrial = true;
         trials.onStarted(now);
         for (HoldBack hold : holds) {
             note(hold.attribute(), "held-back-trial", "request", call.intent.id());
@@ -197,11 +197,12 @@
 
     /**
      * Whether a call may be retried. Within one call a poison request could crash one upstream after another before any
-     * report of the crashes arrives, so after the second crash its caller has to send it again.
+     * report of the crashes arrives, so after the second crash its caller has to send it again. A call that tests an
+     * attribute is not retried at all.
      */
     boolean mayRetry(DirectCall call) {
         return registry.isEmpty()
-                || !call.quarantineTrial
+                || !call.attributeTrial
                         && registry.crashedUpstreams(call.fingerprint()).size() < MAX_CRASHES_PER_CALL;
     }
 
--- a/src/test/java/org/cuminshelf/direct/PoisonGuardTest.java
+++ b/src/test/java/org/cuminshelf/direct/PoisonGuardTest.java
@@ -186,13 +186,7 @@
      */
     @Example
     void requestsWithASuspectedSegmentAreHeldBackAndThenSentOneAtATime() {
-        DirectFixture entry = entry(false);
-        RequestAttribute other = RequestAttribute.shared(AttributeKind.PROMPT_SEGMENT, "s", "other");
-        entry.sendUpdate(Update.newBuilder().addCrashes(crash("a", SEGMENT)));
-        entry.advance(400);
-        entry.sendUpdate(
-                Update.newBuilder().addCrashes(crash("b", SEGMENT)).addCrashes(crash("b", other, Involvement.CLEARED)));
-        entry.advance(100);
+        DirectFixture entry = entryThatHoldsBack();
         DirectFixture.CallerResponse held = entry.sendRequest("a", "Tokens", "600");
         assertThat(entry.sentRequests).isEmpty();
         assertThat(held.status).isEqualTo(503);
@@ -206,6 +200,39 @@
         assertThat(entry.sentRequests).as("the success clears the segment").hasSize(2);
     }
 
+    /** Guards against a second crash by a request that was let through to test its segment, and retried. */
+    @Example
+    void aRequestThatTestsItsSegmentIsNotRetriedAfterACrash() {
+        DirectFixture entry = entry(true);
+        entry.sendUpdate(Update.newBuilder().addQuarantined(quarantinedSegment()));
+        entry.sendRequest("a", "Tokens", "600");
+        entry.advance(30_000);
+        entry.reachability = Reachability.REFUSED;
+        DirectFixture.CallerResponse quarantined = entry.sendRequest("b", "Tokens", "600");
+        entry.lastSent().handler.onFailed(true, "closed");
+        assertThat(entry.sentRequests).hasSize(1);
+        assertThat(quarantined.status).isEqualTo(502);
+        DirectFixture other = entryThatHoldsBack();
+        other.advance(400);
+        other.reachability = Reachability.REFUSED;
+        DirectFixture.CallerResponse suspected = other.sendRequest("c", "Tokens", "600");
+        other.lastSent().handler.onFailed(true, "closed");
+        assertThat(other.sentRequests).hasSize(1);
+        assertThat(suspected.status).isEqualTo(502);
+    }
+
+    /** Returns an entry that holds back requests with the segment. */
+    private static DirectFixture entryThatHoldsBack() {
+        DirectFixture entry = entry(true);
+        RequestAttribute other = RequestAttribute.shared(AttributeKind.PROMPT_SEGMENT, "s", "other");
+        entry.sendUpdate(Update.newBuilder().addCrashes(crash("a", SEGMENT)));
+        entry.advance(400);
+        entry.sendUpdate(
+                Update.newBuilder().addCrashes(crash("b", SEGMENT)).addCrashes(crash("b", other, Involvement.CLEARED)));
+        entry.advance(100);
+        return entry;
+    }
+
     /** Returns the messages with crashes that the entry sent to control since the previous call, and within 20 ms. */
     private static List<Subscribe> reportedCrashes(DirectFixture entry) {
         entry.advance(20);
