--- a/src/test/java/org/cuminshelf/trial/PoisonSegmentTest.java
+++ b/src/test/java/org/cuminshelf/trial/PoisonSegmentTest.java
@@ -160,6 +160,27 @@
         }
     }
 
+    /** Guards against a sound segment that is refused, as it was at crashes of the three engines again and again. */
+    @Example
+    void noSoundSegmentIsQuarantinedOnAFleetOfThreeEnginesWithSeed13() {
+        SegmentDay day = new SegmentDay(13, 4, 3);
+        day.poisonInTheMiddle(POISON_FROM, SEGMENT);
+        day.runUntil(60);
+        day.assertStopped(SEGMENT);
+        day.assertOthersAreServed(SEGMENT);
+    }
+
+    /** Guards against a sound segment that is refused, as it was at crashes of two poison ones. */
+    @Example
+    void noSoundSegmentIsQuarantinedBesideTwoPoisonOnesWithSeed13() {
+        SegmentDay day = day(13);
+        day.poisonInTheMiddle(POISON_FROM, OTHER_SEGMENT);
+        day.runUntil(50);
+        day.assertStopped(SEGMENT);
+        day.assertStopped(OTHER_SEGMENT);
+        day.assertOthersAreServed(SEGMENT);
+    }
+
     /** Guards against a popular segment that is refused as engines crash for other reasons, now and then. */
     @Example
     void nothingIsQuarantinedWhereEnginesCrashByChance() {
