--- a/src/test/java/org/cuminshelf/poison/CauseFinderTest.java
+++ b/src/test/java/org/cuminshelf/poison/CauseFinderTest.java
@@ -66,6 +66,7 @@
         crashAfterAnswers(POISON);
         for (int crash = 0; crash < 20; crash++) {
             now += SECOND / 100;
+            answers(MANY_ANSWERS);
             crash(POISON);
         }
         assertThat(findPoison()).isEmpty();
