Messages: load reports carry event intervals, answers and errors by upstream, and callers' traffic

Fields for decisions under load, so that the parts that use them can be built side by side. No process sets or reads them yet, and a report without them means the same as before.

--- a/src/main/java/org/cuminshelf/message/EntryLoad.java
+++ b/src/main/java/org/cuminshelf/message/EntryLoad.java
@@ -26,6 +26,7 @@
     demands_ = emptyProtobufList();
     rests_ = emptyProtobufList();
     leaving_ = com.google.protobuf.GeneratedMessageLite.emptyProtobufList();
+    traffic_ = emptyProtobufList();
   }
   public static final int UPSTREAMS_FIELD_NUMBER = 1;
   private com.google.protobuf.Internal.ProtobufList<org.cuminshelf.message.UpstreamLoad> upstreams_;
@@ -960,6 +961,147 @@
     leaving_.add(value.toStringUtf8());
   }
 
+  public static final int TRAFFIC_FIELD_NUMBER = 8;
+  private com.google.protobuf.Internal.ProtobufList<org.cuminshelf.message.ServiceDemand> traffic_;
+  /**
+   * <pre>
+   * Callers' requests per second at the entry, by service, so that entries divide shared limits by their traffic.
+   * </pre>
+   *
+   * <code>repeated .cuminshelf.ServiceDemand traffic = 8;</code>
+   */
+  @java.lang.Override
+  public java.util.List<org.cuminshelf.message.ServiceDemand> getTrafficList() {
+    return traffic_;
+  }
+  /**
+   * <pre>
+   * Callers' requests per second at the entry, by service, so that entries divide shared limits by their traffic.
+   * </pre>
+   *
+   * <code>repeated .cuminshelf.ServiceDemand traffic = 8;</code>
+   */
+  public java.util.List<? extends org.cuminshelf.message.ServiceDemandOrBuilder> 
+      getTrafficOrBuilderList() {
+    return traffic_;
+  }
+  /**
+   * <pre>
+   * Callers' requests per second at the entry, by service, so that entries divide shared limits by their traffic.
+   * </pre>
+   *
+   * <code>repeated .cuminshelf.ServiceDemand traffic = 8;</code>
+   */
+  @java.lang.Override
+  public int getTrafficCount() {
+    return traffic_.size();
+  }
+  /**
+   * <pre>
+   * Callers' requests per second at the entry, by service, so that entries divide shared limits by their traffic.
+   * </pre>
+   *
+   * <code>repeated .cuminshelf.ServiceDemand traffic = 8;</code>
+   */
+  @java.lang.Override
+  public org.cuminshelf.message.ServiceDemand getTraffic(int index) {
+    return traffic_.get(index);
+  }
+  /**
+   * <pre>
+   * Callers' requests per second at the entry, by service, so that entries divide shared limits by their traffic.
+   * </pre>
+   *
+   * <code>repeated .cuminshelf.ServiceDemand traffic = 8;</code>
+   */
+  public org.cuminshelf.message.ServiceDemandOrBuilder getTrafficOrBuilder(
+      int index) {
+    return traffic_.get(index);
+  }
+  private void ensureTrafficIsMutable() {
+    com.google.protobuf.Internal.ProtobufList<org.cuminshelf.message.ServiceDemand> tmp = traffic_;
+    if (!tmp.isModifiable()) {
+      traffic_ =
+          com.google.protobuf.GeneratedMessageLite.mutableCopy(tmp);
+     }
+  }
+
+  /**
+   * <pre>
+   * Callers' requests per second at the entry, by service, so that entries divide shared limits by their traffic.
+   * </pre>
+   *
+   * <code>repeated .cuminshelf.ServiceDemand traffic = 8;</code>
+   */
+  @java.lang.SuppressWarnings("ReturnValueIgnored")
+  private void setTraffic(
+      int index, org.cuminshelf.message.ServiceDemand value) {
+    value.getClass();  // minimal bytecode null check
+    ensureTrafficIsMutable();
+    traffic_.set(index, value);
+  }
+  /**
+   * <pre>
+   * Callers' requests per second at the entry, by service, so that entries divide shared limits by their traffic.
+   * </pre>
+   *
+   * <code>repeated .cuminshelf.ServiceDemand traffic = 8;</code>
+   */
+  @java.lang.SuppressWarnings("ReturnValueIgnored")
+  private void addTraffic(org.cuminshelf.message.ServiceDemand value) {
+    value.getClass();  // minimal bytecode null check
+    ensureTrafficIsMutable();
+    traffic_.add(value);
+  }
+  /**
+   * <pre>
+   * Callers' requests per second at the entry, by service, so that entries divide shared limits by their traffic.
+   * </pre>
+   *
+   * <code>repeated .cuminshelf.ServiceDemand traffic = 8;</code>
+   */
+  @java.lang.SuppressWarnings("ReturnValueIgnored")
+  private void addTraffic(
+      int index, org.cuminshelf.message.ServiceDemand value) {
+    value.getClass();  // minimal bytecode null check
+    ensureTrafficIsMutable();
+    traffic_.add(index, value);
+  }
+  /**
+   * <pre>
+   * Callers' requests per second at the entry, by service, so that entries divide shared limits by their traffic.
+   * </pre>
+   *
+   * <code>repeated .cuminshelf.ServiceDemand traffic = 8;</code>
+   */
+  private void addAllTraffic(
+      java.lang.Iterable<? extends org.cuminshelf.message.ServiceDemand> values) {
+    ensureTrafficIsMutable();
+    com.google.protobuf.AbstractMessageLite.addAll(
+        values, traffic_);
+  }
+  /**
+   * <pre>
+   * Callers' requests per second at the entry, by service, so that entries divide shared limits by their traffic.
+   * </pre>
+   *
+   * <code>repeated .cuminshelf.ServiceDemand traffic = 8;</code>
+   */
+  private void clearTraffic() {
+    traffic_ = emptyProtobufList();
+  }
+  /**
+   * <pre>
+   * Callers' requests per second at the entry, by service, so that entries divide shared limits by their traffic.
+   * </pre>
+   *
+   * <code>repeated .cuminshelf.ServiceDemand traffic = 8;</code>
+   */
+  private void removeTraffic(int index) {
+    ensureTrafficIsMutable();
+    traffic_.remove(index);
+  }
+
   public static org.cuminshelf.message.EntryLoad parseFrom(
       java.nio.ByteBuffer data)
       throws com.google.protobuf.InvalidProtocolBufferException {
@@ -2041,6 +2183,156 @@
       return this;
     }
 
+    /**
+     * <pre>
+     * Callers' requests per second at the entry, by service, so that entries divide shared limits by their traffic.
+     * </pre>
+     *
+     * <code>repeated .cuminshelf.ServiceDemand traffic = 8;</code>
+     */
+    @java.lang.Override
+    public java.util.List<org.cuminshelf.message.ServiceDemand> getTrafficList() {
+      return java.util.Collections.unmodifiableList(
+          instance.getTrafficList());
+    }
+    /**
+     * <pre>
+     * Callers' requests per second at the entry, by service, so that entries divide shared limits by their traffic.
+     * </pre>
+     *
+     * <code>repeated .cuminshelf.ServiceDemand traffic = 8;</code>
+     */
+    @java.lang.Override
+    public int getTrafficCount() {
+      return instance.getTrafficCount();
+    }/**
+     * <pre>
+     * Callers' requests per second at the entry, by service, so that entries divide shared limits by their traffic.
+     * </pre>
+     *
+     * <code>repeated .cuminshelf.ServiceDemand traffic = 8;</code>
+     */
+    @java.lang.Override
+    public org.cuminshelf.message.ServiceDemand getTraffic(int index) {
+      return instance.getTraffic(index);
+    }
+    /**
+     * <pre>
+     * Callers' requests per second at the entry, by service, so that entries divide shared limits by their traffic.
+     * </pre>
+     *
+     * <code>repeated .cuminshelf.ServiceDemand traffic = 8;</code>
+     */
+    public Builder setTraffic(
+        int index, org.cuminshelf.message.ServiceDemand value) {
+      copyOnWrite();
+      instance.setTraffic(index, value);
+      return this;
+    }
+    /**
+     * <pre>
+     * Callers' requests per second at the entry, by service, so that entries divide shared limits by their traffic.
+     * </pre>
+     *
+     * <code>repeated .cuminshelf.ServiceDemand traffic = 8;</code>
+     */
+    public Builder setTraffic(
+        int index, org.cuminshelf.message.ServiceDemand.Builder builderForValue) {
+      copyOnWrite();
+      instance.setTraffic(index,
+          builderForValue.build());
+      return this;
+    }
+    /**
+     * <pre>
+     * Callers' requests per second at the entry, by service, so that entries divide shared limits by their traffic.
+     * </pre>
+     *
+     * <code>repeated .cuminshelf.ServiceDemand traffic = 8;</code>
+     */
+    public Builder addTraffic(org.cuminshelf.message.ServiceDemand value) {
+      copyOnWrite();
+      instance.addTraffic(value);
+      return this;
+    }
+    /**
+     * <pre>
+     * Callers' requests per second at the entry, by service, so that entries divide shared limits by their traffic.
+     * </pre>
+     *
+     * <code>repeated .cuminshelf.ServiceDemand traffic = 8;</code>
+     */
+    public Builder addTraffic(
+        int index, org.cuminshelf.message.ServiceDemand value) {
+      copyOnWrite();
+      instance.addTraffic(index, value);
+      return this;
+    }
+    /**
+     * <pre>
+     * Callers' requests per second at the entry, by service, so that entries divide shared limits by their traffic.
+     * </pre>
+     *
+     * <code>repeated .cuminshelf.ServiceDemand traffic = 8;</code>
+     */
+    public Builder addTraffic(
+        org.cuminshelf.message.ServiceDemand.Builder builderForValue) {
+      copyOnWrite();
+      instance.addTraffic(builderForValue.build());
+      return this;
+    }
+    /**
+     * <pre>
+     * Callers' requests per second at the entry, by service, so that entries divide shared limits by their traffic.
+     * </pre>
+     *
+     * <code>repeated .cuminshelf.ServiceDemand traffic = 8;</code>
+     */
+    public Builder addTraffic(
+        int index, org.cuminshelf.message.ServiceDemand.Builder builderForValue) {
+      copyOnWrite();
+      instance.addTraffic(index,
+          builderForValue.build());
+      return this;
+    }
+    /**
+     * <pre>
+     * Callers' requests per second at the entry, by service, so that entries divide shared limits by their traffic.
+     * </pre>
+     *
+     * <code>repeated .cuminshelf.ServiceDemand traffic = 8;</code>
+     */
+    public Builder addAllTraffic(
+        java.lang.Iterable<? extends org.cuminshelf.message.ServiceDemand> values) {
+      copyOnWrite();
+      instance.addAllTraffic(values);
+      return this;
+    }
+    /**
+     * <pre>
+     * Callers' requests per second at the entry, by service, so that entries divide shared limits by their traffic.
+     * </pre>
+     *
+     * <code>repeated .cuminshelf.ServiceDemand traffic = 8;</code>
+     */
+    public Builder clearTraffic() {
+      copyOnWrite();
+      instance.clearTraffic();
+      return this;
+    }
+    /**
+     * <pre>
+     * Callers' requests per second at the entry, by service, so that entries divide shared limits by their traffic.
+     * </pre>
+     *
+     * <code>repeated .cuminshelf.ServiceDemand traffic = 8;</code>
+     */
+    public Builder removeTraffic(int index) {
+      copyOnWrite();
+      instance.removeTraffic(index);
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:cuminshelf.EntryLoad)
   }
   @java.lang.Override
@@ -2070,10 +2362,12 @@
             "rests_",
             org.cuminshelf.message.RestingUpstream.class,
             "leaving_",
+            "traffic_",
+            org.cuminshelf.message.ServiceDemand.class,
           };
           java.lang.String info =
-              "\u0000\u0007\u0000\u0000\u0001\u0007\u0007\u0000\u0007\u0000\u0001\u001b\u0002\u001b" +
-              "\u0003\u001b\u0004\u001b\u0005\u001b\u0006\u001b\u0007\u021a";
+              "\u0000\b\u0000\u0000\u0001\b\b\u0000\b\u0000\u0001\u001b\u0002\u001b\u0003\u001b" +
+              "\u0004\u001b\u0005\u001b\u0006\u001b\u0007\u021a\b\u001b";
           return newMessageInfo(DEFAULT_INSTANCE, info, objects);
       }
       case GET_DEFAULT_INSTANCE: {
--- a/src/main/java/org/cuminshelf/message/EntryLoadOrBuilder.java
+++ b/src/main/java/org/cuminshelf/message/EntryLoadOrBuilder.java
@@ -194,4 +194,30 @@
    */
   com.google.protobuf.ByteString
       getLeavingBytes(int index);
+
+  /**
+   * <pre>
+   * Callers' requests per second at the entry, by service, so that entries divide shared limits by their traffic.
+   * </pre>
+   *
+   * <code>repeated .cuminshelf.ServiceDemand traffic = 8;</code>
+   */
+  java.util.List<org.cuminshelf.message.ServiceDemand> 
+      getTrafficList();
+  /**
+   * <pre>
+   * Callers' requests per second at the entry, by service, so that entries divide shared limits by their traffic.
+   * </pre>
+   *
+   * <code>repeated .cuminshelf.ServiceDemand traffic = 8;</code>
+   */
+  org.cuminshelf.message.ServiceDemand getTraffic(int index);
+  /**
+   * <pre>
+   * Callers' requests per second at the entry, by service, so that entries divide shared limits by their traffic.
+   * </pre>
+   *
+   * <code>repeated .cuminshelf.ServiceDemand traffic = 8;</code>
+   */
+  int getTrafficCount();
 }
--- a/src/main/java/org/cuminshelf/message/UpstreamLoad.java
+++ b/src/main/java/org/cuminshelf/message/UpstreamLoad.java
@@ -287,6 +287,251 @@
     prompts_.remove(index);
   }
 
+  public static final int INTERVALS_FIELD_NUMBER = 6;
+  private int intervals_;
+  /**
+   * <pre>
+   * Intervals between two events of the entry's streams there that ended since the last message, and their sum in
+   * microseconds.
+   * </pre>
+   *
+   * <code>uint32 intervals = 6;</code>
+   * @return The intervals.
+   */
+  @java.lang.Override
+  public int getIntervals() {
+    return intervals_;
+  }
+  /**
+   * <pre>
+   * Intervals between two events of the entry's streams there that ended since the last message, and their sum in
+   * microseconds.
+   * </pre>
+   *
+   * <code>uint32 intervals = 6;</code>
+   * @param value The intervals to set.
+   */
+  private void setIntervals(int value) {
+    
+    intervals_ = value;
+  }
+  /**
+   * <pre>
+   * Intervals between two events of the entry's streams there that ended since the last message, and their sum in
+   * microseconds.
+   * </pre>
+   *
+   * <code>uint32 intervals = 6;</code>
+   */
+  private void clearIntervals() {
+
+    intervals_ = 0;
+  }
+
+  public static final int INTERVALS_US_FIELD_NUMBER = 7;
+  private int intervalsUs_;
+  /**
+   * <code>uint32 intervals_us = 7;</code>
+   * @return The intervalsUs.
+   */
+  @java.lang.Override
+  public int getIntervalsUs() {
+    return intervalsUs_;
+  }
+  /**
+   * <code>uint32 intervals_us = 7;</code>
+   * @param value The intervalsUs to set.
+   */
+  private void setIntervalsUs(int value) {
+    
+    intervalsUs_ = value;
+  }
+  /**
+   * <code>uint32 intervals_us = 7;</code>
+   */
+  private void clearIntervalsUs() {
+
+    intervalsUs_ = 0;
+  }
+
+  public static final int AWAITED_US_FIELD_NUMBER = 8;
+  private int awaitedUs_;
+  /**
+   * <pre>
+   * Longest time in microseconds for which a stream of the entry has waited there for its next event.
+   * </pre>
+   *
+   * <code>uint32 awaited_us = 8;</code>
+   * @return The awaitedUs.
+   */
+  @java.lang.Override
+  public int getAwaitedUs() {
+    return awaitedUs_;
+  }
+  /**
+   * <pre>
+   * Longest time in microseconds for which a stream of the entry has waited there for its next event.
+   * </pre>
+   *
+   * <code>uint32 awaited_us = 8;</code>
+   * @param value The awaitedUs to set.
+   */
+  private void setAwaitedUs(int value) {
+    
+    awaitedUs_ = value;
+  }
+  /**
+   * <pre>
+   * Longest time in microseconds for which a stream of the entry has waited there for its next event.
+   * </pre>
+   *
+   * <code>uint32 awaited_us = 8;</code>
+   */
+  private void clearAwaitedUs() {
+
+    awaitedUs_ = 0;
+  }
+
+  public static final int ANSWERS_FIELD_NUMBER = 9;
+  private int answers_;
+  /**
+   * <pre>
+   * Whole responses from there since the last message, and those among them that report an error of the upstream.
+   * </pre>
+   *
+   * <code>uint32 answers = 9;</code>
+   * @return The answers.
+   */
+  @java.lang.Override
+  public int getAnswers() {
+    return answers_;
+  }
+  /**
+   * <pre>
+   * Whole responses from there since the last message, and those among them that report an error of the upstream.
+   * </pre>
+   *
+   * <code>uint32 answers = 9;</code>
+   * @param value The answers to set.
+   */
+  private void setAnswers(int value) {
+    
+    answers_ = value;
+  }
+  /**
+   * <pre>
+   * Whole responses from there since the last message, and those among them that report an error of the upstream.
+   * </pre>
+   *
+   * <code>uint32 answers = 9;</code>
+   */
+  private void clearAnswers() {
+
+    answers_ = 0;
+  }
+
+  public static final int ERRORS_FIELD_NUMBER = 10;
+  private int errors_;
+  /**
+   * <code>uint32 errors = 10;</code>
+   * @return The errors.
+   */
+  @java.lang.Override
+  public int getErrors() {
+    return errors_;
+  }
+  /**
+   * <code>uint32 errors = 10;</code>
+   * @param value The errors to set.
+   */
+  private void setErrors(int value) {
+    
+    errors_ = value;
+  }
+  /**
+   * <code>uint32 errors = 10;</code>
+   */
+  private void clearErrors() {
+
+    errors_ = 0;
+  }
+
+  public static final int SERVICE_US_FIELD_NUMBER = 11;
+  private int serviceUs_;
+  /**
+   * <pre>
+   * Sum of the times in microseconds that the requests without a prompt among the answers took there.
+   * </pre>
+   *
+   * <code>uint32 service_us = 11;</code>
+   * @return The serviceUs.
+   */
+  @java.lang.Override
+  public int getServiceUs() {
+    return serviceUs_;
+  }
+  /**
+   * <pre>
+   * Sum of the times in microseconds that the requests without a prompt among the answers took there.
+   * </pre>
+   *
+   * <code>uint32 service_us = 11;</code>
+   * @param value The serviceUs to set.
+   */
+  private void setServiceUs(int value) {
+    
+    serviceUs_ = value;
+  }
+  /**
+   * <pre>
+   * Sum of the times in microseconds that the requests without a prompt among the answers took there.
+   * </pre>
+   *
+   * <code>uint32 service_us = 11;</code>
+   */
+  private void clearServiceUs() {
+
+    serviceUs_ = 0;
+  }
+
+  public static final int SERVED_FIELD_NUMBER = 12;
+  private int served_;
+  /**
+   * <pre>
+   * Number of the answers that service_us covers.
+   * </pre>
+   *
+   * <code>uint32 served = 12;</code>
+   * @return The served.
+   */
+  @java.lang.Override
+  public int getServed() {
+    return served_;
+  }
+  /**
+   * <pre>
+   * Number of the answers that service_us covers.
+   * </pre>
+   *
+   * <code>uint32 served = 12;</code>
+   * @param value The served to set.
+   */
+  private void setServed(int value) {
+    
+    served_ = value;
+  }
+  /**
+   * <pre>
+   * Number of the answers that service_us covers.
+   * </pre>
+   *
+   * <code>uint32 served = 12;</code>
+   */
+  private void clearServed() {
+
+    served_ = 0;
+  }
+
   public static org.cuminshelf.message.UpstreamLoad parseFrom(
       java.nio.ByteBuffer data)
       throws com.google.protobuf.InvalidProtocolBufferException {
@@ -667,6 +912,265 @@
       return this;
     }
 
+    /**
+     * <pre>
+     * Intervals between two events of the entry's streams there that ended since the last message, and their sum in
+     * microseconds.
+     * </pre>
+     *
+     * <code>uint32 intervals = 6;</code>
+     * @return The intervals.
+     */
+    @java.lang.Override
+    public int getIntervals() {
+      return instance.getIntervals();
+    }
+    /**
+     * <pre>
+     * Intervals between two events of the entry's streams there that ended since the last message, and their sum in
+     * microseconds.
+     * </pre>
+     *
+     * <code>uint32 intervals = 6;</code>
+     * @param value The intervals to set.
+     * @return This builder for chaining.
+     */
+    public Builder setIntervals(int value) {
+      copyOnWrite();
+      instance.setIntervals(value);
+      return this;
+    }
+    /**
+     * <pre>
+     * Intervals between two events of the entry's streams there that ended since the last message, and their sum in
+     * microseconds.
+     * </pre>
+     *
+     * <code>uint32 intervals = 6;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearIntervals() {
+      copyOnWrite();
+      instance.clearIntervals();
+      return this;
+    }
+
+    /**
+     * <code>uint32 intervals_us = 7;</code>
+     * @return The intervalsUs.
+     */
+    @java.lang.Override
+    public int getIntervalsUs() {
+      return instance.getIntervalsUs();
+    }
+    /**
+     * <code>uint32 intervals_us = 7;</code>
+     * @param value The intervalsUs to set.
+     * @return This builder for chaining.
+     */
+    public Builder setIntervalsUs(int value) {
+      copyOnWrite();
+      instance.setIntervalsUs(value);
+      return this;
+    }
+    /**
+     * <code>uint32 intervals_us = 7;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearIntervalsUs() {
+      copyOnWrite();
+      instance.clearIntervalsUs();
+      return this;
+    }
+
+    /**
+     * <pre>
+     * Longest time in microseconds for which a stream of the entry has waited there for its next event.
+     * </pre>
+     *
+     * <code>uint32 awaited_us = 8;</code>
+     * @return The awaitedUs.
+     */
+    @java.lang.Override
+    public int getAwaitedUs() {
+      return instance.getAwaitedUs();
+    }
+    /**
+     * <pre>
+     * Longest time in microseconds for which a stream of the entry has waited there for its next event.
+     * </pre>
+     *
+     * <code>uint32 awaited_us = 8;</code>
+     * @param value The awaitedUs to set.
+     * @return This builder for chaining.
+     */
+    public Builder setAwaitedUs(int value) {
+      copyOnWrite();
+      instance.setAwaitedUs(value);
+      return this;
+    }
+    /**
+     * <pre>
+     * Longest time in microseconds for which a stream of the entry has waited there for its next event.
+     * </pre>
+     *
+     * <code>uint32 awaited_us = 8;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearAwaitedUs() {
+      copyOnWrite();
+      instance.clearAwaitedUs();
+      return this;
+    }
+
+    /**
+     * <pre>
+     * Whole responses from there since the last message, and those among them that report an error of the upstream.
+     * </pre>
+     *
+     * <code>uint32 answers = 9;</code>
+     * @return The answers.
+     */
+    @java.lang.Override
+    public int getAnswers() {
+      return instance.getAnswers();
+    }
+    /**
+     * <pre>
+     * Whole responses from there since the last message, and those among them that report an error of the upstream.
+     * </pre>
+     *
+     * <code>uint32 answers = 9;</code>
+     * @param value The answers to set.
+     * @return This builder for chaining.
+     */
+    public Builder setAnswers(int value) {
+      copyOnWrite();
+      instance.setAnswers(value);
+      return this;
+    }
+    /**
+     * <pre>
+     * Whole responses from there since the last message, and those among them that report an error of the upstream.
+     * </pre>
+     *
+     * <code>uint32 answers = 9;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearAnswers() {
+      copyOnWrite();
+      instance.clearAnswers();
+      return this;
+    }
+
+    /**
+     * <code>uint32 errors = 10;</code>
+     * @return The errors.
+     */
+    @java.lang.Override
+    public int getErrors() {
+      return instance.getErrors();
+    }
+    /**
+     * <code>uint32 errors = 10;</code>
+     * @param value The errors to set.
+     * @return This builder for chaining.
+     */
+    public Builder setErrors(int value) {
+      copyOnWrite();
+      instance.setErrors(value);
+      return this;
+    }
+    /**
+     * <code>uint32 errors = 10;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearErrors() {
+      copyOnWrite();
+      instance.clearErrors();
+      return this;
+    }
+
+    /**
+     * <pre>
+     * Sum of the times in microseconds that the requests without a prompt among the answers took there.
+     * </pre>
+     *
+     * <code>uint32 service_us = 11;</code>
+     * @return The serviceUs.
+     */
+    @java.lang.Override
+    public int getServiceUs() {
+      return instance.getServiceUs();
+    }
+    /**
+     * <pre>
+     * Sum of the times in microseconds that the requests without a prompt among the answers took there.
+     * </pre>
+     *
+     * <code>uint32 service_us = 11;</code>
+     * @param value The serviceUs to set.
+     * @return This builder for chaining.
+     */
+    public Builder setServiceUs(int value) {
+      copyOnWrite();
+      instance.setServiceUs(value);
+      return this;
+    }
+    /**
+     * <pre>
+     * Sum of the times in microseconds that the requests without a prompt among the answers took there.
+     * </pre>
+     *
+     * <code>uint32 service_us = 11;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearServiceUs() {
+      copyOnWrite();
+      instance.clearServiceUs();
+      return this;
+    }
+
+    /**
+     * <pre>
+     * Number of the answers that service_us covers.
+     * </pre>
+     *
+     * <code>uint32 served = 12;</code>
+     * @return The served.
+     */
+    @java.lang.Override
+    public int getServed() {
+      return instance.getServed();
+    }
+    /**
+     * <pre>
+     * Number of the answers that service_us covers.
+     * </pre>
+     *
+     * <code>uint32 served = 12;</code>
+     * @param value The served to set.
+     * @return This builder for chaining.
+     */
+    public Builder setServed(int value) {
+      copyOnWrite();
+      instance.setServed(value);
+      return this;
+    }
+    /**
+     * <pre>
+     * Number of the answers that service_us covers.
+     * </pre>
+     *
+     * <code>uint32 served = 12;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearServed() {
+      copyOnWrite();
+      instance.clearServed();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:cuminshelf.UpstreamLoad)
   }
   @java.lang.Override
@@ -688,10 +1192,18 @@
             "tokens_",
             "prompts_",
             org.cuminshelf.message.WaitingPrompt.class,
+            "intervals_",
+            "intervalsUs_",
+            "awaitedUs_",
+            "answers_",
+            "errors_",
+            "serviceUs_",
+            "served_",
           };
           java.lang.String info =
-              "\u0000\u0004\u0000\u0000\u0001\u0005\u0004\u0000\u0001\u0000\u0001\u0208\u0002\u000b" +
-              "\u0004\u000b\u0005\u001b";
+              "\u0000\u000b\u0000\u0000\u0001\f\u000b\u0000\u0001\u0000\u0001\u0208\u0002\u000b" +
+              "\u0004\u000b\u0005\u001b\u0006\u000b\u0007\u000b\b\u000b\t\u000b\n\u000b\u000b\u000b" +
+              "\f\u000b";
           return newMessageInfo(DEFAULT_INSTANCE, info, objects);
       }
       case GET_DEFAULT_INSTANCE: {
--- a/src/main/java/org/cuminshelf/message/UpstreamLoadOrBuilder.java
+++ b/src/main/java/org/cuminshelf/message/UpstreamLoadOrBuilder.java
@@ -67,4 +67,67 @@
    * <code>repeated .cuminshelf.WaitingPrompt prompts = 5;</code>
    */
   int getPromptsCount();
+
+  /**
+   * <pre>
+   * Intervals between two events of the entry's streams there that ended since the last message, and their sum in
+   * microseconds.
+   * </pre>
+   *
+   * <code>uint32 intervals = 6;</code>
+   * @return The intervals.
+   */
+  int getIntervals();
+
+  /**
+   * <code>uint32 intervals_us = 7;</code>
+   * @return The intervalsUs.
+   */
+  int getIntervalsUs();
+
+  /**
+   * <pre>
+   * Longest time in microseconds for which a stream of the entry has waited there for its next event.
+   * </pre>
+   *
+   * <code>uint32 awaited_us = 8;</code>
+   * @return The awaitedUs.
+   */
+  int getAwaitedUs();
+
+  /**
+   * <pre>
+   * Whole responses from there since the last message, and those among them that report an error of the upstream.
+   * </pre>
+   *
+   * <code>uint32 answers = 9;</code>
+   * @return The answers.
+   */
+  int getAnswers();
+
+  /**
+   * <code>uint32 errors = 10;</code>
+   * @return The errors.
+   */
+  int getErrors();
+
+  /**
+   * <pre>
+   * Sum of the times in microseconds that the requests without a prompt among the answers took there.
+   * </pre>
+   *
+   * <code>uint32 service_us = 11;</code>
+   * @return The serviceUs.
+   */
+  int getServiceUs();
+
+  /**
+   * <pre>
+   * Number of the answers that service_us covers.
+   * </pre>
+   *
+   * <code>uint32 served = 12;</code>
+   * @return The served.
+   */
+  int getServed();
 }
