Prompt queues are estimated in the order in which engines serve them, by priority

Engines continue with the most urgent waiting prompt, but the estimate took all prompts in the order of sending. Load reports now carry each waiting prompt's priority; one without it counts with the default.

--- a/src/main/java/org/cuminshelf/direct/AttemptRunner.java
+++ b/src/main/java/org/cuminshelf/direct/AttemptRunner.java
@@ -88,8 +88,6 @@
     private static final double NANOS_PER_MILLI = 1e6;
     private static final int HTTP_OK = 200;
     private static final long MAX_BODY_BYTES = 16 << 20;
-    private static final int DEFAULT_QUEUE_PRIORITY = 5;
-    private static final int MAX_QUEUE_PRIORITY = 9;
 
     private final UpstreamProtocol protocol;
     private final UpstreamClient client;
@@ -159,7 +157,8 @@
         upstream.localMemoryTokens += attempt.memoryTokens();
         if (attempt.estimate.prefillMillis() > 0) {
             upstream.pendingPrompts.add(
-                    attempt.number, new PromptQueue.PendingPrompt(now, attempt.estimate.prefillMillis()));
+                    attempt.number,
+                    new PromptQueue.PendingPrompt(now, attempt.estimate.prefillMillis(), call.queuePriority()));
             attempt.promptPending = true;
         }
         call.intent.generation().ifPresent(shape -> {
@@ -177,7 +176,7 @@
                 upstream.name,
                 call.organisation.map(Organisation::name),
                 Durations.millisLeft(now, call.deadlineNanos),
-                queuePriority(call),
+                call.queuePriority(),
                 attempt.prefillOnly,
                 attempt.prefillOnly ? Optional.empty() : kvCache,
                 choice.prefixSource().map(instance -> instance.address),
@@ -188,11 +187,6 @@
         return attempt;
     }
 
-    /** The priority of a call in the engine's queue, derived from that of its organisation or else its route. */
-    private static int queuePriority(DirectCall call) {
-        return Math.clamp(DEFAULT_QUEUE_PRIORITY - 2 + call.priority(), 0, MAX_QUEUE_PRIORITY);
-    }
-
     private static long responseTimeoutNanos(DirectCall call, DirectAttempt attempt) {
         if (call.route.kind() == RequestKind.IDEMPOTENT) {
             return Math.max(
--- a/src/main/java/org/cuminshelf/direct/DirectCall.java
+++ b/src/main/java/org/cuminshelf/direct/DirectCall.java
@@ -9,6 +9,7 @@
 import java.util.Set;
 import java.util.stream.Collectors;
 import java.util.stream.Stream;
+import org.cuminshelf.engines.PromptQueue;
 import org.cuminshelf.exchange.CallerExchange;
 import org.cuminshelf.exchange.ReceivedRequest;
 import org.cuminshelf.message.AttributeKind;
@@ -31,6 +32,8 @@
     private static final int MAX_LOGGED_SEGMENTS = 6;
     /** Segments of a prompt, from its start, under which crashes are counted; prompts may have any number. */
     private static final int MAX_COUNTED_SEGMENTS = 16;
+    /** Least urgent priority that engines know. */
+    private static final int MAX_QUEUE_PRIORITY = 9;
 
     /** Identifies the call within this process; unlike the request id it is unique. */
     final long number;
@@ -227,6 +230,11 @@
                 .orElse(route.priority());
     }
 
+    /** Its priority in an engine's queue, 0 being the first; routes of middle priority are at the engine's default. */
+    int queuePriority() {
+        return Math.clamp(PromptQueue.DEFAULT_PRIORITY - 2 + priority(), 0, MAX_QUEUE_PRIORITY);
+    }
+
     boolean isStream() {
         return route.kind() == RequestKind.STREAM;
     }
--- a/src/main/java/org/cuminshelf/direct/LoadGossip.java
+++ b/src/main/java/org/cuminshelf/direct/LoadGossip.java
@@ -202,7 +202,8 @@
         for (PromptQueue.PendingPrompt prompt : upstream.pendingPrompts.localPrompts()) {
             load.addPrompts(WaitingPrompt.newBuilder()
                     .setAgeUs((int) ((now - prompt.sentAt()) / NANOS_PER_MICRO))
-                    .setWorkUs(micros(prompt.prefillMillis())));
+                    .setWorkUs(micros(prompt.prefillMillis()))
+                    .setPriority(prompt.priority()));
         }
         return load.build();
     }
@@ -282,7 +283,8 @@
         List<PromptQueue.PendingPrompt> prompts = new ArrayList<>(load.getPromptsCount());
         for (WaitingPrompt prompt : load.getPromptsList()) {
             long sentAt = now - (long) (prompt.getAgeUs() * NANOS_PER_MICRO);
-            prompts.add(new PromptQueue.PendingPrompt(sentAt, prompt.getWorkUs() / MICROS_PER_MILLI));
+            int priority = prompt.hasPriority() ? prompt.getPriority() : PromptQueue.DEFAULT_PRIORITY;
+            prompts.add(new PromptQueue.PendingPrompt(sentAt, prompt.getWorkUs() / MICROS_PER_MILLI, priority));
         }
         return prompts;
     }
--- a/src/main/java/org/cuminshelf/direct/UpstreamSelector.java
+++ b/src/main/java/org/cuminshelf/direct/UpstreamSelector.java
@@ -328,7 +328,7 @@
             SharedPrefixLocations shared = locations.readableBy(upstream);
             double unreportedHere =
                     unreportedMillis.get(upstream.role) * UnreportedWork.randomFactor(upstream.id, callHash);
-            Choice choice = estimate(now, upstream, model, shape, shared, unreportedHere);
+            Choice choice = estimate(now, upstream, model, call, shape, shared, unreportedHere);
             boolean fits = upstream.generatesTokens()
                     ? canPrefillBesideStreams(choice, call, model, hasPrefillEngines)
                     : handoverVersions.contains(upstream.version);
@@ -405,6 +405,7 @@
             long now,
             UpstreamInstance upstream,
             EngineLatencyModel model,
+            DirectCall call,
             GenerationShape shape,
             SharedPrefixLocations shared,
             double unreportedHere) {
@@ -416,7 +417,7 @@
         double work =
                 model.prefillMillis(upstream.id, generates, upstream.totalAttempts(), cachedTokens, uncachedTokens)
                         + model.transferMillis(Math.max(0, cachedTokens - ownTokens));
-        double wait = upstream.pendingPrompts.waitMillis(now, latency) + unreportedHere;
+        double wait = upstream.pendingPrompts.waitMillis(now, latency, call.queuePriority()) + unreportedHere;
         double handover = generates ? 0 : model.handoverMillis(shape.promptTokens());
         double first = wait + work + latency + (upstream.zone.equals(zone) ? 0 : CROSS_ZONE_MILLIS) + handover;
         PromptEstimate estimate = new PromptEstimate(cachedTokens, uncachedTokens, wait, work, first);
--- a/src/main/java/org/cuminshelf/engines/PromptQueue.java
+++ b/src/main/java/org/cuminshelf/engines/PromptQueue.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.PriorityQueue;
 import org.cuminshelf.core.Address;
 
 /**
@@ -15,6 +16,11 @@
  * <p>An engine prefills prompts one after the other, so the time at which it will be free follows from when each was
  * sent and how long it takes. Observations correct this: a prompt that should have been prefilled and was not is still
  * in progress. The plain sum of prefill times would count work that is already done.
+ *
+ * <p>An engine that finishes a prompt continues with the most urgent one that waits there, and of equally urgent ones
+ * with the one that was sent first. So an urgent prompt waits for the prompt in progress and for those at least as
+ * urgent, not for the whole queue: estimated by the whole queue, urgent prompts seemed late and were refused while less
+ * urgent ones were queued before them.
  */
 public final class PromptQueue {
 
@@ -27,13 +33,34 @@
      */
     private static final double REMAINING_SHARE_OF_OVERDUE = 0.5;
 
+    /** Priority in an engine's queue of a request that states none; 0 is the most urgent. */
+    public static final int DEFAULT_PRIORITY = 5;
+    /** Less urgent than any request. */
+    private static final int LOWEST_PRIORITY = Integer.MAX_VALUE;
+
+    /** The order in which an engine takes prompts that wait there. */
+    private static final Comparator<PendingPrompt> SERVICE_ORDER =
+            Comparator.comparingInt(PendingPrompt::priority).thenComparingLong(PendingPrompt::sentAt);
+
     /**
      * A prompt in progress.
      *
      * @param sentAt        when it was sent, in nanoseconds
      * @param prefillMillis milliseconds for which it occupies the engine
+     * @param priority      its priority in the engine's queue, 0 being the most urgent
      */
-    public record PendingPrompt(long sentAt, double prefillMillis) {}
+    public record PendingPrompt(long sentAt, double prefillMillis, int priority) {
+
+        /**
+         * Creates a prompt of default priority.
+         *
+         * @param sentAt        when it was sent, in nanoseconds
+         * @param prefillMillis milliseconds for which it occupies the engine
+         */
+        public PendingPrompt(long sentAt, double prefillMillis) {
+            this(sentAt, prefillMillis, DEFAULT_PRIORITY);
+        }
+    }
 
     private final Map<Long, PendingPrompt> localPrompts = new HashMap<>();
     private final Map<Address, List<PendingPrompt>> remotePrompts = new HashMap<>();
@@ -124,20 +151,54 @@
      * @return milliseconds
      */
     public double waitMillis(long now, double latencyMillis) {
+        return waitMillis(now, latencyMillis, LOWEST_PRIORITY);
+    }
+
+    /**
+     * Predicts how long a prompt that is sent now waits for others.
+     *
+     * @param now           the time in nanoseconds
+     * @param latencyMillis milliseconds from the end of a prefill to the engine's first output
+     * @param priority      its priority in the engine's queue, 0 being the most urgent
+     * @return milliseconds
+     */
+    public double waitMillis(long now, double latencyMillis, int priority) {
         if (isEmpty()) {
             return 0;
         }
         double freeMillis = (lastPrefilledAt - now) / NANOS_PER_MILLI - latencyMillis;
-        for (PendingPrompt prompt : inSendOrder()) {
-            double sentMillis = (prompt.sentAt - now) / NANOS_PER_MILLI;
-            double endMillis = Math.max(freeMillis, sentMillis) + prompt.prefillMillis;
-            // No output was received, so the prefill ended at most latencyMillis ago; an overdue one is still running.
-            double overdueMillis = Math.max(0, -latencyMillis - endMillis);
-            freeMillis = Math.max(endMillis, -latencyMillis + REMAINING_SHARE_OF_OVERDUE * overdueMillis);
+        PriorityQueue<PendingPrompt> waiting = new PriorityQueue<>(SERVICE_ORDER);
+        List<PendingPrompt> unsent = inSendOrder();
+        int nextUnsent = 0;
+        while (nextUnsent < unsent.size() || !waiting.isEmpty()) {
+            if (waiting.isEmpty()) {
+                freeMillis = Math.max(freeMillis, millisFrom(now, unsent.get(nextUnsent)));
+            }
+            while (nextUnsent < unsent.size() && millisFrom(now, unsent.get(nextUnsent)) <= freeMillis) {
+                waiting.add(unsent.get(nextUnsent));
+                nextUnsent++;
+            }
+            PendingPrompt next = waiting.poll();
+            if (freeMillis > 0 && next.priority > priority) {
+                return freeMillis;
+            }
+            freeMillis = endMillis(freeMillis, next, latencyMillis);
         }
         return Math.max(0, freeMillis);
     }
 
+    private static double millisFrom(long now, PendingPrompt prompt) {
+        return (prompt.sentAt - now) / NANOS_PER_MILLI;
+    }
+
+    /** Returns when the prefill of a prompt ends that begins at a time; both in milliseconds from now. */
+    private static double endMillis(double startMillis, PendingPrompt prompt, double latencyMillis) {
+        double plannedMillis = startMillis + prompt.prefillMillis;
+        // No output was received, so the prefill ended at most latencyMillis ago; an overdue one is still running.
+        double overdueMillis = Math.max(0, -latencyMillis - plannedMillis);
+        return Math.max(plannedMillis, -latencyMillis + REMAINING_SHARE_OF_OVERDUE * overdueMillis);
+    }
+
     private List<PendingPrompt> inSendOrder() {
         if (sortedPrompts.isEmpty()) {
             sortedPrompts = Optional.of(sortBySendTime());
--- a/src/main/java/org/cuminshelf/message/WaitingPrompt.java
+++ b/src/main/java/org/cuminshelf/message/WaitingPrompt.java
@@ -20,6 +20,7 @@
     WaitingPromptOrBuilder {
   private WaitingPrompt() {
   }
+  private int bitField0_;
   public static final int AGE_US_FIELD_NUMBER = 1;
   private int ageUs_;
   /**
@@ -96,6 +97,56 @@
     workUs_ = 0;
   }
 
+  public static final int PRIORITY_FIELD_NUMBER = 3;
+  private int priority_;
+  /**
+   * <pre>
+   * Priority in the engine's queue, 0 being the first; absent means the default.
+   * </pre>
+   *
+   * <code>optional uint32 priority = 3;</code>
+   * @return Whether the priority field is set.
+   */
+  @java.lang.Override
+  public boolean hasPriority() {
+    return ((bitField0_ & 0x00000001) != 0);
+  }
+  /**
+   * <pre>
+   * Priority in the engine's queue, 0 being the first; absent means the default.
+   * </pre>
+   *
+   * <code>optional uint32 priority = 3;</code>
+   * @return The priority.
+   */
+  @java.lang.Override
+  public int getPriority() {
+    return priority_;
+  }
+  /**
+   * <pre>
+   * Priority in the engine's queue, 0 being the first; absent means the default.
+   * </pre>
+   *
+   * <code>optional uint32 priority = 3;</code>
+   * @param value The priority to set.
+   */
+  private void setPriority(int value) {
+    bitField0_ |= 0x00000001;
+    priority_ = value;
+  }
+  /**
+   * <pre>
+   * Priority in the engine's queue, 0 being the first; absent means the default.
+   * </pre>
+   *
+   * <code>optional uint32 priority = 3;</code>
+   */
+  private void clearPriority() {
+    bitField0_ = (bitField0_ & ~0x00000001);
+    priority_ = 0;
+  }
+
   public static org.cuminshelf.message.WaitingPrompt parseFrom(
       java.nio.ByteBuffer data)
       throws com.google.protobuf.InvalidProtocolBufferException {
@@ -277,6 +328,58 @@
       return this;
     }
 
+    /**
+     * <pre>
+     * Priority in the engine's queue, 0 being the first; absent means the default.
+     * </pre>
+     *
+     * <code>optional uint32 priority = 3;</code>
+     * @return Whether the priority field is set.
+     */
+    @java.lang.Override
+    public boolean hasPriority() {
+      return instance.hasPriority();
+    }
+    /**
+     * <pre>
+     * Priority in the engine's queue, 0 being the first; absent means the default.
+     * </pre>
+     *
+     * <code>optional uint32 priority = 3;</code>
+     * @return The priority.
+     */
+    @java.lang.Override
+    public int getPriority() {
+      return instance.getPriority();
+    }
+    /**
+     * <pre>
+     * Priority in the engine's queue, 0 being the first; absent means the default.
+     * </pre>
+     *
+     * <code>optional uint32 priority = 3;</code>
+     * @param value The priority to set.
+     * @return This builder for chaining.
+     */
+    public Builder setPriority(int value) {
+      copyOnWrite();
+      instance.setPriority(value);
+      return this;
+    }
+    /**
+     * <pre>
+     * Priority in the engine's queue, 0 being the first; absent means the default.
+     * </pre>
+     *
+     * <code>optional uint32 priority = 3;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearPriority() {
+      copyOnWrite();
+      instance.clearPriority();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:cuminshelf.WaitingPrompt)
   }
   @java.lang.Override
@@ -293,12 +396,14 @@
       }
       case BUILD_MESSAGE_INFO: {
           java.lang.Object[] objects = new java.lang.Object[] {
+            "bitField0_",
             "ageUs_",
             "workUs_",
+            "priority_",
           };
           java.lang.String info =
-              "\u0000\u0002\u0000\u0000\u0001\u0002\u0002\u0000\u0000\u0000\u0001\u000b\u0002\u000b" +
-              "";
+              "\u0000\u0003\u0000\u0001\u0001\u0003\u0003\u0000\u0000\u0000\u0001\u000b\u0002\u000b" +
+              "\u0003\u100b\u0000";
           return newMessageInfo(DEFAULT_INSTANCE, info, objects);
       }
       case GET_DEFAULT_INSTANCE: {
--- a/src/main/java/org/cuminshelf/message/WaitingPromptOrBuilder.java
+++ b/src/main/java/org/cuminshelf/message/WaitingPromptOrBuilder.java
@@ -29,4 +29,23 @@
    * @return The workUs.
    */
   int getWorkUs();
+
+  /**
+   * <pre>
+   * Priority in the engine's queue, 0 being the first; absent means the default.
+   * </pre>
+   *
+   * <code>optional uint32 priority = 3;</code>
+   * @return Whether the priority field is set.
+   */
+  boolean hasPriority();
+  /**
+   * <pre>
+   * Priority in the engine's queue, 0 being the first; absent means the default.
+   * </pre>
+   *
+   * <code>optional uint32 priority = 3;</code>
+   * @return The priority.
+   */
+  int getPriority();
 }
--- a/src/test/java/org/cuminshelf/engines/PromptQueueTest.java
+++ b/src/test/java/org/cuminshelf/engines/PromptQueueTest.java
@@ -65,4 +65,38 @@
         assertThat(queue.waitMillis(NOW, 0)).isEqualTo(20);
         assertThat(queue.localPrompts()).hasSize(1);
     }
+
+    /*
+     * Guards against an urgent prompt that is refused as late, although the engine will prefill it before all the less
+     * urgent prompts that wait there.
+     */
+    @Example
+    void anUrgentPromptWaitsOnlyForThePromptInProgressAndForThoseAsUrgent() {
+        queue.add(1, new PromptQueue.PendingPrompt(NOW, 100, 5));
+        queue.add(2, new PromptQueue.PendingPrompt(NOW, 200, 5));
+        queue.add(3, new PromptQueue.PendingPrompt(NOW, 40, 3));
+        long later = NOW + 30 * NANOS_PER_MILLI;
+        // All were sent at one time, so the engine began with the third.
+        assertThat(queue.waitMillis(later, 0, 2)).isEqualTo(10);
+        assertThat(queue.waitMillis(later, 0, 4)).isEqualTo(10);
+        assertThat(queue.waitMillis(later, 0, 5)).isEqualTo(310);
+        assertThat(queue.waitMillis(later, 0)).isEqualTo(310);
+    }
+
+    /* Guards against an urgent prompt that is thought to interrupt a prefill which has begun. */
+    @Example
+    void aPrefillInProgressIsNotInterruptedByAnUrgentPrompt() {
+        queue.add(1, new PromptQueue.PendingPrompt(NOW, 100, 5));
+        queue.add(2, new PromptQueue.PendingPrompt(NOW + 10 * NANOS_PER_MILLI, 50, 5));
+        assertThat(queue.waitMillis(NOW + 20 * NANOS_PER_MILLI, 0, 0)).isEqualTo(80);
+        assertThat(queue.waitMillis(NOW + 20 * NANOS_PER_MILLI, 0, 5)).isEqualTo(130);
+    }
+
+    /* Guards against urgent prompts that seem to wait for nobody: those sent before them and as urgent go first. */
+    @Example
+    void equallyUrgentPromptsAreServedInTheOrderOfTheirSending() {
+        queue.add(1, new PromptQueue.PendingPrompt(NOW, 100, 3));
+        queue.setRemotePrompts(OTHER, List.of(new PromptQueue.PendingPrompt(NOW + NANOS_PER_MILLI, 60, 3)));
+        assertThat(queue.waitMillis(NOW + 2 * NANOS_PER_MILLI, 0, 3)).isEqualTo(158);
+    }
 }
