Connection requests between processes time out after 300 ms

The first connection request goes to a VM that is not back yet, is not answered, and blocked further ones until the timeout of 1 s. Ruled out: elections (control processes listen 0.3 s after the entries' start, and votes are withheld from the process start only) and the interval of subscriptions (50 ms until an entry is ready).

--- a/src/main/java/org/cuminshelf/network/TcpNetwork.java
+++ b/src/main/java/org/cuminshelf/network/TcpNetwork.java
@@ -44,7 +44,12 @@
 
     private static final String LOG = "network: ";
     private static final int LENGTH_BYTES = 4;
-    private static final int CONNECT_TIMEOUT_MILLIS = 1_000;
+    /**
+     * Longer than a round trip between regions, and shorter than the second after which the operating system sends an
+     * unanswered connection request again: one that was lost, or sent to a VM that is just starting, delayed the first
+     * message by a second. Senders retry, so the next request follows at once.
+     */
+    static final int CONNECT_TIMEOUT_MILLIS = 300;
 
     private final EventLoopGroup eventLoops;
     private final Optional<ReloadingTlsContext> tls;
--- a/src/test/java/org/cuminshelf/network/TcpNetworkTest.java
+++ b/src/test/java/org/cuminshelf/network/TcpNetworkTest.java
@@ -3,6 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
+import io.netty.channel.ChannelOption;
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.ServerSocket;
@@ -37,6 +38,24 @@
         }
     }
 
+    /*
+     * Guards against an entry that is not ready for a second after a power cut, because its first connection request
+     * was sent to a control process whose VM was not back yet. Retries of the sender must get through soon.
+     */
+    @Example
+    void anUnansweredConnectionRequestIsGivenUpBeforeTheOperatingSystemRepeatsIt() throws Exception {
+        long repeatedAfterMillis = 1_000;
+        long roundTripBetweenRegionsMillis = 250;
+        assertThat((long) TcpNetwork.CONNECT_TIMEOUT_MILLIS)
+                .isGreaterThan(roundTripBetweenRegionsMillis)
+                .isLessThan(repeatedAfterMillis / 2);
+        try (TcpNetwork client = TcpNetwork.open(1, Optional.empty())) {
+            OutboundConnection connection = new OutboundConnection(client, freeAddress());
+            assertThat(client.bootstrapFor(connection).config().options())
+                    .containsEntry(ChannelOption.CONNECT_TIMEOUT_MILLIS, TcpNetwork.CONNECT_TIMEOUT_MILLIS);
+        }
+    }
+
     /*
      * Guards against a decoder that skips empty frames. Heartbeats are empty messages; if none is echoed, the sender
      * closes every connection as unresponsive after three seconds, and messages in transit are lost.
