Outlier detection: upstreams that answer with errors cost what their answers lose

Errors of an upstream count as far as they exceed those of its peers for the same kind of work. The excess is a cost beside lateness in the choice of engines, handovers and plain upstreams; entries share answers and errors in their load reports; outliers get one trial request at a time.

--- a/src/main/java/org/cuminshelf/direct/AttemptLog.java
+++ b/src/main/java/org/cuminshelf/direct/AttemptLog.java
@@ -167,6 +167,9 @@
         if (upstream.unlistedSinceNanos != Core.NEVER) {
             return "unlisted";
         }
-        return upstream.isAvoided(now) ? "avoided" : "listed";
+        if (upstream.isAvoided(now)) {
+            return "avoided";
+        }
+        return upstream.outlier ? "outlier" : "listed";
     }
 }
--- a/src/main/java/org/cuminshelf/direct/CallDispatcher.java
+++ b/src/main/java/org/cuminshelf/direct/CallDispatcher.java
@@ -37,6 +37,7 @@
     private final PoisonGuard poisonGuard;
     private final UsageMeter usageMeter;
     private final StreamRecords streamRecords;
+    private final UpstreamOutliers outliers;
     private final CallerResponses responses;
     private final AttemptRunner attemptRunner;
     private final Map<Long, DirectCall> openCalls = new HashMap<>();
@@ -66,7 +67,8 @@
             BackpressureListener backpressureListener,
             PoisonGuard poisonGuard,
             UsageMeter usageMeter,
-            StreamRecords streamRecords) {
+            StreamRecords streamRecords,
+            UpstreamOutliers outliers) {
         this.protocol = protocol;
         this.client = client;
         this.upstreams = upstreams;
@@ -78,6 +80,7 @@
         this.poisonGuard = poisonGuard;
         this.usageMeter = usageMeter;
         this.streamRecords = streamRecords;
+        this.outliers = outliers;
         this.admission = new AdmissionControl(selector, control, poisonGuard, admissionQueue);
         this.responses = new CallerResponses(control, log);
         this.attemptLog = new AttemptLog(log);
@@ -198,6 +201,7 @@
         selector.onSent(now, choice);
         releasePermit(call);
         DirectAttempt attempt = attemptRunner.send(now, call, choice, kvCache);
+        outliers.onSent(now, attempt);
         if (choice.prefillOnly()) {
             reservePermit(now, call);
         }
@@ -226,6 +230,7 @@
         @Override
         public void onFirstEvent(long now, DirectAttempt attempt) {
             usageMeter.recordStart(attempt.call, now);
+            outliers.onAnswer(now, attempt);
         }
 
         @Override
@@ -246,6 +251,9 @@
                 onPrefillResponse(now, attempt);
             } else if (attempt.isSuccess()) {
                 attempt.upstream.recordSuccess(now - attempt.sentAtNanos);
+                if (attempt.firstEventAtNanos == Core.NEVER) {
+                    outliers.onAnswer(now, attempt);
+                }
                 forwardResponse(now, attempt);
             } else {
                 onErrorResponse(now, attempt);
@@ -363,6 +371,7 @@
             onOverloadRejection(now, attempt);
             return;
         }
+        outliers.onErrorResponse(now, attempt);
         boolean forwardable = !call.responseStarted && attempt.metadata.authentic();
         if (forwardable && !(call.isRetryable() && isServerError(attempt.status))) {
             forwardResponse(now, attempt);
@@ -422,6 +431,7 @@
                 attempt.status == ok ? protocol.readCacheHandle(attempt.responseBody.toByteArray()) : Optional.empty();
         if (handle.isPresent()) {
             attempt.upstream.recordSuccess(now - attempt.sentAtNanos);
+            outliers.onAnswer(now, attempt);
             call.prefillMillis = Durations.millis(now - attempt.sentAtNanos);
             call.kvCache =
                     Optional.of(new KvCacheHandle(attempt.upstream.address, handle.get(), attempt.upstream.version));
@@ -435,6 +445,7 @@
             return;
         } else {
             attempt.upstream.recordFailure(now);
+            outliers.onError(now, attempt);
         }
         // A prefill runs nothing, so whatever the response, the request did not run there.
         onAttemptFailed(now, attempt, new Verdict.NotRun(Cause.UPSTREAM_ERROR, 0));
--- a/src/main/java/org/cuminshelf/direct/CrashDetector.java
+++ b/src/main/java/org/cuminshelf/direct/CrashDetector.java
@@ -40,6 +40,17 @@
         void onCrash(long now, String upstream, FailedRuns.Presence presence);
     }
 
+    /** Receives attempts whose connection broke although their upstream is alive. */
+    interface ResetListener {
+        /**
+         * Called once for all attempts whose connections broke together.
+         *
+         * @param now     the time in nanoseconds
+         * @param attempt the first of them
+         */
+        void onReset(long now, DirectAttempt attempt);
+    }
+
     /**
      * Time after its first event for which a run counts as just begun. Poison requests crash an upstream as they begin
      * to run, within some 120 ms; the value is more than twice that, as events arrive late.
@@ -78,6 +89,7 @@
     private final LongSupplier clock;
     private final DecisionLog log;
     private final Listener listener;
+    private ResetListener resetListener = (now, attempt) -> {};
     private final Map<String, Suspect> suspects = new LinkedHashMap<>();
     /** Crashed instances by id. */
     private final Map<String, Crash> crashes = new HashMap<>();
@@ -91,6 +103,10 @@
         this.listener = listener;
     }
 
+    void reportResetsTo(ResetListener receiver) {
+        resetListener = receiver;
+    }
+
     /** Records the failed connection of an attempt that had been sent, and probes the upstream if necessary. */
     void onAttemptFailed(long now, DirectAttempt attempt) {
         UpstreamInstance upstream = attempt.upstream;
@@ -115,7 +131,7 @@
             client.probe(
                     upstream.address,
                     upstream.id,
-                    reachability -> onProbeResult(clock.getAsLong(), suspect, reachability));
+                    reachability -> onProbeResult(clock.getAsLong(), suspect, attempt, reachability));
         }
     }
 
@@ -140,7 +156,7 @@
         return suspect;
     }
 
-    private void onProbeResult(long now, Suspect suspect, Reachability reachability) {
+    private void onProbeResult(long now, Suspect suspect, DirectAttempt attempt, Reachability reachability) {
         suspect.reachability = Optional.of(reachability);
         suspect.probedAtNanos = now;
         switch (reachability) {
@@ -152,6 +168,7 @@
                 log.note(
                         "upstream", suspect.upstream.id, "outcome", "reset", "runs", suspect.failedRuns.requestCount());
                 suspect.failedRuns.clear();
+                resetListener.onReset(now, attempt);
             }
             case UNKNOWN -> checkForSuccessor(now, suspect);
         }
--- a/src/main/java/org/cuminshelf/direct/DirectCore.java
+++ b/src/main/java/org/cuminshelf/direct/DirectCore.java
@@ -49,6 +49,7 @@
     private final StreamRecords streamRecords;
     private final StreamResumptions resumptions;
     private final Backpressure backpressure;
+    private final UpstreamOutliers outliers;
     private final StartupRequestQueue earlyRequests = new StartupRequestQueue();
     private final Map<CallerExchange, DirectCall> callsByExchange = new HashMap<>();
     private long nextCallNumber = 1;
@@ -78,9 +79,13 @@
                 settings, routeTableReader, upstreams, poisonGuard, usageMeter, now, invariants, log);
         EngineLatencyModels engineModels = new EngineLatencyModels();
         BackpressureListener backpressureListener = new BackpressureListener(backpressure, upstreams, log);
+        UnreportedOutcomes unreportedOutcomes = new UnreportedOutcomes();
+        this.outliers = new UpstreamOutliers(upstreams, control, unreportedOutcomes, self, log);
+        poisonGuard.reportResetsTo(outliers::onReset);
         UpstreamSelector selector =
-                new UpstreamSelector(upstreams, control, engineModels, backpressure, settings.zone());
-        this.loadGossip = new LoadGossip(upstreams, engineModels, backpressure, backpressureListener, now);
+                new UpstreamSelector(upstreams, control, engineModels, backpressure, outliers, settings.zone());
+        this.loadGossip = new LoadGossip(
+                upstreams, engineModels, backpressure, backpressureListener, unreportedOutcomes, outliers, now);
         this.streamRecords = new StreamRecords(self, control);
         this.resumptions =
                 new StreamResumptions(self, streamRecords, upstreams, control, new ResumptionListener(), log);
@@ -100,7 +105,8 @@
                 backpressureListener,
                 poisonGuard,
                 usageMeter,
-                streamRecords);
+                streamRecords,
+                outliers);
         this.nextHousekeepingNanos = now;
     }
 
@@ -341,6 +347,7 @@
             nextHousekeepingNanos = now + HOUSEKEEPING_INTERVAL_NANOS;
             upstreams.tick(now);
             backpressure.tick(now);
+            outliers.tick(now);
             streamRecords.expire(now);
             callsByExchange.values().removeIf(call -> call.closed);
         }
@@ -434,6 +441,33 @@
         return backpressure.backoffs().activeCount(clock.getAsLong());
     }
 
+    /**
+     * Counts the upstreams that answer more requests with errors than their peers.
+     *
+     * @return their number
+     */
+    public long outlierUpstreams() {
+        return outliers.outlierCount();
+    }
+
+    /**
+     * Counts the errors of upstreams that this entry has seen since its start, rejections excluded.
+     *
+     * @return their number
+     */
+    public long upstreamErrors() {
+        return outliers.errorCount();
+    }
+
+    /**
+     * Counts the requests that this entry has sent to outliers since its start.
+     *
+     * @return their number
+     */
+    public long outlierTrials() {
+        return outliers.trialCount();
+    }
+
     /**
      * Counts the calls without a final response, including requests that wait for the first configuration.
      *
--- a/src/main/java/org/cuminshelf/direct/LoadGossip.java
+++ b/src/main/java/org/cuminshelf/direct/LoadGossip.java
@@ -68,6 +68,8 @@
     private final EngineLatencyModels models;
     private final Backpressure backpressure;
     private final BackpressureListener backpressureListener;
+    private final UnreportedOutcomes unreportedOutcomes;
+    private final UpstreamOutliers outliers;
     private final List<SentPrompt> sentPrompts = new ArrayList<>();
     private final List<TakenPrompt> prefilledPrompts = new ArrayList<>();
     private long nextReportAt;
@@ -80,11 +82,15 @@
             EngineLatencyModels models,
             Backpressure backpressure,
             BackpressureListener backpressureListener,
+            UnreportedOutcomes unreportedOutcomes,
+            UpstreamOutliers outliers,
             long now) {
         this.upstreams = upstreams;
         this.models = models;
         this.backpressure = backpressure;
         this.backpressureListener = backpressureListener;
+        this.unreportedOutcomes = unreportedOutcomes;
+        this.outliers = outliers;
         this.nextReportAt = now;
         this.lastReportAt = now;
     }
@@ -140,14 +146,19 @@
                 Math.max(otherEntries * MIN_INTERVAL_PER_ENTRY_NANOS, MAX_INTERVAL_NANOS));
     }
 
-    /** Returns when the next report is due: never if no request is open and the last report was empty. */
+    /** Returns when the next report is due: never if no request is open and there is nothing to report. */
     long nextDue(boolean busy) {
-        return busy || lastReportNonEmpty ? nextReportAt : Core.NEVER;
+        return busy || lastReportNonEmpty || !unreportedOutcomes.isEmpty() ? reportDueAt() : Core.NEVER;
+    }
+
+    /** Returns when the next report is due if there is one; an error of an upstream makes it early. */
+    private long reportDueAt() {
+        return unreportedOutcomes.hasError() ? Math.min(nextReportAt, lastReportAt + minIntervalNanos()) : nextReportAt;
     }
 
     /** Sends a report to the other entries if one is due. */
     void tick(long now, Outbox out, Address self, List<Address> entries) {
-        if (now < nextReportAt) {
+        if (now < reportDueAt()) {
             return;
         }
         lastReportAt = now;
@@ -155,12 +166,13 @@
         nextReportAt = now + Math.max(REPORT_INTERVAL_NANOS, minIntervalNanos());
         EntryLoad.Builder load = EntryLoad.newBuilder().addAllSent(sentPrompts).addAllTaken(prefilledPrompts);
         upstreams.instances().stream()
-                .filter(upstream -> upstream.localAttempts > 0)
+                .filter(upstream -> upstream.localAttempts > 0 || unreportedOutcomes.contains(upstream.id))
                 .forEach(upstream -> load.addUpstreams(upstreamLoad(now, upstream)));
         boolean hasBackpressure = addBackpressure(now, load);
         boolean isNonEmpty = load.getUpstreamsCount() > 0 || !prefilledPrompts.isEmpty() || hasBackpressure;
         sentPrompts.clear();
         prefilledPrompts.clear();
+        unreportedOutcomes.clear();
         if (isNonEmpty || lastReportNonEmpty) {
             entries.stream()
                     .filter(entry -> !entry.equals(self))
@@ -194,7 +206,7 @@
         return load.getLimitsCount() + load.getDemandsCount() + load.getRestsCount() + load.getLeavingCount() > 0;
     }
 
-    private static UpstreamLoad upstreamLoad(long now, UpstreamInstance upstream) {
+    private UpstreamLoad upstreamLoad(long now, UpstreamInstance upstream) {
         UpstreamLoad.Builder load = UpstreamLoad.newBuilder()
                 .setId(upstream.id)
                 .setRunning(upstream.localAttempts)
@@ -204,6 +216,7 @@
                     .setAgeUs((int) ((now - prompt.sentAt()) / NANOS_PER_MICRO))
                     .setWorkUs(micros(prompt.prefillMillis())));
         }
+        unreportedOutcomes.addTo(load);
         return load.build();
     }
 
@@ -216,6 +229,7 @@
     /** Applies the report of another entry. */
     void onLoad(long now, Address entry, EntryLoad load) {
         upstreams.applyLoad(now, entry, load);
+        load.getUpstreamsList().forEach(upstreamLoad -> outliers.onReport(now, entry, upstreamLoad));
         load.getSentList().forEach(prompt -> onPromptSentElsewhere(now, prompt));
         load.getTakenList().forEach(prompt -> onPrefillCompletedElsewhere(now, prompt));
         load.getLimitsList().forEach(limit -> onLimitElsewhere(now, entry, limit));
--- a/src/main/java/org/cuminshelf/direct/PoisonGuard.java
+++ b/src/main/java/org/cuminshelf/direct/PoisonGuard.java
@@ -195,6 +195,11 @@
         crashDetector.onAttemptFailed(now, attempt);
     }
 
+    /** Sets the receiver of attempts whose connection broke while their upstream went on listening. */
+    void reportResetsTo(CrashDetector.ResetListener listener) {
+        crashDetector.reportResetsTo(listener);
+    }
+
     /**
      * Whether a call may be retried. Within one call a poison request could crash one upstream after another before any
      * report of the crashes arrives, so after the second crash its caller has to send it again. A call that tests an
--- a/src/main/java/org/cuminshelf/direct/UpstreamSelector.java
+++ b/src/main/java/org/cuminshelf/direct/UpstreamSelector.java
@@ -68,6 +68,8 @@
      * segments that engines in the prefill role evict within seconds.
      */
     private static final double HOME_ENGINE_BONUS_REQUESTS = 6;
+    /** Requests per slot of a plain upstream that cost as much as a lost answer: most callers have left by then. */
+    private static final double PLAIN_LOAD_PER_LOST_ANSWER = 4;
     /** Milliseconds of queued prefill that weigh as much as one request on the engine. */
     private static final double QUEUE_MILLIS_PER_REQUEST = 14;
 
@@ -135,6 +137,7 @@
     private final ControlSubscription control;
     private final EngineLatencyModels models;
     private final Backpressure backpressure;
+    private final UpstreamOutliers outliers;
     private final EngineTimePrices prices = new EngineTimePrices();
     private final AnswerValues values = new AnswerValues();
     private final Map<String, UnreportedWork> unreported = new HashMap<>();
@@ -145,11 +148,13 @@
             ControlSubscription control,
             EngineLatencyModels models,
             Backpressure backpressure,
+            UpstreamOutliers outliers,
             String zone) {
         this.upstreams = upstreams;
         this.control = control;
         this.models = models;
         this.backpressure = backpressure;
+        this.outliers = outliers;
         this.zone = zone;
     }
 
@@ -196,6 +201,7 @@
         double lowestLoad = Double.MAX_VALUE;
         for (UpstreamInstance upstream : openUpstreams(now, call)) {
             double load = (double) upstream.totalAttempts() / upstream.slots
+                    + PLAIN_LOAD_PER_LOST_ANSWER * outliers.cost(now, upstream, call)
                     + (upstream.zone.equals(zone) ? 0 : 1e-3)
                     + 1e-4 * pseudoRandomFraction(upstream, call.number);
             if (load < lowestLoad) {
@@ -229,6 +235,7 @@
             boolean isHomeEngine = shared.filter(locations -> locations.isHomeOfStreams(upstream))
                     .isPresent();
             double load = memoryLoad(upstream, call)
+                    + (upstream.slots + HOME_ENGINE_BONUS_REQUESTS) * outliers.cost(now, upstream, call)
                     - (isHomeEngine ? HOME_ENGINE_BONUS_REQUESTS : 0)
                     + upstream.totalAttempts()
                     + upstream.pendingPrompts.waitMillis(now, model.latencyMillis(upstream.id, true))
@@ -363,9 +370,14 @@
             long now, Choice choice, DirectCall call, EngineLatencyModel model, GenerationShape shape) {
         double expectedValue =
                 values.valueOf(call, shape) * (1 - LATE_COST * lateProbability(now, choice, call, model));
+        double expectedLoss = values.valueOf(call, shape) * outliers.expectedLoss(now, choice.upstream, call);
         double timePrice = choice.estimate.prefillMillis() * prices.perMillisecond(call.service, choice.upstream);
         return new Choice(
-                choice.upstream, choice.prefillOnly, choice.estimate, choice.prefixSource, expectedValue - timePrice);
+                choice.upstream,
+                choice.prefillOnly,
+                choice.estimate,
+                choice.prefixSource,
+                expectedValue - expectedLoss - timePrice);
     }
 
     /**
@@ -440,6 +452,7 @@
                 Math.max(0, shared.tokens() - choice.estimate.cachedTokens()) * REPEATED_PREFILL_COST_PER_TOKEN;
         double work = choice.estimate.prefillMillis() * prices.perMillisecond(call.service, upstream);
         return latenessCost(now, choice, call, model)
+                + outliers.cost(now, upstream, call)
                 + work
                 + transferCost
                 + repeatedTokensCost
--- a/src/main/java/org/cuminshelf/process/DirectEntryProcess.java
+++ b/src/main/java/org/cuminshelf/process/DirectEntryProcess.java
@@ -192,6 +192,21 @@
                 "cuminshelf_resting_upstreams",
                 "Upstreams that requested backoff from this entry.",
                 core::upstreamsInBackoff);
+        EntryProcess.registerGauge(
+                registry,
+                "cuminshelf_outlier_upstreams",
+                "Upstreams that answer more requests with errors than their peers.",
+                core::outlierUpstreams);
+        EntryProcess.registerGauge(
+                registry,
+                "cuminshelf_upstream_errors",
+                "Errors of upstreams since the start, without rejections for lack of capacity.",
+                core::upstreamErrors);
+        EntryProcess.registerGauge(
+                registry,
+                "cuminshelf_outlier_trials",
+                "Requests sent to outlier upstreams since the start.",
+                core::outlierTrials);
         EntryProcess.registerGauge(
                 registry,
                 "cuminshelf_core_failures",
