--- a/src/test/java/org/cuminshelf/direct/UpstreamOutliersTest.java
+++ b/src/test/java/org/cuminshelf/direct/UpstreamOutliersTest.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import java.util.function.Predicate;
 import net.jqwik.api.Example;
+import org.cuminshelf.exchange.Reachability;
 import org.cuminshelf.message.EntryLoad;
 import org.cuminshelf.message.Envelope;
 import org.cuminshelf.message.Role;
@@ -175,6 +176,7 @@
             entry.advance(INTERVAL_MILLIS);
         }
         assertThat(failed).isBetween(1, 6);
+        assertThat(entry.core.upstreamErrors()).isEqualTo(failed);
     }
 
     /** Guards against sound upstreams that are avoided, as one kind of request fails by itself now and then. */
@@ -247,9 +249,7 @@
     @Example
     void eachOutcomeIsInOneReport() {
         DirectFixture entry = entry(RequestKind.NON_IDEMPOTENT, 1, 2);
-        entry.sendUpdate(Update.newBuilder()
-                .addEntryAddresses(DirectFixture.SELF.value())
-                .addEntryAddresses("10.0.1.2:7000"));
+        entry.setEntries(DirectFixture.SELF.value(), "10.0.1.2:7000");
         entry.out.take(Envelope::hasEntryLoad);
         for (int index = 0; index < 10; index++) {
             entry.sendRequest("r" + index);
@@ -264,6 +264,19 @@
         assertThat(loads.stream().mapToInt(UpstreamLoad::getErrors).sum()).isEqualTo(4);
     }
 
+    /** Guards against other entries that use a failing upstream for a tenth of a second longer. */
+    @Example
+    void anErrorIsReportedWithinMilliseconds() {
+        DirectFixture entry = entry(RequestKind.NON_IDEMPOTENT, 1, 2);
+        entry.setEntries(DirectFixture.SELF.value(), "10.0.1.2:7000");
+        entry.advance(1_000);
+        entry.out.take(Envelope::hasEntryLoad);
+        entry.sendRequest("r");
+        entry.lastSent().respond(500, "x");
+        entry.advance(5);
+        assertThat(entry.out.take(Envelope::hasEntryLoad)).hasSize(1);
+    }
+
     /** Guards against a new start that gets no requests for the errors of the one before. */
     @Example
     void anUpstreamThatStartsAgainBeginsClean() {
@@ -303,7 +316,7 @@
         DirectFixture entry = entry(RequestKind.STREAM, 1, 2);
         breakStreams(entry, 4);
         assertThat(entry.core.upstreamErrors()).isEqualTo(4);
-        entry.reachability = org.cuminshelf.exchange.Reachability.REFUSED;
+        entry.reachability = Reachability.REFUSED;
         breakStreams(entry, 1);
         assertThat(entry.core.upstreamErrors()).isEqualTo(4);
     }
--- a/src/test/java/org/cuminshelf/outliers/OutlierDetectorTest.java
+++ b/src/test/java/org/cuminshelf/outliers/OutlierDetectorTest.java
@@ -86,8 +86,9 @@
         for (int second = 0; second < 10; second++) {
             now += Durations.nanos(1_000);
             for (int engine = 0; engine < ENGINES; engine++) {
-                detector.observe("e" + engine, "failing", now, engine == 0 ? 10 : 2, engine == 0 ? 8 : second % 3);
-                detector.observe("e" + engine, "sound", now, 20, 0);
+                int failing = engine == 0 ? 20 : 2;
+                detector.observe("e" + engine, "failing", now, failing, failing * 8 / 10 + second % 2);
+                detector.observe("e" + engine, "sound", now, 10, 0);
             }
         }
         assertThat(excess("e0")).isLessThan(0.3);
