Engines: predict event intervals, weigh gaps when engines are selected, widen the bound of fast engines

Observes the intervals between events of each engine, shares sums of them in load reports, and adds the streams that would be late because of one more prompt to the cost of an engine.

--- a/src/main/java/org/cuminshelf/direct/AdmissionControl.java
+++ b/src/main/java/org/cuminshelf/direct/AdmissionControl.java
@@ -230,19 +230,21 @@
 
     /**
      * Sends a call that is expected to be in time, whose late answer is worth more than the engine's time, or whose
-     * size group has been refused more than its share. Under overload, engine time is expensive, so that only calls
-     * that are in time are sent: if all queued prompts are late, no caller benefits.
+     * size group has been refused more than its share. A call is in time only if gaps between events are, those of the
+     * other streams at its engine included. Under overload, engine time is expensive, so that only calls that are in
+     * time are sent: if all queued prompts are late, no caller benefits.
      */
     private static Decision sendUnlessLate(long now, DirectCall call, UpstreamSelector.Choice choice) {
         double firstEventMillis = Durations.millis(now - call.arrivedAtNanos) + choice.firstEventMillis();
-        boolean inTime = firstEventMillis <= call.route.targetLatencyMillis();
+        boolean firstInTime = firstEventMillis <= call.route.targetLatencyMillis();
+        boolean inTime = firstInTime && choice.keepsGaps();
         if (call.lastAttempt != null
                 || inTime
                 || choice.netValue() > 0
                 || isAdmittedForFairness(call, firstEventMillis)) {
             return new Decision.Send(choice);
         }
-        return refuse(call, choice, "too-dear");
+        return refuse(call, choice, firstInTime ? "gaps-too-long" : "too-dear");
     }
 
     /**
--- a/src/main/java/org/cuminshelf/direct/AttemptRunner.java
+++ b/src/main/java/org/cuminshelf/direct/AttemptRunner.java
@@ -98,6 +98,7 @@
     private final AttemptLog log;
     private final OutcomeListener outcomeListener;
     private final EngineLatencyModels engineModels;
+    private final EventIntervals eventIntervals;
     private final LoadGossip loadGossip;
     private final BackpressureListener backpressureListener;
     private final Map<Long, DirectAttempt> attempts = new HashMap<>();
@@ -113,6 +114,7 @@
             WatchedClock watchedClock,
             AttemptLog log,
             EngineLatencyModels engineModels,
+            EventIntervals eventIntervals,
             LoadGossip loadGossip,
             BackpressureListener backpressureListener,
             OutcomeListener outcomeListener) {
@@ -123,6 +125,7 @@
         this.watchedClock = watchedClock;
         this.log = log;
         this.engineModels = engineModels;
+        this.eventIntervals = eventIntervals;
         this.loadGossip = loadGossip;
         this.backpressureListener = backpressureListener;
         this.outcomeListener = outcomeListener;
@@ -161,6 +164,7 @@
             upstream.pendingPrompts.add(
                     attempt.number, new PromptQueue.PendingPrompt(now, attempt.estimate.prefillMillis()));
             attempt.promptPending = true;
+            eventIntervals.onPromptQueued(now, upstream);
         }
         call.intent.generation().ifPresent(shape -> {
             double readyMillis = attempt.estimate.queueMillis() + attempt.estimate.prefillMillis();
@@ -260,6 +264,7 @@
         long watchedNow = watchedClock.look(now);
         attempt.recordProgress(now, watchedNow);
         attempt.upstream.recordResponse(now, watchedNow);
+        eventIntervals.onReceived(now);
     }
 
     private void onBody(long now, DirectAttempt attempt, ByteBuffer bytes) {
@@ -281,11 +286,13 @@
 
     private void forwardEvents(long now, DirectAttempt attempt) {
         DirectCall call = attempt.call;
+        int deliveredBefore = call.deliveredEvents;
         Optional<EventSplitter.Event> event = attempt.eventSplitter.next();
         while (event.isPresent() && !call.closed) {
             forwardEvent(now, attempt, event.get());
             event = attempt.eventSplitter.next();
         }
+        eventIntervals.onEvents(now, attempt, call.deliveredEvents - deliveredBefore);
         if (!attempt.hasOpenReplacement()) {
             progressChecks.set(attempt.number, now + MAX_CHECK_INTERVAL_NANOS);
         }
@@ -391,6 +398,7 @@
             onPromptProcessed(now, attempt);
         }
         observeEventGap(attempt);
+        eventIntervals.onStreamCompleted(attempt.call);
         close(attempt);
         attempt.upstream.recordCompletion();
         outcomeListener.onCompleted(now, attempt);
@@ -514,6 +522,7 @@
         progressChecks.clear(attempt.number);
         attempt.upstream.localAttempts--;
         attempt.upstream.localMemoryTokens -= attempt.memoryTokens();
+        attempt.upstream.eventWaits.remove(attempt.number);
         removePendingPrompt(attempt);
     }
 
--- a/src/main/java/org/cuminshelf/direct/CallDispatcher.java
+++ b/src/main/java/org/cuminshelf/direct/CallDispatcher.java
@@ -61,6 +61,7 @@
             Invariants invariants,
             DecisionLog log,
             EngineLatencyModels engineModels,
+            EventIntervals eventIntervals,
             LoadGossip loadGossip,
             Backpressure backpressure,
             BackpressureListener backpressureListener,
@@ -94,6 +95,7 @@
                 watchedClock,
                 attemptLog,
                 engineModels,
+                eventIntervals,
                 loadGossip,
                 backpressureListener,
                 new AttemptOutcomeListener());
--- a/src/main/java/org/cuminshelf/direct/DirectAttempt.java
+++ b/src/main/java/org/cuminshelf/direct/DirectAttempt.java
@@ -58,6 +58,15 @@
     /** When the first event arrived; {@link Core#NEVER} until then. */
     long firstEventAtNanos = Core.NEVER;
 
+    /** When its last event arrived; {@link Core#NEVER} until the first. */
+    long lastEventAtNanos = Core.NEVER;
+
+    /** Milliseconds of prefill at the upstream until its last event, see {@link EventWaits}. */
+    double prefillMillisAtLastEvent;
+
+    /** The gaps between its events that were expected when it was sent. */
+    final GapForecast gapForecast;
+
     /** Whether an event of it was delivered to the caller. */
     boolean delivered;
 
@@ -76,6 +85,7 @@
         this.upstream = choice.upstream();
         this.prefillOnly = choice.prefillOnly();
         this.estimate = choice.estimate();
+        this.gapForecast = choice.gaps();
         this.streamsAtSend = upstream.totalAttempts();
         this.usedKvCache = !prefillOnly && kvCache.isPresent();
         this.sentAtNanos = now;
--- a/src/main/java/org/cuminshelf/direct/DirectCore.java
+++ b/src/main/java/org/cuminshelf/direct/DirectCore.java
@@ -45,6 +45,8 @@
     private final UsageMeter usageMeter;
     private final ControlSubscription control;
     private final CallDispatcher callDispatcher;
+    private final EventIntervals eventIntervals;
+    private final GapForecasts gapForecasts;
     private final LoadGossip loadGossip;
     private final StreamRecords streamRecords;
     private final StreamResumptions resumptions;
@@ -78,9 +80,12 @@
                 settings, routeTableReader, upstreams, poisonGuard, usageMeter, now, invariants, log);
         EngineLatencyModels engineModels = new EngineLatencyModels();
         BackpressureListener backpressureListener = new BackpressureListener(backpressure, upstreams, log);
+        this.eventIntervals = new EventIntervals(upstreams, engineModels, now);
+        this.gapForecasts = new GapForecasts(control, engineModels, eventIntervals);
         UpstreamSelector selector =
-                new UpstreamSelector(upstreams, control, engineModels, backpressure, settings.zone());
-        this.loadGossip = new LoadGossip(upstreams, engineModels, backpressure, backpressureListener, now);
+                new UpstreamSelector(upstreams, control, engineModels, gapForecasts, backpressure, settings.zone());
+        this.loadGossip =
+                new LoadGossip(upstreams, engineModels, eventIntervals, backpressure, backpressureListener, now);
         this.streamRecords = new StreamRecords(self, control);
         this.resumptions =
                 new StreamResumptions(self, streamRecords, upstreams, control, new ResumptionListener(), log);
@@ -95,6 +100,7 @@
                 invariants,
                 log,
                 engineModels,
+                eventIntervals,
                 loadGossip,
                 backpressure,
                 backpressureListener,
@@ -434,6 +440,24 @@
         return backpressure.backoffs().activeCount(clock.getAsLong());
     }
 
+    /**
+     * Counts the engines whose intervals between events exceed the mean of their service by half or more now.
+     *
+     * @return their number
+     */
+    public long slowUpstreams() {
+        return gapForecasts.slowUpstreams(clock.getAsLong(), upstreams.instances());
+    }
+
+    /**
+     * Counts the completed streams with a gap between two events beyond the limit of their route.
+     *
+     * @return their number since the start
+     */
+    public long streamsWithLongGaps() {
+        return eventIntervals.streamsWithLongGaps();
+    }
+
     /**
      * Counts the calls without a final response, including requests that wait for the first configuration.
      *
--- a/src/main/java/org/cuminshelf/direct/LoadGossip.java
+++ b/src/main/java/org/cuminshelf/direct/LoadGossip.java
@@ -66,6 +66,7 @@
 
     private final UpstreamTable upstreams;
     private final EngineLatencyModels models;
+    private final EventIntervals eventIntervals;
     private final Backpressure backpressure;
     private final BackpressureListener backpressureListener;
     private final List<SentPrompt> sentPrompts = new ArrayList<>();
@@ -78,11 +79,13 @@
     LoadGossip(
             UpstreamTable upstreams,
             EngineLatencyModels models,
+            EventIntervals eventIntervals,
             Backpressure backpressure,
             BackpressureListener backpressureListener,
             long now) {
         this.upstreams = upstreams;
         this.models = models;
+        this.eventIntervals = eventIntervals;
         this.backpressure = backpressure;
         this.backpressureListener = backpressureListener;
         this.nextReportAt = now;
@@ -155,7 +158,7 @@
         nextReportAt = now + Math.max(REPORT_INTERVAL_NANOS, minIntervalNanos());
         EntryLoad.Builder load = EntryLoad.newBuilder().addAllSent(sentPrompts).addAllTaken(prefilledPrompts);
         upstreams.instances().stream()
-                .filter(upstream -> upstream.localAttempts > 0)
+                .filter(upstream -> upstream.localAttempts > 0 || upstream.eventWaits.hasUnreported())
                 .forEach(upstream -> load.addUpstreams(upstreamLoad(now, upstream)));
         boolean hasBackpressure = addBackpressure(now, load);
         boolean isNonEmpty = load.getUpstreamsCount() > 0 || !prefilledPrompts.isEmpty() || hasBackpressure;
@@ -194,7 +197,7 @@
         return load.getLimitsCount() + load.getDemandsCount() + load.getRestsCount() + load.getLeavingCount() > 0;
     }
 
-    private static UpstreamLoad upstreamLoad(long now, UpstreamInstance upstream) {
+    private UpstreamLoad upstreamLoad(long now, UpstreamInstance upstream) {
         UpstreamLoad.Builder load = UpstreamLoad.newBuilder()
                 .setId(upstream.id)
                 .setRunning(upstream.localAttempts)
@@ -204,6 +207,7 @@
                     .setAgeUs((int) ((now - prompt.sentAt()) / NANOS_PER_MICRO))
                     .setWorkUs(micros(prompt.prefillMillis())));
         }
+        eventIntervals.addTo(now, upstream, load);
         return load.build();
     }
 
@@ -216,6 +220,7 @@
     /** Applies the report of another entry. */
     void onLoad(long now, Address entry, EntryLoad load) {
         upstreams.applyLoad(now, entry, load);
+        load.getUpstreamsList().forEach(upstreamLoad -> eventIntervals.onReport(now, upstreamLoad));
         load.getSentList().forEach(prompt -> onPromptSentElsewhere(now, prompt));
         load.getTakenList().forEach(prompt -> onPrefillCompletedElsewhere(now, prompt));
         load.getLimitsList().forEach(limit -> onLimitElsewhere(now, entry, limit));
--- a/src/main/java/org/cuminshelf/direct/UpstreamInstance.java
+++ b/src/main/java/org/cuminshelf/direct/UpstreamInstance.java
@@ -77,6 +77,9 @@
     /** Prompts of all entries that it has not yet prefilled, as far as known here. */
     final PromptQueue pendingPrompts = PromptQueue.empty();
 
+    /** The waits of this entry's streams there for their next events. */
+    final EventWaits eventWaits = new EventWaits();
+
     /** When it last sent any bytes, on any request of this entry. */
     long lastResponseAtNanos = NEVER_RESPONDED;
     /**
@@ -170,6 +173,11 @@
         return localAttempts + remoteAttempts;
     }
 
+    /** Streams of all entries for which it generates, as far as known here; at least 1. */
+    int generatingStreams() {
+        return Math.max(1, totalAttempts() - pendingPrompts.size());
+    }
+
     /** Tokens that running attempts of all entries occupy in its KV memory, as far as known here. */
     long totalMemoryTokens() {
         return localMemoryTokens + remoteMemoryTokens;
--- a/src/main/java/org/cuminshelf/direct/UpstreamSelector.java
+++ b/src/main/java/org/cuminshelf/direct/UpstreamSelector.java
@@ -9,12 +9,12 @@
 import java.util.OptionalLong;
 import java.util.Set;
 import java.util.function.Predicate;
-import java.util.stream.Collectors;
 import net.openhft.hashing.LongHashFunction;
 import org.cuminshelf.backpressure.Backpressure;
 import org.cuminshelf.core.Core;
 import org.cuminshelf.core.Durations;
 import org.cuminshelf.engines.EngineLatencyModel;
+import org.cuminshelf.engines.PauseRisk;
 import org.cuminshelf.message.Role;
 import org.cuminshelf.routes.EngineCapacity;
 import org.cuminshelf.routes.RoutedService;
@@ -40,17 +40,25 @@
      * @param prefillOnly  whether that upstream only prefills the prompt, for another engine to generate the answer
      * @param estimate     the expected time of the prompt there
      * @param prefixSource another engine from which the upstream may fetch cached segments of the prompt that it lacks
-     * @param netValue     expected value of the answer less the price of the engine's time, in answers of usual size
+     * @param gaps         the expected gaps between its events; if it is only prefilled there, at the best engine that
+     *                     can generate the answer
+     * @param keepsGaps    whether its gaps are expected to be in time, and the harm to other streams is no greater than
+     *                     the value of its answer
+     * @param netValue     expected value of the answer less the price of the engine's time and the harm to other
+     *                     streams, in answers of usual size
      */
     record Choice(
             UpstreamInstance upstream,
             boolean prefillOnly,
             PromptEstimate estimate,
             Optional<UpstreamInstance> prefixSource,
+            GapForecast gaps,
+            boolean keepsGaps,
             double netValue) {
 
-        private static Choice of(UpstreamInstance upstream, double firstEventMillis) {
-            return new Choice(upstream, false, PromptEstimate.withoutPrefill(firstEventMillis), Optional.empty(), 1);
+        private static Choice of(UpstreamInstance upstream, double firstEventMillis, GapForecast gaps) {
+            PromptEstimate estimate = PromptEstimate.withoutPrefill(firstEventMillis);
+            return new Choice(upstream, false, estimate, Optional.empty(), gaps, true, 1);
         }
 
         double firstEventMillis() {
@@ -122,6 +130,11 @@
     private static final double MAX_SLOT_SHARE_SHORT_STREAM = 0.95;
     /** Events of a short stream: few compared with a usual stream. They take some 0.25 s in the first deployments. */
     private static final int MAX_SHORT_STREAM_EVENTS = 4;
+    /**
+     * Load added at a handover for each stream that is expected to be late because of it, in requests. One late stream
+     * in ten outweighs {@link #HOME_ENGINE_BONUS_REQUESTS}.
+     */
+    private static final double LATE_STREAM_PENALTY_REQUESTS = 60;
     /** Load added for an engine whose memory is full, in requests. */
     private static final double FULL_MEMORY_PENALTY_REQUESTS = 1_000;
 
@@ -134,6 +147,7 @@
     private final UpstreamTable upstreams;
     private final ControlSubscription control;
     private final EngineLatencyModels models;
+    private final GapForecasts gapForecasts;
     private final Backpressure backpressure;
     private final EngineTimePrices prices = new EngineTimePrices();
     private final AnswerValues values = new AnswerValues();
@@ -144,11 +158,13 @@
             UpstreamTable upstreams,
             ControlSubscription control,
             EngineLatencyModels models,
+            GapForecasts gapForecasts,
             Backpressure backpressure,
             String zone) {
         this.upstreams = upstreams;
         this.control = control;
         this.models = models;
+        this.gapForecasts = gapForecasts;
         this.backpressure = backpressure;
         this.zone = zone;
     }
@@ -203,7 +219,7 @@
                 lowestLoad = load;
             }
         }
-        return Optional.ofNullable(best).map(upstream -> Choice.of(upstream, 0));
+        return Optional.ofNullable(best).map(upstream -> Choice.of(upstream, 0, GapForecast.NONE));
     }
 
     /**
@@ -220,6 +236,9 @@
         double lowestLoad = Double.MAX_VALUE;
         EngineLatencyModel model = models.of(call.service);
         List<UpstreamInstance> open = openUpstreams(now, call);
+        GapForecasts.Decision gaps = gapForecasts.of(now, call.service, open);
+        GapForecast bestGaps = GapForecast.NONE;
+        double speedWeight = gaps.speedWeight(open);
         Optional<SharedPrefixLocations> shared =
                 call.intent.generation().map(shape -> SharedPrefixLocations.of(shape, open, now));
         for (UpstreamInstance upstream : open) {
@@ -228,20 +247,24 @@
             }
             boolean isHomeEngine = shared.filter(locations -> locations.isHomeOfStreams(upstream))
                     .isPresent();
+            double queuedMillis = upstream.pendingPrompts.waitMillis(now, model.latencyMillis(upstream.id, true));
+            GapForecast forecast = gaps.forecast(upstream, queuedMillis, 0);
             double load = memoryLoad(upstream, call)
                     - (isHomeEngine ? HOME_ENGINE_BONUS_REQUESTS : 0)
-                    + upstream.totalAttempts()
-                    + upstream.pendingPrompts.waitMillis(now, model.latencyMillis(upstream.id, true))
-                            / QUEUE_MILLIS_PER_REQUEST
+                    + gaps.streamLoad(upstream, speedWeight)
+                    + queuedMillis / QUEUE_MILLIS_PER_REQUEST
+                    + forecast.risk().lateStreams() * LATE_STREAM_PENALTY_REQUESTS
                     + (upstream.zone.equals(zone) ? 0 : CROSS_ZONE_MILLIS)
                     + pseudoRandomFraction(upstream, call.number);
             if (load < lowestLoad) {
                 best = upstream;
+                bestGaps = forecast;
                 lowestLoad = load;
             }
         }
-        return Optional.ofNullable(best)
-                .map(upstream -> Choice.of(upstream, model.handoverMillis(call.promptTokens())));
+        return best == null
+                ? Optional.empty()
+                : Optional.of(Choice.of(best, model.handoverMillis(call.promptTokens()), bestGaps));
     }
 
     /**
@@ -313,10 +336,11 @@
     private Optional<Choice> chooseForPrompt(long now, DirectCall call, GenerationShape shape) {
         List<UpstreamInstance> open = openUpstreams(now, call);
         boolean maySplit = call.lastEventId.isEmpty() && !call.singleEngineOnly;
-        Set<String> handoverVersions = maySplit ? versionsWithDecodeSlot(open, call) : Set.of();
-        boolean hasPrefillEngines = open.stream()
-                .anyMatch(upstream -> !upstream.generatesTokens() && handoverVersions.contains(upstream.version));
         EngineLatencyModel model = models.of(call.service);
+        GapForecasts.Decision gaps = gapForecasts.of(now, call.service, open);
+        Map<String, GapForecast> handovers = maySplit ? handoversByVersion(now, open, call, gaps) : Map.of();
+        boolean hasPrefillEngines = open.stream()
+                .anyMatch(upstream -> !upstream.generatesTokens() && handovers.containsKey(upstream.version));
         long cacheCapacityTokens = prefixCacheTokens(call);
         open.forEach(upstream -> upstream.promptCache.setCapacityTokens(cacheCapacityTokens));
         Choice best = null;
@@ -328,10 +352,11 @@
             SharedPrefixLocations shared = locations.readableBy(upstream);
             double unreportedHere =
                     unreportedMillis.get(upstream.role) * UnreportedWork.randomFactor(upstream.id, callHash);
-            Choice choice = estimate(now, upstream, model, shape, shared, unreportedHere);
+            Choice estimated = estimate(now, upstream, model, shape, shared, unreportedHere);
+            Choice choice = withGaps(estimated, gaps, handovers);
             boolean fits = upstream.generatesTokens()
                     ? canPrefillBesideStreams(choice, call, model, hasPrefillEngines)
-                    : handoverVersions.contains(upstream.version);
+                    : handovers.containsKey(upstream.version);
             double cost = fits ? cost(now, choice, call, model, shape, shared) : Double.MAX_VALUE;
             if (cost < lowestCost) {
                 best = choice;
@@ -344,12 +369,33 @@
         return Optional.ofNullable(best).map(choice -> withNetValue(now, choice, call, model, shape));
     }
 
-    /** Returns the software versions of which an engine can take over a prompt that another one has prefilled. */
-    private Set<String> versionsWithDecodeSlot(List<UpstreamInstance> open, DirectCall call) {
-        return open.stream()
-                .filter(upstream -> upstream.generatesTokens() && hasFreeSlot(upstream, call))
-                .map(upstream -> upstream.version)
-                .collect(Collectors.toSet());
+    /**
+     * Returns, for each software version of which an engine can take over a prompt that another one has prefilled, the
+     * gaps at the engine where the fewest streams would be late because of it.
+     */
+    private Map<String, GapForecast> handoversByVersion(
+            long now, List<UpstreamInstance> open, DirectCall call, GapForecasts.Decision gaps) {
+        Map<String, GapForecast> handovers = new HashMap<>();
+        EngineLatencyModel model = models.of(call.service);
+        for (UpstreamInstance upstream : open) {
+            if (upstream.generatesTokens() && hasFreeSlot(upstream, call)) {
+                double queuedMillis = upstream.pendingPrompts.waitMillis(now, model.latencyMillis(upstream.id, true));
+                GapForecast forecast = gaps.forecast(upstream, queuedMillis, 0);
+                handovers.merge(upstream.version, forecast, UpstreamSelector::lessRisky);
+            }
+        }
+        return handovers;
+    }
+
+    private static GapForecast lessRisky(GapForecast one, GapForecast other) {
+        return other.risk().lateStreams() < one.risk().lateStreams() ? other : one;
+    }
+
+    private static Choice withGaps(Choice choice, GapForecasts.Decision gaps, Map<String, GapForecast> handovers) {
+        GapForecast forecast = choice.prefillOnly
+                ? handovers.getOrDefault(choice.upstream.version, GapForecast.NONE)
+                : gaps.forecast(choice.upstream, choice.queueMillis(), choice.estimate.prefillMillis());
+        return new Choice(choice.upstream, choice.prefillOnly, choice.estimate, choice.prefixSource, forecast, true, 0);
     }
 
     /** Returns whether an engine is left that can generate from the KV cache of a call, now or later. */
@@ -361,11 +407,20 @@
 
     private Choice withNetValue(
             long now, Choice choice, DirectCall call, EngineLatencyModel model, GenerationShape shape) {
-        double expectedValue =
-                values.valueOf(call, shape) * (1 - LATE_COST * lateProbability(now, choice, call, model));
+        double value = values.valueOf(call, shape);
+        double inTimeProbability = (1 - lateProbability(now, choice, call, model))
+                * (1 - choice.gaps.risk().own());
+        double harm = LATE_COST * choice.gaps.risk().others();
         double timePrice = choice.estimate.prefillMillis() * prices.perMillisecond(call.service, choice.upstream);
+        boolean ownGapsInTime = isShort(call) || choice.gaps.isInTime();
         return new Choice(
-                choice.upstream, choice.prefillOnly, choice.estimate, choice.prefixSource, expectedValue - timePrice);
+                choice.upstream,
+                choice.prefillOnly,
+                choice.estimate,
+                choice.prefixSource,
+                choice.gaps,
+                ownGapsInTime && harm <= value,
+                value * (1 - LATE_COST * (1 - inTimeProbability)) - timePrice - harm);
     }
 
     /**
@@ -391,14 +446,18 @@
      * seconds after the burst that caused it.
      */
     private boolean hasFreeSlot(UpstreamInstance upstream, DirectCall call) {
+        double share = isShort(call) ? MAX_SLOT_SHARE_SHORT_STREAM : MAX_SLOT_SHARE;
+        return upstream.totalAttempts() < share * upstream.slots
+                && memoryLoad(upstream, call) < FULL_MEMORY_PENALTY_REQUESTS * MAX_MEMORY_SHARE;
+    }
+
+    /** Returns whether a call is expected to have so few events that it hardly waits between them. */
+    private boolean isShort(DirectCall call) {
         int maxShortTokens = MAX_SHORT_STREAM_EVENTS * tokensPerEvent(call.service);
-        boolean isShort = call.intent
+        return call.intent
                 .generation()
                 .filter(shape -> shape.outputTokens() <= maxShortTokens)
                 .isPresent();
-        double share = isShort ? MAX_SLOT_SHARE_SHORT_STREAM : MAX_SLOT_SHARE;
-        return upstream.totalAttempts() < share * upstream.slots
-                && memoryLoad(upstream, call) < FULL_MEMORY_PENALTY_REQUESTS * MAX_MEMORY_SHARE;
     }
 
     private Choice estimate(
@@ -420,7 +479,7 @@
         double handover = generates ? 0 : model.handoverMillis(shape.promptTokens());
         double first = wait + work + latency + (upstream.zone.equals(zone) ? 0 : CROSS_ZONE_MILLIS) + handover;
         PromptEstimate estimate = new PromptEstimate(cachedTokens, uncachedTokens, wait, work, first);
-        return new Choice(upstream, !generates, estimate, shared.sourceFor(upstream), 0);
+        return new Choice(upstream, !generates, estimate, shared.sourceFor(upstream), GapForecast.NONE, true, 0);
     }
 
     private double cost(
@@ -440,6 +499,7 @@
                 Math.max(0, shared.tokens() - choice.estimate.cachedTokens()) * REPEATED_PREFILL_COST_PER_TOKEN;
         double work = choice.estimate.prefillMillis() * prices.perMillisecond(call.service, upstream);
         return latenessCost(now, choice, call, model)
+                + gapCost(now, choice, call, model)
                 + work
                 + transferCost
                 + repeatedTokensCost
@@ -453,6 +513,13 @@
                 + Math.clamp(late, 0, MAX_TARGETS_LATE) * LATENESS_COST_PER_TARGET;
     }
 
+    /** Returns the expected cost of gaps beyond their limit, here and at the other streams of the engine. */
+    private static double gapCost(long now, Choice choice, DirectCall call, EngineLatencyModel model) {
+        PauseRisk risk = choice.gaps.risk();
+        double ownLate = risk.own() * (1 - lateProbability(now, choice, call, model));
+        return LATE_COST * (ownLate + risk.others());
+    }
+
     private static double lateProbability(long now, Choice choice, DirectCall call, EngineLatencyModel model) {
         double error = Math.max(MIN_ERROR_MILLIS, model.relativeError() * choice.firstEventMillis());
         return 1 / (1 + Math.exp(-LOGISTIC_STEEPNESS * latenessMillis(now, choice, call) / error));
--- a/src/main/java/org/cuminshelf/engines/EngineSlowdown.java
+++ b/src/main/java/org/cuminshelf/engines/EngineSlowdown.java
@@ -24,9 +24,18 @@
     private static final double MAX_RUN_LOG_DEVIATION = 1.2;
     /**
      * Bounds of the logarithm: three quarters and ten times the usual time. An engine that is estimated as still faster
-     * by mistake would attract all prompts.
+     * by mistake would attract all prompts, so that the lower bound is extended only while prompts agree.
      */
     private static final double MIN_LOG_FACTOR = Math.log(0.75);
+    /** Extension of the lower bound for each prompt that was faster still: 2.4 times as fast takes ten prompts. */
+    private static final double LOG_EXTENSION_PER_PROMPT = 0.06;
+    /** Prompts that extend the lower bound at most: to a fifth of the usual time. */
+    private static final double MAX_FAST_PROMPTS = 22;
+    /**
+     * Fraction of the extension that a prompt which was not faster than the lower bound leaves: two of them revoke most
+     * of it.
+     */
+    private static final double DISAGREEMENT_FACTOR = 0.5;
 
     private static final double MAX_LOG_FACTOR = Math.log(10);
     /** Observations of the service after which the estimate has decayed to 1/e: ten seconds at 30 a second. */
@@ -36,6 +45,8 @@
     private long lastObservation;
     /** Successive observations above the prediction, or below it if negative. */
     private int run;
+    /** Prompts in agreement that the engine is faster than the lower bound, less those that were not. */
+    private double fastPrompts;
 
     /**
      * Adds an observation.
@@ -50,11 +61,20 @@
         boolean isRun = Math.abs(run) >= RUN_LENGTH;
         double maxDeviation = isRun ? MAX_RUN_LOG_DEVIATION : MAX_LOG_DEVIATION;
         double deviation = Math.clamp(Math.log(ratio), -maxDeviation, maxDeviation);
+        double before = decayedLogFactor(count);
+        countFastPrompt(before + deviation, ownShare);
         double weight = ownShare * (isRun ? RUN_SMOOTHING_WEIGHT : SMOOTHING_WEIGHT);
-        logFactor = Math.clamp(decayedLogFactor(count) + weight * deviation, MIN_LOG_FACTOR, MAX_LOG_FACTOR);
+        double minLogFactor = MIN_LOG_FACTOR - LOG_EXTENSION_PER_PROMPT * fastPrompts;
+        logFactor = Math.clamp(before + weight * deviation, minLogFactor, MAX_LOG_FACTOR);
         lastObservation = count;
     }
 
+    private void countFastPrompt(double logTime, double ownShare) {
+        fastPrompts = logTime < MIN_LOG_FACTOR
+                ? Math.min(MAX_FAST_PROMPTS, fastPrompts + ownShare)
+                : fastPrompts * (1 - ownShare * (1 - DISAGREEMENT_FACTOR));
+    }
+
     /** Returns the factor on predicted times after a number of observations of the service. */
     double factor(long count) {
         return Math.exp(decayedLogFactor(count));
--- a/src/main/java/org/cuminshelf/engines/PromptQueue.java
+++ b/src/main/java/org/cuminshelf/engines/PromptQueue.java
@@ -116,6 +116,15 @@
         return localPrompts.isEmpty() && remotePrompts.isEmpty();
     }
 
+    /**
+     * Returns the number of prompts of all entries.
+     *
+     * @return their number
+     */
+    public int size() {
+        return inSendOrder().size();
+    }
+
     /**
      * Predicts how long the prompts in the queue still occupy the engine.
      *
--- a/src/main/java/org/cuminshelf/process/DirectEntryProcess.java
+++ b/src/main/java/org/cuminshelf/process/DirectEntryProcess.java
@@ -192,6 +192,16 @@
                 "cuminshelf_resting_upstreams",
                 "Upstreams that requested backoff from this entry.",
                 core::upstreamsInBackoff);
+        EntryProcess.registerGauge(
+                registry,
+                "cuminshelf_slow_engines",
+                "Engines whose intervals between events exceed the mean of their service by half.",
+                core::slowUpstreams);
+        EntryProcess.registerGauge(
+                registry,
+                "cuminshelf_streams_with_long_gaps",
+                "Completed streams with a gap between events beyond the limit of their route since the start.",
+                core::streamsWithLongGaps);
         EntryProcess.registerGauge(
                 registry,
                 "cuminshelf_core_failures",
