--- a/src/main/java/org/cuminshelf/direct/AttemptRunner.java
+++ b/src/main/java/org/cuminshelf/direct/AttemptRunner.java
@@ -96,6 +96,7 @@
     private final AttemptLog log;
     private final OutcomeListener outcomeListener;
     private final EngineLatencyModels engineModels;
+    private final EventIntervals eventIntervals;
     private final LoadGossip loadGossip;
     private final BackpressureListener backpressureListener;
     private final Map<Long, DirectAttempt> attempts = new HashMap<>();
@@ -111,6 +112,7 @@
             WatchedClock watchedClock,
             AttemptLog log,
             EngineLatencyModels engineModels,
+            EventIntervals eventIntervals,
             LoadGossip loadGossip,
             BackpressureListener backpressureListener,
             OutcomeListener outcomeListener) {
@@ -121,6 +123,7 @@
         this.watchedClock = watchedClock;
         this.log = log;
         this.engineModels = engineModels;
+        this.eventIntervals = eventIntervals;
         this.loadGossip = loadGossip;
         this.backpressureListener = backpressureListener;
         this.outcomeListener = outcomeListener;
@@ -160,6 +163,7 @@
                     attempt.number,
                     new PromptQueue.PendingPrompt(now, attempt.estimate.prefillMillis(), call.queuePriority()));
             attempt.promptPending = true;
+            eventIntervals.onPromptQueued(now, upstream);
         }
         call.intent.generation().ifPresent(shape -> {
             double readyMillis = attempt.estimate.queueMillis() + attempt.estimate.prefillMillis();
@@ -254,6 +258,7 @@
         long watchedNow = watchedClock.look(now);
         attempt.recordProgress(now, watchedNow);
         attempt.upstream.recordResponse(now, watchedNow);
+        eventIntervals.onReceived(now);
     }
 
     private void onBody(long now, DirectAttempt attempt, ByteBuffer bytes) {
@@ -275,11 +280,13 @@
 
     private void forwardEvents(long now, DirectAttempt attempt) {
         DirectCall call = attempt.call;
+        int deliveredBefore = call.deliveredEvents;
         Optional<EventSplitter.Event> event = attempt.eventSplitter.next();
         while (event.isPresent() && !call.closed) {
             forwardEvent(now, attempt, event.get());
             event = attempt.eventSplitter.next();
         }
+        eventIntervals.onEvents(now, attempt, call.deliveredEvents - deliveredBefore);
         if (!attempt.hasOpenReplacement()) {
             progressChecks.set(attempt.number, now + MAX_CHECK_INTERVAL_NANOS);
         }
@@ -385,6 +392,7 @@
             onPromptProcessed(now, attempt);
         }
         observeEventGap(attempt);
+        eventIntervals.onStreamCompleted(attempt);
         close(attempt);
         attempt.upstream.recordCompletion();
         outcomeListener.onCompleted(now, attempt);
@@ -508,6 +516,7 @@
         progressChecks.clear(attempt.number);
         attempt.upstream.localAttempts--;
         attempt.upstream.localMemoryTokens -= attempt.memoryTokens();
+        attempt.upstream.eventWaits.remove(attempt.number);
         removePendingPrompt(attempt);
     }
 
--- a/src/main/java/org/cuminshelf/direct/CallDispatcher.java
+++ b/src/main/java/org/cuminshelf/direct/CallDispatcher.java
@@ -62,6 +62,7 @@
             Invariants invariants,
             DecisionLog log,
             EngineLatencyModels engineModels,
+            EventIntervals eventIntervals,
             LoadGossip loadGossip,
             Backpressure backpressure,
             BackpressureListener backpressureListener,
@@ -97,6 +98,7 @@
                 watchedClock,
                 attemptLog,
                 engineModels,
+                eventIntervals,
                 loadGossip,
                 backpressureListener,
                 new AttemptOutcomeListener());
--- a/src/main/java/org/cuminshelf/direct/LoadGossip.java
+++ b/src/main/java/org/cuminshelf/direct/LoadGossip.java
@@ -66,6 +66,7 @@
 
     private final UpstreamTable upstreams;
     private final EngineLatencyModels models;
+    private final EventIntervals eventIntervals;
     private final Backpressure backpressure;
     private final BackpressureListener backpressureListener;
     private final UnreportedOutcomes unreportedOutcomes;
@@ -80,6 +81,7 @@
     LoadGossip(
             UpstreamTable upstreams,
             EngineLatencyModels models,
+            EventIntervals eventIntervals,
             Backpressure backpressure,
             BackpressureListener backpressureListener,
             UnreportedOutcomes unreportedOutcomes,
@@ -87,6 +89,7 @@
             long now) {
         this.upstreams = upstreams;
         this.models = models;
+        this.eventIntervals = eventIntervals;
         this.backpressure = backpressure;
         this.backpressureListener = backpressureListener;
         this.unreportedOutcomes = unreportedOutcomes;
@@ -166,7 +169,9 @@
         nextReportAt = now + Math.max(REPORT_INTERVAL_NANOS, minIntervalNanos());
         EntryLoad.Builder load = EntryLoad.newBuilder().addAllSent(sentPrompts).addAllTaken(prefilledPrompts);
         upstreams.instances().stream()
-                .filter(upstream -> upstream.localAttempts > 0 || unreportedOutcomes.contains(upstream.id))
+                .filter(upstream -> upstream.localAttempts > 0
+                        || upstream.eventWaits.hasUnreported()
+                        || unreportedOutcomes.contains(upstream.id))
                 .forEach(upstream -> load.addUpstreams(upstreamLoad(now, upstream)));
         boolean hasBackpressure = addBackpressure(now, load);
         boolean isNonEmpty = load.getUpstreamsCount() > 0 || !prefilledPrompts.isEmpty() || hasBackpressure;
@@ -218,6 +223,7 @@
                     .setPriority(prompt.priority()));
         }
         unreportedOutcomes.addTo(load);
+        eventIntervals.addTo(now, upstream, load);
         return load.build();
     }
 
@@ -230,7 +236,10 @@
     /** Applies the report of another entry. */
     void onLoad(long now, Address entry, EntryLoad load) {
         upstreams.applyLoad(now, entry, load);
-        load.getUpstreamsList().forEach(upstreamLoad -> outliers.onReport(now, entry, upstreamLoad));
+        for (UpstreamLoad upstreamLoad : load.getUpstreamsList()) {
+            eventIntervals.onReport(now, upstreamLoad);
+            outliers.onReport(now, entry, upstreamLoad);
+        }
         load.getSentList().forEach(prompt -> onPromptSentElsewhere(now, prompt));
         load.getTakenList().forEach(prompt -> onPrefillCompletedElsewhere(now, prompt));
         load.getLimitsList().forEach(limit -> onLimitElsewhere(now, entry, limit));
--- a/src/main/java/org/cuminshelf/process/DirectEntryProcess.java
+++ b/src/main/java/org/cuminshelf/process/DirectEntryProcess.java
@@ -192,6 +192,18 @@
                 "cuminshelf_resting_upstreams",
                 "Upstreams that requested backoff from this entry.",
                 core::upstreamsInBackoff);
+        registerLoadGauges();
+        EntryProcess.registerGauge(
+                registry,
+                "cuminshelf_core_failures",
+                "Messages and ticks that the core failed to process; report any value above 0 as a bug.",
+                runner::failures);
+        EntryProcess.registerGauge(
+                registry, "cuminshelf_invariant_breach_count", "Invariant violations detected.", invariants::count);
+    }
+
+    /** Registers the figures by which an operator sees the decisions under load. */
+    private void registerLoadGauges() {
         EntryProcess.registerGauge(
                 registry,
                 "cuminshelf_outlier_upstreams",
@@ -209,11 +221,14 @@
                 core::outlierTrials);
         EntryProcess.registerGauge(
                 registry,
-                "cuminshelf_core_failures",
-                "Messages and ticks that the core failed to process; report any value above 0 as a bug.",
-                runner::failures);
+                "cuminshelf_slow_engines",
+                "Engines whose intervals between events exceed the mean of their service by half.",
+                core::slowUpstreams);
         EntryProcess.registerGauge(
-                registry, "cuminshelf_invariant_breach_count", "Invariant violations detected.", invariants::count);
+                registry,
+                "cuminshelf_streams_with_long_gaps",
+                "Completed streams with a gap between events beyond the limit of their route since the start.",
+                core::streamsWithLongGaps);
     }
 
     /**
