--- a/src/test/java/org/cuminshelf/direct/UpstreamOutliersTest.java
+++ b/src/test/java/org/cuminshelf/direct/UpstreamOutliersTest.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import java.util.function.Predicate;
 import net.jqwik.api.Example;
+import org.cuminshelf.core.Durations;
 import org.cuminshelf.exchange.Reachability;
 import org.cuminshelf.message.EntryLoad;
 import org.cuminshelf.message.Envelope;
@@ -48,7 +49,7 @@
 
         private void run(long millis, Faults faults) {
             counts.clear();
-            for (long end = entry.now + millis * 1_000_000; entry.now < end; ) {
+            for (long end = entry.now + Durations.nanos(millis); entry.now < end; ) {
                 entry.sendRequest("r" + number++, headers);
                 answer(faults);
                 entry.advance(INTERVAL_MILLIS);
@@ -67,7 +68,7 @@
                 if (faults.fails(sent.upstream, counts.merge(sent.upstream, 1, Integer::sum))) {
                     sent.respond(500, "error");
                 } else {
-                    running.put(sent, entry.now + ANSWER_MILLIS * 1_000_000);
+                    running.put(sent, entry.now + Durations.nanos(ANSWER_MILLIS));
                 }
             }
         }
@@ -210,6 +211,21 @@
         assertThat(traffic.count(BAD)).isGreaterThan(10);
     }
 
+    /** Guards against an engine that is found to be sound only when its streams have ended, seconds later. */
+    @Example
+    void theFirstEventOfAStreamIsAnAnswer() {
+        DirectFixture entry = entry(RequestKind.STREAM, 2, 2);
+        entry.reportLoad(report(BAD, 3, 3));
+        for (int index = 0; index < 3; index++) {
+            entry.advance(800);
+            entry.sendRequest("r" + index, "Tokens", "100", "Deadline", "8000");
+            entry.lastSent().respondSealedHead(200);
+            entry.lastSent().respondBody(EVENT);
+        }
+        assertThat(entry.core.outlierUpstreams()).isZero();
+        assertThat(entry.linesWith("outcome=outlier-ended").getFirst()).doesNotContain("source=time");
+    }
+
     /** Guards against trials that are lost although a request that may be repeated comes soon. */
     @Example
     void aTrialIsARequestThatMayBeRepeatedIfThereIsOne() {
@@ -273,6 +289,7 @@
         entry.out.take(Envelope::hasEntryLoad);
         entry.sendRequest("r");
         entry.lastSent().respond(500, "x");
+        assertThat(entry.core.nextDue() - entry.now).isLessThan(Durations.nanos(5));
         entry.advance(5);
         assertThat(entry.out.take(Envelope::hasEntryLoad)).hasSize(1);
     }
--- a/src/test/java/org/cuminshelf/outliers/OutlierDetectorTest.java
+++ b/src/test/java/org/cuminshelf/outliers/OutlierDetectorTest.java
@@ -119,6 +119,8 @@
     @Example
     void aReportWithMoreErrorsThanAnswersCountsItsErrors() {
         detector.observeRemote("e0", KIND, now, 0, 3);
+        assertThat(detector.evidenceOf("e0", now).orElseThrow().reportedAnswers())
+                .isEqualTo(3);
         assertThat(excess("e0")).isBetween(0.5, 1.0);
     }
 
