--- a/src/main/java/org/cuminshelf/direct/UpstreamOutliers.java
+++ b/src/main/java/org/cuminshelf/direct/UpstreamOutliers.java
@@ -2,7 +2,7 @@
 
 import java.util.HashMap;
 import java.util.HashSet;
-import java.util.Iterator;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
@@ -251,9 +251,7 @@
         upstreams.instances().forEach(upstream -> known.add(upstream.id));
         detectors.values().forEach(detector -> detector.retain(known, now));
         outliers.keySet().retainAll(known);
-        Iterator<UpstreamInstance> remaining = Set.copyOf(outliers.values()).iterator();
-        while (remaining.hasNext()) {
-            UpstreamInstance upstream = remaining.next();
+        for (UpstreamInstance upstream : List.copyOf(outliers.values())) {
             double excess = detector(upstream.service).excessErrorProbability(upstream.id, now);
             if (excess < MAX_SOUND_EXCESS) {
                 clear(now, upstream, excess, "time");
