A replacement that sends nothing is replaced while its caller waits

Cause: a stream whose connection died is replaced after 1,500 ms, and its caller leaves 2,000 ms after the last event.

Fix: an attempt that continues a begun stream and has sent no event times out when another one must be sent to reach the caller (CallerTimeouts .latestSendAt), provided that its own first event is overdue by then. It is looked at early enough for that. The old attempt has been cancelled by then, so that its engine may take the stream again.

An earlier first replacement: SilentStreamTest wants a busy engine to get more than 1,400 ms. The fix doesn't help where the estimate of a prompt is above some 185 ms: there is no time for a third prefill.

Each of the two new tests fails without its part of the rule.

--- a/src/main/java/org/cuminshelf/direct/AttemptRunner.java
+++ b/src/main/java/org/cuminshelf/direct/AttemptRunner.java
@@ -183,7 +183,7 @@
                 choice.prefixSource().map(instance -> instance.address),
                 call.lastEventId);
         UpstreamRequest request = protocol.attemptRequest(call.request, plan);
-        progressChecks.set(attempt.number, now + responseTimeoutNanos(call, attempt));
+        progressChecks.set(attempt.number, now + firstCheckNanos(watchedNow, attempt));
         attempt.exchange = client.send(upstream.address, upstream.id, request, new ResponseHandler(attempt));
         return attempt;
     }
@@ -193,6 +193,11 @@
         return Math.clamp(DEFAULT_QUEUE_PRIORITY - 2 + call.priority(), 0, MAX_QUEUE_PRIORITY);
     }
 
+    private static long firstCheckNanos(long watchedNow, DirectAttempt attempt) {
+        long timeoutNanos = timeoutNanos(watchedNow, attempt);
+        return attempt.call.responseStarted ? nextCheckNanos(watchedNow, attempt, timeoutNanos) : timeoutNanos;
+    }
+
     private static long responseTimeoutNanos(DirectCall call, DirectAttempt attempt) {
         if (call.route.kind() == RequestKind.IDEMPOTENT) {
             return Math.max(
@@ -466,7 +471,23 @@
         if (!attempt.call.responseStarted) {
             return responseTimeoutNanos(attempt.call, attempt);
         }
-        return attempt.upstream.isLongSilent(watchedNow) ? UpstreamInstance.SILENCE_NANOS : STREAM_STALL_NANOS;
+        long stallNanos =
+                attempt.upstream.isLongSilent(watchedNow) ? UpstreamInstance.SILENCE_NANOS : STREAM_STALL_NANOS;
+        boolean hasEvent = attempt.firstEventAtNanos != Core.NEVER;
+        return hasEvent ? stallNanos : Math.min(stallNanos, continuationTimeoutNanos(attempt));
+    }
+
+    /**
+     * Returns the time without progress after which an attempt that continues a begun stream, and has sent no event,
+     * may be replaced: it ends when another one must be sent to reach the caller in time, provided that the first event
+     * is overdue by then. Guards against callers that leave although the route allows a further attempt.
+     */
+    private static long continuationTimeoutNanos(DirectAttempt attempt) {
+        long latestSendAt = CallerTimeouts.latestSendAt(attempt.call);
+        long firstEventDueAt = attempt.sentAtNanos + Durations.nanos((long) attempt.estimate.firstEventMillis());
+        return firstEventDueAt <= latestSendAt
+                ? Math.max(SILENT_CHECK_INTERVAL_NANOS, latestSendAt - attempt.lastProgressAtNanos)
+                : STREAM_STALL_NANOS;
     }
 
     /** Cancels an attempt of a stream soon after its replacement was sent, unless it goes on before. */
--- a/src/test/java/org/cuminshelf/direct/SilentStreamTest.java
+++ b/src/test/java/org/cuminshelf/direct/SilentStreamTest.java
@@ -247,6 +247,54 @@
         return entry;
     }
 
+    /** Returns an entry with a stream on a dead connection, whose replacement was sent while both engines are sound. */
+    private static DirectFixture entryWithSoundEngines(String tokens, DirectFixture.CallerResponse[] response) {
+        DirectFixture entry = entry(3, "u1", "u2");
+        response[0] = entry.sendRequest("a", "Tokens", tokens, "Deadline", "8000");
+        entry.lastSent().respondSealedHead(200);
+        entry.lastSent().respondBody(event(1));
+        sendStream(entry, "b");
+        sendStream(entry, "c");
+        entry.sentRequests.subList(1, 3).forEach(sent -> sent.respondSealedHead(200));
+        assertThat(entry.sentRequests).extracting(sent -> sent.upstream).contains("u1", "u2");
+        while (entry.sentRequests.size() < 4) {
+            advanceWithEvents(entry, 100);
+        }
+        return entry;
+    }
+
+    /** Lets time pass in which the streams beside the first one go on. */
+    private static void advanceWithEvents(DirectFixture entry, int millis) {
+        int stepMillis = 50;
+        for (int passed = 0; passed < millis; passed += stepMillis) {
+            entry.sentRequests.subList(1, 3).forEach(sent -> sent.respondBody("data: x\n\n"));
+            entry.advance(stepMillis);
+        }
+    }
+
+    /* Guards against a caller that leaves as the connection of the replacement died too, with an attempt to spare. */
+    @Example
+    void aReplacementOnADeadConnectionIsReplacedWhileTheCallerWaits() {
+        DirectFixture.CallerResponse[] response = new DirectFixture.CallerResponse[1];
+        DirectFixture entry = entryWithSoundEngines("500", response);
+        advanceWithEvents(entry, 400);
+        assertThat(entry.sentRequests).hasSize(5);
+        assertThat(entry.lastSent().request.headers().get("Last")).isEqualTo("1");
+        respondFully(entry.lastSent(), 2);
+        assertCompleteAfter(response[0], 2);
+    }
+
+    /* Guards against a long prompt prefilled a third time, too late for the caller and while the second is on time. */
+    @Example
+    void aReplacementWhoseFirstEventIsNotDueInTimeIsNotReplacedEarly() {
+        DirectFixture.CallerResponse[] response = new DirectFixture.CallerResponse[1];
+        DirectFixture entry = entryWithSoundEngines("9000", response);
+        advanceWithEvents(entry, 400);
+        assertThat(entry.sentRequests).hasSize(4);
+        respondFully(entry.lastSent(), 2);
+        assertCompleteAfter(response[0], 2);
+    }
+
     /** Returns an entry with a silent stream, beside which a prompt is sent to the other engine after a while. */
     private static DirectFixture entryWithAwaitedEngines(String tokens, long promptAtMillis) {
         DirectFixture entry = entry(3, "u1", "u2");
