--- a/src/test/java/org/cuminshelf/direct/SimulatedEngines.java
+++ b/src/test/java/org/cuminshelf/direct/SimulatedEngines.java
@@ -176,6 +176,11 @@
         }
     }
 
+    /** Returns the interval between two events at speed 1, without prefill. */
+    static double intervalMillis(int streams) {
+        return CONSTANT_MILLIS + MILLIS_PER_STREAM * streams;
+    }
+
     /** Forgets the streams that have ended. */
     void clearEnded() {
         ended.clear();
