--- a/src/test/java/org/cuminshelf/direct/EventGapsTest.java
+++ b/src/test/java/org/cuminshelf/direct/EventGapsTest.java
@@ -197,6 +197,28 @@
         assertThat(handoverEngine(40, 0.6, 32, 1)).isEqualTo("d0");
     }
 
+    /* Guards against a handover to an engine with few streams that is so slow that they are late. */
+    @Example
+    void aHandoverAvoidsAnEngineWhoseStreamsAreLate() {
+        assertThat(handoverEngine(10, 2.9, 32, 1)).isEqualTo("d1");
+    }
+
+    /*
+     * Guards against prompts that separate engines prefill without regard to the engines that generate: these have free
+     * slots, but no time for more streams.
+     */
+    @Example
+    void promptsAreNotPrefilledForEnginesWhoseStreamsWouldAllBeLate() {
+        SimulatedEngines fleet = fleet(0.4, 0.4, 0.4);
+        fleet.add("p0", Role.ROLE_PREFILL, 4);
+        fleet.run(8_000, 20);
+        fleet.clearEnded();
+        fleet.run(6_000, 45);
+        fleet.run(8_000, 0);
+        assertThat(fleet.shareInTime()).isGreaterThan(0.9);
+        assertThat(fleet.endedStreams()).isGreaterThan(120);
+    }
+
     /* Guards against late streams of which no line tells whether their gaps were foreseen, and by what engine. */
     @Example
     void theLineOfACompletedStreamHasItsExpectedGap() {
@@ -214,30 +236,33 @@
     }
 
     /*
-     * Guards against entries whose processor time goes into decisions and observations of one another. With a hundred
-     * times as many entries, linear work would take some hundred times as long.
+     * Guards against entries whose processor time goes into decisions and observations of one another. With so many
+     * entries, work for each of them dominates all other.
      */
     @Example
-    void aRequestCostsTheSameWithAHundredTimesAsManyEntries() {
+    void aRequestCostsTheSameWithFiveHundredTimesAsManyEntries() {
         double few = Double.MAX_VALUE;
         double many = Double.MAX_VALUE;
         for (int round = 0; round < 5; round++) {
             few = Math.min(few, processorNanos(4));
-            many = Math.min(many, processorNanos(400));
+            many = Math.min(many, processorNanos(2_000));
         }
-        assertThat(many).isLessThan(8 * few);
+        assertThat(many).isLessThan(4 * few);
     }
 
-    /** Returns the processor time of a second of traffic at an entry that knows the loads of some others. */
+    /** Returns the processor time of 0.2 s of traffic at an entry that knows the loads of some others. */
     private static double processorNanos(int others) {
         SimulatedEngines fleet = fleet(1, 1, 1, 1);
         for (int other = 0; other < others; other++) {
-            EntryLoad.Builder load = report(UpstreamLoad.newBuilder().setId("d0"));
+            EntryLoad.Builder load = EntryLoad.newBuilder();
+            fleet.engines
+                    .keySet()
+                    .forEach(id -> load.addUpstreams(UpstreamLoad.newBuilder().setId(id)));
             fleet.entry.reportLoadFrom("10.0." + other / 200 + "." + other % 200 + ":7000", load);
         }
-        fleet.run(500, USUAL_RATE);
+        fleet.run(50, USUAL_RATE);
         long before = ManagementFactory.getThreadMXBean().getCurrentThreadCpuTime();
-        fleet.run(1_000, USUAL_RATE);
+        fleet.run(200, USUAL_RATE);
         return ManagementFactory.getThreadMXBean().getCurrentThreadCpuTime() - before;
     }
 }
