--- a/src/main/java/org/cuminshelf/direct/AdmissionControl.java
+++ b/src/main/java/org/cuminshelf/direct/AdmissionControl.java
@@ -5,6 +5,7 @@
 import org.cuminshelf.core.Durations;
 import org.cuminshelf.message.Cause;
 import org.cuminshelf.poison.HoldBack;
+import org.cuminshelf.shares.Standing;
 import org.cuminshelf.verdict.Verdict;
 
 /** Decides whether a call is sent to an upstream now, waits in the admission queue or is refused. */
@@ -50,12 +51,16 @@
     /** Time for which a call waits for upstreams on which no attempt of it has failed. */
     private static final long MAX_WAIT_FOR_OTHERS_NANOS = Durations.nanos(100);
 
+    /** Reason of a refusal for the sake of more urgent calls. */
+    static final String YIELDS_REASON = "yields-to-more-urgent";
+
     private static final Decision WAIT = new Decision.Wait();
 
     private final UpstreamSelector selector;
     private final ControlSubscription control;
     private final PoisonGuard poisonGuard;
     private final AdmissionQueue admissionQueue;
+    private long sentForShare;
 
     AdmissionControl(
             UpstreamSelector selector,
@@ -96,6 +101,7 @@
     }
 
     private Decision decideOnCapacity(long now, DirectCall call) {
+        call.shareClaim.ifPresent(claim -> claim.update(now));
         Optional<UpstreamSelector.Choice> choice = selector.choose(now, call);
         choice.ifPresent(found -> recordEstimate(call, found));
         return choice.map(found -> decide(now, call, found)).orElseGet(() -> decideWithoutUpstream(now, call));
@@ -113,6 +119,9 @@
             return refuse(call, choice, "too-late");
         }
         double ownMillis = choice.firstEventMillis() - choice.queueMillis();
+        if (yields(now, call, choice)) {
+            return queuesForCapacity(now, call, ownMillis) ? WAIT : refuse(call, choice, YIELDS_REASON);
+        }
         if (choice.queueMillis() > MAX_ENGINE_QUEUE_MILLIS && queuesForCapacity(now, call, ownMillis)) {
             return WAIT;
         }
@@ -217,7 +226,21 @@
      * not.
      */
     private boolean queuesForCapacity(long now, DirectCall call, double ownMillis) {
-        return call.lastAttempt == null && call.isStream() && admissionQueue.addForCapacity(now, call, ownMillis);
+        return mayWaitForCapacity(call) && admissionQueue.addForCapacity(now, call, ownMillis);
+    }
+
+    private static boolean mayWaitForCapacity(DirectCall call) {
+        return call.lastAttempt == null && call.isStream();
+    }
+
+    /**
+     * Returns whether a call is not sent now, as a more urgent kind gets less than its own and no engine is free. Calls
+     * that may not wait for capacity do not yield.
+     */
+    private boolean yields(long now, DirectCall call, UpstreamSelector.Choice choice) {
+        return call.standing() instanceof Standing.Yielding
+                && mayWaitForCapacity(call)
+                && !selector.hasFreeUpstream(now, call, choice);
     }
 
     /**
@@ -230,10 +253,10 @@
 
     /**
      * Sends a call that is expected to be in time, whose late answer is worth more than the engine's time, or whose
-     * size group has been refused more than its share. Under overload, engine time is expensive, so that only calls
-     * that are in time are sent: if all queued prompts are late, no caller benefits.
+     * size group, kind or organisation has been refused more than its share. Under overload, engine time is expensive,
+     * so that only calls that are in time are sent: if all queued prompts are late, no caller benefits.
      */
-    private static Decision sendUnlessLate(long now, DirectCall call, UpstreamSelector.Choice choice) {
+    private Decision sendUnlessLate(long now, DirectCall call, UpstreamSelector.Choice choice) {
         double firstEventMillis = Durations.millis(now - call.arrivedAtNanos) + choice.firstEventMillis();
         boolean inTime = firstEventMillis <= call.route.targetLatencyMillis();
         if (call.lastAttempt != null
@@ -242,6 +265,10 @@
                 || isAdmittedForFairness(call, firstEventMillis)) {
             return new Decision.Send(choice);
         }
+        if (isAdmittedForShare(call, firstEventMillis)) {
+            sentForShare++;
+            return new Decision.Send(choice);
+        }
         return refuse(call, choice, "too-dear");
     }
 
@@ -254,6 +281,17 @@
                 && call.fairnessClaim.filter(SizeFairness.Claim::hasCredit).isPresent();
     }
 
+    /** Returns the same because of the share of its kind or organisation. */
+    private static boolean isAdmittedForShare(DirectCall call, double firstEventMillis) {
+        return firstEventMillis <= CallerTimeouts.maxFirstEventMillis(call)
+                && call.standing().isSentDespiteCost();
+    }
+
+    /** Returns the number of late calls sent so far because their kind or organisation had got too little. */
+    long sentForShare() {
+        return sentForShare;
+    }
+
     /**
      * Returns whether the answer to a generation would be too late to be useful. Guards against a queue in which every
      * answer is late or for a disconnected caller: calls that cannot be served in time are refused at once, so that the
--- a/src/main/java/org/cuminshelf/direct/AdmissionQueue.java
+++ b/src/main/java/org/cuminshelf/direct/AdmissionQueue.java
@@ -9,13 +9,15 @@
 import java.util.function.Predicate;
 import org.cuminshelf.core.Core;
 import org.cuminshelf.core.Durations;
+import org.cuminshelf.shares.Standing;
 
 /**
  * Calls that cannot be sent now but probably soon, ordered by the time at which they must be sent.
  *
  * <p>Smooths clustered arrivals, during which more prompts or streams arrive within a tenth of a second than engines
  * accept. Engines prefill admitted prompts in order of arrival, so a prompt queued there cannot be overtaken by a more
- * urgent one. Here the call that must start soonest is first, and calls that can no longer be in time are last. A slot
+ * urgent one. Here the most urgent calls are first, of equal priority the call that must start soonest, and calls that
+ * can no longer be in time last; groups that have got less than their share precede them. A slot
  * is released every few milliseconds, so that a short wait avoids most refusals of such a cluster.
  *
  * <p>Calls whose attempt has failed and whose refusal would lose work come before all others, and wait as long as their
@@ -66,6 +68,10 @@
             return call.lastAttempt != null;
         }
 
+        private boolean isOwed() {
+            return call.standing() instanceof Standing.Owed;
+        }
+
         private Group group() {
             return new Group(call.service, isRetry());
         }
@@ -219,12 +225,14 @@
     }
 
     /**
-     * Returns the queued calls: retries first, and of each kind those that must start soonest; calls that can no longer
-     * be in time are last.
+     * Returns the queued calls: retries first, then those whose group is owed, then by priority. Of equal priority,
+     * those that must start soonest are first, and calls that can no longer be in time are last.
      */
     private List<QueuedCall> inOrder(long now) {
         List<QueuedCall> ordered = new ArrayList<>(calls.values());
         ordered.sort(Comparator.comparing((QueuedCall queued) -> !queued.isRetry())
+                .thenComparing(queued -> !queued.isOwed())
+                .thenComparingInt(queued -> queued.call.priority())
                 .thenComparing(queued -> queued.latestStartAt < now)
                 .thenComparingLong(QueuedCall::latestStartAt)
                 .thenComparingLong(queued -> queued.call.number));
--- a/src/main/java/org/cuminshelf/direct/CallDispatcher.java
+++ b/src/main/java/org/cuminshelf/direct/CallDispatcher.java
@@ -44,6 +44,7 @@
     private final AdmissionQueue admissionQueue = new AdmissionQueue();
     private final AdmissionControl admission;
     private final SizeFairness sizeFairness = new SizeFairness();
+    private final CallShares shares = new CallShares();
     private final RetryPolicy retryPolicy;
     private final SilentUpstreams silentUpstreams;
     private final ReplacementPlanner replacementPlanner;
@@ -108,6 +109,16 @@
         return openCalls.size();
     }
 
+    /** Returns the shares of calls by kind and organisation. */
+    CallShares shares() {
+        return shares;
+    }
+
+    /** Returns the number of late calls sent so far because their kind or organisation had got too little. */
+    long sentForShare() {
+        return admission.sentForShare();
+    }
+
     long nextDue() {
         long callsDue = Math.min(admissionQueue.nextDue(), callDeadlines.next());
         return Math.min(Math.min(callsDue, attemptRunner.nextDue()), poisonGuard.nextDue());
@@ -135,6 +146,7 @@
                     selector.prefillMicros(now, call, shape),
                     selector.generationMicros(call.service, shape)));
         });
+        shares.onArrival(call, selector.answerValue(call));
         place(now, call);
     }
 
@@ -226,6 +238,7 @@
         @Override
         public void onFirstEvent(long now, DirectAttempt attempt) {
             usageMeter.recordStart(attempt.call, now);
+            shares.onAnswer(now, attempt.call);
         }
 
         @Override
@@ -346,6 +359,7 @@
         }
         attempt.call.fairnessClaim.ifPresent(claim -> claim.onEnded(attempt.isSuccess()));
         if (attempt.isSuccess()) {
+            shares.onCompleted(now, attempt.call);
             poisonGuard.onSuccess(now, attempt.call);
         }
         close(attempt.call);
@@ -495,6 +509,7 @@
         }
         responses.reportFailure(now, call, reason);
         call.fairnessClaim.ifPresent(claim -> claim.onEnded(false));
+        shares.onFailed(now, call);
         close(call);
     }
 
--- a/src/main/java/org/cuminshelf/direct/CallerResponses.java
+++ b/src/main/java/org/cuminshelf/direct/CallerResponses.java
@@ -21,6 +21,7 @@
     /** The same for a stream of unknown version: by then another entry may answer, or one version be left. */
     private static final long UNKNOWN_VERSION_RETRY_AFTER_MILLIS = 500;
 
+    private static final double PERCENT = 100;
     private static final int BAD_GATEWAY = 502;
     private static final int UNAVAILABLE = 503;
     private static final int GATEWAY_TIMEOUT = 504;
@@ -91,6 +92,10 @@
                 Durations.millis(call.longestGapNanos),
                 "first-ms",
                 Durations.millis(call.responseStartedAtNanos - call.arrivedAtNanos),
+                "standing",
+                call.standing().label(),
+                "share",
+                shareForLog(call),
                 "ms",
                 Durations.millis(now - call.arrivedAtNanos));
     }
@@ -158,6 +163,10 @@
                 call.fairnessClaim.map(SizeFairness.Claim::sizeGroup).orElse("none"),
                 "owed",
                 call.fairnessClaim.filter(SizeFairness.Claim::hasCredit).isPresent(),
+                "standing",
+                call.standing().label(),
+                "share",
+                shareForLog(call),
                 "expected-ms",
                 Math.round(call.estimatedFirstEventMillis),
                 "wait-ms",
@@ -166,6 +175,11 @@
                 Durations.millis(now - call.arrivedAtNanos));
     }
 
+    /** Returns the answered share that the standing of a call is based on, with two decimals. */
+    private static double shareForLog(DirectCall call) {
+        return Math.round(PERCENT * call.standing().share()) / PERCENT;
+    }
+
     /** Logs that the caller disconnected before its response was complete. */
     void logDisconnect(long now, DirectCall call) {
         log.noteCompletion(
--- a/src/main/java/org/cuminshelf/direct/DirectCall.java
+++ b/src/main/java/org/cuminshelf/direct/DirectCall.java
@@ -18,6 +18,8 @@
 import org.cuminshelf.poison.RequestAttribute;
 import org.cuminshelf.routes.RequestKind;
 import org.cuminshelf.routes.Route;
+import org.cuminshelf.shares.ShareClaim;
+import org.cuminshelf.shares.Standing;
 import org.cuminshelf.verdict.Verdict;
 import org.eclipse.jetty.http.HttpHeader;
 
@@ -103,6 +105,9 @@
     /** Its claim on the share of its size group, if it is a generation. */
     Optional<SizeFairness.Claim> fairnessClaim = Optional.empty();
 
+    /** Its part in the shares of its kind and organisation. */
+    Optional<ShareClaim> shareClaim = Optional.empty();
+
     /** The engine time that it needs, reported to control for planning, if it is a generation. */
     Optional<OfferedLoad> offeredLoad = Optional.empty();
 
@@ -227,6 +232,11 @@
                 .orElse(route.priority());
     }
 
+    /** What the shares of its kind and organisation mean for it, as of its last decision. */
+    Standing standing() {
+        return shareClaim.map(ShareClaim::standing).orElse(new Standing.Neutral(1));
+    }
+
     boolean isStream() {
         return route.kind() == RequestKind.STREAM;
     }
--- a/src/main/java/org/cuminshelf/direct/DirectCore.java
+++ b/src/main/java/org/cuminshelf/direct/DirectCore.java
@@ -434,6 +434,33 @@
         return backpressure.backoffs().activeCount(clock.getAsLong());
     }
 
+    /**
+     * Counts the calls refused because a more urgent kind was served less than theirs.
+     *
+     * @return their number since the start
+     */
+    public long callsRefusedForPriority() {
+        return callDispatcher.shares().refusedForPriority();
+    }
+
+    /**
+     * Counts the late calls sent because their kind or organisation had been served too little.
+     *
+     * @return their number since the start
+     */
+    public long callsSentForShare() {
+        return callDispatcher.sentForShare();
+    }
+
+    /**
+     * Counts the kinds and organisations whose shares are kept.
+     *
+     * @return their number over all services
+     */
+    public long shareGroups() {
+        return callDispatcher.shares().groupCount();
+    }
+
     /**
      * Counts the calls without a final response, including requests that wait for the first configuration.
      *
--- a/src/main/java/org/cuminshelf/direct/UpstreamSelector.java
+++ b/src/main/java/org/cuminshelf/direct/UpstreamSelector.java
@@ -120,6 +120,8 @@
     private static final double MAX_SLOT_SHARE = 0.85;
     /** The same for short streams, which hold a slot for a tenth of a second where others hold it for two seconds. */
     private static final double MAX_SLOT_SHARE_SHORT_STREAM = 0.95;
+    /** The same for calls that yield to more urgent ones, which find the remaining slots free. */
+    private static final double MAX_FREE_SLOT_SHARE = 0.7;
     /** Events of a short stream: few compared with a usual stream. They take some 0.25 s in the first deployments. */
     private static final int MAX_SHORT_STREAM_EVENTS = 4;
     /** Load added for an engine whose memory is full, in requests. */
@@ -191,6 +193,14 @@
         return (long) (MICROS_PER_MILLI * millis);
     }
 
+    /** Returns the value of a call's answer, in answers of usual size on its route. */
+    double answerValue(DirectCall call) {
+        return call.intent
+                .generation()
+                .map(shape -> values.valueOf(call, shape))
+                .orElse(1.0);
+    }
+
     private Optional<Choice> chooseByOccupancy(long now, DirectCall call) {
         UpstreamInstance best = null;
         double lowestLoad = Double.MAX_VALUE;
@@ -511,6 +521,27 @@
         return backpressure.backoffs().isBackedOffRemotely(now, upstream.id);
     }
 
+    /**
+     * Returns whether an upstream could start on a call at once: the selected one, or another of its role. Calls that
+     * yield to more urgent ones are sent only then.
+     */
+    boolean hasFreeUpstream(long now, DirectCall call, Choice choice) {
+        boolean generates = choice.upstream.generatesTokens();
+        return isFree(choice.upstream, choice.queueMillis())
+                || openUpstreams(now, call).stream()
+                        .filter(upstream -> upstream.generatesTokens() == generates)
+                        .anyMatch(upstream -> isFree(upstream, queueMillis(now, upstream)));
+    }
+
+    private static boolean isFree(UpstreamInstance upstream, double queueMillis) {
+        return queueMillis < MIN_ERROR_MILLIS && upstream.totalAttempts() < MAX_FREE_SLOT_SHARE * upstream.slots;
+    }
+
+    private double queueMillis(long now, UpstreamInstance upstream) {
+        double latencyMillis = models.of(upstream.service).latencyMillis(upstream.id, upstream.generatesTokens());
+        return upstream.pendingPrompts.waitMillis(now, latencyMillis);
+    }
+
     /** Returns whether an upstream accepts a call now, whether or not it has a free slot. */
     boolean isOpen(long now, UpstreamInstance upstream, DirectCall call) {
         return !upstream.isAvoided(now) && isServing(now, upstream, call);
--- a/src/main/java/org/cuminshelf/process/DirectEntryProcess.java
+++ b/src/main/java/org/cuminshelf/process/DirectEntryProcess.java
@@ -192,6 +192,21 @@
                 "cuminshelf_resting_upstreams",
                 "Upstreams that requested backoff from this entry.",
                 core::upstreamsInBackoff);
+        EntryProcess.registerGauge(
+                registry,
+                "cuminshelf_calls_refused_for_priority",
+                "Calls refused since the start because a more urgent kind was served less than theirs.",
+                core::callsRefusedForPriority);
+        EntryProcess.registerGauge(
+                registry,
+                "cuminshelf_calls_sent_for_share",
+                "Late calls sent since the start because their kind or organisation had been served too little.",
+                core::callsSentForShare);
+        EntryProcess.registerGauge(
+                registry,
+                "cuminshelf_share_groups",
+                "Kinds and organisations whose answered shares are kept.",
+                core::shareGroups);
         EntryProcess.registerGauge(
                 registry,
                 "cuminshelf_core_failures",
