--- a/src/main/java/org/cuminshelf/direct/AdmissionControl.java
+++ b/src/main/java/org/cuminshelf/direct/AdmissionControl.java
@@ -265,7 +265,7 @@
                 || isAdmittedForFairness(call, firstEventMillis)) {
             return new Decision.Send(choice);
         }
-        if (isAdmittedForShare(call, firstEventMillis)) {
+        if (isAdmittedForShare(call, choice, firstEventMillis)) {
             sentForShare++;
             return new Decision.Send(choice);
         }
@@ -281,10 +281,20 @@
                 && call.fairnessClaim.filter(SizeFairness.Claim::hasCredit).isPresent();
     }
 
-    /** Returns the same because of the share of its kind or organisation. */
-    private static boolean isAdmittedForShare(DirectCall call, double firstEventMillis) {
-        return firstEventMillis <= CallerTimeouts.maxFirstEventMillis(call)
-                && call.standing().isSentDespiteCost();
+    /**
+     * Returns the same because of the share of its kind or organisation. A preferred call does not join a long queue:
+     * it would make others late, and its caller too. Its share grows as less urgent calls yield. When preferred calls
+     * were sent however late, all kinds together got less than half of the value in a simulated overload.
+     */
+    private static boolean isAdmittedForShare(
+            DirectCall call, UpstreamSelector.Choice choice, double firstEventMillis) {
+        boolean isSent = switch (call.standing()) {
+            case Standing.Owed owed -> true;
+            case Standing.Preferred preferred -> choice.queueMillis() <= MAX_ENGINE_QUEUE_MILLIS;
+            case Standing.Yielding yielding -> false;
+            case Standing.Neutral neutral -> false;
+        };
+        return isSent && firstEventMillis <= CallerTimeouts.maxFirstEventMillis(call);
     }
 
     /** Returns the number of late calls sent so far because their kind or organisation had got too little. */
--- a/src/main/java/org/cuminshelf/direct/CallDispatcher.java
+++ b/src/main/java/org/cuminshelf/direct/CallDispatcher.java
@@ -206,6 +206,7 @@
                 () -> "request " + call.intent.id() + " goes on at version " + choice.upstream().version);
         admissionQueue.remove(call);
         call.fairnessClaim.ifPresent(SizeFairness.Claim::onSent);
+        shares.onSent(now, call);
         call.offeredLoad.ifPresent(work -> work.onSent(choice));
         selector.onSent(now, choice);
         releasePermit(call);
@@ -578,6 +579,7 @@
             }
         }
         responses.logDisconnect(now, call);
+        shares.onLeft(now, call);
         close(call);
     }
 
--- a/src/main/java/org/cuminshelf/direct/CallShares.java
+++ b/src/main/java/org/cuminshelf/direct/CallShares.java
@@ -33,17 +33,33 @@
         call.shareClaim = Optional.of(claim);
     }
 
+    /** Records that a call is sent to an upstream. */
+    void onSent(long now, DirectCall call) {
+        call.shareClaim.ifPresent(claim -> claim.onSent(now));
+    }
+
     /** Records that the first event of a stream, or a whole answer, has arrived. */
     void onAnswer(long now, DirectCall call) {
-        call.shareClaim.ifPresent(claim -> claim.onAnswered(now, isLateForWaiting(now, call)));
+        if (isLateForWaiting(now, call)) {
+            call.shareClaim.ifPresent(claim -> claim.onLate(now));
+        }
     }
 
     /** Records that a response other than an error is complete. */
     void onCompleted(long now, DirectCall call) {
-        onAnswer(now, call);
         long maxGapMillis = call.route.maxEventGapMillis();
-        if (maxGapMillis > 0 && call.longestGapNanos > Durations.nanos(maxGapMillis)) {
-            call.shareClaim.ifPresent(claim -> claim.onLateGap(now));
+        boolean gapTooLong = maxGapMillis > 0 && call.longestGapNanos > Durations.nanos(maxGapMillis);
+        if (gapTooLong) {
+            call.shareClaim.ifPresent(claim -> claim.onLate(now));
+        } else if (!call.isStream()) {
+            onAnswer(now, call);
+        }
+    }
+
+    /** Records that the caller of a call has left. */
+    void onLeft(long now, DirectCall call) {
+        if (!call.responseStarted) {
+            call.shareClaim.ifPresent(claim -> claim.onLeft(now));
         }
     }
 
--- a/src/main/java/org/cuminshelf/shares/ServiceShares.java
+++ b/src/main/java/org/cuminshelf/shares/ServiceShares.java
@@ -7,7 +7,7 @@
 import org.cuminshelf.core.Durations;
 
 /**
- * Shares of one service's calls that are answered, by kind and by organisation, as one entry observes them.
+ * Shares of one service's calls that are sent, by kind and by organisation, as one entry observes them.
  *
  * <p>Applies to demand beyond the capacity of a service. Admission by cost and lateness alone serves the kind with the
  * largest prompts worst, also if it is the most urgent: on a heavy day it got 0.74 of its value and less urgent kinds
@@ -22,15 +22,19 @@
     private static final double OWED_SHARE = 0.5;
     /** The same below which no kind yields, so that those that yield do not become owed. */
     private static final double MIN_YIELDING_SHARE = 0.7;
-    /** Difference of answered shares beyond which a kind is behind a less urgent one. */
-    private static final double MAX_DEFICIT = 0.05;
-    /** The same of the answered value. */
-    private static final double MAX_VALUE_DEFICIT = 0.15;
+    /**
+     * Difference of the shares of requests beyond which a kind is behind a less urgent one. It is below the 5 in 100
+     * that are allowed, as shares go on to differ for some calls after a standing has changed: with 5 in 100, they
+     * differed by 8 to 11 in a simulated overload of 1.3 to 2 times the capacity, with 2 in 100 by 4 to 7.
+     */
+    private static final double MAX_DEFICIT = 0.02;
+    /** The same of the value of tries; 15 in 100 are allowed. */
+    private static final double MAX_VALUE_DEFICIT = 0.075;
     /** Calls of a group with a known outcome below which it is neutral. */
     private static final int MIN_KNOWN_CALLS = 10;
     /**
      * Calls, assumed to be served like all of the service, that are added to a kind before it is compared with others.
-     * With ten, a single refused call is not a deficit, and two in a row are.
+     * With ten, a single refused call of usual value is not a deficit.
      */
     private static final double COMPARISON_PRIOR_CALLS = 10;
     /** The same before a group is compared with half of the service's share: there the distance is greater. */
@@ -41,6 +45,8 @@
     private static final double KIND_WINDOW_NANOS = Durations.nanos(4_000);
     /** Time constant of the shares of organisations, of which an entry may see a call in ten seconds. */
     private static final double ORGANISATION_WINDOW_NANOS = Durations.nanos(60_000);
+    /** Calls of a group over which its share is taken, if they are within the time constant. */
+    private static final double WINDOW_CALLS = 30;
     /** Kinds that are kept: more than a service has routes and priorities. */
     static final int MAX_KINDS = 64;
     /** Organisations that are kept; those without calls for the longest time are dropped first. */
@@ -48,8 +54,8 @@
 
     private final Map<CallKind, ShareTally> kinds = new BoundedGroups<>(MAX_KINDS);
     private final Map<String, ShareTally> organisations = new BoundedGroups<>(MAX_ORGANISATIONS);
-    private final ShareTally all = new ShareTally(KIND_WINDOW_NANOS);
-    private final ShareTally allOfOrganisations = new ShareTally(ORGANISATION_WINDOW_NANOS);
+    private final ShareTally all = new ShareTally(KIND_WINDOW_NANOS, Double.POSITIVE_INFINITY);
+    private final ShareTally allOfOrganisations = new ShareTally(ORGANISATION_WINDOW_NANOS, Double.POSITIVE_INFINITY);
 
     private ServiceShares() {}
 
@@ -71,9 +77,9 @@
      * @return its claim, which must be notified of the outcome
      */
     public ShareClaim register(CallKind kind, Optional<String> organisation, double value) {
-        ShareTally kindTally = kinds.computeIfAbsent(kind, key -> new ShareTally(KIND_WINDOW_NANOS));
-        Optional<ShareTally> organisationTally = organisation.map(
-                name -> organisations.computeIfAbsent(name, key -> new ShareTally(ORGANISATION_WINDOW_NANOS)));
+        ShareTally kindTally = kinds.computeIfAbsent(kind, key -> new ShareTally(KIND_WINDOW_NANOS, WINDOW_CALLS));
+        Optional<ShareTally> organisationTally = organisation.map(name ->
+                organisations.computeIfAbsent(name, key -> new ShareTally(ORGANISATION_WINDOW_NANOS, WINDOW_CALLS)));
         List<ShareTally> tallies = new ArrayList<>(List.of(all, kindTally));
         organisationTally.ifPresent(tally -> tallies.addAll(List.of(allOfOrganisations, tally)));
         return new ShareClaim(this, kind, kindTally, organisationTally, tallies, value);
@@ -94,7 +100,7 @@
     }
 
     private Standing standingOfKind(long now, CallKind kind, ShareTally tally) {
-        double share = tally.answeredShare(now, overallShare(now, all), FLOOR_PRIOR_CALLS);
+        double share = tally.share(now, overallShare(now, all), FLOOR_PRIOR_CALLS);
         boolean hasOtherPriorities = kinds.keySet().stream().anyMatch(other -> other.priority() != kind.priority());
         if (!hasOtherPriorities || !isKnown(tally)) {
             return new Standing.Neutral(share);
@@ -104,7 +110,7 @@
             return owed.get();
         }
         if (isAnyBehind(now, kind, tally)) {
-            boolean mayYield = share >= MIN_YIELDING_SHARE * overallShare(now, all);
+            boolean mayYield = ofRequests(share) >= MIN_YIELDING_SHARE * ofRequests(overallShare(now, all));
             return mayYield ? new Standing.Yielding(share) : new Standing.Neutral(share);
         }
         return isBehindAny(now, kind, tally) ? new Standing.Preferred(share) : new Standing.Neutral(share);
@@ -112,8 +118,8 @@
 
     private static Optional<Standing> owed(long now, ShareTally tally, ShareTally overall) {
         double overallShare = overallShare(now, overall);
-        double share = tally.answeredShare(now, overallShare, FLOOR_PRIOR_CALLS);
-        return isKnown(tally) && share < OWED_SHARE * overallShare
+        double share = tally.share(now, overallShare, FLOOR_PRIOR_CALLS);
+        return isKnown(tally) && ofRequests(share) < OWED_SHARE * ofRequests(overallShare)
                 ? Optional.of(new Standing.Owed(share))
                 : Optional.empty();
     }
@@ -142,15 +148,23 @@
     }
 
     private double comparedShare(long now, ShareTally tally) {
-        return tally.answeredShare(now, overallShare(now, all), COMPARISON_PRIOR_CALLS);
+        return ofRequests(tally.share(now, overallShare(now, all), COMPARISON_PRIOR_CALLS));
     }
 
     private double comparedValueShare(long now, ShareTally tally) {
-        double prior = all.answeredValueShare(now, 1, OVERALL_PRIOR_CALLS);
-        return tally.answeredValueShare(now, prior, COMPARISON_PRIOR_CALLS);
+        double prior = all.valueShare(now, 1, OVERALL_PRIOR_CALLS);
+        return tally.valueShare(now, prior, COMPARISON_PRIOR_CALLS);
+    }
+
+    /**
+     * Returns the share of requests that are served within one retry of their callers, given the share of tries. Without
+     * this a refused caller would count twice: with half of the tries sent, three quarters of the requests are served.
+     */
+    private static double ofRequests(double shareOfTries) {
+        return shareOfTries * (2 - shareOfTries);
     }
 
     private static double overallShare(long now, ShareTally overall) {
-        return overall.answeredShare(now, 1, OVERALL_PRIOR_CALLS);
+        return overall.share(now, 1, OVERALL_PRIOR_CALLS);
     }
 }
--- a/src/main/java/org/cuminshelf/shares/ShareClaim.java
+++ b/src/main/java/org/cuminshelf/shares/ShareClaim.java
@@ -5,13 +5,21 @@
 import java.util.Optional;
 
 /**
- * One call, counted in the shares of its groups when its outcome is known. A call of which no outcome is recorded, as
- * its caller has left or its upstreams have failed, is not counted.
+ * One call, counted in the shares of its groups when it is sent or refused. A call whose caller left is not counted,
+ * and what fails at upstreams is not recorded.
  */
 public final class ShareClaim {
 
-    /** Fraction of a late answer's value that is counted. */
-    private static final double LATE_VALUE = 0.5;
+    /** Fraction of an answer's value that is lost if it is late. */
+    private static final double LATE_VALUE_LOSS = 0.5;
+
+    /** What is counted of the call. */
+    private enum Outcome {
+        UNKNOWN,
+        SENT,
+        LATE,
+        ENDED
+    }
 
     private final ServiceShares service;
     private final CallKind kind;
@@ -20,8 +28,7 @@
     private final Collection<ShareTally> tallies;
     private final double value;
     private Standing standing = new Standing.Neutral(1);
-    private boolean counted;
-    private boolean countedInTime;
+    private Outcome outcome = Outcome.UNKNOWN;
 
     ShareClaim(
             ServiceShares service,
@@ -57,43 +64,54 @@
     }
 
     /**
-     * Records that the answer or its first event has arrived; only the first outcome counts.
+     * Records that the call was sent to an upstream; only the first time counts.
      *
-     * @param now  the time in nanoseconds
-     * @param late whether it is late because the call had to wait
+     * @param now the time in nanoseconds
      */
-    public void onAnswered(long now, boolean late) {
-        if (!counted) {
-            countedInTime = !late;
-            count(now, true, late ? LATE_VALUE : 1);
+    public void onSent(long now) {
+        if (outcome == Outcome.UNKNOWN) {
+            outcome = Outcome.SENT;
+            tallies.forEach(tally -> tally.addSent(now, value));
         }
     }
 
     /**
-     * Records that an answer counted as in time has become late, because of a gap between its events.
+     * Records that the answer is late, because the call had to wait or for a gap between events.
      *
      * @param now the time in nanoseconds
      */
-    public void onLateGap(long now) {
-        if (countedInTime) {
-            countedInTime = false;
-            tallies.forEach(tally -> tally.deduct(now, (1 - LATE_VALUE) * value));
+    public void onLate(long now) {
+        if (outcome == Outcome.SENT) {
+            outcome = Outcome.LATE;
+            tallies.forEach(tally -> tally.deductValue(now, LATE_VALUE_LOSS * value));
         }
     }
 
     /**
-     * Records that the call was refused for lack of capacity; only the first outcome counts.
+     * Records that the call was refused for lack of capacity, here or by the last upstream tried.
      *
      * @param now the time in nanoseconds
      */
     public void onRefused(long now) {
-        if (!counted) {
-            count(now, false, 0);
+        switch (outcome) {
+            case UNKNOWN -> tallies.forEach(tally -> tally.addRefused(now, value));
+            case SENT -> tallies.forEach(tally -> tally.changeToRefused(now, value));
+            case LATE, ENDED -> {
+                // An answer has begun, or the outcome is known.
+            }
         }
+        outcome = Outcome.ENDED;
     }
 
-    private void count(long now, boolean answered, double fractionOfValue) {
-        counted = true;
-        tallies.forEach(tally -> tally.add(now, value, answered, fractionOfValue));
+    /**
+     * Records that the caller has left before an answer.
+     *
+     * @param now the time in nanoseconds
+     */
+    public void onLeft(long now) {
+        if (outcome == Outcome.SENT) {
+            tallies.forEach(tally -> tally.removeSent(now, value));
+        }
+        outcome = Outcome.ENDED;
     }
 }
--- a/src/main/java/org/cuminshelf/shares/ShareTally.java
+++ b/src/main/java/org/cuminshelf/shares/ShareTally.java
@@ -1,74 +1,93 @@
 package org.cuminshelf.shares;
 
-/** Decaying sums over the calls of a group whose outcome is known, and over the value of their answers. */
+/**
+ * Decaying sums over the calls of a group that were sent or refused, and over the value of their answers. A call counts
+ * as sent at once, so that the shares follow decisions without delay; what becomes of it later is taken off.
+ */
 final class ShareTally {
 
-    /** Weight that a call keeps with each further one: a window of about thirty calls. */
-    private static final double KEPT_PER_CALL = 1 - 1.0 / 30;
-
     private final double windowNanos;
+    private final double keptPerCall;
     private long updatedAtNanos;
     private long totalCalls;
     private double calls;
-    private double answeredCalls;
+    private double sentCalls;
     private double value;
-    private double answeredValue;
+    private double sentValue;
 
     /**
      * Creates a tally without calls.
      *
      * @param windowNanos time constant of the decay, in nanoseconds
+     * @param windowCalls number of further calls after which a call has lost most of its weight
      */
-    ShareTally(double windowNanos) {
+    ShareTally(double windowNanos, double windowCalls) {
         this.windowNanos = windowNanos;
+        this.keptPerCall = 1 - 1 / windowCalls;
     }
 
-    /**
-     * Adds a call whose outcome is known.
-     *
-     * @param now           the time in nanoseconds
-     * @param callValue     value of its answer, in usual answers
-     * @param answered      whether it was answered
-     * @param fractionOfValue fraction of its value that the caller got, from 0 to 1
-     */
-    void add(long now, double callValue, boolean answered, double fractionOfValue) {
+    /** Adds a call that was sent, with the value of its answer in usual answers. */
+    void addSent(long now, double callValue) {
+        add(now, callValue);
+        sentCalls++;
+        sentValue += callValue;
+    }
+
+    /** Adds a call that was refused, with the value that its answer would have had. */
+    void addRefused(long now, double callValue) {
+        add(now, callValue);
+    }
+
+    private void add(long now, double callValue) {
         decay(now);
-        scale(KEPT_PER_CALL);
+        scale(keptPerCall);
         totalCalls++;
         calls++;
-        answeredCalls += answered ? 1 : 0;
         value += callValue;
-        answeredValue += fractionOfValue * callValue;
     }
 
-    /** Takes off value that was counted as answered. */
-    void deduct(long now, double lostValue) {
+    /** Counts a call as refused that was counted as sent. */
+    void changeToRefused(long now, double callValue) {
+        decay(now);
+        sentCalls = Math.max(0, sentCalls - 1);
+        deductValue(now, callValue);
+    }
+
+    /** Takes off value that was counted as sent. */
+    void deductValue(long now, double lostValue) {
         decay(now);
-        answeredValue = Math.max(0, answeredValue - lostValue);
+        sentValue = Math.max(0, sentValue - lostValue);
+    }
+
+    /** Removes a call that was counted as sent. */
+    void removeSent(long now, double callValue) {
+        changeToRefused(now, callValue);
+        calls = Math.max(sentCalls, calls - 1);
+        value = Math.max(sentValue, value - callValue);
     }
 
-    /** Returns the number of calls with a known outcome since the start. */
+    /** Returns the number of calls that were sent or refused since the start. */
     long totalCalls() {
         return totalCalls;
     }
 
     /**
-     * Returns the share of calls that were answered.
+     * Returns the share of calls that were sent.
      *
      * @param now        the time in nanoseconds
      * @param prior      the share that is assumed without any call, from 0 to 1
      * @param priorCalls number of calls that the assumption weighs as much as
      * @return the share, from 0 to 1
      */
-    double answeredShare(long now, double prior, double priorCalls) {
+    double share(long now, double prior, double priorCalls) {
         decay(now);
-        return (priorCalls * prior + answeredCalls) / (priorCalls + calls);
+        return (priorCalls * prior + sentCalls) / (priorCalls + calls);
     }
 
-    /** Returns the share of the value that was answered; parameters as for {@link #answeredShare}. */
-    double answeredValueShare(long now, double prior, double priorCalls) {
+    /** Returns the share of the value that was sent; parameters as for {@link #share}. */
+    double valueShare(long now, double prior, double priorCalls) {
         decay(now);
-        return (priorCalls * prior + answeredValue) / (priorCalls + value);
+        return (priorCalls * prior + sentValue) / (priorCalls + value);
     }
 
     private void decay(long now) {
@@ -81,8 +100,8 @@
 
     private void scale(double factor) {
         calls *= factor;
-        answeredCalls *= factor;
+        sentCalls *= factor;
         value *= factor;
-        answeredValue *= factor;
+        sentValue *= factor;
     }
 }
--- a/src/main/java/org/cuminshelf/shares/Standing.java
+++ b/src/main/java/org/cuminshelf/shares/Standing.java
@@ -6,52 +6,38 @@
     /**
      * A group of the call gets less than half of what the service as a whole gets.
      *
-     * @param share share of the group's calls that are answered, from 0 to 1
+     * @param share share of the group's calls that are sent, from 0 to 1
      */
     record Owed(double share) implements Standing {}
 
     /**
      * A less urgent kind gets a noticeably greater share.
      *
-     * @param share share of the kind's calls that are answered, from 0 to 1
+     * @param share share of the kind's calls that are sent, from 0 to 1
      */
     record Preferred(double share) implements Standing {}
 
     /**
      * A more urgent kind gets a noticeably smaller share.
      *
-     * @param share share of the kind's calls that are answered, from 0 to 1
+     * @param share share of the kind's calls that are sent, from 0 to 1
      */
     record Yielding(double share) implements Standing {}
 
     /**
      * No group is treated differently.
      *
-     * @param share share of the kind's calls that are answered, from 0 to 1
+     * @param share share of the kind's calls that are sent, from 0 to 1
      */
     record Neutral(double share) implements Standing {}
 
     /**
      * Returns the share that the standing is based on.
      *
-     * @return the share of the group's calls that are answered, from 0 to 1
+     * @return the share of the group's calls that are sent, from 0 to 1
      */
     double share();
 
-    /**
-     * Returns whether the call is sent although its engine time costs more than its answer is worth.
-     *
-     * @return true for calls that are owed or preferred
-     */
-    default boolean isSentDespiteCost() {
-        return switch (this) {
-            case Owed owed -> true;
-            case Preferred preferred -> true;
-            case Yielding yielding -> false;
-            case Neutral neutral -> false;
-        };
-    }
-
     /**
      * Returns the name for logs.
      *
