--- a/src/main/java/org/cuminshelf/shares/ServiceShares.java
+++ b/src/main/java/org/cuminshelf/shares/ServiceShares.java
@@ -13,8 +13,8 @@
  *
  * <p>Applies to demand beyond the capacity of a service. Admission by cost and lateness alone serves the kind with the
  * largest prompts worst, also if it is the most urgent: on a heavy day it got 0.74 of its value and less urgent kinds
- * up to 1.0. Here less urgent kinds yield while a more urgent one loses a part of its calls, and no kind or organisation
- * is left below half of what all get.
+ * up to 1.0. Here less urgent kinds yield while a more urgent one loses a part of its calls, and no kind or
+ * organisation is left below half of what all get.
  *
  * <p>Kinds are told apart only where they have different priorities. The state is bounded and is lost with the process.
  */
@@ -136,8 +136,8 @@
     }
 
     /**
-     * Returns the prefill queue up to which a kind hardly hinders the more urgent ones that lose a part of their calls,
-     * in milliseconds; empty if none does. The more of them, the shorter, so that the least urgent kind is held first.
+     * Returns the prefill queue up to which a kind hardly hinders the more urgent ones that lose a part of their
+     * calls, in milliseconds; empty if none does. The more of them, the shorter, so that the least urgent kind is held first.
      */
     private OptionalDouble maxQueueMillis(long now, CallKind kind) {
         DoubleSummaryStatistics slacks = kinds.entrySet().stream()
--- a/src/main/java/org/cuminshelf/shares/Standing.java
+++ b/src/main/java/org/cuminshelf/shares/Standing.java
@@ -21,7 +21,7 @@
      * A more urgent kind loses a noticeable part of its calls.
      *
      * @param share          share of the kind's calls that are sent, from 0 to 1
-     * @param maxQueueMillis prefill queued at an engine, in milliseconds, up to which the call does not hinder that kind
+     * @param maxQueueMillis prefill queued at an engine, in milliseconds, up to which the call hardly hinders that kind
      */
     record Yielding(double share, double maxQueueMillis) implements Standing {}
 
