--- a/src/main/java/org/cuminshelf/shares/ServiceShares.java
+++ b/src/main/java/org/cuminshelf/shares/ServiceShares.java
@@ -137,7 +137,8 @@
 
     /**
      * Returns the prefill queue up to which a kind hardly hinders the more urgent ones that lose a part of their
-     * calls, in milliseconds; empty if none does. The more of them, the shorter, so that the least urgent kind is held first.
+     * calls, in milliseconds; empty if none does. The more of them there are, the shorter it is, so that the least
+     * urgent kind is held first.
      */
     private OptionalDouble maxQueueMillis(long now, CallKind kind) {
         DoubleSummaryStatistics slacks = kinds.entrySet().stream()
@@ -177,8 +178,8 @@
     }
 
     /**
-     * Returns the share of requests that are served within one retry of their callers, given the share of tries. Without
-     * this a refused caller would count twice: with half of the tries sent, three quarters of the requests are served.
+     * Returns the share of requests that are served within one retry of their callers, given the share of tries. With
+     * half of the tries sent, three quarters of the requests are served.
      */
     private static double ofRequests(double shareOfTries) {
         return shareOfTries * (2 - shareOfTries);
--- a/src/test/java/org/cuminshelf/shares/ServiceSharesTest.java
+++ b/src/test/java/org/cuminshelf/shares/ServiceSharesTest.java
@@ -18,7 +18,7 @@
     private static final CallKind USUAL = new CallKind("usual", 1);
     private static final CallKind LAST = new CallKind("last", 2);
 
-    private final ServiceShares shares = ServiceShares.create();
+    private ServiceShares shares = ServiceShares.create();
     private long now = Durations.nanos(1_000);
 
     private ShareClaim register(CallKind kind) {
@@ -129,6 +129,7 @@
     void aKindThatYieldsIsServedMoreThanHalfAsOftenAsAll(
             @ForAll long seed, @ForAll @DoubleRange(min = 0.1, max = 0.6) double urgentPart) {
         UniformRandomProvider random = RandomSource.XO_RO_SHI_RO_128_PP.create(seed);
+        shares = ServiceShares.create();
         int[] calls = new int[2];
         int[] sent = new int[2];
         for (int call = 0; call < 4_000; call++) {
@@ -147,6 +148,7 @@
     @Property(tries = 100, seed = "52")
     void kindsOfOnePriorityAreNeutral(@ForAll long seed, @ForAll @DoubleRange(min = 0, max = 1) double sentPart) {
         UniformRandomProvider random = RandomSource.XO_RO_SHI_RO_128_PP.create(seed);
+        shares = ServiceShares.create();
         for (int call = 0; call < 200; call++) {
             ShareClaim claim = register(new CallKind("r" + call % 2, 3));
             assertThat(standing(claim)).isInstanceOf(Standing.Neutral.class);
