--- a/src/main/java/org/cuminshelf/direct/AdmissionControl.java
+++ b/src/main/java/org/cuminshelf/direct/AdmissionControl.java
@@ -5,6 +5,7 @@
 import org.cuminshelf.core.Durations;
 import org.cuminshelf.message.Cause;
 import org.cuminshelf.poison.HoldBack;
+import org.cuminshelf.shares.Standing;
 import org.cuminshelf.verdict.Verdict;
 
 /** Decides whether a call is sent to an upstream now, waits in the admission queue or is refused. */
@@ -50,12 +51,16 @@
     /** Time for which a call waits for upstreams on which no attempt of it has failed. */
     private static final long MAX_WAIT_FOR_OTHERS_NANOS = Durations.nanos(100);
 
+    /** Reason of a refusal for the sake of more urgent calls. */
+    static final String YIELDS_REASON = "yields-to-more-urgent";
+
     private static final Decision WAIT = new Decision.Wait();
 
     private final UpstreamSelector selector;
     private final ControlSubscription control;
     private final PoisonGuard poisonGuard;
     private final AdmissionQueue admissionQueue;
+    private long sentForShare;
 
     AdmissionControl(
             UpstreamSelector selector,
@@ -97,6 +102,9 @@
 
     private Decision decideOnCapacity(long now, DirectCall call) {
         Optional<UpstreamSelector.Choice> choice = selector.choose(now, call);
+        double ownMillis = choice.map(found -> found.firstEventMillis() - found.queueMillis())
+                .orElse(USUAL_FIRST_EVENT_MILLIS);
+        call.shareClaim.ifPresent(claim -> claim.update(now, call.route.targetLatencyMillis() - ownMillis));
         choice.ifPresent(found -> recordEstimate(call, found));
         return choice.map(found -> decide(now, call, found)).orElseGet(() -> decideWithoutUpstream(now, call));
     }
@@ -113,6 +121,9 @@
             return refuse(call, choice, "too-late");
         }
         double ownMillis = choice.firstEventMillis() - choice.queueMillis();
+        if (yields(now, call, choice)) {
+            return queuesForCapacity(now, call, ownMillis) ? WAIT : refuse(call, choice, YIELDS_REASON);
+        }
         boolean waits = choice.queueMillis() > MAX_ENGINE_QUEUE_MILLIS || choice.harmsOthers();
         if (waits && queuesForCapacity(now, call, ownMillis)) {
             return WAIT;
@@ -218,7 +229,21 @@
      * not.
      */
     private boolean queuesForCapacity(long now, DirectCall call, double ownMillis) {
-        return call.lastAttempt == null && call.isStream() && admissionQueue.addForCapacity(now, call, ownMillis);
+        return mayWaitForCapacity(call) && admissionQueue.addForCapacity(now, call, ownMillis);
+    }
+
+    private static boolean mayWaitForCapacity(DirectCall call) {
+        return call.lastAttempt == null && call.isStream();
+    }
+
+    /**
+     * Returns whether a call is not sent now, as a more urgent kind gets less than its own and no engine is free. Calls
+     * that may not wait for capacity do not yield.
+     */
+    private boolean yields(long now, DirectCall call, UpstreamSelector.Choice choice) {
+        return call.standing() instanceof Standing.Yielding yielding
+                && mayWaitForCapacity(call)
+                && !selector.hasFreeUpstream(now, call, choice, yielding.maxQueueMillis());
     }
 
     /**
@@ -231,11 +256,11 @@
 
     /**
      * Sends a call that is expected to be in time, whose late answer is worth more than the engine's time, or whose
-     * size group has been refused more than its share. A call is in time only if gaps between events are, those of the
-     * other streams at its engine included. Under overload, engine time is expensive, so that only calls that are in
-     * time are sent: if all queued prompts are late, no caller benefits.
+     * size group, kind or organisation has been refused more than its share. A call is in time only if gaps between
+     * events are, those of the other streams at its engine included. Under overload, engine time is expensive, so that
+     * only calls that are in time are sent: if all queued prompts are late, no caller benefits.
      */
-    private static Decision sendUnlessLate(long now, DirectCall call, UpstreamSelector.Choice choice) {
+    private Decision sendUnlessLate(long now, DirectCall call, UpstreamSelector.Choice choice) {
         double firstEventMillis = Durations.millis(now - call.arrivedAtNanos) + choice.firstEventMillis();
         boolean firstInTime = firstEventMillis <= call.route.targetLatencyMillis();
         boolean inTime = firstInTime && choice.keepsGaps();
@@ -245,6 +270,10 @@
                 || isAdmittedForFairness(call, firstEventMillis)) {
             return new Decision.Send(choice);
         }
+        if (isAdmittedForShare(call, choice, firstEventMillis)) {
+            sentForShare++;
+            return new Decision.Send(choice);
+        }
         return refuse(call, choice, firstInTime ? "gaps-too-long" : "too-dear");
     }
 
@@ -257,6 +286,27 @@
                 && call.fairnessClaim.filter(SizeFairness.Claim::hasCredit).isPresent();
     }
 
+    /**
+     * Returns the same because of the share of its kind or organisation. A preferred call does not join a long queue:
+     * it would make others late, and its caller too. Its share grows as less urgent calls yield. When preferred calls
+     * were sent however late, all kinds together got less than half of the value in a simulated overload.
+     */
+    private static boolean isAdmittedForShare(
+            DirectCall call, UpstreamSelector.Choice choice, double firstEventMillis) {
+        boolean isSent = switch (call.standing()) {
+            case Standing.Owed owed -> true;
+            case Standing.Preferred preferred -> choice.queueMillis() <= MAX_ENGINE_QUEUE_MILLIS;
+            case Standing.Yielding yielding -> false;
+            case Standing.Neutral neutral -> false;
+        };
+        return isSent && firstEventMillis <= CallerTimeouts.maxFirstEventMillis(call);
+    }
+
+    /** Returns the number of late calls sent so far because their kind or organisation had got too little. */
+    long sentForShare() {
+        return sentForShare;
+    }
+
     /**
      * Returns whether the answer to a generation would be too late to be useful. Guards against a queue in which every
      * answer is late or for a disconnected caller: calls that cannot be served in time are refused at once, so that the
--- a/src/main/java/org/cuminshelf/direct/CallDispatcher.java
+++ b/src/main/java/org/cuminshelf/direct/CallDispatcher.java
@@ -45,6 +45,7 @@
     private final AdmissionQueue admissionQueue = new AdmissionQueue();
     private final AdmissionControl admission;
     private final SizeFairness sizeFairness = new SizeFairness();
+    private final CallShares shares = new CallShares();
     private final RetryPolicy retryPolicy;
     private final SilentUpstreams silentUpstreams;
     private final ReplacementPlanner replacementPlanner;
@@ -113,6 +114,16 @@
         return openCalls.size();
     }
 
+    /** Returns the shares of calls by kind and organisation. */
+    CallShares shares() {
+        return shares;
+    }
+
+    /** Returns the number of late calls sent so far because their kind or organisation had got too little. */
+    long sentForShare() {
+        return admission.sentForShare();
+    }
+
     long nextDue() {
         long callsDue = Math.min(admissionQueue.nextDue(), callDeadlines.next());
         return Math.min(Math.min(callsDue, attemptRunner.nextDue()), poisonGuard.nextDue());
@@ -140,6 +151,7 @@
                     selector.prefillMicros(now, call, shape),
                     selector.generationMicros(call.service, shape)));
         });
+        shares.onArrival(call, selector.answerValue(call));
         place(now, call);
     }
 
@@ -199,6 +211,7 @@
                 () -> "request " + call.intent.id() + " goes on at version " + choice.upstream().version);
         admissionQueue.remove(call);
         call.fairnessClaim.ifPresent(SizeFairness.Claim::onSent);
+        shares.onSent(now, call);
         call.offeredLoad.ifPresent(work -> work.onSent(choice));
         selector.onSent(now, choice);
         releasePermit(call);
@@ -233,6 +246,7 @@
         public void onFirstEvent(long now, DirectAttempt attempt) {
             usageMeter.recordStart(attempt.call, now);
             outliers.onAnswer(now, attempt);
+            shares.onAnswer(now, attempt.call);
         }
 
         @Override
@@ -356,6 +370,7 @@
         }
         attempt.call.fairnessClaim.ifPresent(claim -> claim.onEnded(attempt.isSuccess()));
         if (attempt.isSuccess()) {
+            shares.onCompleted(now, attempt.call);
             poisonGuard.onSuccess(now, attempt.call);
         }
         close(attempt.call);
@@ -508,6 +523,7 @@
         }
         responses.reportFailure(now, call, reason);
         call.fairnessClaim.ifPresent(claim -> claim.onEnded(false));
+        shares.onFailed(now, call);
         close(call);
     }
 
@@ -576,6 +592,7 @@
             }
         }
         responses.logDisconnect(now, call);
+        shares.onLeft(now, call);
         close(call);
     }
 
--- a/src/main/java/org/cuminshelf/direct/UpstreamSelector.java
+++ b/src/main/java/org/cuminshelf/direct/UpstreamSelector.java
@@ -135,6 +135,8 @@
     private static final double MAX_SLOT_SHARE = 0.85;
     /** The same for short streams, which hold a slot for a tenth of a second where others hold it for two seconds. */
     private static final double MAX_SLOT_SHARE_SHORT_STREAM = 0.95;
+    /** The same for calls that yield to more urgent ones, which find the remaining slots free. */
+    private static final double MAX_FREE_SLOT_SHARE = 0.7;
     /** Events of a short stream: few compared with a usual stream. They take some 0.25 s in the first deployments. */
     private static final int MAX_SHORT_STREAM_EVENTS = 4;
     /**
@@ -217,6 +219,14 @@
         return (long) (MICROS_PER_MILLI * millis);
     }
 
+    /** Returns the value of a call's answer, in answers of usual size on its route. */
+    double answerValue(DirectCall call) {
+        return call.intent
+                .generation()
+                .map(shape -> values.valueOf(call, shape))
+                .orElse(1.0);
+    }
+
     private Optional<Choice> chooseByOccupancy(long now, DirectCall call) {
         UpstreamInstance best = null;
         double lowestLoad = Double.MAX_VALUE;
@@ -593,6 +603,28 @@
         return backpressure.backoffs().isBackedOffRemotely(now, upstream.id);
     }
 
+    /**
+     * Returns whether the selected upstream, or another of its role, has a short queue and free slots. Calls that yield
+     * to more urgent ones are sent only then.
+     */
+    boolean hasFreeUpstream(long now, DirectCall call, Choice choice, double maxQueueMillis) {
+        boolean generates = choice.upstream.generatesTokens();
+        return isFree(choice.upstream, choice.queueMillis(), maxQueueMillis)
+                || openUpstreams(now, call).stream()
+                        .filter(upstream -> upstream.generatesTokens() == generates)
+                        .anyMatch(upstream -> isFree(upstream, queueMillis(now, upstream), maxQueueMillis));
+    }
+
+    private static boolean isFree(UpstreamInstance upstream, double queueMillis, double maxQueueMillis) {
+        return queueMillis < Math.max(MIN_ERROR_MILLIS, maxQueueMillis)
+                && upstream.totalAttempts() < MAX_FREE_SLOT_SHARE * upstream.slots;
+    }
+
+    private double queueMillis(long now, UpstreamInstance upstream) {
+        double latencyMillis = models.of(upstream.service).latencyMillis(upstream.id, upstream.generatesTokens());
+        return upstream.pendingPrompts.waitMillis(now, latencyMillis);
+    }
+
     /** Returns whether an upstream accepts a call now, whether or not it has a free slot. */
     boolean isOpen(long now, UpstreamInstance upstream, DirectCall call) {
         return !upstream.isAvoided(now) && isServing(now, upstream, call);
