Refused callers are told to retry at times of their own, urgent ones first

A schedule for each service spreads the times over a quarter of the rate of sent calls, by priority, at most 2 s ahead and within a third of the caller's remaining time. Refused lines of the log state the time (retry-after-ms).

--- a/src/main/java/org/cuminshelf/direct/CallDispatcher.java
+++ b/src/main/java/org/cuminshelf/direct/CallDispatcher.java
@@ -43,6 +43,7 @@
     private final DeadlineQueue<Long> callDeadlines = DeadlineQueue.create();
     private final AdmissionQueue admissionQueue = new AdmissionQueue();
     private final AdmissionControl admission;
+    private final CallReturns callReturns = new CallReturns();
     private final SizeFairness sizeFairness = new SizeFairness();
     private final RetryPolicy retryPolicy;
     private final SilentUpstreams silentUpstreams;
@@ -196,6 +197,7 @@
         call.fairnessClaim.ifPresent(SizeFairness.Claim::onSent);
         call.offeredLoad.ifPresent(work -> work.onSent(choice));
         selector.onSent(now, choice);
+        callReturns.onSent(now, call);
         releasePermit(call);
         DirectAttempt attempt = attemptRunner.send(now, call, choice, kvCache);
         if (choice.prefillOnly()) {
@@ -493,11 +495,18 @@
         if (call.closed) {
             return;
         }
+        call.lastFailure = call.lastFailure.map(verdict -> withReturnTime(now, call, verdict));
         responses.reportFailure(now, call, reason);
         call.fairnessClaim.ifPresent(claim -> claim.onEnded(false));
         close(call);
     }
 
+    /** Returns the verdict on a refused call with the time at which its caller should retry; any other unchanged. */
+    private Verdict withReturnTime(long now, DirectCall call, Verdict verdict) {
+        boolean refused = !call.responseStarted && !call.mayHaveRun;
+        return refused && verdict instanceof Verdict.NotRun notRun ? callReturns.schedule(now, call, notRun) : verdict;
+    }
+
     // ---- deadlines, quarantine and disconnects
 
     void tick(long now) {
--- a/src/main/java/org/cuminshelf/direct/CallerResponses.java
+++ b/src/main/java/org/cuminshelf/direct/CallerResponses.java
@@ -162,6 +162,11 @@
                 Math.round(call.estimatedFirstEventMillis),
                 "wait-ms",
                 Math.round(call.estimatedQueueMillis),
+                "retry-after-ms",
+                call.lastFailure
+                        .filter(verdict -> verdict instanceof Verdict.NotRun)
+                        .<Object>map(verdict -> ((Verdict.NotRun) verdict).retryAfterMillis())
+                        .orElse("none"),
                 "ms",
                 Durations.millis(now - call.arrivedAtNanos));
     }
