Trials of suspected attributes take turns, so that no sound segment is quarantined with a poison one

Cause: the holds of all suspects of one crash ended at the same instant, and entries then tested them side by side. A sound segment's trial began at the engine on which a poison one's trial ended; both were held back for the same time, and began together again. Also a request with two held attributes counted as a trial of both.

Change: the suspected attributes of one service take turns of 750 ms from the latest crash on: the one at most crashes, the second, all others. Trials begin in the first 500 ms of a turn, by two entries. A request with several suspects is a trial only where none was seen without the others.

Ruled out: a rule of the verdict, as ties after five times have to be found (CauseFinderTest) and the evidence of the ties was symmetric.

Tests: the fixture DirectFixture takes a header Segment, which adds a segment to the prompt.

--- a/src/main/java/org/cuminshelf/direct/AttributeTrials.java
+++ b/src/main/java/org/cuminshelf/direct/AttributeTrials.java
@@ -12,6 +12,8 @@
 import org.cuminshelf.poison.Fingerprint;
 import org.cuminshelf.poison.HoldBack;
 import org.cuminshelf.poison.Quarantine;
+import org.cuminshelf.poison.RequestAttribute;
+import org.cuminshelf.poison.TrialTurn;
 
 /**
  * Lets one request with a suspected or quarantined attribute through from time to time, like a half-open circuit
@@ -49,12 +51,19 @@
     private static final int MAX_SPACED_ENTRIES = 4;
     /** Time between two trials of one entry, so that a crash is not put down to both. */
     private static final long TRIAL_INTERVAL_NANOS = Durations.nanos(500);
+    /** Entries that may begin trials in one turn, so that there is a spacing before the next turn too. */
+    private static final int ENTRIES_PER_TURN = 2;
+    /** Time for which requests with several suspected attributes wait after one that had one of them alone. */
+    private static final long SEEN_ALONE_NANOS = Durations.nanos(30_000);
 
     private final Address self;
     /** When this entry last let a request with a suspected attribute through. */
     private OptionalLong lastTrialNanos = OptionalLong.empty();
 
     private final Map<Fingerprint, Schedule> schedules = new HashMap<>();
+    /** When a request with each suspected attribute but without another one was last seen. */
+    private final Map<Fingerprint, Long> seenAloneNanos = new HashMap<>();
+
     private List<Address> entries = List.of();
 
     AttributeTrials(Address self) {
@@ -65,12 +74,44 @@
         entries = addresses;
     }
 
-    /** Returns whether a request with a suspected attribute may be let through, as the time of its hold is over. */
-    boolean isDue(long now, HoldBack holdBack) {
-        Fingerprint attribute = holdBack.attribute().fingerprint();
-        long from = holdBack.untilNanos() + TRIAL_SPACING_NANOS * Math.min(rank(attribute), MAX_SPACED_ENTRIES);
+    /**
+     * Returns whether a request with suspected attributes may be let through: the times of their holds are over, and it
+     * is the turn of one of them. If it crashes an upstream, that is evidence against all of them, so that one with
+     * several attributes is no trial as long as others show more.
+     *
+     * @param now   the time in nanoseconds
+     * @param holds the holds of the request's attributes
+     */
+    boolean isDue(long now, List<HoldBack> holds) {
         boolean free = lastTrialNanos.isEmpty() || now - lastTrialNanos.getAsLong() >= TRIAL_INTERVAL_NANOS;
-        return now >= from && free;
+        return free
+                && (holds.size() == 1 || areSeenOnlyTogether(now, holds))
+                && holds.stream().allMatch(hold -> now >= hold.untilNanos())
+                && holds.stream().anyMatch(hold -> isTurn(now, hold));
+    }
+
+    /** Returns whether each attribute has had a turn, and no request had one of them but no other one. */
+    private boolean areSeenOnlyTogether(long now, List<HoldBack> holds) {
+        return holds.stream()
+                .allMatch(hold -> hold.turn().rounds(now) > 0
+                        && !seenAloneNanos.containsKey(hold.attribute().fingerprint()));
+    }
+
+    private boolean isTurn(long now, HoldBack hold) {
+        TrialTurn turn = hold.turn();
+        int rank = Math.min(rank(hold.attribute().fingerprint()), MAX_SPACED_ENTRIES);
+        if (turn.count() == 1) {
+            return now >= hold.untilNanos() + TRIAL_SPACING_NANOS * rank;
+        }
+        int ranks = Math.clamp(entries.size(), 1, MAX_SPACED_ENTRIES + 1);
+        long rankInTurn = Math.floorMod(rank - ENTRIES_PER_TURN * turn.rounds(now), ranks);
+        long beganAt = Math.max(hold.untilNanos(), turn.beganAt(now));
+        return turn.isOpen(now) && now >= beganAt + TRIAL_SPACING_NANOS * rankInTurn;
+    }
+
+    /** Records that a request has one suspected attribute only, so that it can show whether this one is the cause. */
+    void onSeenAlone(long now, RequestAttribute attribute) {
+        seenAloneNanos.put(attribute.fingerprint(), now);
     }
 
     /** Records that a request with a suspected attribute is let through. */
@@ -110,8 +151,9 @@
         return known.dueNanos;
     }
 
-    /** Drops what is not quarantined any more. */
-    void retain(Quarantine quarantine) {
+    /** Drops what is not quarantined any more, and what was seen long ago. */
+    void retain(long now, Quarantine quarantine) {
+        seenAloneNanos.values().removeIf(seen -> now - seen >= SEEN_ALONE_NANOS);
         schedules.keySet().removeIf(attribute -> !quarantine.isQuarantined(attribute));
     }
 
--- a/src/main/java/org/cuminshelf/direct/PoisonGuard.java
+++ b/src/main/java/org/cuminshelf/direct/PoisonGuard.java
@@ -175,7 +175,10 @@
                 .flatMap(Optional::stream)
                 .filter(hold -> hold.repeated() || now < hold.untilNanos())
                 .toList();
-        if (!holds.isEmpty() && holds.stream().allMatch(hold -> trials.isDue(now, hold))) {
+        if (holds.size() == 1) {
+            trials.onSeenAlone(now, holds.getFirst().attribute());
+        }
+        if (!holds.isEmpty() && trials.isDue(now, holds)) {
             startTrial(now, call, holds);
             return Optional.empty();
         }
@@ -310,7 +313,7 @@
             nextCountNanos = now + COUNT_INTERVAL_NANOS;
             suspectCount = registry.suspectCount();
             quarantinedCount = registry.quarantine().quarantinedCount();
-            trials.retain(registry.quarantine());
+            trials.retain(now, registry.quarantine());
         }
     }
 
--- a/src/main/java/org/cuminshelf/poison/CauseFinder.java
+++ b/src/main/java/org/cuminshelf/poison/CauseFinder.java
@@ -81,6 +81,8 @@
     private final Map<Fingerprint, Suspect> candidates = new LinkedHashMap<>();
 
     private long nextCheck = Core.NEVER;
+    /** The suspects that take turns at trials; empty if they have to be determined anew. */
+    private Optional<TrialOrder> trialOrder = Optional.empty();
 
     CauseFinder(CrashTable table) {
         this.table = table;
@@ -90,6 +92,7 @@
 
     /** Records that a suspect was at one more crash, or was cleared of one. */
     void onChange(long now, Suspect suspect, boolean cleared) {
+        trialOrder = Optional.empty();
         if (cleared && !candidates.isEmpty()) {
             nextCheck = now;
         }
@@ -104,6 +107,9 @@
         for (Suspect suspect : candidates.values()) {
             if (suspect.attribute.service().equals(service)) {
                 suspect.countAnswerBesideIt();
+                if (suspect.answersBesideIt() == MIN_ANSWERS_BESIDE) {
+                    trialOrder = Optional.empty();
+                }
             }
         }
     }
@@ -114,7 +120,13 @@
                 : points(suspect) >= POISON_POINTS;
     }
 
+    /** Records that crashes became explained or unexplained. */
+    void onExplainedChanged() {
+        trialOrder = Optional.empty();
+    }
+
     void forget(Suspect suspect) {
+        trialOrder = Optional.empty();
         candidates.remove(suspect.fingerprint());
     }
 
@@ -386,11 +398,25 @@
                 : suspect.answersBesideIt() >= MIN_ANSWERS_BESIDE;
     }
 
-    private static HoldBack holdBackFrom(long fromNanos, Suspect suspect) {
+    private HoldBack holdBackFrom(long fromNanos, Suspect suspect) {
         int times = times(suspect);
         int steps = Math.clamp(times - MIN_TIMES_TO_GROW, 0, MAX_GROWTH_STEPS);
         long factor = (long) Math.pow(HOLD_BACK_GROWTH, steps);
         long untilNanos = lastReportedAt(suspect.unexplainedCrashes()) + SETTLE_NANOS * factor;
-        return new HoldBack(suspect.attribute, fromNanos, untilNanos, times > 1);
+        return new HoldBack(
+                suspect.attribute,
+                fromNanos,
+                untilNanos,
+                times > 1,
+                trialOrder().turnOf(suspect));
+    }
+
+    private TrialOrder trialOrder() {
+        if (trialOrder.isEmpty()) {
+            trialOrder = Optional.of(TrialOrder.of(candidates.values().stream()
+                    .filter(suspect -> suspect.isShared() && isLikelyCause(suspect, suspect.unexplainedCrashes()))
+                    .toList()));
+        }
+        return trialOrder.get();
     }
 }
--- a/src/main/java/org/cuminshelf/poison/CrashTable.java
+++ b/src/main/java/org/cuminshelf/poison/CrashTable.java
@@ -159,6 +159,7 @@
 
     /** Updates which crashes a request explains, after it was quarantined or released. */
     void updateExplained(Fingerprint fingerprint, Predicate<Fingerprint> isPoison) {
+        causeFinder.onExplainedChanged();
         suspect(fingerprint)
                 .ifPresent(
                         suspect -> suspect.crashes().forEach(crash -> crash.explained = crash.hasUncleared(isPoison)));
--- a/src/main/java/org/cuminshelf/poison/HoldBack.java
+++ b/src/main/java/org/cuminshelf/poison/HoldBack.java
@@ -8,5 +8,6 @@
  * @param untilNanos when it ends; requests with the attribute then show whether it crashes upstreams
  * @param repeated   whether upstreams crashed at several times that lie apart, so that one request at a time is enough
  *                   to show it; if they crashed at one time only, that may well have another cause
+ * @param turn       when such a request may be let through after that time, as other attributes are suspected too
  */
-public record HoldBack(RequestAttribute attribute, long fromNanos, long untilNanos, boolean repeated) {}
+public record HoldBack(RequestAttribute attribute, long fromNanos, long untilNanos, boolean repeated, TrialTurn turn) {}
--- a/src/test/java/org/cuminshelf/direct/DirectFixture.java
+++ b/src/test/java/org/cuminshelf/direct/DirectFixture.java
@@ -182,7 +182,10 @@
                 out);
     }
 
-    /** Sends a caller's request; the header {@code Tokens} makes it a generation with so many prompt tokens. */
+    /**
+     * Sends a caller's request; the header {@code Tokens} makes it a generation with so many prompt tokens, and
+     * {@code Segment} gives its prompt one more segment.
+     */
     CallerResponse sendRequest(String id, String... headers) {
         return sendRequestTo("/a/b", id, headers);
     }
@@ -395,13 +398,7 @@
         public CallIntent readIntent(ReceivedRequest request) {
             HttpFields headers = request.headers();
             Optional<GenerationShape> shape = Optional.ofNullable(headers.get("Tokens"))
-                    .map(tokens -> new GenerationShape(
-                            "m",
-                            Integer.parseInt(tokens),
-                            100,
-                            List.of(
-                                    new PromptSegment("shared", sharedTokens(headers)),
-                                    new PromptSegment(headers.get("Id"), 10))));
+                    .map(tokens -> new GenerationShape("m", Integer.parseInt(tokens), 100, segments(headers)));
             return new CallIntent(
                     headers.get("Id"),
                     deadline(headers),
@@ -411,6 +408,14 @@
                     keys(headers));
         }
 
+        private static List<PromptSegment> segments(HttpFields headers) {
+            List<PromptSegment> segments = new ArrayList<>();
+            segments.add(new PromptSegment("shared", sharedTokens(headers)));
+            headers.getValuesList("Segment").forEach(name -> segments.add(new PromptSegment(name, 10)));
+            segments.add(new PromptSegment(headers.get("Id"), 10));
+            return segments;
+        }
+
         private static OptionalLong deadline(HttpFields headers) {
             return headers.contains("Deadline") ? number(headers.get("Deadline")) : OptionalLong.of(800);
         }
--- a/src/test/java/org/cuminshelf/direct/PoisonGuardTest.java
+++ b/src/test/java/org/cuminshelf/direct/PoisonGuardTest.java
@@ -221,6 +221,40 @@
         assertThat(suspected.status).isEqualTo(502);
     }
 
+    /** Guards against a sound segment that is blamed for the crash of a trial, whose request has a poison one too. */
+    @Example
+    void aRequestWithTwoSuspectedSegmentsIsNotSentWhereOthersHaveOneOfThem() {
+        DirectFixture entry = entryThatHoldsBackTwoSegments();
+        entry.sendRequest("a", "Tokens", "600");
+        for (int request = 0; request < 8; request++) {
+            entry.advance(500);
+            entry.sendRequest("b" + request, "Tokens", "600", "Segment", "second");
+        }
+        assertThat(entry.sentRequests).isEmpty();
+    }
+
+    /** Guards against two segments that all requests have and that are refused for ever, as neither is ever tested. */
+    @Example
+    void aRequestWithTwoSuspectedSegmentsIsSentWhereAllHaveBoth() {
+        DirectFixture entry = entryThatHoldsBackTwoSegments();
+        entry.sendRequest("a", "Tokens", "600", "Segment", "second");
+        entry.advance(500);
+        entry.sendRequest("b", "Tokens", "600", "Segment", "second");
+        assertThat(entry.sentRequests).as("each may be seen alone in its turn").isEmpty();
+        entry.advance(1_000);
+        entry.sendRequest("c", "Tokens", "600", "Segment", "second");
+        assertThat(entry.sentRequests).hasSize(1);
+    }
+
+    /** Returns an entry that holds back requests with the segment, and requests with a second one. */
+    private static DirectFixture entryThatHoldsBackTwoSegments() {
+        DirectFixture entry = entryThatHoldsBack();
+        RequestAttribute second = RequestAttribute.shared(AttributeKind.PROMPT_SEGMENT, "s", "second of model m");
+        entry.sendUpdate(Update.newBuilder().addCrashes(crash("a", second)).addCrashes(crash("b", second)));
+        entry.advance(100);
+        return entry;
+    }
+
     /** Returns an entry that holds back requests with the segment. */
     private static DirectFixture entryThatHoldsBack() {
         DirectFixture entry = entry(true);
--- a/src/test/java/org/cuminshelf/poison/CauseFinderTest.java
+++ b/src/test/java/org/cuminshelf/poison/CauseFinderTest.java
@@ -3,6 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.util.List;
+import java.util.stream.LongStream;
 import net.jqwik.api.Example;
 import org.cuminshelf.core.Durations;
 import org.cuminshelf.message.AttributeKind;
@@ -145,6 +146,44 @@
         assertThat(table.causeFinder().holdBack(now, POPULAR.fingerprint())).isEmpty();
     }
 
+    /** Guards against a sound segment whose trials are at the crashes of a poison one, as both begin at one time. */
+    @Example
+    void suspectedAttributesHaveTheirTrialsInTurns() {
+        RequestAttribute cleared = segment("cleared");
+        crashAfterAnswers(POISON, OTHER, cleared);
+        crashAfterAnswers(POISON, OTHER);
+        table.clear(now, cleared.fingerprint(), SEQUENCE);
+        TrialTurn turn = turnOf(POISON);
+        TrialTurn otherTurn = turnOf(OTHER);
+        List<Long> times = LongStream.range(0, 40)
+                .mapToObj(step -> now + step * SECOND / 10)
+                .toList();
+        assertThat(times).anyMatch(turn::isOpen).anyMatch(otherTurn::isOpen);
+        for (long at : times) {
+            boolean isOtherOpenWithin250Millis = otherTurn.isOpen(at) || otherTurn.isOpen(at + SECOND / 4 - 1);
+            assertThat(turn.isOpen(at) && isOtherOpenWithin250Millis).isFalse();
+        }
+    }
+
+    /** Guards against a poison segment that goes on ending upstreams while sound ones are tested before it. */
+    @Example
+    void theAttributeWithTheMostCrashesHasTheFirstTurn() {
+        RequestAttribute cleared = segment("cleared");
+        crashAfterAnswers(POISON);
+        crashAfterAnswers(POISON, OTHER, cleared);
+        crashAfterAnswers(POISON, OTHER);
+        table.clear(now, cleared.fingerprint(), SEQUENCE);
+        assertThat(turnOf(POISON).isOpen(now)).isTrue();
+        assertThat(turnOf(OTHER).isOpen(now)).isFalse();
+    }
+
+    private TrialTurn turnOf(RequestAttribute attribute) {
+        return table.causeFinder()
+                .holdBack(now, attribute.fingerprint())
+                .orElseThrow()
+                .turn();
+    }
+
     @Example
     void requestsAreHeldBackForLongerAfterEachFurtherCrash() {
         crashAfterAnswers(POISON, OTHER);
--- a/src/test/java/org/cuminshelf/trial/PoisonSegmentTest.java
+++ b/src/test/java/org/cuminshelf/trial/PoisonSegmentTest.java
@@ -2,6 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.util.List;
 import net.jqwik.api.Example;
 
 /**
@@ -181,6 +182,43 @@
         day.assertOthersAreServed(SEGMENT);
     }
 
+    /** Guards against a sound segment that is refused, as its trials began together with those of two poison ones. */
+    @Example
+    void noSoundSegmentIsQuarantinedBesideTwoPoisonOnesWithSeeds150And153And249() {
+        for (long seed : List.of(150L, 153L, 249L)) {
+            SegmentDay day = day(seed);
+            day.poisonInTheMiddle(POISON_FROM, OTHER_SEGMENT);
+            day.runUntil(50);
+            day.assertStopped(SEGMENT);
+            day.assertStopped(OTHER_SEGMENT);
+            day.assertOthersAreServed(SEGMENT);
+        }
+    }
+
+    /** Guards against a sound segment that is refused, as requests with it and a poison one were taken for trials. */
+    @Example
+    void noSoundSegmentIsQuarantinedBesideTwoPoisonOnesWithSeeds62And92() {
+        for (long seed : List.of(62L, 92L)) {
+            SegmentDay day = day(seed);
+            day.poisonInTheMiddle(POISON_FROM, OTHER_SEGMENT);
+            day.runUntil(50);
+            day.assertStopped(SEGMENT);
+            day.assertStopped(OTHER_SEGMENT);
+            day.assertOthersAreServed(SEGMENT);
+        }
+    }
+
+    /** Guards against a sound segment that is refused, as its trial began just before that of the poison one. */
+    @Example
+    void noSoundSegmentIsQuarantinedBesideOneThatWasSoundForAMinuteWithSeed41() {
+        SegmentDay day = new SegmentDay(41);
+        day.askWithSegmentAt(SegmentDay.START, SEGMENT);
+        day.fleet.time.at(POISON_FROM, () -> day.fleet.records.poisonSegments.add(SEGMENT));
+        day.runUntil(44);
+        day.assertStopped(SEGMENT);
+        day.assertOthersAreServed(SEGMENT);
+    }
+
     /** Guards against a popular segment that is refused as engines crash for other reasons, now and then. */
     @Example
     void nothingIsQuarantinedWhereEnginesCrashByChance() {
