--- a/src/test/java/org/cuminshelf/trial/PoisonSegmentTest.java
+++ b/src/test/java/org/cuminshelf/trial/PoisonSegmentTest.java
@@ -208,6 +208,37 @@
         }
     }
 
+    /** Guards against a segment that ends all three engines again and again before any answer is whole. */
+    @Example
+    void itReachesNoMoreOnAFleetOfThreeEnginesWithSeed120() {
+        SegmentDay day = new SegmentDay(120, 4, 3);
+        day.poisonInTheMiddle(POISON_FROM, SEGMENT);
+        day.runUntil(60);
+        day.assertStopped(SEGMENT);
+        day.assertOthersAreServed(SEGMENT);
+    }
+
+    /** Guards against a fourth late request on three engines, which serve little between the crashes. */
+    @Example
+    void itReachesNoMoreOnAFleetOfThreeEnginesWithSeed290() {
+        SegmentDay day = new SegmentDay(290, 4, 3);
+        day.poisonInTheMiddle(POISON_FROM, SEGMENT);
+        day.runUntil(60);
+        day.assertStopped(SEGMENT);
+        day.assertOthersAreServed(SEGMENT);
+    }
+
+    /** Guards against a fourth late request with one of two segments that begin at one time. */
+    @Example
+    void twoSegmentsAtOneTimeReachNoMoreWithSeed196() {
+        SegmentDay day = day(196);
+        day.poisonInTheMiddle(POISON_FROM, OTHER_SEGMENT);
+        day.runUntil(50);
+        day.assertStopped(SEGMENT);
+        day.assertStopped(OTHER_SEGMENT);
+        day.assertOthersAreServed(SEGMENT);
+    }
+
     /** Guards against a sound segment that is refused, as its trial began just before that of the poison one. */
     @Example
     void noSoundSegmentIsQuarantinedBesideOneThatWasSoundForAMinuteWithSeed41() {
