--- a/src/main/java/org/cuminshelf/direct/CallDispatcher.java
+++ b/src/main/java/org/cuminshelf/direct/CallDispatcher.java
@@ -38,6 +38,7 @@
     private final UsageMeter usageMeter;
     private final StreamRecords streamRecords;
     private final UpstreamOutliers outliers;
+    private final PlainServiceTimes serviceTimes;
     private final CallerResponses responses;
     private final AttemptRunner attemptRunner;
     private final Map<Long, DirectCall> openCalls = new HashMap<>();
@@ -69,7 +70,8 @@
             PoisonGuard poisonGuard,
             UsageMeter usageMeter,
             StreamRecords streamRecords,
-            UpstreamOutliers outliers) {
+            UpstreamOutliers outliers,
+            PlainServiceTimes serviceTimes) {
         this.protocol = protocol;
         this.client = client;
         this.upstreams = upstreams;
@@ -82,6 +84,7 @@
         this.usageMeter = usageMeter;
         this.streamRecords = streamRecords;
         this.outliers = outliers;
+        this.serviceTimes = serviceTimes;
         this.admission = new AdmissionControl(selector, control, poisonGuard, admissionQueue);
         this.responses = new CallerResponses(control, log);
         this.attemptLog = new AttemptLog(log);
@@ -256,6 +259,7 @@
                 if (attempt.firstEventAtNanos == Core.NEVER) {
                     outliers.onAnswer(now, attempt);
                 }
+                serviceTimes.onAnswer(now, attempt);
                 forwardResponse(now, attempt);
             } else {
                 onErrorResponse(now, attempt);
--- a/src/main/java/org/cuminshelf/direct/DirectCall.java
+++ b/src/main/java/org/cuminshelf/direct/DirectCall.java
@@ -239,6 +239,11 @@
         return route.kind() == RequestKind.STREAM;
     }
 
+    /** Whether it is neither a stream nor a generation, so that its work does not depend on a prompt. */
+    boolean isPlain() {
+        return !isStream() && intent.generation().isEmpty();
+    }
+
     /**
      * Whether an upstream of a software version may go on with it: what two versions write, events or KV caches, does
      * not fit together.
--- a/src/main/java/org/cuminshelf/direct/DirectCore.java
+++ b/src/main/java/org/cuminshelf/direct/DirectCore.java
@@ -52,6 +52,7 @@
     private final StreamResumptions resumptions;
     private final Backpressure backpressure;
     private final UpstreamOutliers outliers;
+    private final PlainServiceTimes serviceTimes;
     private final StartupRequestQueue earlyRequests = new StartupRequestQueue();
     private final Map<CallerExchange, DirectCall> callsByExchange = new HashMap<>();
     private long nextCallNumber = 1;
@@ -85,9 +86,10 @@
         this.gapForecasts = new GapForecasts(control, engineModels, eventIntervals);
         UnreportedOutcomes unreportedOutcomes = new UnreportedOutcomes();
         this.outliers = new UpstreamOutliers(upstreams, control, unreportedOutcomes, self, log);
+        this.serviceTimes = new PlainServiceTimes(upstreams, unreportedOutcomes);
         poisonGuard.reportResetsTo(outliers::onReset);
         UpstreamSelector selector = new UpstreamSelector(
-                upstreams, control, engineModels, gapForecasts, backpressure, outliers, settings.zone());
+                upstreams, control, engineModels, gapForecasts, backpressure, outliers, serviceTimes, settings.zone());
         this.loadGossip = new LoadGossip(
                 upstreams,
                 engineModels,
@@ -96,6 +98,7 @@
                 backpressureListener,
                 unreportedOutcomes,
                 outliers,
+                serviceTimes,
                 now);
         this.streamRecords = new StreamRecords(self, control);
         this.resumptions =
@@ -118,7 +121,8 @@
                 poisonGuard,
                 usageMeter,
                 streamRecords,
-                outliers);
+                outliers,
+                serviceTimes);
         this.nextHousekeepingNanos = now;
     }
 
@@ -360,6 +364,7 @@
             upstreams.tick(now);
             backpressure.tick(now);
             outliers.tick(now);
+            serviceTimes.tick(now);
             streamRecords.expire(now);
             callsByExchange.values().removeIf(call -> call.closed);
         }
--- a/src/main/java/org/cuminshelf/direct/LoadGossip.java
+++ b/src/main/java/org/cuminshelf/direct/LoadGossip.java
@@ -71,6 +71,7 @@
     private final BackpressureListener backpressureListener;
     private final UnreportedOutcomes unreportedOutcomes;
     private final UpstreamOutliers outliers;
+    private final PlainServiceTimes serviceTimes;
     private final List<SentPrompt> sentPrompts = new ArrayList<>();
     private final List<TakenPrompt> prefilledPrompts = new ArrayList<>();
     private long nextReportAt;
@@ -86,6 +87,7 @@
             BackpressureListener backpressureListener,
             UnreportedOutcomes unreportedOutcomes,
             UpstreamOutliers outliers,
+            PlainServiceTimes serviceTimes,
             long now) {
         this.upstreams = upstreams;
         this.models = models;
@@ -94,6 +96,7 @@
         this.backpressureListener = backpressureListener;
         this.unreportedOutcomes = unreportedOutcomes;
         this.outliers = outliers;
+        this.serviceTimes = serviceTimes;
         this.nextReportAt = now;
         this.lastReportAt = now;
     }
@@ -239,6 +242,7 @@
         for (UpstreamLoad upstreamLoad : load.getUpstreamsList()) {
             eventIntervals.onReport(now, upstreamLoad);
             outliers.onReport(now, entry, upstreamLoad);
+            serviceTimes.onReport(now, upstreamLoad);
         }
         load.getSentList().forEach(prompt -> onPromptSentElsewhere(now, prompt));
         load.getTakenList().forEach(prompt -> onPrefillCompletedElsewhere(now, prompt));
--- a/src/main/java/org/cuminshelf/direct/UnreportedOutcomes.java
+++ b/src/main/java/org/cuminshelf/direct/UnreportedOutcomes.java
@@ -5,15 +5,19 @@
 import org.cuminshelf.message.UpstreamLoad;
 
 /**
- * Answers and errors of upstreams that this entry has received since its last load report. Each of them is in one
- * report, also if that is lost: the other entries see the errors of an upstream themselves, later.
+ * Answers, errors and service times of upstreams that this entry has received since its last load report. Each of them
+ * is in one report, also if that is lost: the other entries see the errors of an upstream themselves, later.
  */
 final class UnreportedOutcomes {
 
+    private static final double MICROS_PER_MILLI = 1_000;
+
     /** Numbers for one upstream. */
     private static final class Tally {
         private int answers;
         private int errors;
+        private int served;
+        private double serviceMicros;
     }
 
     /** By instance id. */
@@ -28,6 +32,13 @@
         hasError |= error;
     }
 
+    /** Adds the service time of a plain answer, in milliseconds. */
+    void addServiceTime(String instanceId, double millis) {
+        Tally tally = tallies.computeIfAbsent(instanceId, key -> new Tally());
+        tally.served++;
+        tally.serviceMicros += millis * MICROS_PER_MILLI;
+    }
+
     boolean isEmpty() {
         return tallies.isEmpty();
     }
@@ -45,7 +56,10 @@
     void addTo(UpstreamLoad.Builder load) {
         Tally tally = tallies.get(load.getId());
         if (tally != null) {
-            load.setAnswers(tally.answers).setErrors(tally.errors);
+            load.setAnswers(tally.answers)
+                    .setErrors(tally.errors)
+                    .setServed(tally.served)
+                    .setServiceUs((int) tally.serviceMicros);
         }
     }
 
--- a/src/main/java/org/cuminshelf/direct/UpstreamSelector.java
+++ b/src/main/java/org/cuminshelf/direct/UpstreamSelector.java
@@ -23,7 +23,7 @@
  * Selects the upstream of a request.
  *
  * <p>Requests other than streamed generations go to the upstream with the fewest requests per slot, counted over all
- * entries.
+ * entries and weighted with its service time where service times differ, see {@link PlainServiceTimes}.
  *
  * <p>Generations go where the expected cost is least: the cost of a late answer, of the engine's time, of prefilling
  * shared segments of the prompt again and of transferring KV cache. Prefill takes most of the time. An engine in the
@@ -157,6 +157,7 @@
     private final GapForecasts gapForecasts;
     private final Backpressure backpressure;
     private final UpstreamOutliers outliers;
+    private final PlainServiceTimes serviceTimes;
     private final EngineTimePrices prices = new EngineTimePrices();
     private final AnswerValues values = new AnswerValues();
     private final Map<String, UnreportedWork> unreported = new HashMap<>();
@@ -169,6 +170,7 @@
             GapForecasts gapForecasts,
             Backpressure backpressure,
             UpstreamOutliers outliers,
+            PlainServiceTimes serviceTimes,
             String zone) {
         this.upstreams = upstreams;
         this.control = control;
@@ -176,6 +178,7 @@
         this.gapForecasts = gapForecasts;
         this.backpressure = backpressure;
         this.outliers = outliers;
+        this.serviceTimes = serviceTimes;
         this.zone = zone;
     }
 
@@ -220,8 +223,10 @@
     private Optional<Choice> chooseByOccupancy(long now, DirectCall call) {
         UpstreamInstance best = null;
         double lowestLoad = Double.MAX_VALUE;
-        for (UpstreamInstance upstream : openUpstreams(now, call)) {
-            double load = (double) upstream.totalAttempts() / upstream.slots
+        List<UpstreamInstance> open = openUpstreams(now, call);
+        PlainServiceTimes.Comparison speeds = serviceTimes.compare(now, open);
+        for (UpstreamInstance upstream : open) {
+            double load = speeds.load(upstream)
                     + PLAIN_LOAD_PER_LOST_ANSWER * outliers.cost(now, upstream, call)
                     + (upstream.zone.equals(zone) ? 0 : 1e-3)
                     + 1e-4 * pseudoRandomFraction(upstream, call.number);
