Plain upstreams: calls wait for a slot

A first attempt for which every open upstream has all its slots taken waits for an eighth of its target, or as long as for discovery while the entry discovers upstreams. After a power cut the first upstream known received all waiting calls and rejected most of them.

--- a/src/main/java/org/cuminshelf/direct/AdmissionControl.java
+++ b/src/main/java/org/cuminshelf/direct/AdmissionControl.java
@@ -56,6 +56,7 @@
     private final ControlSubscription control;
     private final PoisonGuard poisonGuard;
     private final AdmissionQueue admissionQueue;
+    private final PlainCallAdmission plainCalls;
 
     AdmissionControl(
             UpstreamSelector selector,
@@ -66,6 +67,7 @@
         this.control = control;
         this.poisonGuard = poisonGuard;
         this.admissionQueue = admissionQueue;
+        this.plainCalls = new PlainCallAdmission(selector, control, admissionQueue);
     }
 
     Decision decide(long now, DirectCall call) {
@@ -108,7 +110,16 @@
         }
     }
 
+    /** Returns the number of plain calls that have waited for a slot since the start. */
+    long waitedPlainCalls() {
+        return plainCalls.waitedCalls();
+    }
+
     private Decision decide(long now, DirectCall call, UpstreamSelector.Choice choice) {
+        Optional<Decision> withoutSlot = plainCalls.decideWithoutSlot(now, call);
+        if (withoutSlot.isPresent()) {
+            return withoutSlot.get();
+        }
         if (isTooLate(now, call, choice)) {
             return refuse(call, choice, "too-late");
         }
--- a/src/main/java/org/cuminshelf/direct/AdmissionQueue.java
+++ b/src/main/java/org/cuminshelf/direct/AdmissionQueue.java
@@ -161,6 +161,28 @@
                 maxDiscoveryWaitNanos(call.deadlineNanos - call.arrivedAtNanos));
     }
 
+    /**
+     * Queues a plain call until an upstream has a free slot.
+     *
+     * @param now         the time in nanoseconds
+     * @param call        the call
+     * @param discovering whether upstreams may not be discovered yet, so that it waits as long as for discovery
+     * @return whether it is queued
+     */
+    boolean addForSlot(long now, DirectCall call, boolean discovering) {
+        long targetNanos = Durations.nanos(call.route.targetLatencyMillis());
+        long maxWaitNanos = discovering
+                ? maxDiscoveryWaitNanos(call.deadlineNanos - call.arrivedAtNanos)
+                : (long) (MAX_WAIT_TARGET_SHARE * targetNanos);
+        long expiresAt = Math.min(latestSendAt(call), call.arrivedAtNanos + maxWaitNanos);
+        return put(now, call, call.arrivedAtNanos + targetNanos, expiresAt);
+    }
+
+    /** Returns when a queued call is sent at the latest, in nanoseconds. */
+    static long latestSendAt(DirectCall call) {
+        return call.deadlineNanos - MIN_REMAINING_NANOS;
+    }
+
     /** Returns how long a call waits for discovery at most, given its total time; both in nanoseconds. */
     static long maxDiscoveryWaitNanos(long totalNanos) {
         return Math.min(MAX_DISCOVERY_WAIT_NANOS, (long) (MAX_DISCOVERY_WAIT_SHARE * totalNanos));
--- a/src/main/java/org/cuminshelf/direct/CallDispatcher.java
+++ b/src/main/java/org/cuminshelf/direct/CallDispatcher.java
@@ -116,6 +116,11 @@
         return openCalls.size();
     }
 
+    /** Returns the number of plain calls that have waited for a slot since the start. */
+    long waitedPlainCalls() {
+        return admission.waitedPlainCalls();
+    }
+
     long nextDue() {
         long callsDue = Math.min(admissionQueue.nextDue(), callDeadlines.next());
         return Math.min(Math.min(callsDue, attemptRunner.nextDue()), poisonGuard.nextDue());
--- a/src/main/java/org/cuminshelf/direct/DirectCall.java
+++ b/src/main/java/org/cuminshelf/direct/DirectCall.java
@@ -112,6 +112,9 @@
     /** Ids of the upstreams that it was sent to, in order. */
     final List<String> sentTo = new ArrayList<>();
 
+    /** Whether it has waited for a slot as a plain call. */
+    boolean waitedForSlot;
+
     /** Why the last failed or silent attempt was not followed by another; {@code none} if it was. */
     String noRetryReason = "none";
 
--- a/src/main/java/org/cuminshelf/direct/DirectCore.java
+++ b/src/main/java/org/cuminshelf/direct/DirectCore.java
@@ -458,6 +458,24 @@
         return backpressure.backoffs().activeCount(clock.getAsLong());
     }
 
+    /**
+     * Counts the plain calls that have waited for a slot of an upstream since the start.
+     *
+     * @return their number
+     */
+    public long waitedPlainCalls() {
+        return callDispatcher.waitedPlainCalls();
+    }
+
+    /**
+     * Counts the plain upstreams whose service time exceeds that of their peers by half.
+     *
+     * @return their number
+     */
+    public long slowPlainUpstreams() {
+        return serviceTimes.slowUpstreams(clock.getAsLong());
+    }
+
     /**
      * Counts the upstreams that answer more requests with errors than their peers.
      *
--- a/src/main/java/org/cuminshelf/direct/PlainServiceTimes.java
+++ b/src/main/java/org/cuminshelf/direct/PlainServiceTimes.java
@@ -23,6 +23,8 @@
 
     /** Logarithm of the difference between the slowest and the fastest upstream that has no effect. */
     private static final double DEAD_BAND_LOG = Math.log(1.15);
+    /** Logarithm of the factor from which an upstream counts as slow in the figures for operators. */
+    private static final double SLOW_LOG = Math.log(1.5);
     /** Time constant of the mean of a kind of work. */
     private static final double MEAN_SMOOTHING_NANOS = Durations.nanos(10_000);
     /** Weight of an answer itself in the mean that it is compared with, in answers. */
@@ -151,6 +153,13 @@
         return new Comparison(logFactors, sum / Math.max(1, candidates.size()), speedWeight);
     }
 
+    /** Returns the number of upstreams whose service time exceeds that of their peers by half now. */
+    long slowUpstreams(long now) {
+        return times.values().stream()
+                .filter(time -> time.logFactor(now) > SLOW_LOG)
+                .count();
+    }
+
     private double logFactor(long now, String instanceId) {
         PlainServiceTime time = times.get(instanceId);
         return time == null ? 0 : time.logFactor(now);
--- a/src/main/java/org/cuminshelf/direct/UpstreamSelector.java
+++ b/src/main/java/org/cuminshelf/direct/UpstreamSelector.java
@@ -196,6 +196,11 @@
         return !openUpstreams(now, call).isEmpty();
     }
 
+    /** Returns whether every upstream available for a call has as many requests of all entries as slots. */
+    boolean allSlotsTaken(long now, DirectCall call) {
+        return openUpstreams(now, call).stream().allMatch(upstream -> upstream.totalAttempts() >= upstream.slots);
+    }
+
     /**
      * Returns the prefill time of a prompt in microseconds, on an engine that only prefills and has cached as much of
      * the prompt as any engine has.
--- a/src/main/java/org/cuminshelf/process/DirectEntryProcess.java
+++ b/src/main/java/org/cuminshelf/process/DirectEntryProcess.java
@@ -219,6 +219,16 @@
                 "cuminshelf_outlier_trials",
                 "Requests sent to outlier upstreams since the start.",
                 core::outlierTrials);
+        EntryProcess.registerGauge(
+                registry,
+                "cuminshelf_slow_plain_upstreams",
+                "Plain upstreams whose service time exceeds that of their peers by half.",
+                core::slowPlainUpstreams);
+        EntryProcess.registerGauge(
+                registry,
+                "cuminshelf_waited_plain_calls",
+                "Plain calls that have waited for a slot of an upstream since the start.",
+                core::waitedPlainCalls);
         EntryProcess.registerGauge(
                 registry,
                 "cuminshelf_slow_engines",
