--- a/src/main/java/org/cuminshelf/direct/DirectCall.java
+++ b/src/main/java/org/cuminshelf/direct/DirectCall.java
@@ -117,6 +117,9 @@
     /** Ids of the upstreams that it was sent to, in order. */
     final List<String> sentTo = new ArrayList<>();
 
+    /** Whether it has waited for a slot as a plain call. */
+    boolean waitedForSlot;
+
     /** Why the last failed or silent attempt was not followed by another; {@code none} if it was. */
     String noRetryReason = "none";
 
@@ -249,6 +252,11 @@
         return route.kind() == RequestKind.STREAM;
     }
 
+    /** Whether it is neither a stream nor a generation, so that its work does not depend on a prompt. */
+    boolean isPlain() {
+        return !isStream() && intent.generation().isEmpty();
+    }
+
     /**
      * Whether an upstream of a software version may go on with it: what two versions write, events or KV caches, does
      * not fit together.
--- a/src/main/java/org/cuminshelf/direct/UpstreamSelector.java
+++ b/src/main/java/org/cuminshelf/direct/UpstreamSelector.java
@@ -23,7 +23,7 @@
  * Selects the upstream of a request.
  *
  * <p>Requests other than streamed generations go to the upstream with the fewest requests per slot, counted over all
- * entries.
+ * entries and weighted with its service time where service times differ, see {@link PlainServiceTimes}.
  *
  * <p>Generations go where the expected cost is least: the cost of a late answer, of the engine's time, of prefilling
  * shared segments of the prompt again and of transferring KV cache. Prefill takes most of the time. An engine in the
@@ -159,6 +159,7 @@
     private final GapForecasts gapForecasts;
     private final Backpressure backpressure;
     private final UpstreamOutliers outliers;
+    private final PlainServiceTimes serviceTimes;
     private final EngineTimePrices prices = new EngineTimePrices();
     private final AnswerValues values = new AnswerValues();
     private final Map<String, UnreportedWork> unreported = new HashMap<>();
@@ -171,6 +172,7 @@
             GapForecasts gapForecasts,
             Backpressure backpressure,
             UpstreamOutliers outliers,
+            PlainServiceTimes serviceTimes,
             String zone) {
         this.upstreams = upstreams;
         this.control = control;
@@ -178,6 +180,7 @@
         this.gapForecasts = gapForecasts;
         this.backpressure = backpressure;
         this.outliers = outliers;
+        this.serviceTimes = serviceTimes;
         this.zone = zone;
     }
 
@@ -195,6 +198,11 @@
         return !openUpstreams(now, call).isEmpty();
     }
 
+    /** Returns whether every upstream available for a call has as many requests of all entries as slots. */
+    boolean allSlotsTaken(long now, DirectCall call) {
+        return openUpstreams(now, call).stream().allMatch(upstream -> upstream.totalAttempts() >= upstream.slots);
+    }
+
     /**
      * Returns the prefill time of a prompt in microseconds, on an engine that only prefills and has cached as much of
      * the prompt as any engine has.
@@ -230,8 +238,10 @@
     private Optional<Choice> chooseByOccupancy(long now, DirectCall call) {
         UpstreamInstance best = null;
         double lowestLoad = Double.MAX_VALUE;
-        for (UpstreamInstance upstream : openUpstreams(now, call)) {
-            double load = (double) upstream.totalAttempts() / upstream.slots
+        List<UpstreamInstance> open = openUpstreams(now, call);
+        PlainServiceTimes.Comparison speeds = serviceTimes.compare(now, open);
+        for (UpstreamInstance upstream : open) {
+            double load = speeds.load(upstream)
                     + PLAIN_LOAD_PER_LOST_ANSWER * outliers.cost(now, upstream, call)
                     + (upstream.zone.equals(zone) ? 0 : 1e-3)
                     + 1e-4 * pseudoRandomFraction(upstream, call.number);
