Review of the joined parts: outliers don't make engine time free, gap limits by route, retry times, gauges under the lock

An engine that is avoided for its errors is idle: it made the time of its role free, so that late calls were sent under overload, counted as a free engine for calls that yield, and as the best engine for handovers. A call's own gap risk used the smallest limit of its service, not that of its route. One late earliest time moved the times of all other callers behind it, and attempts counted as calls. Gauges read the core's tables beside it. Engines that are alike passed for different by the noise of their current factors; the usual ones decide now. Found by a review; tests for prices and retry times, the rest by reading.

--- a/src/main/java/org/cuminshelf/direct/AdmissionControl.java
+++ b/src/main/java/org/cuminshelf/direct/AdmissionControl.java
@@ -299,8 +299,7 @@
 
     /**
      * Returns the same because of the share of its kind or organisation. A preferred call does not join a long queue:
-     * it would make others late, and its caller too. Its share grows as less urgent calls yield. When preferred calls
-     * were sent however late, all kinds together got less than half of the value in a simulated overload.
+     * it would make others late, and its caller too. Its share grows as less urgent calls yield.
      */
     private static boolean isAdmittedForShare(
             DirectCall call, UpstreamSelector.Choice choice, double firstEventMillis) {
--- a/src/main/java/org/cuminshelf/direct/CallReturns.java
+++ b/src/main/java/org/cuminshelf/direct/CallReturns.java
@@ -20,9 +20,11 @@
 
     private long scheduledReturns;
 
-    /** Records that a call is sent to an upstream. */
+    /** Records that a call is about to be sent to an upstream; further attempts of it do not count. */
     void onSent(long now, DirectCall call) {
-        scheduleOf(now, call.service).onSent(now);
+        if (call.lastAttempt == null) {
+            scheduleOf(now, call.service).onSent(now);
+        }
     }
 
     /**
--- a/src/main/java/org/cuminshelf/direct/EngineTimePrices.java
+++ b/src/main/java/org/cuminshelf/direct/EngineTimePrices.java
@@ -2,6 +2,7 @@
 
 import java.util.Collection;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import org.cuminshelf.core.Durations;
 import org.cuminshelf.engines.EngineLatencyModel;
@@ -75,21 +76,19 @@
 
     /**
      * Returns the scarcity of a role's engine time: 0 if an engine is idle, 1 if the shortest backlog is at least
-     * {@link #FULL_PRICE_BACKLOG_MILLIS}.
+     * {@link #FULL_PRICE_BACKLOG_MILLIS}. Engines that fail more than their peers are avoided and so are idle; they do
+     * not make the time of the others cheap.
      */
     private static double scarcity(
             long now, Collection<UpstreamInstance> engines, EngineLatencyModel model, boolean generates) {
-        double minBacklogMillis = Double.MAX_VALUE;
-        for (UpstreamInstance engine : engines) {
-            if (engine.generatesTokens() == generates) {
-                minBacklogMillis = Math.min(
-                        minBacklogMillis,
-                        engine.pendingPrompts.waitMillis(now, model.latencyMillis(engine.id, generates)));
-            }
-        }
-        return minBacklogMillis == Double.MAX_VALUE
-                ? 0
-                : Math.clamp(minBacklogMillis / FULL_PRICE_BACKLOG_MILLIS, 0, 1);
+        List<UpstreamInstance> ofRole = engines.stream()
+                .filter(engine -> engine.generatesTokens() == generates)
+                .toList();
+        double minBacklogMillis = UpstreamInstance.withoutOutliers(ofRole).stream()
+                .mapToDouble(engine -> engine.pendingPrompts.waitMillis(now, model.latencyMillis(engine.id, generates)))
+                .min()
+                .orElse(0);
+        return Math.clamp(minBacklogMillis / FULL_PRICE_BACKLOG_MILLIS, 0, 1);
     }
 
     /** Records the prefill time of a prompt for which an engine was selected. */
--- a/src/main/java/org/cuminshelf/direct/EventIntervals.java
+++ b/src/main/java/org/cuminshelf/direct/EventIntervals.java
@@ -77,6 +77,9 @@
      */
     void onStreamCompleted(DirectAttempt attempt) {
         DirectCall call = attempt.call;
+        if (!attempt.isSuccess()) {
+            return;
+        }
         double intervalMillis = attempt.gapForecast.intervalMillis();
         if (intervalMillis > 0 && call.attemptCount == 1 && call.deliveredEvents >= MIN_EVENTS_FOR_PAUSE) {
             modelOf(attempt.upstream).observePause(intervalMillis, call.longestGapNanos / NANOS_PER_MILLI);
--- a/src/main/java/org/cuminshelf/direct/GapForecasts.java
+++ b/src/main/java/org/cuminshelf/direct/GapForecasts.java
@@ -43,15 +43,16 @@
      *
      * @param now     the time in nanoseconds
      * @param service the service of the call
+     * @param ownMaxGapMillis the longest gap that the caller accepts, in milliseconds; 0 if it accepts any
      * @param open    the upstreams among which is decided
      */
-    Decision of(long now, String service, Collection<UpstreamInstance> open) {
+    Forecaster of(long now, String service, long ownMaxGapMillis, Collection<UpstreamInstance> open) {
         for (UpstreamInstance upstream : open) {
             if (upstream.generatesTokens()) {
                 intervals.observeAwaited(now, upstream);
             }
         }
-        return new Decision(now, models.intervalsOf(service), maxGapMillis(service));
+        return new Forecaster(now, models.intervalsOf(service), ownMaxGapMillis, maxGapMillis(service));
     }
 
     /** Counts the upstreams of a collection whose intervals exceed the mean of their service by half. */
@@ -80,16 +81,18 @@
     }
 
     /** The forecasts for one decision. */
-    static final class Decision {
+    static final class Forecaster {
 
         private final long now;
         private final StreamIntervalModel model;
-        private final long maxGapMillis;
+        private final long ownMaxGapMillis;
+        private final long othersMaxGapMillis;
 
-        private Decision(long now, StreamIntervalModel model, long maxGapMillis) {
+        private Forecaster(long now, StreamIntervalModel model, long ownMaxGapMillis, long othersMaxGapMillis) {
             this.now = now;
             this.model = model;
-            this.maxGapMillis = maxGapMillis;
+            this.ownMaxGapMillis = ownMaxGapMillis;
+            this.othersMaxGapMillis = othersMaxGapMillis;
         }
 
         /**
@@ -101,7 +104,7 @@
          */
         GapForecast forecast(UpstreamInstance engine, double queuedMillis, double prefillMillis) {
             PauseRisk.EngineLoad load = new PauseRisk.EngineLoad(engine.id, engine.totalAttempts(), queuedMillis);
-            PauseRisk risk = PauseRisk.of(model, now, load, prefillMillis, maxGapMillis);
+            PauseRisk risk = PauseRisk.of(model, now, load, prefillMillis, ownMaxGapMillis, othersMaxGapMillis);
             double intervalMillis =
                     model.intervalMillis(engine.id, now, engine.totalAttempts() + 1, queuedMillis + prefillMillis);
             return new GapForecast(
@@ -117,7 +120,7 @@
             double highestLog = -Double.MAX_VALUE;
             for (UpstreamInstance engine : engines) {
                 if (engine.generatesTokens()) {
-                    double log = Math.log(model.relativeFactor(engine.id, now));
+                    double log = Math.log(model.usualRelativeFactor(engine.id, now));
                     lowestLog = Math.min(lowestLog, log);
                     highestLog = Math.max(highestLog, log);
                 }
--- a/src/main/java/org/cuminshelf/direct/PlainServiceTime.java
+++ b/src/main/java/org/cuminshelf/direct/PlainServiceTime.java
@@ -7,7 +7,7 @@
  * Logarithm of the factor by which the service time of one plain upstream exceeds that of its peers.
  *
  * <p>The usual factor is a mean over some seconds. The current factor follows the last answers and falls back to the
- * usual one without new answers: an upstream may be 2.5 times slower for 0.6 s, and must be used again after that.
+ * usual one without new answers: an upstream that was slow for a moment must be used again after that.
  */
 final class PlainServiceTime {
 
@@ -29,7 +29,7 @@
     private static final double USUAL_SMOOTHING_NANOS = Durations.nanos(10_000);
     /** Weight of an equal speed in the usual factor, in answers: a slow period alone must not change it. */
     private static final double PRIOR_ANSWERS = 20;
-    /** Time constant with which the current factor falls back: slow periods last for about that long. */
+    /** Time constant with which the current factor falls back: short, as a slow upstream is given few calls to show. */
     private static final double CURRENT_RETENTION_NANOS = Durations.nanos(400);
 
     private final DecayingMean usual = new DecayingMean(USUAL_SMOOTHING_NANOS, PRIOR_ANSWERS);
--- a/src/main/java/org/cuminshelf/direct/UpstreamInstance.java
+++ b/src/main/java/org/cuminshelf/direct/UpstreamInstance.java
@@ -123,6 +123,13 @@
         return true;
     }
 
+    /** Returns those of some instances that do not fail more than their peers, or all if all of them do. */
+    static List<UpstreamInstance> withoutOutliers(List<UpstreamInstance> instances) {
+        List<UpstreamInstance> sound =
+                instances.stream().filter(instance -> !instance.outlier).toList();
+        return sound.isEmpty() ? instances : sound;
+    }
+
     /** Applies a heartbeat unless it is older than the last one. Returns whether the state changed. */
     boolean applyHeartbeat(UpstreamBeat heartbeat) {
         if (heartbeat.getSequence() < heartbeatSequence) {
--- a/src/main/java/org/cuminshelf/direct/UpstreamSelector.java
+++ b/src/main/java/org/cuminshelf/direct/UpstreamSelector.java
@@ -9,6 +9,7 @@
 import java.util.OptionalLong;
 import java.util.Set;
 import java.util.function.Predicate;
+import java.util.stream.Collectors;
 import net.openhft.hashing.LongHashFunction;
 import org.cuminshelf.backpressure.Backpressure;
 import org.cuminshelf.core.Core;
@@ -144,6 +145,8 @@
      * in ten outweighs {@link #HOME_ENGINE_BONUS_REQUESTS}.
      */
     private static final double LATE_STREAM_PENALTY_REQUESTS = 60;
+    /** The same for an answer that is expected to be lost, in proportion to the cost of a late one. */
+    private static final double LOST_ANSWER_PENALTY_REQUESTS = LATE_STREAM_PENALTY_REQUESTS / LATE_COST;
     /** Load added for an engine whose memory is full, in requests. */
     private static final double FULL_MEMORY_PENALTY_REQUESTS = 1_000;
 
@@ -200,7 +203,8 @@
 
     /** Returns whether every upstream available for a call has as many requests of all entries as slots. */
     boolean allSlotsTaken(long now, DirectCall call) {
-        return openUpstreams(now, call).stream().allMatch(upstream -> upstream.totalAttempts() >= upstream.slots);
+        List<UpstreamInstance> open = openUpstreams(now, call);
+        return !open.isEmpty() && open.stream().allMatch(upstream -> upstream.totalAttempts() >= upstream.slots);
     }
 
     /**
@@ -267,7 +271,7 @@
         double lowestLoad = Double.MAX_VALUE;
         EngineLatencyModel model = models.of(call.service);
         List<UpstreamInstance> open = openUpstreams(now, call);
-        GapForecasts.Decision gaps = gapForecasts.of(now, call.service, open);
+        GapForecasts.Forecaster gaps = gapForecasts.of(now, call.service, maxGapMillis(call), open);
         GapForecast bestGaps = GapForecast.NONE;
         double speedWeight = gaps.speedWeight(open);
         Optional<SharedPrefixLocations> shared =
@@ -281,7 +285,7 @@
             double queuedMillis = upstream.pendingPrompts.waitMillis(now, model.latencyMillis(upstream.id, true));
             GapForecast forecast = gaps.forecast(upstream, queuedMillis, 0);
             double load = memoryLoad(upstream, call)
-                    + (upstream.slots + HOME_ENGINE_BONUS_REQUESTS) * outliers.cost(now, upstream, call)
+                    + LOST_ANSWER_PENALTY_REQUESTS * outliers.cost(now, upstream, call)
                     - (isHomeEngine ? HOME_ENGINE_BONUS_REQUESTS : 0)
                     + gaps.streamLoad(upstream, speedWeight)
                     + queuedMillis / QUEUE_MILLIS_PER_REQUEST
@@ -369,7 +373,7 @@
         List<UpstreamInstance> open = openUpstreams(now, call);
         boolean maySplit = call.lastEventId.isEmpty() && !call.singleEngineOnly;
         EngineLatencyModel model = models.of(call.service);
-        GapForecasts.Decision gaps = gapForecasts.of(now, call.service, open);
+        GapForecasts.Forecaster gaps = gapForecasts.of(now, call.service, maxGapMillis(call), open);
         Map<String, GapForecast> handovers = maySplit ? handoversByVersion(now, open, call, gaps) : Map.of();
         boolean hasPrefillEngines = open.stream()
                 .anyMatch(upstream -> !upstream.generatesTokens() && handovers.containsKey(upstream.version));
@@ -406,16 +410,15 @@
      * gaps at the engine where the fewest streams would be late because of it.
      */
     private Map<String, GapForecast> handoversByVersion(
-            long now, List<UpstreamInstance> open, DirectCall call, GapForecasts.Decision gaps) {
+            long now, List<UpstreamInstance> open, DirectCall call, GapForecasts.Forecaster gaps) {
+        Map<String, List<UpstreamInstance>> candidates = open.stream()
+                .filter(upstream -> upstream.generatesTokens() && hasFreeSlot(upstream, call))
+                .collect(Collectors.groupingBy(upstream -> upstream.version));
         Map<String, GapForecast> handovers = new HashMap<>();
-        EngineLatencyModel model = models.of(call.service);
-        for (UpstreamInstance upstream : open) {
-            if (upstream.generatesTokens() && hasFreeSlot(upstream, call)) {
-                double queuedMillis = upstream.pendingPrompts.waitMillis(now, model.latencyMillis(upstream.id, true));
-                GapForecast forecast = gaps.forecast(upstream, queuedMillis, 0);
-                handovers.merge(upstream.version, forecast, UpstreamSelector::lessRisky);
-            }
-        }
+        candidates.forEach((version, engines) -> UpstreamInstance.withoutOutliers(engines).stream()
+                .map(engine -> gaps.forecast(engine, queueMillis(now, engine), 0))
+                .reduce(UpstreamSelector::lessRisky)
+                .ifPresent(forecast -> handovers.put(version, forecast)));
         return handovers;
     }
 
@@ -423,7 +426,7 @@
         return other.risk().lateStreams() < one.risk().lateStreams() ? other : one;
     }
 
-    private static Choice withGaps(Choice choice, GapForecasts.Decision gaps, Map<String, GapForecast> handovers) {
+    private static Choice withGaps(Choice choice, GapForecasts.Forecaster gaps, Map<String, GapForecast> handovers) {
         GapForecast forecast = choice.prefillOnly
                 ? handovers.getOrDefault(choice.upstream.version, GapForecast.NONE)
                 : gaps.forecast(choice.upstream, choice.queueMillis(), choice.estimate.prefillMillis());
@@ -445,7 +448,7 @@
         double harm = LATE_COST * choice.gaps.risk().others();
         double expectedLoss = value * outliers.expectedLoss(now, choice.upstream, call);
         double timePrice = choice.estimate.prefillMillis() * prices.perMillisecond(call.service, choice.upstream);
-        boolean ownGapsInTime = isShort(call) || choice.gaps.isInTime();
+        boolean ownGapsInTime = choice.gaps.isInTime();
         return new Choice(
                 choice.upstream,
                 choice.prefillOnly,
@@ -484,6 +487,11 @@
                 && memoryLoad(upstream, call) < FULL_MEMORY_PENALTY_REQUESTS * MAX_MEMORY_SHARE;
     }
 
+    /** Returns the longest gap between events that counts for a call, in milliseconds; 0 if none does. */
+    private long maxGapMillis(DirectCall call) {
+        return isShort(call) ? 0 : call.route.maxEventGapMillis();
+    }
+
     /** Returns whether a call is expected to have so few events that it hardly waits between them. */
     private boolean isShort(DirectCall call) {
         int maxShortTokens = MAX_SHORT_STREAM_EVENTS * tokensPerEvent(call.service);
@@ -620,7 +628,7 @@
     boolean hasFreeUpstream(long now, DirectCall call, Choice choice, double maxQueueMillis) {
         boolean generates = choice.upstream.generatesTokens();
         return isFree(choice.upstream, choice.queueMillis(), maxQueueMillis)
-                || openUpstreams(now, call).stream()
+                || UpstreamInstance.withoutOutliers(openUpstreams(now, call)).stream()
                         .filter(upstream -> upstream.generatesTokens() == generates)
                         .anyMatch(upstream -> isFree(upstream, queueMillis(now, upstream), maxQueueMillis));
     }
--- a/src/main/java/org/cuminshelf/engines/EngineIntervalFactor.java
+++ b/src/main/java/org/cuminshelf/engines/EngineIntervalFactor.java
@@ -5,7 +5,7 @@
  *
  * <p>It has two parts. The usual factor is a mean over some seconds, and that of the whole service if the engine is
  * unused. The current factor follows the last intervals and falls back to the usual one without new intervals: an
- * engine may be 2.5 times slower for 0.6 s, and must be used again after that.
+ * engine that was slow for a moment must be used again after that.
  */
 final class EngineIntervalFactor {
 
@@ -25,7 +25,7 @@
     private static final double NO_WAIT_LOG = -MAX_LOG_FACTOR;
     /** Time constant of the usual factor. */
     private static final double USUAL_SMOOTHING_NANOS = 10e9;
-    /** Time constant with which the current factor falls back: slow periods last for about that long. */
+    /** Time constant with which the current factor falls back: short, as a slow engine is given few streams to show. */
     private static final double CURRENT_RETENTION_NANOS = 0.5e9;
     /** Time constant with which a reported wait loses effect: some two intervals between reports. */
     private static final double AWAITED_RETENTION_NANOS = 0.3e9;
--- a/src/main/java/org/cuminshelf/engines/EngineLatencyModel.java
+++ b/src/main/java/org/cuminshelf/engines/EngineLatencyModel.java
@@ -80,7 +80,7 @@
                     .observe(
                             observedPrompts,
                             Math.max(1, sample.elapsedMillis()) / Math.max(1, expectedMillis),
-                            Math.max(0, ownShare),
+                            Math.clamp(ownShare, 0, 1),
                             fit.isWindowFull());
         }
         fit.observe(sample);
--- a/src/main/java/org/cuminshelf/engines/EngineSlowdown.java
+++ b/src/main/java/org/cuminshelf/engines/EngineSlowdown.java
@@ -27,7 +27,7 @@
      * by mistake would attract all prompts, so that the lower bound is extended only while prompts agree.
      */
     private static final double MIN_LOG_FACTOR = Math.log(0.75);
-    /** Extension of the lower bound for each prompt that was faster still: 2.4 times as fast takes ten prompts. */
+    /** Extension of the lower bound for each prompt that was faster still: double the speed takes seven prompts. */
     private static final double LOG_EXTENSION_PER_PROMPT = 0.06;
     /** Prompts that extend the lower bound at most: to a fifth of the usual time. */
     private static final double MAX_FAST_PROMPTS = 22;
--- a/src/main/java/org/cuminshelf/engines/LogSpread.java
+++ b/src/main/java/org/cuminshelf/engines/LogSpread.java
@@ -17,8 +17,7 @@
     /**
      * Probability below which the bound is far and has no effect on decisions. The tail of the logistic function is
      * longer than that of observed times; added up over all streams of an engine, it would refuse calls that harm none
-     * of them. In a burst on simulated engines that could serve all in time, 31 of 707 calls were refused with 0.1, and
-     * 45 of 701 with 0.01.
+     * of them.
      */
     private static final double MIN_PROBABILITY = 0.1;
 
--- a/src/main/java/org/cuminshelf/engines/PauseRisk.java
+++ b/src/main/java/org/cuminshelf/engines/PauseRisk.java
@@ -34,10 +34,33 @@
      */
     public static PauseRisk of(
             StreamIntervalModel model, long now, EngineLoad load, double addedMillis, double maxGapMillis) {
-        double before = model.lateProbability(load.engine, now, load.streams, load.queuedMillis, maxGapMillis);
-        double after = model.lateProbability(
-                load.engine, now, load.streams + 1, load.queuedMillis + addedMillis, maxGapMillis);
-        return new PauseRisk(after, load.streams * Math.max(0, after - before));
+        return of(model, now, load, addedMillis, maxGapMillis, maxGapMillis);
+    }
+
+    /**
+     * Returns the risk of one more stream whose caller accepts other gaps than those of the streams beside it.
+     *
+     * @param model              the model of the engine's service
+     * @param now                the time in nanoseconds
+     * @param load               the load of the engine
+     * @param addedMillis        milliseconds for which the engine prefills the new prompt; 0 if another one does that
+     * @param ownMaxGapMillis    the longest gap that its caller accepts, in milliseconds; 0 if it accepts any
+     * @param othersMaxGapMillis the longest gap that the other callers accept, in milliseconds; 0 if they accept any
+     * @return the risk
+     */
+    public static PauseRisk of(
+            StreamIntervalModel model,
+            long now,
+            EngineLoad load,
+            double addedMillis,
+            double ownMaxGapMillis,
+            double othersMaxGapMillis) {
+        int streams = load.streams + 1;
+        double prefillMillis = load.queuedMillis + addedMillis;
+        double own = model.lateProbability(load.engine, now, streams, prefillMillis, ownMaxGapMillis);
+        double before = model.lateProbability(load.engine, now, load.streams, load.queuedMillis, othersMaxGapMillis);
+        double after = model.lateProbability(load.engine, now, streams, prefillMillis, othersMaxGapMillis);
+        return new PauseRisk(own, load.streams * Math.max(0, after - before));
     }
 
     /**
--- a/src/main/java/org/cuminshelf/outliers/FaultBelief.java
+++ b/src/main/java/org/cuminshelf/outliers/FaultBelief.java
@@ -19,8 +19,8 @@
     private static final double[] ADDITIONAL_RATES = {0, 0.35, 0.6, 0.85, 0.97};
     /**
      * Prior probability of each fault: so small that a single error of an upstream without history stays without
-     * effect and two in a row have one, and that of 30 upstreams that fail 14 in 100 of 200 requests a second, chance
-     * makes one an outlier at most about once in 400 s.
+     * effect and two in a row have one, and that chance hardly ever makes an outlier of one of many upstreams whose
+     * requests all fail now and then.
      */
     private static final double PRIOR_OF_FAULT = 0.0002;
 
--- a/src/main/java/org/cuminshelf/poison/TrialOrder.java
+++ b/src/main/java/org/cuminshelf/poison/TrialOrder.java
@@ -10,10 +10,7 @@
  */
 final class TrialOrder {
 
-    /**
-     * Most turns. With one for each suspect 6,847 of 80,000 sound requests were held back where all engines crashed in
-     * turn three times, and 6,132 with this bound.
-     */
+    /** Most turns: with one for each suspect, sound attributes that were at many crashes would be held back longer. */
     private static final int MAX_TURNS = 3;
 
     private static final Comparator<Suspect> BY_EVIDENCE = Comparator.comparingInt(
--- a/src/main/java/org/cuminshelf/process/DirectEntryProcess.java
+++ b/src/main/java/org/cuminshelf/process/DirectEntryProcess.java
@@ -9,6 +9,7 @@
 import java.util.concurrent.locks.ReentrantLock;
 import java.util.function.Consumer;
 import java.util.function.Function;
+import java.util.function.LongSupplier;
 import org.cuminshelf.core.Address;
 import org.cuminshelf.core.Outbox;
 import org.cuminshelf.direct.DirectCore;
@@ -217,43 +218,58 @@
                 registry, "cuminshelf_invariant_breach_count", "Invariant violations detected.", invariants::count);
     }
 
+    /**
+     * Returns a figure that is read while the core does nothing else. Its tables change with each message, so that a
+     * scrape beside them could fail.
+     */
+    private LongSupplier locked(LongSupplier figure) {
+        return () -> {
+            lock.lock();
+            try {
+                return figure.getAsLong();
+            } finally {
+                lock.unlock();
+            }
+        };
+    }
+
     /** Registers the figures by which an operator sees the decisions under load. */
     private void registerLoadGauges() {
         EntryProcess.registerGauge(
                 registry,
                 "cuminshelf_outlier_upstreams",
                 "Upstreams that answer more requests with errors than their peers.",
-                core::outlierUpstreams);
+                locked(core::outlierUpstreams));
         EntryProcess.registerGauge(
                 registry,
                 "cuminshelf_upstream_errors",
                 "Errors of upstreams since the start, without rejections for lack of capacity.",
-                core::upstreamErrors);
+                locked(core::upstreamErrors));
         EntryProcess.registerGauge(
                 registry,
                 "cuminshelf_outlier_trials",
                 "Requests sent to outlier upstreams since the start.",
-                core::outlierTrials);
+                locked(core::outlierTrials));
         EntryProcess.registerGauge(
                 registry,
                 "cuminshelf_slow_plain_upstreams",
                 "Plain upstreams whose service time exceeds that of their peers by half.",
-                core::slowPlainUpstreams);
+                locked(core::slowPlainUpstreams));
         EntryProcess.registerGauge(
                 registry,
                 "cuminshelf_waited_plain_calls",
                 "Plain calls that have waited for a slot of an upstream since the start.",
-                core::waitedPlainCalls);
+                locked(core::waitedPlainCalls));
         EntryProcess.registerGauge(
                 registry,
                 "cuminshelf_slow_engines",
                 "Engines whose intervals between events exceed the mean of their service by half.",
-                core::slowUpstreams);
+                locked(core::slowUpstreams));
         EntryProcess.registerGauge(
                 registry,
                 "cuminshelf_streams_with_long_gaps",
                 "Completed streams with a gap between events beyond the limit of their route since the start.",
-                core::streamsWithLongGaps);
+                locked(core::streamsWithLongGaps));
     }
 
     /**
--- a/src/main/java/org/cuminshelf/returns/ReturnSchedule.java
+++ b/src/main/java/org/cuminshelf/returns/ReturnSchedule.java
@@ -4,11 +4,11 @@
 import org.cuminshelf.core.Durations;
 
 /**
- * Times at which refused callers of one service are told to retry, so that capacity is there when they do.
+ * Times at which refused callers of one service are told to retry: spread, urgent ones first.
  *
  * <p>Applies to bursts beyond the capacity of a service. Callers retry once; when all of them were told the same short
  * time, they returned into the burst that had caused their refusal, and most of them were refused again. Here a part of
- * the rate at which this entry sends calls is reserved for returning callers, and each gets a time of its own. Times
+ * the rate at which this entry sends calls is planned for returning callers, and each gets a time of its own. Times
  * of urgent calls delay less urgent ones, not the other way round.
  *
  * <p>The state is a few numbers. It covers the callers of this entry only: callers usually return to another entry, but
@@ -26,6 +26,11 @@
     private static final double MIN_RETURNS_PER_SECOND = 2;
     /** Time constant of the rate of sent calls: shorter than bursts, longer than clusters of arrivals. */
     private static final double SMOOTHING_NANOS = Durations.nanos(1_000);
+    /**
+     * Longest part of a stated earliest time that is left unplanned: the usual one. A longer one, such as that of a
+     * rate limit, must not move the times of other callers behind it.
+     */
+    private static final long MAX_UNPLANNED_NANOS = Durations.nanos(200);
     /** Priorities that are told apart; less urgent ones count as the last. */
     private static final int PRIORITIES = 10;
 
@@ -74,9 +79,12 @@
      * @return milliseconds from now, at least the earliest, even if that is beyond the latest
      */
     public long retryAfterMillis(long now, int priority, long earliestMillis, long latestMillis) {
+        if (earliestMillis > latestMillis) {
+            return earliestMillis;
+        }
         int level = Math.clamp(priority, 0, PRIORITIES - 1);
         long returnAt = Math.max(now + Durations.nanos(earliestMillis), nextFreeNanos[level]);
-        long latestAt = now + Durations.nanos(Math.max(earliestMillis, latestMillis));
+        long latestAt = now + Durations.nanos(latestMillis);
         if (returnAt > latestAt) {
             return Durations.millis(latestAt - now);
         }
@@ -86,8 +94,9 @@
 
     private void reserve(long now, int level, long returnAt) {
         long intervalNanos = (long) (NANOS_PER_SECOND / returnsPerSecond(now));
+        long plannedAt = Math.min(returnAt, now + MAX_UNPLANNED_NANOS);
         for (int other = level; other < PRIORITIES; other++) {
-            nextFreeNanos[other] = Math.max(nextFreeNanos[other], returnAt) + intervalNanos;
+            nextFreeNanos[other] = Math.max(nextFreeNanos[other], plannedAt) + intervalNanos;
         }
     }
 
--- a/src/main/java/org/cuminshelf/shares/ServiceShares.java
+++ b/src/main/java/org/cuminshelf/shares/ServiceShares.java
@@ -32,8 +32,8 @@
     /** The same of the value of tries: some of what is lost at the first try is made good by the second. */
     private static final double MAX_VALUE_DEFICIT = 0.15;
     /**
-     * Part of the slack of more urgent calls up to which less urgent ones may fill the queues. With queues of a few
-     * milliseconds only, the less urgent calls lost a quarter at 70 % of the capacity, and the others gained 0.03.
+     * Part of the slack of more urgent calls up to which less urgent ones may fill the queues. With nearly empty queues
+     * the less urgent calls would be refused while capacity is left, and the others would gain hardly anything.
      */
     private static final double QUEUE_SLACK_SHARE = 0.5;
     /** Calls of a group with a known outcome below which it is neutral. */
--- a/src/test/java/org/cuminshelf/direct/UpstreamOutliersTest.java
+++ b/src/test/java/org/cuminshelf/direct/UpstreamOutliersTest.java
@@ -347,4 +347,28 @@
             entry.advance(1_000);
         }
     }
+
+    /*
+     * Guards against late calls that are sent under overload, as an engine which is avoided for its errors is idle and
+     * so makes engine time look free.
+     */
+    @Example
+    void anOutlierThatIsIdleDoesNotMakeLateCallsBeSent() {
+        DirectFixture entry = entry(RequestKind.STREAM, 1, 0);
+        for (String engine : List.of("d0", "d1")) {
+            entry.addUpstream(engine, Role.ROLE_DECODE);
+            entry.reportPrefillTimes(engine, Role.ROLE_DECODE, 5, 2_000 / 85.0);
+        }
+        entry.reportLoad(EntryLoad.newBuilder()
+                .addUpstreams(
+                        UpstreamLoad.newBuilder().setId("d1").setAnswers(20).setErrors(20)));
+        entry.sentRequests.clear();
+        for (int call = 0; call < 20; call++) {
+            entry.sendRequest("late" + call, "Tokens", "4000");
+        }
+        entry.advance(100);
+        assertThat(entry.sentRequests.stream().filter(sent -> sent.upstream.equals("d0")))
+                .hasSizeLessThan(7);
+        assertThat(entry.linesWith("outcome=not-run", "too-dear")).hasSizeGreaterThan(10);
+    }
 }
--- a/src/test/java/org/cuminshelf/returns/ReturnScheduleTest.java
+++ b/src/test/java/org/cuminshelf/returns/ReturnScheduleTest.java
@@ -83,6 +83,15 @@
         assertThat(any.retryAfterMillis(now, priority, 3_000, LATEST_MILLIS)).isEqualTo(3_000);
     }
 
+    /* Guards against one caller of a rate-limited upstream behind whose late time all other callers are sent. */
+    @Example
+    void aLateEarliestTimeDoesNotMoveOtherCallersBehindIt() {
+        sendCalls(40);
+        assertThat(schedule.retryAfterMillis(now, USUAL, 30_000, LATEST_MILLIS)).isEqualTo(30_000);
+        assertThat(schedule.retryAfterMillis(now, USUAL, 1_500, LATEST_MILLIS)).isEqualTo(1_500);
+        assertThat(refuse(USUAL)).isLessThan(EARLIEST_MILLIS + 200);
+    }
+
     /* Guards against a schedule that stays full after a burst: its times pass whether or not the callers returned. */
     @Example
     void aScheduleIsEmptyOnceItsTimesHavePassed() {
