--- a/src/main/java/org/cuminshelf/shares/ServiceShares.java
+++ b/src/main/java/org/cuminshelf/shares/ServiceShares.java
@@ -22,6 +22,8 @@
 
     /** Share of the service's share below which a group is owed: a group above is served within its callers' retry. */
     private static final double OWED_SHARE = 0.5;
+    /** The same for organisations, whose few calls at an entry make their shares lag behind, so that half is kept. */
+    private static final double OWED_ORGANISATION_SHARE = 0.6;
     /** The same below which no kind yields, so that those that yield do not become owed. */
     private static final double MIN_YIELDING_SHARE = 0.7;
     /**
@@ -101,7 +103,8 @@
     }
 
     Standing standing(long now, CallKind kind, ShareTally kindTally, Optional<ShareTally> organisationTally) {
-        Optional<Standing> owed = organisationTally.flatMap(tally -> owed(now, tally, allOfOrganisations));
+        Optional<Standing> owed =
+                organisationTally.flatMap(tally -> owed(now, tally, allOfOrganisations, OWED_ORGANISATION_SHARE));
         return owed.orElseGet(() -> standingOfKind(now, kind, kindTally));
     }
 
@@ -111,7 +114,7 @@
         if (!hasOtherPriorities || !isKnown(tally)) {
             return new Standing.Neutral(share);
         }
-        Optional<Standing> owed = owed(now, tally, all);
+        Optional<Standing> owed = owed(now, tally, all, OWED_SHARE);
         if (owed.isPresent()) {
             return owed.get();
         }
@@ -123,10 +126,10 @@
         return isBehindAny(now, kind, tally) ? new Standing.Preferred(share) : new Standing.Neutral(share);
     }
 
-    private static Optional<Standing> owed(long now, ShareTally tally, ShareTally overall) {
+    private static Optional<Standing> owed(long now, ShareTally tally, ShareTally overall, double minShare) {
         double overallShare = overallShare(now, overall);
         double share = tally.share(now, overallShare, FLOOR_PRIOR_CALLS);
-        return isKnown(tally) && ofRequests(share) < OWED_SHARE * ofRequests(overallShare)
+        return isKnown(tally) && ofRequests(share) < minShare * ofRequests(overallShare)
                 ? Optional.of(new Standing.Owed(share))
                 : Optional.empty();
     }
