Speeds of engines are compared by their current factors again

A test of engines that differ clearly from one moment to the next failed with the factors of the last ten seconds: the other engine was chosen until its history had faded. That the noise of current factors passes for different speeds where engines are alike stays a suspicion of the review, without a run that shows it.

--- a/src/main/java/org/cuminshelf/direct/GapForecasts.java
+++ b/src/main/java/org/cuminshelf/direct/GapForecasts.java
@@ -120,7 +120,7 @@
             double highestLog = -Double.MAX_VALUE;
             for (UpstreamInstance engine : engines) {
                 if (engine.generatesTokens()) {
-                    double log = Math.log(model.usualRelativeFactor(engine.id, now));
+                    double log = Math.log(model.relativeFactor(engine.id, now));
                     lowestLog = Math.min(lowestLog, log);
                     highestLog = Math.max(highestLog, log);
                 }
--- a/src/main/java/org/cuminshelf/engines/StreamIntervalModel.java
+++ b/src/main/java/org/cuminshelf/engines/StreamIntervalModel.java
@@ -210,20 +210,6 @@
         return Math.exp(logFactor(engine, now) - serviceLog(now));
     }
 
-    /**
-     * Returns the factor by which an engine's intervals exceed the mean of its service as a rule: over some seconds, so
-     * that single slow intervals hardly count.
-     *
-     * @param engine the name of the engine
-     * @param now    the time in nanoseconds
-     * @return the factor, above 1 for an engine that is slower; 1 without observations
-     */
-    public double usualRelativeFactor(String engine, long now) {
-        EngineIntervalFactor known = factors.get(engine);
-        double serviceLog = serviceLog(now);
-        return known == null ? 1 : Math.exp(known.usualLog(now, serviceLog) - serviceLog);
-    }
-
     private double logFactor(String engine, long now) {
         EngineIntervalFactor known = factors.get(engine);
         return known == null ? serviceLog(now) : known.logFactor(now, serviceLog(now));
