Upstreams that accept no connection are outliers, and outliers don't attract calls when the others are busy

Connections that can't be established now count as errors, the cost of an outlier outweighs what a call may cost the streams of a sound engine, and a connection request to an upstream is given up after 300 ms in place of 700 ms, as the request has not run and goes elsewhere.

--- a/src/main/java/org/cuminshelf/direct/CallDispatcher.java
+++ b/src/main/java/org/cuminshelf/direct/CallDispatcher.java
@@ -290,6 +290,7 @@
         @Override
         public void onConnectionFailed(long now, DirectAttempt attempt, boolean requestSent) {
             if (!requestSent) {
+                outliers.onError(now, attempt);
                 forgetUnsentAttempt(now, attempt);
                 onAttemptFailed(
                         now,
--- a/src/main/java/org/cuminshelf/direct/UpstreamOutliers.java
+++ b/src/main/java/org/cuminshelf/direct/UpstreamOutliers.java
@@ -35,6 +35,8 @@
      * take place otherwise, and less than a late answer costs.
      */
     private static final double TRIAL_BENEFIT = 0.3;
+    /** Factor on the cost of an outlier: more streams than an engine usually makes late by one more call. */
+    private static final double OUTLIER_COST_FACTOR = 20;
     /** Time after which other entries have heard of an outcome, in reports without urgency. */
     private static final long MIN_REPORT_NANOS = Durations.nanos(100);
     /** Report intervals for each entry over which trials are spread, so that seldom two entries send one at once. */
@@ -75,10 +77,15 @@
 
     /**
      * Returns what the errors of an upstream add to the cost of sending a call there, in answers. It is negative for a
-     * trial, so that one takes place even if other upstreams are slightly cheaper.
+     * trial, so that one takes place even if other upstreams are slightly cheaper. For another call at an outlier it
+     * exceeds what the call may cost the streams at a sound one: an outlier is idle, so that it would attract all calls
+     * as soon as the others are busy.
      */
     double cost(long now, UpstreamInstance upstream, DirectCall call) {
-        return mayTry(now, upstream, call) ? -TRIAL_BENEFIT : expectedLoss(now, upstream, call);
+        if (mayTry(now, upstream, call)) {
+            return -TRIAL_BENEFIT;
+        }
+        return expectedLoss(now, upstream, call) * (upstream.outlier ? OUTLIER_COST_FACTOR : 1);
     }
 
     /** Returns the expected loss of value by errors of an upstream if a call is sent there, in answers. */
--- a/src/main/java/org/cuminshelf/exchange/UpstreamConnections.java
+++ b/src/main/java/org/cuminshelf/exchange/UpstreamConnections.java
@@ -45,7 +45,12 @@
     /** Idle timeout if the upstream announced none; shorter than that of common servers. */
     private static final long DEFAULT_IDLE_TIMEOUT_MILLIS = 2_000;
 
-    private static final Duration CONNECT_TIMEOUT = Duration.ofMillis(700);
+    /**
+     * Longer than a round trip between regions. A request whose connection is not established has not run, so that it
+     * goes elsewhere while its caller still gets an answer in time.
+     */
+    private static final Duration CONNECT_TIMEOUT = Duration.ofMillis(300);
+
     private static final long NANOS_PER_SECOND = 1_000_000_000L;
     private static final int MAX_THREADS = 6;
     private static final int MIN_THREADS = 2;
--- a/src/test/java/org/cuminshelf/direct/UpstreamOutliersTest.java
+++ b/src/test/java/org/cuminshelf/direct/UpstreamOutliersTest.java
@@ -371,4 +371,30 @@
                 .hasSizeLessThan(7);
         assertThat(entry.linesWith("outcome=not-run", "too-dear")).hasSizeGreaterThan(10);
     }
+
+    /*
+     * Guards against requests that are sent one after the other to an engine that answers no connection request: it
+     * looks idle, and each of them loses the time of a connection timeout.
+     */
+    @Example
+    void anEngineThatAcceptsNoConnectionGetsAFewRequestsOnly() {
+        DirectFixture entry = entry(RequestKind.STREAM, 1, 4);
+        int refused = 0;
+        int handled = 0;
+        for (int request = 0; request < 200; request++) {
+            entry.sendRequest("r" + request, "Tokens", "400");
+            while (handled < entry.sentRequests.size()) {
+                DirectFixture.SentRequest sent = entry.sentRequests.get(handled++);
+                if (sent.upstream.equals("u1")) {
+                    refused++;
+                    sent.handler.onFailed(false, "no connection");
+                } else {
+                    sent.respond(200, EVENT);
+                }
+            }
+            entry.advance(10);
+        }
+        // Two show the fault, and one in 0.5 s shows whether it lasts.
+        assertThat(refused).isLessThan(9);
+    }
 }
