--- a/src/main/java/org/cuminshelf/shares/ServiceShares.java
+++ b/src/main/java/org/cuminshelf/shares/ServiceShares.java
@@ -118,7 +118,7 @@
         if (owed.isPresent()) {
             return owed.get();
         }
-        OptionalDouble maxQueueMillis = maxQueueMillis(now, kind);
+        OptionalDouble maxQueueMillis = maxQueueMillis(now, kind, tally);
         if (maxQueueMillis.isPresent()) {
             boolean mayYield = ofRequests(share) >= MIN_YIELDING_SHARE * ofRequests(overallShare(now, all));
             return mayYield ? new Standing.Yielding(share, maxQueueMillis.getAsDouble()) : new Standing.Neutral(share);
@@ -143,9 +143,11 @@
      * calls, in milliseconds; empty if none does. The more of them there are, the shorter it is, so that the least
      * urgent kind is held first.
      */
-    private OptionalDouble maxQueueMillis(long now, CallKind kind) {
+    private OptionalDouble maxQueueMillis(long now, CallKind kind, ShareTally tally) {
         DoubleSummaryStatistics slacks = kinds.entrySet().stream()
-                .filter(other -> other.getKey().isMoreUrgentThan(kind) && isShort(now, other.getValue()))
+                .filter(other -> other.getKey().isMoreUrgentThan(kind)
+                        && losesCalls(now, other.getValue())
+                        && !isAhead(now, other.getValue(), tally))
                 .mapToDouble(other -> other.getValue().slackMillis())
                 .summaryStatistics();
         return slacks.getCount() == 0
@@ -153,12 +155,18 @@
                 : OptionalDouble.of(QUEUE_SLACK_SHARE * slacks.getMin() / slacks.getCount());
     }
 
-    private boolean isShort(long now, ShareTally tally) {
+    private boolean losesCalls(long now, ShareTally tally) {
         return isKnown(tally)
                 && (comparedShare(now, tally) < 1 - MAX_DEFICIT
                         || comparedValueShare(now, tally) < 1 - MAX_VALUE_DEFICIT);
     }
 
+    /** Returns whether a kind already gets more than a less urgent one, of its calls and of their value. */
+    private boolean isAhead(long now, ShareTally urgent, ShareTally lessUrgent) {
+        return comparedShare(now, urgent) > comparedShare(now, lessUrgent)
+                && comparedValueShare(now, urgent) > comparedValueShare(now, lessUrgent);
+    }
+
     /** Returns whether a kind is behind a less urgent one. */
     private boolean isBehindAny(long now, CallKind kind, ShareTally tally) {
         return kinds.entrySet().stream()
