--- a/src/test/java/org/cuminshelf/shares/ServiceSharesTest.java
+++ b/src/test/java/org/cuminshelf/shares/ServiceSharesTest.java
@@ -84,6 +84,16 @@
         assertThat(standing(USUAL)).isInstanceOf(Standing.Neutral.class);
     }
 
+    /* Guards against refusing more calls of the kind that is served worst, for others that are served better. */
+    @Example
+    void aKindThatIsServedWorseThanAllMoreUrgentOnesDoesNotYield() {
+        end(20, 16, USUAL);
+        end(20, 13, LAST);
+        assertThat(standing(LAST)).isInstanceOf(Standing.Neutral.class);
+        end(10, 10, LAST);
+        assertThat(standing(LAST)).isInstanceOf(Standing.Yielding.class);
+    }
+
     /* Guards against an urgent kind of which all are answered, but late, while others are in time. */
     @Example
     void aKindOfWhichManyAnswersAreLateIsPreferred() {
