--- a/src/main/java/org/cuminshelf/direct/AdmissionControl.java
+++ b/src/main/java/org/cuminshelf/direct/AdmissionControl.java
@@ -135,7 +135,7 @@
         if (yields(now, call, choice)) {
             return queuesForCapacity(now, call, ownMillis) ? WAIT : refuse(call, choice, YIELDS_REASON);
         }
-        boolean waits = choice.queueMillis() > MAX_ENGINE_QUEUE_MILLIS || choice.harmsOthers();
+        boolean waits = choice.queueMillis() > MAX_ENGINE_QUEUE_MILLIS || choice.outweighedByGaps();
         if (waits && queuesForCapacity(now, call, ownMillis)) {
             return WAIT;
         }
@@ -274,7 +274,7 @@
     private Decision sendUnlessLate(long now, DirectCall call, UpstreamSelector.Choice choice) {
         double firstEventMillis = Durations.millis(now - call.arrivedAtNanos) + choice.firstEventMillis();
         boolean firstInTime = firstEventMillis <= call.route.targetLatencyMillis();
-        boolean inTime = firstInTime && choice.keepsGaps();
+        boolean inTime = firstInTime && choice.withinGapLimits();
         if (call.lastAttempt != null
                 || inTime
                 || choice.netValue() > 0
--- a/src/main/java/org/cuminshelf/direct/AdmissionQueue.java
+++ b/src/main/java/org/cuminshelf/direct/AdmissionQueue.java
@@ -12,13 +12,13 @@
 import org.cuminshelf.shares.Standing;
 
 /**
- * Calls that cannot be sent now but probably soon, ordered by the time at which they must be sent.
+ * Calls that cannot be sent now but probably soon, ordered by priority and by the time at which they must be sent.
  *
  * <p>Smooths clustered arrivals, during which more prompts or streams arrive within a tenth of a second than engines
- * accept. Engines prefill admitted prompts in order of arrival, so a prompt queued there cannot be overtaken by a more
- * urgent one. Here the most urgent calls are first, of equal priority the call that must start soonest, and calls that
- * can no longer be in time last; groups that have got less than their share precede them. A slot
- * is released every few milliseconds, so that a short wait avoids most refusals of such a cluster.
+ * accept. Engines prefill prompts of one priority in order of arrival, so a prompt queued there cannot be overtaken by
+ * one that must start sooner. Here calls of kinds and organisations that have got less than their share are first, then
+ * the most urgent ones. Of equal priority the call that must start soonest is first, and calls that can no longer be in
+ * time are last. A slot is released every few milliseconds, so that a short wait avoids most refusals of a cluster.
  *
  * <p>Calls whose attempt has failed and whose refusal would lose work come before all others, and wait as long as their
  * callers do.
--- a/src/main/java/org/cuminshelf/direct/DirectCore.java
+++ b/src/main/java/org/cuminshelf/direct/DirectCore.java
@@ -499,8 +499,8 @@
      *
      * @return their number
      */
-    public long outlierTrials() {
-        return outliers.trialCount();
+    public long requestsToOutliers() {
+        return outliers.sentToOutlierCount();
     }
 
     /**
--- a/src/main/java/org/cuminshelf/direct/SilentUpstreams.java
+++ b/src/main/java/org/cuminshelf/direct/SilentUpstreams.java
@@ -41,8 +41,8 @@
 
     /**
      * Returns the ids of the upstreams of a service that may be silent too while one is, because nothing was received
-     * from them lately. Empty while none of them is awaited: then nothing speaks for a common cause, and waiting would
-     * not tell more.
+     * from them lately. Empty while none of them is awaited: there is no sign of a common cause then, and waiting would
+     * bring none.
      *
      * @param now     the time in nanoseconds
      * @param service the service
--- a/src/main/java/org/cuminshelf/direct/UpstreamOutliers.java
+++ b/src/main/java/org/cuminshelf/direct/UpstreamOutliers.java
@@ -58,7 +58,7 @@
     private final Map<String, DirectAttempt> trials = new HashMap<>();
 
     private long errors;
-    private long sentTrials;
+    private long sentToOutliers;
 
     UpstreamOutliers(
             UpstreamTable upstreams,
@@ -118,7 +118,7 @@
         if (!outliers.containsKey(id)) {
             return;
         }
-        sentTrials++;
+        sentToOutliers++;
         trials.put(id, attempt);
         trialGate.onSent(id, now);
         log.note("attempt", attempt.call.intent.id(), "upstream", id, "outcome", "sent-to-outlier");
@@ -281,7 +281,7 @@
     }
 
     /** Number of requests that this entry has sent to outliers. */
-    long trialCount() {
-        return sentTrials;
+    long sentToOutlierCount() {
+        return sentToOutliers;
     }
 }
--- a/src/main/java/org/cuminshelf/direct/UpstreamSelector.java
+++ b/src/main/java/org/cuminshelf/direct/UpstreamSelector.java
@@ -43,8 +43,8 @@
      * @param prefixSource another engine from which the upstream may fetch cached segments of the prompt that it lacks
      * @param gaps         the expected gaps between its events; if it is only prefilled there, at the best engine that
      *                     can generate the answer
-     * @param keepsGaps    whether its gaps are expected to be in time, and the harm to other streams is no greater than
-     *                     the value of its answer
+     * @param withinGapLimits whether its gaps are expected to be in time, and the harm to other streams is no greater
+     *                     than the value of its answer
      * @param netValue     expected value of the answer less the price of the engine's time and the harm to other
      *                     streams, in answers of usual size
      */
@@ -54,7 +54,7 @@
             PromptEstimate estimate,
             Optional<UpstreamInstance> prefixSource,
             GapForecast gaps,
-            boolean keepsGaps,
+            boolean withinGapLimits,
             double netValue) {
 
         private static Choice of(UpstreamInstance upstream, double firstEventMillis, GapForecast gaps) {
@@ -70,9 +70,9 @@
             return estimate.queueMillis();
         }
 
-        /** Whether the answer is worth less than the engine's time and the gaps that it causes in other streams. */
-        boolean harmsOthers() {
-            return !keepsGaps && netValue <= 0;
+        /** Whether the answer is worth less than the engine's time and the gaps, its own and those that it causes. */
+        boolean outweighedByGaps() {
+            return !withinGapLimits && netValue <= 0;
         }
     }
 
--- a/src/main/java/org/cuminshelf/process/DirectEntryProcess.java
+++ b/src/main/java/org/cuminshelf/process/DirectEntryProcess.java
@@ -247,9 +247,9 @@
                 locked(core::upstreamErrors));
         EntryProcess.registerGauge(
                 registry,
-                "cuminshelf_outlier_trials",
+                "cuminshelf_requests_to_outliers",
                 "Requests sent to outlier upstreams since the start.",
-                locked(core::outlierTrials));
+                locked(core::requestsToOutliers));
         EntryProcess.registerGauge(
                 registry,
                 "cuminshelf_slow_plain_upstreams",
--- a/src/test/java/org/cuminshelf/direct/UpstreamOutliersTest.java
+++ b/src/test/java/org/cuminshelf/direct/UpstreamOutliersTest.java
@@ -238,7 +238,7 @@
         assertThat(entry.lastSent().upstream).isEqualTo("u2");
         entry.lastSent().respond(200, "x");
         assertThat(response.status).isEqualTo(200);
-        assertThat(entry.core.outlierTrials()).isEqualTo(1);
+        assertThat(entry.core.requestsToOutliers()).isEqualTo(1);
     }
 
     /** Guards against entries that each lose requests to learn what another one knows. */
