Queues of prompts and reports cost less processor time

The estimate of a queue sorted all prompts by priority in each of several estimates for each engine and decision, event and report; it does so only where a less urgent prompt waits there. Reports without intervals are skipped, and the size of a queue is counted rather than sorted.

--- a/src/main/java/org/cuminshelf/direct/EventIntervals.java
+++ b/src/main/java/org/cuminshelf/direct/EventIntervals.java
@@ -118,6 +118,9 @@
     }
 
     private void onReport(long now, UpstreamInstance upstream, UpstreamLoad load) {
+        if (load.getIntervals() <= 0 && load.getAwaitedUs() <= 0) {
+            return;
+        }
         updatePrefill(now, upstream);
         if (load.getIntervals() > 0) {
             modelOf(upstream)
--- a/src/main/java/org/cuminshelf/engines/PromptQueue.java
+++ b/src/main/java/org/cuminshelf/engines/PromptQueue.java
@@ -67,6 +67,11 @@
     /** All prompts in the order in which they were sent; empty after a change, until the next query. */
     private Optional<List<PendingPrompt>> sortedPrompts = Optional.empty();
 
+    /** Number of {@link #remotePrompts} of all entries. */
+    private int remoteCount;
+    /** Priority of the least urgent of the sorted prompts. */
+    private int lowestPriority;
+
     private long lastPrefilledAt = Long.MIN_VALUE / 2;
 
     private PromptQueue() {}
@@ -120,6 +125,7 @@
     public void setRemotePrompts(Address entry, List<PendingPrompt> prompts) {
         List<PendingPrompt> before =
                 prompts.isEmpty() ? remotePrompts.remove(entry) : remotePrompts.put(entry, prompts);
+        remoteCount += prompts.size() - (before == null ? 0 : before.size());
         if (before != null || !prompts.isEmpty()) {
             sortedPrompts = Optional.empty();
         }
@@ -149,7 +155,7 @@
      * @return their number
      */
     public int size() {
-        return inSendOrder().size();
+        return localPrompts.size() + remoteCount;
     }
 
     /**
@@ -176,8 +182,11 @@
             return 0;
         }
         double freeMillis = (lastPrefilledAt - now) / NANOS_PER_MILLI - latencyMillis;
-        PriorityQueue<PendingPrompt> waiting = new PriorityQueue<>(SERVICE_ORDER);
         List<PendingPrompt> unsent = inSendOrder();
+        if (lowestPriority <= priority) {
+            return waitForAllMillis(now, freeMillis, unsent, latencyMillis);
+        }
+        PriorityQueue<PendingPrompt> waiting = new PriorityQueue<>(SERVICE_ORDER);
         int nextUnsent = 0;
         while (nextUnsent < unsent.size() || !waiting.isEmpty()) {
             if (waiting.isEmpty()) {
@@ -196,6 +205,16 @@
         return Math.max(0, freeMillis);
     }
 
+    /** Returns the same if all prompts precede the new one, so that their order among each other does not matter. */
+    private static double waitForAllMillis(
+            long now, double freeMillis, List<PendingPrompt> prompts, double latencyMillis) {
+        double endMillis = freeMillis;
+        for (PendingPrompt prompt : prompts) {
+            endMillis = endMillis(Math.max(endMillis, millisFrom(now, prompt)), prompt, latencyMillis);
+        }
+        return Math.max(0, endMillis);
+    }
+
     private static double millisFrom(long now, PendingPrompt prompt) {
         return (prompt.sentAt - now) / NANOS_PER_MILLI;
     }
@@ -219,6 +238,7 @@
         List<PendingPrompt> all = new ArrayList<>(localPrompts.values());
         remotePrompts.values().forEach(all::addAll);
         all.sort(Comparator.comparingLong(PendingPrompt::sentAt));
+        lowestPriority = all.stream().mapToInt(PendingPrompt::priority).max().orElse(0);
         return all;
     }
 }
