--- a/src/main/java/org/cuminshelf/direct/LoadGossip.java
+++ b/src/main/java/org/cuminshelf/direct/LoadGossip.java
@@ -76,6 +76,12 @@
     private final List<TakenPrompt> prefilledPrompts = new ArrayList<>();
     private long nextReportAt;
     private long lastReportAt;
+    /**
+     * When intervals between events were last reported. They are not part of each report of a sent prompt: with few
+     * entries there are hundreds of these in a second, and every receiver updates a model for each engine in them.
+     */
+    private long lastIntervalsAt;
+
     private int otherEntries;
     private boolean lastReportNonEmpty;
 
@@ -99,6 +105,7 @@
         this.serviceTimes = serviceTimes;
         this.nextReportAt = now;
         this.lastReportAt = now;
+        this.lastIntervalsAt = now - REPORT_INTERVAL_NANOS;
     }
 
     // ---- reports of this entry
@@ -170,12 +177,14 @@
         lastReportAt = now;
         otherEntries = Math.max(0, entries.size() - 1);
         nextReportAt = now + Math.max(REPORT_INTERVAL_NANOS, minIntervalNanos());
+        boolean withIntervals = now - lastIntervalsAt >= REPORT_INTERVAL_NANOS;
+        lastIntervalsAt = withIntervals ? now : lastIntervalsAt;
         EntryLoad.Builder load = EntryLoad.newBuilder().addAllSent(sentPrompts).addAllTaken(prefilledPrompts);
         upstreams.instances().stream()
                 .filter(upstream -> upstream.localAttempts > 0
-                        || upstream.eventWaits.hasUnreported()
+                        || withIntervals && upstream.eventWaits.hasUnreported()
                         || unreportedOutcomes.contains(upstream.id))
-                .forEach(upstream -> load.addUpstreams(upstreamLoad(now, upstream)));
+                .forEach(upstream -> load.addUpstreams(upstreamLoad(now, upstream, withIntervals)));
         boolean hasBackpressure = addBackpressure(now, load);
         boolean isNonEmpty = load.getUpstreamsCount() > 0 || !prefilledPrompts.isEmpty() || hasBackpressure;
         sentPrompts.clear();
@@ -214,7 +223,7 @@
         return load.getLimitsCount() + load.getDemandsCount() + load.getRestsCount() + load.getLeavingCount() > 0;
     }
 
-    private UpstreamLoad upstreamLoad(long now, UpstreamInstance upstream) {
+    private UpstreamLoad upstreamLoad(long now, UpstreamInstance upstream, boolean withIntervals) {
         UpstreamLoad.Builder load = UpstreamLoad.newBuilder()
                 .setId(upstream.id)
                 .setRunning(upstream.localAttempts)
@@ -226,7 +235,9 @@
                     .setPriority(prompt.priority()));
         }
         unreportedOutcomes.addTo(load);
-        eventIntervals.addTo(now, upstream, load);
+        if (withIntervals) {
+            eventIntervals.addTo(now, upstream, load);
+        }
         return load.build();
     }
 
