--- a/src/main/java/org/cuminshelf/message/EntryLoad.java
+++ b/src/main/java/org/cuminshelf/message/EntryLoad.java
@@ -27,6 +27,7 @@
     rests_ = emptyProtobufList();
     leaving_ = com.google.protobuf.GeneratedMessageLite.emptyProtobufList();
     traffic_ = emptyProtobufList();
+    waitingStreams_ = emptyProtobufList();
   }
   public static final int UPSTREAMS_FIELD_NUMBER = 1;
   private com.google.protobuf.Internal.ProtobufList<org.cuminshelf.message.UpstreamLoad> upstreams_;
@@ -1102,6 +1103,147 @@
     traffic_.remove(index);
   }
 
+  public static final int WAITING_STREAMS_FIELD_NUMBER = 9;
+  private com.google.protobuf.Internal.ProtobufList<org.cuminshelf.message.WaitingStreams> waitingStreams_;
+  /**
+   * <pre>
+   * Begun streams that wait at the entry for room at the only software version that may continue them.
+   * </pre>
+   *
+   * <code>repeated .cuminshelf.WaitingStreams waiting_streams = 9;</code>
+   */
+  @java.lang.Override
+  public java.util.List<org.cuminshelf.message.WaitingStreams> getWaitingStreamsList() {
+    return waitingStreams_;
+  }
+  /**
+   * <pre>
+   * Begun streams that wait at the entry for room at the only software version that may continue them.
+   * </pre>
+   *
+   * <code>repeated .cuminshelf.WaitingStreams waiting_streams = 9;</code>
+   */
+  public java.util.List<? extends org.cuminshelf.message.WaitingStreamsOrBuilder> 
+      getWaitingStreamsOrBuilderList() {
+    return waitingStreams_;
+  }
+  /**
+   * <pre>
+   * Begun streams that wait at the entry for room at the only software version that may continue them.
+   * </pre>
+   *
+   * <code>repeated .cuminshelf.WaitingStreams waiting_streams = 9;</code>
+   */
+  @java.lang.Override
+  public int getWaitingStreamsCount() {
+    return waitingStreams_.size();
+  }
+  /**
+   * <pre>
+   * Begun streams that wait at the entry for room at the only software version that may continue them.
+   * </pre>
+   *
+   * <code>repeated .cuminshelf.WaitingStreams waiting_streams = 9;</code>
+   */
+  @java.lang.Override
+  public org.cuminshelf.message.WaitingStreams getWaitingStreams(int index) {
+    return waitingStreams_.get(index);
+  }
+  /**
+   * <pre>
+   * Begun streams that wait at the entry for room at the only software version that may continue them.
+   * </pre>
+   *
+   * <code>repeated .cuminshelf.WaitingStreams waiting_streams = 9;</code>
+   */
+  public org.cuminshelf.message.WaitingStreamsOrBuilder getWaitingStreamsOrBuilder(
+      int index) {
+    return waitingStreams_.get(index);
+  }
+  private void ensureWaitingStreamsIsMutable() {
+    com.google.protobuf.Internal.ProtobufList<org.cuminshelf.message.WaitingStreams> tmp = waitingStreams_;
+    if (!tmp.isModifiable()) {
+      waitingStreams_ =
+          com.google.protobuf.GeneratedMessageLite.mutableCopy(tmp);
+     }
+  }
+
+  /**
+   * <pre>
+   * Begun streams that wait at the entry for room at the only software version that may continue them.
+   * </pre>
+   *
+   * <code>repeated .cuminshelf.WaitingStreams waiting_streams = 9;</code>
+   */
+  @java.lang.SuppressWarnings("ReturnValueIgnored")
+  private void setWaitingStreams(
+      int index, org.cuminshelf.message.WaitingStreams value) {
+    value.getClass();  // minimal bytecode null check
+    ensureWaitingStreamsIsMutable();
+    waitingStreams_.set(index, value);
+  }
+  /**
+   * <pre>
+   * Begun streams that wait at the entry for room at the only software version that may continue them.
+   * </pre>
+   *
+   * <code>repeated .cuminshelf.WaitingStreams waiting_streams = 9;</code>
+   */
+  @java.lang.SuppressWarnings("ReturnValueIgnored")
+  private void addWaitingStreams(org.cuminshelf.message.WaitingStreams value) {
+    value.getClass();  // minimal bytecode null check
+    ensureWaitingStreamsIsMutable();
+    waitingStreams_.add(value);
+  }
+  /**
+   * <pre>
+   * Begun streams that wait at the entry for room at the only software version that may continue them.
+   * </pre>
+   *
+   * <code>repeated .cuminshelf.WaitingStreams waiting_streams = 9;</code>
+   */
+  @java.lang.SuppressWarnings("ReturnValueIgnored")
+  private void addWaitingStreams(
+      int index, org.cuminshelf.message.WaitingStreams value) {
+    value.getClass();  // minimal bytecode null check
+    ensureWaitingStreamsIsMutable();
+    waitingStreams_.add(index, value);
+  }
+  /**
+   * <pre>
+   * Begun streams that wait at the entry for room at the only software version that may continue them.
+   * </pre>
+   *
+   * <code>repeated .cuminshelf.WaitingStreams waiting_streams = 9;</code>
+   */
+  private void addAllWaitingStreams(
+      java.lang.Iterable<? extends org.cuminshelf.message.WaitingStreams> values) {
+    ensureWaitingStreamsIsMutable();
+    com.google.protobuf.AbstractMessageLite.addAll(
+        values, waitingStreams_);
+  }
+  /**
+   * <pre>
+   * Begun streams that wait at the entry for room at the only software version that may continue them.
+   * </pre>
+   *
+   * <code>repeated .cuminshelf.WaitingStreams waiting_streams = 9;</code>
+   */
+  private void clearWaitingStreams() {
+    waitingStreams_ = emptyProtobufList();
+  }
+  /**
+   * <pre>
+   * Begun streams that wait at the entry for room at the only software version that may continue them.
+   * </pre>
+   *
+   * <code>repeated .cuminshelf.WaitingStreams waiting_streams = 9;</code>
+   */
+  private void removeWaitingStreams(int index) {
+    ensureWaitingStreamsIsMutable();
+    waitingStreams_.remove(index);
+  }
+
   public static org.cuminshelf.message.EntryLoad parseFrom(
       java.nio.ByteBuffer data)
       throws com.google.protobuf.InvalidProtocolBufferException {
@@ -2333,6 +2475,156 @@
       return this;
     }
 
+    /**
+     * <pre>
+     * Begun streams that wait at the entry for room at the only software version that may continue them.
+     * </pre>
+     *
+     * <code>repeated .cuminshelf.WaitingStreams waiting_streams = 9;</code>
+     */
+    @java.lang.Override
+    public java.util.List<org.cuminshelf.message.WaitingStreams> getWaitingStreamsList() {
+      return java.util.Collections.unmodifiableList(
+          instance.getWaitingStreamsList());
+    }
+    /**
+     * <pre>
+     * Begun streams that wait at the entry for room at the only software version that may continue them.
+     * </pre>
+     *
+     * <code>repeated .cuminshelf.WaitingStreams waiting_streams = 9;</code>
+     */
+    @java.lang.Override
+    public int getWaitingStreamsCount() {
+      return instance.getWaitingStreamsCount();
+    }/**
+     * <pre>
+     * Begun streams that wait at the entry for room at the only software version that may continue them.
+     * </pre>
+     *
+     * <code>repeated .cuminshelf.WaitingStreams waiting_streams = 9;</code>
+     */
+    @java.lang.Override
+    public org.cuminshelf.message.WaitingStreams getWaitingStreams(int index) {
+      return instance.getWaitingStreams(index);
+    }
+    /**
+     * <pre>
+     * Begun streams that wait at the entry for room at the only software version that may continue them.
+     * </pre>
+     *
+     * <code>repeated .cuminshelf.WaitingStreams waiting_streams = 9;</code>
+     */
+    public Builder setWaitingStreams(
+        int index, org.cuminshelf.message.WaitingStreams value) {
+      copyOnWrite();
+      instance.setWaitingStreams(index, value);
+      return this;
+    }
+    /**
+     * <pre>
+     * Begun streams that wait at the entry for room at the only software version that may continue them.
+     * </pre>
+     *
+     * <code>repeated .cuminshelf.WaitingStreams waiting_streams = 9;</code>
+     */
+    public Builder setWaitingStreams(
+        int index, org.cuminshelf.message.WaitingStreams.Builder builderForValue) {
+      copyOnWrite();
+      instance.setWaitingStreams(index,
+          builderForValue.build());
+      return this;
+    }
+    /**
+     * <pre>
+     * Begun streams that wait at the entry for room at the only software version that may continue them.
+     * </pre>
+     *
+     * <code>repeated .cuminshelf.WaitingStreams waiting_streams = 9;</code>
+     */
+    public Builder addWaitingStreams(org.cuminshelf.message.WaitingStreams value) {
+      copyOnWrite();
+      instance.addWaitingStreams(value);
+      return this;
+    }
+    /**
+     * <pre>
+     * Begun streams that wait at the entry for room at the only software version that may continue them.
+     * </pre>
+     *
+     * <code>repeated .cuminshelf.WaitingStreams waiting_streams = 9;</code>
+     */
+    public Builder addWaitingStreams(
+        int index, org.cuminshelf.message.WaitingStreams value) {
+      copyOnWrite();
+      instance.addWaitingStreams(index, value);
+      return this;
+    }
+    /**
+     * <pre>
+     * Begun streams that wait at the entry for room at the only software version that may continue them.
+     * </pre>
+     *
+     * <code>repeated .cuminshelf.WaitingStreams waiting_streams = 9;</code>
+     */
+    public Builder addWaitingStreams(
+        org.cuminshelf.message.WaitingStreams.Builder builderForValue) {
+      copyOnWrite();
+      instance.addWaitingStreams(builderForValue.build());
+      return this;
+    }
+    /**
+     * <pre>
+     * Begun streams that wait at the entry for room at the only software version that may continue them.
+     * </pre>
+     *
+     * <code>repeated .cuminshelf.WaitingStreams waiting_streams = 9;</code>
+     */
+    public Builder addWaitingStreams(
+        int index, org.cuminshelf.message.WaitingStreams.Builder builderForValue) {
+      copyOnWrite();
+      instance.addWaitingStreams(index,
+          builderForValue.build());
+      return this;
+    }
+    /**
+     * <pre>
+     * Begun streams that wait at the entry for room at the only software version that may continue them.
+     * </pre>
+     *
+     * <code>repeated .cuminshelf.WaitingStreams waiting_streams = 9;</code>
+     */
+    public Builder addAllWaitingStreams(
+        java.lang.Iterable<? extends org.cuminshelf.message.WaitingStreams> values) {
+      copyOnWrite();
+      instance.addAllWaitingStreams(values);
+      return this;
+    }
+    /**
+     * <pre>
+     * Begun streams that wait at the entry for room at the only software version that may continue them.
+     * </pre>
+     *
+     * <code>repeated .cuminshelf.WaitingStreams waiting_streams = 9;</code>
+     */
+    public Builder clearWaitingStreams() {
+      copyOnWrite();
+      instance.clearWaitingStreams();
+      return this;
+    }
+    /**
+     * <pre>
+     * Begun streams that wait at the entry for room at the only software version that may continue them.
+     * </pre>
+     *
+     * <code>repeated .cuminshelf.WaitingStreams waiting_streams = 9;</code>
+     */
+    public Builder removeWaitingStreams(int index) {
+      copyOnWrite();
+      instance.removeWaitingStreams(index);
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:cuminshelf.EntryLoad)
   }
   @java.lang.Override
@@ -2364,10 +2656,12 @@
             "leaving_",
             "traffic_",
             org.cuminshelf.message.ServiceDemand.class,
+            "waitingStreams_",
+            org.cuminshelf.message.WaitingStreams.class,
           };
           java.lang.String info =
-              "\u0000\b\u0000\u0000\u0001\b\b\u0000\b\u0000\u0001\u001b\u0002\u001b\u0003\u001b" +
-              "\u0004\u001b\u0005\u001b\u0006\u001b\u0007\u021a\b\u001b";
+              "\u0000\t\u0000\u0000\u0001\t\t\u0000\t\u0000\u0001\u001b\u0002\u001b\u0003\u001b" +
+              "\u0004\u001b\u0005\u001b\u0006\u001b\u0007\u021a\b\u001b\t\u001b";
           return newMessageInfo(DEFAULT_INSTANCE, info, objects);
       }
       case GET_DEFAULT_INSTANCE: {
--- a/src/main/java/org/cuminshelf/message/EntryLoadOrBuilder.java
+++ b/src/main/java/org/cuminshelf/message/EntryLoadOrBuilder.java
@@ -220,4 +220,30 @@
    * <code>repeated .cuminshelf.ServiceDemand traffic = 8;</code>
    */
   int getTrafficCount();
+
+  /**
+   * <pre>
+   * Begun streams that wait at the entry for room at the only software version that may continue them.
+   * </pre>
+   *
+   * <code>repeated .cuminshelf.WaitingStreams waiting_streams = 9;</code>
+   */
+  java.util.List<org.cuminshelf.message.WaitingStreams> 
+      getWaitingStreamsList();
+  /**
+   * <pre>
+   * Begun streams that wait at the entry for room at the only software version that may continue them.
+   * </pre>
+   *
+   * <code>repeated .cuminshelf.WaitingStreams waiting_streams = 9;</code>
+   */
+  org.cuminshelf.message.WaitingStreams getWaitingStreams(int index);
+  /**
+   * <pre>
+   * Begun streams that wait at the entry for room at the only software version that may continue them.
+   * </pre>
+   *
+   * <code>repeated .cuminshelf.WaitingStreams waiting_streams = 9;</code>
+   */
+  int getWaitingStreamsCount();
 }
