Resumptions: six outcomes, each counted, and a reason of its own for a version that only prefills

outcome=unknown did not tell an unanswered question from answers without a record, record not an own one from an answer, and "all places are taken" was the reason also where a version had no engine that generates. Nothing decides otherwise.

--- a/src/main/java/org/cuminshelf/direct/AdmissionControl.java
+++ b/src/main/java/org/cuminshelf/direct/AdmissionControl.java
@@ -166,7 +166,9 @@
         if (allSlotsInUse) {
             call.offeredLoad.ifPresent(OfferedLoad::onRefusedForSlots);
             Verdict.NotRun verdict = new Verdict.NotRun(Cause.OVERLOADED, NO_SLOT_RETRY_AFTER_MILLIS);
-            return new Decision.Refuse(verdict, "all places are taken");
+            boolean noneGenerates = call.origin.isPresent() && !selector.hasGeneratingUpstream(now, call);
+            return new Decision.Refuse(
+                    verdict, noneGenerates ? "no-generating-upstream-of-version" : "all places are taken");
         }
         if (call.origin.isPresent()) {
             Verdict.NotRun verdict = new Verdict.NotRun(Cause.NO_UPSTREAM, NO_VERSION_RETRY_AFTER_MILLIS);
--- a/src/main/java/org/cuminshelf/direct/StreamResumptions.java
+++ b/src/main/java/org/cuminshelf/direct/StreamResumptions.java
@@ -73,7 +73,7 @@
     void add(long now, ResumedStream stream) {
         Optional<StreamRecords.BegunStream> own = records.find(stream.stream());
         if (own.isPresent()) {
-            onRecord(now, stream, own.get());
+            onRecord(now, stream, own.get(), "record-here");
             return;
         }
         long windowNanos = windowNanos(stream);
@@ -130,7 +130,7 @@
             remove(answer.getNumber());
             StreamRecord record = answer.getRecord();
             records.onRecord(now, record);
-            records.find(stream.stream()).ifPresent(begun -> onRecord(now, stream, begun));
+            records.find(stream.stream()).ifPresent(begun -> onRecord(now, stream, begun, "record-by-answer"));
         } else if (stream.unanswered.isEmpty() || stream.onlyCandidate().isPresent()) {
             remove(answer.getNumber());
             decideWithoutRecord(now, stream);
@@ -145,16 +145,16 @@
 
     // ---- outcomes
 
-    private void onRecord(long now, ResumedStream stream, StreamRecords.BegunStream begun) {
+    private void onRecord(long now, ResumedStream stream, StreamRecords.BegunStream begun, String outcome) {
         StreamOrigin origin = new StreamOrigin(begun.version(), StreamOrigin.Source.RECORD, begun.sinceNanos());
-        note(now, stream, origin.source().label(), origin.version(), Durations.millis(now - begun.sinceNanos()));
+        note(now, stream, outcome, origin.version(), Durations.millis(now - begun.sinceNanos()));
         listener.onOriginKnown(now, stream, begun.service(), origin);
     }
 
     private void decideWithoutRecord(long now, ResumedStream stream) {
         Optional<String> only = stream.onlyCandidate();
         if (only.isEmpty()) {
-            note(now, stream, "unknown", "unknown", "none");
+            note(now, stream, unknownOutcome(stream), "unknown", "none");
             listener.onOriginUnknown(now, stream);
             return;
         }
@@ -163,6 +163,14 @@
         listener.onOriginKnown(now, stream, stream.service, origin);
     }
 
+    /** Returns why the version of a stream stays unknown: nobody knows it, an entry may know it, or nobody is sure. */
+    private static String unknownOutcome(ResumedStream stream) {
+        if (!stream.unanswered.isEmpty()) {
+            return "unknown-unanswered";
+        }
+        return stream.candidates.size() == 1 ? "unknown-not-sure" : "unknown-no-record";
+    }
+
     private void note(long now, ResumedStream stream, String outcome, String version, Object ageMillis) {
         log.note(
                 "resumption",
--- a/src/main/java/org/cuminshelf/direct/UpstreamSelector.java
+++ b/src/main/java/org/cuminshelf/direct/UpstreamSelector.java
@@ -201,6 +201,11 @@
         return !openUpstreams(now, call).isEmpty();
     }
 
+    /** Returns whether any upstream available for a call can generate its answer, whether or not it has a free slot. */
+    boolean hasGeneratingUpstream(long now, DirectCall call) {
+        return openUpstreams(now, call).stream().anyMatch(upstream -> canAnswer(upstream, call));
+    }
+
     /** Returns whether every upstream available for a call has as many requests of all entries as slots. */
     boolean allSlotsTaken(long now, DirectCall call) {
         List<UpstreamInstance> open = openUpstreams(now, call);
--- a/src/test/java/org/cuminshelf/direct/StreamResumptionsTest.java
+++ b/src/test/java/org/cuminshelf/direct/StreamResumptionsTest.java
@@ -103,7 +103,8 @@
         assertThat(entry.sentRequests).isEmpty();
         answer(OTHERS[1], StreamAnswer.newBuilder().setRecord(record(NEW)));
         assertThat(entry.lastSent().upstream).isEqualTo("u2");
-        assertThat(entry.linesWith("resumption b", "outcome=record", "version=v1.2", "resumes=a", "age-ms=700"))
+        assertThat(entry.linesWith(
+                        "resumption b", "outcome=record-by-answer", "version=v1.2", "resumes=a", "age-ms=700"))
                 .hasSize(1);
     }
 
@@ -118,6 +119,7 @@
         resume();
         assertThat(queries()).isEmpty();
         assertThat(entry.lastSent().upstream).isEqualTo("u1");
+        assertThat(entry.linesWith("resumption b", "outcome=record-here")).hasSize(1);
     }
 
     /** Guards against the guess that only one version serves, at an entry that has not heard of another one. */
@@ -133,6 +135,7 @@
         assertThat(entry.sentRequests).isEmpty();
         assertThat(response.status).isEqualTo(503);
         assertThat(response.headers.get("Retry-After")).isEqualTo("0.5");
+        assertThat(entry.linesWith("resumption b", "outcome=unknown-no-record")).hasSize(1);
     }
 
     @Example
@@ -162,6 +165,8 @@
         entry.advance(LONGEST_WAIT_MILLIS);
         assertThat(entry.sentRequests).isEmpty();
         assertThat(response.status).isEqualTo(503);
+        assertThat(entry.linesWith("resumption b", "outcome=unknown-unanswered"))
+                .hasSize(1);
     }
 
     /** Guards against a version being forgotten whose last upstream has just gone. */
