Resumptions: holders that have not answered are asked again, and only time in which this process ran counts

Callers saw: streams that they resumed at an entry with an eighth to a quarter of a core were refused unless that entry held the record itself: 0 of 25 that asked, answers=0 unanswered=3 wait-ms=151 to 365 at a limit of 150 (the users' record).

Cause: the holders of a record were asked once, and the wait ended 150 ms later by the clock, in the first tick after this process had stood still, before it read the answers in its sockets. A lost message, a connection that was being made and an own delay all counted as the silence of the holders. The class: own lateness taken for the silence of others.

Now those that have not answered are asked every 100 ms, new holders too, until five rounds have passed that began when they were due; a round that began late does not count, so that the answers that waited meanwhile are read first. Half of the caller's time is the limit whatever happens, after two rounds at least.

--- a/src/main/java/org/cuminshelf/direct/ResumedStream.java
+++ b/src/main/java/org/cuminshelf/direct/ResumedStream.java
@@ -23,12 +23,21 @@
     /** The service that the route chooses for it. */
     final String service;
 
-    /** The entries that were asked for its record and have not answered. */
+    /** The processes that may hold its record and have not answered. */
     final Set<Address> unanswered = new HashSet<>();
+    /** Those that have answered, without a record. */
+    final Set<Address> answered = new HashSet<>();
     /** The versions that may have begun it, as far as this entry and those that answered know. */
     final Set<String> candidates = new TreeSet<>();
 
-    int answers;
+    /** When those that have not answered are asked next, in nanoseconds. */
+    long nextRoundAtNanos;
+
+    int roundsAsked;
+
+    /** Rounds of questions that began when they were due, the first of them included. */
+    int roundsInTime;
+
     /** Whether one of them knows all versions that may have begun it. */
     boolean candidatesComplete;
 
--- a/src/main/java/org/cuminshelf/direct/StreamResumptions.java
+++ b/src/main/java/org/cuminshelf/direct/StreamResumptions.java
@@ -34,8 +34,14 @@
         void onOriginUnknown(long now, ResumedStream stream);
     }
 
-    /** Time for which the entries that keep a record may take to answer: several round trips between regions. */
-    private static final long MAX_WAIT_NANOS = Durations.nanos(150);
+    /** Time after which holders of the record that have not answered are asked again: round trips between regions. */
+    private static final long ASK_INTERVAL_NANOS = Durations.nanos(100);
+    /** Rounds of questions that passed without delay of this process, after which no answer is expected any more. */
+    private static final int MAX_ROUNDS = 5;
+    /** Rounds that are asked at least, however little time its caller has left. */
+    private static final int MIN_ROUNDS = 2;
+    /** Part of its caller's time for which a stream waits for answers at most, whatever delayed this process. */
+    private static final double MAX_WAIT_SHARE = 0.5;
     /** Multiple of a route's timeout within which its callers have taken a stream up again. */
     private static final int RESUMED_WITHIN_TIMEOUTS = 2;
 
@@ -46,8 +52,9 @@
     private final Listener listener;
     private final DecisionLog log;
     private final Map<Long, ResumedStream> waiting = new HashMap<>();
-    private final Map<Long, StreamQuery> unsent = new HashMap<>();
-    private final DeadlineQueue<Long> deadlines = DeadlineQueue.create();
+    /** When the next round of questions of each stream is due. */
+    private final DeadlineQueue<Long> rounds = DeadlineQueue.create();
+
     private long nextNumber = 1;
 
     StreamResumptions(
@@ -76,28 +83,25 @@
             onRecord(now, stream, own.get(), "record-here");
             return;
         }
-        long windowNanos = windowNanos(stream);
+        long sinceNanos = now - windowNanos(stream);
         stream.addCandidates(
-                upstreams.versionsSince(now - windowNanos, stream.service),
-                control.knowsUpstreamsSince(now, now - windowNanos));
-        control.recordHolders().of(stream.stream()).stream()
-                .filter(holder -> !holder.equals(self))
-                .forEach(stream.unanswered::add);
+                upstreams.versionsSince(sinceNanos, stream.service), control.knowsUpstreamsSince(now, sinceNanos));
+        addHolders(stream);
         if (stream.unanswered.isEmpty()) {
             decideWithoutRecord(now, stream);
             return;
         }
         long number = nextNumber++;
+        stream.nextRoundAtNanos = now;
         waiting.put(number, stream);
-        deadlines.set(number, now + MAX_WAIT_NANOS);
-        unsent.put(
-                number,
-                StreamQuery.newBuilder()
-                        .setNumber(number)
-                        .setStream(stream.stream())
-                        .setService(stream.service)
-                        .setWindowMs(Durations.millis(windowNanos))
-                        .build());
+        rounds.set(number, now);
+    }
+
+    /** Adds the holders of its record that were not asked before, as the entries and control processes may change. */
+    private void addHolders(ResumedStream stream) {
+        control.recordHolders().of(stream.stream()).stream()
+                .filter(holder -> !holder.equals(self) && !stream.answered.contains(holder))
+                .forEach(stream.unanswered::add);
     }
 
     private static long windowNanos(ResumedStream stream) {
@@ -124,7 +128,7 @@
         if (stream == null || !stream.unanswered.remove(from)) {
             return;
         }
-        stream.answers++;
+        stream.answered.add(from);
         stream.addCandidates(answer.getVersionsList(), answer.getComplete());
         if (answer.hasRecord()) {
             remove(answer.getNumber());
@@ -139,8 +143,7 @@
 
     private void remove(long number) {
         waiting.remove(number);
-        unsent.remove(number);
-        deadlines.clear(number);
+        rounds.clear(number);
     }
 
     // ---- outcomes
@@ -188,7 +191,7 @@
                 "complete",
                 stream.candidatesComplete,
                 "answers",
-                stream.answers,
+                stream.answered.size(),
                 "unanswered",
                 stream.unanswered.size(),
                 "wait-ms",
@@ -214,18 +217,54 @@
     }
 
     long nextDue() {
-        return unsent.isEmpty() ? deadlines.next() : Long.MIN_VALUE;
+        return rounds.next();
     }
 
     void tick(long now, Outbox out) {
-        unsent.forEach((number, query) -> waiting.get(number)
-                .unanswered
-                .forEach(holder -> out.send(holder, Envelope.newBuilder().setStreamQuery(query))));
-        unsent.clear();
-        Optional<Long> due = deadlines.poll(now);
+        Optional<Long> due = rounds.poll(now);
         while (due.isPresent()) {
-            Option.of(waiting.remove(due.get())).forEach(stream -> decideWithoutRecord(now, stream));
-            due = deadlines.poll(now);
+            long number = due.get();
+            Option.of(waiting.get(number)).forEach(stream -> onRoundDue(now, number, stream, out));
+            due = rounds.poll(now);
         }
     }
+
+    /**
+     * Asks once more, or gives up. A round after which this process ran late does not count: the answers may have
+     * arrived and not been read yet.
+     */
+    private void onRoundDue(long now, long number, ResumedStream stream, Outbox out) {
+        if (now - stream.nextRoundAtNanos < ASK_INTERVAL_NANOS) {
+            stream.roundsInTime++;
+        }
+        // The first round is due at once, and nothing was asked before it.
+        boolean roundsOver = stream.roundsInTime > MAX_ROUNDS;
+        boolean outOfTime = stream.roundsAsked >= MIN_ROUNDS && now >= stream.arrivedAtNanos + maxWaitNanos(stream);
+        if (roundsOver || outOfTime) {
+            remove(number);
+            decideWithoutRecord(now, stream);
+            return;
+        }
+        addHolders(stream);
+        ask(number, stream, out);
+        stream.roundsAsked++;
+        stream.nextRoundAtNanos = now + ASK_INTERVAL_NANOS;
+        rounds.set(number, stream.nextRoundAtNanos);
+    }
+
+    private static long maxWaitNanos(ResumedStream stream) {
+        long callerMillis = stream.intent.deadlineMillis().orElse(stream.route.timeoutMillis());
+        return (long) (MAX_WAIT_SHARE * Durations.nanos(Math.min(callerMillis, stream.route.timeoutMillis())));
+    }
+
+    private static void ask(long number, ResumedStream stream, Outbox out) {
+        StreamQuery query = StreamQuery.newBuilder()
+                .setNumber(number)
+                .setStream(stream.stream())
+                .setService(stream.service)
+                .setWindowMs(Durations.millis(windowNanos(stream)))
+                .build();
+        stream.unanswered.forEach(
+                holder -> out.send(holder, Envelope.newBuilder().setStreamQuery(query)));
+    }
 }
