--- a/src/test/java/org/cuminshelf/control/ControlCoreTest.java
+++ b/src/test/java/org/cuminshelf/control/ControlCoreTest.java
@@ -32,6 +32,10 @@
 import org.cuminshelf.message.OrderReport;
 import org.cuminshelf.message.OrderSent;
 import org.cuminshelf.message.Persisted;
+import org.cuminshelf.message.StreamAnswer;
+import org.cuminshelf.message.StreamQuery;
+import org.cuminshelf.message.StreamRecord;
+import org.cuminshelf.message.StreamRecordBatch;
 import org.cuminshelf.message.WallClock;
 import org.cuminshelf.replica.DurableState;
 import org.cuminshelf.replica.ReplicaSettings;
@@ -157,6 +161,67 @@
                 .hasSize(2);
     }
 
+    /* All entries lose their memory at once, and streams that callers resume are refused as of unknown version. */
+    @Example
+    void theRecordOfAStreamIsKeptForAMinuteForThoseWhoAsk() {
+        sendRecord("q", "v1.1");
+        advance(50_000);
+        StreamAnswer answer = ask("q");
+        assertThat(answer.getRecord().getVersion()).isEqualTo("v1.1");
+        assertThat(answer.getRecord().getService()).isEqualTo("s");
+        assertThat(answer.getRecord().getAgeMs()).isBetween(50_000, 50_100);
+        advance(11_000);
+        assertThat(ask("q").hasRecord()).isFalse();
+    }
+
+    /* An entry takes control's answer for knowledge of all versions, and goes on with the stream at another one. */
+    @Example
+    void aStreamWithoutARecordIsAnsweredWithoutAnyClaimToKnowTheVersions() {
+        StreamAnswer answer = ask("q");
+        assertThat(answer.hasRecord()).isFalse();
+        assertThat(answer.getVersionsList()).isEmpty();
+        assertThat(answer.getComplete()).isFalse();
+    }
+
+    /* Two entries record one stream at different versions, and the caller gets events of both. */
+    @Example
+    void whereTwoVersionsAreRecordedOfOneStreamNeitherIsTold() {
+        sendRecord("q", "v1.1");
+        sendRecord("q", "v1.2");
+        assertThat(ask("q").hasRecord()).isFalse();
+        sendRecord("q", "v1.1");
+        assertThat(ask("q").hasRecord()).isFalse();
+    }
+
+    private void sendRecord(String stream, String version) {
+        StreamRecord record = StreamRecord.newBuilder()
+                .setStream(stream)
+                .setService("s")
+                .setVersion(version)
+                .setAgeMs(30)
+                .build();
+        receive(
+                ENTRY,
+                Envelope.newBuilder()
+                        .setStreamRecords(StreamRecordBatch.newBuilder().addRecords(record)));
+    }
+
+    private StreamAnswer ask(String stream) {
+        out.take(message -> true);
+        receive(
+                ENTRY,
+                Envelope.newBuilder()
+                        .setStreamQuery(StreamQuery.newBuilder()
+                                .setNumber(nextRequestId++)
+                                .setStream(stream)
+                                .setService("s")
+                                .setWindowMs(16_000)));
+        List<Envelope> answers = out.take(Envelope::hasStreamAnswer);
+        assertThat(answers).hasSize(1);
+        assertThat(answers.getFirst().getStreamAnswer().getNumber()).isEqualTo(nextRequestId - 1);
+        return answers.getFirst().getStreamAnswer();
+    }
+
     private List<OrderSent> ordersWithin(int seconds) {
         out.take(message -> true);
         for (int i = 0; i < seconds; i++) {
--- a/src/test/java/org/cuminshelf/direct/ControlSubscriptionTest.java
+++ b/src/test/java/org/cuminshelf/direct/ControlSubscriptionTest.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.TreeMap;
 import java.util.function.Consumer;
 import net.jqwik.api.Example;
 import org.cuminshelf.backpressure.LeavingUpstreams;
@@ -98,6 +99,77 @@
         assertThat(subscription.isReady()).isTrue();
     }
 
+    /** Guards against two rings that alternate, so that a record is looked for where it was never sent. */
+    @Example
+    void theEntriesAreThoseThatAnyOfTheControlProcessesHears() {
+        sendEntries(FIRST, 11, "10.0.1.1:7000", "10.0.1.2:7000");
+        sendEntries(SECOND, 12, "10.0.1.2:7000", "10.0.1.3:7000");
+        assertThat(subscription.entries()).isEqualTo(addresses("10.0.1.1:7000", "10.0.1.2:7000", "10.0.1.3:7000"));
+        sendEntries(FIRST, 11);
+        assertThat(subscription.entries()).hasSize(3);
+    }
+
+    /** Guards against the whole list in each update, as a control process is told the hash of another one's list. */
+    @Example
+    void eachControlProcessIsToldTheHashOfItsOwnList() {
+        sendEntries(FIRST, 11, "10.0.1.1:7000", "10.0.1.2:7000");
+        sendEntries(SECOND, 12, "10.0.1.2:7000", "10.0.1.3:7000");
+        announceControl();
+        subscription.tick(now, out);
+        Map<String, Long> hashes = new TreeMap<>();
+        out.takeSent().stream()
+                .filter(sent -> sent.message().hasSubscribe())
+                .forEach(sent -> hashes.put(
+                        sent.to().value(), sent.message().getSubscribe().getEntriesHash()));
+        assertThat(hashes).isEqualTo(Map.of(FIRST.value(), 11L, SECOND.value(), 12L));
+    }
+
+    /** Guards against entries that have gone but stay in the list of a control process that is cut off. */
+    @Example
+    void theListOfAControlProcessThatIsSilentNoLongerCounts() {
+        sendEntries(FIRST, 11, "10.0.1.1:7000", "10.0.1.2:7000");
+        sendEntries(SECOND, 12, "10.0.1.2:7000", "10.0.1.3:7000");
+        now += Durations.nanos(2_000);
+        sendEntries(SECOND, 12);
+        assertThat(subscription.entries()).isEqualTo(addresses("10.0.1.2:7000", "10.0.1.3:7000"));
+        sendEntries(FIRST, 11);
+        assertThat(subscription.entries()).hasSize(3);
+    }
+
+    @Example
+    void theHoldersOfRecordsStayTheSameWhileTheListsAreEqual() {
+        sendEntries(FIRST, 11, "10.0.1.1:7000", "10.0.1.2:7000");
+        StreamRecordHolders holders = subscription.recordHolders();
+        sendEntries(SECOND, 11, "10.0.1.1:7000", "10.0.1.2:7000");
+        sendEntries(FIRST, 11);
+        assertThat(subscription.recordHolders()).isSameAs(holders);
+    }
+
+    private void sendEntries(Address control, long hash, String... entries) {
+        subscription.onUpdate(
+                now,
+                control,
+                Update.newBuilder()
+                        .setEntriesHash(hash)
+                        .addAllEntryAddresses(List.of(entries))
+                        .build());
+    }
+
+    private void announceControl() {
+        subscription.onUpdate(
+                now,
+                FIRST,
+                Update.newBuilder()
+                        .setEntriesHash(11)
+                        .addControl(FIRST.value())
+                        .addControl(SECOND.value())
+                        .build());
+    }
+
+    private static List<Address> addresses(String... values) {
+        return List.of(values).stream().map(Address::of).toList();
+    }
+
     private void announceVersion(Address control, long version) {
         subscription.onUpdate(
                 now, control, Update.newBuilder().setConfigVersion(version).build());
--- a/src/test/java/org/cuminshelf/direct/StreamResumptionsTest.java
+++ b/src/test/java/org/cuminshelf/direct/StreamResumptionsTest.java
@@ -20,6 +20,7 @@
 class StreamResumptionsTest {
 
     private static final String[] OTHERS = {"10.0.1.2:7000", "10.0.1.3:7000", "10.0.1.4:7000"};
+    private static final List<String> CONTROL = List.of("10.0.0.1:7000", "10.0.0.2:7000", "10.0.0.3:7000");
     private static final String OLD = "v1.1";
     private static final String NEW = "v1.2";
     private static final long LONGEST_WAIT_MILLIS = 150;
@@ -94,6 +95,23 @@
         assertThat(entry.sentRequests).isEmpty();
     }
 
+    /** Guards against a stream that nobody knows, as all entries have lost the memory in which its record was. */
+    @Example
+    void twoControlProcessesAreAskedTooAndTheirRecordDecides() {
+        add("u1", OLD);
+        add("u2", NEW);
+        entry.sendUpdate(Update.newBuilder().setVoter(true).addAllControl(CONTROL));
+        resume();
+        List<String> asked = sent().stream()
+                .filter(message -> message.message().hasStreamQuery())
+                .map(message -> message.to().value())
+                .toList();
+        assertThat(asked).hasSize(OTHERS.length + 2).contains(OTHERS);
+        String process = asked.stream().filter(CONTROL::contains).findFirst().orElseThrow();
+        answer(process, StreamAnswer.newBuilder().setRecord(record(NEW)));
+        assertThat(entry.lastSent().upstream).isEqualTo("u2");
+    }
+
     @Example
     void aRecordOfAnyOfThemDecides() {
         add("u1", OLD);
