Entries: the union of the lists of the control processes that are heard

Each control process sends its own list of entries, and an entry used the list that it received last. Where control processes hear different entries (after a cut, a restart or an entry's change of address) the lists alternated, and with them the ring that selects the holders of records: the holders of the moment in which a record was sent were not those of the moment in which it was asked for, and callers' resumed streams were refused as of unknown version (read in the code; no measurement). Equal lists leave the ring as it is.

The four tests of ControlSubscriptionTest that failed pass; StreamRecordHoldersTest, StreamVersionTest, SubscriberTableTest, LoadGossipTest and UpstreamRateLimitTest pass too.

--- a/src/main/java/org/cuminshelf/direct/ControlSubscription.java
+++ b/src/main/java/org/cuminshelf/direct/ControlSubscription.java
@@ -51,14 +51,13 @@
     private final DecisionLog log;
     private final Set<Address> controlProcesses = new TreeSet<>();
     private List<Address> seeds;
-    private List<Address> entries = List.of();
+    private final EntryLists entryLists = new EntryLists(MAX_CONTROL_SILENCE_NANOS);
     private StreamRecordHolders recordHolders = StreamRecordHolders.among(Map.of());
     /** When each control process last sent an update, in nanoseconds. */
     private final Map<Address, Long> lastUpdateNanos = new TreeMap<>();
     /** Since when a control process that this entry heard has listened to upstreams; {@link Core#NEVER} if none. */
     private long watchedSinceNanos = Core.NEVER;
 
-    private long entriesHash;
     private volatile RouteTable routes = RouteTable.empty();
     private volatile long configVersion;
     private volatile boolean ready;
@@ -130,9 +129,9 @@
                 || now - lastVoterUpdateNanos > MAX_CONTROL_SILENCE_NANOS;
     }
 
-    /** The addresses of all entries subscribed to control, including this one. */
+    /** The addresses of all entries subscribed to any control process that is heard, including this one. */
     List<Address> entries() {
-        return entries;
+        return entryLists.entries();
     }
 
     /**
@@ -164,10 +163,8 @@
             update.getControlList().forEach(address -> controlProcesses.add(Address.of(address)));
             lastUpdateNanos.keySet().retainAll(controlProcesses);
         }
-        if (!update.getEntryAddressesList().isEmpty()) {
-            entries = update.getEntryAddressesList().stream().map(Address::of).toList();
-            entriesHash = update.getEntriesHash();
-            recordHolders = StreamRecordHolders.among(zonesByEntry(update));
+        if (entryLists.onUpdate(now, from, update)) {
+            recordHolders = StreamRecordHolders.among(entryLists.zonesByEntry());
         }
         if (lastUpdateNanos.values().stream().noneMatch(last -> now - last <= MAX_GAP_NANOS)) {
             // What ended meanwhile may not be told any more.
@@ -186,15 +183,6 @@
         usageMeter.onUpdate(now, from, update);
     }
 
-    private static Map<Address, String> zonesByEntry(Update update) {
-        Map<Address, String> zones = new TreeMap<>();
-        for (int index = 0; index < update.getEntryAddressesCount(); index++) {
-            String zone = index < update.getEntryZonesCount() ? update.getEntryZones(index) : "";
-            zones.put(Address.of(update.getEntryAddresses(index)), zone);
-        }
-        return zones;
-    }
-
     /** Returns which entries keep the records of streams. */
     StreamRecordHolders recordHolders() {
         return recordHolders;
@@ -312,7 +300,7 @@
                     .setVm(settings.vm())
                     .setWantsDirectory(true)
                     .setFetchesConfig(true)
-                    .setEntriesHash(entriesHash)
+                    .setEntriesHash(entryLists.hash(address))
                     .setZone(settings.zone())
                     .addAllOffered(offeredWork.values());
             poisonGuard.addChanges(address, subscribe);
