Stream records: two control processes keep each record too, and are filled again by entries

- StreamRecordHolders.of returns two control processes beside the three entries, by rendezvous hashing over the members that control has agreed on.
Whoever asks the holders asks them too.
- control.StreamRecordStore keeps records for 60 s, bounded in number, and answers with the record or with nothing from which anything could be concluded.
Entries and control share streams.StreamRecordTable.
- An entry whose update from a control process states another incarnation sends it, once, the records of streams that may still be resumed for which that process is a holder.
- A stopping entry sends at once what it has not sent, and before it reports its stop what began while it drained.

--- a/src/main/java/org/cuminshelf/control/ControlCore.java
+++ b/src/main/java/org/cuminshelf/control/ControlCore.java
@@ -80,6 +80,7 @@
     private final PoisonRegistry poison = new PoisonRegistry();
     private final SubscriberTable subscribers = new SubscriberTable();
     private final UpdatePublisher updatePublisher;
+    private final StreamRecordStore streamRecords = new StreamRecordStore();
     /** Administrators' changes proposed to the global group, by log index. */
     private final Map<Long, PendingRequest> pendingProposals = new HashMap<>();
     /** Claim requests by region group and log index. */
@@ -192,6 +193,11 @@
                         .forEach(region -> region.orderDispatcher().onReport(now, from, input.getOrderReport()));
             case ADMIN_REQUEST -> onAdmin(now, from, input.getAdminRequest(), out);
             case ADMIN_ANSWER -> onForwardedAnswer(input.getAdminAnswer(), out);
+            case STREAM_RECORDS ->
+                streamRecords.onRecords(now, input.getStreamRecords().getRecordsList());
+            case STREAM_QUERY ->
+                out.send(
+                        from, Envelope.newBuilder().setStreamAnswer(streamRecords.answer(now, input.getStreamQuery())));
             case WALL_CLOCK -> onWallClock(now, input.getWallClock());
             case STOP -> stop(out);
             default ->
@@ -251,6 +257,7 @@
             directory.tick(now);
             registry.tick(now);
             subscribers.tick(now);
+            streamRecords.expire(now);
             expireRequests(now, out);
         }
     }
--- /dev/null
+++ b/src/main/java/org/cuminshelf/control/StreamRecordStore.java
@@ -0,0 +1,44 @@
+package org.cuminshelf.control;
+
+import java.util.List;
+import org.cuminshelf.message.StreamAnswer;
+import org.cuminshelf.message.StreamQuery;
+import org.cuminshelf.message.StreamRecord;
+import org.cuminshelf.streams.StreamRecordTable;
+
+/**
+ * The records of the software versions that began streams, as entries send them to this control process, and the
+ * answers to entries that ask for one.
+ *
+ * <p>Guards against resumed streams whose version nobody knows after all entries have lost their memory.
+ */
+final class StreamRecordStore {
+
+    /**
+     * Bounds the memory to some 30 MB. Six processes that share the records of 4,700 streams a second hold 94,000 each;
+     * three hold those of the last 48 s.
+     */
+    private static final int MAX_RECORDS = 150_000;
+
+    private final StreamRecordTable records = StreamRecordTable.create(MAX_RECORDS);
+
+    /** Keeps the records that an entry has sent. */
+    void onRecords(long now, List<StreamRecord> received) {
+        received.forEach(record -> records.put(now, record));
+    }
+
+    /**
+     * Answers an entry that asks for a record. Without one the answer states no versions and that it is not complete,
+     * so that nothing is concluded from it.
+     */
+    StreamAnswer answer(long now, StreamQuery query) {
+        StreamAnswer.Builder answer = StreamAnswer.newBuilder().setNumber(query.getNumber());
+        records.toMessage(now, query.getStream()).ifPresent(answer::setRecord);
+        return answer.build();
+    }
+
+    /** Removes records that are too old. */
+    void expire(long now) {
+        records.expire(now);
+    }
+}
--- a/src/main/java/org/cuminshelf/direct/ControlSubscription.java
+++ b/src/main/java/org/cuminshelf/direct/ControlSubscription.java
@@ -50,6 +50,9 @@
     private final Invariants invariants;
     private final DecisionLog log;
     private final Set<Address> controlProcesses = new TreeSet<>();
+    /** The control processes according to their replicated log; empty until one has stated them. */
+    private Set<Address> agreedControl = Set.of();
+
     private List<Address> seeds;
     private final EntryLists entryLists = new EntryLists(MAX_CONTROL_SILENCE_NANOS);
     private StreamRecordHolders recordHolders = StreamRecordHolders.among(Map.of());
@@ -162,9 +165,10 @@
             controlProcesses.clear();
             update.getControlList().forEach(address -> controlProcesses.add(Address.of(address)));
             lastUpdateNanos.keySet().retainAll(controlProcesses);
+            onMembers(Set.copyOf(controlProcesses));
         }
         if (entryLists.onUpdate(now, from, update)) {
-            recordHolders = StreamRecordHolders.among(entryLists.zonesByEntry());
+            recordHolders = StreamRecordHolders.among(entryLists.zonesByEntry()).withControl(agreedControl);
         }
         if (lastUpdateNanos.values().stream().noneMatch(last -> now - last <= MAX_GAP_NANOS)) {
             // What ended meanwhile may not be told any more.
@@ -183,7 +187,14 @@
         usageMeter.onUpdate(now, from, update);
     }
 
-    /** Returns which entries keep the records of streams. */
+    private void onMembers(Set<Address> members) {
+        if (!members.equals(agreedControl)) {
+            agreedControl = members;
+            recordHolders = recordHolders.withControl(members);
+        }
+    }
+
+    /** Returns which processes keep the records of streams. */
     StreamRecordHolders recordHolders() {
         return recordHolders;
     }
--- a/src/main/java/org/cuminshelf/direct/DirectCore.java
+++ b/src/main/java/org/cuminshelf/direct/DirectCore.java
@@ -331,6 +331,7 @@
         switch (input.getBodyCase()) {
             case UPDATE -> {
                 control.onUpdate(now, from, input.getUpdate());
+                streamRecords.onUpdate(now, from, input.getUpdate());
                 startEarlyRequests(now);
             }
             case CONFIG_BODY -> {
@@ -344,7 +345,10 @@
                 out.send(from, Envelope.newBuilder().setStreamAnswer(resumptions.answer(now, input.getStreamQuery())));
             case STREAM_ANSWER -> resumptions.onAnswer(now, from, input.getStreamAnswer());
             case WALL_CLOCK -> usageMeter.onWallClock(now, input.getWallClock().getEpochMs());
-            case STOP -> draining = true;
+            case STOP -> {
+                draining = true;
+                streamRecords.onStop(now, out);
+            }
             default -> {
                 // Other messages are not addressed to this kind of entry.
             }
@@ -371,6 +375,7 @@
         loadGossip.tick(now, out, self, control.entries());
         if (draining && openCalls() == 0 && !stopReported) {
             stopReported = true;
+            streamRecords.sendAll(now, out);
             out.send(Address.PROCESS, Envelope.newBuilder().setStopped(Stopped.getDefaultInstance()));
         }
     }
--- a/src/main/java/org/cuminshelf/direct/StreamRecordHolders.java
+++ b/src/main/java/org/cuminshelf/direct/StreamRecordHolders.java
@@ -1,7 +1,8 @@
 package org.cuminshelf.direct;
 
 import java.util.ArrayList;
-import java.util.HashMap;
+import java.util.Collection;
+import java.util.Comparator;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
@@ -11,41 +12,80 @@
 import org.cuminshelf.core.Address;
 
 /**
- * The entries that keep the record of a stream, selected by consistent hashing, so that every entry finds them without
- * asking and a change of the entries moves few records. They are in different availability zones where possible.
+ * The processes that keep the record of a stream, found by every entry without asking: three entries by consistent
+ * hashing, in different availability zones where possible, and two control processes by rendezvous hashing. A change of
+ * the entries or of the control processes moves few records.
+ *
+ * <p>Guards against records that are lost with all processes of one kind.
  */
 final class StreamRecordHolders {
 
     /** Entries that keep each record: it outlives the entry that began the stream and one more. */
     static final int MAX_HOLDERS = 3;
 
+    /** Control processes that keep each record. */
+    static final int MAX_CONTROL_HOLDERS = 2;
+
     private static final int POINTS_PER_ENTRY = 16;
     /** Points looked at for entries in further zones, which bounds the cost whatever the number of entries. */
     private static final int MAX_POINTS = 64;
 
-    private final TreeMap<Long, Address> ring = new TreeMap<>();
-    private final Map<Address, String> zones = new HashMap<>();
+    private final TreeMap<Long, Address> ring;
+    private final Map<Address, String> zones;
+    /** The control processes, each with the hash function that ranks it for a stream. */
+    private final Map<Address, LongHashFunction> rankings = new TreeMap<>();
+
+    private StreamRecordHolders(
+            TreeMap<Long, Address> ring, Map<Address, String> zones, Collection<Address> controlProcesses) {
+        this.ring = ring;
+        this.zones = zones;
+        controlProcesses.forEach(process -> rankings.put(process, LongHashFunction.xx3(hash(process.value()))));
+    }
 
-    private StreamRecordHolders(Map<Address, String> zonesByEntry) {
-        zones.putAll(zonesByEntry);
+    /** Returns the selection among entries, given the availability zone of each, without control processes. */
+    static StreamRecordHolders among(Map<Address, String> zonesByEntry) {
+        TreeMap<Long, Address> ring = new TreeMap<>();
         for (Address entry : zonesByEntry.keySet()) {
             for (int point = 0; point < POINTS_PER_ENTRY; point++) {
                 ring.put(hash(entry.value() + '#' + point), entry);
             }
         }
+        return new StreamRecordHolders(ring, Map.copyOf(zonesByEntry), List.of());
     }
 
-    /** Returns the selection among entries, given the availability zone of each. */
-    static StreamRecordHolders among(Map<Address, String> zonesByEntry) {
-        return new StreamRecordHolders(zonesByEntry);
+    /** Returns the selection among the same entries and the given control processes. */
+    StreamRecordHolders withControl(Collection<Address> controlProcesses) {
+        return new StreamRecordHolders(ring, zones, controlProcesses);
     }
 
-    private static long hash(String text) {
+    static long hash(String text) {
         return LongHashFunction.xx3().hashChars(text);
     }
 
-    /** Returns the entries that keep the record of a stream; fewer than three if there are not as many. */
+    /** Returns the control processes among which holders are selected. */
+    Set<Address> controlProcesses() {
+        return rankings.keySet();
+    }
+
+    /** Returns all processes that keep the record of a stream. */
     List<Address> of(String stream) {
+        List<Address> holders = entries(stream);
+        holders.addAll(control(stream));
+        return holders;
+    }
+
+    /** Returns the control processes that keep the record of a stream; fewer than two if there are not as many. */
+    List<Address> control(String stream) {
+        Comparator<Address> byRank =
+                Comparator.comparingLong(process -> rankings.get(process).hashChars(stream));
+        return rankings.keySet().stream()
+                .sorted(byRank.reversed())
+                .limit(MAX_CONTROL_HOLDERS)
+                .toList();
+    }
+
+    /** Returns the entries that keep the record of a stream; fewer than three if there are not as many. */
+    List<Address> entries(String stream) {
         List<Address> holders = new ArrayList<>(MAX_HOLDERS);
         List<Address> spare = new ArrayList<>();
         Set<String> usedZones = new HashSet<>();
--- a/src/main/java/org/cuminshelf/direct/StreamRecords.java
+++ b/src/main/java/org/cuminshelf/direct/StreamRecords.java
@@ -1,19 +1,12 @@
 package org.cuminshelf.direct;
 
-import java.util.ArrayList;
-import java.util.HashMap;
-import java.util.Iterator;
-import java.util.LinkedHashMap;
-import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 import org.cuminshelf.core.Address;
-import org.cuminshelf.core.Core;
 import org.cuminshelf.core.Durations;
 import org.cuminshelf.core.Outbox;
-import org.cuminshelf.message.Envelope;
 import org.cuminshelf.message.StreamRecord;
-import org.cuminshelf.message.StreamRecordBatch;
+import org.cuminshelf.message.Update;
+import org.cuminshelf.streams.StreamRecordTable;
 
 /**
  * Records of the software versions that began streams. An entry keeps those of its own streams and those that others
@@ -25,13 +18,11 @@
 final class StreamRecords {
 
     /** Time for which a record is kept: longer than any caller waits for the rest of a stream. */
-    static final long RETENTION_NANOS = Durations.nanos(60_000);
+    static final long RETENTION_NANOS = StreamRecordTable.RETENTION_NANOS;
 
     private static final int MAX_RECORDS = 50_000;
-    /** Time for which records are collected into one message. */
+    /** Time for which records for other entries are collected into one message. */
     private static final long MAX_DELAY_NANOS = Durations.nanos(5);
-    /** Records in a message, which bounds its size. */
-    private static final int MAX_RECORDS_PER_MESSAGE = 256;
 
     /**
      * The record of one stream.
@@ -39,91 +30,73 @@
      * @param service    service that began it
      * @param version    software version that began it
      * @param sinceNanos time of its first event
-     * @param keptNanos  time at which it was last recorded here
      */
-    record BegunStream(String service, String version, long sinceNanos, long keptNanos) {}
+    record BegunStream(String service, String version, long sinceNanos) {}
 
     private final Address self;
     private final ControlSubscription control;
-    /** By stream, the least recently recorded first. */
-    private final LinkedHashMap<String, BegunStream> streams = new LinkedHashMap<>();
-
-    private final Map<Address, List<String>> unsent = new HashMap<>();
-    private long nextSendNanos = Core.NEVER;
+    private final StreamRecordTable records = StreamRecordTable.create(MAX_RECORDS);
+    private final RecordBatches toEntries = new RecordBatches(records);
+    private final ControlRecordSender toControl;
 
     StreamRecords(Address self, ControlSubscription control) {
         this.self = self;
         this.control = control;
+        this.toControl = new ControlRecordSender(self, control, records);
     }
 
-    /** Records a stream whose first event was delivered, here and at the entries that keep its record. */
+    /** Records a stream whose first event was delivered, here and at the processes that keep its record. */
     void onBegun(long now, String stream, String service, StreamOrigin origin) {
-        put(stream, new BegunStream(service, origin.version(), origin.sinceNanos(), now));
-        for (Address holder : control.recordHolders().of(stream)) {
-            if (!holder.equals(self)) {
-                unsent.computeIfAbsent(holder, key -> new ArrayList<>()).add(stream);
-                nextSendNanos = Math.min(nextSendNanos, now + MAX_DELAY_NANOS);
-            }
-        }
+        records.put(now, stream, service, origin.version(), origin.sinceNanos());
+        control.recordHolders().entries(stream).stream()
+                .filter(holder -> !holder.equals(self))
+                .forEach(holder -> toEntries.add(now, holder, stream, MAX_DELAY_NANOS));
+        toControl.add(now, stream);
     }
 
     /** Keeps a record that another entry has sent. */
     void onRecord(long now, StreamRecord received) {
-        long since = now - Durations.nanos(received.getAgeMs());
-        put(received.getStream(), new BegunStream(received.getService(), received.getVersion(), since, now));
+        records.put(now, received);
     }
 
-    private void put(String stream, BegunStream begun) {
-        // Removed first, so that the oldest stay in front.
-        streams.remove(stream);
-        streams.put(stream, begun);
-        if (streams.size() > MAX_RECORDS) {
-            streams.remove(streams.firstEntry().getKey());
-        }
+    /** Sends a control process that has lost its memory what it is to keep. */
+    void onUpdate(long now, Address from, Update update) {
+        toControl.onUpdate(now, from, update);
     }
 
     Optional<BegunStream> find(String stream) {
-        return Optional.ofNullable(streams.get(stream));
+        return records.find(stream)
+                .map(recorded -> new BegunStream(recorded.service(), recorded.version(), recorded.sinceNanos()));
     }
 
     /** Returns the record of a stream as a message, if there is one. */
     Optional<StreamRecord> toMessage(long now, String stream) {
-        return find(stream)
-                .map(begun -> StreamRecord.newBuilder()
-                        .setStream(stream)
-                        .setService(begun.service)
-                        .setVersion(begun.version)
-                        .setAgeMs((int) Durations.millis(now - begun.sinceNanos))
-                        .build());
+        return records.toMessage(now, stream);
     }
 
     long nextDue() {
-        return nextSendNanos;
+        return Math.min(toEntries.nextDue(), toControl.nextDue());
     }
 
     void tick(long now, Outbox out) {
-        if (now < nextSendNanos) {
-            return;
-        }
-        nextSendNanos = Core.NEVER;
-        unsent.forEach((holder, ids) -> send(now, holder, ids, out));
-        unsent.clear();
+        toEntries.tick(now, out);
+        toControl.tick(now, out);
+    }
+
+    /** Sends what has not been sent, and shortens the interval to control, as this process is about to end. */
+    void onStop(long now, Outbox out) {
+        toControl.startDraining();
+        sendAll(now, out);
     }
 
-    private void send(long now, Address holder, List<String> ids, Outbox out) {
-        for (int from = 0; from < ids.size(); from += MAX_RECORDS_PER_MESSAGE) {
-            List<String> part = ids.subList(from, Math.min(ids.size(), from + MAX_RECORDS_PER_MESSAGE));
-            StreamRecordBatch.Builder message = StreamRecordBatch.newBuilder();
-            part.forEach(stream -> toMessage(now, stream).ifPresent(message::addRecords));
-            out.send(holder, Envelope.newBuilder().setStreamRecords(message));
-        }
+    /** Sends all that waits to be sent, due or not. */
+    void sendAll(long now, Outbox out) {
+        toEntries.sendAll(now, out);
+        toControl.sendAll(now, out);
     }
 
     /** Removes records that are too old. */
     void expire(long now) {
-        Iterator<BegunStream> oldest = streams.values().iterator();
-        while (oldest.hasNext() && now - oldest.next().keptNanos > RETENTION_NANOS) {
-            oldest.remove();
-        }
+        records.expire(now);
     }
 }
--- a/src/main/java/org/cuminshelf/direct/StreamResumptions.java
+++ b/src/main/java/org/cuminshelf/direct/StreamResumptions.java
@@ -37,7 +37,7 @@
     /** Time for which the entries that keep a record may take to answer: several round trips between regions. */
     private static final long MAX_WAIT_NANOS = Durations.nanos(150);
     /** Multiple of a route's timeout within which its callers have taken a stream up again. */
-    private static final int RESUMED_WITHIN_TIMEOUTS = 2;
+    static final int RESUMED_WITHIN_TIMEOUTS = 2;
 
     private final Address self;
     private final StreamRecords records;
--- a/src/test/java/org/cuminshelf/direct/StreamRecordsTest.java
+++ b/src/test/java/org/cuminshelf/direct/StreamRecordsTest.java
@@ -34,10 +34,14 @@
 
     StreamRecordsTest() {
         entry.setEntries(OTHERS);
+        addUpstream("u1");
+    }
+
+    private void addUpstream(String id) {
         entry.sendUpdate(Update.newBuilder()
                 .setDirectoryIncarnation(1)
                 .setDirectoryVersion(++directoryVersion)
-                .addUpstreams(DirectFixture.heartbeat("u1", Role.ROLE_DECODE).toBuilder()
+                .addUpstreams(DirectFixture.heartbeat(id, Role.ROLE_DECODE).toBuilder()
                         .setVersion(OLD)));
     }
 
@@ -45,6 +49,7 @@
     private void beginStreams(String prefix, int count) {
         for (int number = 0; number < count; number++) {
             DirectFixture.CallerResponse response = entry.sendRequest(prefix + number, "Tokens", "100");
+            assertThat(entry.lastSent().request.headers().get("Request")).isEqualTo(prefix + number);
             entry.lastSent().respondSealedHead(200);
             entry.lastSent().respondBody("id: 1\ndata: a\n\n");
             entry.core.onDisconnect(response);
@@ -110,6 +115,10 @@
         }
         entry.setEntries(entries.toArray(new String[0]));
         update(CONTROL.getFirst(), 1, CONTROL);
+        for (int number = 0; number < 100; number++) {
+            addUpstream("v" + number);
+        }
+        entry.advance(250);
         entry.out.takeSent();
         List<RecordingOutbox.Sent> sent = new ArrayList<>();
         for (int number = 0; number < 100; number++) {
