--- a/src/main/java/org/cuminshelf/direct/StreamResumptions.java
+++ b/src/main/java/org/cuminshelf/direct/StreamResumptions.java
@@ -43,7 +43,7 @@
     /** Part of its caller's time for which a stream waits for answers at most, whatever delayed this process. */
     private static final double MAX_WAIT_SHARE = 0.5;
     /** Multiple of a route's timeout within which its callers have taken a stream up again. */
-    private static final int RESUMED_WITHIN_TIMEOUTS = 2;
+    static final int RESUMED_WITHIN_TIMEOUTS = 2;
 
     private final Address self;
     private final StreamRecords records;
