Begun streams of a version that only prefills are refused at once, with the time at which an engine will generate

Callers saw: begun streams whose version has only prefilling engines waited for places at these, which they can't use, and were then told to come back in a second; where the last engine left was changing its role, they were told that no upstream of the version was left. Cause: the entry took engines that are open for a prompt for engines with room for a stream.

RoleChangeForecast learns from heartbeats how long a change to a role that generates takes at a service (3 s before the first one), and tells what is left of a change that is under way; otherwise a second for control's order and the time of a change. An engine that is reported as crashed does not count as generating. Retry-After is at most a third of the caller's time, as in CallReturns. An entry that has just started, and may not know all engines, keeps the stream as it does others. Such a refusal is for want of an upstream, no longer of places, and so no longer counts as offered work of the decode role: each of the tries counted, while control orders an engine for the version anyway.

All run 2.5 s after the entry's start, as before that it may not know all engines, which has a test of its own now. The one on the time of the last change looks at a change to the decode role, and has one the other way after it that must not count: there an engine's streams end first.

--- a/src/main/java/org/cuminshelf/direct/AdmissionControl.java
+++ b/src/main/java/org/cuminshelf/direct/AdmissionControl.java
@@ -157,6 +157,10 @@
         if (next.isPresent()) {
             return decideLimited(now, call, next.getAsLong());
         }
+        OptionalLong untilGenerating = selector.millisUntilGenerating(now, call);
+        if (untilGenerating.isPresent()) {
+            return decideWithoutGeneratingUpstream(now, call, untilGenerating.getAsLong());
+        }
         boolean allSlotsInUse = selector.hasOpenUpstream(now, call);
         boolean queued =
                 allSlotsInUse ? queuesForCapacity(now, call, USUAL_FIRST_EVENT_MILLIS) : queuesForDiscovery(now, call);
@@ -166,9 +170,7 @@
         if (allSlotsInUse) {
             call.offeredLoad.ifPresent(OfferedLoad::onRefusedForSlots);
             Verdict.NotRun verdict = new Verdict.NotRun(Cause.OVERLOADED, NO_SLOT_RETRY_AFTER_MILLIS);
-            boolean noneGenerates = call.origin.isPresent() && !selector.hasGeneratingUpstream(now, call);
-            return new Decision.Refuse(
-                    verdict, noneGenerates ? "no-generating-upstream-of-version" : "all places are taken");
+            return new Decision.Refuse(verdict, "all places are taken");
         }
         if (call.origin.isPresent()) {
             Verdict.NotRun verdict = new Verdict.NotRun(Cause.NO_UPSTREAM, NO_VERSION_RETRY_AFTER_MILLIS);
@@ -178,6 +180,19 @@
         return new Decision.Refuse(verdict, "no-upstream");
     }
 
+    /**
+     * Decides on a begun stream whose software version has engines that only prefill. Its caller comes back when one of
+     * them is expected to generate, or as late as it would wait.
+     */
+    private Decision decideWithoutGeneratingUpstream(long now, DirectCall call, long untilGeneratingMillis) {
+        if (queuesForDiscovery(now, call)) {
+            return WAIT;
+        }
+        long retryAfterMillis = Math.min(untilGeneratingMillis, CallReturns.maxWaitMillis(now, call));
+        Verdict.NotRun verdict = new Verdict.NotRun(Cause.NO_UPSTREAM, retryAfterMillis);
+        return new Decision.Refuse(verdict, "no-generating-upstream-of-version");
+    }
+
     /**
      * Returns whether a refusal would lose work: an answer that has begun, a request that may have run or a prefilled
      * prompt, while no attempt of the call is running.
--- a/src/main/java/org/cuminshelf/direct/CallReturns.java
+++ b/src/main/java/org/cuminshelf/direct/CallReturns.java
@@ -39,14 +39,19 @@
         if (verdict.cause() != Cause.OVERLOADED) {
             return verdict;
         }
-        long remainingMillis = Math.max(0, Durations.millis(call.deadlineNanos - now));
-        long latestMillis = Math.min(MAX_RETRY_AFTER_MILLIS, remainingMillis / REMAINING_TIME_DIVISOR);
+        long latestMillis = Math.min(MAX_RETRY_AFTER_MILLIS, maxWaitMillis(now, call));
         scheduledReturns++;
         long retryAfterMillis = scheduleOf(now, call.service)
                 .retryAfterMillis(now, call.priority(), verdict.retryAfterMillis(), latestMillis);
         return new Verdict.NotRun(verdict.cause(), retryAfterMillis);
     }
 
+    /** Returns how long the caller of a refused call waits at most before it retries, in milliseconds. */
+    static long maxWaitMillis(long now, DirectCall call) {
+        long remainingMillis = Math.max(0, Durations.millis(call.deadlineNanos - now));
+        return remainingMillis / REMAINING_TIME_DIVISOR;
+    }
+
     private ReturnSchedule scheduleOf(long now, String service) {
         return schedules.computeIfAbsent(service, key -> ReturnSchedule.create(now));
     }
--- a/src/main/java/org/cuminshelf/direct/UpstreamInstance.java
+++ b/src/main/java/org/cuminshelf/direct/UpstreamInstance.java
@@ -66,6 +66,8 @@
     boolean shutdownAnnounced;
     /** Whether control is changing its role; it gets no new work meanwhile. */
     boolean roleChanging;
+    /** When this entry first learned of that change; {@link Core#NEVER} while there is none. */
+    long roleChangingSinceNanos = Core.NEVER;
     /** Whether it answers more requests with errors than its peers, see {@link UpstreamOutliers}. */
     boolean outlier;
     /** When the last control process stopped listing it; {@link Core#NEVER} while one does. */
--- a/src/main/java/org/cuminshelf/direct/UpstreamSelector.java
+++ b/src/main/java/org/cuminshelf/direct/UpstreamSelector.java
@@ -201,9 +201,14 @@
         return !openUpstreams(now, call).isEmpty();
     }
 
-    /** Returns whether any upstream available for a call can generate its answer, whether or not it has a free slot. */
-    boolean hasGeneratingUpstream(long now, DirectCall call) {
-        return openUpstreams(now, call).stream().anyMatch(upstream -> canAnswer(upstream, call));
+    /**
+     * Returns in how many milliseconds the software version of a begun stream is expected to have an engine that
+     * generates; empty if it has one, or no engine at all.
+     */
+    OptionalLong millisUntilGenerating(long now, DirectCall call) {
+        return call.isStream() && call.origin.isPresent()
+                ? upstreams.millisUntilGenerating(now, call)
+                : OptionalLong.empty();
     }
 
     /** Returns whether every upstream available for a call has as many requests of all entries as slots. */
--- a/src/main/java/org/cuminshelf/direct/UpstreamTable.java
+++ b/src/main/java/org/cuminshelf/direct/UpstreamTable.java
@@ -9,6 +9,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import org.cuminshelf.backpressure.LeavingUpstreams;
 import org.cuminshelf.core.Address;
@@ -16,6 +17,7 @@
 import org.cuminshelf.core.DirectoryVersions;
 import org.cuminshelf.core.Durations;
 import org.cuminshelf.message.EntryLoad;
+import org.cuminshelf.message.Role;
 import org.cuminshelf.message.Update;
 import org.cuminshelf.message.UpstreamBeat;
 import org.cuminshelf.message.UpstreamLoad;
@@ -70,6 +72,7 @@
     private final DirectoryVersions directoryVersions = DirectoryVersions.none();
     private final Map<Address, ReportedLoad> loadByEntry = new HashMap<>();
     private final VersionHistory versionHistory = new VersionHistory();
+    private final RoleChangeForecast roleChanges = new RoleChangeForecast();
     private final LeavingUpstreams leavingUpstreams;
     private final DecisionLog log;
 
@@ -90,6 +93,11 @@
         return Optional.ofNullable(instances.get(id));
     }
 
+    /** Returns when an engine generates that may go on with a stream, see {@link RoleChangeForecast}. */
+    OptionalLong millisUntilGenerating(long now, DirectCall call) {
+        return roleChanges.millisUntilGenerating(now, call, instancesOf(call.service));
+    }
+
     long directoryIncarnation(Address control) {
         return directoryVersions.incarnation(control);
     }
@@ -135,7 +143,10 @@
         if (!known) {
             instance = add(now, heartbeat);
         }
+        Role roleBefore = instance.role;
+        boolean wasChanging = instance.roleChanging;
         boolean changed = instance.applyHeartbeat(heartbeat);
+        roleChanges.onHeartbeat(now, instance, roleBefore, wasChanging);
         instance.listedBy.add(control);
         instance.unlistedSinceNanos = Core.NEVER;
         if (changed || !known) {
--- a/src/test/java/org/cuminshelf/direct/VersionWithoutGeneratingEngineTest.java
+++ b/src/test/java/org/cuminshelf/direct/VersionWithoutGeneratingEngineTest.java
@@ -4,6 +4,7 @@
 
 import net.jqwik.api.Example;
 import org.assertj.core.data.Offset;
+import org.cuminshelf.exchange.Reachability;
 import org.cuminshelf.message.Envelope;
 import org.cuminshelf.message.Role;
 import org.cuminshelf.message.StreamRecord;
@@ -23,6 +24,8 @@
     private static final String REASON = "reason=no-generating-upstream-of-version";
     /** Time that a role change takes if neither the configuration nor an earlier change tells. */
     private static final double USUAL_CHANGE_SECONDS = 3;
+    /** Time after its start in which an entry may not know all upstreams. */
+    private static final long WARM_UP_MILLIS = 2_500;
     /** Time within which control orders an engine to generate. */
     private static final double ORDER_SECONDS = 1;
 
@@ -32,22 +35,29 @@
     private int sequence;
 
     VersionWithoutGeneratingEngineTest() {
-        beat("p1", Role.ROLE_PREFILL, OLD, false);
-        beat("p2", Role.ROLE_PREFILL, OLD, false);
+        entry.advance(WARM_UP_MILLIS);
+        addRecordAndPrefillingEngines(entry);
         beat("d2", Role.ROLE_DECODE, NEW, false);
+    }
+
+    private void addRecordAndPrefillingEngines(DirectFixture at) {
+        for (String id : new String[] {"p1", "p2"}) {
+            at.sendUpdate(update(
+                    DirectFixture.heartbeat(id, Role.ROLE_PREFILL).toBuilder().setVersion(OLD)));
+        }
         StreamRecord record = StreamRecord.newBuilder()
                 .setStream("a")
                 .setService("s")
                 .setVersion(OLD)
                 .setAgeMs(700)
                 .build();
-        entry.core.accept(
-                entry.now,
+        at.core.accept(
+                at.now,
                 Envelope.newBuilder()
                         .setFrom("10.0.1.2:7000")
                         .setStreamRecords(StreamRecordBatch.newBuilder().addRecords(record))
                         .build(),
-                entry.out);
+                at.out);
     }
 
     private void beat(String id, Role role, String version, boolean changing) {
@@ -55,14 +65,22 @@
     }
 
     private void send(UpstreamBeat.Builder heartbeat) {
-        entry.sendUpdate(Update.newBuilder()
+        entry.sendUpdate(update(heartbeat));
+    }
+
+    private Update.Builder update(UpstreamBeat.Builder heartbeat) {
+        return Update.newBuilder()
                 .setDirectoryIncarnation(1)
                 .setDirectoryVersion(++directoryVersion)
-                .addUpstreams(heartbeat.setSequence(++sequence)));
+                .addUpstreams(heartbeat.setSequence(++sequence));
     }
 
     private DirectFixture.CallerResponse resume(String id, int deadlineMillis) {
-        return entry.sendRequest(
+        return resumeAt(entry, id, deadlineMillis);
+    }
+
+    private static DirectFixture.CallerResponse resumeAt(DirectFixture at, String id, int deadlineMillis) {
+        return at.sendRequest(
                 id, "Tokens", "100", "Last", "4", "Resumes", "a", "Deadline", String.valueOf(deadlineMillis));
     }
 
@@ -133,14 +151,47 @@
     /** Guards against times of a fixed length where role changes take longer, or less. */
     @Example
     void theTimeIsThatOfTheLastChangeThatWasSeen() {
-        beat("p3", Role.ROLE_DECODE, NEW, true);
+        beat("p3", Role.ROLE_PREFILL, NEW, true);
         entry.advance(900);
-        beat("p3", Role.ROLE_PREFILL, NEW, false);
+        beat("p3", Role.ROLE_DECODE, NEW, false);
+        beat("d2", Role.ROLE_DECODE, NEW, true);
+        entry.advance(2_000);
+        beat("d2", Role.ROLE_PREFILL, NEW, false);
         beat("p1", Role.ROLE_PREFILL, OLD, true);
         entry.advance(300);
         assertThat(retryAfterSeconds(resume("b", 20_000))).isEqualTo(0.6, within());
     }
 
+    /** Guards against streams that are refused at a restarted entry, which has not heard of all engines yet. */
+    @Example
+    void itsStreamWaitsAtAnEntryThatMayNotKnowAllEngines() {
+        DirectFixture restarted =
+                new DirectFixture(DirectFixture.route(RequestKind.STREAM, 3, true, 30_000)).becomeReady();
+        addRecordAndPrefillingEngines(restarted);
+        DirectFixture.CallerResponse response = resumeAt(restarted, "b", 8_000);
+        restarted.advance(500);
+        assertThat(response.complete).isFalse();
+        restarted.sendUpdate(update(
+                DirectFixture.heartbeat("d1", Role.ROLE_DECODE).toBuilder().setVersion(OLD)));
+        restarted.advance(50);
+        assertThat(restarted.lastSent().upstream).isEqualTo("d1");
+    }
+
+    /** Guards against streams that are sent to, or wait for, the engine that just crashed. */
+    @Example
+    void anEngineThatCrashedDoesNotCountAsGenerating() {
+        beat("d1", Role.ROLE_DECODE, OLD, false);
+        entry.reachability = Reachability.REFUSED;
+        DirectFixture.CallerResponse first = resume("b", 20_000);
+        assertThat(entry.lastSent().upstream).isEqualTo("d1");
+        entry.lastSent().handler.onFailed(true, "reset");
+        entry.advance(200);
+        assertThat(first.complete || first.aborted).isTrue();
+        assertThat(retryAfterSeconds(resume("c", 20_000))).isEqualTo(ORDER_SECONDS + USUAL_CHANGE_SECONDS, within());
+        assertThat(entry.linesWith("request c", REASON)).hasSize(1);
+        assertThat(entry.sentRequests).hasSize(1);
+    }
+
     /** Guards against new streams that are refused with it: they may begin at another version. */
     @Example
     void newStreamsBeginAtTheOtherVersion() {
