Stream records: a starting entry is sent those that it is to keep by control

Control answered for entries that had restarted, but nothing restored their records: with all control processes gone a second after all entries, a caller that resumed a stream then was refused as of unknown version, though each kind had been back before the other went. A control process now sends an entry whose first subscription it receives the records for which the entry is a holder, in parts of 5,000 streams each 50 ms, so that its core is not held up. The same fills an entry that joins the ring. StreamRecordHolders moves to the package that entries and control share.

--- a/src/main/java/org/cuminshelf/control/ControlCore.java
+++ b/src/main/java/org/cuminshelf/control/ControlCore.java
@@ -80,7 +80,7 @@
     private final PoisonRegistry poison = new PoisonRegistry();
     private final SubscriberTable subscribers = new SubscriberTable();
     private final UpdatePublisher updatePublisher;
-    private final StreamRecordStore streamRecords = new StreamRecordStore();
+    private final StreamRecordStore streamRecords = new StreamRecordStore(subscribers);
     /** Administrators' changes proposed to the global group, by log index. */
     private final Map<Long, PendingRequest> pendingProposals = new HashMap<>();
     /** Claim requests by region group and log index. */
@@ -252,6 +252,7 @@
         answerConfirmedReads(out);
         directRoles.tick(now, out);
         updatePublisher.tick(now, out);
+        streamRecords.tick(now, out);
         if (now >= nextHousekeeping) {
             nextHousekeeping = now + HOUSEKEEPING_INTERVAL_NANOS;
             directory.tick(now);
@@ -268,7 +269,7 @@
         for (Replica replica : replicas.values()) {
             due = Math.min(due, replica.nextDue());
         }
-        return Math.min(due, updatePublisher.nextDue());
+        return Math.min(due, Math.min(updatePublisher.nextDue(), streamRecords.nextDue()));
     }
 
     /**
@@ -327,6 +328,9 @@
         SubscriberTable.Subscriber subscriber = subscribers.onSubscribe(now, from, incarnation, subscribe);
         quarantine.onSubscribe(now, subscribe);
         subscriber.receivedAtUnixMicros = unixMicros(now);
+        if (subscriber.started && subscriber.wantsDirectory) {
+            streamRecords.onEntryStarted(now, from);
+        }
         usageReporter.ifPresent(reporter -> reporter.onSubscribe(now, subscriber, subscribe));
         if (subscribe.getConfirm()) {
             long token = nextToken++;
--- a/src/main/java/org/cuminshelf/control/StreamRecordStore.java
+++ b/src/main/java/org/cuminshelf/control/StreamRecordStore.java
@@ -1,6 +1,8 @@
 package org.cuminshelf.control;
 
 import java.util.List;
+import org.cuminshelf.core.Address;
+import org.cuminshelf.core.Outbox;
 import org.cuminshelf.message.StreamAnswer;
 import org.cuminshelf.message.StreamQuery;
 import org.cuminshelf.message.StreamRecord;
@@ -21,6 +23,11 @@
     private static final int MAX_RECORDS = 150_000;
 
     private final StreamRecordTable records = StreamRecordTable.create(MAX_RECORDS);
+    private final EntryRecordRefill refill;
+
+    StreamRecordStore(SubscriberTable subscribers) {
+        this.refill = new EntryRecordRefill(records, subscribers);
+    }
 
     /** Keeps the records that an entry has sent. */
     void onRecords(long now, List<StreamRecord> received) {
@@ -37,6 +44,19 @@
         return answer.build();
     }
 
+    /** Handles an entry that has started, and so has no records. */
+    void onEntryStarted(long now, Address entry) {
+        refill.onStarted(now, entry);
+    }
+
+    long nextDue() {
+        return refill.nextDue();
+    }
+
+    void tick(long now, Outbox out) {
+        refill.tick(now, out);
+    }
+
     /** Removes records that are too old. */
     void expire(long now) {
         records.expire(now);
--- a/src/main/java/org/cuminshelf/control/SubscriberTable.java
+++ b/src/main/java/org/cuminshelf/control/SubscriberTable.java
@@ -19,6 +19,9 @@
     static final class Subscriber {
         final Address address;
         long incarnation;
+        /** Whether its last request is the first one that this process received from its incarnation. */
+        boolean started;
+
         long lastReceivedAt;
         long configVersion;
         long directoryVersion;
@@ -53,6 +56,7 @@
     Subscriber onSubscribe(long now, Address from, long incarnation, Subscribe subscribe) {
         boolean known = subscribers.containsKey(from);
         Subscriber subscriber = subscribers.computeIfAbsent(from, Subscriber::new);
+        subscriber.started = !known || subscriber.incarnation != incarnation;
         if (subscriber.incarnation != incarnation) {
             // A new incarnation restarts the numbering of its changes.
             subscriber.incarnation = incarnation;
--- a/src/main/java/org/cuminshelf/direct/ControlRecordSender.java
+++ b/src/main/java/org/cuminshelf/direct/ControlRecordSender.java
@@ -65,7 +65,7 @@
         Long filled = filledIncarnations.put(from, incarnation);
         if (filled == null || filled != incarnation) {
             // Spread over the interval, as all entries notice a restart at the same time.
-            long phase = Math.floorMod(StreamRecordHolders.hash(self.value()), intervalNanos());
+            long phase = Math.floorMod(self.value().hashCode(), intervalNanos());
             refillDueNanos.put(from, now + phase);
         }
     }
--- a/src/main/java/org/cuminshelf/direct/ControlSubscription.java
+++ b/src/main/java/org/cuminshelf/direct/ControlSubscription.java
@@ -19,6 +19,7 @@
 import org.cuminshelf.message.Subscribe;
 import org.cuminshelf.message.Update;
 import org.cuminshelf.routes.RouteTable;
+import org.cuminshelf.streams.StreamRecordHolders;
 
 /**
  * This entry's subscription to the control processes: receives the routes, the upstreams, the control processes and the
--- a/src/main/java/org/cuminshelf/direct/StreamRecords.java
+++ b/src/main/java/org/cuminshelf/direct/StreamRecords.java
@@ -6,6 +6,7 @@
 import org.cuminshelf.core.Outbox;
 import org.cuminshelf.message.StreamRecord;
 import org.cuminshelf.message.Update;
+import org.cuminshelf.streams.StreamRecordHolders;
 import org.cuminshelf.streams.StreamRecordTable;
 
 /**
--- a/src/main/java/org/cuminshelf/direct/StreamRecordHolders.java
+++ b/src/main/java/org/cuminshelf/streams/StreamRecordHolders.java
@@ -1,4 +1,4 @@
-package org.cuminshelf.direct;
+package org.cuminshelf.streams;
 
 import java.util.ArrayList;
 import java.util.Collection;
@@ -18,7 +18,7 @@
  *
  * <p>Guards against records that are lost with all processes of one kind.
  */
-final class StreamRecordHolders {
+public final class StreamRecordHolders {
 
     /** Entries that keep each record: it outlives the entry that began the stream and one more. */
     static final int MAX_HOLDERS = 3;
@@ -42,8 +42,13 @@
         controlProcesses.forEach(process -> rankings.put(process, LongHashFunction.xx3(hash(process.value()))));
     }
 
-    /** Returns the selection among entries, given the availability zone of each, without control processes. */
-    static StreamRecordHolders among(Map<Address, String> zonesByEntry) {
+    /**
+     * Returns the selection among entries, without control processes.
+     *
+     * @param zonesByEntry the availability zone of each entry
+     * @return the selection
+     */
+    public static StreamRecordHolders among(Map<Address, String> zonesByEntry) {
         TreeMap<Long, Address> ring = new TreeMap<>();
         for (Address entry : zonesByEntry.keySet()) {
             for (int point = 0; point < POINTS_PER_ENTRY; point++) {
@@ -53,29 +58,48 @@
         return new StreamRecordHolders(ring, Map.copyOf(zonesByEntry), List.of());
     }
 
-    /** Returns the selection among the same entries and the given control processes. */
-    StreamRecordHolders withControl(Collection<Address> controlProcesses) {
+    /**
+     * Returns the selection among the same entries and the given control processes.
+     *
+     * @param controlProcesses the control processes
+     * @return the selection
+     */
+    public StreamRecordHolders withControl(Collection<Address> controlProcesses) {
         return new StreamRecordHolders(ring, zones, controlProcesses);
     }
 
-    static long hash(String text) {
+    private static long hash(String text) {
         return LongHashFunction.xx3().hashChars(text);
     }
 
-    /** Returns the control processes among which holders are selected. */
-    Set<Address> controlProcesses() {
+    /**
+     * Returns the control processes among which holders are selected.
+     *
+     * @return the control processes
+     */
+    public Set<Address> controlProcesses() {
         return rankings.keySet();
     }
 
-    /** Returns all processes that keep the record of a stream. */
-    List<Address> of(String stream) {
+    /**
+     * Returns all processes that keep the record of a stream.
+     *
+     * @param stream id of the caller's request that brought the first event
+     * @return the entries, then the control processes
+     */
+    public List<Address> of(String stream) {
         List<Address> holders = entries(stream);
         holders.addAll(control(stream));
         return holders;
     }
 
-    /** Returns the control processes that keep the record of a stream; fewer than two if there are not as many. */
-    List<Address> control(String stream) {
+    /**
+     * Returns the control processes that keep the record of a stream.
+     *
+     * @param stream id of the caller's request that brought the first event
+     * @return two control processes, or all if there are fewer
+     */
+    public List<Address> control(String stream) {
         Comparator<Address> byRank =
                 Comparator.comparingLong(process -> rankings.get(process).hashChars(stream));
         return rankings.keySet().stream()
@@ -84,8 +108,13 @@
                 .toList();
     }
 
-    /** Returns the entries that keep the record of a stream; fewer than three if there are not as many. */
-    List<Address> entries(String stream) {
+    /**
+     * Returns the entries that keep the record of a stream.
+     *
+     * @param stream id of the caller's request that brought the first event
+     * @return three entries, or all if there are fewer
+     */
+    public List<Address> entries(String stream) {
         List<Address> holders = new ArrayList<>(MAX_HOLDERS);
         List<Address> spare = new ArrayList<>();
         Set<String> usedZones = new HashSet<>();
--- a/src/test/java/org/cuminshelf/control/ControlCoreTest.java
+++ b/src/test/java/org/cuminshelf/control/ControlCoreTest.java
@@ -36,6 +36,7 @@
 import org.cuminshelf.message.StreamQuery;
 import org.cuminshelf.message.StreamRecord;
 import org.cuminshelf.message.StreamRecordBatch;
+import org.cuminshelf.message.Subscribe;
 import org.cuminshelf.message.WallClock;
 import org.cuminshelf.replica.DurableState;
 import org.cuminshelf.replica.ReplicaSettings;
@@ -193,6 +194,58 @@
         assertThat(ask("q").hasRecord()).isFalse();
     }
 
+    /* All entries restart and then all control processes; callers that resume a stream later are refused. */
+    @Example
+    void anEntryThatStartsIsSentTheRecordsThatItIsToKeepOnce() {
+        sendRecord("q", "v1.1");
+        out.take(message -> true);
+        subscribe(5);
+        advance(100);
+        assertThat(out.take(Envelope::hasStreamRecords))
+                .singleElement()
+                .satisfies(message -> assertThat(
+                                message.getStreamRecords().getRecords(0).getStream())
+                        .isEqualTo("q"));
+        subscribe(5);
+        advance(100);
+        assertThat(out.take(Envelope::hasStreamRecords)).isEmpty();
+        subscribe(6);
+        advance(100);
+        assertThat(out.take(Envelope::hasStreamRecords)).hasSize(1);
+    }
+
+    /* A control process that sends a hundred thousand records in one step does not answer its peers meanwhile. */
+    @Example
+    void manyRecordsAreSentToAStartingEntryInParts() {
+        for (int number = 0; number < 12_000; number++) {
+            sendRecord("q" + number, "v1.1");
+        }
+        out.take(message -> true);
+        subscribe(5);
+        int most = 0;
+        int sent = 0;
+        for (int tick = 0; tick < 40; tick++) {
+            advance(10);
+            List<Envelope> messages = out.take(Envelope::hasStreamRecords);
+            int records = messages.stream()
+                    .mapToInt(message -> message.getStreamRecords().getRecordsCount())
+                    .sum();
+            assertThat(messages).allMatch(message -> message.getStreamRecords().getRecordsCount() <= 256);
+            most = Math.max(most, records);
+            sent += records;
+        }
+        assertThat(sent).isEqualTo(12_000);
+        assertThat(most).isLessThanOrEqualTo(5_000);
+    }
+
+    private void subscribe(long incarnation) {
+        Envelope.Builder message =
+                Envelope.newBuilder().setSubscribe(Subscribe.newBuilder().setWantsDirectory(true));
+        core.accept(
+                now, message.setFrom(ENTRY.value()).setIncarnation(incarnation).build(), out);
+        settle();
+    }
+
     private void sendRecord(String stream, String version) {
         StreamRecord record = StreamRecord.newBuilder()
                 .setStream(stream)
--- a/src/test/java/org/cuminshelf/direct/ControlSubscriptionTest.java
+++ b/src/test/java/org/cuminshelf/direct/ControlSubscriptionTest.java
@@ -21,6 +21,7 @@
 import org.cuminshelf.message.Envelope;
 import org.cuminshelf.message.Update;
 import org.cuminshelf.routes.RouteTable;
+import org.cuminshelf.streams.StreamRecordHolders;
 
 /** Tests which configurations an entry installs when they are parsed asynchronously. */
 class ControlSubscriptionTest {
