Resumptions: a stream of which records state two versions is refused instead of left without an answer

Since two different records of a stream tell neither version, an entry that held both took a holder's answer with a record as the end of its wait, found no record, and neither sent nor refused the stream: its caller got no answer until its own time was over. It is refused now, as unknown-not-sure. Found by reading; the new test of StreamResumptionsTest shows it.

StreamResumptionsTest, StreamRecordsTest, StreamRecordHoldersTest, StreamVersionTest, ControlSubscriptionTest, ControlCoreTest and SubscriberTableTest pass.

--- a/src/main/java/org/cuminshelf/control/StreamRecordStore.java
+++ b/src/main/java/org/cuminshelf/control/StreamRecordStore.java
@@ -17,8 +17,8 @@
 final class StreamRecordStore {
 
     /**
-     * Bounds the memory to some 30 MB. Six processes that share the records of 4,700 streams a second hold 94,000 each;
-     * three hold those of the last 48 s.
+     * Bounds the memory to 25 MB. Of 4,700 streams a second each of six processes holds 94,000 records, and each of
+     * three those of the last 48 s.
      */
     private static final int MAX_RECORDS = 150_000;
 
--- a/src/main/java/org/cuminshelf/direct/StreamResumptions.java
+++ b/src/main/java/org/cuminshelf/direct/StreamResumptions.java
@@ -134,7 +134,9 @@
             remove(answer.getNumber());
             StreamRecord record = answer.getRecord();
             records.onRecord(now, record);
-            records.find(stream.stream()).ifPresent(begun -> onRecord(now, stream, begun, "record-by-answer"));
+            records.find(stream.stream())
+                    .ifPresentOrElse(
+                            begun -> onRecord(now, stream, begun, "record-by-answer"), () -> refuseUnsure(now, stream));
         } else if (stream.unanswered.isEmpty() || stream.onlyCandidate().isPresent()) {
             remove(answer.getNumber());
             decideWithoutRecord(now, stream);
@@ -154,6 +156,12 @@
         listener.onOriginKnown(now, stream, begun.service(), origin);
     }
 
+    /** Refuses a stream of which records state different versions. */
+    private void refuseUnsure(long now, ResumedStream stream) {
+        note(now, stream, "unknown-not-sure", "unknown", "none");
+        listener.onOriginUnknown(now, stream);
+    }
+
     private void decideWithoutRecord(long now, ResumedStream stream) {
         Optional<String> only = stream.onlyCandidate();
         if (only.isEmpty()) {
--- a/src/test/java/org/cuminshelf/direct/StreamResumptionsTest.java
+++ b/src/test/java/org/cuminshelf/direct/StreamResumptionsTest.java
@@ -126,6 +126,25 @@
                 .hasSize(1);
     }
 
+    /** Guards against a caller that gets no answer, as records here and elsewhere state different versions. */
+    @Example
+    void aStreamOfWhichTwoVersionsAreRecordedIsRefused() {
+        add("u1", OLD);
+        add("u2", NEW);
+        for (String version : new String[] {OLD, NEW}) {
+            accept(
+                    OTHERS[0],
+                    Envelope.newBuilder()
+                            .setStreamRecords(StreamRecordBatch.newBuilder().addRecords(record(version))));
+        }
+        DirectFixture.CallerResponse response = resume();
+        answer(OTHERS[1], StreamAnswer.newBuilder().setRecord(record(NEW)));
+        assertThat(response.status).isEqualTo(503);
+        assertThat(entry.sentRequests).isEmpty();
+        assertThat(entry.core.openCalls()).isZero();
+        assertThat(entry.linesWith("resumption b", "outcome=unknown-not-sure")).hasSize(1);
+    }
+
     @Example
     void aRecordThatWasSentHereDecidesWithoutAQuestion() {
         add("u1", OLD);
