A full engine that generates is no reason to wait for a role change

Cause: the end of the backoff of an engine that was never avoided is the lowest long, and now subtracted from it overflows to 292 years.

Found as the condition on the version was removed in a scratch copy and no test failed. Two tests more, for conditions of which the same was seen: a version whose only engine crashed is gone, and a new stream is not refused for a version. The test of an overdue change also looks at one that is almost due, as without the shortest time it passed by the default of responses.

--- a/src/main/java/org/cuminshelf/direct/RoleChangeForecast.java
+++ b/src/main/java/org/cuminshelf/direct/RoleChangeForecast.java
@@ -91,7 +91,7 @@
     }
 
     private static long avoidedMillis(long now, UpstreamInstance instance) {
-        return Durations.millis(Math.max(0, instance.avoidedUntilNanos() - now));
+        return Durations.millis(Math.max(now, instance.avoidedUntilNanos()) - now);
     }
 
     private long changeMillis(UpstreamInstance instance) {
--- a/src/test/java/org/cuminshelf/direct/VersionWithoutGeneratingEngineTest.java
+++ b/src/test/java/org/cuminshelf/direct/VersionWithoutGeneratingEngineTest.java
@@ -5,12 +5,14 @@
 import net.jqwik.api.Example;
 import org.assertj.core.data.Offset;
 import org.cuminshelf.exchange.Reachability;
+import org.cuminshelf.message.EntryLoad;
 import org.cuminshelf.message.Envelope;
 import org.cuminshelf.message.Role;
 import org.cuminshelf.message.StreamRecord;
 import org.cuminshelf.message.StreamRecordBatch;
 import org.cuminshelf.message.Update;
 import org.cuminshelf.message.UpstreamBeat;
+import org.cuminshelf.message.UpstreamLoad;
 import org.cuminshelf.routes.RequestKind;
 
 /**
@@ -64,6 +66,10 @@
         send(DirectFixture.heartbeat(id, role).toBuilder().setVersion(version).setChanging(changing));
     }
 
+    private void delete(String id) {
+        send(DirectFixture.heartbeat(id, Role.ROLE_MIXED).toBuilder().setDeleted(true));
+    }
+
     private void send(UpstreamBeat.Builder heartbeat) {
         entry.sendUpdate(update(heartbeat));
     }
@@ -115,9 +121,7 @@
     @Example
     void itsCallerIsToldTheSameIfNoOtherEngineIsLeft() {
         beat("p1", Role.ROLE_PREFILL, OLD, true);
-        send(DirectFixture.heartbeat("p2", Role.ROLE_PREFILL).toBuilder()
-                .setVersion(OLD)
-                .setDeleted(true));
+        delete("p2");
         entry.advance(1_000);
         assertThat(retryAfterSeconds(resume("b", 20_000))).isEqualTo(USUAL_CHANGE_SECONDS - 1, within());
         assertThat(entry.linesWith("request b", REASON)).hasSize(1);
@@ -131,12 +135,14 @@
         assertThat(retryAfterSeconds(resume("c", 3_000))).isEqualTo(1, within());
     }
 
-    /** Guards against a time in the past, or none, if a change takes longer than expected. */
+    /** Guards against callers that come back at once, again and again, if a change takes longer than expected. */
     @Example
-    void itsCallerIsToldAShortTimeIfAChangeIsOverdue() {
+    void itsCallerIsToldAShortTimeIfAChangeIsDueOrOverdue() {
         beat("p1", Role.ROLE_PREFILL, OLD, true);
-        entry.advance(5_000);
+        entry.advance(2_990);
         assertThat(retryAfterSeconds(resume("b", 20_000))).isBetween(0.1, 0.5);
+        entry.advance(2_000);
+        assertThat(retryAfterSeconds(resume("c", 20_000))).isBetween(0.1, 0.5);
     }
 
     @Example
@@ -192,6 +198,44 @@
         assertThat(entry.sentRequests).hasSize(1);
     }
 
+    /** Guards against streams that are told to wait for a role change while the engine that generates is only full. */
+    @Example
+    void aVersionWhoseGeneratingEngineIsFullHasOne() {
+        beat("d1", Role.ROLE_DECODE, OLD, false);
+        entry.reportLoad(EntryLoad.newBuilder()
+                .addUpstreams(UpstreamLoad.newBuilder().setId("d1").setRunning(6)));
+        DirectFixture.CallerResponse response = resume("b", 20_000);
+        assertThat(entry.sentRequests).isEmpty();
+        assertThat(response.complete).isFalse();
+        entry.advance(900);
+        assertThat(entry.linesWith("request b", REASON)).isEmpty();
+    }
+
+    /** Guards against callers that wait for a role change where no engine is left that could change its role. */
+    @Example
+    void aVersionWhoseOnlyEngineCrashedIsGone() {
+        beat("d1", Role.ROLE_DECODE, OLD, false);
+        delete("p1");
+        delete("p2");
+        entry.reachability = Reachability.REFUSED;
+        resume("b", 20_000);
+        entry.lastSent().handler.onFailed(true, "reset");
+        entry.advance(200);
+        resume("c", 20_000);
+        assertThat(entry.linesWith("request c", "reason=no-upstream-of-version"))
+                .hasSize(1);
+    }
+
+    /** Guards against new streams that are refused for the sake of a version to which they are not bound. */
+    @Example
+    void aNewStreamIsNotRefusedForAVersionWhereNothingGenerates() {
+        delete("d2");
+        entry.sendRequest("n", "Tokens", "100");
+        entry.advance(500);
+        assertThat(entry.linesWith("request n", REASON)).isEmpty();
+        assertThat(entry.linesWith("request n", "not-run")).hasSize(1);
+    }
+
     /** Guards against new streams that are refused with it: they may begin at another version. */
     @Example
     void newStreamsBeginAtTheOtherVersion() {
