Tests: an engine that generates for its version is not moved back by the load, and gets one order for both reasons

The second shows the guard on orders that are proposed and not committed: without it an engine that its version and the load want in one planning round is proposed twice.

--- a/src/test/java/org/cuminshelf/control/VersionRolesTest.java
+++ b/src/test/java/org/cuminshelf/control/VersionRolesTest.java
@@ -10,12 +10,14 @@
 import net.jqwik.api.Example;
 import org.cuminshelf.core.Address;
 import org.cuminshelf.core.Durations;
+import org.cuminshelf.message.AdminRequest;
 import org.cuminshelf.message.CrashedRun;
 import org.cuminshelf.message.DirectOrder;
 import org.cuminshelf.message.Envelope;
 import org.cuminshelf.message.Involvement;
 import org.cuminshelf.message.OfferedWork;
 import org.cuminshelf.message.Role;
+import org.cuminshelf.message.StatusQuery;
 import org.cuminshelf.message.Subscribe;
 import org.cuminshelf.message.UpstreamBeat;
 import org.cuminshelf.message.UpstreamCrash;
@@ -28,6 +30,7 @@
 class VersionRolesTest {
 
     private static final Address ENTRY = Address.of("10.0.1.1:7000");
+    private static final Address ADMINISTRATOR = Address.of("10.0.2.1:7000");
     private static final long STEP_MILLIS = 100;
     private static final long HEARTBEAT_MILLIS = 1_200;
     private static final long CHANGE_MILLIS = 3_000;
@@ -193,6 +196,34 @@
         assertOneOrderToGenerateAt(OLD);
     }
 
+    /** Guards against two orders at one time to one engine, for its version and for the load. */
+    @Example
+    void anEngineThatTheLoadWantsTooGetsOneOrder() {
+        startTwoVersions();
+        offeredDecodeEngines = 2.9;
+        advance(5_000);
+        assertThat(control.orders).isEmpty();
+        long before = lastLogIndex();
+        delete("d1-" + OLD);
+        advance(MAX_REACTION_MILLIS);
+        assertOneOrderToGenerateAt(OLD);
+        assertThat(lastLogIndex()).isEqualTo(before + 1);
+    }
+
+    private long lastLogIndex() {
+        control.sendTo(
+                control.leader().orElseThrow(),
+                ADMINISTRATOR,
+                Envelope.newBuilder().setAdminRequest(AdminRequest.newBuilder().setStatus(StatusQuery.newBuilder())));
+        control.advance(20);
+        return control.takeSent(ADMINISTRATOR).stream()
+                .filter(Envelope::hasAdminAnswer)
+                .map(message ->
+                        message.getAdminAnswer().getStatus().getGroups(0).getLastIndex())
+                .findFirst()
+                .orElseThrow();
+    }
+
     @Example
     void aNewLeaderDoesNotRepeatTheOrder() {
         startTwoVersions();
@@ -276,6 +307,17 @@
         assertThat(control.orders).isEmpty();
     }
 
+    /** Guards against an engine that its version and the load move in turns, each time out of service for seconds. */
+    @Example
+    void anEngineThatGeneratesForItsVersionIsNotMovedBackByTheLoad() {
+        addTwoVersions();
+        offeredPrefillEngines = 8;
+        advance(30_000);
+        delete("d1-" + OLD);
+        advance(90_000);
+        assertOneOrderToGenerateAt(OLD);
+    }
+
     @Example
     void aChangeToDecodeTakesAnEngineOfTheVersionWithFewestThatGenerate() {
         add("p1-" + OLD, OLD, Role.ROLE_PREFILL);
