--- a/src/test/java/org/cuminshelf/trial/CrashingEngine.java
+++ b/src/test/java/org/cuminshelf/trial/CrashingEngine.java
@@ -266,9 +266,24 @@
         private void end() {
             over = true;
             runs.remove(this);
+            queue.remove(this);
             if (record != null) {
                 record.endedAt = time.now();
             }
+            runQueued();
+        }
+
+        /** Takes a slot. */
+        private void run() {
+            record = records.begin(request, entry, time.now(), resumeAfter, version);
+            runs.add(this);
+            time.after(SHORTEST_PROMPT + random.nextLong(PROMPT_SPREAD), this::begin);
+        }
+
+        private void reject() {
+            over = true;
+            handler.onHead(503, head("Not-Run", "1"));
+            handler.onComplete();
         }
 
         @Override
@@ -295,7 +310,15 @@
 
     private String nextVersion = "";
 
+    /** Slots that it states; it takes any number of requests unless {@link #limitSlots} was called. */
+    private int slots = 64;
+
+    private int maxRunning = Integer.MAX_VALUE;
+    private int maxQueued;
     private final List<Run> runs = new ArrayList<>();
+    /** Requests that wait for a slot, in the order of their arrival. */
+    private final List<Run> queue = new ArrayList<>();
+
     private final List<EngineSilence> silences = new ArrayList<>();
     /** Steps of runs that fell into a silence. */
     int stepsPutOff;
@@ -343,6 +366,19 @@
         role = Role.ROLE_MIXED;
     }
 
+    /** Runs no more requests than it has slots, queues a few and rejects the others as not run. */
+    void limitSlots(int limit, int queued) {
+        slots = limit;
+        maxRunning = limit;
+        maxQueued = queued;
+    }
+
+    private void runQueued() {
+        if (up && !queue.isEmpty() && runs.size() < maxRunning) {
+            queue.removeFirst().run();
+        }
+    }
+
     /** Runs a version of its software, from its next start on. */
     void useVersion(String next) {
         nextVersion = next;
@@ -379,7 +415,7 @@
                 .setAddress(address.value())
                 .setZone("z")
                 .setSequence(++sequence)
-                .setSlots(64)
+                .setSlots(slots)
                 .setRole(role)
                 .setVersion(version)
                 .build();
@@ -398,7 +434,7 @@
     /** Ends, with all that runs here; every connection breaks within milliseconds. */
     void crash() {
         up = false;
-        List<Run> cut = List.copyOf(runs);
+        List<Run> cut = open();
         cut.forEach(run -> {
             run.end();
             time.after(random.nextLong(BREAK_SPREAD), () -> run.breakOff(closesInOrder));
@@ -406,9 +442,16 @@
         time.after(SHORTEST_OUTAGE + random.nextLong(OUTAGE_SPREAD), this::start);
     }
 
+    /** Requests that run or wait for a slot. */
+    private List<Run> open() {
+        List<Run> open = new ArrayList<>(runs);
+        open.addAll(queue);
+        return open;
+    }
+
     /** Breaks all connections, without ending. */
     void resetConnections() {
-        List<Run> cut = List.copyOf(runs);
+        List<Run> cut = open();
         cut.forEach(run -> {
             run.end();
             time.after(random.nextLong(BREAK_SPREAD), () -> run.handler.onFailed(true, "reset"));
@@ -431,7 +474,7 @@
 
     /** Sees all connections of an entry closed, as its process ended. */
     void onEntryGone(Address entry) {
-        List.copyOf(runs).stream().filter(run -> run.entry.equals(entry)).forEach(Run::end);
+        open().stream().filter(run -> run.entry.equals(entry)).forEach(Run::end);
     }
 
     void probe(Consumer<Reachability> whenSeen) {
@@ -481,9 +524,17 @@
                 records.arrivals.add(
                         new Arrival(time.now(), request.headers().get("Id"), run.poisonSegment.orElse("")));
             }
-            run.record = records.begin(run.request, entry, time.now(), run.resumeAfter, version);
-            runs.add(run);
-            time.after(SHORTEST_PROMPT + random.nextLong(PROMPT_SPREAD), run::begin);
+            admit(run);
+        }
+    }
+
+    private void admit(Run run) {
+        if (runs.size() < maxRunning) {
+            run.run();
+        } else if (queue.size() < maxQueued) {
+            queue.add(run);
+        } else {
+            run.reject();
         }
     }
 }
