Room: begun streams come first at the version that began them

Callers that resumed a stream at another entry were refused with 'all places are taken' while new streams began: a resumed stream fits at upstreams of one version only, but it competed there as a new one. It could not use the slots above 0.85, waited an eighth of its latency target behind other calls, and new streams of all entries took the slots of its version although they fit elsewhere.

A begun stream (DirectCall.isBegun: events delivered, here or by another entry) now uses all slots, waits first in AdmissionQueue until it must be sent for its caller to see an event in time, and is then sent to the best upstream, full or not; a rejection by an upstream does not use up its attempts. Entries report begun streams that wait by service and version (EntryLoad.waiting_streams), early when a wait begins or ends, within the bound of LoadGossip. While any waits, new streams leave as many slots of that version free (BegunStreamWaits, VersionRoom), and they prefer the version with more free slots where versions differ. Streams continued within their entry wait for a free slot in the same way; they used to be sent to full engines at once.

AdmissionQueueOrderTest: the queue now needs a BegunStreamWaits.

--- a/src/main/java/org/cuminshelf/direct/AdmissionControl.java
+++ b/src/main/java/org/cuminshelf/direct/AdmissionControl.java
@@ -131,6 +131,9 @@
         if (isTooLate(now, call, choice)) {
             return refuse(call, choice, "too-late");
         }
+        if (isBegunAndIdle(call)) {
+            return new Decision.Send(choice);
+        }
         double ownMillis = choice.firstEventMillis() - choice.queueMillis();
         if (yields(now, call, choice)) {
             return queuesForCapacity(now, call, ownMillis) ? WAIT : refuse(call, choice, YIELDS_REASON);
@@ -143,12 +146,16 @@
     }
 
     private Decision decideWithoutUpstream(long now, DirectCall call) {
-        if (wouldBeLost(call)) {
+        if (wouldBeLost(call) || isBegunAndIdle(call)) {
+            if (call.isBegun() && call.estimatedFirstEventMillis == 0) {
+                // The end of its wait depends on the time to its next event.
+                selector.chooseAmongFull(now, call).ifPresent(choice -> recordEstimate(call, choice));
+            }
             if (queuesForRetry(now, call)) {
                 return WAIT;
             }
             // Its wait is over, and the upstreams on which it has failed may be tried again now.
-            Optional<UpstreamSelector.Choice> again = selector.choose(now, call);
+            Optional<UpstreamSelector.Choice> again = selector.chooseAmongFull(now, call);
             if (again.isPresent()) {
                 return new Decision.Send(again.get());
             }
@@ -157,6 +164,11 @@
         if (next.isPresent()) {
             return decideLimited(now, call, next.getAsLong());
         }
+        if (isBegunAndIdle(call) && selector.nextOpenAt(now, call).isPresent()) {
+            // Its wait is over, and the upstreams of its version have just rejected requests.
+            Verdict.NotRun verdict = new Verdict.NotRun(Cause.OVERLOADED, slotFreeAfterMillis(call));
+            return new Decision.Refuse(verdict, "all places are taken");
+        }
         boolean allSlotsInUse = selector.hasOpenUpstream(now, call);
         boolean queued =
                 allSlotsInUse ? queuesForCapacity(now, call, USUAL_FIRST_EVENT_MILLIS) : queuesForDiscovery(now, call);
@@ -184,7 +196,20 @@
      */
     private static boolean wouldBeLost(DirectCall call) {
         boolean idle = call.lastAttempt != null && !call.hasOpenAttempt();
-        return idle && (call.responseStarted || call.mayHaveRun || call.kvCache.isPresent());
+        return idle && (call.isBegun() || call.responseStarted || call.mayHaveRun || call.kvCache.isPresent());
+    }
+
+    /** Returns whether a call is a begun stream, here or at another entry, of which no attempt is running. */
+    private static boolean isBegunAndIdle(DirectCall call) {
+        return call.isBegun() && !call.hasOpenAttempt();
+    }
+
+    /** Returns when a slot for a refused begun stream is expected to be free, in milliseconds from now. */
+    private long slotFreeAfterMillis(DirectCall call) {
+        return Math.clamp(
+                selector.slotFreeAfterMillis(call),
+                CallerResponses.DEFAULT_RETRY_AFTER_MILLIS,
+                NO_SLOT_RETRY_AFTER_MILLIS);
     }
 
     /**
@@ -192,6 +217,9 @@
      * tried again if no other one accepts it soon: a connection breaks under a sound upstream too.
      */
     private boolean queuesForRetry(long now, DirectCall call) {
+        if (call.lastAttempt == null) {
+            return admissionQueue.addForRetry(now, call, selector.nextOpenAt(now, call));
+        }
         long retryAt = call.lastAttempt.sentAtNanos + MAX_WAIT_FOR_OTHERS_NANOS;
         if (call.unsentAttempts > 0 && now < retryAt) {
             return admissionQueue.addForRetry(now, call, OptionalLong.of(retryAt));
--- a/src/main/java/org/cuminshelf/direct/AdmissionQueue.java
+++ b/src/main/java/org/cuminshelf/direct/AdmissionQueue.java
@@ -5,6 +5,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.function.Predicate;
 import org.cuminshelf.core.Core;
@@ -20,8 +21,8 @@
  * the most urgent ones. Of equal priority the call that must start soonest is first, and calls that can no longer be in
  * time are last. A slot is released every few milliseconds, so that a short wait avoids most refusals of a cluster.
  *
- * <p>Calls whose attempt has failed and whose refusal would lose work come before all others, and wait as long as their
- * callers do.
+ * <p>Calls whose attempt has failed and whose refusal would lose work, and begun streams, come before all others, and
+ * wait as long as their callers do.
  */
 final class AdmissionQueue {
 
@@ -68,12 +69,17 @@
             return call.lastAttempt != null;
         }
 
+        /** Whether a refusal may lose work, so that it comes before new calls. */
+        private boolean isFirst() {
+            return isRetry() || call.isBegun();
+        }
+
         private boolean isOwed() {
             return call.standing() instanceof Standing.Owed;
         }
 
         private Group group() {
-            return new Group(call.service, isRetry());
+            return new Group(call.service, isRetry(), call.origin.map(StreamOrigin::version));
         }
     }
 
@@ -82,17 +88,23 @@
      *
      * @param service their service
      * @param retries whether they were sent before
+     * @param version the only software version that may continue them, if they are begun streams
      */
-    private record Group(String service, boolean retries) {
+    private record Group(String service, boolean retries, Optional<String> version) {
 
         private int maxFailures() {
             return retries ? MAX_FAILED_RETRIES : MAX_FAILED_FIRST_ATTEMPTS;
         }
     }
 
+    private final BegunStreamWaits begunWaits;
     private final Map<Long, QueuedCall> calls = new HashMap<>();
     private long nextRetryAt = Core.NEVER;
 
+    AdmissionQueue(BegunStreamWaits begunWaits) {
+        this.begunWaits = begunWaits;
+    }
+
     /**
      * Queues a call until an engine has capacity for it, if it can still be in time.
      *
@@ -124,7 +136,8 @@
     }
 
     /**
-     * Queues a call whose attempt has failed until an upstream accepts it, if its caller waits that long.
+     * Queues a call whose attempt has failed, or a begun stream, until an upstream accepts it, if its caller waits that
+     * long.
      *
      * @param now        the time in nanoseconds
      * @param call       the call
@@ -145,7 +158,7 @@
         if (!call.isStream()) {
             return call.arrivedAtNanos + maxDiscoveryWaitNanos(call.deadlineNanos - call.arrivedAtNanos);
         }
-        if (!call.responseStarted && !call.mayHaveRun) {
+        if (!call.isBegun() && !call.responseStarted && !call.mayHaveRun) {
             return call.arrivedAtNanos + Durations.nanos(call.route.targetLatencyMillis());
         }
         return CallerTimeouts.latestSendAt(call);
@@ -201,8 +214,12 @@
     private boolean put(long now, DirectCall call, long latestStartAt, long expiresAt) {
         QueuedCall previous = calls.remove(call.number);
         if (now >= expiresAt) {
+            noteRemoved(previous);
             return false;
         }
+        if (previous == null) {
+            begunWaits.onWaitBegan(call);
+        }
         long queuedAt = previous == null ? now : previous.queuedAt;
         calls.put(call.number, new QueuedCall(call, latestStartAt, expiresAt, queuedAt));
         nextRetryAt = Math.min(nextRetryAt, now + RETRY_INTERVAL_NANOS);
@@ -210,7 +227,13 @@
     }
 
     void remove(DirectCall call) {
-        calls.remove(call.number);
+        noteRemoved(calls.remove(call.number));
+    }
+
+    private void noteRemoved(QueuedCall queued) {
+        if (queued != null) {
+            begunWaits.onWaitEnded(queued.call);
+        }
     }
 
     /** Returns for how long a call has been in the queue, in nanoseconds; 0 if it is not. */
@@ -246,12 +269,12 @@
     }
 
     /**
-     * Returns the queued calls: retries first, then those whose group is owed, then by priority. Of equal priority,
-     * those that must start soonest are first, and calls that can no longer be in time are last.
+     * Returns the queued calls: retries and begun streams first, then those whose group is owed, then by priority. Of
+     * equal priority, those that must start soonest are first, and calls that can no longer be in time are last.
      */
     private List<QueuedCall> inOrder(long now) {
         List<QueuedCall> ordered = new ArrayList<>(calls.values());
-        ordered.sort(Comparator.comparing((QueuedCall queued) -> !queued.isRetry())
+        ordered.sort(Comparator.comparing((QueuedCall queued) -> !queued.isFirst())
                 .thenComparing(queued -> !queued.isOwed())
                 .thenComparingInt(queued -> queued.call.priority())
                 .thenComparing(queued -> queued.latestStartAt < now)
--- a/src/main/java/org/cuminshelf/direct/CallDispatcher.java
+++ b/src/main/java/org/cuminshelf/direct/CallDispatcher.java
@@ -43,7 +43,7 @@
     private final AttemptRunner attemptRunner;
     private final Map<Long, DirectCall> openCalls = new HashMap<>();
     private final DeadlineQueue<Long> callDeadlines = DeadlineQueue.create();
-    private final AdmissionQueue admissionQueue = new AdmissionQueue();
+    private final AdmissionQueue admissionQueue;
     private final AdmissionControl admission;
     private final CallReturns callReturns = new CallReturns();
     private final SizeFairness sizeFairness = new SizeFairness();
@@ -73,7 +73,8 @@
             UsageMeter usageMeter,
             StreamRecords streamRecords,
             UpstreamOutliers outliers,
-            PlainServiceTimes serviceTimes) {
+            PlainServiceTimes serviceTimes,
+            BegunStreamWaits begunWaits) {
         this.protocol = protocol;
         this.client = client;
         this.upstreams = upstreams;
@@ -87,6 +88,7 @@
         this.streamRecords = streamRecords;
         this.outliers = outliers;
         this.serviceTimes = serviceTimes;
+        this.admissionQueue = new AdmissionQueue(begunWaits);
         this.admission = new AdmissionControl(selector, control, poisonGuard, admissionQueue);
         this.responses = new CallerResponses(control, log);
         this.attemptLog = new AttemptLog(log);
@@ -439,7 +441,7 @@
                 Math.round(attempt.estimate.prefillMillis()),
                 "running",
                 attempt.upstream.localAttempts);
-        if (attempt.call.responseStarted) {
+        if (attempt.call.isBegun()) {
             // The rejected attempt ran nothing, and the one before may have been given up for it.
             attempt.call.attemptCount--;
         }
--- a/src/main/java/org/cuminshelf/direct/CallReturns.java
+++ b/src/main/java/org/cuminshelf/direct/CallReturns.java
@@ -29,14 +29,14 @@
 
     /**
      * Returns the verdict on a refused call with the time at which its caller should retry. A verdict for another
-     * reason than lack of capacity is returned unchanged.
+     * reason than lack of capacity is returned unchanged, as is that on a begun stream, which comes before new calls.
      *
      * @param now     the time in nanoseconds
      * @param call    the call
      * @param verdict the verdict, whose time is the earliest
      */
     Verdict.NotRun schedule(long now, DirectCall call, Verdict.NotRun verdict) {
-        if (verdict.cause() != Cause.OVERLOADED) {
+        if (verdict.cause() != Cause.OVERLOADED || call.isBegun()) {
             return verdict;
         }
         long remainingMillis = Math.max(0, Durations.millis(call.deadlineNanos - now));
--- a/src/main/java/org/cuminshelf/direct/DirectCall.java
+++ b/src/main/java/org/cuminshelf/direct/DirectCall.java
@@ -89,6 +89,9 @@
     /** The software version that began the stream, once it is known. */
     Optional<StreamOrigin> origin = Optional.empty();
 
+    /** Whether it is placed at an upstream without a free slot too, as its wait for one is over. */
+    boolean takesFullUpstream;
+
     /** Number of events sent to the caller. */
     int deliveredEvents;
     /** Estimated milliseconds to the first event when the first attempt was placed. */
@@ -252,6 +255,11 @@
         return route.kind() == RequestKind.STREAM;
     }
 
+    /** Whether it is a stream of which its caller holds events, of this entry or of another. */
+    boolean isBegun() {
+        return isStream() && origin.isPresent();
+    }
+
     /** Whether it is neither a stream nor a generation, so that its work does not depend on a prompt. */
     boolean isPlain() {
         return !isStream() && intent.generation().isEmpty();
--- a/src/main/java/org/cuminshelf/direct/DirectCore.java
+++ b/src/main/java/org/cuminshelf/direct/DirectCore.java
@@ -53,6 +53,7 @@
     private final Backpressure backpressure;
     private final UpstreamOutliers outliers;
     private final PlainServiceTimes serviceTimes;
+    private final BegunStreamWaits begunWaits = new BegunStreamWaits();
     private final StartupRequestQueue earlyRequests = new StartupRequestQueue();
     private final Map<CallerExchange, DirectCall> callsByExchange = new HashMap<>();
     private long nextCallNumber = 1;
@@ -88,8 +89,7 @@
         this.outliers = new UpstreamOutliers(upstreams, control, unreportedOutcomes, self, log);
         this.serviceTimes = new PlainServiceTimes(upstreams, unreportedOutcomes);
         poisonGuard.reportResetsTo(outliers::onReset);
-        UpstreamSelector selector = new UpstreamSelector(
-                upstreams, control, engineModels, gapForecasts, backpressure, outliers, serviceTimes, settings.zone());
+        UpstreamSelector selector = createSelector(engineModels, settings.zone());
         this.loadGossip = new LoadGossip(
                 upstreams,
                 engineModels,
@@ -99,6 +99,7 @@
                 unreportedOutcomes,
                 outliers,
                 serviceTimes,
+                begunWaits,
                 now);
         this.streamRecords = new StreamRecords(self, control);
         this.resumptions =
@@ -122,10 +123,16 @@
                 usageMeter,
                 streamRecords,
                 outliers,
-                serviceTimes);
+                serviceTimes,
+                begunWaits);
         this.nextHousekeepingNanos = now;
     }
 
+    private UpstreamSelector createSelector(EngineLatencyModels engineModels, String zone) {
+        return new UpstreamSelector(
+                upstreams, control, engineModels, gapForecasts, backpressure, outliers, serviceTimes, begunWaits, zone);
+    }
+
     /**
      * Creates the core of a starting entry.
      *
@@ -362,6 +369,7 @@
         if (now >= nextHousekeepingNanos) {
             nextHousekeepingNanos = now + HOUSEKEEPING_INTERVAL_NANOS;
             upstreams.tick(now);
+            begunWaits.tick(now);
             backpressure.tick(now);
             outliers.tick(now);
             serviceTimes.tick(now);
--- a/src/main/java/org/cuminshelf/direct/LoadGossip.java
+++ b/src/main/java/org/cuminshelf/direct/LoadGossip.java
@@ -25,8 +25,8 @@
 
 /**
  * Exchange of load reports between entries: the requests that each has running at the engines, the prompts that it sent
- * there, how long their prefill took, and the rate limits and backoffs that upstreams requested. All entries thereby
- * select upstreams by the same state, and learn from each other's requests.
+ * there, how long their prefill took, the rate limits and backoffs that upstreams requested, and the begun streams that
+ * wait. All entries thereby select upstreams by the same state, and learn from each other's requests.
  *
  * <p>Guards against several entries finding the same engine idle at once and all sending to it, so that prompts wait
  * for each other while other engines are idle. The report of a sent prompt leaves within milliseconds, one for each
@@ -72,6 +72,7 @@
     private final UnreportedOutcomes unreportedOutcomes;
     private final UpstreamOutliers outliers;
     private final PlainServiceTimes serviceTimes;
+    private final BegunStreamWaits begunWaits;
     private final List<SentPrompt> sentPrompts = new ArrayList<>();
     private final List<TakenPrompt> prefilledPrompts = new ArrayList<>();
     private long nextReportAt;
@@ -94,6 +95,7 @@
             UnreportedOutcomes unreportedOutcomes,
             UpstreamOutliers outliers,
             PlainServiceTimes serviceTimes,
+            BegunStreamWaits begunWaits,
             long now) {
         this.upstreams = upstreams;
         this.models = models;
@@ -103,6 +105,7 @@
         this.unreportedOutcomes = unreportedOutcomes;
         this.outliers = outliers;
         this.serviceTimes = serviceTimes;
+        this.begunWaits = begunWaits;
         this.nextReportAt = now;
         this.lastReportAt = now;
         this.lastIntervalsAt = now - REPORT_INTERVAL_NANOS;
@@ -164,9 +167,13 @@
         return busy || lastReportNonEmpty || !unreportedOutcomes.isEmpty() ? reportDueAt() : Core.NEVER;
     }
 
-    /** Returns when the next report is due if there is one; an error of an upstream makes it early. */
+    /**
+     * Returns when the next report is due if there is one; an error of an upstream, and a begun stream that begins or
+     * ceases to wait, make it early.
+     */
     private long reportDueAt() {
-        return unreportedOutcomes.hasError() ? Math.min(nextReportAt, lastReportAt + minIntervalNanos()) : nextReportAt;
+        boolean early = unreportedOutcomes.hasError() || begunWaits.hasUnreportedChange();
+        return early ? Math.min(nextReportAt, lastReportAt + minIntervalNanos()) : nextReportAt;
     }
 
     /** Sends a report to the other entries if one is due. */
@@ -186,7 +193,9 @@
                         || unreportedOutcomes.contains(upstream.id))
                 .forEach(upstream -> load.addUpstreams(upstreamLoad(now, upstream, withIntervals)));
         boolean hasBackpressure = addBackpressure(now, load);
-        boolean isNonEmpty = load.getUpstreamsCount() > 0 || !prefilledPrompts.isEmpty() || hasBackpressure;
+        boolean hasWaiting = begunWaits.addTo(load);
+        boolean isNonEmpty =
+                load.getUpstreamsCount() > 0 || !prefilledPrompts.isEmpty() || hasBackpressure || hasWaiting;
         sentPrompts.clear();
         prefilledPrompts.clear();
         unreportedOutcomes.clear();
@@ -250,6 +259,7 @@
     /** Applies the report of another entry. */
     void onLoad(long now, Address entry, EntryLoad load) {
         upstreams.applyLoad(now, entry, load);
+        begunWaits.onReport(now, entry, load.getWaitingStreamsList());
         for (UpstreamLoad upstreamLoad : load.getUpstreamsList()) {
             eventIntervals.onReport(now, upstreamLoad);
             outliers.onReport(now, entry, upstreamLoad);
--- a/src/main/java/org/cuminshelf/direct/OfferedLoad.java
+++ b/src/main/java/org/cuminshelf/direct/OfferedLoad.java
@@ -54,6 +54,11 @@
         count(prefillMicros, 0);
     }
 
+    /** Milliseconds for which the call occupies a slot of an engine that generates. */
+    double generationMillis() {
+        return generationMicros / MICROS_PER_MILLI;
+    }
+
     private void count(long countedPrefillMicros, long countedGenerationMicros) {
         if (!counted) {
             counted = true;
--- a/src/main/java/org/cuminshelf/direct/UpstreamSelector.java
+++ b/src/main/java/org/cuminshelf/direct/UpstreamSelector.java
@@ -18,7 +18,6 @@
 import org.cuminshelf.engines.PauseRisk;
 import org.cuminshelf.message.Role;
 import org.cuminshelf.routes.EngineCapacity;
-import org.cuminshelf.routes.RoutedService;
 
 /**
  * Selects the upstream of a request.
@@ -120,26 +119,8 @@
     private static final double REPEATED_PREFILL_COST_PER_TOKEN = 0.05e-3;
     /** Breaks ties between engines of equal cost in favour of the earlier first event. */
     private static final double LATENCY_COST_PER_MILLI = 1e-4;
-    /**
-     * Share of an engine's KV cache in use beyond which other engines are preferred. Beyond it the engine preempts
-     * running requests and prefills their prompts again, which lengthens the pauses of all its streams.
-     */
-    private static final double MAX_MEMORY_SHARE = 0.8;
-    /**
-     * Share of an engine's KV cache that retains prompt segments after their requests end; running requests use the
-     * rest.
-     */
-    private static final double PREFIX_CACHE_SHARE = 0.7;
-    /**
-     * Share of an engine's slots that may be in use, given that entries learn of each other's requests some 50 ms late.
-     */
-    private static final double MAX_SLOT_SHARE = 0.85;
-    /** The same for short streams, which hold a slot for a tenth of a second where others hold it for two seconds. */
-    private static final double MAX_SLOT_SHARE_SHORT_STREAM = 0.95;
-    /** The same for calls that yield to more urgent ones, which find the remaining slots free. */
+    /** Share of an engine's slots in use up to which calls that yield to more urgent ones are sent there. */
     private static final double MAX_FREE_SLOT_SHARE = 0.7;
-    /** Events of a short stream: few compared with a usual stream. They take some 0.25 s in the first deployments. */
-    private static final int MAX_SHORT_STREAM_EVENTS = 4;
     /**
      * Load added at a handover for each stream that is expected to be late because of it, in requests. One late stream
      * in ten outweighs {@link #HOME_ENGINE_BONUS_REQUESTS}.
@@ -147,8 +128,6 @@
     private static final double LATE_STREAM_PENALTY_REQUESTS = 60;
     /** The same for an answer that is expected to be lost, in proportion to the cost of a late one. */
     private static final double LOST_ANSWER_PENALTY_REQUESTS = LATE_STREAM_PENALTY_REQUESTS / LATE_COST;
-    /** Load added for an engine whose memory is full, in requests. */
-    private static final double FULL_MEMORY_PENALTY_REQUESTS = 1_000;
 
     private static final double MICROS_PER_MILLI = 1e3;
     /** Time without any byte after which an upstream that is avoided after failures no longer passes for sound. */
@@ -163,6 +142,8 @@
     private final Backpressure backpressure;
     private final UpstreamOutliers outliers;
     private final PlainServiceTimes serviceTimes;
+    private final BegunStreamWaits begunWaits;
+    private final EngineRoom room;
     private final EngineTimePrices prices = new EngineTimePrices();
     private final AnswerValues values = new AnswerValues();
     private final Map<String, UnreportedWork> unreported = new HashMap<>();
@@ -176,6 +157,7 @@
             Backpressure backpressure,
             UpstreamOutliers outliers,
             PlainServiceTimes serviceTimes,
+            BegunStreamWaits begunWaits,
             String zone) {
         this.upstreams = upstreams;
         this.control = control;
@@ -184,6 +166,8 @@
         this.backpressure = backpressure;
         this.outliers = outliers;
         this.serviceTimes = serviceTimes;
+        this.begunWaits = begunWaits;
+        this.room = new EngineRoom(control);
         this.zone = zone;
     }
 
@@ -196,6 +180,19 @@
         return call.kvCache.isPresent() ? chooseForHandover(now, call) : chooseForPrompt(now, call, shape.get());
     }
 
+    /**
+     * Selects the upstream of a begun stream whose wait for a free slot is over. An engine may queue it; cutting it
+     * would waste what the caller has received.
+     */
+    Optional<Choice> chooseAmongFull(long now, DirectCall call) {
+        call.takesFullUpstream = call.isBegun();
+        try {
+            return choose(now, call);
+        } finally {
+            call.takesFullUpstream = false;
+        }
+    }
+
     /** Returns whether any upstream is available for a call, whether or not it has a free slot. */
     boolean hasOpenUpstream(long now, DirectCall call) {
         return !openUpstreams(now, call).isEmpty();
@@ -206,6 +203,23 @@
         return openUpstreams(now, call).stream().anyMatch(upstream -> canAnswer(upstream, call));
     }
 
+    /**
+     * Returns after how many milliseconds a slot is expected to be free for the last of the begun streams that wait for
+     * the version of a call, if each holds its slot as long as this one.
+     */
+    long slotFreeAfterMillis(DirectCall call) {
+        int slots = upstreams.instancesOf(call.service).stream()
+                .filter(upstream -> upstream.generatesTokens() && call.acceptsVersion(upstream.version))
+                .mapToInt(upstream -> upstream.slots)
+                .sum();
+        int waiting = call.origin
+                .map(origin -> begunWaits.waiting(call.service, origin.version()))
+                .orElse(0);
+        double generationMillis =
+                call.offeredLoad.map(OfferedLoad::generationMillis).orElse(0.0);
+        return (long) (generationMillis * (waiting + 1) / Math.max(1, slots));
+    }
+
     /** Returns whether every upstream available for a call has as many requests of all entries as slots. */
     boolean allSlotsTaken(long now, DirectCall call) {
         List<UpstreamInstance> open = openUpstreams(now, call);
@@ -227,8 +241,8 @@
 
     /** Returns how long a generation occupies a slot, in microseconds, on an engine with half of its slots in use. */
     long generationMicros(String service, GenerationShape shape) {
-        Optional<EngineCapacity> limits = limits(service);
-        int perEvent = tokensPerEvent(service);
+        Optional<EngineCapacity> limits = room.limits(service);
+        int perEvent = room.tokensPerEvent(service);
         int usualStreams = limits.map(EngineCapacity::slots).orElse(1) / 2;
         double events = Math.ceil((double) shape.outputTokens() / perEvent);
         double millis = events * models.of(service).eventIntervalMillis(usualStreams);
@@ -289,7 +303,7 @@
                     .isPresent();
             double queuedMillis = upstream.pendingPrompts.waitMillis(now, model.latencyMillis(upstream.id, true));
             GapForecast forecast = gaps.forecast(upstream, queuedMillis, 0);
-            double load = memoryLoad(upstream, call)
+            double load = room.memoryLoad(upstream, call)
                     + LOST_ANSWER_PENALTY_REQUESTS * outliers.cost(now, upstream, call)
                     - (isHomeEngine ? HOME_ENGINE_BONUS_REQUESTS : 0)
                     + gaps.streamLoad(upstream, speedWeight)
@@ -308,45 +322,6 @@
                 : Optional.of(Choice.of(best, model.handoverMillis(call.promptTokens()), bestGaps));
     }
 
-    /**
-     * Returns the memory use of an engine with a call added, expressed in requests: the used share times the engine's
-     * slots, plus a large penalty if the call would not fit.
-     */
-    private double memoryLoad(UpstreamInstance upstream, DirectCall call) {
-        long capacityTokens = kvCacheTokens(call);
-        if (capacityTokens == 0) {
-            return 0;
-        }
-        int requestTokens = call.intent
-                .generation()
-                .map(shape -> shape.promptTokens() + shape.outputTokens())
-                .orElse(0);
-        double share = (double) (upstream.totalMemoryTokens() + requestTokens) / capacityTokens;
-        return share * upstream.slots + (share > MAX_MEMORY_SHARE ? FULL_MEMORY_PENALTY_REQUESTS * share : 0);
-    }
-
-    private long kvCacheTokens(DirectCall call) {
-        return limits(call.service).map(EngineCapacity::kvCacheTokens).orElse(0L);
-    }
-
-    private double kvBytesPerToken(DirectCall call) {
-        return limits(call.service).map(EngineCapacity::kvBytesPerToken).orElse(0.0);
-    }
-
-    private int tokensPerEvent(String service) {
-        return limits(service).map(EngineCapacity::tokensPerEvent).orElse(1);
-    }
-
-    private Optional<EngineCapacity> limits(String service) {
-        return control.routes().service(service).flatMap(RoutedService::engine);
-    }
-
-    /** Returns the tokens of prompts that each engine of a service can retain beside those of running requests. */
-    private long prefixCacheTokens(DirectCall call) {
-        long capacityTokens = kvCacheTokens(call);
-        return capacityTokens == 0 ? Long.MAX_VALUE : (long) (PREFIX_CACHE_SHARE * capacityTokens);
-    }
-
     /** Records that a call was sent to the selected upstream. */
     void onSent(long now, Choice choice) {
         if (choice.estimate.prefillMillis() > 0) {
@@ -379,10 +354,12 @@
         boolean maySplit = call.lastEventId.isEmpty() && !call.singleEngineOnly;
         EngineLatencyModel model = models.of(call.service);
         GapForecasts.Forecaster gaps = gapForecasts.of(now, call.service, maxGapMillis(call), open);
-        Map<String, GapForecast> handovers = maySplit ? handoversByVersion(now, open, call, gaps) : Map.of();
+        VersionRoom versionRoom = VersionRoom.of(call, open, begunWaits);
+        Map<String, GapForecast> handovers =
+                maySplit ? handoversByVersion(now, open, call, gaps, versionRoom) : Map.of();
         boolean hasPrefillEngines = open.stream()
                 .anyMatch(upstream -> !upstream.generatesTokens() && handovers.containsKey(upstream.version));
-        long cacheCapacityTokens = prefixCacheTokens(call);
+        long cacheCapacityTokens = room.prefixCacheTokens(call);
         open.forEach(upstream -> upstream.promptCache.setCapacityTokens(cacheCapacityTokens));
         Choice best = null;
         double lowestCost = Double.MAX_VALUE;
@@ -396,9 +373,12 @@
             Choice estimated = estimate(now, upstream, model, call, shape, shared, unreportedHere);
             Choice choice = withGaps(estimated, gaps, handovers);
             boolean fits = upstream.generatesTokens()
-                    ? canPrefillBesideStreams(choice, call, model, hasPrefillEngines)
+                    ? versionRoom.isFreeFor(upstream.version)
+                            && canPrefillBesideStreams(choice, call, model, hasPrefillEngines)
                     : handovers.containsKey(upstream.version);
-            double cost = fits ? cost(now, choice, call, model, shape, shared) : Double.MAX_VALUE;
+            double cost = fits
+                    ? cost(now, choice, call, model, shape, shared) + versionRoom.cost(upstream.version)
+                    : Double.MAX_VALUE;
             if (cost < lowestCost) {
                 best = choice;
                 lowestCost = cost;
@@ -415,9 +395,14 @@
      * gaps at the engine where the fewest streams would be late because of it.
      */
     private Map<String, GapForecast> handoversByVersion(
-            long now, List<UpstreamInstance> open, DirectCall call, GapForecasts.Forecaster gaps) {
+            long now,
+            List<UpstreamInstance> open,
+            DirectCall call,
+            GapForecasts.Forecaster gaps,
+            VersionRoom versionRoom) {
         Map<String, List<UpstreamInstance>> candidates = open.stream()
-                .filter(upstream -> upstream.generatesTokens() && hasFreeSlot(upstream, call))
+                .filter(upstream -> upstream.generatesTokens() && room.hasFreeSlot(upstream, call))
+                .filter(upstream -> versionRoom.isFreeFor(upstream.version))
                 .collect(Collectors.groupingBy(upstream -> upstream.version));
         Map<String, GapForecast> handovers = new HashMap<>();
         candidates.forEach((version, engines) -> UpstreamInstance.withoutOutliers(engines).stream()
@@ -471,39 +456,17 @@
     private boolean canPrefillBesideStreams(
             Choice choice, DirectCall call, EngineLatencyModel model, boolean hasPrefillEngines) {
         UpstreamInstance upstream = choice.upstream;
-        // A stream that the caller has received in part continues whatever the load: cutting it would waste that part.
-        boolean idle = upstream.totalAttempts() == 0 || call.responseStarted;
+        boolean idle = upstream.totalAttempts() == 0 || call.takesFullUpstream;
         double backlog = choice.queueMillis() + choice.estimate.prefillMillis();
         return idle
-                || hasFreeSlot(upstream, call)
+                || room.hasFreeSlot(upstream, call)
                         && (!hasPrefillEngines
                                 || backlog <= model.prefillAllowance().millis());
     }
 
-    /**
-     * Returns whether an engine has a slot and memory for one more stream. Guards against a failure in which all slots
-     * are in use and an urgent request preempts another one: the preempted prompt is prefilled again beside the
-     * streams, which slows all of them, so that slots are released ever later. A fleet stayed in that state for ten
-     * seconds after the burst that caused it.
-     */
-    private boolean hasFreeSlot(UpstreamInstance upstream, DirectCall call) {
-        double share = isShort(call) ? MAX_SLOT_SHARE_SHORT_STREAM : MAX_SLOT_SHARE;
-        return upstream.totalAttempts() < share * upstream.slots
-                && memoryLoad(upstream, call) < FULL_MEMORY_PENALTY_REQUESTS * MAX_MEMORY_SHARE;
-    }
-
     /** Returns the longest gap between events that counts for a call, in milliseconds; 0 if none does. */
     private long maxGapMillis(DirectCall call) {
-        return isShort(call) ? 0 : call.route.maxEventGapMillis();
-    }
-
-    /** Returns whether a call is expected to have so few events that it hardly waits between them. */
-    private boolean isShort(DirectCall call) {
-        int maxShortTokens = MAX_SHORT_STREAM_EVENTS * tokensPerEvent(call.service);
-        return call.intent
-                .generation()
-                .filter(shape -> shape.outputTokens() <= maxShortTokens)
-                .isPresent();
+        return room.isShort(call) ? 0 : call.route.maxEventGapMillis();
     }
 
     private Choice estimate(
@@ -541,7 +504,7 @@
         int transferredTokens = Math.max(0, choice.estimate.cachedTokens() - ownTokens)
                 + (choice.prefillOnly ? shape.promptTokens() : 0);
         double transferCost =
-                transferredTokens * kvBytesPerToken(call) / BYTES_PER_GIGABYTE * TRANSFER_COST_PER_GIGABYTE;
+                transferredTokens * room.kvBytesPerToken(call) / BYTES_PER_GIGABYTE * TRANSFER_COST_PER_GIGABYTE;
         double repeatedTokensCost =
                 Math.max(0, shared.tokens() - choice.estimate.cachedTokens()) * REPEATED_PREFILL_COST_PER_TOKEN;
         double work = choice.estimate.prefillMillis() * prices.perMillisecond(call.service, upstream);
@@ -749,7 +712,7 @@
         }
         UpstreamInstance best = null;
         for (UpstreamInstance upstream : openUpstreams(now, call)) {
-            if (!upstream.generatesTokens() || !hasFreeSlot(upstream, call)) {
+            if (!upstream.generatesTokens() || !room.hasFreeSlot(upstream, call)) {
                 continue;
             }
             if (!backpressure.limits().isLimited(upstream.id)) {
--- a/src/main/java/org/cuminshelf/direct/UpstreamTable.java
+++ b/src/main/java/org/cuminshelf/direct/UpstreamTable.java
@@ -41,7 +41,7 @@
     private static final long UNLISTED_RETENTION_NANOS = Durations.nanos(6_000);
     private static final long ENDED_RETENTION_NANOS = Durations.nanos(60_000);
     /** Validity of a load report of another entry; entries report ten times a second. */
-    private static final long LOAD_RETENTION_NANOS = Durations.nanos(1_000);
+    static final long LOAD_RETENTION_NANOS = Durations.nanos(1_000);
 
     /**
      * The ended instances of one upstream name: all that started up to a time.
--- a/src/test/java/org/cuminshelf/direct/AdmissionQueueOrderTest.java
+++ b/src/test/java/org/cuminshelf/direct/AdmissionQueueOrderTest.java
@@ -28,7 +28,7 @@
     /** A call and when it must be sent to be in time, in nanoseconds. */
     private record Expected(long number, long startAt) {}
 
-    private AdmissionQueue queue = new AdmissionQueue();
+    private AdmissionQueue queue = new AdmissionQueue(new BegunStreamWaits());
 
     private static DirectCall call(long number, int priority) {
         Route route = OverloadedEntry.route("r" + priority, priority);
@@ -53,7 +53,7 @@
     @Property(tries = 200, seed = "61")
     void callsOfOnePriorityAreOrderedBySlack(
             @ForAll @Size(min = 1, max = 30) List<@IntRange(min = 0, max = 730) Integer> ownMillis) {
-        queue = new AdmissionQueue();
+        queue = new AdmissionQueue(new BegunStreamWaits());
         List<Expected> expected = new ArrayList<>();
         for (int number = 0; number < ownMillis.size(); number++) {
             int own = ownMillis.get(number);
@@ -75,6 +75,33 @@
         assertThat(order()).containsExactly(3L, 2L, 1L);
     }
 
+    /* Guards against resumed streams, which fit at one version only, that wait behind new calls. */
+    @Example
+    void begunStreamsPrecedeMoreUrgentNewCalls() {
+        DirectCall begun = call(2, 1);
+        begun.origin = Optional.of(new StreamOrigin("v1.1", StreamOrigin.Source.RECORD, START));
+        queue.addForCapacity(START, call(1, 0), 10);
+        queue.addForRetry(START, begun, OptionalLong.of(START));
+        assertThat(order()).containsExactly(2L, 1L);
+    }
+
+    /* Guards against begun streams of a version without room that keep those of another from being tried. */
+    @Example
+    void begunStreamsOfOneVersionDoNotHoldUpThoseOfAnother() {
+        for (int number = 1; number <= 20; number++) {
+            DirectCall begun = call(number, 1);
+            String version = number <= 19 ? "v1.1" : "v1.2";
+            begun.origin = Optional.of(new StreamOrigin(version, StreamOrigin.Source.RECORD, START));
+            queue.addForRetry(START, begun, OptionalLong.of(START));
+        }
+        List<Long> tried = new ArrayList<>();
+        queue.placeDue(DUE, call -> {
+            tried.add(call.number);
+            return false;
+        });
+        assertThat(tried).contains(20L).hasSizeLessThan(20);
+    }
+
     /* Guards against a starving kind that waits behind more urgent calls until it is refused. */
     @Example
     void owedCallsPrecedeMoreUrgentOnes() {
