--- a/src/main/java/org/cuminshelf/control/VersionRoles.java
+++ b/src/main/java/org/cuminshelf/control/VersionRoles.java
@@ -128,7 +128,9 @@
                 version.name.isEmpty() ? "none" : version.name,
                 Role.ROLE_DECODE,
                 OrderReason.VERSION_WITHOUT_GENERATING_ENGINE.label(),
-                ofVersion.size());
+                ofVersion.stream()
+                        .filter(engine -> engine.role() == Role.ROLE_PREFILL)
+                        .count());
     }
 
     /**
