--- a/src/main/java/org/cuminshelf/trial/VirtualNetwork.java
+++ b/src/main/java/org/cuminshelf/trial/VirtualNetwork.java
@@ -63,6 +63,11 @@
         cut.add(new Path(from, to));
     }
 
+    /** Ends the cut of one direction between two processes. */
+    void restore(Address from, Address to) {
+        cut.remove(new Path(from, to));
+    }
+
     void heal() {
         cut.clear();
         silentUntil.clear();
--- a/src/main/java/org/cuminshelf/trial/VirtualNode.java
+++ b/src/main/java/org/cuminshelf/trial/VirtualNode.java
@@ -14,7 +14,7 @@
 import org.cuminshelf.core.Outbox;
 import org.cuminshelf.message.Envelope;
 
-/** A process in virtual time: one core with its own clock, which can be killed, paused and suspended. */
+/** A process in virtual time: one core with its own clock, which can be killed, paused, suspended and run late. */
 final class VirtualNode implements Outbox {
 
     private static final long SHORTEST_STEP = 10_000;
@@ -25,6 +25,15 @@
         Core start(VirtualNode node, long localNow);
     }
 
+    /** How late a process handles its input: messages, calls and timers alike. */
+    interface Lateness {
+        /** Time until it handles what has arrived by then. */
+        long nextGapNanos();
+
+        /** Whether its timers run before that input. */
+        boolean runsTimersFirst();
+    }
+
     private final Address address;
     private final VirtualTime time;
     private final VirtualNetwork network;
@@ -33,6 +42,8 @@
     private final Map<Address, Consumer<Envelope>> ports = new HashMap<>();
     private final Deque<Envelope> backlog = new ArrayDeque<>();
     private final List<Runnable> onKill = new ArrayList<>();
+    private final List<Runnable> lateInputs = new ArrayList<>();
+    private Optional<Lateness> lateness = Optional.empty();
     private Core core;
     private long incarnation;
     private boolean alive;
@@ -97,6 +108,7 @@
             alive = false;
             paused = false;
             backlog.clear();
+            lateInputs.clear();
             wake++;
             onKill.forEach(Runnable::run);
         }
@@ -121,6 +133,46 @@
         });
     }
 
+    /** Handles its input late from now on, over restarts too. */
+    void runLate(Lateness how) {
+        lateness = Optional.of(how);
+        if (alive && !paused) {
+            scheduleLateStep();
+        }
+    }
+
+    /** Handles its input as it arrives again. */
+    void runOnTime() {
+        lateness = Optional.empty();
+        if (alive && !paused) {
+            lateStep();
+        }
+    }
+
+    /** Keeps input that is not a message until a process that runs late handles it; returns whether it runs late. */
+    boolean defer(Runnable input) {
+        return lateness.isPresent() && lateInputs.add(input);
+    }
+
+    private void scheduleLateStep() {
+        long token = ++wake;
+        time.after(lateness.orElseThrow().nextGapNanos(), () -> {
+            if (alive && !paused && wake == token) {
+                lateStep();
+            }
+        });
+    }
+
+    private void lateStep() {
+        List<Runnable> inputs = List.copyOf(lateInputs);
+        lateInputs.clear();
+        if (lateness.filter(Lateness::runsTimersFirst).isPresent()) {
+            core.tick(localNow(), this);
+        }
+        inputs.forEach(Runnable::run);
+        step(Optional.empty());
+    }
+
     private void resume() {
         List<Envelope> waiting = List.copyOf(backlog);
         backlog.clear();
@@ -136,6 +188,9 @@
             backlog.add(message);
             return;
         }
+        if (defer(() -> core.accept(localNow(), message, this))) {
+            return;
+        }
         step(Optional.of(message));
     }
 
@@ -156,6 +211,10 @@
     }
 
     private void scheduleWake(long now) {
+        if (lateness.isPresent()) {
+            scheduleLateStep();
+            return;
+        }
         long due = core.nextDue();
         long token = ++wake;
         if (due == Core.NEVER) {
--- a/src/test/java/org/cuminshelf/trial/DirectFleet.java
+++ b/src/test/java/org/cuminshelf/trial/DirectFleet.java
@@ -19,7 +19,6 @@
 import org.cuminshelf.core.Invariants;
 import org.cuminshelf.direct.AttemptPlan;
 import org.cuminshelf.direct.CallIntent;
-import org.cuminshelf.direct.DecisionLog;
 import org.cuminshelf.direct.DirectCore;
 import org.cuminshelf.direct.DirectSettings;
 import org.cuminshelf.direct.GenerationShape;
@@ -97,6 +96,8 @@
     private final Shape shape;
     private long configVersion = CONFIG_VERSION;
     private int nextRequest;
+    /** Why resumed streams went on or were refused, at all entries. */
+    final ResumptionOutcomes resumptionOutcomes = new ResumptionOutcomes(time::now);
 
     /**
      * Size and limits of a fleet.
@@ -235,7 +236,7 @@
                         new Port(booted),
                         booted::clock,
                         Invariants.throwing(),
-                        DecisionLog.none()));
+                        resumptionOutcomes));
         entries.add(node);
         node.start();
     }
@@ -307,7 +308,7 @@
     private void hand(VirtualNode entry, Runnable input) {
         long incarnation = entry.incarnation();
         Runnable read = () -> {
-            if (entry.isAlive() && entry.incarnation() == incarnation) {
+            if (entry.isAlive() && entry.incarnation() == incarnation && !entry.defer(input)) {
                 input.run();
                 wake(entry);
             }
