--- a/src/test/java/org/cuminshelf/trial/ProcessHealth.java
+++ b/src/test/java/org/cuminshelf/trial/ProcessHealth.java
@@ -21,6 +21,7 @@
     /** Notes that a process is down, cut off or late from now on, for so long. */
     void harm(VirtualNode node, long nanos) {
         lastHarmed.put(node, fleet.time.now());
+        fleet.resumptionOutcomes.trace("harm", node.address().value(), "ms", Durations.millis(nanos));
         harmedUntil.merge(node, fleet.time.now() + nanos, Math::max);
     }
 
--- a/src/test/java/org/cuminshelf/trial/ResumptionOutcomes.java
+++ b/src/test/java/org/cuminshelf/trial/ResumptionOutcomes.java
@@ -26,12 +26,16 @@
                 }
             }
         }
-        if (TRACING && (kind.equals("resumption") || kind.equals("request"))) {
+        if (kind.equals("resumption") || kind.equals("request")) {
             trace(kind, id, fields);
         }
     }
 
-    private void trace(String kind, String id, Object... fields) {
+    /** Prints a line about a subject if lines are printed. */
+    void trace(String kind, String id, Object... fields) {
+        if (!TRACING) {
+            return;
+        }
         StringBuilder line = new StringBuilder();
         line.append(clock.getAsLong() / 1_000_000)
                 .append(" ms ")
--- a/src/test/java/org/cuminshelf/trial/VersionDay.java
+++ b/src/test/java/org/cuminshelf/trial/VersionDay.java
@@ -288,6 +288,25 @@
             // A stream can go on only while engines of its version serve.
             resumptions += resumes && served ? 1 : 0;
             resumptionsBegun += resumes && served && begun ? 1 : 0;
+            fleet.resumptionOutcomes.trace(
+                    "try",
+                    call.id,
+                    "stream",
+                    tries.getFirst().id,
+                    "entry",
+                    call.entry.address().value(),
+                    "asked-ms",
+                    Durations.millis(call.askedAt),
+                    "heard-ms",
+                    Durations.millis(call.heardAt),
+                    "status",
+                    call.status,
+                    "begun",
+                    begun,
+                    "left",
+                    call.left,
+                    "whole",
+                    whole);
             boolean returns = !whole && !began.isEmpty() && tries.size() < maxTries;
             if (!resumes) {
                 tally.countNew(asked, look(call.entry), begun);
