--- a/src/test/java/org/cuminshelf/trial/ResumedStreamDayTest.java
+++ b/src/test/java/org/cuminshelf/trial/ResumedStreamDayTest.java
@@ -127,6 +127,24 @@
                 day -> day.again(7_000, 9_000, FleetFaults::loseEntriesThenControl));
     }
 
+    /** Guards against a restarted control process that is not sent the records again before the entries lose them. */
+    @Example
+    void streamsGoOnWhoseCallersReturnAfterControlAndThenAllEntriesRestarted() {
+        assertStreamsGoOn(
+                "control, then entries, callers return late",
+                HALF,
+                day -> day.letCallersStayAway(5_000, 3_000).again(7_000, 9_000, FleetFaults::loseControlThenEntries));
+    }
+
+    /** Guards against restarted entries that are not sent the records again before control loses them. */
+    @Example
+    void streamsGoOnWhoseCallersReturnAfterAllEntriesAndThenControlRestarted() {
+        assertStreamsGoOn(
+                "entries, then control, callers return late",
+                HALF,
+                day -> day.letCallersStayAway(5_000, 3_000).again(7_000, 9_000, FleetFaults::loseEntriesThenControl));
+    }
+
     /** Guards against entries that disagree on who holds a record while control processes hear different entries. */
     @Example
     void streamsGoOnWhereEntriesAreCutInHalves() {
