--- a/src/test/java/org/cuminshelf/platform/CallerStream.java
+++ b/src/test/java/org/cuminshelf/platform/CallerStream.java
@@ -36,6 +36,11 @@
         return version;
     }
 
+    @Override
+    public String toString() {
+        return firstRequest;
+    }
+
     /** Begins or resumes the stream at an entry, reads a number of events, and returns whether one came. */
     boolean read(String entry, int events) {
         String request = "q" + LAST_REQUEST.incrementAndGet();
--- a/src/test/java/org/cuminshelf/platform/RestartedEntriesTest.java
+++ b/src/test/java/org/cuminshelf/platform/RestartedEntriesTest.java
@@ -12,11 +12,10 @@
 /** Guards against streams that are refused as their callers resume them after restarts, with real processes. */
 class RestartedEntriesTest {
 
-    private static final String CONFIG =
-            "{\"version\":3,\"routes\":[{\"name\":\"r\",\"host\":\"h\",\"pathPrefix\":\"/\","
-                    + "\"routeKind\":\"stream\",\"timeoutMs\":8000,\"service\":\"s\",\"maxAttempts\":3,"
-                    + "\"resumable\":true}],\"services\":[{\"name\":\"s\"}],\"limits\":{}}";
-    private static final List<String> TWO_VERSIONS = List.of("v1.1", "v1.2", "v1.1", "v1.2", "v1.1", "v1.2");
+    static final String CONFIG = "{\"version\":3,\"routes\":[{\"name\":\"r\",\"host\":\"h\",\"pathPrefix\":\"/\","
+            + "\"routeKind\":\"stream\",\"timeoutMs\":8000,\"service\":\"s\",\"maxAttempts\":3,"
+            + "\"resumable\":true}],\"services\":[{\"name\":\"s\"}],\"limits\":{}}";
+    static final List<String> TWO_VERSIONS = List.of("v1.1", "v1.2", "v1.1", "v1.2", "v1.1", "v1.2");
     private static final List<String> ONE_VERSION = List.of("v1.1", "v1.1", "v1.1");
     private static final int STREAMS = 24;
     private static final int EVENTS = 2;
@@ -96,7 +95,7 @@
             while (streams.size() < STREAMS) {
                 CallerStream stream = new CallerStream(platform);
                 String entry = platform.entries().get(streams.size() % entries);
-                assertThat(readWithRetries(platform, stream, List.of(entry)))
+                assertThat(readWithRetries(platform, stream, List.of(entry), EVENTS))
                         .as("begins at %s", entry)
                         .isTrue();
                 streams.add(stream);
@@ -109,8 +108,8 @@
                 CallerStream stream = streams.get(index);
                 List<String> others = new ArrayList<>(platform.entries());
                 others.remove(index % entries);
-                resumed.add(callers.submit(() -> readWithRetries(platform, stream, others)));
-                begun.add(callers.submit(() -> readWithRetries(platform, new CallerStream(platform), others)));
+                resumed.add(callers.submit(() -> readWithRetries(platform, stream, others, EVENTS)));
+                begun.add(callers.submit(() -> readWithRetries(platform, new CallerStream(platform), others, EVENTS)));
             }
             long goingOn = count(resumed);
             long beginning = count(begun);
@@ -123,11 +122,12 @@
         }
     }
 
-    private static boolean readWithRetries(PlatformProcesses platform, CallerStream stream, List<String> entries)
+    /** Begins or resumes a stream at one entry after the other as soon as the first is ready. */
+    static boolean readWithRetries(PlatformProcesses platform, CallerStream stream, List<String> entries, int events)
             throws InterruptedException {
         platform.awaitEntry(entries.getFirst());
         for (int attempt = 0; attempt < TRIES; attempt++) {
-            if (stream.read(entries.get(attempt % entries.size()), EVENTS)) {
+            if (stream.read(entries.get(attempt % entries.size()), events)) {
                 return true;
             }
             Thread.sleep(BETWEEN_TRIES_MILLIS);
