Tests: a restarted entry resumes streams while the other holders are frozen

Guards against a wait for records that ends long before the caller's time does. One entry of three is killed and started again, the two others are frozen for 2 s, and callers resume at the first with three tries.

--- a/src/test/java/org/cuminshelf/platform/RestartedEntriesTest.java
+++ b/src/test/java/org/cuminshelf/platform/RestartedEntriesTest.java
@@ -27,11 +27,13 @@
     private static final long REFILL_MILLIS = 1_000;
 
     private static final long FREEZE_MILLIS = 1_000;
+    /** Longer than three tries together of which each waits 150 ms for records. */
+    private static final long LONG_FREEZE_MILLIS = 2_000;
 
-    /** A test's sequence of events between the begin of the streams and their resumption. */
+    /** What happens between the begin of the streams and their resumption; returns the entries that resume them. */
     private interface Restarts {
 
-        void run(PlatformProcesses platform) throws Exception;
+        List<String> run(PlatformProcesses platform) throws Exception;
     }
 
     @Example
@@ -39,6 +41,7 @@
         assertStreamsGoOn(1, 3, TWO_VERSIONS, platform -> {
             platform.kill(platform.entries());
             platform.start(platform.entries());
+            return platform.entries();
         });
     }
 
@@ -50,6 +53,7 @@
                 platform.start(entry);
                 platform.awaitEntry(entry);
             }
+            return platform.entries();
         });
     }
 
@@ -62,6 +66,7 @@
             Thread.sleep(REFILL_MILLIS);
             platform.kill(platform.entries());
             platform.start(platform.entries());
+            return platform.entries();
         });
     }
 
@@ -72,6 +77,22 @@
             platform.start(platform.entries().getFirst());
             platform.awaitEntries();
             platform.freeze(platform.entries().getLast(), FREEZE_MILLIS);
+            return platform.entries();
+        });
+    }
+
+    /** Guards against a wait for records that ends long before the caller's time does. */
+    @Example
+    void streamsGoOnAtARestartedEntryWhileAllOtherHoldersOfTheirRecordsAreFrozen() throws Exception {
+        assertStreamsGoOn(1, 3, TWO_VERSIONS, platform -> {
+            String restarted = platform.entries().getFirst();
+            platform.kill(List.of(restarted));
+            platform.start(restarted);
+            platform.awaitEntry(restarted);
+            for (String other : platform.entries().subList(1, 3)) {
+                platform.freeze(other, LONG_FREEZE_MILLIS);
+            }
+            return List.of(restarted);
         });
     }
 
@@ -82,6 +103,7 @@
             killed.add(platform.controls().getFirst());
             platform.kill(killed);
             platform.start(platform.entries());
+            return platform.entries();
         });
     }
 
@@ -101,13 +123,15 @@
                 streams.add(stream);
             }
             assertThat(streams).extracting(CallerStream::version).containsAll(versions);
-            restarts.run(platform);
+            List<String> resuming = restarts.run(platform);
             List<Future<Boolean>> resumed = new ArrayList<>();
             List<Future<Boolean>> begun = new ArrayList<>();
             for (int index = 0; index < STREAMS; index++) {
                 CallerStream stream = streams.get(index);
-                List<String> others = new ArrayList<>(platform.entries());
-                others.remove(index % entries);
+                List<String> others = new ArrayList<>(resuming);
+                if (others.size() > 1) {
+                    others.remove(index % entries);
+                }
                 resumed.add(callers.submit(() -> readWithRetries(platform, stream, others, EVENTS)));
                 begun.add(callers.submit(() -> readWithRetries(platform, new CallerStream(platform), others, EVENTS)));
             }
