Tests: entries are killed only once they have heard the restarted control

streamsOfTheOnlyVersionGoOnAfterControlAndThenAllEntriesWereKilledAndStartedAgain waited a second after control answered, whether or not the entries had reached it. It now waits until each entry has a configuration that only the restarted process can have sent, and then the second that the design allows.

The soak prints when a refused stream began.

--- a/src/test/java/org/cuminshelf/platform/CallerStream.java
+++ b/src/test/java/org/cuminshelf/platform/CallerStream.java
@@ -5,6 +5,7 @@
 import java.io.InputStreamReader;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.time.LocalTime;
 import java.util.concurrent.atomic.AtomicLong;
 
 /** A stream as its caller sees it: begun by one request, and resumed by others. */
@@ -16,6 +17,7 @@
     private final PlatformProcesses platform;
     private String firstRequest = "";
     private String version = "";
+    private LocalTime begunAt = LocalTime.MIN;
     private long lastEvent;
     private boolean mixed;
 
@@ -38,7 +40,7 @@
 
     @Override
     public String toString() {
-        return firstRequest;
+        return firstRequest + " begun " + begunAt;
     }
 
     /** Begins or resumes the stream at an entry, reads a number of events, and returns whether one came. */
@@ -81,6 +83,7 @@
         if (!hasBegun()) {
             firstRequest = request;
             version = eventVersion;
+            begunAt = LocalTime.now();
         }
         mixed |= !version.equals(eventVersion) || number != lastEvent + 1;
         lastEvent = number;
--- a/src/test/java/org/cuminshelf/platform/PlatformProcesses.java
+++ b/src/test/java/org/cuminshelf/platform/PlatformProcesses.java
@@ -39,15 +39,18 @@
     private static final int LISTEN = 2;
     private static final int READINESS = 3;
 
+    private final String config;
     private final List<String> controls;
     private final List<String> entries;
     private final List<Integer> ports;
     private final Path workFolder = Files.createTempDirectory("platform-processes");
     private final String network = networkOfThisProcess();
     private final Map<String, Process> processes = new ConcurrentHashMap<>();
+    private int configVersion = 3;
 
     /** Starts all processes and returns once each entry is ready with a configuration. */
     PlatformProcesses(int controlProcesses, int entryProcesses, String config) throws Exception {
+        this.config = config;
         controls = names("control-", controlProcesses);
         entries = names("entry-", entryProcesses);
         ports = freePorts(READINESS + 1);
@@ -155,6 +158,24 @@
         retryUntilDone(name, LISTEN, "GET /cuminshelf/config", "");
     }
 
+    /** Waits until each entry has heard a control process: by a new version of the configuration that it has sent. */
+    void awaitHeardByEntries(String control) throws InterruptedException {
+        configVersion++;
+        retryUntilDone(
+                control,
+                LISTEN,
+                "PUT /cuminshelf/config",
+                config.replace("\"version\":3", "\"version\":" + configVersion));
+        String expected = "cuminshelf_config_version " + configVersion;
+        for (String entry : entries) {
+            long deadlineNanos = System.nanoTime() + TimeUnit.SECONDS.toNanos(TIMEOUT_SECONDS);
+            while (!call(entry, METRICS, "GET /metrics", "").contains(expected)) {
+                assertThat(System.nanoTime()).as("%s has %s", entry, expected).isLessThan(deadlineNanos);
+                Thread.sleep(20);
+            }
+        }
+    }
+
     private void retryUntilDone(String name, int port, String requestLine, String body) throws InterruptedException {
         long deadlineNanos = System.nanoTime() + TimeUnit.SECONDS.toNanos(TIMEOUT_SECONDS);
         String response = "";
--- a/src/test/java/org/cuminshelf/platform/RestartedEntriesTest.java
+++ b/src/test/java/org/cuminshelf/platform/RestartedEntriesTest.java
@@ -62,7 +62,7 @@
         assertStreamsGoOn(1, 3, ONE_VERSION, platform -> {
             platform.kill(platform.controls());
             platform.start(platform.controls());
-            platform.awaitControl(platform.controls().getFirst());
+            platform.awaitHeardByEntries(platform.controls().getFirst());
             Thread.sleep(REFILL_MILLIS);
             platform.kill(platform.entries());
             platform.start(platform.entries());
