--- a/src/main/java/org/cuminshelf/streams/StreamRecordHolders.java
+++ b/src/main/java/org/cuminshelf/streams/StreamRecordHolders.java
@@ -32,6 +32,7 @@
 
     private final TreeMap<Long, Address> ring;
     private final Map<Address, String> zones;
+    private final int zoneCount;
     /** The control processes, each with the hash function that ranks it for a stream. */
     private final Map<Address, LongHashFunction> rankings = new TreeMap<>();
 
@@ -39,6 +40,7 @@
             TreeMap<Long, Address> ring, Map<Address, String> zones, Collection<Address> controlProcesses) {
         this.ring = ring;
         this.zones = zones;
+        this.zoneCount = Set.copyOf(zones.values()).size();
         controlProcesses.forEach(process -> rankings.put(process, LongHashFunction.xx3(hash(process.value()))));
     }
 
@@ -119,7 +121,7 @@
         List<Address> spare = new ArrayList<>();
         Set<String> usedZones = new HashSet<>();
         Long point = ring.ceilingKey(hash(stream));
-        for (int step = 0; step < Math.min(MAX_POINTS, ring.size()) && holders.size() < MAX_HOLDERS; step++) {
+        for (int step = 0; step < Math.min(MAX_POINTS, ring.size()) && !isComplete(holders, spare); step++) {
             point = point == null ? ring.firstKey() : point;
             Address entry = ring.get(point);
             if (!holders.contains(entry) && !spare.contains(entry)) {
@@ -131,4 +133,10 @@
         holders.addAll(spare.subList(0, missing));
         return holders;
     }
+
+    /** Returns whether no further entry can be selected, as there are enough or each zone has one. */
+    private boolean isComplete(List<Address> holders, List<Address> spare) {
+        boolean allZonesUsed = holders.size() == zoneCount;
+        return holders.size() == MAX_HOLDERS || allZonesUsed && holders.size() + spare.size() >= MAX_HOLDERS;
+    }
 }
