--- a/src/main/java/org/cuminshelf/direct/ControlRecordSender.java
+++ b/src/main/java/org/cuminshelf/direct/ControlRecordSender.java
@@ -3,6 +3,7 @@
 import java.util.HashMap;
 import java.util.Iterator;
 import java.util.Map;
+import java.util.Set;
 import org.cuminshelf.core.Address;
 import org.cuminshelf.core.Durations;
 import org.cuminshelf.core.Outbox;
@@ -31,6 +32,8 @@
     private final RecordBatches batches;
     /** Incarnation of each control process that has been sent all records, or is about to be. */
     private final Map<Address, Long> filledIncarnations = new HashMap<>();
+    /** The members at the last update, which select the holders. */
+    private Set<Address> members = Set.of();
     /** When each process is due to be sent all records. */
     private final Map<Address, Long> refillDueNanos = new HashMap<>();
 
@@ -58,6 +61,11 @@
 
     /** Schedules sending all records to a control process if its update states an incarnation that has none of them. */
     void onUpdate(long now, Address from, Update update) {
+        if (!members.equals(control.recordHolders().controlProcesses())) {
+            // Each change makes some members holders of records that others kept.
+            members = Set.copyOf(control.recordHolders().controlProcesses());
+            filledIncarnations.clear();
+        }
         long incarnation = update.getDirectoryIncarnation();
         if (incarnation == 0 || !control.recordHolders().controlProcesses().contains(from)) {
             return;
--- a/src/test/java/org/cuminshelf/direct/StreamRecordsTest.java
+++ b/src/test/java/org/cuminshelf/direct/StreamRecordsTest.java
@@ -4,6 +4,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
 import java.util.TreeSet;
 import net.jqwik.api.Example;
@@ -17,6 +18,7 @@
 import org.cuminshelf.message.StreamRecordBatch;
 import org.cuminshelf.message.Update;
 import org.cuminshelf.routes.RequestKind;
+import org.cuminshelf.streams.StreamRecordHolders;
 
 /** Tests to whom an entry sends the records of streams, and when. */
 class StreamRecordsTest {
@@ -90,6 +92,34 @@
                         .setAgeMs(20));
     }
 
+    /** Guards against records that no control process keeps after all members were replaced in turn. */
+    @Example
+    void eachRecordIsKeptByTwoControlProcessesAfterAllWereReplacedInTurn() {
+        CONTROL.forEach(process -> update(process, 1, CONTROL));
+        beginStreams("a", STREAMS);
+        entry.advance(20);
+        List<RecordingOutbox.Sent> sent = new ArrayList<>(entry.out.takeSent());
+        List<String> members = new ArrayList<>(CONTROL);
+        for (int number = 0; number < CONTROL.size(); number++) {
+            members.add("10.0.0.1" + number + ":7000");
+            members.forEach(process -> update(process, 1, members));
+            entry.advance(50);
+            members.removeFirst();
+            members.forEach(process -> update(process, 1, members));
+            entry.advance(50);
+            sent.addAll(entry.out.takeSent());
+        }
+        StreamRecordHolders holders = StreamRecordHolders.among(Map.of())
+                .withControl(members.stream().map(Address::of).toList());
+        for (int number = 0; number < STREAMS; number++) {
+            String stream = "a" + number;
+            assertThat(holders.control(stream))
+                    .as(stream)
+                    .hasSize(2)
+                    .allMatch(holder -> streamsTo(sent, holder.value()).contains(stream));
+        }
+    }
+
     /** Guards against records that are lost with all entries at once. */
     @Example
     void eachRecordIsSentToTwoControlProcesses() {
