Resumptions: empty answers decide nothing, own knowledge is asked again, and received records count

One that keeps the record has to answer first. - Own knowledge was judged once, on arrival: a version that appeared while others were asked was no candidate, and a stall made it uncertain for good. It is asked again before each decision. - A record that arrived by itself meanwhile was not looked at. - After a stall of half of its caller's time a stream was refused before the answers were read; the wait was counted from its arrival, so that one from the startup queue had none left. Rounds in time count now, and the caller's deadline ends it. - Answers carry a number only, which started at 1 with each start; it starts at the time of start.

Six new tests; the one of the late answer, the empty answer and the version that appears fail on the code before.

--- a/src/main/java/org/cuminshelf/direct/DirectCore.java
+++ b/src/main/java/org/cuminshelf/direct/DirectCore.java
@@ -103,7 +103,7 @@
                 now);
         this.streamRecords = new StreamRecords(self, control);
         this.resumptions =
-                new StreamResumptions(self, streamRecords, upstreams, control, new ResumptionListener(), log);
+                new StreamResumptions(self, streamRecords, upstreams, control, new ResumptionListener(), now, log);
         this.callDispatcher = new CallDispatcher(
                 protocol,
                 new ThrottledUpstreamClient(client, backpressure, clock),
--- a/src/main/java/org/cuminshelf/direct/ResumedStream.java
+++ b/src/main/java/org/cuminshelf/direct/ResumedStream.java
@@ -6,6 +6,7 @@
 import java.util.Set;
 import java.util.TreeSet;
 import org.cuminshelf.core.Address;
+import org.cuminshelf.core.Durations;
 import org.cuminshelf.exchange.CallerExchange;
 import org.cuminshelf.exchange.ReceivedRequest;
 import org.cuminshelf.organisations.Organisation;
@@ -30,11 +31,15 @@
     /** The versions that may have begun it, as far as this entry and those that answered know. */
     final Set<String> candidates = new TreeSet<>();
 
+    /** The earliest time at which it may have begun, in nanoseconds. */
+    long begunSinceNanos;
+
+    /** When its wait for answers ends, in nanoseconds. */
+    long waitEndsAtNanos;
+
     /** When those that have not answered are asked next, in nanoseconds. */
     long nextRoundAtNanos;
 
-    int roundsAsked;
-
     /** Rounds of questions that began when they were due, the first of them included. */
     int roundsInTime;
 
@@ -58,6 +63,12 @@
         this.service = service;
     }
 
+    /** When its caller has no time left, in nanoseconds. */
+    long deadlineNanos() {
+        long callerMillis = intent.deadlineMillis().orElse(route.timeoutMillis());
+        return arrivedAtNanos + Durations.nanos(Math.min(callerMillis, route.timeoutMillis()));
+    }
+
     /** The id under which its record is kept: that of the request that brought its first event. */
     String stream() {
         return intent.stream();
--- a/src/main/java/org/cuminshelf/direct/StreamResumptions.java
+++ b/src/main/java/org/cuminshelf/direct/StreamResumptions.java
@@ -38,9 +38,9 @@
     private static final long ASK_INTERVAL_NANOS = Durations.nanos(100);
     /** Rounds of questions that passed without delay of this process, after which no answer is expected any more. */
     private static final int MAX_ROUNDS = 5;
-    /** Rounds that are asked at least, however little time its caller has left. */
+    /** The same where its caller has little time left. */
     private static final int MIN_ROUNDS = 2;
-    /** Part of its caller's time for which a stream waits for answers at most, whatever delayed this process. */
+    /** Part of its caller's remaining time for which a stream waits for answers at most. */
     private static final double MAX_WAIT_SHARE = 0.5;
     /** Multiple of a route's timeout within which its callers have taken a stream up again. */
     static final int RESUMED_WITHIN_TIMEOUTS = 2;
@@ -55,7 +55,8 @@
     /** When the next round of questions of each stream is due. */
     private final DeadlineQueue<Long> rounds = DeadlineQueue.create();
 
-    private long nextNumber = 1;
+    /** Starts at the time of start, so that an answer to a previous start of this process belongs to no stream. */
+    private long nextNumber;
 
     StreamResumptions(
             Address self,
@@ -63,7 +64,9 @@
             UpstreamTable upstreams,
             ControlSubscription control,
             Listener listener,
+            long now,
             DecisionLog log) {
+        this.nextNumber = now;
         this.self = self;
         this.records = records;
         this.upstreams = upstreams;
@@ -83,9 +86,8 @@
             onRecord(now, stream, own.get(), "record-here");
             return;
         }
-        long sinceNanos = now - windowNanos(stream);
-        stream.addCandidates(
-                upstreams.versionsSince(sinceNanos, stream.service), control.knowsUpstreamsSince(now, sinceNanos));
+        stream.begunSinceNanos = now - windowNanos(stream);
+        stream.waitEndsAtNanos = now + (long) (MAX_WAIT_SHARE * Math.max(0, stream.deadlineNanos() - now));
         addHolders(stream);
         if (stream.unanswered.isEmpty()) {
             decideWithoutRecord(now, stream);
@@ -104,6 +106,13 @@
                 .forEach(stream.unanswered::add);
     }
 
+    /** Adds what this entry knows now, which may be more, or certain again, since the stream arrived. */
+    private void addOwnKnowledge(long now, ResumedStream stream) {
+        stream.addCandidates(
+                upstreams.versionsSince(stream.begunSinceNanos, stream.service),
+                control.knowsUpstreamsSince(now, stream.begunSinceNanos));
+    }
+
     private static long windowNanos(ResumedStream stream) {
         return Math.min(
                 StreamRecords.RETENTION_NANOS, Durations.nanos(RESUMED_WITHIN_TIMEOUTS * stream.route.timeoutMillis()));
@@ -137,12 +146,27 @@
             records.find(stream.stream())
                     .ifPresentOrElse(
                             begun -> onRecord(now, stream, begun, "record-by-answer"), () -> refuseUnsure(now, stream));
-        } else if (stream.unanswered.isEmpty() || stream.onlyCandidate().isPresent()) {
+            return;
+        }
+        addOwnKnowledge(now, stream);
+        if (stream.unanswered.isEmpty()
+                || anEntryHasAnswered(stream) && stream.onlyCandidate().isPresent()) {
             remove(answer.getNumber());
             decideWithoutRecord(now, stream);
         }
     }
 
+    /**
+     * Returns whether an entry that keeps the record has answered, or there is none but this one. Control processes get
+     * records later than entries and say nothing of versions, so that their answers alone show nothing.
+     */
+    private boolean anEntryHasAnswered(ResumedStream stream) {
+        List<Address> entries = control.recordHolders().entries(stream.stream()).stream()
+                .filter(entry -> !entry.equals(self))
+                .toList();
+        return entries.isEmpty() || entries.stream().anyMatch(stream.answered::contains);
+    }
+
     private void remove(long number) {
         waiting.remove(number);
         rounds.clear(number);
@@ -163,6 +187,7 @@
     }
 
     private void decideWithoutRecord(long now, ResumedStream stream) {
+        addOwnKnowledge(now, stream);
         Optional<String> only = stream.onlyCandidate();
         if (only.isEmpty()) {
             note(now, stream, unknownOutcome(stream), "unknown", "none");
@@ -242,27 +267,30 @@
      * arrived and not been read yet.
      */
     private void onRoundDue(long now, long number, ResumedStream stream, Outbox out) {
-        if (now - stream.nextRoundAtNanos < ASK_INTERVAL_NANOS) {
-            stream.roundsInTime++;
+        Optional<StreamRecords.BegunStream> received = records.find(stream.stream());
+        if (received.isPresent()) {
+            remove(number);
+            onRecord(now, stream, received.get(), "record-here");
+            return;
         }
-        // The first round is due at once, and nothing was asked before it.
-        boolean roundsOver = stream.roundsInTime > MAX_ROUNDS;
-        boolean outOfTime = stream.roundsAsked >= MIN_ROUNDS && now >= stream.arrivedAtNanos + maxWaitNanos(stream);
-        if (roundsOver || outOfTime) {
+        boolean inTime = now - stream.nextRoundAtNanos < ASK_INTERVAL_NANOS;
+        stream.roundsInTime += inTime ? 1 : 0;
+        if (isOver(now, stream, inTime)) {
             remove(number);
             decideWithoutRecord(now, stream);
             return;
         }
         addHolders(stream);
         ask(number, stream, out);
-        stream.roundsAsked++;
         stream.nextRoundAtNanos = now + ASK_INTERVAL_NANOS;
         rounds.set(number, stream.nextRoundAtNanos);
     }
 
-    private static long maxWaitNanos(ResumedStream stream) {
-        long callerMillis = stream.intent.deadlineMillis().orElse(stream.route.timeoutMillis());
-        return (long) (MAX_WAIT_SHARE * Durations.nanos(Math.min(callerMillis, stream.route.timeoutMillis())));
+    private static boolean isOver(long now, ResumedStream stream, boolean inTime) {
+        // The first round is due at once, and nothing was asked before it.
+        boolean roundsOver = stream.roundsInTime > MAX_ROUNDS;
+        boolean waitOver = inTime && stream.roundsInTime > MIN_ROUNDS && now >= stream.waitEndsAtNanos;
+        return roundsOver || waitOver || now >= stream.deadlineNanos();
     }
 
     private static void ask(long number, ResumedStream stream, Outbox out) {
--- a/src/test/java/org/cuminshelf/direct/StreamResumptionsTest.java
+++ b/src/test/java/org/cuminshelf/direct/StreamResumptionsTest.java
@@ -245,6 +245,83 @@
         assertThat(sentTo(OTHERS[0])).hasSize(5);
     }
 
+    /** Guards against a version that is taken for the only one by an answer from which nothing follows. */
+    @Example
+    void anEmptyAnswerOfControlDecidesNothingWhileEntriesMayHoldTheRecord() {
+        entry.sendUpdate(Update.newBuilder().addControl(DirectFixture.CONTROL.value()));
+        add("u1", OLD);
+        resume();
+        answer(DirectFixture.CONTROL.value(), StreamAnswer.newBuilder());
+        assertThat(entry.sentRequests).isEmpty();
+        add("u2", NEW);
+        answer(OTHERS[1], StreamAnswer.newBuilder().setRecord(record(NEW)));
+        assertThat(entry.lastSent().upstream).isEqualTo("u2");
+    }
+
+    /** Guards against a version that this entry hears of while it asks and doesn't count. */
+    @Example
+    void aVersionThatAppearsWhileHoldersAreAskedCounts() {
+        add("u1", OLD);
+        DirectFixture.CallerResponse response = resume();
+        add("u2", NEW);
+        answer(OTHERS[0], StreamAnswer.newBuilder().addVersions(OLD).setComplete(true));
+        entry.advance(LONGEST_WAIT_MILLIS);
+        assertThat(entry.sentRequests).isEmpty();
+        assertThat(response.status).isEqualTo(503);
+    }
+
+    /** Guards against a record that reaches a restarted entry by itself while it asks others. */
+    @Example
+    void aRecordThatArrivesMeanwhileDecides() {
+        add("u1", OLD);
+        add("u2", NEW);
+        resume();
+        accept(
+                OTHERS[0],
+                Envelope.newBuilder()
+                        .setStreamRecords(StreamRecordBatch.newBuilder().addRecords(record(NEW))));
+        entry.advance(LONGEST_WAIT_MILLIS / 2);
+        assertThat(entry.lastSent().upstream).isEqualTo("u2");
+    }
+
+    /** Guards against a refusal before anything was read, after a pause of half of the caller's time. */
+    @Example
+    void anEntryThatStoodStillForLongStillReadsAnswers() {
+        add("u1", OLD);
+        add("u2", NEW);
+        DirectFixture.CallerResponse response = resume();
+        entry.standStill(2_600);
+        entry.advance(100);
+        assertThat(response.status).isZero();
+        answer(OTHERS[2], StreamAnswer.newBuilder().setRecord(record(NEW)));
+        assertThat(entry.linesWith("resumption b", "outcome=record-by-answer")).hasSize(1);
+    }
+
+    /** Guards against a caller that waits for ever at an entry that always runs late. */
+    @Example
+    void anEntryThatAlwaysRunsLateRefusesByTheDeadline() {
+        add("u1", OLD);
+        add("u2", NEW);
+        DirectFixture.CallerResponse response = resume();
+        for (int step = 0; step < 15; step++) {
+            entry.standStill(350);
+        }
+        assertThat(response.status).isEqualTo(503);
+        assertThat(entry.core.openCalls()).isZero();
+    }
+
+    /** Guards against holders that join while a stream is looked up and are never asked. */
+    @Example
+    void anEntryThatBecomesAHolderMeanwhileIsAsked() {
+        entry.setEntries(OTHERS[0]);
+        add("u1", OLD);
+        add("u2", NEW);
+        resume();
+        entry.setEntries(OTHERS);
+        entry.advance(LONGEST_WAIT_MILLIS / 2);
+        assertThat(sentTo(OTHERS[1])).isNotEmpty();
+    }
+
     /** Guards against a caller that waits for nothing, as none of the holders is left. */
     @Example
     void aStreamWhoseHoldersAreSilentIsRefusedInTime() {
