--- a/src/main/java/org/cuminshelf/direct/CallDispatcher.java
+++ b/src/main/java/org/cuminshelf/direct/CallDispatcher.java
@@ -602,17 +602,24 @@
         failCall(now, call, reason);
     }
 
-    void onCallerDisconnected(long now, DirectCall call) {
+    /**
+     * Ends a call whose caller has left.
+     *
+     * @param now        the time in nanoseconds
+     * @param call       the call
+     * @param lateMillis how late this process runs, for the log
+     */
+    void onCallerDisconnected(long now, DirectCall call, long lateMillis) {
         if (call.closed) {
             return;
         }
+        responses.logDisconnect(now, call, lateMillis);
         for (DirectAttempt attempt : List.copyOf(call.openAttempts)) {
             recordUsageWithoutResponse(attempt);
             if (call.isStream() || call.isRetryable()) {
                 attemptRunner.cancel(attempt);
             }
         }
-        responses.logDisconnect(now, call);
         shares.onLeft(now, call);
         close(call);
     }
--- a/src/main/java/org/cuminshelf/direct/CallerResponses.java
+++ b/src/main/java/org/cuminshelf/direct/CallerResponses.java
@@ -189,22 +189,43 @@
         return Math.round(PERCENT * call.standing().share()) / PERCENT;
     }
 
-    /** Logs that the caller disconnected before its response was complete. */
-    void logDisconnect(long now, DirectCall call) {
-        log.noteCompletion(
+    /**
+     * Logs that the caller disconnected before its response was complete.
+     *
+     * @param now        the time in nanoseconds
+     * @param call       the call, whose attempts are still open
+     * @param lateMillis how late this process runs
+     */
+    void logDisconnect(long now, DirectCall call, long lateMillis) {
+        log.note(
+                "request",
                 call.intent.id(),
                 "outcome",
-                "caller-gone",
+                disconnectOutcome(call),
                 "route",
                 call.route.name(),
                 "organisation",
                 call.organisationName(),
+                "attempts",
+                call.sentTo.size(),
+                "since-sent-ms",
+                call.lastAttempt == null ? "never" : Durations.millis(now - call.lastAttempt.sentAtNanos),
                 "events",
                 call.deliveredEvents,
+                "late-ms",
+                lateMillis,
                 "ms",
                 Durations.millis(now - call.arrivedAtNanos));
     }
 
+    /** Tells what was done for a call whose caller is found to have left. */
+    private static String disconnectOutcome(DirectCall call) {
+        if (call.hasOpenAttempt()) {
+            return "left-at-work";
+        }
+        return call.sentTo.isEmpty() ? "left-before-sent" : "left-while-waiting";
+    }
+
     /** Refuses a request that cannot be routed because no configuration has been confirmed yet. */
     void refuseNotReady(CallerExchange exchange, CallIntent intent) {
         log.note("request", intent.id(), "outcome", "not-run", "reason", "no confirmed configuration yet");
--- a/src/main/java/org/cuminshelf/direct/DirectCore.java
+++ b/src/main/java/org/cuminshelf/direct/DirectCore.java
@@ -12,6 +12,7 @@
 import org.cuminshelf.core.Durations;
 import org.cuminshelf.core.Invariants;
 import org.cuminshelf.core.Outbox;
+import org.cuminshelf.core.TickLateness;
 import org.cuminshelf.exchange.CallerExchange;
 import org.cuminshelf.exchange.CallerHandler;
 import org.cuminshelf.exchange.CallerLimits;
@@ -55,6 +56,7 @@
     private final PlainServiceTimes serviceTimes;
     private final BegunStreamWaits begunWaits = new BegunStreamWaits();
     private final StartupRequestQueue earlyRequests = new StartupRequestQueue();
+    private final TickLateness lateness;
     private final Map<CallerExchange, DirectCall> callsByExchange = new HashMap<>();
     private long nextCallNumber = 1;
     private long nextHousekeepingNanos;
@@ -75,6 +77,7 @@
         this.protocol = protocol;
         this.log = log;
         long now = clock.getAsLong();
+        this.lateness = TickLateness.create(now);
         this.backpressure = Backpressure.create(self);
         this.upstreams = new UpstreamTable(backpressure.leavingUpstreams(), log);
         this.poisonGuard = new PoisonGuard(client, upstreams, clock, self, settings.vm(), log);
@@ -313,7 +316,8 @@
         resumptions.onDisconnect(exchange);
         DirectCall call = callsByExchange.remove(exchange);
         if (call != null) {
-            callDispatcher.onCallerDisconnected(clock.getAsLong(), call);
+            long now = clock.getAsLong();
+            callDispatcher.onCallerDisconnected(now, call, lateness.millis(now));
         }
     }
 
@@ -364,6 +368,7 @@
 
     @Override
     public void tick(long now, Outbox out) {
+        lateness.onTick(now, nextDue());
         control.tick(now, out);
         backpressure.limits().tick(now, control.entries());
         streamRecords.tick(now, out);
@@ -561,6 +566,15 @@
         return callDispatcher.shares().groupCount();
     }
 
+    /**
+     * Tells how late this process runs.
+     *
+     * @return the longest time by which a tick came late in the last one to two seconds, in milliseconds
+     */
+    public long lateMillis() {
+        return lateness.millis(clock.getAsLong());
+    }
+
     /**
      * Counts the calls without a final response, including requests that wait for the first configuration.
      *
--- a/src/main/java/org/cuminshelf/process/DirectEntryProcess.java
+++ b/src/main/java/org/cuminshelf/process/DirectEntryProcess.java
@@ -193,6 +193,11 @@
                 "cuminshelf_resting_upstreams",
                 "Upstreams that requested backoff from this entry.",
                 core::upstreamsInBackoff);
+        EntryProcess.registerGauge(
+                registry,
+                "cuminshelf_late_milliseconds",
+                "Longest time by which this process ran late in the last one to two seconds.",
+                locked(core::lateMillis));
         registerLoadGauges();
         EntryProcess.registerGauge(
                 registry,
