--- a/src/test/java/org/cuminshelf/platform/PlatformProcesses.java
+++ b/src/test/java/org/cuminshelf/platform/PlatformProcesses.java
@@ -136,6 +136,12 @@
         });
     }
 
+    /** Lets all threads of a process run on one core of the machine only. */
+    void pin(String name, String core) throws IOException, InterruptedException {
+        String pid = Long.toString(processes.get(name).pid());
+        new ProcessBuilder("taskset", "-a", "-c", "-p", core, pid).start().waitFor();
+    }
+
     private static void signal(Process process, String signal) throws IOException, InterruptedException {
         String pid = Long.toString(process.pid());
         new ProcessBuilder("kill", "-" + signal, pid).start().waitFor();
