--- a/src/main/java/org/cuminshelf/direct/AttemptRunner.java
+++ b/src/main/java/org/cuminshelf/direct/AttemptRunner.java
@@ -56,6 +56,9 @@
          */
         void onSilent(long now, DirectAttempt attempt, long silentNanos);
 
+        /** Called when the caller is found to have left as the request of an attempt was about to be sent. */
+        void onCallerLeft(long now, DirectAttempt attempt);
+
         /** Called after an attempt of a stream was cancelled in favour of its replacement, which has not responded. */
         void onReplaced(long now, DirectAttempt attempt);
     }
@@ -215,6 +218,13 @@
             this.attempt = attempt;
         }
 
+        @Override
+        public void beforeSend() {
+            if (!attempt.ended && attempt.call.exchange.hasCallerLeft()) {
+                outcomeListener.onCallerLeft(clock.getAsLong(), attempt);
+            }
+        }
+
         @Override
         public void onHead(int status, HttpFields headers) {
             if (!attempt.ended) {
@@ -523,7 +533,8 @@
         close(attempt);
         attempt.call.mayHaveRun |= !attempt.prefillOnly;
         if (attempt.exchange != null) {
-            attempt.exchange.cancel();
+            // An orderly close would still deliver what waits in the send buffer.
+            attempt.exchange.cancelAndReset();
         }
     }
 
--- a/src/main/java/org/cuminshelf/direct/CallDispatcher.java
+++ b/src/main/java/org/cuminshelf/direct/CallDispatcher.java
@@ -12,6 +12,7 @@
 import org.cuminshelf.core.DeadlineQueue;
 import org.cuminshelf.core.Durations;
 import org.cuminshelf.core.Invariants;
+import org.cuminshelf.core.TickLateness;
 import org.cuminshelf.message.Cause;
 import org.cuminshelf.poison.RequestAttribute;
 import org.cuminshelf.verdict.Verdict;
@@ -64,6 +65,7 @@
             LongSupplier clock,
             Invariants invariants,
             DecisionLog log,
+            TickLateness lateness,
             EngineLatencyModels engineModels,
             EventIntervals eventIntervals,
             LoadGossip loadGossip,
@@ -90,7 +92,7 @@
         this.serviceTimes = serviceTimes;
         this.admissionQueue = new AdmissionQueue(begunWaits);
         this.admission = new AdmissionControl(selector, control, poisonGuard, admissionQueue);
-        this.responses = new CallerResponses(control, log);
+        this.responses = new CallerResponses(control, log, lateness);
         this.attemptLog = new AttemptLog(log);
         this.retryPolicy = new RetryPolicy(poisonGuard, retryBudget, control);
         WatchedClock watchedClock = new WatchedClock(clock.getAsLong());
@@ -172,8 +174,11 @@
             call.singleEngineOnly = true;
         }
         switch (decide(now, call)) {
-            case AdmissionControl.Decision.Send(UpstreamSelector.Choice choice) ->
-                sendAttempt(now, call, choice, call.kvCache);
+            case AdmissionControl.Decision.Send(UpstreamSelector.Choice choice) -> {
+                if (!endIfCallerLeft(now, call)) {
+                    sendAttempt(now, call, choice, call.kvCache);
+                }
+            }
             case AdmissionControl.Decision.Wait() -> {
                 // The call is in the queue; retryWaiting() decides on it again.
             }
@@ -206,7 +211,7 @@
         admissionQueue.placeDue(now, call -> {
             DirectAttempt previous = call.lastAttempt;
             place(now, call);
-            return call.lastAttempt != previous;
+            return call.lastAttempt != previous || call.callerLeft;
         });
     }
 
@@ -314,12 +319,19 @@
                 case ReplacementPlanner.Decision.Keep(String reason) ->
                     attemptLog.noteKept(now, attempt, silentNanos, reason);
                 case ReplacementPlanner.Decision.Send(UpstreamSelector.Choice choice) -> {
-                    attemptLog.noteSilent(now, attempt, silentNanos, choice.upstream());
-                    replace(now, attempt, choice);
+                    if (!endIfCallerLeft(now, attempt.call)) {
+                        attemptLog.noteSilent(now, attempt, silentNanos, choice.upstream());
+                        replace(now, attempt, choice);
+                    }
                 }
             }
         }
 
+        @Override
+        public void onCallerLeft(long now, DirectAttempt attempt) {
+            CallDispatcher.this.onCallerLeft(now, attempt.call);
+        }
+
         @Override
         public void onReplaced(long now, DirectAttempt attempt) {
             attempt.call.mayHaveRun = true;
@@ -602,21 +614,27 @@
         failCall(now, call, reason);
     }
 
-    /**
-     * Ends a call whose caller has left.
-     *
-     * @param now        the time in nanoseconds
-     * @param call       the call
-     * @param lateMillis how late this process runs, for the log
-     */
-    void onCallerDisconnected(long now, DirectCall call, long lateMillis) {
+    /** Ends a call if its caller has left, whether or not the close was read; returns whether so. */
+    private boolean endIfCallerLeft(long now, DirectCall call) {
+        if (!call.exchange.hasCallerLeft()) {
+            return false;
+        }
+        onCallerLeft(now, call);
+        return true;
+    }
+
+    /** Ends a call whose caller has left. A request that may not be repeated runs on once it was sent. */
+    void onCallerLeft(long now, DirectCall call) {
         if (call.closed) {
             return;
         }
-        responses.logDisconnect(now, call, lateMillis);
+        call.callerLeft = true;
+        responses.logLeft(now, call);
         for (DirectAttempt attempt : List.copyOf(call.openAttempts)) {
-            recordUsageWithoutResponse(attempt);
-            if (call.isStream() || call.isRetryable()) {
+            if (attempt.isSent()) {
+                recordUsageWithoutResponse(attempt);
+            }
+            if (call.isStream() || call.isRetryable() || !attempt.isSent()) {
                 attemptRunner.cancel(attempt);
             }
         }
--- a/src/main/java/org/cuminshelf/direct/CallerResponses.java
+++ b/src/main/java/org/cuminshelf/direct/CallerResponses.java
@@ -3,6 +3,7 @@
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import org.cuminshelf.core.Durations;
+import org.cuminshelf.core.TickLateness;
 import org.cuminshelf.exchange.CallerExchange;
 import org.cuminshelf.poison.RequestAttribute;
 import org.cuminshelf.verdict.Verdict;
@@ -26,12 +27,16 @@
     private static final int UNAVAILABLE = 503;
     private static final int GATEWAY_TIMEOUT = 504;
 
+    private static final String LEFT_BEFORE_SENT = "left-before-sent";
+
     private final ControlSubscription control;
     private final DecisionLog log;
+    private final TickLateness lateness;
 
-    CallerResponses(ControlSubscription control, DecisionLog log) {
+    CallerResponses(ControlSubscription control, DecisionLog log, TickLateness lateness) {
         this.control = control;
         this.log = log;
+        this.lateness = lateness;
     }
 
     /** Sends the head of a streamed response to the caller, unless that has happened already. */
@@ -189,19 +194,13 @@
         return Math.round(PERCENT * call.standing().share()) / PERCENT;
     }
 
-    /**
-     * Logs that the caller disconnected before its response was complete.
-     *
-     * @param now        the time in nanoseconds
-     * @param call       the call, whose attempts are still open
-     * @param lateMillis how late this process runs
-     */
-    void logDisconnect(long now, DirectCall call, long lateMillis) {
+    /** Logs that the caller left before its response was complete; the attempts of the call are still open. */
+    void logLeft(long now, DirectCall call) {
         log.note(
                 "request",
                 call.intent.id(),
                 "outcome",
-                disconnectOutcome(call),
+                outcomeOfLeft(call),
                 "route",
                 call.route.name(),
                 "organisation",
@@ -213,17 +212,32 @@
                 "events",
                 call.deliveredEvents,
                 "late-ms",
-                lateMillis,
+                lateness.millis(now),
                 "ms",
                 Durations.millis(now - call.arrivedAtNanos));
     }
 
+    /** Logs that the caller left before its request was routed. */
+    void logLeftUnrouted(long now, CallIntent intent, long arrivedAtNanos) {
+        log.note(
+                "request",
+                intent.id(),
+                "outcome",
+                LEFT_BEFORE_SENT,
+                "route",
+                "none",
+                "late-ms",
+                lateness.millis(now),
+                "ms",
+                Durations.millis(now - arrivedAtNanos));
+    }
+
     /** Tells what was done for a call whose caller is found to have left. */
-    private static String disconnectOutcome(DirectCall call) {
+    private static String outcomeOfLeft(DirectCall call) {
         if (call.hasOpenAttempt()) {
             return "left-at-work";
         }
-        return call.sentTo.isEmpty() ? "left-before-sent" : "left-while-waiting";
+        return call.sentTo.isEmpty() ? LEFT_BEFORE_SENT : "left-while-waiting";
     }
 
     /** Refuses a request that cannot be routed because no configuration has been confirmed yet. */
--- a/src/main/java/org/cuminshelf/direct/DirectAttempt.java
+++ b/src/main/java/org/cuminshelf/direct/DirectAttempt.java
@@ -161,6 +161,11 @@
         return headers.contains(HttpHeader.CONTENT_LENGTH) ? "length" : UNFRAMED;
     }
 
+    /** Whether any byte of its request may have reached the upstream. */
+    boolean isSent() {
+        return exchange != null && exchange.isSent();
+    }
+
     /** Whether the head of the response reports success and is authentic. */
     boolean isSuccess() {
         int firstNonSuccessStatus = 300;
--- a/src/main/java/org/cuminshelf/direct/DirectCall.java
+++ b/src/main/java/org/cuminshelf/direct/DirectCall.java
@@ -131,6 +131,9 @@
     /** Whether it was counted in the usage of its organisation. */
     boolean usageCounted;
 
+    /** Whether its caller was found to have left. */
+    boolean callerLeft;
+
     /** Whether its final response was sent or its caller has disconnected. */
     boolean closed;
 
--- a/src/main/java/org/cuminshelf/direct/DirectCore.java
+++ b/src/main/java/org/cuminshelf/direct/DirectCore.java
@@ -117,6 +117,7 @@
                 clock,
                 invariants,
                 log,
+                lateness,
                 engineModels,
                 eventIntervals,
                 loadGossip,
@@ -177,6 +178,10 @@
 
     /** Starts a request that arrived now, or earlier while this entry was not ready. */
     private void start(long arrivedAtNanos, ReceivedRequest request, CallerExchange exchange, CallIntent intent) {
+        if (exchange.hasCallerLeft()) {
+            callDispatcher.responses().logLeftUnrouted(clock.getAsLong(), intent, arrivedAtNanos);
+            return;
+        }
         String host = Optional.ofNullable(request.headers().get("Host")).orElse("");
         Optional<Route> route = control.routes().route(host, request.path());
         if (route.isEmpty()) {
@@ -316,8 +321,7 @@
         resumptions.onDisconnect(exchange);
         DirectCall call = callsByExchange.remove(exchange);
         if (call != null) {
-            long now = clock.getAsLong();
-            callDispatcher.onCallerDisconnected(now, call, lateness.millis(now));
+            callDispatcher.onCallerLeft(clock.getAsLong(), call);
         }
     }
 
--- a/src/main/java/org/cuminshelf/exchange/CallerConnection.java
+++ b/src/main/java/org/cuminshelf/exchange/CallerConnection.java
@@ -49,7 +49,9 @@
 
     private static final int PERCENT = 100;
     private static final int INITIAL_HEAD_BYTES = 512;
-    private static final int EARLY_READ_BYTES = 4 << 10;
+    /** Bytes read ahead of the response before them at which reading pauses, so that a caller exhausts no memory. */
+    private static final int MAX_EARLY_BYTES = 64 << 10;
+
     private static final ByteBuffer NO_BYTES = ByteBuffer.allocate(0);
     private static final String STOPPING_REASON = "The request did not run: this process stops.";
     private static final String STOPPING_RETRY_AFTER_SECONDS = "0.2";
@@ -98,9 +100,15 @@
     /** The remainder of the bytes that are being parsed. */
     private ByteBuffer unparsedBytes = NO_BYTES;
 
-    /** Bytes of a pipelined request, received before the response to the current one was complete; or null. */
+    /** Bytes of pipelined requests, received before the response to the current one was complete; or null. */
     private ByteBuffer earlyBytes;
 
+    /** Whether the caller has closed or reset the connection, behind all bytes read so far. */
+    private boolean endOfInput;
+
+    /** Whether {@link #read()} is on the stack and has found nothing more in the socket. */
+    private boolean drained;
+
     /** The idle limit that the caller may count on: the one last told, or a higher one in force since. */
     private long idleLimitMillis;
 
@@ -188,33 +196,92 @@
             return;
         }
         insideRead = true;
+        drained = false;
         try {
-            while (phase != Phase.CLOSED) {
-                if (earlyBytes != null) {
-                    if (phase == Phase.RESPONDING) {
-                        return;
-                    }
-                    parseEarlyBytes();
-                    continue;
-                }
-                ByteBuffer buffer = ReadBuffers.clearedBuffer();
-                int count = ReadBuffers.read(getEndPoint(), buffer);
-                if (count < 0) {
-                    onEndOfInput();
-                    return;
-                }
-                if (count == 0) {
-                    awaitBytes();
-                    return;
-                }
-                receivedBytes += count;
-                parse(buffer);
+            while (phase != Phase.CLOSED && handleNextBytes()) {
+                // Each pass handles what one read has brought.
             }
         } finally {
             insideRead = false;
         }
     }
 
+    /** Handles the next bytes; returns false if there are none or if they have to wait. */
+    private boolean handleNextBytes() throws IOException {
+        if (phase == Phase.RESPONDING) {
+            readAhead();
+        } else if (earlyBytes != null) {
+            parseEarlyBytes();
+            return true;
+        } else if (!drained && !endOfInput) {
+            readAndParse();
+            return true;
+        }
+        if (endOfInput) {
+            onEndOfInput();
+        } else if (drained) {
+            awaitBytes();
+        }
+        return false;
+    }
+
+    private void readAndParse() throws IOException {
+        ByteBuffer buffer = ReadBuffers.clearedBuffer();
+        if (read(buffer) > 0) {
+            parse(buffer);
+        }
+    }
+
+    /** Reads once, and notes what that tells of the connection. */
+    private int read(ByteBuffer buffer) throws IOException {
+        int count = ReadBuffers.read(getEndPoint(), buffer);
+        endOfInput = count < 0;
+        drained = count == 0;
+        receivedBytes += Math.max(0, count);
+        return count;
+    }
+
+    /**
+     * Reads while a response is pending, up to the end of the connection: a close behind the bytes of a next request
+     * ends the work on the current one.
+     */
+    private void readAhead() throws IOException {
+        keepEarly(unparsedBytes);
+        while (!drained && !endOfInput && (earlyBytes == null || earlyBytes.remaining() < MAX_EARLY_BYTES)) {
+            ByteBuffer buffer = ReadBuffers.clearedAheadBuffer();
+            if (read(buffer) > 0) {
+                keepEarly(buffer);
+            }
+        }
+    }
+
+    /** Moves bytes behind the early ones. */
+    private void keepEarly(ByteBuffer bytes) {
+        if (!bytes.hasRemaining()) {
+            return;
+        }
+        ByteBuffer before = earlyBytes == null ? NO_BYTES : earlyBytes;
+        earlyBytes = ByteBuffer.allocate(before.remaining() + bytes.remaining())
+                .put(before)
+                .put(bytes)
+                .flip();
+    }
+
+    @Override
+    public boolean hasCallerLeft() {
+        if (phase != Phase.RESPONDING) {
+            return phase == Phase.CLOSED;
+        }
+        drained &= insideRead;
+        try {
+            readAhead();
+        } catch (IOException reset) {
+            Logger.debug(LOG + "The caller has reset its connection: {}.", reset.getMessage());
+            endOfInput = true;
+        }
+        return endOfInput;
+    }
+
     private void onEndOfInput() {
         if (phase == Phase.RESPONDING || writes.isEmpty()) {
             onClosed(CloseReason.CLOSED_BY_CALLER);
@@ -237,29 +304,16 @@
             parser.parseNext(buffer);
             handleReceivedRequest();
         }
-        unparsedBytes = NO_BYTES;
-        if (buffer.hasRemaining() && phase == Phase.RESPONDING) {
-            // A pipelined request. Its bytes are kept, and reading pauses until the current response is complete.
-            earlyBytes = ByteBuffer.allocate(buffer.remaining()).put(buffer).flip();
+        if (phase == Phase.RESPONDING) {
+            keepEarly(buffer);
         }
+        unparsedBytes = NO_BYTES;
     }
 
     /** Whether bytes of a next request have arrived, whole or in part, read or still in the socket. */
     private boolean hasNextRequest() {
-        return unparsedBytes.hasRemaining() || earlyBytes != null || readEarlyBytes();
-    }
-
-    private boolean readEarlyBytes() {
-        // The buffer of the thread may be in use further up the stack.
-        ByteBuffer buffer = ByteBuffer.allocate(EARLY_READ_BYTES);
-        try {
-            if (ReadBuffers.read(getEndPoint(), buffer) > 0) {
-                earlyBytes = buffer;
-            }
-        } catch (IOException e) {
-            // The next read fails in the same way and closes the connection.
-            Logger.debug(LOG + "Reading ahead failed: {}.", e.getMessage());
-        }
+        drained = false;
+        hasCallerLeft();
         return earlyBytes != null;
     }
 
--- a/src/main/java/org/cuminshelf/exchange/CallerExchange.java
+++ b/src/main/java/org/cuminshelf/exchange/CallerExchange.java
@@ -6,6 +6,14 @@
 /** The response side of one request. Each request gets exactly one response, or its connection is closed. */
 public interface CallerExchange {
 
+    /**
+     * Tells whether the caller has left, by what has arrived at this process, read or not. It is asked before anything
+     * is sent for the caller, as a busy process reads the end of a connection long after it has arrived.
+     *
+     * @return whether the caller has closed or reset its connection, or shut down its sending side
+     */
+    boolean hasCallerLeft();
+
     /**
      * Sends a complete response.
      *
--- a/src/main/java/org/cuminshelf/exchange/ReadBuffers.java
+++ b/src/main/java/org/cuminshelf/exchange/ReadBuffers.java
@@ -6,7 +6,7 @@
 import org.eclipse.jetty.io.EndPoint;
 
 /**
- * A read buffer for each thread: its content is parsed or copied before the thread reads again.
+ * Read buffers for each thread: their content is parsed or copied before the thread reads again.
  *
  * <p>Guards against truncated responses: if an upstream crashes during a response without a length, its connection is
  * reset. Jetty's end point reports a reset like an orderly close, so the partial response would pass as complete.
@@ -17,6 +17,8 @@
     private static final int BUFFER_BYTES = 32 << 10;
     private static final ThreadLocal<ByteBuffer> BUFFER =
             ThreadLocal.withInitial(() -> ByteBuffer.allocateDirect(BUFFER_BYTES));
+    private static final ThreadLocal<ByteBuffer> AHEAD_BUFFER =
+            ThreadLocal.withInitial(() -> ByteBuffer.allocateDirect(BUFFER_BYTES));
 
     private ReadBuffers() {}
 
@@ -25,6 +27,11 @@
         return BUFFER.get().clear();
     }
 
+    /** Returns the current thread's buffer for reading ahead while the other one is being parsed, cleared. */
+    static ByteBuffer clearedAheadBuffer() {
+        return AHEAD_BUFFER.get().clear();
+    }
+
     /**
      * Reads the available bytes without blocking and flips the buffer.
      *
--- a/src/main/java/org/cuminshelf/exchange/UpstreamConnections.java
+++ b/src/main/java/org/cuminshelf/exchange/UpstreamConnections.java
@@ -320,11 +320,15 @@
         public void succeeded(org.eclipse.jetty.io.Connection connected) {
             lock.lock();
             try {
-                connection = (UpstreamConnection) connected;
+                if (!cancelled) {
+                    handler.beforeSend();
+                }
+                UpstreamConnection established = (UpstreamConnection) connected;
                 if (cancelled) {
-                    connection.returnUnused();
+                    established.returnUnused();
                 } else {
-                    connection.send(request, handler);
+                    connection = established;
+                    established.send(request, handler);
                 }
             } finally {
                 lock.unlock();
@@ -343,6 +347,11 @@
             }
         }
 
+        @Override
+        public boolean isSent() {
+            return connection != null;
+        }
+
         @Override
         public void cancel() {
             if (cancelled) {
--- a/src/main/java/org/cuminshelf/exchange/UpstreamExchange.java
+++ b/src/main/java/org/cuminshelf/exchange/UpstreamExchange.java
@@ -3,6 +3,15 @@
 /** A request in progress at an upstream. */
 public interface UpstreamExchange {
 
+    /**
+     * Tells whether the request was sent, or is still waiting for a connection.
+     *
+     * @return whether any byte of it may have reached the upstream
+     */
+    default boolean isSent() {
+        return true;
+    }
+
     /** Closes the connection, which makes the upstream stop the work. The handler is not called any more. */
     void cancel();
 
--- a/src/main/java/org/cuminshelf/exchange/UpstreamHandler.java
+++ b/src/main/java/org/cuminshelf/exchange/UpstreamHandler.java
@@ -6,6 +6,11 @@
 /** Handles the response to one request to an upstream. The last call is either onComplete or onFailed. */
 public interface UpstreamHandler {
 
+    /** Called when a request that has waited for a connection is about to be sent; it may be cancelled here. */
+    default void beforeSend() {
+        // Most requests are sent whatever has happened meanwhile.
+    }
+
     /**
      * Called with the head of the response.
      *
--- a/src/test/java/org/cuminshelf/direct/DepartedCallersTest.java
+++ b/src/test/java/org/cuminshelf/direct/DepartedCallersTest.java
@@ -270,6 +270,29 @@
         assertThat(entry.sentRequests).isEmpty();
     }
 
+    @Example
+    void aRequestIsWithdrawnIfItsCallerHasClosedAsItsConnectionIsMade() throws IOException {
+        assertWithdrawnWhileConnecting();
+    }
+
+    @Example
+    void aRequestThatMayRunOnlyOnceIsWithdrawnToo() throws IOException {
+        entry = new DirectFixture(DirectFixture.patientRoute(RequestKind.NON_IDEMPOTENT, 1));
+        assertWithdrawnWhileConnecting();
+    }
+
+    private void assertWithdrawnWhileConnecting() throws IOException {
+        withEngines("a");
+        sendAndAwaitRead("x");
+        whileNothingIsRead(() -> {
+            caller.close();
+            entry.lastSent().written = false;
+            entry.lastSent().handler.beforeSend();
+            assertThat(entry.lastSent().cancelled).isTrue();
+        });
+        assertLeft("x", "left-at-work", 1);
+    }
+
     // ---- bytes of a next request stand before the close
 
     @Example
--- a/src/test/java/org/cuminshelf/direct/DirectFixture.java
+++ b/src/test/java/org/cuminshelf/direct/DirectFixture.java
@@ -255,6 +255,12 @@
         final StringBuilder body = new StringBuilder();
         boolean complete;
         boolean aborted;
+        boolean callerLeft;
+
+        @Override
+        public boolean hasCallerLeft() {
+            return callerLeft;
+        }
 
         @Override
         public void respond(int answered, HttpFields fields, ByteBuffer bytes) {
@@ -292,6 +298,8 @@
         final UpstreamRequest request;
         final UpstreamHandler handler;
         boolean cancelled;
+        /** Whether it has been written to a connection. */
+        boolean written = true;
 
         SentRequest(String upstream, UpstreamRequest request, UpstreamHandler handler) {
             this.upstream = upstream;
@@ -321,6 +329,11 @@
             handler.onComplete();
         }
 
+        @Override
+        public boolean isSent() {
+            return written;
+        }
+
         @Override
         public void cancel() {
             cancelled = true;
--- a/src/test/java/org/cuminshelf/exchange/CallerConnectionLossTest.java
+++ b/src/test/java/org/cuminshelf/exchange/CallerConnectionLossTest.java
@@ -739,6 +739,16 @@
             }
         }
 
+        @Override
+        public boolean hasCallerLeft() {
+            lock.lock();
+            try {
+                return exchange.hasCallerLeft();
+            } finally {
+                lock.unlock();
+            }
+        }
+
         @Override
         public void respond(int status, HttpFields headers, ByteBuffer body) {
             locked(() -> exchange.respond(status, headers, body));
--- a/src/test/java/org/cuminshelf/trial/DirectFleet.java
+++ b/src/test/java/org/cuminshelf/trial/DirectFleet.java
@@ -399,6 +399,11 @@
             abort();
         }
 
+        @Override
+        public boolean hasCallerLeft() {
+            return left;
+        }
+
         /** Has the caller go away once it hears nothing for so long. */
         void leaveAfter(long quietNanos) {
             time.at(heardAt + quietNanos, () -> {
