--- a/src/main/java/org/cuminshelf/direct/AttemptRunner.java
+++ b/src/main/java/org/cuminshelf/direct/AttemptRunner.java
@@ -90,7 +90,8 @@
 
     private static final double NANOS_PER_MILLI = 1e6;
     private static final int HTTP_OK = 200;
-    private static final long MAX_BODY_BYTES = 16 << 20;
+    /** Time beyond the deadline of a call after which a response that nobody waits for any more is given up. */
+    private static final long OVERDUE_MARGIN_MILLIS = 1_000;
 
     private final UpstreamProtocol protocol;
     private final UpstreamClient client;
@@ -104,6 +105,8 @@
     private final BackpressureListener backpressureListener;
     private final Map<Long, DirectAttempt> attempts = new HashMap<>();
     private final DeadlineQueue<Long> progressChecks = DeadlineQueue.create();
+    private final HeldResponses heldResponses =
+            HeldResponses.ofHeap(Runtime.getRuntime().maxMemory());
     private final WatchedClock watchedClock;
     private long nextAttemptNumber = 1;
 
@@ -218,6 +221,17 @@
             this.attempt = attempt;
         }
 
+        @Override
+        public long maxBodyBytes() {
+            // A stream is passed on event by event.
+            return attempt.call.isStream() ? Long.MAX_VALUE : HeldResponses.MAX_RESPONSE_BYTES;
+        }
+
+        @Override
+        public long timeoutMillis() {
+            return Durations.millis(attempt.call.deadlineNanos - attempt.sentAtNanos) + OVERDUE_MARGIN_MILLIS;
+        }
+
         @Override
         public void beforeSend() {
             if (!attempt.ended && attempt.call.exchange.hasCallerLeft()) {
@@ -277,32 +291,56 @@
     }
 
     private void onBody(long now, DirectAttempt attempt, ByteBuffer bytes) {
-        recordProgress(now, attempt);
         DirectCall call = attempt.call;
         if (call.isStream() && !attempt.prefillOnly && attempt.isSuccess()) {
+            attempt.upstream.recordResponse(now, watchedClock.look(now));
+            eventIntervals.onReceived(now);
             attempt.eventSplitter.add(bytes);
             forwardEvents(now, attempt);
-            return;
+        } else {
+            recordProgress(now, attempt);
+            attempt.responseBody.add(bytes);
         }
-        byte[] copy = new byte[bytes.remaining()];
-        bytes.get(copy);
-        attempt.responseBody.write(copy, 0, copy.length);
-        if (attempt.responseBody.size() > MAX_BODY_BYTES) {
-            attempt.exchange.cancel();
-            onConnectionFailed(now, attempt, true, "the answer is too large");
+        if (!attempt.ended) {
+            limitHeldBytes(now, attempt);
+        }
+    }
+
+    /** Gives up an attempt whose response is too large, or the largest of all if they are too large together. */
+    private void limitHeldBytes(long now, DirectAttempt attempt) {
+        boolean eventIsTooLarge =
+                attempt.eventSplitter.pendingBytes() > HeldResponses.MAX_EVENT_BYTES && attempt.isEventStream();
+        int heldBytes = attempt.eventSplitter.pendingBytes() + attempt.responseBody.size();
+        if (eventIsTooLarge || heldBytes > HeldResponses.MAX_RESPONSE_BYTES) {
+            giveUp(now, attempt, "the answer is too large");
+            return;
         }
+        heldResponses
+                .record(attempt.number, heldBytes, attempt.statesLength())
+                .ifPresent(number ->
+                        giveUp(now, attempts.get(number), "the answers of all upstreams are too large together"));
+    }
+
+    private void giveUp(long now, DirectAttempt attempt, String reason) {
+        attempt.exchange.cancelAndReset();
+        onConnectionFailed(now, attempt, true, reason);
     }
 
     private void forwardEvents(long now, DirectAttempt attempt) {
         DirectCall call = attempt.call;
         int deliveredBefore = call.deliveredEvents;
         Optional<EventSplitter.Event> event = attempt.eventSplitter.next();
+        // Bytes of an event that is not whole are no progress: they may come without end.
+        boolean progress = event.isPresent() || !attempt.isEventStream();
+        if (progress) {
+            attempt.recordProgress(now, watchedClock.look(now));
+        }
         while (event.isPresent() && !call.closed) {
             forwardEvent(now, attempt, event.get());
             event = attempt.eventSplitter.next();
         }
         eventIntervals.onEvents(now, attempt, call.deliveredEvents - deliveredBefore);
-        if (!attempt.hasOpenReplacement()) {
+        if (progress && !attempt.hasOpenReplacement()) {
             progressChecks.set(attempt.number, now + MAX_CHECK_INTERVAL_NANOS);
         }
     }
@@ -543,6 +581,7 @@
             return;
         }
         attempt.ended = true;
+        heldResponses.remove(attempt.number);
         attempts.remove(attempt.number);
         attempt.call.openAttempts.remove(attempt);
         progressChecks.clear(attempt.number);
--- a/src/main/java/org/cuminshelf/direct/DirectAttempt.java
+++ b/src/main/java/org/cuminshelf/direct/DirectAttempt.java
@@ -1,6 +1,5 @@
 package org.cuminshelf.direct;
 
-import java.io.ByteArrayOutputStream;
 import java.util.HashSet;
 import java.util.Locale;
 import java.util.Optional;
@@ -30,7 +29,7 @@
 
     final long sentAtNanos;
     final EventSplitter eventSplitter = new EventSplitter();
-    final ByteArrayOutputStream responseBody = new ByteArrayOutputStream();
+    final ResponseBody responseBody = new ResponseBody();
 
     UpstreamExchange exchange;
     int status;
@@ -136,7 +135,7 @@
     }
 
     /** Whether the response is a successful stream of events; one that states no type is taken for such a stream. */
-    private boolean isEventStream() {
+    boolean isEventStream() {
         boolean otherType = Optional.ofNullable(headers.get(HttpHeader.CONTENT_TYPE))
                 .filter(type -> !type.toLowerCase(Locale.ROOT).startsWith(EVENT_STREAM_TYPE))
                 .isPresent();
@@ -158,7 +157,12 @@
         if (headers.contains(HttpHeader.TRANSFER_ENCODING)) {
             return "chunks";
         }
-        return headers.contains(HttpHeader.CONTENT_LENGTH) ? "length" : UNFRAMED;
+        return statesLength() ? "length" : UNFRAMED;
+    }
+
+    /** Whether the head of the response states how long its body is. */
+    boolean statesLength() {
+        return headers.contains(HttpHeader.CONTENT_LENGTH) && !headers.contains(HttpHeader.TRANSFER_ENCODING);
     }
 
     /** Whether any byte of its request may have reached the upstream. */
--- a/src/main/java/org/cuminshelf/direct/EventSplitter.java
+++ b/src/main/java/org/cuminshelf/direct/EventSplitter.java
@@ -27,32 +27,48 @@
     record Event(byte[] bytes, OptionalLong id) {}
 
     private byte[] buffer = new byte[INITIAL_CAPACITY_BYTES];
-    private int size;
+    /** Bounds of the bytes after the last complete event. */
+    private int start;
+
+    private int end;
+    /** Where the search for the end of the event goes on, and where the line began that it is in. */
+    private int searchedTo;
+
+    private int lineStart;
 
     void add(ByteBuffer bytes) {
-        int needed = size + bytes.remaining();
-        if (needed > buffer.length) {
-            buffer = Arrays.copyOf(buffer, Math.max(needed, 2 * buffer.length));
-        }
+        makeRoom(bytes.remaining());
         int count = bytes.remaining();
-        bytes.get(buffer, size, count);
-        size += count;
+        bytes.get(buffer, end, count);
+        end += count;
+    }
+
+    private void makeRoom(int count) {
+        if (end + count <= buffer.length) {
+            return;
+        }
+        int size = pendingBytes();
+        byte[] target = size + count <= buffer.length ? buffer : new byte[Math.max(size + count, 2 * buffer.length)];
+        System.arraycopy(buffer, start, target, 0, size);
+        buffer = target;
+        searchedTo -= start;
+        lineStart -= start;
+        start = 0;
+        end = size;
     }
 
     /** Removes and returns the next complete event, or empty if there is none. */
     Optional<Event> next() {
-        int lineStart = 0;
-        int at = 0;
-        while (at < size) {
-            int lineEnd = lineEndLength(at);
+        while (searchedTo < end) {
+            int lineEnd = lineEndLength(searchedTo);
             if (lineEnd == UNDECIDED) {
                 return Optional.empty();
             }
-            if (lineEnd > 0 && at == lineStart) {
-                return Optional.of(removeEvent(at + lineEnd));
+            if (lineEnd > 0 && searchedTo == lineStart) {
+                return Optional.of(removeEvent(searchedTo + lineEnd - start));
             }
-            at += Math.max(1, lineEnd);
-            lineStart = lineEnd > 0 ? at : lineStart;
+            searchedTo += Math.max(1, lineEnd);
+            lineStart = lineEnd > 0 ? searchedTo : lineStart;
         }
         return Optional.empty();
     }
@@ -60,8 +76,8 @@
     /** Removes and returns the last event of a stream that has ended, if only its end tells that it is complete. */
     Optional<Event> last() {
         boolean endsWithEmptyLine =
-                size >= 2 && buffer[size - 1] == CARRIAGE_RETURN && buffer[size - 2] == CARRIAGE_RETURN;
-        return endsWithEmptyLine ? Optional.of(removeEvent(size)) : Optional.empty();
+                pendingBytes() >= 2 && buffer[end - 1] == CARRIAGE_RETURN && buffer[end - 2] == CARRIAGE_RETURN;
+        return endsWithEmptyLine ? Optional.of(removeEvent(pendingBytes())) : Optional.empty();
     }
 
     /** Returns the length of the line end at a position: 0 if there is none; a line feed may follow the last byte. */
@@ -72,7 +88,7 @@
         if (buffer[at] != CARRIAGE_RETURN) {
             return 0;
         }
-        if (at + 1 == size) {
+        if (at + 1 == end) {
             return UNDECIDED;
         }
         return buffer[at + 1] == LINE_FEED ? 2 : 1;
@@ -80,18 +96,19 @@
 
     /** Returns the number of bytes after the last complete event. */
     int pendingBytes() {
-        return size;
+        return end - start;
     }
 
     /** Returns the bytes after the last complete event. */
     byte[] remainder() {
-        return Arrays.copyOf(buffer, size);
+        return Arrays.copyOfRange(buffer, start, end);
     }
 
     private Event removeEvent(int length) {
-        byte[] event = Arrays.copyOf(buffer, length);
-        size -= length;
-        System.arraycopy(buffer, length, buffer, 0, size);
+        byte[] event = Arrays.copyOfRange(buffer, start, start + length);
+        start += length;
+        searchedTo = start;
+        lineStart = start;
         return new Event(event, parseId(event));
     }
 
--- a/src/main/java/org/cuminshelf/exchange/CallerConnection.java
+++ b/src/main/java/org/cuminshelf/exchange/CallerConnection.java
@@ -51,6 +51,8 @@
     private static final int INITIAL_HEAD_BYTES = 512;
     /** Bytes read ahead of the response before them at which reading pauses, so that a caller exhausts no memory. */
     private static final int MAX_EARLY_BYTES = 64 << 10;
+    /** Reads after which other connections get their turn, so that a caller that never pauses stops nobody else. */
+    private static final int MAX_READS_PER_TURN = 8;
 
     private static final ByteBuffer NO_BYTES = ByteBuffer.allocate(0);
     private static final String STOPPING_REASON = "The request did not run: this process stops.";
@@ -106,6 +108,9 @@
     /** Whether the caller has closed or reset the connection, behind all bytes read so far. */
     private boolean endOfInput;
 
+    /** Reads that are left in the present turn. */
+    private int readsLeft;
+
     /** Whether {@link #read()} is on the stack and has found nothing more in the socket. */
     private boolean drained;
 
@@ -197,6 +202,7 @@
         }
         insideRead = true;
         drained = false;
+        readsLeft = MAX_READS_PER_TURN;
         try {
             while (phase != Phase.CLOSED && handleNextBytes()) {
                 // Each pass handles what one read has brought.
@@ -213,7 +219,8 @@
         } else if (earlyBytes != null) {
             parseEarlyBytes();
             return true;
-        } else if (!drained && !endOfInput) {
+        } else if (!drained && !endOfInput && readsLeft > 0) {
+            readsLeft--;
             readAndParse();
             return true;
         }
@@ -221,6 +228,8 @@
             onEndOfInput();
         } else if (drained) {
             awaitBytes();
+        } else if (readsLeft == 0) {
+            listener.afterPause(this::onFillable);
         }
         return false;
     }
--- a/src/main/java/org/cuminshelf/exchange/CallerListener.java
+++ b/src/main/java/org/cuminshelf/exchange/CallerListener.java
@@ -32,6 +32,9 @@
     /** Small enough that a slow caller shows progress well within an idle limit. */
     private static final int SEND_BUFFER_BYTES = 256 << 10;
 
+    /** Pause of a connection that has used up its turn of reads. */
+    private static final long TURN_PAUSE_MILLIS = 1;
+
     private static final int MAX_THREADS = 6;
     private static final int MIN_THREADS = 2;
 
@@ -220,6 +223,11 @@
         return accepting;
     }
 
+    /** Runs an action after a pause that lets others take the lock. */
+    void afterPause(Runnable action) {
+        connector.getScheduler().schedule(action, TURN_PAUSE_MILLIS, TimeUnit.MILLISECONDS);
+    }
+
     void register(CallerConnection connection) {
         connections.add(connection);
     }
--- a/src/main/java/org/cuminshelf/exchange/UpstreamConnection.java
+++ b/src/main/java/org/cuminshelf/exchange/UpstreamConnection.java
@@ -28,6 +28,12 @@
 
     private static final int MAX_HEAD_BYTES = 16 << 10;
     private static final int MIN_FINAL_STATUS = 200;
+    /** Limit on interim responses before the final one, of which upstreams send one or two. */
+    private static final int MAX_INTERIM_RESPONSES = 16;
+    /** Reads after which other connections get their turn, so that an upstream that never pauses stops nobody else. */
+    private static final int MAX_READS_PER_TURN = 8;
+
+    private static final long NANOS_PER_MILLI = 1_000_000;
     private static final long UNKNOWN = -1;
 
     private final UpstreamConnections pool;
@@ -40,6 +46,9 @@
     private int status;
     private boolean persistent;
     private boolean responseComplete;
+    private int interimResponses;
+    private long bodyBytes;
+    private long sentAtNanos;
     private boolean closed;
     /** Idle timeout that the upstream announced in its last {@code Keep-Alive} header. */
     private long keepAliveSeconds = UNKNOWN;
@@ -89,6 +98,9 @@
     void send(UpstreamRequest request, UpstreamHandler responseHandler) {
         handler = responseHandler;
         responseComplete = false;
+        interimResponses = 0;
+        bodyBytes = 0;
+        sentAtNanos = System.nanoTime();
         parser.reset();
         parser.setHeadResponse("HEAD".equals(request.method()));
         writes.write(request.head(), ByteBuffer.wrap(request.body()));
@@ -109,6 +121,13 @@
         }
     }
 
+    /** Fails the request in progress if its response takes too long; the handler says how long it may. */
+    void failIfOverdue(long nowNanos) {
+        if (handler != null && nowNanos - sentAtNanos > handler.timeoutMillis() * NANOS_PER_MILLI) {
+            fail("the answer was not whole in time");
+        }
+    }
+
     /** Makes the close a reset, which discards the bytes in the send buffer instead of delivering them later. */
     void resetOnClose() {
         CloseBehaviour.reset(getEndPoint());
@@ -141,27 +160,42 @@
         }
     }
 
+    /**
+     * Handles what has arrived. An upstream that sends without end never leaves the socket empty, so that after some
+     * reads the lock is released for a moment.
+     */
     private void read() throws IOException {
-        while (!closed) {
-            ByteBuffer buffer = ReadBuffers.clearedBuffer();
-            int count = ReadBuffers.read(getEndPoint(), buffer);
-            if (count == 0) {
-                fillInterested(readCallback);
-                return;
-            }
-            if (handler == null) {
-                // The upstream closed the idle connection, or sent bytes that belong to no request.
-                closeConnection();
+        for (int reads = 0; reads < MAX_READS_PER_TURN; reads++) {
+            if (closed || !readOnce()) {
                 return;
             }
-            if (count < 0) {
-                onOrderlyClose();
-                return;
-            }
-            parse(buffer);
+        }
+        if (!closed) {
+            pool.afterPause(this::onFillable);
         }
     }
 
+    /** Handles what one read brings; returns false if nothing more is there. */
+    private boolean readOnce() throws IOException {
+        ByteBuffer buffer = ReadBuffers.clearedBuffer();
+        int count = ReadBuffers.read(getEndPoint(), buffer);
+        if (count == 0) {
+            fillInterested(readCallback);
+            return false;
+        }
+        if (handler == null) {
+            // The upstream closed the idle connection, or sent bytes that belong to no request.
+            closeConnection();
+            return false;
+        }
+        if (count < 0) {
+            onOrderlyClose();
+            return false;
+        }
+        parse(buffer);
+        return true;
+    }
+
     private void parse(ByteBuffer buffer) {
         while (buffer.hasRemaining() && handler != null && !responseComplete && !closed) {
             parser.parseNext(buffer);
@@ -249,14 +283,23 @@
 
     @Override
     public boolean headerComplete() {
-        if (status >= MIN_FINAL_STATUS && handler != null) {
-            handler.onHead(status, headers.asImmutable());
+        if (handler == null || status < MIN_FINAL_STATUS) {
+            return false;
+        }
+        if (parser.getContentLength() > handler.maxBodyBytes()) {
+            fail("the answer is too large");
+            return true;
         }
+        handler.onHead(status, headers.asImmutable());
         return false;
     }
 
     @Override
     public boolean content(ByteBuffer bytes) {
+        bodyBytes += bytes.remaining();
+        if (handler != null && bodyBytes > handler.maxBodyBytes()) {
+            fail("the answer is too large");
+        }
         if (handler != null) {
             handler.onBody(bytes);
         }
@@ -273,6 +316,10 @@
     public boolean messageComplete() {
         if (status < MIN_FINAL_STATUS) {
             parser.reset();
+            interimResponses++;
+            if (interimResponses > MAX_INTERIM_RESPONSES) {
+                fail("too many interim responses");
+            }
             return true;
         }
         responseComplete = true;
--- a/src/main/java/org/cuminshelf/exchange/UpstreamConnections.java
+++ b/src/main/java/org/cuminshelf/exchange/UpstreamConnections.java
@@ -13,6 +13,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.locks.ReentrantLock;
 import java.util.function.Consumer;
 import javax.net.ssl.KeyManager;
@@ -51,6 +52,9 @@
      */
     private static final Duration CONNECT_TIMEOUT = Duration.ofMillis(300);
 
+    /** Pause of a connection that has used up its turn of reads. */
+    private static final long TURN_PAUSE_MILLIS = 1;
+
     private static final long NANOS_PER_SECOND = 1_000_000_000L;
     private static final int MAX_THREADS = 6;
     private static final int MIN_THREADS = 2;
@@ -177,7 +181,10 @@
         return totalOpened;
     }
 
-    /** Closes idle connections that may no longer be reused. Called about once a second, with the lock held. */
+    /**
+     * Closes idle connections that may no longer be reused, and ends responses that take too long. Called about once a
+     * second, with the lock held.
+     */
     public void closeStale() {
         long nowNanos = System.nanoTime();
         List<UpstreamConnection> staleConnections = new ArrayList<>();
@@ -188,6 +195,9 @@
                     }
                 }));
         staleConnections.forEach(UpstreamConnection::closeQuietly);
+        List<UpstreamConnection> openConnections =
+                open.values().stream().flatMap(Set::stream).toList();
+        openConnections.forEach(connection -> connection.failIfOverdue(nowNanos));
     }
 
     @Override
@@ -203,6 +213,11 @@
         return lock;
     }
 
+    /** Runs an action after a pause that lets others take the lock. */
+    void afterPause(Runnable action) {
+        connector.getScheduler().schedule(action, TURN_PAUSE_MILLIS, TimeUnit.MILLISECONDS);
+    }
+
     void onConnected(UpstreamConnection connection) {
         totalOpened++;
         open.computeIfAbsent(connection.key(), key -> new HashSet<>()).add(connection);
--- a/src/main/java/org/cuminshelf/exchange/UpstreamHandler.java
+++ b/src/main/java/org/cuminshelf/exchange/UpstreamHandler.java
@@ -6,6 +6,30 @@
 /** Handles the response to one request to an upstream. The last call is either onComplete or onFailed. */
 public interface UpstreamHandler {
 
+    /** Limit on the body of a response of which little or nothing is used. */
+    long DEFAULT_MAX_BODY_BYTES = 64 << 10;
+    /** Time for a whole response that nobody else waits for. */
+    long DEFAULT_TIMEOUT_MILLIS = 10_000;
+
+    /**
+     * Returns how large the body of a response may be; one that is larger is a failure.
+     *
+     * @return the limit in bytes
+     */
+    default long maxBodyBytes() {
+        return DEFAULT_MAX_BODY_BYTES;
+    }
+
+    /**
+     * Returns how long a response may take until it is complete, unless the request is cancelled before; one that takes
+     * longer is a failure. It is checked about once a second.
+     *
+     * @return the limit in milliseconds from the sending of the request
+     */
+    default long timeoutMillis() {
+        return DEFAULT_TIMEOUT_MILLIS;
+    }
+
     /** Called when a request that has waited for a connection is about to be sent; it may be cancelled here. */
     default void beforeSend() {
         // Most requests are sent whatever has happened meanwhile.
--- a/src/test/java/org/cuminshelf/platform/PlatformProcesses.java
+++ b/src/test/java/org/cuminshelf/platform/PlatformProcesses.java
@@ -123,6 +123,17 @@
                 .isTrue();
     }
 
+    /** Returns the processor time that a process has used so far, in nanoseconds. */
+    long processorNanos(String name) {
+        return processes.get(name).info().totalCpuDuration().orElseThrow().toNanos();
+    }
+
+    /** Whether a process runs, and has run with the memory that it has. */
+    boolean isSound(String name) throws IOException {
+        String log = Files.readString(workFolder.resolve(name + ".log"));
+        return processes.get(name).isAlive() && !log.contains("OutOfMemoryError");
+    }
+
     /** Lets a process not run for some time from now. */
     void freeze(String name, long millis) throws IOException, InterruptedException {
         Process process = processes.get(name);
