--- a/src/main/java/org/cuminshelf/exchange/CallerConnection.java
+++ b/src/main/java/org/cuminshelf/exchange/CallerConnection.java
@@ -51,8 +51,6 @@
     private static final int INITIAL_HEAD_BYTES = 512;
     /** Bytes read ahead of the response before them at which reading pauses, so that a caller exhausts no memory. */
     private static final int MAX_EARLY_BYTES = 64 << 10;
-    /** Reads after which other connections get their turn, so that a caller that never pauses stops nobody else. */
-    private static final int MAX_READS_PER_TURN = 8;
 
     private static final ByteBuffer NO_BYTES = ByteBuffer.allocate(0);
     private static final String STOPPING_REASON = "The request did not run: this process stops.";
@@ -202,7 +200,7 @@
         }
         insideRead = true;
         drained = false;
-        readsLeft = MAX_READS_PER_TURN;
+        readsLeft = ReadTurns.MAX_READS_PER_TURN;
         try {
             while (phase != Phase.CLOSED && handleNextBytes()) {
                 // Each pass handles what one read has brought.
@@ -229,7 +227,7 @@
         } else if (drained) {
             awaitBytes();
         } else if (readsLeft == 0) {
-            listener.afterPause(this::onFillable);
+            listener.readTurns().add(this::onFillable);
         }
         return false;
     }
--- a/src/main/java/org/cuminshelf/exchange/CallerListener.java
+++ b/src/main/java/org/cuminshelf/exchange/CallerListener.java
@@ -32,9 +32,6 @@
     /** Small enough that a slow caller shows progress well within an idle limit. */
     private static final int SEND_BUFFER_BYTES = 256 << 10;
 
-    /** Pause of a connection that has used up its turn of reads. */
-    private static final long TURN_PAUSE_MILLIS = 1;
-
     private static final int MAX_THREADS = 6;
     private static final int MIN_THREADS = 2;
 
@@ -45,6 +42,7 @@
     private final Set<CallerConnection> connections = new HashSet<>();
     private final Server server;
     private final ServerConnector connector;
+    private final ReadTurns readTurns;
     private volatile boolean draining;
     private volatile boolean accepting = true;
 
@@ -58,6 +56,7 @@
         threads.setName("callers");
         this.server = new Server(threads);
         this.connector = new ServerConnector(server, null, null, null, 0, 1, new CallerConnectionFactory());
+        this.readTurns = new ReadTurns(connector.getScheduler());
     }
 
     /**
@@ -223,9 +222,8 @@
         return accepting;
     }
 
-    /** Runs an action after a pause that lets others take the lock. */
-    void afterPause(Runnable action) {
-        connector.getScheduler().schedule(action, TURN_PAUSE_MILLIS, TimeUnit.MILLISECONDS);
+    ReadTurns readTurns() {
+        return readTurns;
     }
 
     void register(CallerConnection connection) {
--- a/src/main/java/org/cuminshelf/exchange/UpstreamConnection.java
+++ b/src/main/java/org/cuminshelf/exchange/UpstreamConnection.java
@@ -30,8 +30,6 @@
     private static final int MIN_FINAL_STATUS = 200;
     /** Limit on interim responses before the final one, of which upstreams send one or two. */
     private static final int MAX_INTERIM_RESPONSES = 16;
-    /** Reads after which other connections get their turn, so that an upstream that never pauses stops nobody else. */
-    private static final int MAX_READS_PER_TURN = 8;
 
     private static final long NANOS_PER_MILLI = 1_000_000;
     private static final long UNKNOWN = -1;
@@ -165,13 +163,13 @@
      * reads the lock is released for a moment.
      */
     private void read() throws IOException {
-        for (int reads = 0; reads < MAX_READS_PER_TURN; reads++) {
+        for (int reads = 0; reads < ReadTurns.MAX_READS_PER_TURN; reads++) {
             if (closed || !readOnce()) {
                 return;
             }
         }
         if (!closed) {
-            pool.afterPause(this::onFillable);
+            pool.readTurns().add(this::onFillable);
         }
     }
 
--- a/src/main/java/org/cuminshelf/exchange/UpstreamConnections.java
+++ b/src/main/java/org/cuminshelf/exchange/UpstreamConnections.java
@@ -13,7 +13,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
-import java.util.concurrent.TimeUnit;
 import java.util.concurrent.locks.ReentrantLock;
 import java.util.function.Consumer;
 import javax.net.ssl.KeyManager;
@@ -52,9 +51,6 @@
      */
     private static final Duration CONNECT_TIMEOUT = Duration.ofMillis(300);
 
-    /** Pause of a connection that has used up its turn of reads. */
-    private static final long TURN_PAUSE_MILLIS = 1;
-
     private static final long NANOS_PER_SECOND = 1_000_000_000L;
     private static final int MAX_THREADS = 6;
     private static final int MIN_THREADS = 2;
@@ -71,6 +67,7 @@
     private final ClientConnector connector = new ClientConnector();
     private final Map<ConnectionKey, Deque<UpstreamConnection>> idle = new HashMap<>();
     private final Map<ConnectionKey, Set<UpstreamConnection>> open = new HashMap<>();
+    private ReadTurns readTurns;
     private long totalOpened;
 
     private UpstreamConnections(ReentrantLock lock) {
@@ -95,6 +92,7 @@
         try {
             connections.connector.setSslContextFactory(sslContextWithoutTrust());
             connections.connector.start();
+            connections.readTurns = new ReadTurns(connections.connector.getScheduler());
         } catch (Exception e) {
             throw new IOException("can't start the pool of connections to upstreams: " + e.getMessage(), e);
         }
@@ -213,9 +211,8 @@
         return lock;
     }
 
-    /** Runs an action after a pause that lets others take the lock. */
-    void afterPause(Runnable action) {
-        connector.getScheduler().schedule(action, TURN_PAUSE_MILLIS, TimeUnit.MILLISECONDS);
+    ReadTurns readTurns() {
+        return readTurns;
     }
 
     void onConnected(UpstreamConnection connection) {
