--- a/src/test/java/org/cuminshelf/platform/EndlessUpstreams.java
+++ b/src/test/java/org/cuminshelf/platform/EndlessUpstreams.java
@@ -2,19 +2,14 @@
 
 import java.io.IOException;
 import java.io.OutputStream;
-import java.net.InetAddress;
-import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
-import java.util.ArrayList;
-import java.util.List;
+import java.util.Collections;
 import java.util.concurrent.atomic.AtomicInteger;
 
 /** Upstreams in the test's own process, of which some send bytes without end, until their connection is closed. */
 final class EndlessUpstreams implements AutoCloseable {
 
-    private static final long HEARTBEAT_INTERVAL_MILLIS = 250;
-    private static final int BACKLOG = 200;
     private static final int SLOTS = 60;
     private static final int FAST_BYTES = 64 << 10;
     private static final long SLOW_PAUSE_MILLIS = 1_000;
@@ -50,25 +45,18 @@
         }
     }
 
-    private final PlatformProcesses platform;
-    private final List<ServerSocket> listeners = new ArrayList<>();
     private final AtomicInteger floods = new AtomicInteger();
-    private final Thread heartbeats;
     private final Kind kind;
     private final boolean fast;
+    private final int endless;
+    private final LoopbackUpstreams upstreams;
 
+    /** Starts upstreams, of which the first ones send bytes without end. */
     EndlessUpstreams(PlatformProcesses platform, int count, int endless, Kind kind, boolean fast) throws IOException {
-        this.platform = platform;
         this.kind = kind;
         this.fast = fast;
-        for (int index = 0; index < count; index++) {
-            ServerSocket listener = new ServerSocket(0, BACKLOG, InetAddress.getByName(LoopbackPlatform.HOST));
-            listeners.add(listener);
-            boolean floods = index < endless;
-            Thread.ofVirtual().start(() -> accept(listener, floods));
-        }
-        sendHeartbeats(1);
-        heartbeats = Thread.ofVirtual().start(this::repeatHeartbeats);
+        this.endless = endless;
+        this.upstreams = new LoopbackUpstreams(platform, SLOTS, Collections.nCopies(count, "v1"), this::serve);
     }
 
     /** Returns the number of connections on which bytes are being sent without end. */
@@ -76,51 +64,15 @@
         return floods.get();
     }
 
-    private void repeatHeartbeats() {
-        try {
-            for (long sequence = 2; true; sequence++) {
-                Thread.sleep(HEARTBEAT_INTERVAL_MILLIS);
-                sendHeartbeats(sequence);
-            }
-        } catch (InterruptedException closed) {
-            Thread.currentThread().interrupt();
-        }
-    }
-
-    private void sendHeartbeats(long sequence) {
-        for (int index = 0; index < listeners.size(); index++) {
-            platform.sendHeartbeat(
-                    "i-" + index,
-                    "{\"service\":\"s\",\"address\":\"" + LoopbackPlatform.HOST + ":"
-                            + listeners.get(index).getLocalPort() + "\",\"zone\":\"z0\",\"slots\":" + SLOTS
-                            + ",\"version\":\"v1\",\"state\":\"ready\",\"sequence\":" + sequence + ",\"born\":1}");
-        }
-    }
-
-    private void accept(ServerSocket listener, boolean floods) {
-        try {
-            while (true) {
-                Socket socket = listener.accept();
-                Thread.ofPlatform().daemon().start(() -> serve(socket, floods));
-            }
-        } catch (IOException closed) {
-            // The test is over.
-        }
-    }
-
-    private void serve(Socket connection, boolean endless) {
-        try (Socket socket = connection) {
-            String head = LoopbackPlatform.readHead(socket.getInputStream());
-            while (!head.isEmpty()) {
-                if (endless) {
-                    flood(socket.getOutputStream());
-                }
-                boolean stream = head.startsWith("POST /stream/");
-                socket.getOutputStream().write(bytes(stream ? WHOLE_STREAM : WHOLE_ANSWER));
-                head = LoopbackPlatform.readHead(socket.getInputStream());
+    private void serve(int upstream, Socket socket) throws IOException, InterruptedException {
+        String head = LoopbackPlatform.readHead(socket.getInputStream());
+        while (!head.isEmpty()) {
+            if (upstream < endless) {
+                flood(socket.getOutputStream());
             }
-        } catch (IOException | InterruptedException gone) {
-            // The entry has closed the connection.
+            boolean stream = head.startsWith("POST /stream/");
+            socket.getOutputStream().write(bytes(stream ? WHOLE_STREAM : WHOLE_ANSWER));
+            head = LoopbackPlatform.readHead(socket.getInputStream());
         }
     }
 
@@ -144,9 +96,6 @@
 
     @Override
     public void close() throws IOException {
-        heartbeats.interrupt();
-        for (ServerSocket listener : listeners) {
-            listener.close();
-        }
+        upstreams.close();
     }
 }
