--- a/src/main/java/org/cuminshelf/direct/AttemptRunner.java
+++ b/src/main/java/org/cuminshelf/direct/AttemptRunner.java
@@ -90,8 +90,8 @@
 
     private static final double NANOS_PER_MILLI = 1e6;
     private static final int HTTP_OK = 200;
-    /** Time beyond the deadline of a call after which a response that nobody waits for any more is given up. */
-    private static final long OVERDUE_MARGIN_MILLIS = 1_000;
+    /** Time beyond the deadline of a call after which an attempt that nobody waits for any more is given up. */
+    private static final long OVERDUE_MARGIN_NANOS = Durations.nanos(1_000);
 
     private final UpstreamProtocol protocol;
     private final UpstreamClient client;
@@ -229,7 +229,7 @@
 
         @Override
         public long timeoutMillis() {
-            return Durations.millis(attempt.call.deadlineNanos - attempt.sentAtNanos) + OVERDUE_MARGIN_MILLIS;
+            return NO_TIMEOUT_MILLIS;
         }
 
         @Override
@@ -485,7 +485,11 @@
     /** Reports an attempt that made no progress for too long, and schedules a later check. */
     private void checkProgress(long now, long watchedNow, DirectAttempt attempt) {
         DirectCall call = attempt.call;
-        if (attempt.ended || call.closed) {
+        if (attempt.ended) {
+            return;
+        }
+        if (call.closed) {
+            endIfOverdue(now, attempt);
             return;
         }
         if (attempt.hasOpenReplacement() && call.isStream()) {
@@ -508,6 +512,16 @@
         }
     }
 
+    /** Ends an attempt that runs on after its caller has left, once its time is up; else looks at it then. */
+    private void endIfOverdue(long now, DirectAttempt attempt) {
+        long overdueAt = attempt.call.deadlineNanos + OVERDUE_MARGIN_NANOS;
+        if (now < overdueAt) {
+            progressChecks.set(attempt.number, overdueAt);
+        } else {
+            cancelFor(now, attempt, "overdue");
+        }
+    }
+
     /** Returns the time until an attempt may be found silent, alone or with its whole upstream. */
     private static long nextCheckNanos(long watchedNow, DirectAttempt attempt, long timeoutNanos) {
         long ownNanos = attempt.silentNanos(watchedNow);
--- a/src/main/java/org/cuminshelf/exchange/UpstreamConnection.java
+++ b/src/main/java/org/cuminshelf/exchange/UpstreamConnection.java
@@ -44,6 +44,9 @@
     private int status;
     private boolean persistent;
     private boolean responseComplete;
+    /** Whether the response states the length of a body that it does not have. */
+    private boolean headRequest;
+
     private int interimResponses;
     private long bodyBytes;
     private long sentAtNanos;
@@ -100,7 +103,8 @@
         bodyBytes = 0;
         sentAtNanos = System.nanoTime();
         parser.reset();
-        parser.setHeadResponse("HEAD".equals(request.method()));
+        headRequest = "HEAD".equals(request.method());
+        parser.setHeadResponse(headRequest);
         writes.write(request.head(), ByteBuffer.wrap(request.body()));
     }
 
@@ -121,7 +125,7 @@
 
     /** Fails the request in progress if its response takes too long; the handler says how long it may. */
     void failIfOverdue(long nowNanos) {
-        if (handler != null && nowNanos - sentAtNanos > handler.timeoutMillis() * NANOS_PER_MILLI) {
+        if (handler != null && (nowNanos - sentAtNanos) / NANOS_PER_MILLI > handler.timeoutMillis()) {
             fail("the answer was not whole in time");
         }
     }
@@ -284,7 +288,7 @@
         if (handler == null || status < MIN_FINAL_STATUS) {
             return false;
         }
-        if (parser.getContentLength() > handler.maxBodyBytes()) {
+        if (!headRequest && parser.getContentLength() > handler.maxBodyBytes()) {
             fail("the answer is too large");
             return true;
         }
--- a/src/main/java/org/cuminshelf/exchange/UpstreamHandler.java
+++ b/src/main/java/org/cuminshelf/exchange/UpstreamHandler.java
@@ -20,9 +20,12 @@
         return DEFAULT_MAX_BODY_BYTES;
     }
 
+    /** Value of a timeout for requests that are cancelled in time by whoever sent them. */
+    long NO_TIMEOUT_MILLIS = Long.MAX_VALUE;
+
     /**
-     * Returns how long a response may take until it is complete, unless the request is cancelled before; one that takes
-     * longer is a failure. It is checked about once a second.
+     * Returns how long a response may take until it is complete; one that takes longer is a failure. It is checked
+     * about once a second.
      *
      * @return the limit in milliseconds from the sending of the request
      */
--- a/src/test/java/org/cuminshelf/direct/EndlessResponsesTest.java
+++ b/src/test/java/org/cuminshelf/direct/EndlessResponsesTest.java
@@ -2,6 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.nio.ByteBuffer;
 import net.jqwik.api.Example;
 import org.cuminshelf.message.Role;
 import org.cuminshelf.routes.RequestKind;
@@ -75,4 +76,21 @@
         }
         assertThat(entry.sentRequests).as("%s", entry.logLines).hasSize(2);
     }
+
+    /* Whatever runs on for a caller that has left was never ended, if its answer did not end. */
+    @Example
+    void aRequestThatRunsOnAfterItsCallerHasLeftEndsOnceItsTimeIsUp() {
+        DirectFixture entry = entry(RequestKind.NON_IDEMPOTENT);
+        DirectFixture.CallerResponse caller = entry.sendRequest("x", "Deadline", "2000");
+        DirectFixture.SentRequest endless = entry.lastSent();
+        endless.respondSealedHead(200);
+        entry.core.onDisconnect(caller);
+        for (int tenth = 0; tenth < 29; tenth++) {
+            endless.handler.onBody(ByteBuffer.wrap(new byte[1]));
+            entry.advance(100);
+        }
+        assertThat(endless.cancelled).isFalse();
+        entry.advance(200);
+        assertThat(endless.cancelled).isTrue();
+    }
 }
