--- a/src/test/java/org/cuminshelf/direct/DirectFixture.java
+++ b/src/test/java/org/cuminshelf/direct/DirectFixture.java
@@ -50,7 +50,9 @@
     static final Address SELF = Address.of("10.0.1.1:7000");
     private static final HttpFields SEALED = HttpFields.build().put("Seal", "s").put("Transfer-Encoding", "chunked");
 
-    long now = Durations.nanos(10_000);
+    private static final long USUAL_START_NANOS = Durations.nanos(10_000);
+
+    long now;
     final RecordingOutbox out = new RecordingOutbox();
     final List<SentRequest> sentRequests = new ArrayList<>();
     final DirectCore core;
@@ -68,14 +70,16 @@
     }
 
     DirectFixture(RetryLimits retryLimits, Route... routes) {
-        this(retryLimits, Organisations.unrestricted(), routes);
+        this(USUAL_START_NANOS, retryLimits, Organisations.unrestricted(), routes);
     }
 
     DirectFixture(Organisations organisations, Route... routes) {
-        this(new RetryLimits(0.2, 100, 10_000), organisations, routes);
+        this(USUAL_START_NANOS, new RetryLimits(0.2, 100, 10_000), organisations, routes);
     }
 
-    private DirectFixture(RetryLimits retryLimits, Organisations organisations, Route... routes) {
+    /** Starts an entry at a time in nanoseconds. */
+    DirectFixture(long startNanos, RetryLimits retryLimits, Organisations organisations, Route... routes) {
+        this.now = startNanos;
         this.routeTable = routeTable(7, organisations, routes);
         this.core = DirectCore.start(
                 new DirectSettings("r", "z", "vm", List.of(CONTROL), retryLimits, OptionalLong.of(5_000)),
