The allowance of retries is divided by the largest number of entries known lately

What callers saw: beside a partition of control, or control that has just started, more retries reached upstreams than all entries may send. Cause: the fixed allowance was divided by the number of entries that control lists now; entries that it does not list grant their parts all the same. Now the largest number of the last 90 minutes counts, so that a partition of an hour is covered.

--- a/src/main/java/org/cuminshelf/direct/ControlSubscription.java
+++ b/src/main/java/org/cuminshelf/direct/ControlSubscription.java
@@ -138,6 +138,11 @@
         return entryLists.entries();
     }
 
+    /** Returns the largest number of entries that were listed at one time lately, 0 before the first list. */
+    int largestEntryCount() {
+        return entryLists.largestCount();
+    }
+
     /**
      * Adds the work of a generation to the totals that are reported to control.
      *
--- a/src/main/java/org/cuminshelf/direct/EntryLists.java
+++ b/src/main/java/org/cuminshelf/direct/EntryLists.java
@@ -18,6 +18,11 @@
  */
 final class EntryLists {
 
+    /**
+     * Time for which the largest number of entries is remembered: entries beyond a partition, or unknown to control
+     * processes that have just started, go on meanwhile.
+     */
+    private static final long LARGEST_COUNT_RETENTION_NANOS = Durations.nanos(5_400_000);
     /** Time without an update after which a process's list is dropped, and requested anew when it is heard again. */
     private static final long LIST_RETENTION_NANOS = Durations.nanos(60_000);
 
@@ -35,6 +40,9 @@
 
     private Map<Address, String> zonesByEntry = Map.of();
     private List<Address> entries = List.of();
+    private int largestCount;
+    /** When so many entries were last listed, in nanoseconds. */
+    private long largestCountSeenNanos;
 
     /**
      * Creates an instance without entries.
@@ -56,6 +64,19 @@
         return entries;
     }
 
+    /** Returns the largest number of entries that were listed at one time lately, 0 before the first list. */
+    int largestCount() {
+        return largestCount;
+    }
+
+    private void updateLargestCount(long now) {
+        boolean outdated = now - largestCountSeenNanos > LARGEST_COUNT_RETENTION_NANOS;
+        if (entries.size() >= largestCount || outdated) {
+            largestCount = entries.size();
+            largestCountSeenNanos = now;
+        }
+    }
+
     /** Returns the availability zone of each of the entries. */
     Map<Address, String> zonesByEntry() {
         return zonesByEntry;
@@ -73,7 +94,9 @@
         }
         Set<Long> hashes = new TreeSet<>();
         listsByProcess.values().stream().filter(sent -> counts(now, sent)).forEach(sent -> hashes.add(sent.hash));
-        return !hashes.isEmpty() && (received || !hashes.equals(unitedHashes)) && unite(now, hashes);
+        boolean changed = !hashes.isEmpty() && (received || !hashes.equals(unitedHashes)) && unite(now, hashes);
+        updateLargestCount(now);
+        return changed;
     }
 
     private boolean counts(long now, SentList list) {
--- a/src/main/java/org/cuminshelf/direct/RetryPolicy.java
+++ b/src/main/java/org/cuminshelf/direct/RetryPolicy.java
@@ -38,8 +38,7 @@
         if (!poisonGuard.mayRetry(call)) {
             return Optional.of(RetryRefusal.UPSTREAMS_CRASHED);
         }
-        boolean available =
-                budget.isAvailable(now, call.service, control.entries().size());
+        boolean available = budget.isAvailable(now, call.service, control.largestEntryCount());
         return available ? Optional.empty() : Optional.of(RetryRefusal.RETRY_BUDGET_EMPTY);
     }
 
@@ -47,7 +46,7 @@
     Optional<RetryRefusal> acquire(long now, DirectCall call) {
         Optional<RetryRefusal> refusal = refusal(now, call);
         if (refusal.isEmpty()) {
-            budget.tryAcquire(now, call.service, control.entries().size());
+            budget.tryAcquire(now, call.service, control.largestEntryCount());
         }
         return refusal;
     }
