Each arrival at an upstream after the first of its request takes a grant of its own

What callers saw: nothing directly; services got more repeats than the budget allows while decodes broke, and a call whose connection was refused before anything was sent got 502 if the budget was empty, although it needed no retry. Cause: the budget counted decisions, the rule counts arrivals. After a decode from a KV cache broke, the call was placed like a new one: prefilled apart and run, two arrivals for one retry. A retry was counted when it was decided; one that waited was sent in a later window, one that was refused while it waited was never given back, and the window was 9 to 10 s long for its ten slices. Now CallArrivals knows what each send is for its request (first prefill, first arrival, beyond), and AttemptRunner.send, through which all attempts pass, takes a grant for what is beyond. A grant counts in every window from the decision to the sending, and then for 10.5 to 11 s; it goes back with its call, or to the call's next attempt if the request never left. A retry prefills apart again only if the budget holds both and half of it is unused; else one engine does both. Counters and a line event=retry tell what was granted, sent, given back and refused.

--- a/src/main/java/org/cuminshelf/direct/AttemptRunner.java
+++ b/src/main/java/org/cuminshelf/direct/AttemptRunner.java
@@ -103,6 +103,7 @@
     private final EventIntervals eventIntervals;
     private final LoadGossip loadGossip;
     private final BackpressureListener backpressureListener;
+    private final RetryPolicy retryPolicy;
     private final Map<Long, DirectAttempt> attempts = new HashMap<>();
     private final DeadlineQueue<Long> progressChecks = DeadlineQueue.create();
     private final HeldResponses heldResponses =
@@ -121,6 +122,7 @@
             EventIntervals eventIntervals,
             LoadGossip loadGossip,
             BackpressureListener backpressureListener,
+            RetryPolicy retryPolicy,
             OutcomeListener outcomeListener) {
         this.protocol = protocol;
         this.client = client;
@@ -132,6 +134,7 @@
         this.eventIntervals = eventIntervals;
         this.loadGossip = loadGossip;
         this.backpressureListener = backpressureListener;
+        this.retryPolicy = retryPolicy;
         this.outcomeListener = outcomeListener;
     }
 
@@ -156,6 +159,7 @@
         UpstreamInstance upstream = choice.upstream();
         long watchedNow = watchedClock.look(now);
         DirectAttempt attempt = new DirectAttempt(nextAttemptNumber++, call, choice, kvCache, now, watchedNow);
+        retryPolicy.onSending(now, attempt);
         call.lastAttempt = attempt;
         call.sentTo.add(upstream.id);
         call.noRetryReason = "none";
--- a/src/main/java/org/cuminshelf/direct/CallDispatcher.java
+++ b/src/main/java/org/cuminshelf/direct/CallDispatcher.java
@@ -94,7 +94,7 @@
         this.admission = new AdmissionControl(selector, control, poisonGuard, admissionQueue);
         this.responses = new CallerResponses(control, log, lateness);
         this.attemptLog = new AttemptLog(log);
-        this.retryPolicy = new RetryPolicy(poisonGuard, retryBudget, control);
+        this.retryPolicy = new RetryPolicy(poisonGuard, retryBudget, control, log);
         WatchedClock watchedClock = new WatchedClock(clock.getAsLong());
         this.silentUpstreams = new SilentUpstreams(upstreams, selector, watchedClock);
         this.replacementPlanner = new ReplacementPlanner(retryPolicy, admission, admissionQueue, silentUpstreams);
@@ -110,6 +110,7 @@
                 eventIntervals,
                 loadGossip,
                 backpressureListener,
+                retryPolicy,
                 new AttemptOutcomeListener());
     }
 
@@ -137,6 +138,11 @@
         return admission.waitedPlainCalls();
     }
 
+    /** Returns the counts of the decisions on retries. */
+    RetryCounts retryCounts() {
+        return retryPolicy.counts();
+    }
+
     long nextDue() {
         long callsDue = Math.min(admissionQueue.nextDue(), callDeadlines.next());
         return Math.min(Math.min(callsDue, attemptRunner.nextDue()), poisonGuard.nextDue());
@@ -176,7 +182,7 @@
         switch (decide(now, call)) {
             case AdmissionControl.Decision.Send(UpstreamSelector.Choice choice) -> {
                 if (!endIfCallerLeft(now, call)) {
-                    sendAttempt(now, call, choice, call.kvCache);
+                    sendWithinBudget(now, call, choice);
                 }
             }
             case AdmissionControl.Decision.Wait() -> {
@@ -190,6 +196,26 @@
         }
     }
 
+    /** Sends a call if it holds the grants that it needs or gets them now, on one engine if it gets none for two. */
+    private void sendWithinBudget(long now, DirectCall call, UpstreamSelector.Choice choice) {
+        if (choice.prefillOnly() && !retryPolicy.reserveForPrefill(now, call)) {
+            call.singleEngineOnly = true;
+            place(now, call);
+            return;
+        }
+        if (retryPolicy.reserve(now, call, call.arrivals.grantsNeeded(choice.prefillOnly()))) {
+            sendAttempt(now, call, choice, call.kvCache);
+            return;
+        }
+        retryPolicy.noteRefused(now, call);
+        failCall(
+                now,
+                call,
+                call.lastFailure.orElseGet(
+                        () -> new Verdict.NotRun(Cause.OVERLOADED, CallerResponses.DEFAULT_RETRY_AFTER_MILLIS)),
+                RetryRefusal.RETRY_BUDGET_EMPTY);
+    }
+
     /**
      * Decides on a call, without silent upstreams if possible. A new call takes one rather than be refused, and a call
      * that was sent before rather than wait.
@@ -298,7 +324,7 @@
         public void onConnectionFailed(long now, DirectAttempt attempt, boolean requestSent) {
             if (!requestSent) {
                 outliers.onError(now, attempt);
-                forgetUnsentAttempt(now, attempt);
+                forgetUnsentAttempt(attempt);
                 onAttemptFailed(
                         now,
                         attempt,
@@ -354,6 +380,7 @@
         DirectCall call = attempt.call;
         if (attempt.prefillOnly) {
             attemptRunner.cancelFor(now, attempt, "replaced");
+            retryPolicy.onPrefillFailed(now, attempt);
             call.singleEngineOnly = true;
         }
         DirectAttempt replacement = sendAttempt(now, call, choice, Optional.empty());
@@ -361,15 +388,12 @@
     }
 
     /** Returns what an attempt has used up whose request never left this process; a call may have a few of them. */
-    private void forgetUnsentAttempt(long now, DirectAttempt attempt) {
+    private void forgetUnsentAttempt(DirectAttempt attempt) {
         DirectCall call = attempt.call;
+        retryPolicy.onNotSent(attempt);
         call.unsentAttempts++;
-        if (call.unsentAttempts > MAX_UNSENT_ATTEMPTS) {
-            return;
-        }
-        call.attemptCount -= attempt.prefillOnly ? 0 : 1;
-        if (call.sentTo.size() > 1) {
-            retryPolicy.giveBack(now, call);
+        if (call.unsentAttempts <= MAX_UNSENT_ATTEMPTS) {
+            call.attemptCount -= attempt.prefillOnly ? 0 : 1;
         }
     }
 
@@ -424,7 +448,7 @@
             return;
         }
         Verdict verdict = new Verdict.HasRun(Cause.UPSTREAM_ERROR);
-        recordFailedAttempt(attempt, verdict);
+        recordFailedAttempt(now, attempt, verdict);
         if (call.hasOpenAttempt()) {
             return;
         }
@@ -505,7 +529,7 @@
         if (call.closed) {
             return;
         }
-        recordFailedAttempt(attempt, verdict);
+        recordFailedAttempt(now, attempt, verdict);
         if (call.hasOpenAttempt()) {
             return;
         }
@@ -518,8 +542,9 @@
     }
 
     /** Records on a call what the failure of one of its attempts means for later ones. */
-    private void recordFailedAttempt(DirectAttempt attempt, Verdict verdict) {
+    private void recordFailedAttempt(long now, DirectAttempt attempt, Verdict verdict) {
         DirectCall call = attempt.call;
+        retryPolicy.onPrefillFailed(now, attempt);
         call.lastAttempt = attempt;
         call.excludedUpstreams.add(attempt.upstream.id);
         call.lastFailure = Optional.of(verdict);
@@ -648,6 +673,7 @@
         openCalls.remove(call.number);
         callDeadlines.clear(call.number);
         releasePermit(call);
+        retryPolicy.release(call);
         kvCacheReleaser.release(call);
     }
 
--- a/src/main/java/org/cuminshelf/direct/DirectAttempt.java
+++ b/src/main/java/org/cuminshelf/direct/DirectAttempt.java
@@ -41,6 +41,12 @@
     /** Whether the upstream was given a KV cache that another engine prefilled. */
     final boolean usedKvCache;
 
+    /** Whether it is the first prefill of its call, and none of its outcomes has made it an arrival. */
+    boolean firstPrefill;
+
+    /** The retry of the budget that it took, if it is an arrival after the first of its call. */
+    Optional<RetryGrant> grant = Optional.empty();
+
     /** Whether the prompt is still in the estimated prompt queue of the upstream. */
     boolean promptPending;
 
--- a/src/main/java/org/cuminshelf/direct/DirectCall.java
+++ b/src/main/java/org/cuminshelf/direct/DirectCall.java
@@ -60,6 +60,9 @@
     /** The attempts that have not ended, in the order in which they were sent: more than one if a request is hedged. */
     final List<DirectAttempt> openAttempts = new ArrayList<>();
 
+    /** What it has sent to upstreams, and the retries that it holds. */
+    final CallArrivals arrivals = new CallArrivals();
+
     /** Attempts that failed before their request was sent. */
     int unsentAttempts;
 
--- a/src/main/java/org/cuminshelf/direct/DirectCore.java
+++ b/src/main/java/org/cuminshelf/direct/DirectCore.java
@@ -462,6 +462,51 @@
         return poisonGuard.quarantinedCount();
     }
 
+    /**
+     * Counts the retries that this entry has taken from the budgets of services.
+     *
+     * @return their number since the start
+     */
+    public long retriesGranted() {
+        return callDispatcher.retryCounts().granted();
+    }
+
+    /**
+     * Counts the retries that were granted and not used.
+     *
+     * @return their number since the start
+     */
+    public long retriesGivenBack() {
+        return callDispatcher.retryCounts().givenBack();
+    }
+
+    /**
+     * Counts the prefills sent beyond the first arrival of their request at an upstream.
+     *
+     * @return their number since the start
+     */
+    public long retriesSentAsPrefill() {
+        return callDispatcher.retryCounts().sentPrefills();
+    }
+
+    /**
+     * Counts the runs sent beyond the first arrival of their request at an upstream.
+     *
+     * @return their number since the start
+     */
+    public long retriesSentAsRun() {
+        return callDispatcher.retryCounts().sentRuns();
+    }
+
+    /**
+     * Counts the calls that were not retried as the budget of their service had nothing left.
+     *
+     * @return their number since the start
+     */
+    public long retriesRefused() {
+        return callDispatcher.retryCounts().refused();
+    }
+
     /**
      * Counts the upstreams with a stated rate limit in force.
      *
--- a/src/main/java/org/cuminshelf/direct/ReplacementPlanner.java
+++ b/src/main/java/org/cuminshelf/direct/ReplacementPlanner.java
@@ -44,7 +44,7 @@
         this.silentUpstreams = silentUpstreams;
     }
 
-    /** Decides on a silent attempt; takes a retry of the budget if the replacement is sent. */
+    /** Decides on a silent attempt; reserves a retry of the budget if the replacement is sent. */
     Decision decide(long now, DirectAttempt attempt) {
         DirectCall call = attempt.call;
         if (!attempt.prefillOnly && !call.isRetryable()) {
@@ -55,8 +55,9 @@
             return new Decision.Keep(refusal.get().label());
         }
         Decision decision = place(now, attempt);
-        if (decision instanceof Decision.Send) {
-            retryPolicy.acquire(now, call);
+        if (decision instanceof Decision.Send
+                && !retryPolicy.reserve(now, call, call.arrivals.grantsNeededToReplace(attempt))) {
+            return new Decision.Keep(RetryRefusal.RETRY_BUDGET_EMPTY.label());
         }
         return decision;
     }
--- a/src/main/java/org/cuminshelf/direct/ServiceRetryBudget.java
+++ b/src/main/java/org/cuminshelf/direct/ServiceRetryBudget.java
@@ -3,27 +3,68 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.HashMap;
-import java.util.Iterator;
 import java.util.Map;
+import java.util.Optional;
 import org.cuminshelf.core.Durations;
 
 /**
  * Limits the retries of each service in a sliding window to this entry's share of the limit for all entries together: a
  * ratio of its own requests, and an equal part of a fixed allowance. Guards against a retry storm when many upstreams
- * fail at once. The shares add up to less than the limit, as entries may start and stop without this entry knowing.
+ * fail at once.
  */
 final class ServiceRetryBudget {
 
-    /** Slices of the sliding window; the oldest one is dropped as a whole. */
-    private static final int SLICES = 10;
-    /** Share of the limit that is used; the rest covers unknown entries and delayed counts. */
+    /** Slices of the sliding window, from the newest one on. */
+    private static final int WINDOW_SLICES = 20;
+    /** Slices for which a sent retry counts: the window, the slice in progress, and one for the way to the upstream. */
+    private static final int RETRY_SLICES = WINDOW_SLICES + 2;
+    /** Share of the limit that an entry uses. */
     private static final double USED_SHARE = 0.7;
 
+    /** What was counted in one slice. */
+    private static final class Slice {
+        private final long number;
+        private long requests;
+        private long retries;
+
+        private Slice(long number) {
+            this.number = number;
+        }
+    }
+
+    /** The window of one service. */
+    private static final class Window {
+        /** Oldest first. */
+        private final Deque<Slice> slices = new ArrayDeque<>();
+        /** Retries that were granted and not sent yet. */
+        private long reserved;
+
+        private Slice current(long number) {
+            if (slices.isEmpty() || slices.getLast().number != number) {
+                slices.add(new Slice(number));
+            }
+            while (slices.getFirst().number <= number - RETRY_SLICES) {
+                slices.removeFirst();
+            }
+            return slices.getLast();
+        }
+
+        private long retries() {
+            return reserved + slices.stream().mapToLong(slice -> slice.retries).sum();
+        }
+
+        private long requests(long number) {
+            return slices.stream()
+                    .filter(slice -> slice.number > number - WINDOW_SLICES)
+                    .mapToLong(slice -> slice.requests)
+                    .sum();
+        }
+    }
+
     private final double ratio;
     private final double allowance;
     private final long sliceNanos;
-    /** Slices of the window of each service, oldest first; each holds its number, its requests and its retries. */
-    private final Map<String, Deque<long[]>> slices = new HashMap<>();
+    private final Map<String, Window> windows = new HashMap<>();
 
     /**
      * Creates a budget without any requests.
@@ -33,64 +74,78 @@
     ServiceRetryBudget(RetryLimits limits) {
         this.ratio = limits.ratio();
         this.allowance = limits.allowance();
-        this.sliceNanos = Durations.nanos(limits.windowMillis()) / SLICES;
+        this.sliceNanos = Durations.nanos(limits.windowMillis()) / WINDOW_SLICES;
     }
 
     /** Counts a request of a caller. */
     void onRequest(long now, String service) {
-        currentSlice(now, service)[1]++;
+        window(service).current(sliceNumber(now)).requests++;
     }
 
     /**
-     * Returns whether one more retry may be sent, and counts it if so.
+     * Grants one more retry if the limit allows it.
      *
      * @param now     the time in nanoseconds
      * @param service the service of the request
      * @param entries number of entries among which the allowance is divided
      */
-    boolean tryAcquire(long now, String service, int entries) {
-        boolean available = isAvailable(now, service, entries);
-        if (available) {
-            currentSlice(now, service)[2]++;
+    Optional<RetryGrant> reserve(long now, String service, int entries) {
+        if (!isAvailable(now, service, entries, 1)) {
+            return Optional.empty();
         }
-        return available;
+        window(service).reserved++;
+        return Optional.of(new RetryGrant(service));
     }
 
-    /** Returns whether one more retry may be sent, without counting it. */
-    boolean isAvailable(long now, String service, int entries) {
-        currentSlice(now, service);
-        long retries = 0;
-        long requests = 0;
-        for (long[] slice : slices.get(service)) {
-            retries += slice[2];
-            requests += slice[1];
-        }
-        double limit = USED_SHARE * (ratio * requests + allowance / Math.max(1, entries));
-        return retries + 1 <= limit;
+    /** Returns whether so many more retries may be sent. */
+    boolean isAvailable(long now, String service, int entries, int count) {
+        return used(now, service) + count <= limit(now, service, entries);
     }
 
-    /** Returns a retry that was counted lately, as it was not sent. */
-    void giveBack(long now, String service) {
-        currentSlice(now, service);
-        Iterator<long[]> newestFirst = slices.get(service).descendingIterator();
-        while (newestFirst.hasNext()) {
-            long[] slice = newestFirst.next();
-            if (slice[2] > 0) {
-                slice[2]--;
-                return;
-            }
-        }
+    /** Returns the retries that count now: those sent in the window, and those granted and not sent yet. */
+    long used(long now, String service) {
+        Window window = window(service);
+        window.current(sliceNumber(now));
+        return window.retries();
     }
 
-    private long[] currentSlice(long now, String service) {
-        long number = Math.floorDiv(now, sliceNanos);
-        Deque<long[]> serviceSlices = slices.computeIfAbsent(service, key -> new ArrayDeque<>());
-        if (serviceSlices.isEmpty() || serviceSlices.getLast()[0] != number) {
-            serviceSlices.add(new long[] {number, 0, 0});
-        }
-        while (serviceSlices.getFirst()[0] <= number - SLICES) {
-            serviceSlices.removeFirst();
-        }
-        return serviceSlices.getLast();
+    /** Returns the number of retries that may count now. */
+    double limit(long now, String service, int entries) {
+        Window window = window(service);
+        long number = sliceNumber(now);
+        window.current(number);
+        return USED_SHARE * (ratio * window.requests(number) + allowance / Math.max(1, entries));
+    }
+
+    /** Records that the request of a grant is sent now. */
+    void onSent(long now, RetryGrant grant) {
+        Window window = window(grant.service());
+        Slice slice = window.current(sliceNumber(now));
+        window.reserved--;
+        slice.retries++;
+        grant.markSent(slice.number);
+    }
+
+    /** Records that the request of a grant never left this process, so that the grant is held for another one. */
+    void onNotSent(RetryGrant grant) {
+        Window window = window(grant.service());
+        window.slices.stream()
+                .filter(slice -> slice.number == grant.sentInSlice())
+                .forEach(slice -> slice.retries--);
+        window.reserved++;
+        grant.markNotSent();
+    }
+
+    /** Takes back a grant that is not used. */
+    void release(RetryGrant grant) {
+        window(grant.service()).reserved--;
+    }
+
+    private Window window(String service) {
+        return windows.computeIfAbsent(service, key -> new Window());
+    }
+
+    private long sliceNumber(long now) {
+        return Math.floorDiv(now, sliceNanos);
     }
 }
--- a/src/main/java/org/cuminshelf/process/DirectEntryProcess.java
+++ b/src/main/java/org/cuminshelf/process/DirectEntryProcess.java
@@ -198,6 +198,7 @@
                 "cuminshelf_late_milliseconds",
                 "Longest time by which this process ran late in the last one to two seconds.",
                 locked(core::lateMillis));
+        registerRetryGauges();
         registerLoadGauges();
         EntryProcess.registerGauge(
                 registry,
@@ -238,6 +239,35 @@
         };
     }
 
+    /** Registers the figures from which the retries of all entries in a window can be added up. */
+    private void registerRetryGauges() {
+        EntryProcess.registerGauge(
+                registry,
+                "cuminshelf_retries_granted",
+                "Retries taken from the budgets of services since the start.",
+                locked(core::retriesGranted));
+        EntryProcess.registerGauge(
+                registry,
+                "cuminshelf_retries_given_back",
+                "Granted retries that were not used, since the start.",
+                locked(core::retriesGivenBack));
+        EntryProcess.registerGauge(
+                registry,
+                "cuminshelf_retries_sent_as_prefill",
+                "Prefills sent beyond the first arrival of their request since the start.",
+                locked(core::retriesSentAsPrefill));
+        EntryProcess.registerGauge(
+                registry,
+                "cuminshelf_retries_sent_as_run",
+                "Runs sent beyond the first arrival of their request since the start.",
+                locked(core::retriesSentAsRun));
+        EntryProcess.registerGauge(
+                registry,
+                "cuminshelf_retries_refused",
+                "Calls not retried as the budget of their service had nothing left, since the start.",
+                locked(core::retriesRefused));
+    }
+
     /** Registers the figures by which an operator sees the decisions under load. */
     private void registerLoadGauges() {
         EntryProcess.registerGauge(
--- a/src/test/java/org/cuminshelf/direct/DirectFixture.java
+++ b/src/test/java/org/cuminshelf/direct/DirectFixture.java
@@ -50,7 +50,9 @@
     static final Address SELF = Address.of("10.0.1.1:7000");
     private static final HttpFields SEALED = HttpFields.build().put("Seal", "s").put("Transfer-Encoding", "chunked");
 
-    private static final long USUAL_START_NANOS = Durations.nanos(10_000);
+    private static final long USUAL_START_NANOS = -Durations.nanos(1_000);
+    /** Time from the start of an entry until it knows all retries of the window. */
+    private static final long RETRY_WINDOW_KNOWN_NANOS = Durations.nanos(11_000);
 
     long now;
     final RecordingOutbox out = new RecordingOutbox();
@@ -71,10 +73,12 @@
 
     DirectFixture(RetryLimits retryLimits, Route... routes) {
         this(USUAL_START_NANOS, retryLimits, Organisations.unrestricted(), routes);
+        now += RETRY_WINDOW_KNOWN_NANOS;
     }
 
     DirectFixture(Organisations organisations, Route... routes) {
         this(USUAL_START_NANOS, new RetryLimits(0.2, 100, 10_000), organisations, routes);
+        now += RETRY_WINDOW_KNOWN_NANOS;
     }
 
     /** Starts an entry at a time in nanoseconds. */
--- a/src/test/java/org/cuminshelf/direct/ServiceRetryBudgetTest.java
+++ b/src/test/java/org/cuminshelf/direct/ServiceRetryBudgetTest.java
@@ -2,6 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.util.Optional;
 import net.jqwik.api.Example;
 import org.cuminshelf.core.Durations;
 
@@ -21,8 +22,8 @@
             for (int request = 0; request < 100; request++) {
                 long now = Durations.nanos(request * 100L);
                 budget.onRequest(now, "s");
-                granted += budget.tryAcquire(now, "s", entries) ? 1 : 0;
-                granted += budget.tryAcquire(now, "s", entries) ? 1 : 0;
+                granted += send(budget, now, entries) ? 1 : 0;
+                granted += send(budget, now, entries) ? 1 : 0;
             }
         }
         assertThat(granted).isLessThanOrEqualTo((int) (0.2 * 500 + 58)).isGreaterThan(60);
@@ -32,9 +33,40 @@
     void retriesBeforeTheWindowDoNotCount() {
         ServiceRetryBudget budget = new ServiceRetryBudget(new RetryLimits(0, 10, 10_000));
         long now = 0;
-        while (budget.tryAcquire(now, "s", 1)) {
+        while (send(budget, now, 1)) {
             now += 1;
         }
-        assertThat(budget.tryAcquire(Durations.nanos(11_000), "s", 1)).isTrue();
+        assertThat(send(budget, Durations.nanos(11_000), 1)).isTrue();
+    }
+
+    /** Guards against two full limits within one window, whose oldest part was dropped too early. */
+    @Example
+    void retriesCountForTheWholeWindow() {
+        ServiceRetryBudget budget = new ServiceRetryBudget(new RetryLimits(0, 10, 10_000));
+        long late = Durations.nanos(990);
+        while (send(budget, late, 1)) {
+            assertThat(budget.used(late, "s")).isLessThanOrEqualTo(10);
+        }
+        assertThat(send(budget, late + Durations.nanos(9_990), 1)).isFalse();
+    }
+
+    /** Guards against a retry that waits and is sent in a later window, beside all that this one allows. */
+    @Example
+    void aRetryThatIsNotSentYetCountsInEveryWindow() {
+        ServiceRetryBudget budget = new ServiceRetryBudget(new RetryLimits(0, 3, 10_000));
+        RetryGrant first = budget.reserve(0, "s", 1).orElseThrow();
+        RetryGrant second = budget.reserve(0, "s", 1).orElseThrow();
+        long later = Durations.nanos(30_000);
+        assertThat(budget.reserve(later, "s", 1)).isEmpty();
+        budget.release(second);
+        budget.onSent(later, first);
+        assertThat(budget.reserve(later, "s", 1)).isPresent();
+        assertThat(budget.reserve(later, "s", 1)).isEmpty();
+    }
+
+    private static boolean send(ServiceRetryBudget budget, long now, int entries) {
+        Optional<RetryGrant> grant = budget.reserve(now, "s", entries);
+        grant.ifPresent(held -> budget.onSent(now, held));
+        return grant.isPresent();
     }
 }
