An entry that has just started grants only what older ones leave of the limit

What callers saw: nothing directly; when entries were killed, services got up to three times the repeats that are allowed. Cause: a restarted entry knows nothing of what it granted before, and had its whole part of the limit again. Now an entry uses 0.3 of its part until it has run for a window, and its part of the allowance grows with its age; older ones use 0.7 as before. So one life after another adds up to no more than the limit: requests are counted by one life each, and the allowances of young lives are a share of the time that they cover.

--- a/src/main/java/org/cuminshelf/direct/DirectCore.java
+++ b/src/main/java/org/cuminshelf/direct/DirectCore.java
@@ -113,7 +113,7 @@
                 upstreams,
                 selector,
                 control,
-                new ServiceRetryBudget(settings.retryLimits()),
+                new ServiceRetryBudget(settings.retryLimits(), now),
                 clock,
                 invariants,
                 log,
--- a/src/main/java/org/cuminshelf/direct/RetryPolicy.java
+++ b/src/main/java/org/cuminshelf/direct/RetryPolicy.java
@@ -143,6 +143,8 @@
                 "limit",
                 Math.floor(budget.limit(now, call.service, entries)),
                 "entries",
-                entries);
+                entries,
+                "young",
+                budget.isYoung(now));
     }
 }
--- a/src/main/java/org/cuminshelf/direct/ServiceRetryBudget.java
+++ b/src/main/java/org/cuminshelf/direct/ServiceRetryBudget.java
@@ -11,6 +11,10 @@
  * Limits the retries of each service in a sliding window to this entry's share of the limit for all entries together: a
  * ratio of its own requests, and an equal part of a fixed allowance. Guards against a retry storm when many upstreams
  * fail at once.
+ *
+ * <p>An entry that has run for less than a window does not know what it granted before its restart. It uses the part of
+ * the limit that older entries leave, and its part of the allowance grows with its age, so that no series of restarts
+ * adds up to more than the limit.
  */
 final class ServiceRetryBudget {
 
@@ -20,6 +24,8 @@
     private static final int RETRY_SLICES = WINDOW_SLICES + 2;
     /** Share of the limit that an entry uses. */
     private static final double USED_SHARE = 0.7;
+    /** The same for an entry that has run for less than a window: what older ones leave. */
+    private static final double YOUNG_SHARE = 1 - USED_SHARE;
 
     /** What was counted in one slice. */
     private static final class Slice {
@@ -64,17 +70,20 @@
     private final double ratio;
     private final double allowance;
     private final long sliceNanos;
+    private final long startNanos;
     private final Map<String, Window> windows = new HashMap<>();
 
     /**
      * Creates a budget without any requests.
      *
      * @param limits the limits for all entries together
+     * @param now    when this entry started, in nanoseconds
      */
-    ServiceRetryBudget(RetryLimits limits) {
+    ServiceRetryBudget(RetryLimits limits, long now) {
         this.ratio = limits.ratio();
         this.allowance = limits.allowance();
         this.sliceNanos = Durations.nanos(limits.windowMillis()) / WINDOW_SLICES;
+        this.startNanos = now;
     }
 
     /** Counts a request of a caller. */
@@ -114,7 +123,18 @@
         Window window = window(service);
         long number = sliceNumber(now);
         window.current(number);
-        return USED_SHARE * (ratio * window.requests(number) + allowance / Math.max(1, entries));
+        double allowanceHere = allowance / Math.max(1, entries);
+        double share = USED_SHARE;
+        if (isYoung(now)) {
+            allowanceHere *= (double) (now - startNanos) / (RETRY_SLICES * sliceNanos);
+            share = YOUNG_SHARE;
+        }
+        return share * (ratio * window.requests(number) + allowanceHere);
+    }
+
+    /** Returns whether this entry may have granted retries in the window before it started. */
+    boolean isYoung(long now) {
+        return now - startNanos < RETRY_SLICES * sliceNanos;
     }
 
     /** Records that the request of a grant is sent now. */
