A renewed certificate is used only once its key is there

What callers saw: handshakes fail with 'Invalid CertificateVerify signature' until the next renewal of the files. Cause: the files are looked at once a second; between the two writes of a renewal a new certificate lies beside the key before it, and both were loaded, as nothing compared them.

--- a/src/main/java/org/cuminshelf/http/HttpListener.java
+++ b/src/main/java/org/cuminshelf/http/HttpListener.java
@@ -173,9 +173,10 @@
             try {
                 long currentStamp = modificationStamp(files);
                 if (currentStamp != modificationStamp) {
-                    modificationStamp = currentStamp;
                     java.security.KeyStore renewed = files.keyStore();
                     context.reload(factory -> factory.setKeyStore(renewed));
+                    // Files that can't be loaded yet are read again, as they may be half written.
+                    modificationStamp = currentStamp;
                     Logger.info(LOG + "The certificate files were reloaded.");
                 }
             } catch (Exception e) {
--- a/src/test/java/org/cuminshelf/http/HttpListenerTest.java
+++ b/src/test/java/org/cuminshelf/http/HttpListenerTest.java
@@ -11,6 +11,8 @@
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.nio.file.StandardCopyOption;
+import java.nio.file.attribute.FileTime;
 import java.security.cert.X509Certificate;
 import java.util.Optional;
 import javax.net.ssl.SSLContext;
@@ -69,7 +71,7 @@
                 SSLSocket open = connect(listener.port())) {
             assertThat(subject(open)).contains("CN=first");
             PemFixture.make(folder, "second");
-            Files.setLastModifiedTime(pem.key(), java.nio.file.attribute.FileTime.fromMillis(1));
+            Files.setLastModifiedTime(pem.key(), FileTime.fromMillis(1));
             awaitSubject(listener.port(), "CN=second");
             open.getOutputStream().write("GET /healthz HTTP/1.0\r\n\r\n".getBytes(StandardCharsets.US_ASCII));
             assertThat(new String(open.getInputStream().readAllBytes(), StandardCharsets.US_ASCII))
@@ -77,6 +79,27 @@
         }
     }
 
+    /** Guards against handshakes that fail because a new certificate is loaded beside the key before it. */
+    @Example
+    void aRenewedCertificateIsNotUsedBeforeItsKeyIsThere() throws Exception {
+        Path folder = Files.createTempDirectory("tls");
+        PemFixture pem = PemFixture.make(folder, "first");
+        PemFixture renewed = PemFixture.make(Files.createTempDirectory("tls"), "second");
+        try (HttpListener listener = HttpListener.start(
+                ANY, 4, monitoringHandler(), Optional.of(new PemFiles(pem.certificate(), pem.key())))) {
+            Files.copy(renewed.certificate(), pem.certificate(), StandardCopyOption.REPLACE_EXISTING);
+            Files.setLastModifiedTime(pem.certificate(), FileTime.fromMillis(1));
+            for (int look = 0; look < 25; look++) {
+                Thread.sleep(100);
+                try (SSLSocket socket = connect(listener.port())) {
+                    assertThat(subject(socket)).contains("CN=first");
+                }
+            }
+            Files.copy(renewed.key(), pem.key(), StandardCopyOption.REPLACE_EXISTING);
+            awaitSubject(listener.port(), "CN=second");
+        }
+    }
+
     @Example
     void aMalformedRequestIsAnsweredWithAProblemAndTheNextIsServed() throws Exception {
         try (HttpListener listener = HttpListener.start(ANY, 4, monitoringHandler(), Optional.empty())) {
