--- a/src/test/java/org/cuminshelf/direct/ServiceRetryBudgetTest.java
+++ b/src/test/java/org/cuminshelf/direct/ServiceRetryBudgetTest.java
@@ -85,6 +85,34 @@
         assertThat(granted).isLessThanOrEqualTo((int) (0.2 * requests + 56)).isGreaterThan(30);
     }
 
+    /** Guards against a restart right after a burst of retries, whose window the new start does not know. */
+    @Example
+    void aRestartAfterABurstGrantsWhatTheBurstHasLeft() {
+        RetryLimits limits = new RetryLimits(0.2, 56, 10_000);
+        ServiceRetryBudget before = new ServiceRetryBudget(limits, LONG_AGO);
+        long restart = Durations.nanos(10_000);
+        long step = Durations.nanos(20);
+        for (long now = 0; now < restart; now += step) {
+            before.onRequest(now, "s");
+        }
+        int granted = sendAll(before, restart - 1);
+        ServiceRetryBudget after = new ServiceRetryBudget(limits, restart);
+        for (long now = restart; now < 2 * restart - step; now += step) {
+            after.onRequest(now, "s");
+            granted += sendAll(after, now);
+        }
+        int requestsInAWindow = 500;
+        assertThat(granted).isLessThanOrEqualTo((int) (0.2 * requestsInAWindow + 56));
+    }
+
+    private static int sendAll(ServiceRetryBudget budget, long now) {
+        int sent = 0;
+        while (send(budget, now, 1)) {
+            sent++;
+        }
+        return sent;
+    }
+
     private static boolean send(ServiceRetryBudget budget, long now, int entries) {
         Optional<RetryGrant> grant = budget.reserve(now, "s", entries);
         grant.ifPresent(held -> budget.onSent(now, held));
