--- a/src/test/java/org/cuminshelf/platform/PlatformProcesses.java
+++ b/src/test/java/org/cuminshelf/platform/PlatformProcesses.java
@@ -123,6 +123,24 @@
                 .isTrue();
     }
 
+    /** Asks a process to stop without waiting for it. */
+    void requestStop(String name) {
+        processes.get(name).destroy();
+    }
+
+    /** Waits until a process has ended, and kills it if it has not after some time; returns whether it ended itself. */
+    boolean awaitEnd(String name, long millis) throws InterruptedException {
+        Process process = processes.get(name);
+        boolean ended = process.waitFor(millis, TimeUnit.MILLISECONDS);
+        process.destroyForcibly().waitFor();
+        return ended;
+    }
+
+    /** What a process has logged so far. */
+    String log(String name) throws IOException {
+        return Files.readString(workFolder.resolve(name + ".log"));
+    }
+
     /** Returns the processor time that a process has used so far, in nanoseconds. */
     long processorNanos(String name) {
         return processes.get(name).info().totalCpuDuration().orElseThrow().toNanos();
--- /dev/null
+++ b/src/test/java/org/cuminshelf/platform/StoppingEntryTest.java
@@ -0,0 +1,199 @@
+package org.cuminshelf.platform;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.EnumMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Queue;
+import java.util.Random;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.function.Function;
+import net.jqwik.api.Example;
+
+/**
+ * Guards against requests that a stopping entry passes on to an upstream and does not answer as a whole, with real
+ * processes, SIGTERM, and callers that use their connections until they are closed.
+ */
+class StoppingEntryTest {
+
+    private static final String CONFIG = "{\"version\":3,\"routes\":[" + route("stream", "stream", 9_000, true) + ","
+            + route("plain", "idempotent", 4_000, false)
+            + "],\"services\":[{\"name\":\"s\"}],\"limits\":{}}";
+    private static final int UPSTREAMS = 6;
+    private static final long GRACE_MILLIS = 8_000;
+    private static final long GRACE_NANOS = TimeUnit.MILLISECONDS.toNanos(GRACE_MILLIS);
+    /** Time after SIGTERM from which on no request may be cut, as its caller could have been sent elsewhere. */
+    private static final long NOTICE_NANOS = TimeUnit.SECONDS.toNanos(3);
+
+    private static final long WARM_MILLIS = 2_500;
+    private static final int BUSY_PROCESSES = Integer.getInteger("stopping.busy", 9);
+    private static final String STARVED_CORE = System.getProperty("stopping.core", "0");
+
+    private static String route(String name, String kind, int timeoutMillis, boolean resumable) {
+        return "{\"name\":\"" + name + "\",\"host\":\"h\",\"pathPrefix\":\"/" + name + "/\",\"routeKind\":\"" + kind
+                + "\",\"timeoutMs\":" + timeoutMillis + ",\"maxAttempts\":2,\"resumable\":" + resumable
+                + ",\"gapAimMs\":250,\"service\":\"s\"}";
+    }
+
+    /** One stop of an entry under load. */
+    private record Load(int callers, int thinkMillis, Function<Random, String> paths, int busyProcesses) {
+
+        static Load of(int callers, Function<Random, String> paths) {
+            return new Load(callers, 0, paths, 0);
+        }
+
+        Load thinking(int millis) {
+            return new Load(callers, millis, paths, busyProcesses);
+        }
+
+        Load beside(int processes) {
+            return new Load(callers, thinkMillis, paths, processes);
+        }
+    }
+
+    private static String stream(int millis, int intervalMillis) {
+        return "/stream/" + millis + "/" + intervalMillis;
+    }
+
+    private static String plain(int millis) {
+        return "/plain/" + millis;
+    }
+
+    @Example
+    void streamsOfAnyLengthOnKeptConnectionsAreNotCutByAStop() throws Exception {
+        assertNothingIsLost(Load.of(60, random -> stream(random.nextInt(300, 6_500), 100)));
+    }
+
+    @Example
+    void longStreamsOnKeptConnectionsAreNotCutByAStop() throws Exception {
+        assertNothingIsLost(Load.of(60, random -> stream(4_500 + 1_000 * random.nextInt(3), 100)));
+    }
+
+    @Example
+    void streamsWithPausesAreNotCutByAStop() throws Exception {
+        assertNothingIsLost(Load.of(60, random -> stream(2_000 * random.nextInt(1, 4), 1_800)));
+    }
+
+    @Example
+    void requestsOfCallersThatThinkBetweenThemAreNotCutByAStop() throws Exception {
+        assertNothingIsLost(Load.of(60, random -> stream(random.nextInt(300, 6_500), 100))
+                .thinking(20));
+    }
+
+    @Example
+    void plainRequestsAreNotCutByAStop() throws Exception {
+        assertNothingIsLost(Load.of(120, random -> plain(random.nextInt(20, 3_900))));
+    }
+
+    @Example
+    void streamsAreNotCutByAStopOfAnEntryWithTooLittleProcessorTime() throws Exception {
+        assertNothingIsLost(Load.of(60, random -> stream(random.nextInt(300, 6_500), 100))
+                .beside(BUSY_PROCESSES));
+    }
+
+    @Example
+    void plainRequestsAreNotCutByAStopOfAnEntryWithTooLittleProcessorTime() throws Exception {
+        assertNothingIsLost(
+                Load.of(60, random -> plain(random.nextInt(20, 3_900))).beside(BUSY_PROCESSES));
+    }
+
+    /** Stops one of two entries under load and checks what became of the requests that were sent to it. */
+    private static void assertNothingIsLost(Load load) throws Exception {
+        try (PlatformProcesses platform = new PlatformProcesses(1, 2, CONFIG);
+                PacedUpstreams upstreams = new PacedUpstreams(platform, UPSTREAMS)) {
+            String entry = platform.entries().getFirst();
+            List<Process> busy = startBusyProcesses(platform, entry, load.busyProcesses);
+            Queue<ReusingCaller.Sent> sent = ReusingCaller.newRecord();
+            AtomicBoolean goesOn = new AtomicBoolean(true);
+            try (ExecutorService threads = Executors.newVirtualThreadPerTaskExecutor()) {
+                for (int caller = 0; caller < load.callers; caller++) {
+                    Random random = new Random(caller);
+                    threads.submit(new ReusingCaller(
+                            platform, entry, () -> load.paths.apply(random), load.thinkMillis, goesOn::get, sent));
+                }
+                Thread.sleep(WARM_MILLIS);
+                long stopNanos = System.nanoTime();
+                platform.requestStop(entry);
+                boolean ended = platform.awaitEnd(entry, GRACE_MILLIS);
+                long endedNanos = System.nanoTime();
+                goesOn.set(false);
+                threads.shutdown();
+                threads.awaitTermination(GRACE_MILLIS, TimeUnit.MILLISECONDS);
+                judge(platform, upstreams, entry, List.copyOf(sent), stopNanos, ended, endedNanos);
+            } finally {
+                goesOn.set(false);
+                busy.forEach(Process::destroyForcibly);
+            }
+        }
+    }
+
+    private static void judge(
+            PlatformProcesses platform,
+            PacedUpstreams upstreams,
+            String entry,
+            List<ReusingCaller.Sent> sent,
+            long stopNanos,
+            boolean ended,
+            long endedNanos)
+            throws IOException {
+        Map<ReusingCaller.End, Integer> ends = new EnumMap<>(ReusingCaller.End.class);
+        List<String> lost = new ArrayList<>();
+        List<String> unnamed = new ArrayList<>();
+        int cutForCallers = 0;
+        String log = platform.log(entry);
+        for (ReusingCaller.Sent request : sent) {
+            boolean stopped = request.endNanos() > stopNanos;
+            if (stopped) {
+                ends.merge(request.end(), 1, Integer::sum);
+            }
+            boolean unanswered =
+                    request.end() == ReusingCaller.End.CUT || request.end() == ReusingCaller.End.UNANSWERED;
+            if (!stopped || !unanswered || !upstreams.hasRun(request.id())) {
+                continue;
+            }
+            cutForCallers++;
+            if (!isAllowed(request, upstreams, stopNanos)) {
+                lost.add(describe(request, upstreams, stopNanos));
+            }
+            if (!log.contains(request.id() + " ")) {
+                unnamed.add(request.id());
+            }
+        }
+        System.out.println("stopping entry: ended by itself " + ended + " after "
+                + TimeUnit.NANOSECONDS.toMillis(endedNanos - stopNanos) + " ms; requests that ended since SIGTERM "
+                + ends + ", cut " + cutForCallers + ", of these lost " + lost.size() + ", unnamed " + unnamed.size());
+        assertThat(lost).as("passed on and not answered").isEmpty();
+        assertThat(unnamed).as("not named by a line of the log").isEmpty();
+        assertThat(ended).as("ended by itself").isTrue();
+    }
+
+    /** Whether an upstream still worked in the last sixth of the grace period on a request that was sent early. */
+    private static boolean isAllowed(ReusingCaller.Sent request, PacedUpstreams upstreams, long stopNanos) {
+        boolean early = request.sentNanos() - stopNanos <= NOTICE_NANOS;
+        return early && upstreams.workedUntilNanos(request.id()) - stopNanos >= GRACE_NANOS - GRACE_NANOS / 6;
+    }
+
+    private static String describe(ReusingCaller.Sent request, PacedUpstreams upstreams, long stopNanos) {
+        return request + " sent " + TimeUnit.NANOSECONDS.toMillis(request.sentNanos() - stopNanos) + " ms, ended "
+                + TimeUnit.NANOSECONDS.toMillis(request.endNanos() - stopNanos) + " ms after SIGTERM, worked on until "
+                + TimeUnit.NANOSECONDS.toMillis(upstreams.workedUntilNanos(request.id()) - stopNanos) + " ms";
+    }
+
+    private static List<Process> startBusyProcesses(PlatformProcesses platform, String entry, int count)
+            throws IOException, InterruptedException {
+        List<Process> busy = new ArrayList<>();
+        if (count > 0) {
+            platform.pin(entry, STARVED_CORE);
+        }
+        for (int index = 0; index < count; index++) {
+            busy.add(new ProcessBuilder("taskset", "-c", STARVED_CORE, "sh", "-c", "while :; do :; done").start());
+        }
+        return busy;
+    }
+}
