--- a/src/main/java/org/cuminshelf/direct/CallDispatcher.java
+++ b/src/main/java/org/cuminshelf/direct/CallDispatcher.java
@@ -1,6 +1,7 @@
 package org.cuminshelf.direct;
 
 import io.vavr.control.Option;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -123,6 +124,16 @@
         return openCalls.size();
     }
 
+    /** Names calls without a final response, those that have waited longest first. */
+    List<String> describeOpenCalls(long now, int most) {
+        return openCalls.values().stream()
+                .sorted(Comparator.comparingLong(call -> call.arrivedAtNanos))
+                .limit(most)
+                .map(call -> call.intent.id() + ":" + call.route.name() + ":"
+                        + Durations.millis(now - call.arrivedAtNanos) + "ms")
+                .toList();
+    }
+
     /** Returns the shares of calls by kind and organisation. */
     CallShares shares() {
         return shares;
--- a/src/main/java/org/cuminshelf/direct/DirectCore.java
+++ b/src/main/java/org/cuminshelf/direct/DirectCore.java
@@ -624,6 +624,16 @@
         return lateness.millis(clock.getAsLong());
     }
 
+    /**
+     * Names requests without a final response.
+     *
+     * @param most how many at most
+     * @return their ids, each with the name of its route and the milliseconds since its arrival
+     */
+    public List<String> openRequests(int most) {
+        return callDispatcher.describeOpenCalls(clock.getAsLong(), most);
+    }
+
     /**
      * Counts the calls without a final response, including requests that wait for the first configuration.
      *
--- a/src/main/java/org/cuminshelf/exchange/CallerConnectionLog.java
+++ b/src/main/java/org/cuminshelf/exchange/CallerConnectionLog.java
@@ -8,11 +8,13 @@
 
 /**
  * Counts and logs how connections and requests of callers end. Many connections may be closed at once, so the log lines
- * are limited; the counters include all of them. The thread of the logging library does the writing.
+ * are limited, those of closes that leave a request unanswered separately; the counters include all of them. The thread
+ * of the logging library does the writing.
  */
 public final class CallerConnectionLog {
 
     private static final int MAX_LINES_PER_SECOND = 20;
+    private static final int MAX_UNANSWERED_LINES_PER_SECOND = 150;
     private static final String LOG = "exchange: ";
 
     private final Counter readRequests;
@@ -21,6 +23,7 @@
     private final Invariants invariants;
     private long currentSecond = Long.MIN_VALUE;
     private int linesThisSecond;
+    private int unansweredLinesThisSecond;
     private long droppedLines;
 
     private CallerConnectionLog(PrometheusRegistry registry, Invariants invariants) {
@@ -79,7 +82,7 @@
         if (reason == CloseReason.CLOSED_BY_CALLER && accounts.unanswered() == 0) {
             return;
         }
-        if (mayLog()) {
+        if (mayLog(accounts.unanswered() > 0)) {
             Logger.info(
                     LOG
                             + "event=connection-closed reason={} caller={} idle-ms={} limit-ms={} requests={}"
@@ -93,19 +96,19 @@
         }
     }
 
-    private synchronized boolean mayLog() {
+    private synchronized boolean mayLog(boolean unanswered) {
         long now = TimeUnit.NANOSECONDS.toSeconds(System.nanoTime());
         if (now != currentSecond) {
             currentSecond = now;
             linesThisSecond = 0;
+            unansweredLinesThisSecond = 0;
             logDroppedLines();
         }
-        if (linesThisSecond >= MAX_LINES_PER_SECOND) {
-            droppedLines++;
-            return false;
-        }
-        linesThisSecond++;
-        return true;
+        boolean written = unanswered
+                ? unansweredLinesThisSecond++ < MAX_UNANSWERED_LINES_PER_SECOND
+                : linesThisSecond++ < MAX_LINES_PER_SECOND;
+        droppedLines += written ? 0 : 1;
+        return written;
     }
 
     private void logDroppedLines() {
--- a/src/main/java/org/cuminshelf/process/DirectEntryProcess.java
+++ b/src/main/java/org/cuminshelf/process/DirectEntryProcess.java
@@ -5,7 +5,6 @@
 import java.nio.ByteBuffer;
 import java.util.List;
 import java.util.Optional;
-import java.util.concurrent.TimeUnit;
 import java.util.concurrent.locks.ReentrantLock;
 import java.util.function.Consumer;
 import java.util.function.Function;
@@ -43,18 +42,6 @@
 public final class DirectEntryProcess implements ServingProcess {
 
     private static final String LOG = "entry: ";
-    /**
-     * How long a stopping entry still accepts connections: the load balancer needs two readiness checks, a second
-     * apart, to notice.
-     */
-    private static final long READINESS_DRAIN_MILLIS = 2_600;
-    /** Part of the grace period that is reserved for closing, whether or not all calls have ended. */
-    private static final long SHUTDOWN_RESERVE_MILLIS = 400;
-    /** Part of the reserve that is left when the final responses were sent. */
-    private static final long CLOSE_RESERVE_MILLIS = 150;
-
-    private static final long DRAIN_POLL_MILLIS = 20;
-    private static final long DRAIN_CONFIRM_MILLIS = 60;
     private static final int OK = 200;
     private static final int SERVICE_UNAVAILABLE = 503;
 
@@ -86,6 +73,8 @@
     private final BackgroundConfigReader configReader;
     private final long incarnation;
     private final PrometheusRegistry registry = new PrometheusRegistry();
+    private final RateLimitedDecisionLog decisionLog =
+            RateLimitedDecisionLog.create(LOG, DecisionMetrics.register(registry));
     private Optional<MetricsServer> metricsServer = Optional.empty();
     private CallerListener callerListener;
     private Optional<CallerListener> readinessListener = Optional.empty();
@@ -116,7 +105,7 @@
                 new PooledUpstreamClient(),
                 System::nanoTime,
                 invariants,
-                RateLimitedDecisionLog.create(LOG, DecisionMetrics.register(registry)));
+                decisionLog);
         this.runner = new LockedCoreRunner(lock, core, outbox, this::sweep);
         registerGauges();
     }
@@ -401,73 +390,22 @@
         }
     }
 
-    /**
-     * Stops without cutting off a request: reports that it isn't ready, accepts connections only until the load
-     * balancer has noticed, asks callers with each answer to reconnect elsewhere, and closes once no call is open and
-     * no connection has a request half read or a response half sent. What is not finished when the grace period ends
-     * gets its final response then.
-     */
+    /** Stops without cutting off a request where that can be, as {@link EntryShutdown} says. */
     @Override
     public boolean stopGracefully() throws InterruptedException {
-        long startNanos = System.nanoTime();
+        EntryShutdown shutdown = EntryShutdown.begin(common.vm(), common.graceMillis(), core, lock, callerListener);
         Logger.info(LOG + "event=stop vm={} open={}", common.vm(), core.openCalls());
+        decisionLog.logMoreCompletions();
         runner.accept(Envelope.newBuilder()
                 .setFrom(Address.PROCESS.value())
                 .setStop(Stop.getDefaultInstance())
                 .build());
-        callerListener.startDraining();
-        while (millisSince(startNanos) < READINESS_DRAIN_MILLIS) {
-            Thread.sleep(DRAIN_POLL_MILLIS);
-        }
-        // A request on a connection accepted from now on might not complete within the remaining time.
-        callerListener.stopAccepting();
-        long endNanos = startNanos + TimeUnit.MILLISECONDS.toNanos(common.graceMillis());
-        boolean finished = awaitFinished(endNanos - TimeUnit.MILLISECONDS.toNanos(SHUTDOWN_RESERVE_MILLIS));
-        Logger.info(
-                LOG + "event=stopped vm={} finished={} open={} unfinished-connections={} ms={}",
-                common.vm(),
-                finished,
-                core.openCalls(),
-                callerListener.unfinishedConnections(),
-                millisSince(startNanos));
-        if (!finished) {
-            endOpenCalls();
-            awaitFinished(endNanos - TimeUnit.MILLISECONDS.toNanos(CLOSE_RESERVE_MILLIS));
-        }
+        boolean finished = shutdown.await();
         close();
+        Logger.info(LOG + "event=closed vm={} ms={}", common.vm(), shutdown.elapsedMillis());
         return finished;
     }
 
-    /** Waits until no call is open, no request is half read and no response is half sent; returns whether so. */
-    private boolean awaitFinished(long endNanos) throws InterruptedException {
-        boolean finished = false;
-        while (!finished && System.nanoTime() < endNanos) {
-            callerListener.closeIdleConnections();
-            Thread.sleep(isFinished() ? DRAIN_CONFIRM_MILLIS : DRAIN_POLL_MILLIS);
-            finished = isFinished();
-        }
-        return finished;
-    }
-
-    private boolean isFinished() {
-        return core.openCalls() == 0 && callerListener.unfinishedConnections() == 0;
-    }
-
-    /** Gives every request that can't be finished its final response before its connection is closed. */
-    private void endOpenCalls() {
-        callerListener.refuseUnreadRequests();
-        lock.lock();
-        try {
-            core.endOpenCalls();
-        } finally {
-            lock.unlock();
-        }
-    }
-
-    private static long millisSince(long startNanos) {
-        return TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - startNanos);
-    }
-
     @Override
     public void close() {
         runner.close();
--- /dev/null
+++ b/src/main/java/org/cuminshelf/process/EntryShutdown.java
@@ -0,0 +1,161 @@
+package org.cuminshelf.process;
+
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.locks.ReentrantLock;
+import org.cuminshelf.direct.DirectCore;
+import org.cuminshelf.exchange.CallerListener;
+import org.tinylog.Logger;
+
+/**
+ * The graceful stop of an entry: accepts connections only until the load balancer has noticed, asks callers with each
+ * answer to reconnect elsewhere, and ends once no call is open and no connection has a request half read or a response
+ * half sent. What is not finished when the grace period ends gets its final response then.
+ */
+final class EntryShutdown {
+
+    private static final String LOG = "entry: ";
+    /**
+     * How long a stopping entry still accepts connections: the load balancer needs two readiness checks, a second
+     * apart, to notice.
+     */
+    private static final long READINESS_DRAIN_MILLIS = 2_600;
+    /** Part of the grace period that is reserved for closing, whether or not all calls have ended. */
+    private static final long SHUTDOWN_RESERVE_MILLIS = 400;
+    /** Part of the reserve that is left when the final responses were sent. */
+    private static final long CLOSE_RESERVE_MILLIS = 150;
+
+    private static final long DRAIN_POLL_MILLIS = 20;
+    private static final long DRAIN_CONFIRM_MILLIS = 60;
+    private static final long PROGRESS_INTERVAL_MILLIS = 1_000;
+    private static final int MAX_NAMED_REQUESTS = 40;
+
+    private final String vm;
+    private final long graceMillis;
+    private final DirectCore core;
+    private final ReentrantLock lock;
+    private final CallerListener callers;
+    private final long startNanos = System.nanoTime();
+    private long nextProgressMillis = PROGRESS_INTERVAL_MILLIS;
+
+    private EntryShutdown(String vm, long graceMillis, DirectCore core, ReentrantLock lock, CallerListener callers) {
+        this.vm = vm;
+        this.graceMillis = graceMillis;
+        this.core = core;
+        this.lock = lock;
+        this.callers = callers;
+    }
+
+    /**
+     * Creates a stop that begins now.
+     *
+     * @param vm          name of the VM, for the log
+     * @param graceMillis milliseconds from now until the process is killed
+     * @param core        the core of the entry
+     * @param lock        the lock of the core
+     * @param callers     the listener for callers
+     * @return the stop
+     */
+    static EntryShutdown begin(
+            String vm, long graceMillis, DirectCore core, ReentrantLock lock, CallerListener callers) {
+        return new EntryShutdown(vm, graceMillis, core, lock, callers);
+    }
+
+    /**
+     * Takes no further callers and waits until all requests have their final response, at most until the grace period
+     * ends.
+     *
+     * @return whether all were finished in time
+     * @throws InterruptedException if the wait is interrupted
+     */
+    boolean await() throws InterruptedException {
+        callers.startDraining();
+        while (elapsedMillis() < READINESS_DRAIN_MILLIS) {
+            Thread.sleep(DRAIN_POLL_MILLIS);
+            logProgress();
+        }
+        // A request on a connection accepted from now on might not complete within the remaining time.
+        callers.stopAccepting();
+        boolean finished = awaitFinished(graceMillis - SHUTDOWN_RESERVE_MILLIS);
+        Logger.info(
+                LOG + "event=stopped vm={} finished={} open={} unfinished-connections={} late-ms={} ms={} requests={}",
+                vm,
+                finished,
+                core.openCalls(),
+                callers.unfinishedConnections(),
+                lateMillis(),
+                elapsedMillis(),
+                openRequests());
+        if (!finished) {
+            endOpenCalls();
+            awaitFinished(graceMillis - CLOSE_RESERVE_MILLIS);
+        }
+        return finished;
+    }
+
+    /** Waits until no call is open, no request is half read and no response is half sent; returns whether so. */
+    private boolean awaitFinished(long untilMillis) throws InterruptedException {
+        boolean finished = false;
+        while (!finished && elapsedMillis() < untilMillis) {
+            callers.closeIdleConnections();
+            Thread.sleep(isFinished() ? DRAIN_CONFIRM_MILLIS : DRAIN_POLL_MILLIS);
+            finished = isFinished();
+            logProgress();
+        }
+        return finished;
+    }
+
+    private boolean isFinished() {
+        return core.openCalls() == 0 && callers.unfinishedConnections() == 0;
+    }
+
+    /** Gives every request that can't be finished its final response before its connection is closed. */
+    private void endOpenCalls() {
+        callers.refuseUnreadRequests();
+        lock.lock();
+        try {
+            core.endOpenCalls();
+        } finally {
+            lock.unlock();
+        }
+    }
+
+    /** Names what is open, once a second, so that the log tells it also of a process that is killed. */
+    private void logProgress() {
+        if (elapsedMillis() < nextProgressMillis) {
+            return;
+        }
+        nextProgressMillis = elapsedMillis() + PROGRESS_INTERVAL_MILLIS;
+        Logger.info(
+                LOG + "event=stopping vm={} open={} unfinished-connections={} late-ms={} ms={} requests={}",
+                vm,
+                core.openCalls(),
+                callers.unfinishedConnections(),
+                lateMillis(),
+                elapsedMillis(),
+                openRequests());
+    }
+
+    private List<String> openRequests() {
+        lock.lock();
+        try {
+            return core.openRequests(MAX_NAMED_REQUESTS);
+        } finally {
+            lock.unlock();
+        }
+    }
+
+    private long lateMillis() {
+        lock.lock();
+        try {
+            return core.lateMillis();
+        } finally {
+            lock.unlock();
+        }
+    }
+
+    /** Milliseconds since the stop began. */
+    long elapsedMillis() {
+        return TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - startNanos);
+    }
+}
--- a/src/main/java/org/cuminshelf/process/RateLimitedDecisionLog.java
+++ b/src/main/java/org/cuminshelf/process/RateLimitedDecisionLog.java
@@ -27,6 +27,7 @@
     private long currentSecond;
     private int eventLines;
     private int completionLines;
+    private boolean completionsSampled = true;
 
     private RateLimitedDecisionLog(String prefix, DecisionMetrics metrics) {
         this.prefix = prefix;
@@ -52,11 +53,17 @@
     public synchronized void noteCompletion(String id, Object... fields) {
         metrics.observe(REQUEST, fields);
         startSecondIfElapsed();
-        if (completionLines++ < MAX_COMPLETION_LINES_PER_SECOND) {
+        int limit = completionsSampled ? MAX_COMPLETION_LINES_PER_SECOND : MAX_EVENT_LINES_PER_SECOND;
+        if (completionLines++ < limit) {
             write(REQUEST, id, fields);
         }
     }
 
+    /** Raises the limit for normally completed requests to that for other lines, while the process stops. */
+    synchronized void logMoreCompletions() {
+        completionsSampled = false;
+    }
+
     private void startSecondIfElapsed() {
         long now = TimeUnit.NANOSECONDS.toSeconds(System.nanoTime());
         if (now == currentSecond) {
--- a/src/main/java/org/cuminshelf/tools/Signals.java
+++ b/src/main/java/org/cuminshelf/tools/Signals.java
@@ -20,7 +20,9 @@
     static void onStop(Runnable gracefulShutdown) {
         AtomicInteger signalCount = new AtomicInteger();
         Runnable onSignal = () -> {
-            if (signalCount.incrementAndGet() > 1) {
+            int count = signalCount.incrementAndGet();
+            Logger.info(LOG_PREFIX + "event=stop-signal count={}", count);
+            if (count > 1) {
                 Runtime.getRuntime().halt(SIGTERM_EXIT_CODE);
             }
             new Thread(gracefulShutdown, "stop").start();
