A stopping entry closes its port

Cause: Jetty's connector closes its channel only if it has threads of its own for accepting, and this one has none.

--- a/src/main/java/org/cuminshelf/exchange/CallerListener.java
+++ b/src/main/java/org/cuminshelf/exchange/CallerListener.java
@@ -1,6 +1,7 @@
 package org.cuminshelf.exchange;
 
 import java.io.IOException;
+import java.nio.channels.ServerSocketChannel;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
@@ -126,12 +127,22 @@
     }
 
     /**
-     * Stops accepting connections; open ones stay. Closing the connector alone isn't enough: the kernel may still hand
-     * over connections from its backlog. They are closed unread, which shows the caller that no request was processed.
+     * Closes the port; open connections stay. The kernel resets the connections that wait for their acceptance, which
+     * shows the caller that no request was processed. Those that are accepted already are closed unread.
+     *
+     * <p>Guards against a stopping process that spends its time on accepting connections only to close them: Jetty's
+     * connector leaves the port open if it has no thread of its own for accepting.
      */
     public void stopAccepting() {
         accepting = false;
         connector.close();
+        if (connector.getTransport() instanceof ServerSocketChannel port) {
+            try {
+                port.close();
+            } catch (IOException e) {
+                Logger.warn(LOG + "event=port-not-closed reason=\"{}\"", e.getMessage());
+            }
+        }
     }
 
     /** Closes the connections that have no request in progress. */
--- a/src/test/java/org/cuminshelf/exchange/CallerConnectionLossTest.java
+++ b/src/test/java/org/cuminshelf/exchange/CallerConnectionLossTest.java
@@ -5,6 +5,7 @@
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
 import java.io.IOException;
 import java.io.InputStream;
+import java.net.ConnectException;
 import java.net.InetSocketAddress;
 import java.net.Socket;
 import java.nio.ByteBuffer;
@@ -185,6 +186,33 @@
         return total;
     }
 
+    // ---- the port
+
+    /* Guards against a stopping process that accepts thousands of connections a second only to close them unread. */
+    @Example
+    void aListenerThatStopsAcceptingRefusesConnectionsAndKeepsOpenOnes() throws Exception {
+        try (Socket socket = connect()) {
+            send(socket, GET);
+            readUntil(socket, "/a");
+            int port = listener.port();
+            listener.stopAccepting();
+            // The connection that makes the kernel's event loop notice the close may still be reset.
+            assertThat(isRefused(port) || isRefused(port)).isTrue();
+            assertThat(isRefused(port)).isTrue();
+            send(socket, GET_NEXT);
+            assertThat(readUntil(socket, "/b")).endsWith("/b");
+        }
+    }
+
+    private static boolean isRefused(int port) throws Exception {
+        try (Socket _ = new Socket("127.0.0.1", port)) {
+            Thread.sleep(100);
+            return false;
+        } catch (ConnectException refused) {
+            return true;
+        }
+    }
+
     // ---- idle timeouts
 
     /* A change of the configuration that lowers the limit closed connections whose next request had arrived. */
