A stopping entry takes only what ends before it does

What callers saw: a stream whose head they had got was cut around SIGTERM, at 7.6 s of the 8 s that the entry had. Cause: a response that began before SIGTERM can't say that its connection closes, so that callers reuse it at any time of the stop; each request was passed on, and nothing compared what was left of the stop with what it needs.

Now the end of the stop is known to the core from its first millisecond. A request is taken if its time limit lies within the stop, or if its first byte came before the load balancer had noticed and it is likely to end in time, by what was learnt of its route; any other is refused at once with a true 'not run', and waiting ones too. Refusing everything from SIGTERM on was weighed: it costs callers a retry for 2.6 s, and all of them when all entries restart.

Still red: the process with a tenth of a core, killed at 8 s.

--- a/src/main/java/org/cuminshelf/direct/CallDispatcher.java
+++ b/src/main/java/org/cuminshelf/direct/CallDispatcher.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.function.LongSupplier;
 import org.cuminshelf.backpressure.Backpressure;
@@ -27,6 +28,8 @@
 
     /** Attempts of a call that may fail to connect without being counted. */
     private static final int MAX_UNSENT_ATTEMPTS = 8;
+    /** Retry-After of a request that comes to a stopping process: another one takes it at once. */
+    private static final long STOPPING_RETRY_AFTER_MILLIS = 10;
 
     private final UpstreamProtocol protocol;
     private final UpstreamClient client;
@@ -55,6 +58,9 @@
     private final ReplacementPlanner replacementPlanner;
     private final KvCacheReleaser kvCacheReleaser;
     private final AttemptLog attemptLog;
+    private final AnswerTimes answerTimes = new AnswerTimes();
+    /** Present from the moment at which this process was asked to stop. */
+    private Optional<StopSchedule> stopSchedule = Optional.empty();
 
     CallDispatcher(
             UpstreamProtocol protocol,
@@ -185,7 +191,37 @@
         place(now, call);
     }
 
+    /** Refuses the calls at once that were not sent anywhere and would not end before this process does. */
+    void stop(long now, StopSchedule schedule) {
+        stopSchedule = Optional.of(schedule);
+        List.copyOf(openCalls.values()).stream()
+                .filter(call -> !isTaken(now, call))
+                .forEach(call -> refuseAsStopping(now, call));
+    }
+
+    /** Whether a call was sent already, or is sent though this process stops. */
+    private boolean isTaken(long now, DirectCall call) {
+        return stopSchedule.isEmpty()
+                || !call.sentTo.isEmpty()
+                || stopSchedule.get().takes(now, call.begunAtNanos(), call.deadlineNanos, expectedNanos(call));
+    }
+
+    /** Returns how long a call may be expected to take; more is risked for a caller that may repeat its request. */
+    private OptionalLong expectedNanos(DirectCall call) {
+        String route = call.route.name();
+        return call.isRetryable() ? answerTimes.most(route) : answerTimes.nearlyAll(route);
+    }
+
+    private void refuseAsStopping(long now, DirectCall call) {
+        call.lastFailure = Optional.of(new Verdict.NotRun(Cause.LEAVING, STOPPING_RETRY_AFTER_MILLIS));
+        failCall(now, call, CallerResponses.STOPPING_REASON);
+    }
+
     private void place(long now, DirectCall call) {
+        if (!isTaken(now, call)) {
+            refuseAsStopping(now, call);
+            return;
+        }
         if (call.kvCache.isPresent() && !selector.hasEngineForKvCache(call)) {
             kvCacheReleaser.release(call);
             call.singleEngineOnly = true;
@@ -431,6 +467,7 @@
         }
         attempt.call.fairnessClaim.ifPresent(claim -> claim.onEnded(attempt.isSuccess()));
         if (attempt.isSuccess()) {
+            answerTimes.observe(attempt.call.route.name(), now - attempt.call.arrivedAtNanos);
             shares.onCompleted(now, attempt.call);
             poisonGuard.onSuccess(now, attempt.call);
         }
--- a/src/main/java/org/cuminshelf/direct/CallerResponses.java
+++ b/src/main/java/org/cuminshelf/direct/CallerResponses.java
@@ -22,6 +22,9 @@
     /** The same for a stream of unknown version: by then another entry may answer, or one version be left. */
     private static final long UNKNOWN_VERSION_RETRY_AFTER_MILLIS = 500;
 
+    /** Reason of what is refused or ended as this process stops. */
+    static final String STOPPING_REASON = "this process stops";
+
     private static final double PERCENT = 100;
     private static final int BAD_GATEWAY = 502;
     private static final int UNAVAILABLE = 503;
--- a/src/main/java/org/cuminshelf/direct/DirectCall.java
+++ b/src/main/java/org/cuminshelf/direct/DirectCall.java
@@ -171,6 +171,11 @@
         this.lastEventId = intent.resumeAfter();
     }
 
+    /** When the first byte of its request was read. */
+    long begunAtNanos() {
+        return arrivedAtNanos - request.readingNanos();
+    }
+
     /** The hash that identifies copies of the same request; computed on first use, as few calls need it. */
     Fingerprint fingerprint() {
         if (fingerprint == null) {
--- a/src/main/java/org/cuminshelf/direct/DirectCore.java
+++ b/src/main/java/org/cuminshelf/direct/DirectCore.java
@@ -18,6 +18,7 @@
 import org.cuminshelf.exchange.CallerLimits;
 import org.cuminshelf.exchange.ReceivedRequest;
 import org.cuminshelf.message.Envelope;
+import org.cuminshelf.message.Stop;
 import org.cuminshelf.message.Stopped;
 import org.cuminshelf.organisations.AccessDecision;
 import org.cuminshelf.organisations.Organisation;
@@ -171,7 +172,7 @@
         long timeoutMillis = intent.deadlineMillis().orElse(DEFAULT_DEADLINE_MILLIS);
         if (control.isReady()) {
             start(now, request, exchange, intent);
-        } else if (!earlyRequests.add(now, request, exchange, intent, timeoutMillis)) {
+        } else if (draining || !earlyRequests.add(now, request, exchange, intent, timeoutMillis)) {
             callDispatcher.responses().refuseNotReady(exchange, intent);
         }
     }
@@ -335,7 +336,7 @@
             waiting = earlyRequests.poll();
         }
         resumptions.refuseAll(clock.getAsLong());
-        callDispatcher.cancelAll(clock.getAsLong(), "this process stops");
+        callDispatcher.cancelAll(clock.getAsLong(), CallerResponses.STOPPING_REASON);
     }
 
     // ---- messages and time
@@ -359,17 +360,23 @@
             case STREAM_QUERY ->
                 out.send(from, Envelope.newBuilder().setStreamAnswer(resumptions.answer(now, input.getStreamQuery())));
             case STREAM_ANSWER -> resumptions.onAnswer(now, from, input.getStreamAnswer());
+            case STOP -> onStop(now, input.getStop(), out);
             case WALL_CLOCK -> usageMeter.onWallClock(now, input.getWallClock().getEpochMs());
-            case STOP -> {
-                draining = true;
-                streamRecords.onStop(now, out);
-            }
             default -> {
                 // Other messages are not addressed to this kind of entry.
             }
         }
     }
 
+    /** Begins the stop: from now on a request is taken only if it ends before this process does. */
+    private void onStop(long now, Stop stop, Outbox out) {
+        draining = true;
+        if (stop.getAnswersMs() > 0) {
+            callDispatcher.stop(now, StopSchedule.of(now, stop.getNoticeMs(), stop.getAnswersMs()));
+        }
+        streamRecords.onStop(now, out);
+    }
+
     @Override
     public void tick(long now, Outbox out) {
         lateness.onTick(now, nextDue());
--- a/src/main/java/org/cuminshelf/exchange/CallerConnection.java
+++ b/src/main/java/org/cuminshelf/exchange/CallerConnection.java
@@ -584,7 +584,8 @@
         responseBegun = false;
         requestRead = true;
         accounts.onRequestRead();
-        receivedRequest = new ReceivedRequest(method, target, headers.asImmutable(), body.toByteArray());
+        receivedRequest = new ReceivedRequest(
+                method, target, headers.asImmutable(), body.toByteArray(), System.nanoTime() - phaseStartNanos);
         body.reset();
         return true;
     }
--- a/src/main/java/org/cuminshelf/message/Stop.java
+++ b/src/main/java/org/cuminshelf/message/Stop.java
@@ -7,7 +7,8 @@
 
 /**
  * <pre>
- * Requests a core to accept no new work, complete its running work and then send Stopped.
+ * Requests a core to accept no new work, complete its running work and then send Stopped. Where the times are stated,
+ * work that ends within them is still accepted.
  * </pre>
  *
  * Protobuf type {@code cuminshelf.Stop}
@@ -20,6 +21,82 @@
     StopOrBuilder {
   private Stop() {
   }
+  public static final int NOTICE_MS_FIELD_NUMBER = 1;
+  private long noticeMs_;
+  /**
+   * <pre>
+   * Milliseconds from now in which new callers come, as the load balancer has not noticed the stop.
+   * </pre>
+   *
+   * <code>int64 notice_ms = 1;</code>
+   * @return The noticeMs.
+   */
+  @java.lang.Override
+  public long getNoticeMs() {
+    return noticeMs_;
+  }
+  /**
+   * <pre>
+   * Milliseconds from now in which new callers come, as the load balancer has not noticed the stop.
+   * </pre>
+   *
+   * <code>int64 notice_ms = 1;</code>
+   * @param value The noticeMs to set.
+   */
+  private void setNoticeMs(long value) {
+    
+    noticeMs_ = value;
+  }
+  /**
+   * <pre>
+   * Milliseconds from now in which new callers come, as the load balancer has not noticed the stop.
+   * </pre>
+   *
+   * <code>int64 notice_ms = 1;</code>
+   */
+  private void clearNoticeMs() {
+
+    noticeMs_ = 0L;
+  }
+
+  public static final int ANSWERS_MS_FIELD_NUMBER = 2;
+  private long answersMs_;
+  /**
+   * <pre>
+   * Milliseconds from now in which all answers must be whole; 0 if not stated.
+   * </pre>
+   *
+   * <code>int64 answers_ms = 2;</code>
+   * @return The answersMs.
+   */
+  @java.lang.Override
+  public long getAnswersMs() {
+    return answersMs_;
+  }
+  /**
+   * <pre>
+   * Milliseconds from now in which all answers must be whole; 0 if not stated.
+   * </pre>
+   *
+   * <code>int64 answers_ms = 2;</code>
+   * @param value The answersMs to set.
+   */
+  private void setAnswersMs(long value) {
+    
+    answersMs_ = value;
+  }
+  /**
+   * <pre>
+   * Milliseconds from now in which all answers must be whole; 0 if not stated.
+   * </pre>
+   *
+   * <code>int64 answers_ms = 2;</code>
+   */
+  private void clearAnswersMs() {
+
+    answersMs_ = 0L;
+  }
+
   public static org.cuminshelf.message.Stop parseFrom(
       java.nio.ByteBuffer data)
       throws com.google.protobuf.InvalidProtocolBufferException {
@@ -105,7 +182,8 @@
 
   /**
    * <pre>
-   * Requests a core to accept no new work, complete its running work and then send Stopped.
+   * Requests a core to accept no new work, complete its running work and then send Stopped. Where the times are stated,
+   * work that ends within them is still accepted.
    * </pre>
    *
    * Protobuf type {@code cuminshelf.Stop}
@@ -121,6 +199,86 @@
     }
 
 
+    /**
+     * <pre>
+     * Milliseconds from now in which new callers come, as the load balancer has not noticed the stop.
+     * </pre>
+     *
+     * <code>int64 notice_ms = 1;</code>
+     * @return The noticeMs.
+     */
+    @java.lang.Override
+    public long getNoticeMs() {
+      return instance.getNoticeMs();
+    }
+    /**
+     * <pre>
+     * Milliseconds from now in which new callers come, as the load balancer has not noticed the stop.
+     * </pre>
+     *
+     * <code>int64 notice_ms = 1;</code>
+     * @param value The noticeMs to set.
+     * @return This builder for chaining.
+     */
+    public Builder setNoticeMs(long value) {
+      copyOnWrite();
+      instance.setNoticeMs(value);
+      return this;
+    }
+    /**
+     * <pre>
+     * Milliseconds from now in which new callers come, as the load balancer has not noticed the stop.
+     * </pre>
+     *
+     * <code>int64 notice_ms = 1;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearNoticeMs() {
+      copyOnWrite();
+      instance.clearNoticeMs();
+      return this;
+    }
+
+    /**
+     * <pre>
+     * Milliseconds from now in which all answers must be whole; 0 if not stated.
+     * </pre>
+     *
+     * <code>int64 answers_ms = 2;</code>
+     * @return The answersMs.
+     */
+    @java.lang.Override
+    public long getAnswersMs() {
+      return instance.getAnswersMs();
+    }
+    /**
+     * <pre>
+     * Milliseconds from now in which all answers must be whole; 0 if not stated.
+     * </pre>
+     *
+     * <code>int64 answers_ms = 2;</code>
+     * @param value The answersMs to set.
+     * @return This builder for chaining.
+     */
+    public Builder setAnswersMs(long value) {
+      copyOnWrite();
+      instance.setAnswersMs(value);
+      return this;
+    }
+    /**
+     * <pre>
+     * Milliseconds from now in which all answers must be whole; 0 if not stated.
+     * </pre>
+     *
+     * <code>int64 answers_ms = 2;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearAnswersMs() {
+      copyOnWrite();
+      instance.clearAnswersMs();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:cuminshelf.Stop)
   }
   @java.lang.Override
@@ -136,9 +294,13 @@
         return new Builder();
       }
       case BUILD_MESSAGE_INFO: {
-          java.lang.Object[] objects = null;
+          java.lang.Object[] objects = new java.lang.Object[] {
+            "noticeMs_",
+            "answersMs_",
+          };
           java.lang.String info =
-              "\u0000\u0000";
+              "\u0000\u0002\u0000\u0000\u0001\u0002\u0002\u0000\u0000\u0000\u0001\u0002\u0002\u0002" +
+              "";
           return newMessageInfo(DEFAULT_INSTANCE, info, objects);
       }
       case GET_DEFAULT_INSTANCE: {
--- a/src/main/java/org/cuminshelf/message/StopOrBuilder.java
+++ b/src/main/java/org/cuminshelf/message/StopOrBuilder.java
@@ -9,4 +9,24 @@
 public interface StopOrBuilder extends
     // @@protoc_insertion_point(interface_extends:cuminshelf.Stop)
     com.google.protobuf.MessageLiteOrBuilder {
+
+  /**
+   * <pre>
+   * Milliseconds from now in which new callers come, as the load balancer has not noticed the stop.
+   * </pre>
+   *
+   * <code>int64 notice_ms = 1;</code>
+   * @return The noticeMs.
+   */
+  long getNoticeMs();
+
+  /**
+   * <pre>
+   * Milliseconds from now in which all answers must be whole; 0 if not stated.
+   * </pre>
+   *
+   * <code>int64 answers_ms = 2;</code>
+   * @return The answersMs.
+   */
+  long getAnswersMs();
 }
--- a/src/main/java/org/cuminshelf/process/DirectEntryProcess.java
+++ b/src/main/java/org/cuminshelf/process/DirectEntryProcess.java
@@ -27,7 +27,6 @@
 import org.cuminshelf.exchange.UpstreamHandler;
 import org.cuminshelf.exchange.UpstreamRequest;
 import org.cuminshelf.message.Envelope;
-import org.cuminshelf.message.Stop;
 import org.cuminshelf.message.WallClock;
 import org.cuminshelf.network.TcpNetwork;
 import org.cuminshelf.routes.RouteTable;
@@ -393,13 +392,10 @@
     /** Stops without cutting off a request where that can be, as {@link EntryShutdown} says. */
     @Override
     public boolean stopGracefully() throws InterruptedException {
-        EntryShutdown shutdown = EntryShutdown.begin(common.vm(), common.graceMillis(), core, lock, callerListener);
+        EntryShutdown shutdown =
+                EntryShutdown.begin(common.vm(), common.graceMillis(), core, runner, lock, callerListener);
         Logger.info(LOG + "event=stop vm={} open={}", common.vm(), core.openCalls());
         decisionLog.logMoreCompletions();
-        runner.accept(Envelope.newBuilder()
-                .setFrom(Address.PROCESS.value())
-                .setStop(Stop.getDefaultInstance())
-                .build());
         boolean finished = shutdown.await();
         close();
         Logger.info(LOG + "event=closed vm={} ms={}", common.vm(), shutdown.elapsedMillis());
--- a/src/main/java/org/cuminshelf/process/EntryShutdown.java
+++ b/src/main/java/org/cuminshelf/process/EntryShutdown.java
@@ -3,8 +3,12 @@
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.locks.ReentrantLock;
+import java.util.function.Supplier;
+import org.cuminshelf.core.Address;
 import org.cuminshelf.direct.DirectCore;
 import org.cuminshelf.exchange.CallerListener;
+import org.cuminshelf.message.Envelope;
+import org.cuminshelf.message.Stop;
 import org.tinylog.Logger;
 
 /**
@@ -20,10 +24,14 @@
      * apart, to notice.
      */
     private static final long READINESS_DRAIN_MILLIS = 2_600;
-    /** Part of the grace period that is reserved for closing, whether or not all calls have ended. */
-    private static final long SHUTDOWN_RESERVE_MILLIS = 400;
-    /** Part of the reserve that is left when the final responses were sent. */
-    private static final long CLOSE_RESERVE_MILLIS = 150;
+    /** Time reserved for closing, whether or not all calls have ended. */
+    private static final long MIN_RESERVE_MILLIS = 400;
+    /** Part of the grace period after which nothing is taken that may be open. */
+    private static final int MAX_RESERVE_DIVISOR = 8;
+    /** Part of the reserve in which the final answers are sent, in percent. */
+    private static final int FINAL_ANSWERS_PERCENT = 60;
+
+    private static final int PERCENT = 100;
 
     private static final long DRAIN_POLL_MILLIS = 20;
     private static final long DRAIN_CONFIRM_MILLIS = 60;
@@ -33,15 +41,23 @@
     private final String vm;
     private final long graceMillis;
     private final DirectCore core;
+    private final LockedCoreRunner runner;
     private final ReentrantLock lock;
     private final CallerListener callers;
     private final long startNanos = System.nanoTime();
     private long nextProgressMillis = PROGRESS_INTERVAL_MILLIS;
 
-    private EntryShutdown(String vm, long graceMillis, DirectCore core, ReentrantLock lock, CallerListener callers) {
+    private EntryShutdown(
+            String vm,
+            long graceMillis,
+            DirectCore core,
+            LockedCoreRunner runner,
+            ReentrantLock lock,
+            CallerListener callers) {
         this.vm = vm;
         this.graceMillis = graceMillis;
         this.core = core;
+        this.runner = runner;
         this.lock = lock;
         this.callers = callers;
     }
@@ -52,31 +68,43 @@
      * @param vm          name of the VM, for the log
      * @param graceMillis milliseconds from now until the process is killed
      * @param core        the core of the entry
+     * @param runner      passes messages to the core
      * @param lock        the lock of the core
      * @param callers     the listener for callers
      * @return the stop
      */
     static EntryShutdown begin(
-            String vm, long graceMillis, DirectCore core, ReentrantLock lock, CallerListener callers) {
-        return new EntryShutdown(vm, graceMillis, core, lock, callers);
+            String vm,
+            long graceMillis,
+            DirectCore core,
+            LockedCoreRunner runner,
+            ReentrantLock lock,
+            CallerListener callers) {
+        return new EntryShutdown(vm, graceMillis, core, runner, lock, callers);
     }
 
     /**
-     * Takes no further callers and waits until all requests have their final response, at most until the grace period
-     * ends.
+     * Begins the stop, takes no further callers and waits until all requests have their final response, at most until
+     * the grace period ends.
      *
      * @return whether all were finished in time
      * @throws InterruptedException if the wait is interrupted
      */
     boolean await() throws InterruptedException {
         callers.startDraining();
+        runner.accept(Envelope.newBuilder()
+                .setFrom(Address.PROCESS.value())
+                .setStop(Stop.newBuilder()
+                        .setNoticeMs(READINESS_DRAIN_MILLIS)
+                        .setAnswersMs(graceMillis - graceMillis / MAX_RESERVE_DIVISOR))
+                .build());
         while (elapsedMillis() < READINESS_DRAIN_MILLIS) {
             Thread.sleep(DRAIN_POLL_MILLIS);
             logProgress();
         }
         // A request on a connection accepted from now on might not complete within the remaining time.
         callers.stopAccepting();
-        boolean finished = awaitFinished(graceMillis - SHUTDOWN_RESERVE_MILLIS);
+        boolean finished = awaitFinished();
         Logger.info(
                 LOG + "event=stopped vm={} finished={} open={} unfinished-connections={} late-ms={} ms={} requests={}",
                 vm,
@@ -87,16 +115,17 @@
                 elapsedMillis(),
                 openRequests());
         if (!finished) {
-            endOpenCalls();
-            awaitFinished(graceMillis - CLOSE_RESERVE_MILLIS);
+            callers.refuseUnreadRequests();
+            locked(core::endOpenCalls);
+            awaitFinalAnswers();
         }
         return finished;
     }
 
-    /** Waits until no call is open, no request is half read and no response is half sent; returns whether so. */
-    private boolean awaitFinished(long untilMillis) throws InterruptedException {
+    /** Waits until all is finished or the remaining time is needed for closing; returns whether all is finished. */
+    private boolean awaitFinished() throws InterruptedException {
         boolean finished = false;
-        while (!finished && elapsedMillis() < untilMillis) {
+        while (!finished && elapsedMillis() < graceMillis - reserveMillis()) {
             callers.closeIdleConnections();
             Thread.sleep(isFinished() ? DRAIN_CONFIRM_MILLIS : DRAIN_POLL_MILLIS);
             finished = isFinished();
@@ -105,19 +134,21 @@
         return finished;
     }
 
-    private boolean isFinished() {
-        return core.openCalls() == 0 && callers.unfinishedConnections() == 0;
+    private void awaitFinalAnswers() throws InterruptedException {
+        long untilMillis = elapsedMillis() + (graceMillis - elapsedMillis()) * FINAL_ANSWERS_PERCENT / PERCENT;
+        while (!isFinished() && elapsedMillis() < untilMillis) {
+            Thread.sleep(DRAIN_POLL_MILLIS);
+        }
     }
 
-    /** Gives every request that can't be finished its final response before its connection is closed. */
-    private void endOpenCalls() {
-        callers.refuseUnreadRequests();
-        lock.lock();
-        try {
-            core.endOpenCalls();
-        } finally {
-            lock.unlock();
-        }
+    /** Time that closing may take this process, in milliseconds. */
+    private long reserveMillis() {
+        return MIN_RESERVE_MILLIS;
+    }
+
+    /** Whether no call is open, no request is half read and no response is half sent. */
+    private boolean isFinished() {
+        return core.openCalls() == 0 && callers.unfinishedConnections() == 0;
     }
 
     /** Names what is open, once a second, so that the log tells it also of a process that is killed. */
@@ -137,18 +168,24 @@
     }
 
     private List<String> openRequests() {
-        lock.lock();
-        try {
-            return core.openRequests(MAX_NAMED_REQUESTS);
-        } finally {
-            lock.unlock();
-        }
+        return locked(() -> core.openRequests(MAX_NAMED_REQUESTS));
     }
 
     private long lateMillis() {
+        return locked(core::lateMillis);
+    }
+
+    private void locked(Runnable action) {
+        locked(() -> {
+            action.run();
+            return true;
+        });
+    }
+
+    private <T> T locked(Supplier<T> figure) {
         lock.lock();
         try {
-            return core.lateMillis();
+            return figure.get();
         } finally {
             lock.unlock();
         }
--- a/src/test/java/org/cuminshelf/platform/PacedUpstreams.java
+++ b/src/test/java/org/cuminshelf/platform/PacedUpstreams.java
@@ -21,21 +21,46 @@
     private static final Pattern STREAM = Pattern.compile("/stream/(\\d+)/(\\d+)");
     private static final Pattern PLAIN = Pattern.compile("/plain/(\\d+)");
 
-    private final Map<String, Long> workedUntil = new ConcurrentHashMap<>();
+    /** Runs of each request: more than one if the entry has sent it to several upstreams. */
+    private final Map<String, Runs> runs = new ConcurrentHashMap<>();
+
     private final LoopbackUpstreams upstreams;
 
     PacedUpstreams(PlatformProcesses platform, int count) throws IOException {
         upstreams = new LoopbackUpstreams(platform, SLOTS, Collections.nCopies(count, "v1"), this::serve);
     }
 
+    /** The runs of one request. */
+    private static final class Runs {
+
+        private int open;
+        private long lastEndNanos;
+
+        private synchronized void begin() {
+            open++;
+        }
+
+        private synchronized void end() {
+            open--;
+            lastEndNanos = System.nanoTime();
+        }
+
+        private synchronized long workedUntilNanos() {
+            return open > 0 ? Long.MAX_VALUE : lastEndNanos;
+        }
+    }
+
     /** Whether a request has reached an upstream. */
     boolean hasRun(String request) {
-        return workedUntil.containsKey(request);
+        return runs.containsKey(request);
     }
 
-    /** When an upstream last worked on a request, in nanoseconds of {@link System#nanoTime()}. */
+    /**
+     * When the last upstream ended its work on a request, or found it broken off with its next event, in nanoseconds of
+     * {@link System#nanoTime()}; the largest number if one still works on it.
+     */
     long workedUntilNanos(String request) {
-        return workedUntil.get(request);
+        return runs.get(request).workedUntilNanos();
     }
 
     private void serve(int upstream, Socket socket) throws IOException, InterruptedException {
@@ -43,49 +68,43 @@
         while (!head.isEmpty()) {
             Matcher id = ID.matcher(head);
             String request = id.find() ? id.group(1) : "";
-            onWork(request);
-            answer(socket, head, request);
+            Runs ofRequest = runs.computeIfAbsent(request, key -> new Runs());
+            ofRequest.begin();
+            try {
+                answer(socket, head, request);
+            } finally {
+                ofRequest.end();
+            }
             head = LoopbackPlatform.readHead(socket.getInputStream());
         }
     }
 
-    private void answer(Socket socket, String head, String request) throws IOException, InterruptedException {
+    private static void answer(Socket socket, String head, String request) throws IOException, InterruptedException {
         Matcher stream = STREAM.matcher(head);
         Matcher plain = PLAIN.matcher(head);
         String seals = "HTTP/1.1 200 OK\r\n" + PlatformHeaders.RESPONSE_SEAL + ": s\r\n" + PlatformHeaders.REQUEST_ID
                 + ": " + request + "\r\n";
         if (stream.find()) {
             send(socket, seals + "Transfer-Encoding: chunked\r\n\r\n");
-            sendEvents(socket, request, Long.parseLong(stream.group(1)), Long.parseLong(stream.group(2)));
+            sendEvents(socket, Long.parseLong(stream.group(1)), Long.parseLong(stream.group(2)));
             return;
         }
-        workFor(request, plain.find() ? Long.parseLong(plain.group(1)) : 0);
+        Thread.sleep(plain.find() ? Long.parseLong(plain.group(1)) : 0);
         send(socket, seals + "Content-Length: 4\r\n\r\ndone");
     }
 
-    private void sendEvents(Socket socket, String request, long millis, long intervalMillis)
+    private static void sendEvents(Socket socket, long millis, long intervalMillis)
             throws IOException, InterruptedException {
         long endNanos = System.nanoTime() + millis * NANOS_PER_MILLI;
         for (int number = 1; System.nanoTime() < endNanos; number++) {
             String event = "id: " + number + "\ndata: x\n\n";
             send(socket, Integer.toHexString(event.length()) + "\r\n" + event + "\r\n");
-            onWork(request);
             long leftMillis = (endNanos - System.nanoTime()) / NANOS_PER_MILLI;
             Thread.sleep(Math.max(0, Math.min(intervalMillis, leftMillis)));
         }
-        onWork(request);
         send(socket, "0\r\n\r\n");
     }
 
-    private void workFor(String request, long millis) throws InterruptedException {
-        Thread.sleep(millis);
-        onWork(request);
-    }
-
-    private void onWork(String request) {
-        workedUntil.put(request, System.nanoTime());
-    }
-
     private static void send(Socket socket, String text) throws IOException {
         socket.getOutputStream().write(text.getBytes(StandardCharsets.ISO_8859_1));
     }
--- a/src/test/java/org/cuminshelf/platform/StoppingEntryTest.java
+++ b/src/test/java/org/cuminshelf/platform/StoppingEntryTest.java
@@ -176,13 +176,18 @@
     /** Whether an upstream still worked in the last sixth of the grace period on a request that was sent early. */
     private static boolean isAllowed(ReusingCaller.Sent request, PacedUpstreams upstreams, long stopNanos) {
         boolean early = request.sentNanos() - stopNanos <= NOTICE_NANOS;
-        return early && upstreams.workedUntilNanos(request.id()) - stopNanos >= GRACE_NANOS - GRACE_NANOS / 6;
+        return early && workedUntilNanos(request, upstreams) - stopNanos >= GRACE_NANOS - GRACE_NANOS / 6;
+    }
+
+    /** When the work on a request ended: it was broken off as its caller's connection ended. */
+    private static long workedUntilNanos(ReusingCaller.Sent request, PacedUpstreams upstreams) {
+        return Math.min(request.endNanos(), upstreams.workedUntilNanos(request.id()));
     }
 
     private static String describe(ReusingCaller.Sent request, PacedUpstreams upstreams, long stopNanos) {
         return request + " sent " + TimeUnit.NANOSECONDS.toMillis(request.sentNanos() - stopNanos) + " ms, ended "
                 + TimeUnit.NANOSECONDS.toMillis(request.endNanos() - stopNanos) + " ms after SIGTERM, worked on until "
-                + TimeUnit.NANOSECONDS.toMillis(upstreams.workedUntilNanos(request.id()) - stopNanos) + " ms";
+                + TimeUnit.NANOSECONDS.toMillis(workedUntilNanos(request, upstreams) - stopNanos) + " ms";
     }
 
     private static List<Process> startBusyProcesses(PlatformProcesses platform, String entry, int count)
