An entry that runs late begins to close earlier

What callers saw: beside nine busy processes on its core a stopping entry was killed at 8 s, and what was open ended in a reset. Cause: 0.4 s were reserved for the final answers, closing and the end of the process, however slowly it ran; a tenth of a core took 0.6 to 0.7 s. Now the reserve grows with the largest lateness since SIGTERM, up to an eighth of the grace period.

--- a/src/main/java/org/cuminshelf/process/EntryShutdown.java
+++ b/src/main/java/org/cuminshelf/process/EntryShutdown.java
@@ -24,9 +24,11 @@
      * apart, to notice.
      */
     private static final long READINESS_DRAIN_MILLIS = 2_600;
-    /** Time reserved for closing, whether or not all calls have ended. */
+    /** Time reserved for closing, whether or not all calls have ended; more if the process runs late. */
     private static final long MIN_RESERVE_MILLIS = 400;
-    /** Part of the grace period after which nothing is taken that may be open. */
+    /** Multiple of its lateness by which the reserve of a process grows: final answers, closing and exit are turns. */
+    private static final int RESERVE_LATENESS_FACTOR = 6;
+    /** Part of the grace period up to which the reserve grows. */
     private static final int MAX_RESERVE_DIVISOR = 8;
     /** Part of the reserve in which the final answers are sent, in percent. */
     private static final int FINAL_ANSWERS_PERCENT = 60;
@@ -46,6 +48,7 @@
     private final CallerListener callers;
     private final long startNanos = System.nanoTime();
     private long nextProgressMillis = PROGRESS_INTERVAL_MILLIS;
+    private long maxLateMillis;
 
     private EntryShutdown(
             String vm,
@@ -141,9 +144,11 @@
         }
     }
 
-    /** Time that closing may take this process, in milliseconds. */
+    /** Time that closing may take this process, by how late it has run since the stop began. */
     private long reserveMillis() {
-        return MIN_RESERVE_MILLIS;
+        maxLateMillis = Math.max(maxLateMillis, lateMillis());
+        long neededMillis = MIN_RESERVE_MILLIS + RESERVE_LATENESS_FACTOR * maxLateMillis;
+        return Math.min(neededMillis, Math.max(MIN_RESERVE_MILLIS, graceMillis / MAX_RESERVE_DIVISOR));
     }
 
     /** Whether no call is open, no request is half read and no response is half sent. */
