A stopping entry gives callers a moment to reuse a connection before it closes it

What callers saw: the next request on a kept connection met the close and ended without an answer, as a stopping entry closed idle connections every 20 ms, also in the moment in which their response had ended. It now waits for 60 ms, in which a caller that has its next request ready has sent it; that request is taken or refused, with 'Connection: close'. aCallerThatSendsItsNextRequestRightAfterAStreamIsAnsweredByADrainingProcess failed before.

--- a/src/main/java/org/cuminshelf/exchange/CallerConnection.java
+++ b/src/main/java/org/cuminshelf/exchange/CallerConnection.java
@@ -36,6 +36,9 @@
     /** How long a half-closed connection still reads: closing it with unread input would reset an unread response. */
     private static final long LINGER_MILLIS = 1_000;
 
+    /** Time after a response in which a caller that has its next request ready has sent it. */
+    private static final long REUSE_MILLIS = 60;
+
     private static final String LOG = "exchange: ";
     private static final byte[] HANDLER_FAILED =
             "The request may have run: it could not be handled here.\n".getBytes(StandardCharsets.UTF_8);
@@ -488,12 +491,16 @@
         return phase == Phase.IDLE && writes.isEmpty();
     }
 
-    /** Closes the connection if its last response was written and no byte of a next request has arrived. */
+    /**
+     * Closes the connection if its last response was written a moment ago and no byte of a next request has arrived.
+     * Many callers send the next request right away, and it would meet the close.
+     */
     void closeIfIdle() {
         runLocked(() -> {
-            if (isUnused()) {
-                read();
+            if (!isUnused() || millisSinceWritten(System.nanoTime()) < REUSE_MILLIS) {
+                return;
             }
+            read();
             if (isUnused()) {
                 onClosed(CloseReason.DRAIN);
             }
--- a/src/test/java/org/cuminshelf/exchange/CallerConnectionLossTest.java
+++ b/src/test/java/org/cuminshelf/exchange/CallerConnectionLossTest.java
@@ -329,6 +329,24 @@
         }
     }
 
+    /* Guards against a stopping process that closes a connection while its caller's next request is on the way. */
+    @Example
+    void aCallerThatSendsItsNextRequestRightAfterAStreamIsAnsweredByADrainingProcess() throws Exception {
+        handler = new SilentHandler();
+        try (Socket socket = connect()) {
+            send(socket, GET);
+            awaitExchanges(1);
+            lastExchange().beginResponse(200, HttpFields.EMPTY);
+            listener.startDraining();
+            lastExchange().endResponse();
+            handler = new EchoHandler();
+            readUntil(socket, "0\r\n\r\n");
+            listener.closeIdleConnections();
+            send(socket, GET_NEXT);
+            assertThat(readUntil(socket, "/b")).contains("Connection: close").endsWith("/b");
+        }
+    }
+
     /* Callers that don't know the limit reuse a connection in the moment in which it is closed. */
     @Example
     void responsesTellCallersALimitBelowTheOneInForce() throws Exception {
