A repeated SIGTERM, or one during the start, cuts nothing

What callers saw: a second SIGTERM ended an entry at once, and so did one that came while it started, although its port was open: what it had read was cut. Cause: the second signal halted the process, as for an operator at the keyboard, and handlers stood only once the process had started. Now only a repeated SIGINT ends it at once, and signals are handled before anything is started. aSecondRequestToStopCutsNothing and aRequestToStopThatComesDuringTheStartIsCarriedOutGracefully failed before.

--- a/src/main/java/org/cuminshelf/platform/PlatformCommand.java
+++ b/src/main/java/org/cuminshelf/platform/PlatformCommand.java
@@ -72,15 +72,17 @@
             WarmUp.run();
             return 0;
         }
+        GracefulShutdown shutdown = GracefulShutdown.handleSignals();
         BootSettings settings = BootSettings.read();
         BootSettings boot = Optional.ofNullable(flags.getInt(METRICS_PORT))
                 .map(settings::withMetricsPort)
                 .orElse(settings);
         if (flags.getString(ROLE).equals(CONTROL)) {
-            return GracefulShutdown.awaitSignal(List.of(startControl(boot)));
+            return shutdown.await(List.of(startControl(boot)));
         }
         DirectEntryProcess entry = startEntry(boot);
-        return GracefulShutdown.awaitSignal(List.of(entry), () -> reloadSeeds(entry));
+        shutdown.onReload(() -> reloadSeeds(entry));
+        return shutdown.await(List.of(entry));
     }
 
     private static void reloadSeeds(DirectEntryProcess entry) {
--- a/src/main/java/org/cuminshelf/tools/ControlCommand.java
+++ b/src/main/java/org/cuminshelf/tools/ControlCommand.java
@@ -72,8 +72,9 @@
                 new HashSet<>(Flags.list(flags, "admin-key-sha256")),
                 Flags.isOn(flags, "admin-open"),
                 !Flags.isOn(flags, "no-group-commit"));
+        GracefulShutdown shutdown = GracefulShutdown.handleSignals();
         ControlProcess process =
                 ControlProcess.start(common, options, () -> Runtime.getRuntime().halt(STORAGE_FAILURE_EXIT_CODE));
-        return GracefulShutdown.awaitSignal(List.of(process));
+        return shutdown.await(List.of(process));
     }
 }
--- a/src/main/java/org/cuminshelf/tools/EntryCommand.java
+++ b/src/main/java/org/cuminshelf/tools/EntryCommand.java
@@ -46,11 +46,12 @@
         if (settings.controlAddresses().isEmpty()) {
             throw new UsageException("--control: give the address of at least one control process");
         }
+        GracefulShutdown shutdown = GracefulShutdown.handleSignals();
         EntryProcess process = EntryProcess.start(
                 common,
                 settings,
                 Flags.address(flags, "callers"),
                 CommonFlags.pem(flags, "callers-cert", "callers-key"));
-        return GracefulShutdown.awaitSignal(List.of(process));
+        return shutdown.await(List.of(process));
     }
 }
--- a/src/main/java/org/cuminshelf/tools/SidecarCommand.java
+++ b/src/main/java/org/cuminshelf/tools/SidecarCommand.java
@@ -46,9 +46,10 @@
                 (int) Flags.number(flags, "slots", 1, 100_000),
                 Flags.isOn(flags, "checks-fence"),
                 Flags.addresses(flags, "control"));
+        GracefulShutdown shutdown = GracefulShutdown.handleSignals();
         SidecarProcess process =
                 SidecarProcess.start(common, settings, upstreamUri(flags), Flags.text(flags, "health-path"));
-        return GracefulShutdown.awaitSignal(List.of(process));
+        return shutdown.await(List.of(process));
     }
 
     private static URI upstreamUri(Namespace flags) throws UsageException {
--- a/src/main/java/org/cuminshelf/tools/Signals.java
+++ b/src/main/java/org/cuminshelf/tools/Signals.java
@@ -5,30 +5,36 @@
 import org.tinylog.Logger;
 
 /**
- * Handlers for termination signals and for SIGHUP. The first termination signal starts the graceful shutdown, the
- * second ends the process at once. {@code sun.misc.Signal} is accessed by reflection, because it is not part of the
- * supported interface of the JDK.
+ * Handlers for termination signals and for SIGHUP. The first termination signal starts the graceful shutdown. Further
+ * SIGTERMs change nothing, as a platform may repeat them; a further SIGINT, from an operator at the keyboard, ends the
+ * process at once. {@code sun.misc.Signal} is accessed by reflection, because it is not part of the supported interface
+ * of the JDK.
  */
 final class Signals {
 
     private static final String LOG_PREFIX = "process: ";
-    private static final int SIGTERM_EXIT_CODE = 143;
+    private static final int INTERRUPTED_EXIT_CODE = 130;
 
     private Signals() {}
 
     /** Registers the graceful shutdown for SIGTERM and SIGINT; it runs on a thread of its own. */
     static void onStop(Runnable gracefulShutdown) {
         AtomicInteger signalCount = new AtomicInteger();
-        Runnable onSignal = () -> {
-            int count = signalCount.incrementAndGet();
-            Logger.info(LOG_PREFIX + "event=stop-signal count={}", count);
-            if (count > 1) {
-                Runtime.getRuntime().halt(SIGTERM_EXIT_CODE);
+        handle("TERM", () -> onStopSignal("TERM", signalCount, gracefulShutdown));
+        handle("INT", () -> {
+            if (signalCount.get() > 0) {
+                Runtime.getRuntime().halt(INTERRUPTED_EXIT_CODE);
             }
+            onStopSignal("INT", signalCount, gracefulShutdown);
+        });
+    }
+
+    private static void onStopSignal(String name, AtomicInteger signalCount, Runnable gracefulShutdown) {
+        int count = signalCount.incrementAndGet();
+        Logger.info(LOG_PREFIX + "event=stop-signal name={} count={}", name, count);
+        if (count == 1) {
             new Thread(gracefulShutdown, "stop").start();
-        };
-        handle("TERM", onSignal);
-        handle("INT", onSignal);
+        }
     }
 
     /** Registers an action for SIGHUP, which would end the process if it had no handler. */
--- a/src/test/java/org/cuminshelf/platform/PlatformProcesses.java
+++ b/src/test/java/org/cuminshelf/platform/PlatformProcesses.java
@@ -136,6 +136,27 @@
         return ended;
     }
 
+    /** How a process has ended: 128 and the number of a signal if that has ended it. */
+    int exitCode(String name) {
+        return processes.get(name).exitValue();
+    }
+
+    /** Asks a process to stop as soon as its port for callers is open. */
+    void requestStopOnceOpen(String name) throws InterruptedException {
+        while (!isOpen(name)) {
+            Thread.sleep(1);
+        }
+        requestStop(name);
+    }
+
+    private boolean isOpen(String name) {
+        try (Socket _ = connect(name)) {
+            return true;
+        } catch (IOException notYet) {
+            return false;
+        }
+    }
+
     /** What a process has logged so far. */
     String log(String name) throws IOException {
         return Files.readString(workFolder.resolve(name + ".log"));
--- a/src/test/java/org/cuminshelf/platform/StoppingEntryTest.java
+++ b/src/test/java/org/cuminshelf/platform/StoppingEntryTest.java
@@ -32,6 +32,7 @@
     private static final long NOTICE_NANOS = TimeUnit.SECONDS.toNanos(3);
 
     private static final long WARM_MILLIS = 2_500;
+    private static final long SECOND_SIGNAL_MILLIS = 500;
     private static final int BUSY_PROCESSES = Integer.getInteger("stopping.busy", 9);
     private static final String STARVED_CORE = System.getProperty("stopping.core", "0");
 
@@ -103,6 +104,41 @@
                 Load.of(60, random -> plain(random.nextInt(20, 3_900))).beside(BUSY_PROCESSES));
     }
 
+    /* Guards against a platform that repeats SIGTERM: the second one ended the process and cut what was open. */
+    @Example
+    void aSecondRequestToStopCutsNothing() throws Exception {
+        try (PlatformProcesses platform = new PlatformProcesses(1, 1, CONFIG);
+                PacedUpstreams _ = new PacedUpstreams(platform, UPSTREAMS)) {
+            String entry = platform.entries().getFirst();
+            Queue<ReusingCaller.Sent> sent = ReusingCaller.newRecord();
+            AtomicBoolean goesOn = new AtomicBoolean(true);
+            Thread caller = Thread.ofVirtual()
+                    .start(new ReusingCaller(platform, entry, () -> stream(3_000, 100), 0, goesOn::get, sent));
+            Thread.sleep(WARM_MILLIS / 2);
+            goesOn.set(false);
+            platform.requestStop(entry);
+            Thread.sleep(SECOND_SIGNAL_MILLIS);
+            platform.requestStop(entry);
+            assertThat(platform.awaitEnd(entry, GRACE_MILLIS)).isTrue();
+            caller.join();
+            assertThat(sent).isNotEmpty().allMatch(request -> request.end() == ReusingCaller.End.WHOLE);
+        }
+    }
+
+    /* Guards against a signal that ends a starting process at once, although its port is open and requests are read. */
+    @Example
+    void aRequestToStopThatComesDuringTheStartIsCarriedOutGracefully() throws Exception {
+        try (PlatformProcesses platform = new PlatformProcesses(1, 1, CONFIG)) {
+            String entry = platform.entries().getFirst();
+            platform.kill(platform.entries());
+            platform.start(entry);
+            platform.requestStopOnceOpen(entry);
+            assertThat(platform.awaitEnd(entry, GRACE_MILLIS)).isTrue();
+            assertThat(platform.exitCode(entry)).isZero();
+            assertThat(platform.log(entry)).contains("event=stopped");
+        }
+    }
+
     /** Stops one of two entries under load and checks what became of the requests that were sent to it. */
     private static void assertNothingIsLost(Load load) throws Exception {
         try (PlatformProcesses platform = new PlatformProcesses(1, 2, CONFIG);
