A time of watching counts only with the whole directory of what was watched

What callers saw, in a test: a stream of the old version is taken up at a restarted entry and goes on at the new one. Cause: a control process that still counts an entry's earlier start as its subscriber sends it changes only, with its whole time of watching, and the entry took the versions it knew by then for all that had served. StreamVersionTest.changesWithoutTheRestOfADirectory... was red before: 'resumption outcome=only-version version=v1.2 candidates=[v1.2] complete=true answers=0'; now it is refused as not run. Now only an update after which the entry holds its sender's directory tells since when upstreams were watched.

--- a/src/main/java/org/cuminshelf/direct/ControlSubscription.java
+++ b/src/main/java/org/cuminshelf/direct/ControlSubscription.java
@@ -59,7 +59,10 @@
     private StreamRecordHolders recordHolders = StreamRecordHolders.among(Map.of());
     /** When each control process last sent an update, in nanoseconds. */
     private final Map<Address, Long> lastUpdateNanos = new TreeMap<>();
-    /** Since when a control process that this entry heard has listened to upstreams; {@link Core#NEVER} if none. */
+    /**
+     * Since when a control process whose whole directory this entry has received has listened to upstreams;
+     * {@link Core#NEVER} if none.
+     */
     private long watchedSinceNanos = Core.NEVER;
 
     private volatile RouteTable routes = RouteTable.empty();
@@ -181,7 +184,6 @@
             watchedSinceNanos = Core.NEVER;
         }
         lastUpdateNanos.put(from, now);
-        watchedSinceNanos = Math.min(watchedSinceNanos, now - Durations.nanos(update.getWatchedMs()));
         lastVoterUpdateNanos = update.getVoter() ? now : lastVoterUpdateNanos;
         configSourceSelector.onVersionAnnounced(now, from, update.getConfigVersion());
         if (update.getConfirmed()) {
@@ -189,6 +191,10 @@
         }
         updateReadiness(now);
         upstreams.onUpdate(now, from, update);
+        if (upstreams.holdsDirectory(from, update)) {
+            // Changes alone, sent to an earlier start of this process, don't tell what else was watched.
+            watchedSinceNanos = Math.min(watchedSinceNanos, now - Durations.nanos(update.getWatchedMs()));
+        }
         poisonGuard.onUpdate(now, from, update);
         usageMeter.onUpdate(now, from, update);
     }
--- a/src/test/java/org/cuminshelf/direct/StreamVersionTest.java
+++ b/src/test/java/org/cuminshelf/direct/StreamVersionTest.java
@@ -9,7 +9,9 @@
 import org.cuminshelf.message.Envelope;
 import org.cuminshelf.message.Role;
 import org.cuminshelf.message.Update;
+import org.cuminshelf.message.UpstreamBeat;
 import org.cuminshelf.message.UpstreamLoad;
+import org.cuminshelf.organisations.Organisations;
 import org.cuminshelf.routes.RequestKind;
 
 /** Guards against streams that go on at another software version than the one that began them. */
@@ -239,4 +241,42 @@
                 Envelope.newBuilder().setFrom(process).setUpdate(update).build(),
                 entry.out);
     }
+
+    /*
+     * Guards against a stream of the old version that a restarted entry takes for one of the new: a control process
+     * that counts the entry's earlier start as its subscriber sends changes only, and how long it has watched.
+     */
+    @Example
+    void changesWithoutTheRestOfADirectoryDoNotShowThatOnlyOneVersionHasServed() {
+        DirectFixture entry = new DirectFixture(DirectFixture.route(RequestKind.STREAM, 3, true));
+        UpstreamBeat newer = DirectFixture.heartbeat("u2", Role.ROLE_DECODE).toBuilder()
+                .setVersion("v1.2")
+                .build();
+        Update.Builder restarted = update(1).setWholeDirectory(true).setWatchedMs(500);
+        Update.Builder changesOnly = update(9).setDirectorySince(8).setWatchedMs(60_000);
+        send(entry, CONTROL.getFirst(), restarted.addUpstreams(newer).setConfirmed(true));
+        entry.applyConfig(DirectFixture.routeTable(
+                7, Organisations.unrestricted(), DirectFixture.route(RequestKind.STREAM, 3, true)));
+        send(entry, CONTROL.get(1), changesOnly.addUpstreams(newer));
+        DirectFixture.CallerResponse response = entry.sendRequest("b", "Tokens", "100", "Last", "3", "Resumes", "a");
+        entry.advance(900);
+        assertThat(entry.sentRequests).isEmpty();
+        assertThat(response.status).isEqualTo(503);
+    }
+
+    private static Update.Builder update(int directoryVersion) {
+        return Update.newBuilder()
+                .setVoter(true)
+                .setConfigVersion(7)
+                .addAllControl(CONTROL)
+                .setDirectoryIncarnation(1)
+                .setDirectoryVersion(directoryVersion);
+    }
+
+    private static void send(DirectFixture entry, String control, Update.Builder update) {
+        entry.core.accept(
+                entry.now,
+                Envelope.newBuilder().setFrom(control).setUpdate(update).build(),
+                entry.out);
+    }
 }
