Tests: pipelined requests during a stop, and waiting ones as it begins

Removing the question to waiting requests as the stop begins failed no test; the new one fails without it (status 0 where 503 is due). Without the schedule the pipelined request that can't end in time is passed on. Both are green on the code as it is.

--- a/src/test/java/org/cuminshelf/direct/StoppingEntryDayTest.java
+++ b/src/test/java/org/cuminshelf/direct/StoppingEntryDayTest.java
@@ -113,6 +113,23 @@
         assertThat(servedDuringStop).isPositive();
     }
 
+    /* Guards against a request that waits for an upstream, though it can no longer end before the stop does. */
+    @Example
+    void aWaitingRequestThatCannotEndInTimeIsRefusedAsTheStopBegins() {
+        entry = new DirectFixture(DirectFixture.patientRoute(RequestKind.IDEMPOTENT, 3)).becomeReady();
+        DirectFixture.CallerResponse response = entry.sendRequest("a", "Deadline", "8000");
+        assertThat(response.complete).isFalse();
+        entry.core.accept(
+                entry.now,
+                Envelope.newBuilder()
+                        .setFrom(Address.PROCESS.value())
+                        .setStop(Stop.newBuilder().setAnswersMs(ANSWERS_MILLIS))
+                        .build(),
+                entry.out);
+        assertThat(response.status).isEqualTo(503);
+        assertThat(entry.sentRequests).isEmpty();
+    }
+
     private void play(long seed) {
         random = RandomSource.XO_RO_SHI_RO_128_PP.create(seed);
         events.clear();
--- a/src/test/java/org/cuminshelf/platform/StoppingEntryTest.java
+++ b/src/test/java/org/cuminshelf/platform/StoppingEntryTest.java
@@ -3,6 +3,8 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.io.IOException;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.EnumMap;
 import java.util.List;
@@ -104,6 +106,33 @@
                 Load.of(60, random -> plain(random.nextInt(20, 3_900))).beside(BUSY_PROCESSES));
     }
 
+    /* Guards against a pipelined request that a stopping entry has read and neither answers nor refuses. */
+    @Example
+    void pipelinedRequestsAreEachAnsweredOrRefusedByAStop() throws Exception {
+        try (PlatformProcesses platform = new PlatformProcesses(1, 1, CONFIG);
+                PacedUpstreams upstreams = new PacedUpstreams(platform, UPSTREAMS)) {
+            String entry = platform.entries().getFirst();
+            try (Socket socket = platform.connect(entry)) {
+                socket.setSoTimeout((int) GRACE_MILLIS);
+                String requests = pipelined("p1", 1_500) + pipelined("p2", 4_000) + pipelined("p3", 3_000);
+                socket.getOutputStream().write(requests.getBytes(StandardCharsets.ISO_8859_1));
+                Thread.sleep(SECOND_SIGNAL_MILLIS);
+                platform.requestStop(entry);
+                String answers = new String(socket.getInputStream().readAllBytes(), StandardCharsets.ISO_8859_1);
+                assertThat(answers.split("HTTP/1.1 200", -1)).as(answers).hasSize(3);
+                assertThat(answers.split("0\r\n\r\n", -1)).as(answers).hasSize(3);
+                assertThat(answers.split("HTTP/1.1 503", -1)).as(answers).hasSize(2);
+                assertThat(upstreams.hasRun("p3")).isFalse();
+            }
+            assertThat(platform.awaitEnd(entry, GRACE_MILLIS)).isTrue();
+        }
+    }
+
+    private static String pipelined(String id, int millis) {
+        return "POST " + stream(millis, 100) + " HTTP/1.1\r\nHost: h\r\n" + PlatformHeaders.REQUEST_ID + ": " + id
+                + "\r\nContent-Length: 0\r\n\r\n";
+    }
+
     /* Guards against a platform that repeats SIGTERM: the second one ended the process and cut what was open. */
     @Example
     void aSecondRequestToStopCutsNothing() throws Exception {
