--- a/src/main/java/org/cuminshelf/process/ControlProcess.java
+++ b/src/main/java/org/cuminshelf/process/ControlProcess.java
@@ -109,7 +109,9 @@
             Map<String, GroupLog> logs)
             throws IOException {
         Map<String, DurableState> durableStates = new HashMap<>();
-        logs.forEach((group, log) -> durableStates.put(group, log.recovered()));
+        for (Map.Entry<String, GroupLog> log : logs.entrySet()) {
+            durableStates.put(log.getKey(), log.getValue().recovered());
+        }
         ControlCore core = ControlCore.start(
                 options.settings(),
                 common.listen(),
--- a/src/main/java/org/cuminshelf/replica/DurableState.java
+++ b/src/main/java/org/cuminshelf/replica/DurableState.java
@@ -11,7 +11,7 @@
  *
  * @param hardState the cluster, identity, term, vote and commit index
  * @param snapshot  the newest snapshot
- * @param entries   the entries after it
+ * @param entries   the entries after it, in their order; may read each one from the disk when it is asked for
  */
 public record DurableState(HardState hardState, Optional<Snapshot> snapshot, List<LogEntry> entries) {
 
--- a/src/main/java/org/cuminshelf/replica/Replica.java
+++ b/src/main/java/org/cuminshelf/replica/Replica.java
@@ -64,22 +64,17 @@
     /** Shorter than {@link #MIN_ELECTION_TIMEOUT_NANOS}, so that the lease ends before another replica may vote. */
     private static final long LEASE_NANOS = Durations.nanos(450);
 
-    private static final long RESEND_AFTER_NANOS = Durations.nanos(300);
     private static final long FORMATION_RETRY_NANOS = Durations.nanos(300);
-    private static final int MAX_APPEND_ENTRIES = 512;
-    private static final long MAX_APPEND_BYTES = 1L << 20;
-    private static final int SNAPSHOT_INTERVAL_ENTRIES = 2_000;
-    /** Entries before a snapshot that stay in memory, so that a slightly lagging follower needs no snapshot. */
-    private static final int ENTRIES_KEPT_BEFORE_SNAPSHOT = 500;
 
     private final ReplicaSettings settings;
-    private final ReplicatedStateMachine stateMachine;
     private final UniformRandomProvider random;
     private final Invariants invariants;
     private final long identity;
     private final ReplicatedLog log = new ReplicatedLog();
+    private final AppliedState applied;
     private final DurabilityTracker durability;
     private final PeerTable peers;
+    private final LogSender sender;
     private final Set<Long> votes = new HashSet<>();
     private final ClusterFormation formation;
     private final PendingReads pendingReads = new PendingReads();
@@ -95,7 +90,6 @@
     /** The commit index in the newest hard state handed to {@link #durability}. */
     private long savedCommitIndex;
 
-    private volatile long appliedIndex;
     private long electionDue;
     private boolean hasTicked;
     private long lastLeaderContact;
@@ -118,20 +112,24 @@
             Invariants invariants) {
         this.settings = settings;
         this.formation = new ClusterFormation(settings);
-        this.stateMachine = stateMachine;
+        this.applied = new AppliedState(log, stateMachine);
         this.random = random;
         this.invariants = invariants;
         this.identity = durableState.hardState().getIdentity();
         this.peers = new PeerTable(identity);
+        this.sender = new LogSender(log, peers);
         this.clusterId = durableState.hardState().getCluster();
         this.term = durableState.hardState().getTerm();
         this.votedFor = durableState.hardState().getVotedFor();
         durableState.snapshot().ifPresent(this::restore);
-        durableState.entries().forEach(log::append);
-        this.commitIndex =
-                Math.max(commitIndex, Math.min(durableState.hardState().getCommit(), log.lastIndex()));
+        replay(durableState);
         this.savedCommitIndex = commitIndex;
         this.durability = new DurabilityTracker(settings.group(), log.lastIndex(), commitIndex);
+        long storedSnapshotIndex =
+                durableState.snapshot().map(Snapshot::getIndex).orElse(0L);
+        if (log.snapshot().getIndex() > storedSnapshotIndex) {
+            durability.addRecord(LogRecord.newBuilder().setSnapshot(log.snapshot()));
+        }
         this.role = clusterId == 0 ? Role.UNFORMED : Role.FOLLOWER;
         // Grants no vote right after a restart: the lease of a leader that it acknowledged before may not have ended.
         this.lastLeaderContact = now;
@@ -324,7 +322,7 @@
      */
     public boolean isVoterWithDurableCommit() {
         return isVoter(identity)
-                && (!settings.persistsCommitIndex() || appliedIndex <= durability.durableCommitIndex());
+                && (!settings.persistsCommitIndex() || applied.index() <= durability.durableCommitIndex());
     }
 
     /** {@return the address of the leader that this replica follows or is, empty if none is known} */
@@ -344,7 +342,12 @@
 
     /** {@return the index of the last entry applied to the state machine} */
     public long appliedIndex() {
-        return appliedIndex;
+        return applied.index();
+    }
+
+    /** {@return the size of the log entries and the snapshot held in memory, in bytes} */
+    public long heldLogBytes() {
+        return log.heldBytes();
     }
 
     /** {@return the status shown to operators} */
@@ -369,7 +372,7 @@
                 .setIndex(1)
                 .setTerm(1)
                 .setMembership(formation.initialMembership(identity))
-                .setState(stateMachine.save())
+                .setState(applied.saveState())
                 .build();
         term = 1;
         restore(first);
@@ -720,47 +723,10 @@
         }
     }
 
-    /** Sends a heartbeat with the next entries, or a snapshot if the entries that the peer needs are compacted away. */
     private void replicateTo(long now, Peer peer, Outbox out) {
-        if (peers.isBeingReplaced(peer)) {
-            return;
-        }
-        if (peer.nextIndex <= log.lastIndex()
-                && peer.nextIndex > peer.matchIndex + 1
-                && now - peer.lastSentAt > RESEND_AFTER_NANOS) {
-            peer.nextIndex = peer.matchIndex + 1;
-        }
-        if (peer.nextIndex < log.firstIndex() || log.term(peer.nextIndex - 1).isEmpty()) {
-            sendSnapshot(now, peer, out);
-            return;
-        }
-        List<LogEntry> entries = log.entriesFrom(peer.nextIndex, MAX_APPEND_ENTRIES, MAX_APPEND_BYTES);
-        AppendRequest request = AppendRequest.newBuilder()
-                .setHeader(headerTo(peer.identity))
-                .setPreviousIndex(peer.nextIndex - 1)
-                .setPreviousTerm(log.term(peer.nextIndex - 1).orElseThrow())
-                .addAllEntries(entries)
-                .setCommit(publishableCommitIndex())
-                .setRound(peers.round())
-                .build();
-        if (!entries.isEmpty()) {
-            peer.lastSentAt = now;
+        if (!peers.isBeingReplaced(peer)) {
+            sender.send(now, peer, headerTo(peer.identity), publishableCommitIndex(), out);
         }
-        peer.nextIndex += entries.size();
-        out.send(peer.address, Envelope.newBuilder().setAppendRequest(request));
-    }
-
-    private void sendSnapshot(long now, Peer peer, Outbox out) {
-        if (now - peer.lastSentAt < RESEND_AFTER_NANOS && peer.lastSentAt != 0) {
-            return;
-        }
-        peer.lastSentAt = now;
-        SnapshotPart part = SnapshotPart.newBuilder()
-                .setHeader(headerTo(peer.identity))
-                .setSnapshot(log.snapshot())
-                .setRound(peers.round())
-                .build();
-        out.send(peer.address, Envelope.newBuilder().setSnapshotPart(part));
     }
 
     private Optional<Peer> recordAnswer(long now, ReplicaHeader header, long acknowledgedRound) {
@@ -806,7 +772,7 @@
 
     /** Confirms reads, once an entry of this term is committed and all committed entries are applied. */
     private void confirmReads() {
-        if (appliedIndex >= termFirstIndex && appliedIndex >= commitIndex) {
+        if (applied.index() >= termFirstIndex && applied.index() >= commitIndex) {
             pendingReads.confirmUpTo(peers.quorumAcknowledgedRound());
         }
     }
@@ -844,17 +810,12 @@
     }
 
     private void restore(Snapshot snapshot) {
-        log.restore(snapshot);
-        stateMachine.load(snapshot.getState());
+        applied.restore(snapshot);
         commitIndex = Math.max(commitIndex, snapshot.getIndex());
-        appliedIndex = snapshot.getIndex();
     }
 
     private void applyCommitted() {
-        while (appliedIndex < publishableCommitIndex() && log.holds(appliedIndex + 1)) {
-            appliedIndex++;
-            stateMachine.apply(log.entry(appliedIndex));
-        }
+        applied.applyUpTo(publishableCommitIndex());
         confirmReads();
     }
 
@@ -863,19 +824,26 @@
         return settings.persistsCommitIndex() ? Math.min(commitIndex, durability.durableCommitIndex()) : commitIndex;
     }
 
+    /**
+     * Appends the entries that were read from the disk, and applies those known to be committed. Snapshots on the way
+     * keep a log that is larger than the memory from being held whole.
+     */
+    private void replay(DurableState durableState) {
+        long durableCommitIndex = durableState.hardState().getCommit();
+        for (LogEntry entry : durableState.entries()) {
+            log.append(entry);
+            commitIndex = Math.max(commitIndex, Math.min(durableCommitIndex, entry.getIndex()));
+            applied.applyUpTo(commitIndex);
+            if (applied.isSnapshotDue()) {
+                applied.takeSnapshot();
+            }
+        }
+    }
+
     private void compactIfDue() {
-        if (appliedIndex - log.snapshot().getIndex() < SNAPSHOT_INTERVAL_ENTRIES) {
-            return;
+        if (applied.isSnapshotDue()) {
+            durability.addRecord(LogRecord.newBuilder().setSnapshot(applied.takeSnapshot()));
         }
-        Snapshot snapshot = Snapshot.newBuilder()
-                .setIndex(appliedIndex)
-                .setTerm(log.term(appliedIndex).orElseThrow())
-                .setMembership(log.membershipBefore(appliedIndex + 1))
-                .setState(stateMachine.save())
-                .setClockMs(log.clock(appliedIndex))
-                .build();
-        log.compact(snapshot, ENTRIES_KEPT_BEFORE_SNAPSHOT);
-        durability.addRecord(LogRecord.newBuilder().setSnapshot(snapshot));
     }
 
     private ReplicaHeader headerTo(long target) {
--- a/src/main/java/org/cuminshelf/replica/ReplicatedLog.java
+++ b/src/main/java/org/cuminshelf/replica/ReplicatedLog.java
@@ -11,6 +11,10 @@
 final class ReplicatedLog {
 
     private final List<LogEntry> entries = new ArrayList<>();
+    /** For each entry, the size in bytes of all entries appended up to it, including those no longer held. */
+    private final List<Long> endOffsets = new ArrayList<>();
+    /** The offset at which the first entry held starts. */
+    private long baseOffset;
     /** Index of the entry before the first one held. */
     private long baseIndex;
 
@@ -65,12 +69,41 @@
     }
 
     void append(LogEntry entry) {
+        endOffsets.add(endOffset(lastIndex()) + entry.getSerializedSize());
         entries.add(entry);
     }
 
+    /**
+     * The size in bytes of the entries after one index, up to another and including it. Entries that aren't held count
+     * nothing.
+     */
+    long bytesBetween(long after, long upTo) {
+        return Math.max(0, endOffset(upTo) - endOffset(after));
+    }
+
+    /** The size in bytes of the entries held and of the snapshot's state. */
+    long heldBytes() {
+        return bytesBetween(baseIndex, lastIndex()) + snapshot.getState().size();
+    }
+
+    private long endOffset(long index) {
+        int position = (int) (Math.min(index, lastIndex()) - baseIndex - 1);
+        return position < 0 ? baseOffset : endOffsets.get(position);
+    }
+
     /** Removes the entries from the given index on. */
     void truncateFrom(long index) {
-        entries.subList((int) (index - baseIndex - 1), entries.size()).clear();
+        int position = (int) (index - baseIndex - 1);
+        entries.subList(position, entries.size()).clear();
+        endOffsets.subList(position, endOffsets.size()).clear();
+    }
+
+    /** Removes the first entries, up to and including the given index. */
+    private void removeUpTo(long index) {
+        baseOffset = endOffset(index);
+        int count = (int) (index - baseIndex);
+        entries.subList(0, count).clear();
+        endOffsets.subList(0, count).clear();
     }
 
     /**
@@ -114,14 +147,20 @@
         return baseIndex;
     }
 
-    /** Installs a snapshot of this log, and keeps some entries before it for replicas that lag slightly. */
-    void compact(Snapshot newSnapshot, int keptEntries) {
+    /**
+     * Installs a snapshot of this log, and keeps some entries before it for replicas that lag slightly: no more than
+     * the given number, and no more than the given size together.
+     */
+    void compact(Snapshot newSnapshot, int maxKeptEntries, long maxKeptBytes) {
         snapshot = newSnapshot;
-        long newBaseIndex = Math.max(baseIndex, newSnapshot.getIndex() - keptEntries);
+        long newBaseIndex = Math.max(baseIndex, newSnapshot.getIndex() - maxKeptEntries);
+        while (bytesBetween(newBaseIndex, newSnapshot.getIndex()) > maxKeptBytes) {
+            newBaseIndex++;
+        }
         if (newBaseIndex > baseIndex) {
             Membership membership = membershipBefore(newBaseIndex + 1);
             long newBaseTerm = term(newBaseIndex).orElse(baseTerm);
-            entries.subList(0, (int) (newBaseIndex - baseIndex)).clear();
+            removeUpTo(newBaseIndex);
             baseMembership = membership;
             baseTerm = newBaseTerm;
             baseIndex = newBaseIndex;
@@ -134,9 +173,10 @@
                 .filter(term -> term == received.getTerm())
                 .isPresent();
         if (containsSnapshot && received.getIndex() >= baseIndex) {
-            entries.subList(0, (int) (received.getIndex() - baseIndex)).clear();
+            removeUpTo(received.getIndex());
         } else {
             entries.clear();
+            endOffsets.clear();
         }
         snapshot = received;
         baseIndex = received.getIndex();
--- a/src/main/java/org/cuminshelf/storage/GroupLog.java
+++ b/src/main/java/org/cuminshelf/storage/GroupLog.java
@@ -1,22 +1,17 @@
 package org.cuminshelf.storage;
 
-import com.google.protobuf.InvalidProtocolBufferException;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
-import java.nio.ByteBuffer;
-import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
-import java.util.zip.CRC32C;
-import org.cuminshelf.message.HardState;
-import org.cuminshelf.message.LogEntry;
 import org.cuminshelf.message.LogRecord;
 import org.cuminshelf.message.Snapshot;
 import org.cuminshelf.replica.DurableState;
+import org.tinylog.Logger;
 
 /**
- * The durable log of one group. Each record is preceded by a header: magic number, payload length, CRC-32C of the
- * remaining header and the payload, and the length of the log that was synced when the record was written.
+ * The durable log of one group. Recovery and compaction hold one record at a time, so that a log of any length can be
+ * opened with little memory; {@link RecordCodec} has the form of a record.
  *
  * <p>An invalid record at the end was never synced, so no message depended on it, and the log is truncated there. An
  * invalid record is corruption if a later valid record shows that it had been synced: opening the log then fails, as
@@ -24,18 +19,13 @@
  */
 public final class GroupLog implements AutoCloseable {
 
-    /** The start of each record: "CUM1" in ASCII. */
-    private static final int MAGIC = 0x43554d31;
-    /** Magic number, payload length, checksum, synced length. */
-    private static final int HEADER_BYTES = 4 + 4 + 4 + 8;
-    /** Offset in a record of the synced length, where the checksummed part starts. */
-    private static final int SYNCED_LENGTH_OFFSET = 12;
-
-    private static final int MAX_PAYLOAD_BYTES = 256 << 20;
+    private static final String LOG = "storage: ";
+    /** Small records are written together up to this size. */
+    private static final int WRITE_BUFFER_BYTES = 64 << 10;
 
     private final LogDevice device;
     private final String name;
-    private DurableState recovered;
+    private LiveRecords live = new LiveRecords();
     /** Length of the log in bytes. */
     private long length;
     /** Length of the synced part in bytes. */
@@ -59,23 +49,36 @@
     public static GroupLog open(LogDevice device, String name, long newIdentity) throws IOException {
         GroupLog log = new GroupLog(device, name);
         log.recover();
-        if (log.recovered.hardState().getIdentity() == 0) {
+        if (log.live.hardState().getIdentity() == 0) {
             DurableState fresh = DurableState.fresh(newIdentity);
             log.write(List.of(
                     LogRecord.newBuilder().setHardState(fresh.hardState()).build()));
             log.sync();
-            log.recovered = fresh;
         }
         return log;
     }
 
     /**
-     * Returns the state that was recovered when the log was opened.
+     * Reads the state that the log holds. Its entries are read from the disk one by one, and only until the next write.
      *
      * @return the state
+     * @throws IOException if the snapshot can't be read
+     */
+    public DurableState recovered() throws IOException {
+        Optional<Snapshot> snapshot = Optional.empty();
+        if (live.snapshot().isPresent()) {
+            snapshot = Optional.of(readLive(live.snapshot().get()).getSnapshot());
+        }
+        return new DurableState(live.hardState(), snapshot, new StoredEntries(device, name, live.entries(), length));
+    }
+
+    /**
+     * Returns the identity that was generated with the log.
+     *
+     * @return the identity
      */
-    public DurableState recovered() {
-        return recovered;
+    public long identity() {
+        return live.hardState().getIdentity();
     }
 
     /**
@@ -85,14 +88,24 @@
      * @throws IOException if the records can't be written; the log must not be used any more
      */
     public void write(List<LogRecord> records) throws IOException {
-        ByteArrayOutputStream bytes = new ByteArrayOutputStream();
+        ByteArrayOutputStream buffer = new ByteArrayOutputStream();
         boolean hasSnapshot = false;
         for (LogRecord record : records) {
-            encode(record, bytes);
+            byte[] bytes = RecordCodec.encode(record, syncedLength);
+            if (buffer.size() + bytes.length > WRITE_BUFFER_BYTES) {
+                device.append(buffer.toByteArray());
+                buffer.reset();
+            }
+            if (bytes.length > WRITE_BUFFER_BYTES) {
+                device.append(bytes);
+            } else {
+                buffer.writeBytes(bytes);
+            }
+            live.add(record, length);
+            length += bytes.length;
             hasSnapshot |= record.hasSnapshot();
         }
-        device.append(bytes.toByteArray());
-        length += bytes.size();
+        device.append(buffer.toByteArray());
         if (hasSnapshot) {
             compact();
         }
@@ -122,76 +135,30 @@
         device.close();
     }
 
-    private void encode(LogRecord record, ByteArrayOutputStream target) {
-        byte[] payload = record.toByteArray();
-        ByteBuffer buffer = ByteBuffer.allocate(HEADER_BYTES + payload.length);
-        buffer.putInt(MAGIC)
-                .putInt(payload.length)
-                .putInt(0)
-                .putLong(syncedLength)
-                .put(payload);
-        buffer.putInt(8, checksum(buffer.array(), 0, payload.length));
-        target.writeBytes(buffer.array());
-    }
-
-    private static int checksum(byte[] content, int start, int payloadLength) {
-        CRC32C crc = new CRC32C();
-        crc.update(content, start + SYNCED_LENGTH_OFFSET, 8 + payloadLength);
-        return (int) crc.getValue();
-    }
-
     private void recover() throws IOException {
-        byte[] content = device.read();
-        Replay replay = new Replay();
-        int position = 0;
-        while (position < content.length) {
-            Optional<LogRecord> record = decode(content, position);
-            if (record.isEmpty()) {
-                break;
-            }
-            replay.add(record.get());
-            position += HEADER_BYTES + payloadLength(content, position);
+        long end = device.length();
+        long position = 0;
+        Optional<RecordCodec.StoredRecord> stored = RecordCodec.read(device, position, end);
+        while (stored.isPresent()) {
+            live.add(stored.get().record(), position);
+            position += stored.get().length();
+            stored = RecordCodec.read(device, position, end);
         }
-        if (position < content.length) {
-            failIfSynced(content, position);
+        if (position < end) {
+            failIfSynced(position, end);
+            Logger.warn(
+                    LOG + "{}: the last {} bytes were cut off, a record that was never synced.", name, end - position);
             device.truncate(position);
         }
         length = position;
         syncedLength = position;
-        recovered = replay.state();
-    }
-
-    private static int payloadLength(byte[] content, int position) {
-        return ByteBuffer.wrap(content).getInt(position + 4);
-    }
-
-    private static Optional<LogRecord> decode(byte[] content, int position) {
-        if (content.length - position < HEADER_BYTES) {
-            return Optional.empty();
-        }
-        ByteBuffer buffer = ByteBuffer.wrap(content);
-        int payload = buffer.getInt(position + 4);
-        boolean plausible = buffer.getInt(position) == MAGIC
-                && payload >= 0
-                && payload <= MAX_PAYLOAD_BYTES
-                && payload <= content.length - position - HEADER_BYTES;
-        if (!plausible || buffer.getInt(position + 8) != checksum(content, position, payload)) {
-            return Optional.empty();
-        }
-        try {
-            return Optional.of(LogRecord.parser().parseFrom(content, position + HEADER_BYTES, payload));
-        } catch (InvalidProtocolBufferException e) {
-            return Optional.empty();
-        }
     }
 
     /** Throws if a valid record after the invalid one was written when the invalid one had been synced. */
-    private void failIfSynced(byte[] content, int invalidPosition) throws CorruptLogException {
-        ByteBuffer buffer = ByteBuffer.wrap(content);
-        for (int position = invalidPosition + 1; position <= content.length - HEADER_BYTES; position++) {
-            boolean readable = buffer.getInt(position) == MAGIC
-                    && decode(content, position).isPresent();
-            if (readable && buffer.getLong(position + SYNCED_LENGTH_OFFSET) > invalidPosition) {
+    private void failIfSynced(long invalidPosition, long end) throws IOException {
+        RecordSearch search = new RecordSearch(device, invalidPosition + 1, end);
+        for (Optional<RecordCodec.StoredRecord> found = search.next(); found.isPresent(); found = search.next()) {
+            if (found.get().syncedLength() > invalidPosition) {
                 throw new CorruptLogException(name + ": damaged at byte " + invalidPosition
                         + ", before records that were synced; move the folder away and start this replica anew,"
                         + " so that it joins as a learner");
@@ -199,73 +166,55 @@
         }
     }
 
-    /** Replaces the log by one that holds only the current state. */
-    private void compact() throws IOException {
-        Replay replay = new Replay();
-        byte[] content = device.read();
-        int position = 0;
-        while (position < length) {
-            replay.add(decode(content, position)
-                    .orElseThrow(() -> new CorruptLogException(name + ": invalid record found during compaction")));
-            position += HEADER_BYTES + payloadLength(content, position);
-        }
-        DurableState state = replay.state();
-        syncedLength = 0;
-        ByteArrayOutputStream compacted = new ByteArrayOutputStream();
-        encode(LogRecord.newBuilder().setHardState(state.hardState()).build(), compacted);
-        state.snapshot()
-                .ifPresent(snapshot ->
-                        encode(LogRecord.newBuilder().setSnapshot(snapshot).build(), compacted));
-        for (LogEntry entry : state.entries()) {
-            encode(LogRecord.newBuilder().setEntry(entry).build(), compacted);
-        }
-        device.replace(compacted.toByteArray());
-        length = compacted.size();
-        syncedLength = length;
+    private LogRecord readLive(LiveRecords.Place place) throws IOException {
+        return RecordCodec.read(device, place.position(), length)
+                .orElseThrow(() -> new CorruptLogException(name + ": a record that was valid can't be read again"))
+                .record();
     }
 
-    /** Rebuilds the state from the records in their order. */
-    private static final class Replay {
-
-        private HardState hardState = HardState.getDefaultInstance();
-        private Optional<Snapshot> snapshot = Optional.empty();
-        private final List<LogEntry> entries = new ArrayList<>();
-
-        private void add(LogRecord record) {
-            switch (record.getRecordCase()) {
-                case HARD_STATE -> hardState = record.getHardState();
-                case ENTRY -> {
-                    truncateFrom(record.getEntry().getIndex());
-                    entries.add(record.getEntry());
-                }
-                case CUT_FROM -> truncateFrom(record.getCutFrom());
-                case SNAPSHOT -> installSnapshot(record.getSnapshot());
-                case RECORD_NOT_SET -> {
-                    // Written by a later version, which allows this one to ignore it.
-                }
+    /**
+     * Replaces the log by one that holds only the current state. Where the disk has no room for it, the old log stays
+     * in use, and the next snapshot tries again.
+     */
+    private void compact() throws IOException {
+        boolean isComplete = false;
+        try (LogDevice.Replacement replacement = device.startReplacement()) {
+            LiveRecords moved = new LiveRecords();
+            long newLength = copyLiveRecords(replacement, moved);
+            replacement.sync();
+            isComplete = true;
+            replacement.commit();
+            live = moved;
+            length = newLength;
+            syncedLength = newLength;
+        } catch (CorruptLogException e) {
+            throw e;
+        } catch (IOException e) {
+            if (isComplete) {
+                throw e;
             }
+            Logger.warn(LOG + "{} keeps its {} bytes until the next snapshot: {}.", name, length, e.getMessage());
         }
+    }
 
-        private void truncateFrom(long index) {
-            while (!entries.isEmpty() && entries.getLast().getIndex() >= index) {
-                entries.removeLast();
-            }
+    private long copyLiveRecords(LogDevice.Replacement target, LiveRecords moved) throws IOException {
+        long position =
+                copy(LogRecord.newBuilder().setHardState(live.hardState()).build(), 0, target, moved);
+        if (live.snapshot().isPresent()) {
+            position = copy(readLive(live.snapshot().get()), position, target, moved);
         }
-
-        private void installSnapshot(Snapshot installed) {
-            snapshot = Optional.of(installed);
-            boolean containsSnapshot = entries.stream()
-                    .anyMatch(entry ->
-                            entry.getIndex() == installed.getIndex() && entry.getTerm() == installed.getTerm());
-            if (containsSnapshot) {
-                entries.removeIf(entry -> entry.getIndex() <= installed.getIndex());
-            } else {
-                entries.clear();
-            }
+        for (LiveRecords.Place entry : live.entries()) {
+            position = copy(readLive(entry), position, target, moved);
         }
+        return position;
+    }
 
-        private DurableState state() {
-            return new DurableState(hardState, snapshot, List.copyOf(entries));
-        }
+    /** Writes a record at a position of the new log, and returns where the next one starts. */
+    private static long copy(LogRecord record, long position, LogDevice.Replacement target, LiveRecords moved)
+            throws IOException {
+        byte[] bytes = RecordCodec.encode(record, 0);
+        target.append(bytes);
+        moved.add(record, position);
+        return position + bytes.length;
     }
 }
--- a/src/main/java/org/cuminshelf/trial/VirtualDisk.java
+++ b/src/main/java/org/cuminshelf/trial/VirtualDisk.java
@@ -1,6 +1,8 @@
 package org.cuminshelf.trial;
 
+import java.io.ByteArrayOutputStream;
 import java.io.IOException;
+import java.nio.ByteBuffer;
 import java.util.Arrays;
 import java.util.HashMap;
 import java.util.Map;
@@ -64,7 +66,7 @@
     /** The identity of the present disk in a group; 0 before its log was opened. */
     long identity(String group) {
         GroupLog log = logs.get(group);
-        return log == null ? 0 : log.recovered().hardState().getIdentity();
+        return log == null ? 0 : log.identity();
     }
 
     void failNextSync() {
@@ -114,8 +116,14 @@
         private int synced;
 
         @Override
-        public byte[] read() {
-            return content.clone();
+        public long length() {
+            return content.length;
+        }
+
+        @Override
+        public void read(long position, ByteBuffer target) {
+            int start = (int) position;
+            target.put(content, start, Math.min(target.remaining(), content.length - start));
         }
 
         @Override
@@ -137,9 +145,8 @@
         }
 
         @Override
-        public void replace(byte[] fresh) {
-            content = fresh.clone();
-            synced = content.length;
+        public Replacement startReplacement() {
+            return new DeviceReplacement();
         }
 
         @Override
@@ -147,6 +154,33 @@
             // Nothing is held.
         }
 
+        /** New content of the log in memory. */
+        private final class DeviceReplacement implements Replacement {
+
+            private final ByteArrayOutputStream fresh = new ByteArrayOutputStream();
+
+            @Override
+            public void append(byte[] bytes) {
+                fresh.writeBytes(bytes);
+            }
+
+            @Override
+            public void sync() {
+                // Durable with the commit.
+            }
+
+            @Override
+            public void commit() {
+                content = fresh.toByteArray();
+                synced = content.length;
+            }
+
+            @Override
+            public void close() {
+                // Nothing is held.
+            }
+        }
+
         void crash(UniformRandomProvider random) {
             int tail = content.length - synced;
             int kept = tail == 0 ? 0 : random.nextInt(tail + 1);
--- a/src/test/java/org/cuminshelf/platform/PlatformProcesses.java
+++ b/src/test/java/org/cuminshelf/platform/PlatformProcesses.java
@@ -15,6 +15,7 @@
 import java.util.Comparator;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.TreeMap;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
@@ -23,6 +24,7 @@
 import java.util.regex.Pattern;
 import java.util.stream.IntStream;
 import java.util.stream.Stream;
+import org.cuminshelf.control.ControlSettings;
 
 /**
  * Control processes and entries of the operators' platform as operating system processes, each with a loopback address
@@ -157,6 +159,24 @@
         }
     }
 
+    /** Sends a configuration to a control process, and returns whether it was acknowledged. */
+    boolean configure(String control, String document) {
+        return call(control, LISTEN, "PUT /cuminshelf/config", document).startsWith("HTTP/1.1 200");
+    }
+
+    /** Reads the configuration that a control process holds; empty if it does not answer. */
+    Optional<String> configuration(String control) {
+        String response = call(control, LISTEN, "GET /cuminshelf/config", "");
+        return response.startsWith("HTTP/1.1 200")
+                ? Optional.of(response.substring(response.indexOf("\r\n\r\n")))
+                : Optional.empty();
+    }
+
+    /** The file of the replication log of a control process. */
+    Path logFile(String control) {
+        return workFolder.resolve(control).resolve(ControlSettings.GLOBAL_GROUP).resolve("log");
+    }
+
     /** What a process has logged so far. */
     String log(String name) throws IOException {
         return Files.readString(workFolder.resolve(name + ".log"));
