--- a/src/main/java/org/cuminshelf/replica/LogSender.java
+++ b/src/main/java/org/cuminshelf/replica/LogSender.java
@@ -9,12 +9,22 @@
 import org.cuminshelf.message.ReplicaHeader;
 import org.cuminshelf.message.SnapshotPart;
 
-/** Sends the entries or the snapshot that a peer of a leader lacks. Times are in nanoseconds of the monotonic clock. */
+/**
+ * Sends the entries or the snapshot that a peer of a leader lacks. Times are in nanoseconds of the monotonic clock.
+ *
+ * <p>Guards against a leader that runs out of memory beside a peer that stands still: what is sent and not answered is
+ * bounded, and a peer that hasn't answered lately gets heartbeats only. The peer's answer to a heartbeat shows what has
+ * arrived, so nothing is sent again before it.
+ */
 final class LogSender {
 
-    private static final long RESEND_AFTER_NANOS = Durations.nanos(300);
+    private static final long RESEND_SNAPSHOT_AFTER_NANOS = Durations.nanos(300);
+    /** A peer that hasn't answered for this long gets no more entries. */
+    private static final long SILENCE_NANOS = Durations.nanos(600);
+
     private static final int MAX_APPEND_ENTRIES = 512;
     private static final long MAX_APPEND_BYTES = 1L << 20;
+    private static final long MAX_IN_FLIGHT_BYTES = 2L << 20;
 
     private final ReplicatedLog log;
     private final PeerTable peers;
@@ -24,6 +34,13 @@
         this.peers = peers;
     }
 
+    /** Whether there are entries or a snapshot that the peer lacks and that may be sent to it now. */
+    boolean hasNews(long now, Peer peer) {
+        return needsSnapshot(peer)
+                ? maySendSnapshot(now, peer)
+                : peer.nextIndex <= log.lastIndex() && maySendEntries(now, peer);
+    }
+
     /**
      * Sends a heartbeat with the next entries, or a snapshot if the entries that the peer needs are compacted away.
      *
@@ -34,36 +51,61 @@
      * @param out    receives the messages
      */
     void send(long now, Peer peer, ReplicaHeader header, long commit, Outbox out) {
-        if (peer.nextIndex <= log.lastIndex()
-                && peer.nextIndex > peer.matchIndex + 1
-                && now - peer.lastSentAt > RESEND_AFTER_NANOS) {
-            peer.nextIndex = peer.matchIndex + 1;
-        }
-        if (peer.nextIndex < log.firstIndex() || log.term(peer.nextIndex - 1).isEmpty()) {
+        if (!needsSnapshot(peer)) {
+            sendEntries(now, peer, header, commit, out);
+        } else if (maySendSnapshot(now, peer)) {
             sendSnapshot(now, peer, header, out);
-            return;
+        } else {
+            sendAppend(peer, log.firstIndex() - 1, List.of(), header, commit, out);
         }
-        List<LogEntry> entries = log.entriesFrom(peer.nextIndex, MAX_APPEND_ENTRIES, MAX_APPEND_BYTES);
+    }
+
+    private boolean needsSnapshot(Peer peer) {
+        return peer.nextIndex < log.firstIndex() || log.term(peer.nextIndex - 1).isEmpty();
+    }
+
+    private static boolean answersLately(long now, Peer peer) {
+        return now - peer.lastAnswerAt < SILENCE_NANOS;
+    }
+
+    private boolean maySendEntries(long now, Peer peer) {
+        long inFlightBytes = log.bytesBetween(peer.inFlightAfter, peer.nextIndex - 1);
+        return answersLately(now, peer) && inFlightBytes < MAX_IN_FLIGHT_BYTES;
+    }
+
+    /** A snapshot is sent again only once a later heartbeat is answered, which shows that it was lost. */
+    private boolean maySendSnapshot(long now, Peer peer) {
+        boolean isUnderway = peer.awaitsSnapshotAnswer
+                && (peer.acknowledgedRound <= peer.snapshotRound
+                        || now - peer.snapshotSentAt < RESEND_SNAPSHOT_AFTER_NANOS);
+        return answersLately(now, peer) && !isUnderway;
+    }
+
+    private void sendEntries(long now, Peer peer, ReplicaHeader header, long commit, Outbox out) {
+        List<LogEntry> entries = maySendEntries(now, peer)
+                ? log.entriesFrom(peer.nextIndex, MAX_APPEND_ENTRIES, MAX_APPEND_BYTES)
+                : List.of();
+        sendAppend(peer, peer.nextIndex - 1, entries, header, commit, out);
+        peer.nextIndex += entries.size();
+    }
+
+    private void sendAppend(
+            Peer peer, long previousIndex, List<LogEntry> entries, ReplicaHeader header, long commit, Outbox out) {
         AppendRequest request = AppendRequest.newBuilder()
                 .setHeader(header)
-                .setPreviousIndex(peer.nextIndex - 1)
-                .setPreviousTerm(log.term(peer.nextIndex - 1).orElseThrow())
+                .setPreviousIndex(previousIndex)
+                .setPreviousTerm(log.term(previousIndex).orElseThrow())
                 .addAllEntries(entries)
                 .setCommit(commit)
                 .setRound(peers.round())
                 .build();
-        if (!entries.isEmpty()) {
-            peer.lastSentAt = now;
-        }
-        peer.nextIndex += entries.size();
         out.send(peer.address, Envelope.newBuilder().setAppendRequest(request));
     }
 
     private void sendSnapshot(long now, Peer peer, ReplicaHeader header, Outbox out) {
-        if (now - peer.lastSentAt < RESEND_AFTER_NANOS && peer.lastSentAt != 0) {
-            return;
-        }
-        peer.lastSentAt = now;
+        peer.awaitsSnapshotAnswer = true;
+        peer.snapshotRound = peers.round();
+        peer.snapshotSentAt = now;
         SnapshotPart part = SnapshotPart.newBuilder()
                 .setHeader(header)
                 .setSnapshot(log.snapshot())
--- a/src/main/java/org/cuminshelf/replica/Peer.java
+++ b/src/main/java/org/cuminshelf/replica/Peer.java
@@ -19,8 +19,14 @@
     /** Send time of {@link #acknowledgedRound}. */
     long acknowledgedRoundSentAt = Long.MIN_VALUE;
 
-    /** When entries or a snapshot were last sent. */
-    long lastSentAt;
+    /** The index after which entries are in flight; those up to it are durable, or were lost or never sent. */
+    long inFlightAfter;
+    /** Whether a snapshot was sent that the peer hasn't answered. */
+    boolean awaitsSnapshotAnswer;
+    /** The heartbeat round in which the last snapshot was sent. */
+    long snapshotRound;
+    /** When a snapshot was last sent. */
+    long snapshotSentAt;
     /** When the peer last answered; the time of its addition before its first answer. */
     long lastAnswerAt;
 
@@ -28,7 +34,20 @@
         this.identity = voter.getIdentity();
         this.address = Address.of(voter.getAddress());
         this.learner = voter.getLearner();
-        this.nextIndex = nextIndex;
         this.lastAnswerAt = now;
+        continueAt(nextIndex);
+    }
+
+    /** Sets the next index to send; nothing before it is in flight. */
+    void continueAt(long index) {
+        nextIndex = index;
+        inFlightAfter = index - 1;
+    }
+
+    /** Records that the peer's log is durable up to an index. */
+    void matchUpTo(long index) {
+        matchIndex = Math.max(matchIndex, index);
+        nextIndex = Math.max(nextIndex, matchIndex + 1);
+        inFlightAfter = Math.max(inFlightAfter, matchIndex);
     }
 }
--- a/src/main/java/org/cuminshelf/replica/Replica.java
+++ b/src/main/java/org/cuminshelf/replica/Replica.java
@@ -718,7 +718,7 @@
     }
 
     private void sendNewEntries(long now, Peer peer, Outbox out) {
-        if (peer.nextIndex <= log.lastIndex() && now - peer.lastAnswerAt < MIN_ELECTION_TIMEOUT_NANOS) {
+        if (sender.hasNews(now, peer)) {
             replicateTo(now, peer, out);
         }
     }
@@ -751,11 +751,10 @@
         }
         Peer peer = sender.get();
         if (answer.getMatched()) {
-            peer.matchIndex = Math.max(peer.matchIndex, answer.getIndex());
-            peer.nextIndex = Math.max(peer.nextIndex, peer.matchIndex + 1);
+            peer.matchUpTo(answer.getIndex());
             advanceCommit();
         } else {
-            peer.nextIndex = Math.max(peer.matchIndex, Math.min(peer.nextIndex - 1, answer.getIndex())) + 1;
+            peer.continueAt(Math.max(peer.matchIndex, Math.min(peer.nextIndex - 1, answer.getIndex())) + 1);
         }
         hasEntriesToSend |= peer.nextIndex <= log.lastIndex();
         confirmReads();
@@ -763,8 +762,8 @@
 
     private void onSnapshotAnswer(long now, SnapshotAnswer answer) {
         recordAnswer(now, answer.getHeader(), answer.getRound()).ifPresent(peer -> {
-            peer.matchIndex = Math.max(peer.matchIndex, answer.getIndex());
-            peer.nextIndex = Math.max(peer.nextIndex, peer.matchIndex + 1);
+            peer.awaitsSnapshotAnswer = false;
+            peer.matchUpTo(answer.getIndex());
             hasEntriesToSend = true;
             advanceCommit();
         });
--- a/src/test/java/org/cuminshelf/replica/LargeEntriesGroup.java
+++ b/src/test/java/org/cuminshelf/replica/LargeEntriesGroup.java
@@ -30,7 +30,7 @@
     private static final int MEMBERS = 3;
     private static final long STEP_MILLIS = 10;
 
-    private record Message(Address from, Address to, Envelope body) {}
+    private record Message(Address from, Address to, Envelope body, long dueAt) {}
 
     /** Keeps the newest document and its number. */
     private static final class NewestDocument implements ReplicatedStateMachine {
@@ -72,6 +72,8 @@
         private int incarnation;
         private boolean isDown;
         private long standsStillUntil;
+        private long delayNanos;
+        private int snapshots;
 
         private Node(int number, MembershipPolicy policy, List<Address> seeds) {
             this.self = address(number);
@@ -220,6 +222,18 @@
         return Optional.ofNullable(bytesTo.remove(member)).orElse(0L);
     }
 
+    /** Delays messages to a member from now on. */
+    void delayMessagesTo(Address member, long millis) {
+        nodes.get(member).delayNanos = Durations.nanos(millis);
+    }
+
+    /** Returns how many snapshots were sent to a member since this was last called. */
+    int takeSnapshotsTo(Address member) {
+        int sent = nodes.get(member).snapshots;
+        nodes.get(member).snapshots = 0;
+        return sent;
+    }
+
     void advance(long millis) {
         for (long elapsed = 0; elapsed < millis; elapsed += STEP_MILLIS) {
             now += Durations.nanos(STEP_MILLIS);
@@ -227,7 +241,9 @@
             inFlight = new ArrayList<>();
             for (Message message : delivered) {
                 Node to = nodes.get(message.to);
-                if (to != null && !to.isDown) {
+                if (message.dueAt > now) {
+                    inFlight.add(message);
+                } else if (to != null && !to.isDown) {
                     to.arrived.add(message);
                 }
             }
@@ -246,7 +262,10 @@
                 }
                 Envelope body = message.build();
                 bytesTo.merge(to, (long) body.getSerializedSize(), Long::sum);
-                inFlight.add(new Message(from.self, to, body));
+                Optional<Node> receiver = Optional.ofNullable(nodes.get(to));
+                receiver.filter(node -> body.hasSnapshotPart()).ifPresent(node -> node.snapshots++);
+                long delay = receiver.map(node -> node.delayNanos).orElse(0L);
+                inFlight.add(new Message(from.self, to, body, now + delay));
             }
 
             @Override
@@ -270,6 +289,7 @@
         inFlight.add(new Message(
                 Address.STORAGE,
                 node.self,
-                Envelope.newBuilder().setPersisted(done).build()));
+                Envelope.newBuilder().setPersisted(done).build(),
+                now));
     }
 }
--- a/src/test/java/org/cuminshelf/replica/LargeEntriesTest.java
+++ b/src/test/java/org/cuminshelf/replica/LargeEntriesTest.java
@@ -26,6 +26,12 @@
     private static final long CATCH_UP_MILLIS = 4_000;
 
     private static final long STANDSTILL_MILLIS = 12_000;
+    /** How long a message takes over a slow connection. */
+    private static final long SLOW_MILLIS = 500;
+
+    /** What a leader may send to a member that doesn't answer, a small part of its heap of 140 MB. */
+    private static final long MAX_BYTES_IN_VAIN = 4L << 20;
+
     /** What memory and disk may grow by with more changes. */
     private static final double FLATNESS = 1.1;
 
@@ -65,6 +71,35 @@
         assertThat(group.newest(replacement)).isEqualTo(400);
     }
 
+    // Guards against a leader that runs out of memory as it sends the same entries again and again in vain.
+    @Example
+    void aMemberThatStandsStillIsSentLittleWhileChangesCome() {
+        LargeEntriesGroup group = new LargeEntriesGroup();
+        changeAll(group, 1, 20);
+        Address follower = follower(group);
+        group.standStill(follower, STANDSTILL_MILLIS);
+        group.takeBytesTo(follower);
+        changeAll(group, 21, 220);
+        assertThat(group.takeBytesTo(follower)).isLessThan(MAX_BYTES_IN_VAIN);
+        group.advance(STANDSTILL_MILLIS + CATCH_UP_MILLIS);
+        assertThat(group.newest(follower)).isEqualTo(220);
+    }
+
+    // Guards against a leader that sends the same snapshot again and again over a connection that is slower than that.
+    @Example
+    void aSnapshotIsSentOnceOverASlowConnection() {
+        LargeEntriesGroup group = new LargeEntriesGroup();
+        Address follower = follower(group);
+        group.kill(follower);
+        changeAll(group, 1, 100);
+        group.delayMessagesTo(follower, SLOW_MILLIS);
+        group.start(follower);
+        group.takeSnapshotsTo(follower);
+        group.advance(CATCH_UP_MILLIS);
+        assertThat(group.newest(follower)).isEqualTo(100);
+        assertThat(group.takeSnapshotsTo(follower)).isEqualTo(1);
+    }
+
     /*
      * Guards against the loss of an acknowledged document, and against growth, in drawn histories: documents of very
      * different sizes while members stand still, are killed, all at once too, or are replaced by empty ones.
