The message generator is chosen by the kind of machine

src/build/generate-messages.sh named the compiler for x86-64 only, which doesn't run on arm64; run there, it now generates the same sources.

--- a/src/build/generate-messages.sh
+++ b/src/build/generate-messages.sh
@@ -4,8 +4,12 @@
 set -eu
 cd "$(dirname "$0")/../.."
 version=4.34.1
+case $(uname -m) in
+    aarch64 | arm64) machine=linux-aarch_64 ;;
+    *) machine=linux-x86_64 ;;
+esac
 mvn -q -B org.apache.maven.plugins:maven-dependency-plugin:3.8.1:copy \
-    -Dartifact=com.google.protobuf:protoc:$version:exe:linux-x86_64 -DoutputDirectory=target/protoc
-chmod +x target/protoc/protoc-$version-linux-x86_64.exe
+    -Dartifact=com.google.protobuf:protoc:$version:exe:$machine -DoutputDirectory=target/protoc
+chmod +x target/protoc/protoc-$version-$machine.exe
 rm -rf src/main/java/org/cuminshelf/message
-target/protoc/protoc-$version-linux-x86_64.exe --java_out=lite:src/main/java -Isrc/main/proto src/main/proto/messages.proto
+target/protoc/protoc-$version-$machine.exe --java_out=lite:src/main/java -Isrc/main/proto src/main/proto/messages.proto
