--- a/src/main/java/org/cuminshelf/direct/AttemptRunner.java
+++ b/src/main/java/org/cuminshelf/direct/AttemptRunner.java
@@ -526,12 +526,18 @@
         }
     }
 
-    /** Returns the time until an attempt may be found silent, alone or with its whole upstream. */
+    /**
+     * Returns the time until an attempt may be found silent, alone or with its whole upstream. Where both are silent
+     * already and the attempt may take longer, it is looked at again at intervals.
+     */
     private static long nextCheckNanos(long watchedNow, DirectAttempt attempt, long timeoutNanos) {
         long ownNanos = attempt.silentNanos(watchedNow);
         long upstreamNanos = attempt.upstream.silentNanos(watchedNow);
         long untilSilentNanos = UpstreamInstance.SILENCE_NANOS - Math.min(ownNanos, upstreamNanos);
-        return Math.min(timeoutNanos - ownNanos, Math.max(1, Math.min(untilSilentNanos, MAX_CHECK_INTERVAL_NANOS)));
+        long untilCheckNanos = untilSilentNanos > 0
+                ? Math.min(untilSilentNanos, MAX_CHECK_INTERVAL_NANOS)
+                : SILENT_CHECK_INTERVAL_NANOS;
+        return Math.min(timeoutNanos - ownNanos, untilCheckNanos);
     }
 
     /** Returns the time without progress after which an attempt may be replaced. */
