A core that is always due hands over its lock, is slowed down and counted

Cause of the class: LockedCoreRunner keeps its lock between ticks where there is nothing to wait for, and the lock isn't fair, so threads that deliver messages, pass answers on or stop the process may wait without end.

Fix: where other threads wait for the lock, the core's thread waits for 50 us, which hands it to the first of them. After 100 ticks without a wait the core is ticked once a millisecond, counted (cuminshelf_core_always_due) and logged once a second at most (event=core-always-due).

The line does not name the part of the core that is due; that is open, as is a histogram of the waits.

--- a/src/main/java/org/cuminshelf/process/DirectEntryProcess.java
+++ b/src/main/java/org/cuminshelf/process/DirectEntryProcess.java
@@ -152,6 +152,19 @@
                 common.listen());
     }
 
+    private void registerCoreGauges() {
+        EntryProcess.registerGauge(
+                registry,
+                "cuminshelf_core_failures",
+                "Messages and ticks that the core failed to process; report any value above 0 as a bug.",
+                runner::failures);
+        EntryProcess.registerGauge(
+                registry,
+                "cuminshelf_core_always_due",
+                "Times the core was due at once for many ticks in a row; report any value above 0 as a bug.",
+                runner::alwaysDueCount);
+    }
+
     private void registerGauges() {
         EntryProcess.registerGauge(
                 registry, "cuminshelf_config_version", "Version of the configuration in force.", core::configVersion);
@@ -203,11 +216,7 @@
                 "cuminshelf_share_groups",
                 "Kinds and organisations whose answered shares are kept.",
                 core::shareGroups);
-        EntryProcess.registerGauge(
-                registry,
-                "cuminshelf_core_failures",
-                "Messages and ticks that the core failed to process; report any value above 0 as a bug.",
-                runner::failures);
+        registerCoreGauges();
         EntryProcess.registerGauge(
                 registry, "cuminshelf_invariant_breach_count", "Invariant violations detected.", invariants::count);
     }
--- a/src/main/java/org/cuminshelf/process/LockedCoreRunner.java
+++ b/src/main/java/org/cuminshelf/process/LockedCoreRunner.java
@@ -21,6 +21,14 @@
 
     private static final String LOG = "entry: ";
     private static final long MAX_WAIT_NANOS = TimeUnit.SECONDS.toNanos(1);
+    /** Ticks without a wait between them after which the core is taken for one that is always due. */
+    private static final int MAX_TICKS_IN_A_ROW = 100;
+    /** Wait between the ticks of a core that is always due, so that it takes no more than a part of the processor. */
+    private static final long ALWAYS_DUE_PAUSE_NANOS = TimeUnit.MILLISECONDS.toNanos(1);
+
+    private static final long ALWAYS_DUE_LINE_INTERVAL_NANOS = TimeUnit.SECONDS.toNanos(1);
+    /** Wait for other threads that want the lock; a wait of any length hands it to the first of them. */
+    private static final long HAND_OVER_NANOS = TimeUnit.MICROSECONDS.toNanos(50);
     /** Wait after a failed tick, so that a core that fails every time takes neither the lock nor the log for itself. */
     private static final long FAILURE_PAUSE_NANOS = TimeUnit.MILLISECONDS.toNanos(50);
 
@@ -33,6 +41,13 @@
     private long nextWakeUpNanos;
     private long nextEverySecondNanos = System.nanoTime();
     private final AtomicLong failures = new AtomicLong();
+    /** Ticks since the core was last not due at once. */
+    private int ticksInARow;
+
+    private long nextAlwaysDueLineNanos = System.nanoTime();
+    /** How often the core was found to be always due. */
+    private final AtomicLong alwaysDueCount = new AtomicLong();
+
     private volatile boolean running = true;
     private volatile boolean healthy = true;
 
@@ -87,6 +102,11 @@
         return failures.get();
     }
 
+    /** Returns how often the core was due at once for many ticks in a row. */
+    long alwaysDueCount() {
+        return alwaysDueCount.get();
+    }
+
     @Override
     public void close() {
         running = false;
@@ -144,10 +164,39 @@
     }
 
     private void awaitNextDue() throws InterruptedException {
-        long wait = healthy ? Math.min(MAX_WAIT_NANOS, core.nanosUntilDue(System.nanoTime())) : FAILURE_PAUSE_NANOS;
+        long wait = healthy ? Math.min(MAX_WAIT_NANOS, nanosUntilNextTick()) : FAILURE_PAUSE_NANOS;
         nextWakeUpNanos = healthy ? System.nanoTime() + wait : Long.MIN_VALUE;
         if (wait > 0) {
             dueTimeChanged.awaitNanos(wait);
         }
     }
+
+    /**
+     * Returns how long to wait for the next tick. Guards against a core that is due at once again and again and keeps
+     * the lock: nothing that arrives would be read, and the process could not stop.
+     */
+    private long nanosUntilNextTick() {
+        long untilDue = core.nanosUntilDue(System.nanoTime());
+        if (untilDue > 0) {
+            ticksInARow = 0;
+            return untilDue;
+        }
+        ticksInARow++;
+        if (ticksInARow > MAX_TICKS_IN_A_ROW) {
+            if (ticksInARow == MAX_TICKS_IN_A_ROW + 1) {
+                noteAlwaysDue();
+            }
+            return ALWAYS_DUE_PAUSE_NANOS;
+        }
+        return lock.hasQueuedThreads() ? HAND_OVER_NANOS : 0;
+    }
+
+    private void noteAlwaysDue() {
+        alwaysDueCount.incrementAndGet();
+        long now = System.nanoTime();
+        if (now >= nextAlwaysDueLineNanos) {
+            nextAlwaysDueLineNanos = now + ALWAYS_DUE_LINE_INTERVAL_NANOS;
+            Logger.warn(LOG + "event=core-always-due count={}", alwaysDueCount.get());
+        }
+    }
 }
--- a/src/test/java/org/cuminshelf/process/LockedCoreRunnerTest.java
+++ b/src/test/java/org/cuminshelf/process/LockedCoreRunnerTest.java
@@ -14,6 +14,13 @@
 /** Tests that failures of a core end neither its thread nor the threads that deliver its events. */
 class LockedCoreRunnerTest {
 
+    /** More than a core may be ticked without a wait. */
+    private static final int MANY_TICKS = 200;
+
+    private static final int MESSAGES = 100;
+    /** A caller waits no longer than a small part of a second for the lock, also on a busy machine. */
+    private static final long MAX_MESSAGES_MILLIS = 5_000;
+
     private final FaultyCore core = new FaultyCore();
     private final AtomicInteger everySecondRuns = new AtomicInteger();
     private final LockedCoreRunner runner =
@@ -103,6 +110,36 @@
         assertThat(core.awaitTicks(20)).isTrue();
     }
 
+    /* Guards against an entry that reads and passes on nothing, as its core is always due and keeps the lock. */
+    @Example
+    void aCoreThatIsAlwaysDueLetsMessagesIn() throws Exception {
+        core.onTick = out -> core.nextDueNanos = Long.MIN_VALUE;
+        runner.start();
+        assertThat(core.awaitTicks(MANY_TICKS)).isTrue();
+        long startNanos = System.nanoTime();
+        for (int message = 0; message < MESSAGES; message++) {
+            runner.accept(Envelope.getDefaultInstance());
+        }
+        long elapsedMillis = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - startNanos);
+        assertThat(core.messages.get()).isEqualTo(MESSAGES);
+        assertThat(elapsedMillis).isLessThan(MAX_MESSAGES_MILLIS);
+    }
+
+    /* Guards against the processor being used up by a core that is always due. */
+    @Example
+    void aCoreThatIsAlwaysDueIsTickedAtIntervalsAndCounted() throws Exception {
+        core.onTick = out -> core.nextDueNanos = Long.MIN_VALUE;
+        runner.start();
+        assertThat(core.awaitTicks(MANY_TICKS)).isTrue();
+        int before = core.ticks.get();
+        long startNanos = System.nanoTime();
+        Thread.sleep(500);
+        int ticks = core.ticks.get() - before;
+        long elapsedMillis = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - startNanos);
+        assertThat(ticks).isLessThanOrEqualTo((int) elapsedMillis + 1);
+        assertThat(runner.alwaysDueCount()).isEqualTo(1);
+    }
+
     /* Guards against a broken connection to control whenever the core can't process one of its messages. */
     @Example
     void aMessageThatCannotBeProcessedDoesNotFailItsSender() {
