--- a/src/test/java/org/cuminshelf/exchange/CutHeadsTest.java
+++ b/src/test/java/org/cuminshelf/exchange/CutHeadsTest.java
@@ -68,21 +68,35 @@
     private void serve() {
         try {
             while (true) {
-                try (Socket socket = server.accept()) {
-                    readRequest(socket.getInputStream());
-                    write(socket);
-                }
+                Socket socket = server.accept();
+                Thread.ofVirtual().start(() -> serve(socket));
             }
         } catch (IOException closed) {
             // The test is over.
         }
     }
 
-    private static void readRequest(InputStream in) throws IOException {
+    private void serve(Socket connection) {
+        try (Socket socket = connection) {
+            if (readRequest(socket.getInputStream())) {
+                write(socket);
+            }
+        } catch (IOException gone) {
+            // The client has closed the connection.
+        }
+    }
+
+    /** Reads a request; returns whether there was one. */
+    private static boolean readRequest(InputStream in) throws IOException {
         StringBuilder read = new StringBuilder();
         while (read.indexOf("\r\n\r\n") < 0) {
-            read.append((char) in.read());
+            int next = in.read();
+            if (next < 0) {
+                return false;
+            }
+            read.append((char) next);
         }
+        return true;
     }
 
     private void write(Socket socket) throws IOException {
